--- /dev/null
+++ b/curlewshift/adapter/loop.py
@@ -0,0 +1,306 @@
+"""The loop over batches, and one front for each instance that the bench runs."""
+
+from __future__ import annotations
+
+import traceback
+
+from curlewshift.adapter.codec import (
+    OUTCOMES, Fields, Malformed, boot_of, fields_of, load_of, mark_of, terms_of, time_text)
+from curlewshift.model import Link, Listed, Rack, Server, Viewing
+from curlewshift.rules import Rules
+
+
+class Front:
+    """One instance: the objects behind the wire's ids, and the host that its rules act through."""
+
+    def __init__(self, who: str, now: int, seed: int, boot: dict, reply: list[str]):
+        self.who, self.clock, self.reply = who, now, reply
+        self.servers: dict[str, Server] = {}
+        self.racks: dict[int, Rack] = {}
+        self.viewings: dict[int, Viewing] = {}
+        self.areas = boot.get("areas") or []
+        extra = boot.get("extra") or {}
+        self.kinds = dict(zip(boot.get("flavors") or [], extra.get("kind_streams") or []))
+        self.rack_count = extra.get("cabinets") or 1
+        self.rack_size = extra.get("rack_kb") or float("inf")
+        self.size_of_one = extra.get("kb_per_weight") or float("inf")
+        self.report_names = (boot.get("telemetry") or {}).get("fields") or []
+        terms = terms_of(boot, now, seed)
+        self.packages = {package.name: package for package in terms.packages}
+        self.customers = {customer.name: customer for customer in terms.customers}
+        self.rules = Rules(self, terms)
+
+    # ---- the host interface, see curlewshift/host.py
+
+    def now(self) -> int:
+        return self.clock
+
+    def tune_in(self, viewing, server, until):
+        self._act("issue", f"call={viewing.name}\tserver={server.name}\ttry_until_ms={time_text(until)}")
+
+    def set_rung(self, viewing, rung):
+        self._act("set_level", f"call={viewing.name}\tgrade={rung}")
+
+    def block(self, viewing, wait):
+        self.viewings.pop(viewing.name, None)
+        self._act("not_now", f"call={viewing.name}\twait_ms={time_text(wait)}")
+
+    def abort(self, viewing):
+        self.viewings.pop(viewing.name, None)
+        self._act("surrender", f"call={viewing.name}")
+
+    def move(self, viewing):
+        self._act("bounce", f"call={viewing.name}")
+
+    def cancel(self, viewing):
+        self._act("call_off", f"call={viewing.name}\thop={viewing.tune_ins - 1}")
+
+    def probe(self, server):
+        self._act("poll", f"server={server.name}")
+
+    def wake(self, at):
+        self._act("arm", f"nonce=tick\tinstant_ms={time_text(at)}")
+
+    def say(self, text):
+        self._act("note_down", "reason_text=" + " ".join(text.split()))
+
+    def _act(self, name, rest):
+        self.reply.append(f"{name}\twho={self.who}\t{rest}\n")
+
+    # ---- the wire's events
+
+    def take(self, fields: Fields, lists: dict[int, list[Fields]]) -> None:
+        handler = getattr(self, "on_" + fields.kind, None)
+        if handler is None:
+            raise Malformed(f"unknown message {fields.kind!r}")
+        if fields.kind == "fleet":
+            handler(fields, lists)
+        else:
+            handler(fields)
+
+    def on_fleet(self, fields, lists):
+        kind = fields.text("kind")
+        if kind == "Error":
+            return
+        slot = fields.whole("slot")
+        if slot not in lists:
+            raise Malformed(f"fleet: no list has number {slot}")
+        named, lines = set(), []
+        for row in lists[slot]:
+            server = self._listed(row)
+            named.add(server.name)
+            lines.append(Listed(server, row.text("readiness") == "on", row.time("up_since_ms", 0)))
+        if kind != "Partial":
+            lines += [Listed(server, False, server.started)
+                      for server in self.servers.values() if server.name not in named]
+        self.rules.listed(lines, stale=kind == "Persisted")
+
+    def on_query(self, fields):
+        viewing = self._viewing(fields)
+        self.viewings[viewing.name] = viewing
+        self.rules.wanted(viewing)
+
+    def on_open(self, fields):
+        viewing = self._viewing(fields)
+        self.viewings[viewing.name] = viewing
+        self.rules.handed_over(viewing, self._server(fields.text("server")))
+
+    def on_begun(self, fields):
+        viewing = self.viewings.get(fields.whole("call"))
+        if viewing is not None:
+            self.rules.begun(viewing)
+
+    def on_hint_update(self, fields):
+        viewing = self.viewings.get(fields.whole("call"))
+        server = self.servers.get(fields.text("server"))
+        topic, level = fields.whole("topic"), fields.number("level")
+        if server is None:
+            return
+        if topic == 1:
+            self.rules.delivered(server, level)
+        elif topic == 2 and viewing is not None:
+            self.rules.rung_told(viewing, int(level))
+        elif topic == 3:
+            self.rules.link_told(server, level)
+        elif topic == 4:
+            self.rules.uplink_told(server, level)
+
+    def on_done(self, fields):
+        viewing = self.viewings.get(fields.whole("call"))
+        outcome = OUTCOMES.get(fields.text("code"))
+        if outcome is None:
+            raise Malformed(f"done: code={fields.text('code')!r} is no outcome")
+        report = load_of(fields, self.report_names)
+        server = self.servers.get(fields.text("server"))
+        if server is not None and report:
+            self._report(server, report)
+        if viewing is None or fields.whole("hop", 0) != max(viewing.tune_ins - 1, 0):
+            return
+        closed = fields.flag("closed") or viewing.over
+        if closed:
+            del self.viewings[viewing.name]
+        self.rules.ended(viewing, outcome, closed)
+
+    def on_lapsed(self, fields):
+        viewing = self.viewings.get(fields.whole("call"))
+        if viewing is not None:
+            self.rules.left(viewing)
+            if viewing.server is None:
+                del self.viewings[viewing.name]
+
+    def on_fired(self, fields):
+        if fields.text("nonce") == "tick":
+            self.rules.tick()
+
+    def on_echo(self, fields):
+        server = self.servers.get(fields.text("server"))
+        if server is not None:
+            self._report(server, load_of(fields, self.report_names))
+            self.rules.probed(server, fields.text("code") == "served")
+
+    def on_message(self, fields):
+        """Fronts share nothing here: what another one says is not listened to."""
+
+    def _report(self, server, report):
+        link, uplink = report.get("x0", report.get("busy")), report.get("x1")
+        if link is not None:
+            self.rules.link_told(server, link)
+        if uplink is not None:
+            self.rules.uplink_told(server, uplink)
+
+    # ---- ids to objects
+
+    def _viewing(self, fields) -> Viewing:
+        package = self.packages.get(fields.text("class"))
+        if package is None:
+            raise Malformed(f"{fields.kind}: class={fields.text('class')!r} is not among the settings")
+        return Viewing(
+            name=fields.whole("call"), title=fields.text("title", ""), mark=fields.key("path_key"),
+            package=package, ceiling=int(fields.number("ceiling_rung", package.top)), asked_at=self.clock,
+            expires=fields.time("expires_ms", 0) or self.clock + package.patience,
+            base=int(fields.number("base", 0)), span=int(fields.number("span", 1 << 30)),
+            customer=self.customers.get(fields.text("tenant", "")), expected=fields.time("predicted_ms", 0),
+            came_back=fields.flag("came_back"), moved=fields.flag("back_from_move"))
+
+    def _server(self, name: str) -> Server:
+        server = self.servers.get(name)
+        if server is None:
+            # handed over on a machine that no list named: it is counted, but sent nothing
+            server = Server(name, mark_of(name), "", -1, 0, self._rack(-1), Link(self.size_of_one), open=False)
+            self.servers[name] = server
+        return server
+
+    def _rack(self, number: int) -> Rack:
+        if number not in self.racks:
+            self.racks[number] = Rack(number, Link(self.rack_size))
+        return self.racks[number]
+
+    def _listed(self, row: Fields) -> Server:
+        server = self._server(row.text("server"))
+        position = row.whole("position", 0)
+        rack = self._rack(position % self.rack_count)
+        server.zone, server.cell = row.text("rack_zone", ""), position
+        server.streams = self.kinds.get(row.text("type", ""), 0)
+        server.link.size = row.number("heft", 1.0) * self.size_of_one
+        if server.rack is not rack or server not in rack.servers:
+            if server in server.rack.servers:
+                server.rack.servers.remove(server)
+            if server.rack is not rack:
+                # what plays there moves its claim along with the machine
+                server.rack.link.own -= server.link.own
+                server.rack.link.own_squares -= server.link.own_squares
+                rack.link.own += server.link.own
+                rack.link.own_squares += server.link.own_squares
+                for viewing in server.link.playing:
+                    server.rack.link.playing.pop(viewing, None)
+                    rack.link.playing[viewing] = True
+            server.rack = rack
+            rack.servers.append(server)
+        return server
+
+
+class Bench:
+    """All fronts of this process. They share nothing but the pipe."""
+
+    def __init__(self):
+        self.fronts: dict[str, Front] = {}
+        self.failed: set[str] = set()
+        self.lists: dict[int, list[Fields]] = {}
+        self.reply: list[str] = []
+        self.now = 0
+
+    def take(self, fields: Fields) -> None:
+        who = fields.text("who")
+        if fields.kind == "up":
+            self.failed.discard(who)
+            seed = fields.whole("nonce64", 0)
+            boot = boot_of(fields.text("boot_info"))
+            self._guarded(who, lambda: self.fronts.__setitem__(
+                who, Front(who, self.now, seed, boot, self.reply)))
+            return
+        front = self.fronts.get(who)
+        if front is None:
+            if who in self.failed or fields.kind == "teardown":
+                return
+            raise Malformed(f"{fields.kind}: instance {who} was never started")
+        if fields.kind == "teardown":
+            del self.fronts[who]
+            self.failed.add(who)
+            return
+        front.clock = self.now
+        self._guarded(who, lambda: front.take(fields, self.lists))
+
+    def _guarded(self, who, step):
+        try:
+            step()
+        except Malformed:
+            raise
+        except Exception as error:  # the one door where a failed decision becomes a fault with its cause
+            traceback.print_exc()
+            self.fronts.pop(who, None)
+            self.failed.add(who)
+            self.reply.append(f"fault\twho={who}\treason_text={type(error).__name__}: "
+                              f"{' '.join(str(error).split())}\n")
+
+
+def serve(source, sink, errors) -> int:
+    bench, rows_left, slot, inside = Bench(), 0, -1, False
+    number = 0
+    try:
+        for raw in source:
+            number += 1
+            line = raw.decode("utf-8").rstrip("\r\n")
+            if not line:
+                continue
+            if line == "over_to_you":
+                if not inside or rows_left:
+                    raise Malformed("over_to_you out of place")
+                inside = False
+                sink.write("".join(bench.reply).encode() + b"finished\n")
+                sink.flush()
+                bench.reply.clear()
+                continue
+            fields = fields_of(line)
+            if fields.kind == "round":
+                if inside:
+                    raise Malformed("round before the last batch was closed")
+                inside, bench.now = True, fields.time("time_ms")
+            elif not inside:
+                raise Malformed(f"{fields.kind!r} outside a batch")
+            elif rows_left:
+                if fields.kind != "m":
+                    raise Malformed(f"{fields.kind!r} where {rows_left} more list lines were due")
+                fields.text("server"), fields.text("readiness")
+                bench.lists[slot].append(fields)
+                rows_left -= 1
+            elif fields.kind == "snapshot_rows":
+                slot, rows_left = fields.whole("slot"), fields.whole("items")
+                bench.lists[slot] = []
+            else:
+                bench.take(fields)
+        if inside:
+            raise Malformed("input ended inside a batch")
+    except (Malformed, UnicodeDecodeError) as error:
+        print(f"curlewshift: line {number}: {error}", file=errors)
+        return 2
+    return 0
--- /dev/null
+++ b/curlewshift/model.py
@@ -0,0 +1,164 @@
+"""Plain types that the rules work on. They hold facts and running accounts, and decide nothing.
+
+Times are whole nanoseconds, rates are kB a second. Ids (`name`) are for the door alone: the
+rules hold the objects themselves.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Outcome(Enum):
+    """How a tune-in, or a viewing that played, came to its end."""
+
+    PLAYED = "played"
+    ERROR = "error"
+    FULL = "full"
+    SILENT = "silent"
+    UNREACHED = "unreached"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    UNSENT = "unsent"
+
+
+@dataclass(eq=False, slots=True)
+class Package:
+    name: str
+    value: float
+    join_target: int
+    patience: int
+    paid_at_setup: bool
+    rates: tuple[float, ...]
+    floor: int
+    top: int
+    seats: int
+
+
+@dataclass(eq=False, slots=True)
+class Customer:
+    name: str
+    quota_per_s: float
+    portion: float
+    asked: float = 0.0
+    asked_at: int = 0
+
+
+@dataclass(eq=False, slots=True)
+class Link:
+    """A server's link or a rack's uplink, by this front's own account."""
+
+    size: float
+    own: float = 0.0
+    own_squares: float = 0.0
+    others: float = 0.0
+    told: bool = False
+    fresh: float = 0.0
+    swing: float = 0.0
+    aged_at: int = 0
+    own_goal: float = 0.0
+    missing: float = 0.0
+    missing_at: int = 0
+    climbs_from: int = 0
+    playing: dict = field(default_factory=dict)
+
+
+@dataclass(eq=False, slots=True)
+class Rack:
+    number: int
+    link: Link
+    servers: list = field(default_factory=list)
+
+
+@dataclass(eq=False, slots=True)
+class Server:
+    name: str
+    mark: int
+    zone: str
+    cell: int
+    streams: int
+    rack: Rack
+    link: Link
+    started: int = 0
+    open: bool = True
+    # what this front saw of it
+    cold_until: int = 0
+    failed: bool = False
+    sent: list = field(default_factory=list)
+    out: int = 0
+    out_cap: int = 0
+    heard_at: int = 0
+    gap: float = 0.0
+    trouble: float = 0.0
+    trouble_at: int = 0
+    starved_since: int = 0
+    full_until: int = 0
+
+
+@dataclass(eq=False, slots=True)
+class Viewing:
+    name: int
+    title: str
+    mark: int
+    package: Package
+    ceiling: int
+    asked_at: int
+    expires: int
+    base: int
+    span: int
+    customer: Customer | None = None
+    expected: int = 0
+    came_back: bool = False
+    moved: bool = False
+    # its course at this front
+    server: Server | None = None
+    rung: int = 0
+    playing: bool = False
+    over: bool = False
+    tune_ins: int = 0
+    sent_at: int = 0
+    may_have_run: bool = False
+    tried: list = field(default_factory=list)
+    turn: int = 0
+    climbed_at: int = 0
+    held_rate: float = 0.0
+
+
+@dataclass(slots=True)
+class Listed:
+    """One line of the server list as discovery tells it."""
+
+    server: Server
+    open: bool
+    started: int
+
+
+@dataclass(eq=False, slots=True)
+class Terms:
+    """What the deployment states to a front that starts."""
+
+    now: int
+    seed: int
+    me: int
+    fronts: int
+    zone: str
+    packages: list[Package]
+    customers: list[Customer]
+    cells: int
+    racks_told: bool
+    told_late: int
+    told_every: int
+    max_tune_ins: int
+    may_probe: bool
+    may_cancel: bool
+    longest_wait: int
+    warm_within: int
+    start_capacity: float
+    fall_multiple: float
+    fall_within: int
+    free_further: float | None
+    further_share: float
+    look_back: int
+    move_price: float
+    change_cost: int
--- /dev/null
+++ b/curlewshift/rules.py
@@ -0,0 +1,427 @@
+"""Every decision of curlewshift: which server a viewing goes to, at which rung, and when it changes.
+
+Called by whoever hosts a front (today curlewshift/adapter): one `Rules` a front, made with the host
+that it acts through (curlewshift/host.py) and the terms of its deployment (curlewshift/model.py),
+then one method for each thing that can happen. Each acts by calling the host before it returns.
+docs/design.md tells the mechanism, its source and each exception. Times are nanoseconds.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from math import exp, inf, sqrt
+from random import Random
+
+from curlewshift.host import Host
+from curlewshift.model import Link, Listed, Outcome, Server, Terms, Viewing
+
+SECOND = 1_000_000_000
+
+# The design's own figures: the round, the bound on overload, the spread, the pace and hold of climbs.
+TICK = SECOND
+BOUND = 3.09
+SPREAD = 0.10
+CLIMB_PACE = 10 * SECOND
+CLIMB_HOLD = 30 * SECOND
+
+# A note of short delivery is renewed each second while it lasts; without news for longer it is over.
+NOTE_LASTS = 5 * SECOND // 2
+# Under this share delivered a viewing gives up nothing by being left out of the account.
+WHOLE = 0.98
+
+# A tune-in may use this part of the time left to the join target, so that another still fits in.
+TUNE_IN_PART = 0.4
+SHORTEST_TUNE_IN = SECOND // 5
+COME_BACK = SECOND
+
+# What is held against a server fades; over the mark it gets viewings only where nobody else can.
+TROUBLE_FADES = 8 * SECOND
+TROUBLE_MARK = 0.5
+FULL_LASTS = SECOND // 2
+FRESH_CAP = 2
+
+# Only these prove that the server never ran the tune-in.
+NEVER_RAN = {Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT}
+
+
+def faded(value: float, age: int, lasts: int) -> float:
+    return value * exp(-age / lasts)
+
+
+class Rules:
+    def __init__(self, host: Host, terms: Terms):
+        self.host = host
+        self.chance = Random(terms.seed)
+        self.born = terms.now
+        self.me, self.fronts = terms.me, max(1, terms.fronts)
+        self.zone = terms.zone
+        self.cells = terms.cells
+        self.racks_told = terms.racks_told
+        # own changes younger than this are not in the reports yet
+        self.lag = max(terms.told_late, SECOND // 4)
+        self.max_tune_ins = terms.max_tune_ins
+        self.wait = min(COME_BACK, terms.longest_wait)
+        self.warm_within = terms.warm_within
+        self.fall_within = terms.fall_within
+        # set-ups that all fronts together may send a cold server in one window, for each of its places
+        self.cold_part = (terms.start_capacity * terms.fall_multiple * terms.fall_within / terms.warm_within
+                          if terms.warm_within else inf)
+        self.free_further, self.further_share = terms.free_further, terms.further_share
+        self.look_back = terms.look_back
+        self.taken, self.further = deque(), deque()
+        self.servers: list[Server] = []
+        self.racks = []
+        self.seats: dict = {}
+        self.turns = 0
+        # fronts hear at the same moment how full links are; they take turns within the second to react
+        host.wake(terms.now + TICK * (self.me + 1) // self.fronts)
+
+    # ---- the server list
+
+    def listed(self, lines: list[Listed], stale: bool) -> None:
+        now = self.host.now()
+        for line in lines:
+            server = line.server
+            if server not in self.servers:
+                if not line.open:
+                    server.open = False
+                    continue
+                self.servers.append(server)
+                server.out_cap = FRESH_CAP
+                # a stale list proves nothing warm: any server on it may have come up just now
+                if stale or not line.started:
+                    server.cold_until = self.born + self.warm_within
+            if server.rack not in self.racks:
+                self.racks.append(server.rack)
+            if line.started > server.started:
+                server.started = line.started
+                server.cold_until = max(line.started + self.warm_within, server.cold_until if stale else 0)
+                server.out_cap = FRESH_CAP
+                server.failed = False
+                server.trouble = 0.0
+                server.link.others = 0.0
+            server.open = line.open
+
+    # ---- viewings
+
+    def handed_over(self, vw: Viewing, server: Server) -> None:
+        vw.tune_ins = 0
+        self._attach(vw, server)
+        self._start(vw)
+
+    def rung_told(self, vw: Viewing, rung: int) -> None:
+        if vw.server is not None:
+            self._rate(vw, rung)
+
+    def wanted(self, vw: Viewing) -> None:
+        if self.free_further is not None:
+            self.taken.append(self.host.now())
+        self._place(vw)
+
+    def begun(self, vw: Viewing) -> None:
+        server = vw.server
+        if server is None or vw.playing:
+            return
+        server.out -= 1
+        self._answered(server)
+        self._start(vw)
+
+    def ended(self, vw: Viewing, outcome: Outcome, closed: bool) -> None:
+        server, played = vw.server, vw.playing
+        if server is not None:
+            self._detach(vw)
+            if not played:
+                server.out -= 1
+            self._judge(server, outcome, played)
+        if closed or vw.over or played:
+            vw.over = True
+            return
+        vw.may_have_run |= outcome not in NEVER_RAN
+        self._again(vw)
+
+    def left(self, vw: Viewing) -> None:
+        vw.over = True
+
+    # ---- placing
+
+    def _again(self, vw: Viewing) -> None:
+        # a paid set-up that may have run is never sent again, and a block would invite the same
+        if vw.package.paid_at_setup and vw.may_have_run:
+            vw.over = True
+            self.host.abort(vw)
+        elif self.host.now() >= vw.asked_at + vw.package.join_target or not self._further_allowed():
+            self._block(vw)
+        else:
+            self._place(vw)
+
+    def _further_allowed(self) -> bool:
+        if self.free_further is None:
+            return True
+        since = self.host.now() - self.look_back
+        for times in (self.taken, self.further):
+            while times and times[0] <= since:
+                times.popleft()
+        return len(self.further) + 1 <= self.free_further + self.further_share * len(self.taken)
+
+    def _block(self, vw: Viewing) -> None:
+        vw.over = True
+        self.host.block(vw, self.wait)
+
+    def _place(self, vw: Viewing) -> None:
+        seat = (vw.title, vw.package)
+        seats_left = not vw.package.seats or self.seats.get(seat, 0) < vw.package.seats
+        if vw.tune_ins >= self.max_tune_ins or not seats_left or self.host.now() >= vw.expires:
+            self._block(vw)
+            return
+        best, best_rank, best_rung = None, None, 0
+        for server in self.servers:
+            if (server.cell - vw.base) % self.cells >= vw.span or not self._may_send(server):
+                continue
+            rung = self._highest_passing(vw, server)
+            if rung is None:
+                continue
+            sick = self._sick(server)
+            # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
+            if sick and (vw.package.paid_at_setup or server.out):
+                continue
+            rank = (not sick, server not in vw.tried, self._room(server), vw.mark ^ server.mark)
+            if best is None or rank > best_rank:
+                best, best_rank, best_rung = server, rank, rung
+        if best is None:
+            self._block(vw)
+            return
+        self._tune_in(vw, best, best_rung)
+
+    def _tune_in(self, vw: Viewing, server: Server, rung: int) -> None:
+        now = self.host.now()
+        if vw.tune_ins and self.free_further is not None:
+            self.further.append(now)
+        vw.tune_ins += 1
+        vw.sent_at = now
+        vw.tried.append(server)
+        vw.rung = rung
+        server.sent.append(now)
+        server.out += 1
+        until = vw.expires
+        if not vw.package.paid_at_setup and vw.tune_ins < self.max_tune_ins:
+            left = vw.asked_at + vw.package.join_target - now
+            until = min(until, now + max(SHORTEST_TUNE_IN, int(left * TUNE_IN_PART)))
+        self._attach(vw, server)
+        if rung <= vw.ceiling:
+            self.host.set_rung(vw, rung)
+        self.host.tune_in(vw, server, until)
+
+    def _highest_passing(self, vw: Viewing, server: Server) -> int | None:
+        lowest = vw.package.floor
+        for rung in range(max(lowest, min(vw.ceiling, vw.package.top)), lowest - 1, -1):
+            rate = vw.package.rates[rung]
+            if self._passes(server.link, rate) and self._passes(server.rack.link, rate):
+                return rung
+        return None
+
+    def _room(self, server: Server) -> float:
+        return min(self._left(server.link), self._left(server.rack.link))
+
+    # ---- guards on what is sent
+
+    def _may_send(self, server: Server) -> bool:
+        now = self.host.now()
+        if not server.open or now < server.full_until:
+            return False
+        if now >= server.cold_until and not server.failed:
+            return True
+        return server.out < server.out_cap and self._own_part_left(server, now)
+
+    def _own_part_left(self, server: Server, now: int) -> bool:
+        """A cold server falls over if all fronts together pass its pace in any window: each keeps to its part.
+
+        Where the pace gives less than one set-up a front and window, the fronts take turns by the clock, with
+        a window's rest between turns, so that no window holds what two of them sent.
+        """
+        window = self.fall_within
+        server.sent = [at for at in server.sent if at > now - window]
+        budget = self.cold_part * server.streams
+        part = budget / self.fronts
+        if part < 1:
+            turn, spent = divmod(now - server.started, 2 * window)
+            if turn % self.fronts != self.me or spent >= window:
+                return False
+            part = budget
+        return len(server.sent) + 1 <= part
+
+    # ---- health
+
+    def _sick(self, server: Server) -> bool:
+        return faded(server.trouble, self.host.now() - server.trouble_at, TROUBLE_FADES) > TROUBLE_MARK
+
+    def _blame(self, server: Server, much: float) -> None:
+        now = self.host.now()
+        server.trouble = faded(server.trouble, now - server.trouble_at, TROUBLE_FADES) + much
+        server.trouble_at = now
+
+    def _judge(self, server: Server, outcome: Outcome, played: bool) -> None:
+        if outcome is Outcome.FULL:
+            # it answers, so it lives; what it last reported is out of date
+            server.full_until = self.host.now() + FULL_LASTS
+        elif outcome is Outcome.ERROR:
+            self._blame(server, 1.0)
+        elif outcome in (Outcome.SILENT, Outcome.UNREACHED, Outcome.BROKEN):
+            # whatever was wrong, it may come back cold, and no list need tell
+            self._blame(server, 1.5)
+            server.failed = True
+            server.out_cap = FRESH_CAP
+
+    def _answered(self, server: Server) -> None:
+        now = self.host.now()
+        server.trouble *= 0.3
+        server.out_cap += 1
+        if server.failed:
+            server.failed = False
+            server.cold_until = max(server.cold_until, now + self.warm_within)
+
+    # ---- the account of a link
+
+    def _attach(self, vw: Viewing, server: Server) -> None:
+        vw.server = server
+        seat = (vw.title, vw.package)
+        self.seats[seat] = self.seats.get(seat, 0) + 1
+        self._rate(vw, vw.rung)
+
+    def _detach(self, vw: Viewing) -> None:
+        seat = (vw.title, vw.package)
+        self.seats[seat] -= 1
+        if not self.seats[seat]:
+            del self.seats[seat]
+        self._count(vw, 0.0)
+        for link in (vw.server.link, vw.server.rack.link):
+            link.playing.pop(vw, None)
+        vw.server, vw.playing = None, False
+
+    def _start(self, vw: Viewing) -> None:
+        vw.playing = True
+        for link in (vw.server.link, vw.server.rack.link):
+            link.playing[vw] = True
+
+    def _rate(self, vw: Viewing, rung: int, stepped: bool = False) -> None:
+        vw.rung = rung
+        self._count(vw, vw.package.rates[rung], stepped)
+
+    def _count(self, vw: Viewing, rate: float, stepped: bool = False) -> None:
+        change = rate - vw.held_rate
+        for link in (vw.server.link, vw.server.rack.link):
+            self._age(link)
+            link.own += change
+            link.own_squares += rate * rate - vw.held_rate * vw.held_rate
+            if stepped:
+                link.swing += change
+            else:
+                link.fresh += change
+        vw.held_rate = rate
+
+    def _age(self, link: Link) -> None:
+        now = self.host.now()
+        if now > link.aged_at:
+            age = now - link.aged_at
+            link.fresh = faded(link.fresh, age, self.lag)
+            link.swing = faded(link.swing, age, self.lag)
+            link.aged_at = now
+
+    def _others(self, link: Link) -> float:
+        return link.others
+
+    def _use(self, link: Link) -> float:
+        # others heard the same late report and react as this front did since: count that in
+        self._age(link)
+        return link.own + max(0.0, link.others + (self.fronts - 1) * link.swing)
+
+    def _margin(self, link: Link, rate: float) -> float:
+        typical = link.own_squares / link.own if link.own > 1 else 0.0
+        return BOUND * SPREAD * sqrt(max(0.0, link.own_squares + link.others * typical + rate * rate))
+
+    def _left(self, link: Link, rate: float = 0.0) -> float:
+        return link.size - self._use(link) - self._margin(link, rate) - rate
+
+    def _passes(self, link: Link, rate: float = 0.0) -> bool:
+        return self._left(link, rate) >= 0 and not self._short(link)
+
+    def _short(self, link: Link) -> bool:
+        return link.missing > 0 and self.host.now() - link.missing_at < NOTE_LASTS
+
+    # ---- notes
+
+    def delivered(self, server: Server, share: float) -> None:
+        link = server.link
+        self._age(link)
+        now = self.host.now()
+        if share >= WHOLE:
+            link.missing = 0.0
+            return
+        # the share was measured before the newest own changes: what they took off already counts
+        before = link.own - link.fresh - link.swing
+        link.missing = 1 - share
+        link.missing_at = now
+        link.climbs_from = now + CLIMB_HOLD
+        link.own_goal = before * share
+
+    def link_told(self, server: Server, use: float) -> None:
+        self._told(server.link, use)
+        if not self.racks_told:
+            uplink = server.rack.link
+            uplink.others = sum(one.link.others for one in server.rack.servers)
+
+    def uplink_told(self, server: Server, use: float) -> None:
+        self._told(server.rack.link, use)
+
+    def _told(self, link: Link, use: float) -> None:
+        if link.size == inf:
+            return
+        self._age(link)
+        link.others = max(0.0, use * link.size - (link.own - link.fresh - link.swing))
+        link.told = True
+
+    def probed(self, server: Server, answered: bool) -> None:
+        if answered:
+            self._answered(server)
+
+    # ---- the round
+
+    def tick(self) -> None:
+        self.host.wake(self.host.now() + TICK)
+        for server in self.servers:
+            self._relieve(server.link)
+        for rack in self.racks:
+            self._relieve(rack.link)
+        for server in self.servers:
+            self._climb(server)
+
+    def _by_turn(self, link: Link) -> list[Viewing]:
+        return sorted(link.playing, key=lambda vw: vw.turn)
+
+    def _relieve(self, link: Link) -> None:
+        for vw in self._by_turn(link):
+            if self._short(link):
+                if link.own <= link.own_goal:
+                    return
+            elif self._left(link) >= 0:
+                return
+            if vw.rung > vw.package.floor:
+                self._step(vw, vw.rung - 1)
+
+    def _climb(self, server: Server) -> None:
+        now = self.host.now()
+        links = (server.link, server.rack.link)
+        if any(now < link.climbs_from for link in links):
+            return
+        for vw in self._by_turn(server.link):
+            if vw.rung >= min(vw.ceiling, vw.package.top) or now < vw.climbed_at + CLIMB_PACE:
+                continue
+            more = vw.package.rates[vw.rung + 1] - vw.package.rates[vw.rung]
+            if all(self._passes(link, more) for link in links):
+                vw.climbed_at = now
+                self._step(vw, vw.rung + 1)
+
+    def _step(self, vw: Viewing, rung: int) -> None:
+        self.turns += 1
+        vw.turn = self.turns
+        self._rate(vw, rung, stepped=True)
+        self.host.set_rung(vw, rung)
