Follow what others use over two seconds of reports, not each one

Cause: every noisy report moved the account, and viewings stepped and climbed after the noise. Now news weighs by the time since the last. Should also guard against one odd report; harm: a sudden loss of a link is believed a second or two later (short notes still act at once).

--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -54,6 +54,7 @@
     own_squares: float = 0.0
     others: float = 0.0
     told: bool = False
+    told_at: int = 0
     fresh: float = 0.0
     swing: float = 0.0
     aged_at: int = 0
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -28,6 +28,10 @@
 # stays between climbs and steps: with one mark for both, noise in the reports made viewings flap.
 OVERLOAD = 1.0
 
+# Reports are noisy and late: what others use follows them within about this time.
+NEWS_SETTLES = 2 * SECOND
+NEWS_LEAST = 0.2
+
 # A note of short delivery is renewed each second while it lasts; without news for longer it is over.
 NOTE_LASTS = 5 * SECOND // 2
 # Under this share delivered a viewing gives up nothing by being left out of the account.
@@ -380,8 +384,12 @@
         if link.size == inf:
             return
         self._age(link)
-        link.others = max(0.0, use * link.size - (link.own - link.fresh - link.swing))
-        link.told = True
+        others = max(0.0, use * link.size - (link.own - link.fresh - link.swing))
+        # one noisy or late report must not turn the link over: news weighs by the time since the last
+        now = self.host.now()
+        weight = 1 - exp(-(now - link.told_at) / NEWS_SETTLES) if link.told else 1.0
+        link.others += max(weight, NEWS_LEAST) * (others - link.others)
+        link.told, link.told_at = True, now
 
     def probed(self, server: Server, answered: bool) -> None:
         if answered:
