Let the fronts' turns at a cold server differ from server to server

Cause: with one clock for all servers a front just started could send to none of them for seconds. The budget in any window is as before.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -244,15 +244,16 @@
         """A cold server falls over if all fronts together pass its pace in any window: each keeps to its part.
 
         Where the pace gives less than one set-up a front and window, the fronts take turns by the clock, with
-        a window's rest between turns, so that no window holds what two of them sent.
+        a window's rest between turns, so that no window holds what two of them sent. Which front is first differs
+        from server to server: with all turns at once, a front that has just started could send nowhere.
         """
         window = self.fall_within
         server.sent = [at for at in server.sent if at > now - window]
         budget = self.cold_part * server.streams
         part = budget / self.fronts
         if part < 1:
-            turn, spent = divmod(now - server.started, 2 * window)
-            if turn % self.fronts != self.me or spent >= window:
+            turn, spent = divmod(now, 2 * window)
+            if (turn + server.mark) % self.fronts != self.me or spent >= window:
                 return False
             part = budget
         return len(server.sent) + 1 <= part
