Hold the unheard links half used: no climb before news, others as oneself

Until a link is heard of, the other fronts are held to use as much of it as this one, and nothing climbs there. Should also help after restarts and where notes stay out; harm: links that nobody reports never climb.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -336,16 +336,17 @@
             link.aged_at = now
 
     def _others(self, link: Link) -> float:
-        return link.others
+        # until a link is heard of, the other fronts are held to use as much of it as this one
+        return link.others if link.told else (self.fronts - 1) * link.own
 
     def _use(self, link: Link) -> float:
         # others heard the same late report and react as this front did since: count that in
         self._age(link)
-        return link.own + max(0.0, link.others + (self.fronts - 1) * link.swing)
+        return link.own + max(0.0, self._others(link) + (self.fronts - 1) * link.swing)
 
     def _margin(self, link: Link, rate: float) -> float:
         typical = link.own_squares / link.own if link.own > 1 else 0.0
-        return BOUND * SPREAD * sqrt(max(0.0, link.own_squares + link.others * typical + rate * rate))
+        return BOUND * SPREAD * sqrt(max(0.0, link.own_squares + self._others(link) * typical + rate * rate))
 
     def _left(self, link: Link, rate: float = 0.0) -> float:
         return link.size - self._use(link) - self._margin(link, rate) - rate
@@ -376,7 +377,8 @@
         self._told(server.link, use)
         if not self.racks_told:
             uplink = server.rack.link
-            uplink.others = sum(one.link.others for one in server.rack.servers)
+            uplink.others = sum(self._others(one.link) for one in server.rack.servers)
+            uplink.told = True
 
     def uplink_told(self, server: Server, use: float) -> None:
         self._told(server.rack.link, use)
@@ -423,7 +425,8 @@
     def _climb(self, server: Server) -> None:
         now = self.host.now()
         links = (server.link, server.rack.link)
-        if any(now < link.climbs_from for link in links):
+        # what the others use shows in reports alone: before the first, full links look empty to a new front
+        if any(now < link.climbs_from or not link.told for link in links):
             return
         for vw in self._by_turn(server.link):
             if vw.rung >= min(vw.ceiling, vw.package.top) or now < vw.climbed_at + CLIMB_PACE:
