Step by rounds, widest first, and pace climbs from any change of rung

Cause: round-robin by order of time let a viewing on the top rung stay while those on low rungs stepped, and climbs followed steps within a tick. Rounds now count the rungs each gave up; the pace counts from the last change.

--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -122,7 +122,7 @@
     may_have_run: bool = False
     tried: list = field(default_factory=list)
     turn: int = 0
-    climbed_at: int = 0
+    changed_at: int = 0
     held_rate: float = 0.0
 
 
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -80,7 +80,6 @@
         self.servers: list[Server] = []
         self.racks = []
         self.seats: dict = {}
-        self.turns = 0
         # fronts hear at the same moment how full links are; they take turns within the second to react
         host.wake(terms.now + TICK * (self.me + 1) // self.fronts)
 
@@ -308,6 +307,7 @@
 
     def _start(self, vw: Viewing) -> None:
         vw.playing = True
+        vw.changed_at = self.host.now()
         for link in (vw.server.link, vw.server.rack.link):
             link.playing[vw] = True
 
@@ -410,7 +410,8 @@
             self._climb(server)
 
     def _by_turn(self, link: Link) -> list[Viewing]:
-        return sorted(link.playing, key=lambda vw: vw.turn)
+        # rounds: nobody steps a second time before all have once; within a round the widest goes first
+        return sorted(link.playing, key=lambda vw: (vw.turn, -vw.held_rate))
 
     def _relieve(self, link: Link) -> None:
         for vw in self._by_turn(link):
@@ -428,16 +429,15 @@
         # what the others use shows in reports alone: before the first, full links look empty to a new front
         if any(now < link.climbs_from or not link.told for link in links):
             return
-        for vw in self._by_turn(server.link):
-            if vw.rung >= min(vw.ceiling, vw.package.top) or now < vw.climbed_at + CLIMB_PACE:
+        for vw in reversed(self._by_turn(server.link)):
+            if vw.rung >= min(vw.ceiling, vw.package.top) or now < vw.changed_at + CLIMB_PACE:
                 continue
             more = vw.package.rates[vw.rung + 1] - vw.package.rates[vw.rung]
             if all(self._passes(link, more) for link in links):
-                vw.climbed_at = now
                 self._step(vw, vw.rung + 1)
 
     def _step(self, vw: Viewing, rung: int) -> None:
-        self.turns += 1
-        vw.turn = self.turns
+        vw.turn += vw.rung - rung
+        vw.changed_at = self.host.now()
         self._rate(vw, rung, stepped=True)
         self.host.set_rung(vw, rung)
