Hold links without recent news to be used as the fleet usually is

What was told now gives way to the fleet's usual use over 12 s. Should also help new fronts and late reports; harm: a truly empty link is used a little later.

--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -53,6 +53,7 @@
     own: float = 0.0
     own_squares: float = 0.0
     others: float = 0.0
+    usual: float = 0.0
     told: bool = False
     told_at: int = 0
     fresh: float = 0.0
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -31,6 +31,8 @@
 # Reports are noisy and late: what others use follows them within about this time.
 NEWS_SETTLES = 2 * SECOND
 NEWS_LEAST = 0.2
+# Without news, what was told of one link gives way to what is usual on the others.
+NEWS_AGES = 12 * SECOND
 
 # A note of short delivery is renewed each second while it lasts; without news for longer it is over.
 NOTE_LASTS = 5 * SECOND // 2
@@ -336,8 +338,10 @@
             link.aged_at = now
 
     def _others(self, link: Link) -> float:
-        # until a link is heard of, the other fronts are held to use as much of it as this one
-        return link.others if link.told else (self.fronts - 1) * link.own
+        # until a link is heard of, the other fronts are held to use as much of it as this one, or as is usual
+        if not link.told:
+            return max(link.usual, (self.fronts - 1) * link.own)
+        return link.usual + faded(link.others - link.usual, self.host.now() - link.told_at, NEWS_AGES)
 
     def _use(self, link: Link) -> float:
         # others heard the same late report and react as this front did since: count that in
@@ -402,6 +406,8 @@
 
     def tick(self) -> None:
         self.host.wake(self.host.now() + TICK)
+        self._learn_usual([server.link for server in self.servers if server.open])
+        self._learn_usual([rack.link for rack in self.racks])
         for server in self.servers:
             self._relieve(server.link)
         for rack in self.racks:
@@ -409,6 +415,15 @@
         for server in self.servers:
             self._climb(server)
 
+    def _learn_usual(self, links: list[Link]) -> None:
+        """Against old news: a link not heard of for long is held to be used as the fleet is of late."""
+        now = self.host.now()
+        weighed = [(faded(1.0, now - link.told_at, NEWS_AGES), link) for link in links if link.told]
+        size = sum(weight * link.size for weight, link in weighed)
+        share = sum(weight * link.others for weight, link in weighed) / size if 0 < size < inf else 0.0
+        for link in links:
+            link.usual = share * link.size if link.size < inf else 0.0
+
     def _by_turn(self, link: Link) -> list[Viewing]:
         # rounds: nobody steps a second time before all have once; within a round the widest goes first
         return sorted(link.playing, key=lambda vw: (vw.turn, -vw.held_rate))
