--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -20,7 +20,7 @@
 # The design's own figures: the round, the bound on overload, the spread, the pace and hold of climbs.
 TICK = SECOND
 BOUND = 3.09
-SPREAD = 0.10
+SPREAD = 0.16
 CLIMB_PACE = 10 * SECOND
 CLIMB_HOLD = 30 * SECOND
 
