Make room by one step where no holder passes on the lowest rung

Exception: where no holder passes at the floor, one viewing steps a rung down if that alone lets the new one in, never on a short link. Viewings handed over may also climb as soon as their link is heard of. Harm: joins of many small viewings can chip at one link.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -133,6 +133,7 @@
             return
         server.out -= 1
         self._answered(server)
+        vw.changed_at = self.host.now()
         self._start(vw)
 
     def ended(self, vw: Viewing, outcome: Outcome, closed: bool) -> None:
@@ -184,7 +185,7 @@
             return
         best, best_rank, best_rung = None, None, 0
         for server in self.servers:
-            if (server.cell - vw.base) % self.cells >= vw.span or not self._may_send(server):
+            if not self._holds(server, vw) or not self._may_send(server):
                 continue
             rung = self._highest_passing(vw, server)
             if rung is None:
@@ -196,11 +197,42 @@
             rank = (not sick, server not in vw.tried, self._room(server), vw.mark ^ server.mark)
             if best is None or rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
+        if best is None:
+            best, best_rung = self._make_room(vw), vw.package.floor
         if best is None:
             self._block(vw)
             return
         self._tune_in(vw, best, best_rung)
 
+    def _make_room(self, vw: Viewing) -> Server | None:
+        """Where no holder passes even on the lowest rung, one viewing steps down if that lets the new one in.
+
+        Against a fleet that blocks at its doors while what plays inside is wide: a rung costs a viewing a fifth
+        of its value, a block all of it. It frees nothing on links that are short, or full by others' use.
+        """
+        rate = vw.package.rates[vw.package.floor]
+        best, best_left, best_victim = None, 0.0, None
+        for server in self.servers:
+            if not self._holds(server, vw) or not self._may_send(server) or self._sick(server):
+                continue
+            links = (server.link, server.rack.link)
+            if any(self._short(link) for link in links):
+                continue
+            narrow = server.rack.link if self._left(server.link, rate) >= 0 else server.link
+            for victim in self._by_turn(narrow):
+                if victim.rung > victim.package.floor:
+                    freed = victim.held_rate - victim.package.rates[victim.rung - 1]
+                    left = min(self._left(link, rate) + freed for link in links)
+                    if left >= 0 and (best is None or left > best_left):
+                        best, best_left, best_victim = server, left, victim
+                    break
+        if best is not None:
+            self._step(best_victim, best_victim.rung - 1)
+        return best
+
+    def _holds(self, server: Server, vw: Viewing) -> bool:
+        return (server.cell - vw.base) % self.cells < vw.span
+
     def _tune_in(self, vw: Viewing, server: Server, rung: int) -> None:
         now = self.host.now()
         if vw.tune_ins and self.free_further is not None:
@@ -309,7 +341,6 @@
 
     def _start(self, vw: Viewing) -> None:
         vw.playing = True
-        vw.changed_at = self.host.now()
         for link in (vw.server.link, vw.server.rack.link):
             link.playing[vw] = True
 
