--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,201 @@
+import unittest
+
+from curlewshift.model import Outcome
+from tests.fake import MS, SECOND, Story, package
+
+
+class Mechanism(unittest.TestCase):
+    def test_joins_on_the_highest_passing_rung_of_the_holder_with_most_room(self):
+        story = Story(size=1000.0)
+        first, second = story.play(), story.play()
+        self.assertEqual((first.rung, second.rung), (2, 2))
+        self.assertIsNot(first.server, second.server)
+        self.assertEqual(story.play(ceiling=1).rung, 1)
+
+    def test_the_margin_of_the_test_and_the_uplink_count(self):
+        self.assertEqual(Story(size=401.0).want().rung, 1)
+        self.assertEqual(Story(size=1000.0, uplink=401.0).want().rung, 1)
+
+    def test_a_failing_link_steps_one_rung_a_round_the_widest_first(self):
+        story = Story(count=1, size=1000.0)
+        wide, small = story.play(), story.play(ceiling=1)
+        story.later(5 * SECOND)
+        for _ in range(30):
+            story.rules.link_told(wide.server, 1.1)
+        story.ticks(1)
+        self.assertEqual((wide.rung, small.rung), (1, 1))
+
+    def test_after_a_short_note_own_rates_fall_by_the_missing_share_and_climbs_wait(self):
+        story = Story(count=1, size=1000.0)
+        vws = [story.play(ceiling=1) for _ in range(3)]
+        story.later(5 * SECOND)
+        story.rules.delivered(vws[0].server, 0.8)
+        story.ticks(1)
+        self.assertEqual(sum(vw.held_rate for vw in vws), 400.0)
+        story.rules.delivered(vws[0].server, 1.0)
+        story.ticks(25)
+        self.assertEqual(sum(vw.held_rate for vw in vws), 400.0)
+        story.ticks(10)
+        self.assertEqual(sum(vw.held_rate for vw in vws), 600.0)
+
+    def test_climbs_one_rung_at_most_every_ten_seconds(self):
+        story = Story(count=1, size=1000.0)
+        for _ in range(9):
+            story.rules.link_told(story.servers[0], 0.85)
+            story.later(SECOND)
+        vw = story.play()
+        self.assertEqual(vw.rung, 0)
+        for _ in range(9):
+            story.rules.link_told(vw.server, 0.0)
+            story.later(SECOND)
+        rungs = []
+        for _ in range(16):
+            story.ticks(1)
+            rungs.append(vw.rung)
+        self.assertEqual((rungs[0], max(rungs[:10]), rungs[-1]), (1, 1, 2))
+
+    def test_nothing_climbs_on_a_link_not_heard_of(self):
+        story = Story(warm=False)
+        vw = story.viewing()
+        story.rules.handed_over(vw, story.servers[0])
+        story.rules.rung_told(vw, 0)
+        story.ticks(15)
+        self.assertEqual(vw.rung, 0)
+
+    def test_a_full_fleet_makes_room_by_one_step_but_not_on_a_short_link(self):
+        story = Story(count=1, size=500.0)
+        wide = story.play()
+        late = story.want()
+        self.assertEqual((wide.rung, late.rung, story.host.all("block")), (1, 0, []))
+        story.rules.delivered(wide.server, 0.9)
+        self.assertTrue(story.want().over)
+
+    def test_old_news_gives_way_to_the_usual_use(self):
+        story = Story(count=3)
+        story.later(60 * SECOND)
+        for server in story.servers[:2]:
+            for _ in range(5):
+                story.rules.link_told(server, 0.9)
+        story.ticks(1)
+        self.assertGreater(story.rules._use(story.servers[2].link), 500.0)
+
+
+class Answers(unittest.TestCase):
+    def test_a_tune_in_that_times_out_leaves_room_for_another(self):
+        story = Story()
+        vw = story.want()
+        (_, first, until), = story.host.all("tune_in")
+        self.assertLess(until, vw.asked_at + vw.package.join_target * 0.6)
+        story.host.clock = until
+        story.rules.ended(vw, Outcome.SILENT, False)
+        self.assertIsNot(story.host.all("tune_in")[1][1], first)
+
+    def test_given_up_on_is_answered_at_once_with_when_to_come_back(self):
+        story = Story()
+        story.list(*story.servers, open=False)
+        vw = story.want()
+        self.assertEqual(story.host.all("block"), [(vw, SECOND)])
+
+    def test_no_advice_where_it_is_not_allowed(self):
+        story = Story(longest_wait=0)
+        story.list(*story.servers, open=False)
+        vw = story.want()
+        self.assertEqual(story.host.all("block"), [(vw, 0)])
+
+    def test_one_answer_only_when_the_viewer_left_or_the_outcome_closed_it(self):
+        story = Story()
+        gone, closed = story.want(), story.want()
+        story.rules.left(gone)
+        story.rules.ended(gone, Outcome.CANCELLED, False)
+        story.rules.ended(closed, Outcome.SILENT, True)
+        self.assertEqual(story.host.all("block") + story.host.all("abort"), [])
+
+    def test_a_paid_set_up_is_repeated_only_on_proof_that_it_never_ran(self):
+        paid = package(paid_at_setup=True)
+        for outcome, acts in ((Outcome.UNREACHED, 2), (Outcome.FULL, 2), (Outcome.SILENT, 1), (Outcome.ERROR, 1),
+                              (Outcome.BROKEN, 1), (Outcome.CANCELLED, 1)):
+            story = Story()
+            vw = story.want(pack=paid)
+            self.assertEqual(story.host.all("tune_in")[0][2], vw.expires)
+            story.rules.ended(vw, outcome, False)
+            self.assertEqual(len(story.host.all("tune_in")), acts, outcome)
+            self.assertEqual(len(story.host.all("abort")), 2 - acts, outcome)
+
+    def test_proof_is_needed_of_every_earlier_tune_in(self):
+        story = Story(count=3)
+        vw = story.want(pack=package(paid_at_setup=True))
+        story.rules.ended(vw, Outcome.FULL, False)
+        story.rules.ended(vw, Outcome.SILENT, False)
+        self.assertEqual((story.host.all("block"), story.host.all("abort")), ([], [(vw,)]))
+
+    def test_further_tune_ins_keep_the_budget(self):
+        story = Story(count=3, free_further=1, further_share=0.0, look_back=10 * SECOND)
+        for _ in range(2):
+            story.rules.ended(story.want(), Outcome.UNREACHED, False)
+        self.assertEqual((len(story.host.all("tune_in")), len(story.host.all("block"))), (3, 1))
+
+
+class Guards(unittest.TestCase):
+    def test_nothing_goes_to_a_server_told_draining_or_gone(self):
+        story = Story()
+        story.list(story.servers[0], open=False)
+        self.assertIs(story.play().server, story.servers[1])
+
+    def cold_sends(self, story, span, step=10 * MS):
+        sends = []
+        for _ in range(span // step):
+            vw = story.want(ceiling=0)
+            if vw.server is not None:
+                sends.append(story.host.clock)
+                story.rules.begun(vw)
+            story.later(step)
+        return sends
+
+    def test_fronts_together_keep_a_cold_servers_pace_in_any_window(self):
+        # 20 places, 10 s, half capacity, twice that: two set-ups in any second, by all three fronts
+        sends = []
+        for me in range(3):
+            story = Story(count=1, warm=False, me=me, fronts=3, size=1e6)
+            story.list(story.servers[0], started=story.host.clock)
+            sends += self.cold_sends(story, 8 * SECOND)
+        self.assertGreater(len(sends), 3)
+        for start in sends:
+            self.assertLessEqual(sum(start <= at < start + SECOND for at in sends), 2)
+
+    def test_a_new_front_proves_nothing_warm_by_a_stale_list(self):
+        story = Story(count=1, warm=False, size=1e6)
+        self.assertLessEqual(len(self.cold_sends(story, SECOND)), 2)
+
+    def test_a_server_seen_failing_is_cold_until_it_has_answered_for_a_while(self):
+        story = Story(count=1, size=1e6)
+        story.rules.ended(story.want(), Outcome.BROKEN, True)
+        story.later(30 * SECOND)
+        self.assertLessEqual(len(self.cold_sends(story, SECOND)), 2)
+
+    def test_no_rung_under_the_floor_at_join_step_or_when_room_is_made(self):
+        story = Story(count=1, size=500.0)
+        vw = story.play(pack=package(floor=1))
+        for _ in range(3):
+            story.rules.delivered(vw.server, 0.3)
+            story.ticks(1)
+        self.assertEqual(vw.rung, 1)
+
+    def test_seats_count_set_ups_and_viewings_handed_over_until_they_end(self):
+        story, pack = Story(size=1e6), package(seats=2)
+        handed = story.viewing(pack=pack)
+        story.rules.handed_over(handed, story.servers[0])
+        story.want(pack=pack)
+        self.assertTrue(story.want(pack=pack).over)
+        self.assertFalse(story.want(pack=pack, title="another").over)
+        story.rules.ended(handed, Outcome.PLAYED, True)
+        self.assertFalse(story.want(pack=pack).over)
+
+    def test_a_paid_set_up_never_goes_to_a_server_in_doubt(self):
+        story = Story(count=1)
+        story.rules.ended(story.want(), Outcome.ERROR, True)
+        self.assertTrue(story.want(pack=package(paid_at_setup=True)).over)
+        self.assertFalse(story.want().over)
+
+
+if __name__ == "__main__":
+    unittest.main()
