--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -456,8 +456,9 @@
             link.usual = share * link.size if link.size < inf else 0.0
 
     def _by_turn(self, link: Link) -> list[Viewing]:
-        # rounds: nobody steps a second time before all have once; within a round the widest goes first
-        return sorted(link.playing, key=lambda vw: (vw.turn, -vw.held_rate))
+        # Rounds begin on the highest rung: nobody gives up a lower rung before all have come down to it. By time or
+        # by steps taken, newcomers stayed on top of those who had stepped, and rungs are dearer the higher they are.
+        return sorted(link.playing, key=lambda vw: (-vw.rung, vw.turn))
 
     def _relieve(self, link: Link) -> None:
         for vw in self._by_turn(link):
