Follow news over 3 s and step only past 106% of a size

Both take away switches that noise in the reports made; short notes still act at once. Harm: a link whose servers send no notes runs a little short.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -26,10 +26,10 @@
 
 # A link fails for what plays on it once its use alone passes this part of its size. The margin of the test
 # stays between climbs and steps: with one mark for both, noise in the reports made viewings flap.
-OVERLOAD = 1.0
+OVERLOAD = 1.06
 
 # Reports are noisy and late: what others use follows them within about this time.
-NEWS_SETTLES = 2 * SECOND
+NEWS_SETTLES = 3 * SECOND
 NEWS_LEAST = 0.2
 # Without news, what was told of one link gives way to what is usual on the others.
 NEWS_AGES = 12 * SECOND
