Let viewings wait a moment where only the pace of cold servers keeps them out

Turns are now short and spread over the servers; a viewing that the pace alone keeps out is looked at again every 50 ms for 0.6 of its join target, then blocked with advice. One wide link no longer stands for all in a new front's usual use. Harm: answers come up to 0.6 join target later.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -43,6 +43,11 @@
 TUNE_IN_PART = 0.4
 SHORTEST_TUNE_IN = SECOND // 5
 COME_BACK = SECOND
+# A viewing that only the pace of cold servers keeps out is looked at again, for this part of its join target.
+WAIT_PART = 0.6
+WAIT_STEP = SECOND // 20
+# Turns at a cold server last this part of the window in which its set-ups are counted.
+TURN = 4
 
 # What is held against a server fades; over the mark it gets viewings only where nobody else can.
 TROUBLE_FADES = 8 * SECOND
@@ -82,8 +87,10 @@
         self.servers: list[Server] = []
         self.racks = []
         self.seats: dict = {}
+        self.waiting: list[Viewing] = []
         # fronts hear at the same moment how full links are; they take turns within the second to react
-        host.wake(terms.now + TICK * (self.me + 1) // self.fronts)
+        self.round_at = terms.now + TICK * (self.me + 1) // self.fronts
+        host.wake(self.round_at)
 
     # ---- the server list
 
@@ -183,9 +190,12 @@
         if vw.tune_ins >= self.max_tune_ins or not seats_left or self.host.now() >= vw.expires:
             self._block(vw)
             return
-        best, best_rank, best_rung = None, None, 0
+        best, best_rank, best_rung, paced = None, None, 0, False
         for server in self.servers:
-            if not self._holds(server, vw) or not self._may_send(server):
+            if not self._holds(server, vw):
+                continue
+            if not self._may_send(server):
+                paced |= server.open and not self._sick(server)
                 continue
             rung = self._highest_passing(vw, server)
             if rung is None:
@@ -199,10 +209,16 @@
                 best, best_rank, best_rung = server, rank, rung
         if best is None:
             best, best_rung = self._make_room(vw), vw.package.floor
-        if best is None:
+        if best is not None:
+            self._tune_in(vw, best, best_rung)
+        elif paced and self.host.now() < vw.asked_at + vw.package.join_target * WAIT_PART:
+            # only the pace of cold servers is in the way, and it gives way in a moment
+            if not self.waiting:
+                # one timer for all: one for each viewing breeds more at every look
+                self.host.wake(self.host.now() + WAIT_STEP)
+            self.waiting.append(vw)
+        else:
             self._block(vw)
-            return
-        self._tune_in(vw, best, best_rung)
 
     def _make_room(self, vw: Viewing) -> Server | None:
         """Where no holder passes even on the lowest rung, one viewing steps down if that lets the new one in.
@@ -277,16 +293,16 @@
         """A cold server falls over if all fronts together pass its pace in any window: each keeps to its part.
 
         Where the pace gives less than one set-up a front and window, the fronts take turns by the clock, with
-        a window's rest between turns, so that no window holds what two of them sent. Which front is first differs
-        from server to server: with all turns at once, a front that has just started could send nowhere.
+        a window's rest between short turns, so that no window holds what two of them sent. Turns differ from server
+        to server: with all at once, a front that has just started could send nowhere for seconds.
         """
         window = self.fall_within
         server.sent = [at for at in server.sent if at > now - window]
         budget = self.cold_part * server.streams
         part = budget / self.fronts
         if part < 1:
-            turn, spent = divmod(now, 2 * window)
-            if (turn + server.mark) % self.fronts != self.me or spent >= window:
+            turn, spent = divmod(now + server.mark % (self.fronts * window), window + window // TURN)
+            if turn % self.fronts != self.me or spent >= window // TURN:
                 return False
             part = budget
         return len(server.sent) + 1 <= part
@@ -436,7 +452,14 @@
     # ---- the round
 
     def tick(self) -> None:
-        self.host.wake(self.host.now() + TICK)
+        waiting, self.waiting = self.waiting, []
+        for vw in waiting:
+            if not vw.over:
+                self._place(vw)
+        if self.host.now() < self.round_at:
+            return
+        self.round_at = self.host.now() + TICK
+        self.host.wake(self.round_at)
         self._learn_usual([server.link for server in self.servers if server.open])
         self._learn_usual([rack.link for rack in self.racks])
         for server in self.servers:
@@ -450,7 +473,8 @@
         """Against old news: a link not heard of for long is held to be used as the fleet is of late."""
         now = self.host.now()
         weighed = [(faded(1.0, now - link.told_at, NEWS_AGES), link) for link in links if link.told]
-        size = sum(weight * link.size for weight, link in weighed)
+        # one empty link is counted along, so that the first news of one does not stand for all
+        size = sum(weight * link.size for weight, link in weighed) + (weighed[0][1].size if weighed else 0.0)
         share = sum(weight * link.others for weight, link in weighed) / size if 0 < size < inf else 0.0
         for link in links:
             link.usual = share * link.size if link.size < inf else 0.0
