Rank servers last whose silence is unusual by past gaps; cap what is held against one

The carry-over measure, from fading sums of gaps between signs while signs are due. It ranks and never shuts out, so notes that stay out everywhere change nothing. Losing many viewings at once no longer keeps a server out longer than losing one or two.

--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -91,7 +91,9 @@
     out: int = 0
     out_cap: int = 0
     heard_at: int = 0
-    gap: float = 0.0
+    gaps: float = 0.0
+    gap_sum: float = 0.0
+    gap_squares: float = 0.0
     trouble: float = 0.0
     trouble_at: int = 0
     starved_since: int = 0
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -52,6 +52,10 @@
 # What is held against a server fades; over the mark it gets viewings only where nobody else can.
 TROUBLE_FADES = 8 * SECOND
 TROUBLE_MARK = 0.5
+TROUBLE_MOST = 4.0
+GAPS_KNOWN = 4
+GAPS_KEPT = 0.9
+UNUSUAL = 3.0
 FULL_LASTS = SECOND // 2
 FRESH_CAP = 2
 
@@ -204,7 +208,7 @@
             # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
             if sick and (vw.package.paid_at_setup or server.out):
                 continue
-            rank = (not sick, server not in vw.tried, self._room(server), vw.mark ^ server.mark)
+            rank = (not sick, not self._silent(server), server not in vw.tried, self._room(server), vw.mark ^ server.mark)
             if best is None or rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
         if best is None:
@@ -312,9 +316,35 @@
     def _sick(self, server: Server) -> bool:
         return faded(server.trouble, self.host.now() - server.trouble_at, TROUBLE_FADES) > TROUBLE_MARK
 
+    def _silent(self, server: Server) -> bool:
+        """Silence that is unusual, given the gaps between signs before, while signs are due.
+
+        Against servers that hang or vanish, seconds before the list or a time-out tells. It only ranks a server
+        behind others: where notes stay out everywhere, all are silent alike and nothing changes.
+        """
+        if server.gaps < GAPS_KNOWN or not server.link.playing:
+            return False
+        mean = server.gap_sum / server.gaps
+        spread = sqrt(max(0.0, server.gap_squares / server.gaps - mean * mean))
+        return self.host.now() - server.heard_at > mean + UNUSUAL * max(spread, mean / 4)
+
+    def _heard(self, server: Server) -> None:
+        now = self.host.now()
+        gap = now - server.heard_at
+        if gap <= 0:
+            return
+        # gaps count only while signs are due: the time before the first viewing there says nothing
+        if server.heard_at and server.link.playing:
+            server.gaps = server.gaps * GAPS_KEPT + 1
+            server.gap_sum = server.gap_sum * GAPS_KEPT + gap
+            server.gap_squares = server.gap_squares * GAPS_KEPT + gap * gap
+        server.heard_at = now
+
     def _blame(self, server: Server, much: float) -> None:
         now = self.host.now()
-        server.trouble = faded(server.trouble, now - server.trouble_at, TROUBLE_FADES) + much
+        trouble = faded(server.trouble, now - server.trouble_at, TROUBLE_FADES) + much
+        # one loss ends many viewings at once: that they were many says nothing of how long it lasts
+        server.trouble = min(trouble, TROUBLE_MOST)
         server.trouble_at = now
 
     def _judge(self, server: Server, outcome: Outcome, played: bool) -> None:
@@ -331,6 +361,7 @@
 
     def _answered(self, server: Server) -> None:
         now = self.host.now()
+        self._heard(server)
         server.trouble *= 0.3
         server.out_cap += 1
         if server.failed:
@@ -425,6 +456,7 @@
         link.own_goal = before * share
 
     def link_told(self, server: Server, use: float) -> None:
+        self._heard(server)
         self._told(server.link, use)
         if not self.racks_told:
             uplink = server.rack.link
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -135,6 +135,31 @@
         self.assertEqual((len(story.host.all("tune_in")), len(story.host.all("block"))), (3, 1))
 
 
+class Health(unittest.TestCase):
+    def test_unusual_silence_ranks_a_server_behind_the_others(self):
+        story = Story(size=10000.0)
+        vws = [story.play(), story.play()]
+        quiet, other = vws[0].server, vws[1].server
+        for _ in range(8):
+            story.later(2 * SECOND)
+            for server in (quiet, other):
+                story.rules.link_told(server, 0.1 if server is quiet else 0.5)
+        self.assertIs(story.want().server, quiet)
+        for _ in range(4):
+            story.later(2 * SECOND)
+            story.rules.link_told(other, 0.5)
+        self.assertIs(story.want().server, other)
+
+    def test_many_viewings_lost_at_once_do_not_keep_a_server_out_for_longer(self):
+        story = Story(count=1, size=1e6)
+        vws = [story.play() for _ in range(9)]
+        for vw in vws:
+            story.rules.ended(vw, Outcome.BROKEN, True)
+        self.assertTrue(story.rules._sick(story.servers[0]))
+        story.later(20 * SECOND)
+        self.assertFalse(story.rules._sick(story.servers[0]))
+
+
 class Guards(unittest.TestCase):
     def test_nothing_goes_to_a_server_told_draining_or_gone(self):
         story = Story()
