Take a full answer as news that the link is used to its size

Should also guard against reports that stay out; harm: where places, not the link, are full, the link is held full until the next report.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -351,6 +351,9 @@
         if outcome is Outcome.FULL:
             # it answers, so it lives; what it last reported is out of date
             server.full_until = self.host.now() + FULL_LASTS
+            self._age(server.link)
+            server.link.others = max(server.link.others, server.link.size - server.link.own)
+            server.link.told, server.link.told_at = True, self.host.now()
         elif outcome is Outcome.ERROR:
             self._blame(server, 1.0)
         elif outcome in (Outcome.SILENT, Outcome.UNREACHED, Outcome.BROKEN):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -150,6 +150,12 @@
             story.rules.link_told(other, 0.5)
         self.assertIs(story.want().server, other)
 
+    def test_a_full_answer_tells_of_a_link_at_its_size_whatever_was_reported(self):
+        story = Story(count=1, size=1000.0)
+        story.rules.ended(story.want(), Outcome.FULL, True)
+        story.later(SECOND)
+        self.assertTrue(story.want().over)
+
     def test_many_viewings_lost_at_once_do_not_keep_a_server_out_for_longer(self):
         story = Story(count=1, size=1e6)
         vws = [story.play() for _ in range(9)]
