Within a round, step first what earns least for its rate, and climb it last

Rounds stay round-robin by rung; what varies is who goes first where a round ends early. Packages differ in value and in rates. Should also help where worth of packages differs more; harm: the package of least value carries more of the steps.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -517,7 +517,7 @@
     def _by_turn(self, link: Link) -> list[Viewing]:
         # Rounds begin on the highest rung: nobody gives up a lower rung before all have come down to it. By time or
         # by steps taken, newcomers stayed on top of those who had stepped, and rungs are dearer the higher they are.
-        return sorted(link.playing, key=lambda vw: (-vw.rung, vw.turn))
+        return sorted(link.playing, key=lambda vw: (-vw.rung, vw.package.value / vw.held_rate, vw.turn))
 
     def _relieve(self, link: Link) -> None:
         for vw in self._by_turn(link):
