--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -31,6 +31,9 @@
 # Reports are noisy and late: what others use follows them within about this time.
 NEWS_SETTLES = 3 * SECOND
 NEWS_LEAST = 0.2
+# Rooms that differ by less than this part of a link are equal: reports are no finer, and fronts that heard the
+# same reports would all pick the same server.
+ROOM_STEP = 0.06
 # Without news, what was told of one link gives way to what is usual on the others.
 NEWS_AGES = 12 * SECOND
 
@@ -208,7 +211,8 @@
             # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
             if sick and (vw.package.paid_at_setup or server.out):
                 continue
-            rank = (not sick, not self._silent(server), server not in vw.tried, self._room(server), vw.mark ^ server.mark)
+            rank = (not sick, not self._silent(server), server not in vw.tried,
+                    self._room(server) // (ROOM_STEP * server.link.size), vw.mark ^ server.mark)
             if best is None or rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
         if best is None:
