Tidy: budget checked at every placing, later failures kept, waits spread, dead code out

A viewing that waited could pass the further-tune-in budget between looks; a start in the list no longer forgets a failure seen after it; a crowd blocked together is told different times to come back. What nothing uses is gone from host, model and adapter.

--- a/curlewshift/adapter/codec.py
+++ b/curlewshift/adapter/codec.py
@@ -5,7 +5,7 @@
 import hashlib
 import json
 
-from curlewshift.model import Customer, Outcome, Package, Terms
+from curlewshift.model import Outcome, Package, Terms
 
 NS = 1_000_000
 
@@ -129,7 +129,7 @@
     def ns(owner, name):
         return round((owner.get(name) or 0) * NS)
 
-    extra, bounds, duty, price = part("extra"), part("bounds"), part("obligations"), part("tariffs")
+    extra, bounds, duty = part("extra"), part("bounds"), part("obligations")
     ladder = extra.get("rung_kb") or [1.0]
     packages = []
     for index, row in enumerate(boot.get("classes") or []):
@@ -141,18 +141,14 @@
             rates=tuple(rate * scale for rate in ladder),
             floor=_nth(extra.get("floor_by_class") or [], index, 0), top=top,
             seats=_nth(extra.get("class_seats") or [], index, 0)))
-    customers = [Customer(row["name"], row.get("quota_per_s") or 0.0, row.get("portion") or 0.0)
-                 for row in boot.get("tenants") or []]
     longest = ns(bounds, "max_retry_after_ms") if bounds.get("retry_after") else 0
     return Terms(
         now=now, seed=seed, me=boot.get("my_number") or 0, fronts=boot.get("balancers") or 1,
-        zone=boot.get("az") or "", packages=packages, customers=customers,
+        packages=packages,
         cells=extra.get("cells") or 1, racks_told="x1" in (part("telemetry").get("fields") or []),
-        told_late=ns(extra, "told_late_ms"), told_every=ns(extra, "told_every_ms"),
-        max_tune_ins=bounds.get("max_attempts") or 1, may_probe=bool(bounds.get("probes")),
-        may_cancel=bool(bounds.get("cancel")), longest_wait=longest,
+        told_late=ns(extra, "told_late_ms"),
+        max_tune_ins=bounds.get("max_attempts") or 1, longest_wait=longest,
         warm_within=ns(duty, "warm_within_ms"), start_capacity=duty.get("start_capacity") or 0.0,
         fall_multiple=duty.get("fall_multiple") or 0.0, fall_within=ns(duty, "fall_ms"),
         free_further=duty.get("free_resends") if duty.get("look_back_ms") else None,
-        further_share=duty.get("budget_share") or 0.0, look_back=ns(duty, "look_back_ms"),
-        move_price=price.get("moves") or 0.0, change_cost=round((extra.get("change_costs_s") or 0) * 1e9))
+        further_share=duty.get("budget_share") or 0.0, look_back=ns(duty, "look_back_ms"))
--- a/curlewshift/adapter/loop.py
+++ b/curlewshift/adapter/loop.py
@@ -18,7 +18,6 @@
         self.servers: dict[str, Server] = {}
         self.racks: dict[int, Rack] = {}
         self.viewings: dict[int, Viewing] = {}
-        self.areas = boot.get("areas") or []
         extra = boot.get("extra") or {}
         self.kinds = dict(zip(boot.get("flavors") or [], extra.get("kind_streams") or []))
         self.rack_count = extra.get("cabinets") or 1
@@ -27,7 +26,6 @@
         self.report_names = (boot.get("telemetry") or {}).get("fields") or []
         terms = terms_of(boot, now, seed)
         self.packages = {package.name: package for package in terms.packages}
-        self.customers = {customer.name: customer for customer in terms.customers}
         self.rules = Rules(self, terms)
 
     # ---- the host interface, see curlewshift/host.py
@@ -49,21 +47,9 @@
         self.viewings.pop(viewing.name, None)
         self._act("surrender", f"call={viewing.name}")
 
-    def move(self, viewing):
-        self._act("bounce", f"call={viewing.name}")
-
-    def cancel(self, viewing):
-        self._act("call_off", f"call={viewing.name}\thop={viewing.tune_ins - 1}")
-
-    def probe(self, server):
-        self._act("poll", f"server={server.name}")
-
     def wake(self, at):
         self._act("arm", f"nonce=tick\tinstant_ms={time_text(at)}")
 
-    def say(self, text):
-        self._act("note_down", "reason_text=" + " ".join(text.split()))
-
     def _act(self, name, rest):
         self.reply.append(f"{name}\twho={self.who}\t{rest}\n")
 
@@ -156,7 +142,6 @@
         server = self.servers.get(fields.text("server"))
         if server is not None:
             self._report(server, load_of(fields, self.report_names))
-            self.rules.probed(server, fields.text("code") == "served")
 
     def on_message(self, fields):
         """Fronts share nothing here: what another one says is not listened to."""
@@ -179,7 +164,7 @@
             package=package, ceiling=int(fields.number("ceiling_rung", package.top)), asked_at=self.clock,
             expires=fields.time("expires_ms", 0) or self.clock + package.patience,
             base=int(fields.number("base", 0)), span=int(fields.number("span", 1 << 30)),
-            customer=self.customers.get(fields.text("tenant", "")), expected=fields.time("predicted_ms", 0),
+            expected=fields.time("predicted_ms", 0),
             came_back=fields.flag("came_back"), moved=fields.flag("back_from_move"))
 
     def _server(self, name: str) -> Server:
--- a/curlewshift/host.py
+++ b/curlewshift/host.py
@@ -23,17 +23,5 @@
     def abort(self, viewing: Viewing) -> None:
         """Final answer: failed, with nothing promised about what ran."""
 
-    def move(self, viewing: Viewing) -> None:
-        """Take a playing viewing off its server; its viewer comes back here shortly."""
-
-    def cancel(self, viewing: Viewing) -> None:
-        """Stop waiting for the tune-in that is out."""
-
-    def probe(self, server: Server) -> None:
-        """Ask the server how it is."""
-
     def wake(self, at: int) -> None:
         """Call the rules' `tick` once the clock reaches `at`."""
-
-    def say(self, text: str) -> None:
-        """A line for the operators' report."""
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -31,8 +31,8 @@
 # Reports are noisy and late: what others use follows them within about this time.
 NEWS_SETTLES = 3 * SECOND
 NEWS_LEAST = 0.2
-# Rooms that differ by less than this part of a link are equal: reports are no finer, and fronts that heard the
-# same reports would all pick the same server.
+# Rooms that differ by less than this part of a link are equal: reports are no finer, and fronts that heard
+# the same ones would all pick the same server.
 ROOM_STEP = 0.06
 # Without news, what was told of one link gives way to what is usual on the others.
 NEWS_AGES = 12 * SECOND
@@ -76,7 +76,6 @@
         self.chance = Random(terms.seed)
         self.born = terms.now
         self.me, self.fronts = terms.me, max(1, terms.fronts)
-        self.zone = terms.zone
         self.cells = terms.cells
         self.racks_told = terms.racks_told
         # own changes younger than this are not in the reports yet
@@ -102,7 +101,6 @@
     # ---- the server list
 
     def listed(self, lines: list[Listed], stale: bool) -> None:
-        now = self.host.now()
         for line in lines:
             server = line.server
             if server not in self.servers:
@@ -118,11 +116,12 @@
                 self.racks.append(server.rack)
             if line.started > server.started:
                 server.started = line.started
-                server.cold_until = max(line.started + self.warm_within, server.cold_until if stale else 0)
+                server.cold_until = max(line.started + self.warm_within, server.cold_until)
                 server.out_cap = FRESH_CAP
-                server.failed = False
-                server.trouble = 0.0
                 server.link.others = 0.0
+                if server.trouble_at < line.started:
+                    # only what failed before this start is over with it: a later loss may bring another start
+                    server.failed, server.trouble = False, 0.0
             server.open = line.open
 
     # ---- viewings
@@ -173,13 +172,13 @@
         if vw.package.paid_at_setup and vw.may_have_run:
             vw.over = True
             self.host.abort(vw)
-        elif self.host.now() >= vw.asked_at + vw.package.join_target or not self._further_allowed():
+        elif self.host.now() >= vw.asked_at + vw.package.join_target:
             self._block(vw)
         else:
             self._place(vw)
 
-    def _further_allowed(self) -> bool:
-        if self.free_further is None:
+    def _budget_left(self, vw: Viewing) -> bool:
+        if not vw.tune_ins or self.free_further is None:
             return True
         since = self.host.now() - self.look_back
         for times in (self.taken, self.further):
@@ -189,12 +188,14 @@
 
     def _block(self, vw: Viewing) -> None:
         vw.over = True
-        self.host.block(vw, self.wait)
+        # a crowd blocked together must not come back together
+        self.host.block(vw, int(self.wait * self.chance.uniform(0.6, 1.0)))
 
     def _place(self, vw: Viewing) -> None:
         seat = (vw.title, vw.package)
         seats_left = not vw.package.seats or self.seats.get(seat, 0) < vw.package.seats
-        if vw.tune_ins >= self.max_tune_ins or not seats_left or self.host.now() >= vw.expires:
+        late = vw.tune_ins >= self.max_tune_ins or self.host.now() >= vw.expires
+        if late or not seats_left or not self._budget_left(vw):
             self._block(vw)
             return
         best, best_rank, best_rung, paced = None, None, 0, False
@@ -211,8 +212,9 @@
             # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
             if sick and (vw.package.paid_at_setup or server.out):
                 continue
+            room = min(self._left(server.link), self._left(server.rack.link))
             rank = (not sick, not self._silent(server), server not in vw.tried,
-                    self._room(server) // (ROOM_STEP * server.link.size), vw.mark ^ server.mark)
+                    room // (ROOM_STEP * server.link.size), vw.mark ^ server.mark)
             if best is None or rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
         if best is None:
@@ -231,8 +233,8 @@
     def _make_room(self, vw: Viewing) -> Server | None:
         """Where no holder passes even on the lowest rung, one viewing steps down if that lets the new one in.
 
-        Against a fleet that blocks at its doors while what plays inside is wide: a rung costs a viewing a fifth
-        of its value, a block all of it. It frees nothing on links that are short, or full by others' use.
+        Against a fleet that blocks at its doors while what plays inside is wide: a rung costs a viewing part of
+        its value, a block all of it. It frees nothing on links that are short, or full by others' use.
         """
         rate = vw.package.rates[vw.package.floor]
         best, best_left, best_victim = None, 0.0, None
@@ -284,9 +286,6 @@
                 return rung
         return None
 
-    def _room(self, server: Server) -> float:
-        return min(self._left(server.link), self._left(server.rack.link))
-
     # ---- guards on what is sent
 
     def _may_send(self, server: Server) -> bool:
@@ -298,11 +297,11 @@
         return server.out < server.out_cap and self._own_part_left(server, now)
 
     def _own_part_left(self, server: Server, now: int) -> bool:
-        """A cold server falls over if all fronts together pass its pace in any window: each keeps to its part.
+        """A cold server falls if all fronts together pass its pace in any window: each keeps to its part.
 
-        Where the pace gives less than one set-up a front and window, the fronts take turns by the clock, with
-        a window's rest between short turns, so that no window holds what two of them sent. Turns differ from server
-        to server: with all at once, a front that has just started could send nowhere for seconds.
+        Where that is less than one set-up a front and window, fronts take short turns by the clock with a
+        window's rest between, so that no window holds what two of them sent. Turns differ from server to
+        server: with all at once, a front that has just started could send nowhere for seconds.
         """
         window = self.fall_within
         server.sent = [at for at in server.sent if at > now - window]
@@ -323,8 +322,8 @@
     def _silent(self, server: Server) -> bool:
         """Silence that is unusual, given the gaps between signs before, while signs are due.
 
-        Against servers that hang or vanish, seconds before the list or a time-out tells. It only ranks a server
-        behind others: where notes stay out everywhere, all are silent alike and nothing changes.
+        Against servers that hang or vanish, seconds before the list tells. It only ranks a server behind
+        others: where notes stay out everywhere, all are silent alike and nothing changes.
         """
         if server.gaps < GAPS_KNOWN or not server.link.playing:
             return False
@@ -484,10 +483,6 @@
         link.others += max(weight, NEWS_LEAST) * (others - link.others)
         link.told, link.told_at = True, now
 
-    def probed(self, server: Server, answered: bool) -> None:
-        if answered:
-            self._answered(server)
-
     # ---- the round
 
     def tick(self) -> None:
@@ -519,8 +514,8 @@
             link.usual = share * link.size if link.size < inf else 0.0
 
     def _by_turn(self, link: Link) -> list[Viewing]:
-        # Rounds begin on the highest rung: nobody gives up a lower rung before all have come down to it. By time or
-        # by steps taken, newcomers stayed on top of those who had stepped, and rungs are dearer the higher they are.
+        # Rounds begin on the highest rung: nobody gives up a lower one before all have come down to it. By time
+        # or steps taken, newcomers stayed on top of those who had stepped. Within a round, least value first.
         return sorted(link.playing, key=lambda vw: (-vw.rung, vw.package.value / vw.held_rate, vw.turn))
 
     def _relieve(self, link: Link) -> None:
