--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -233,8 +233,8 @@
     def _make_room(self, vw: Viewing) -> Server | None:
         """Where no holder passes even on the lowest rung, one viewing steps down if that lets the new one in.
 
-        Against a fleet that blocks at its doors while what plays inside is wide: a rung costs a viewing part of
-        its value, a block all of it. It frees nothing on links that are short, or full by others' use.
+        Against a fleet that blocks at its doors while what plays inside is wide: a rung costs a viewing part
+        of its value, a block all of it. It frees nothing on links that are short, or full by others' use.
         """
         rate = vw.package.rates[vw.package.floor]
         best, best_left, best_victim = None, 0.0, None
@@ -514,9 +514,9 @@
             link.usual = share * link.size if link.size < inf else 0.0
 
     def _by_turn(self, link: Link) -> list[Viewing]:
-        # Rounds begin on the highest rung: nobody gives up a lower one before all have come down to it. By time
-        # or steps taken, newcomers stayed on top of those who had stepped. Within a round, least value first.
-        return sorted(link.playing, key=lambda vw: (-vw.rung, vw.package.value / vw.held_rate, vw.turn))
+        # Rounds begin on the highest rung: nobody gives up a lower one before all are down to it. By time or
+        # steps taken, newcomers stayed on top of those who had stepped. Within a round, least value first.
+        return sorted(link.playing, key=lambda vw: (-vw.rung, vw.package.value / (vw.held_rate or 1.0), vw.turn))
 
     def _relieve(self, link: Link) -> None:
         for vw in self._by_turn(link):
