Hash ties on all bits of viewer and server

Cause: viewers' marks share their leading bits, so viewer xor server ordered servers alike for every viewing: with rooms tied, all fronts sent everybody to one place (busiest server at 5 to 9 times the mean).

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -62,6 +62,9 @@
 FULL_LASTS = SECOND // 2
 FRESH_CAP = 2
 
+# An odd number with its bits well spread, for multiplicative hashing (Knuth): 2**64 over the golden ratio.
+MIX = 0x9E3779B97F4A7C15
+
 # Only these prove that the server never ran the tune-in.
 NEVER_RAN = {Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT}
 
@@ -70,6 +73,11 @@
     return value * exp(-age / lasts)
 
 
+def shared_order(vw: Viewing, server: Server) -> int:
+    # Mixed down to the last bit: marks with the same leading bits once sent every viewing to one server.
+    return (vw.mark ^ server.mark) * MIX % 2**64
+
+
 class Rules:
     def __init__(self, host: Host, terms: Terms):
         self.host = host
@@ -214,7 +222,7 @@
                 continue
             room = min(self._left(server.link), self._left(server.rack.link))
             rank = (not sick, not self._silent(server), server not in vw.tried,
-                    room // (ROOM_STEP * server.link.size), vw.mark ^ server.mark)
+                    room // (ROOM_STEP * server.link.size), shared_order(vw, server))
             if best is None or rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
         if best is None:
