Each front owes its own part of a link's excess or room

Cause: every front stepped (or climbed) for one late report that all of them heard, and counted its own step once for each of 200 others, so that what it had climbed failed its own account at the next tick. Now a front owes its own part; what is less than a step is left to chance; a short note made before the last reaction is not answered again; unheard links start from what this front asks of the fleet.

--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -50,7 +50,8 @@
     fresh: float = 0.0
     swing: float = 0.0
     aged_at: int = 0
-    own_goal: float = 0.0
+    owed: float = 0.0
+    relieved_at: int = 0
     missing: float = 0.0
     missing_at: int = 0
     climbs_from: int = 0
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -405,20 +405,17 @@
         for link in (vw.server.link, vw.server.rack.link):
             link.playing[vw] = True
 
-    def _rate(self, vw: Viewing, rung: int, stepped: bool = False) -> None:
+    def _rate(self, vw: Viewing, rung: int) -> None:
         vw.rung = rung
-        self._count(vw, vw.package.rates[rung], stepped)
+        self._count(vw, vw.package.rates[rung])
 
-    def _count(self, vw: Viewing, rate: float, stepped: bool = False) -> None:
+    def _count(self, vw: Viewing, rate: float) -> None:
         change = rate - vw.held_rate
         for link in (vw.server.link, vw.server.rack.link):
             self._age(link)
             link.own += change
             link.own_squares += rate * rate - vw.held_rate * vw.held_rate
-            if stepped:
-                link.swing += change
-            else:
-                link.fresh += change
+            link.fresh += change
         vw.held_rate = rate
 
     def _age(self, link: Link) -> None:
@@ -430,15 +427,14 @@
             link.aged_at = now
 
     def _others(self, link: Link) -> float:
-        # until a link is heard of, the other fronts are held to use as much of it as this one, or as is usual
         if not link.told:
-            return max(link.usual, (self.fronts - 1) * link.own)
+            return link.usual
         return link.usual + faded(link.others - link.usual, self.host.now() - link.told_at, NEWS_AGES)
 
     def _use(self, link: Link) -> float:
-        # others heard the same late report and react as this front did since: count that in
+        # others heard the same late report and take their part as this front does: count that in
         self._age(link)
-        return link.own + max(0.0, self._others(link) + (self.fronts - 1) * link.swing)
+        return link.own + max(0.0, self._others(link) + link.swing)
 
     def _margin(self, link: Link, rate: float) -> float:
         typical = link.own_squares / link.own if link.own > 1 else 0.0
@@ -463,11 +459,12 @@
             link.missing = 0.0
             return
         # the share was measured before the newest own changes: what they took off already counts
-        before = link.own - link.fresh - link.swing
+        before = link.own - link.fresh
         link.missing = 1 - share
         link.missing_at = now
         link.climbs_from = now + CLIMB_HOLD
-        link.own_goal = before * share
+        if now - self.lag >= link.relieved_at:
+            link.owed = max(0.0, link.own - before * share)
 
     def link_told(self, server: Server, use: float) -> None:
         self._heard(server)
@@ -484,7 +481,7 @@
         if link.size == inf:
             return
         self._age(link)
-        others = max(0.0, use * link.size - (link.own - link.fresh - link.swing))
+        others = max(0.0, use * link.size - (link.own - link.fresh))
         # one noisy or late report must not turn the link over: news weighs by the time since the last
         now = self.host.now()
         weight = 1 - exp(-(now - link.told_at) / NEWS_SETTLES) if link.told else 1.0
@@ -514,27 +511,49 @@
     def _learn_usual(self, links: list[Link]) -> None:
         """Against old news: a link not heard of for long is held to be used as the fleet is of late."""
         now = self.host.now()
-        weighed = [(faded(1.0, now - link.told_at, NEWS_AGES), link) for link in links if link.told]
-        # one empty link is counted along, so that the first news of one does not stand for all
-        size = sum(weight * link.size for weight, link in weighed) + (weighed[0][1].size if weighed else 0.0)
-        share = sum(weight * link.others for weight, link in weighed) / size if 0 < size < inf else 0.0
+        size = sum(link.size for link in links)
+        if not 0 < size < inf:
+            return
+        # before any news the others are held to ask of the fleet what this front does; that counts as one link
+        weight, share = 1.0, (self.fronts - 1) * sum(link.own for link in links) / size
+        for link in links:
+            if link.told:
+                more = faded(1.0, now - link.told_at, NEWS_AGES)
+                weight += more
+                share += (link.others / link.size - share) * more / weight
         for link in links:
-            link.usual = share * link.size if link.size < inf else 0.0
+            link.usual = share * link.size
 
     def _by_turn(self, link: Link) -> list[Viewing]:
         # Rounds begin on the highest rung: nobody gives up a lower one before all are down to it. By time or
         # steps taken, newcomers stayed on top of those who had stepped. Within a round, least value first.
         return sorted(link.playing, key=lambda vw: (-vw.rung, vw.package.value / (vw.held_rate or 1.0), vw.turn))
 
+    def _part(self, link: Link) -> float:
+        return link.own / max(link.own, self._use(link), 1e-9)
+
     def _relieve(self, link: Link) -> None:
+        """All fronts hear late news at once, and each owes its own part of what a link has too much.
+
+        Where that is less than a step chance settles it: a step by every front would be many times too much.
+        """
+        part, owed = self._part(link), link.owed
+        if self._short(link):
+            link.owed, link.relieved_at = 0.0, self.host.now()
+        elif link.told:
+            owed = (self._use(link) - OVERLOAD * link.size) * part
+        if owed <= 0 or not link.playing:
+            return
+        link.swing -= owed * (1 - part) / part
         for vw in self._by_turn(link):
-            if self._short(link):
-                if link.own <= link.own_goal:
-                    return
-            elif self._use(link) <= OVERLOAD * link.size:
-                return
             if vw.rung > vw.package.floor:
+                less = vw.held_rate - vw.package.rates[vw.rung - 1]
+                if self.chance.random() >= max(owed / less, part):
+                    return
                 self._step(vw, vw.rung - 1)
+                owed -= less
+                if owed <= 0:
+                    return
 
     def _climb(self, server: Server) -> None:
         now = self.host.now()
@@ -546,11 +565,19 @@
             if vw.rung >= min(vw.ceiling, vw.package.top) or now < vw.changed_at + CLIMB_PACE:
                 continue
             more = vw.package.rates[vw.rung + 1] - vw.package.rates[vw.rung]
-            if all(self._passes(link, more) for link in links):
+            if not all(self._passes(link, more) for link in links):
+                continue
+            # room too is for all who hear of it
+            chance = 1.0
+            for link in links:
+                part, room = self._part(link), self._left(link, more) + more
+                chance = min(chance, room * part / more)
+                link.swing += min(room, more / part) * (1 - part)
+            if self.chance.random() < chance:
                 self._step(vw, vw.rung + 1)
 
     def _step(self, vw: Viewing, rung: int) -> None:
         vw.turn += vw.rung - rung
         vw.changed_at = self.host.now()
-        self._rate(vw, rung, stepped=True)
+        self._rate(vw, rung)
         self.host.set_rung(vw, rung)
