New fronts share the starting pace of all unproven servers, spread over them

Could do harm: the bound is on the mean over fronts; a crowd for one title right after many fronts restarted, on holders that restarted unseen at the same time, could pass it.

--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -78,6 +78,7 @@
     open: bool = True
     # what this front saw of it
     cold_until: int = 0
+    unproven_until: int = 0
     failed: bool = False
     sent: list = field(default_factory=list)
     out: int = 0
@@ -88,7 +89,6 @@
     gap_squares: float = 0.0
     trouble: float = 0.0
     trouble_at: int = 0
-    starved_since: int = 0
     full_until: int = 0
 
 
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -49,7 +49,7 @@
 # A viewing that only the pace of cold servers keeps out is looked at again, for this part of its join target.
 WAIT_PART = 0.6
 WAIT_STEP = SECOND // 20
-# Turns at a cold server last this part of the window in which its set-ups are counted.
+# Turns at a cold server last so many of the windows in which its set-ups are counted.
 TURN = 4
 
 # What is held against a server fades; over the mark it gets viewings only where nobody else can.
@@ -92,12 +92,16 @@
         self.wait = min(COME_BACK, terms.longest_wait)
         self.warm_within = terms.warm_within
         self.fall_within = terms.fall_within
-        # set-ups that all fronts together may send a cold server in one window, for each of its places
-        self.cold_part = (terms.start_capacity * terms.fall_multiple * terms.fall_within / terms.warm_within
+        # this front's part of the pace a cold server starts with, for each of its places, and the set-ups in
+        # one window, from all fronts together, at which it falls
+        self.pace_part = terms.start_capacity / (terms.warm_within or inf) / self.fronts
+        self.cold_part = (self.pace_part * self.fronts * terms.fall_multiple * terms.fall_within
                           if terms.warm_within else inf)
         self.free_further, self.further_share = terms.free_further, terms.further_share
         self.look_back = terms.look_back
         self.taken, self.further = deque(), deque()
+        # set-ups a nanosecond to servers not proven warm, all together, and what of them is left to use
+        self.unproven_pace, self.unproven_left, self.unproven_at = 0.0, self.chance.random(), terms.now
         self.servers: list[Server] = []
         self.racks = []
         self.seats: dict = {}
@@ -117,9 +121,10 @@
                     continue
                 self.servers.append(server)
                 server.out_cap = FRESH_CAP
-                # a stale list proves nothing warm: any server on it may have come up just now
                 if stale or not line.started:
-                    server.cold_until = self.born + self.warm_within
+                    # a stale list proves nothing warm: any server on it may have come up just now
+                    server.unproven_until = self.born + self.warm_within
+                    self.unproven_pace += server.streams * self.pace_part
             if server.rack not in self.racks:
                 self.racks.append(server.rack)
             if line.started > server.started:
@@ -276,6 +281,8 @@
         vw.tried.append(server)
         vw.rung = rung
         server.sent.append(now)
+        if now < server.unproven_until:
+            self.unproven_left -= 1
         server.out += 1
         until = vw.expires
         if not vw.package.paid_at_setup and vw.tune_ins < self.max_tune_ins:
@@ -300,24 +307,39 @@
         now = self.host.now()
         if not server.open or now < server.full_until:
             return False
-        if now >= server.cold_until and not server.failed:
+        if now >= max(server.cold_until, server.unproven_until) and not server.failed:
             return True
-        return server.out < server.out_cap and self._own_part_left(server, now)
+        if server.out >= server.out_cap:
+            return False
+        if self._own_part_left(server, now):
+            return True
+        return now >= server.cold_until and not server.failed and not server.sent and self._unproven_part_left(now)
+
+    def _unproven_part_left(self, now: int) -> bool:
+        """A front that has just started keeps to its part of the pace of all unproven servers together.
+
+        Against set-ups of many new fronts at servers that restarted unseen. By turns, a front of hundreds
+        would have nowhere to send for its whole warm-up. The parts hold the mean over all fronts, and one
+        set-up a server and front at most; a crowd for one title right after a start could still pass it.
+        """
+        self.unproven_left = min(2.0, self.unproven_left + (now - self.unproven_at) * self.unproven_pace)
+        self.unproven_at = now
+        return self.unproven_left >= 1
 
     def _own_part_left(self, server: Server, now: int) -> bool:
         """A cold server falls if all fronts together pass its pace in any window: each keeps to its part.
 
-        Where that is less than one set-up a front and window, fronts take short turns by the clock with a
-        window's rest between, so that no window holds what two of them sent. Turns differ from server to
-        server: with all at once, a front that has just started could send nowhere for seconds.
+        Where that is less than one set-up a front and window, fronts take turns by the clock with a window's
+        rest between, so that no window holds what two of them sent. Turns differ from server to server.
         """
         window = self.fall_within
         server.sent = [at for at in server.sent if at > now - window]
         budget = self.cold_part * server.streams
         part = budget / self.fronts
         if part < 1:
-            turn, spent = divmod(now + server.mark % (self.fronts * window), window + window // TURN)
-            if turn % self.fronts != self.me or spent >= window // TURN:
+            length = window * (TURN + 1)
+            turn, spent = divmod(now + server.mark % (self.fronts * length), length)
+            if turn % self.fronts != self.me or spent >= window * TURN:
                 return False
             part = budget
         return len(server.sent) + 1 <= part
