--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from math import exp, inf, sqrt
 from random import Random
 
@@ -46,9 +46,6 @@
 TUNE_IN_PART = 0.4
 SHORTEST_TUNE_IN = SECOND // 5
 COME_BACK = SECOND
-# A viewing that only the pace of cold servers keeps out is looked at again, for this part of its join target.
-WAIT_PART = 0.6
-WAIT_STEP = SECOND // 20
 # Turns at a cold server last so many of the windows in which its set-ups are counted.
 TURN = 4
 
@@ -104,11 +101,9 @@
         self.unproven_pace, self.unproven_left, self.unproven_at = 0.0, self.chance.random(), terms.now
         self.servers: list[Server] = []
         self.racks = []
-        self.seats: dict = {}
-        self.waiting: list[Viewing] = []
+        self.seats: Counter = Counter()
         # fronts hear at the same moment how full links are; they take turns within the second to react
-        self.round_at = terms.now + TICK * (self.me + 1) // self.fronts
-        host.wake(self.round_at)
+        host.wake(terms.now + TICK * (self.me + 1) // self.fronts)
 
     # ---- the server list
 
@@ -205,18 +200,14 @@
         self.host.block(vw, int(self.wait * self.chance.uniform(0.6, 1.0)))
 
     def _place(self, vw: Viewing) -> None:
-        seat = (vw.title, vw.package)
-        seats_left = not vw.package.seats or self.seats.get(seat, 0) < vw.package.seats
+        seats_left = not vw.package.seats or self.seats[vw.title, vw.package] < vw.package.seats
         late = vw.tune_ins >= self.max_tune_ins or self.host.now() >= vw.expires
         if late or not seats_left or not self._budget_left(vw):
             self._block(vw)
             return
-        best, best_rank, best_rung, paced = None, None, 0, False
+        best, best_rank, best_rung = None, None, 0
         for server in self.servers:
-            if not self._holds(server, vw):
-                continue
-            if not self._may_send(server):
-                paced |= server.open and not self._sick(server)
+            if not self._holds(server, vw) or not self._may_send(server):
                 continue
             rung = self._highest_passing(vw, server)
             if rung is None:
@@ -225,21 +216,14 @@
             # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
             if sick and (vw.package.paid_at_setup or server.out):
                 continue
-            room = min(self._left(server.link), self._left(server.rack.link))
             rank = (not sick, not self._silent(server), server not in vw.tried,
-                    room // (ROOM_STEP * server.link.size), shared_order(vw, server))
+                    self._room(server) // (ROOM_STEP * server.link.size), shared_order(vw, server))
             if best is None or rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
         if best is None:
             best, best_rung = self._make_room(vw), vw.package.floor
         if best is not None:
             self._tune_in(vw, best, best_rung)
-        elif paced and self.host.now() < vw.asked_at + vw.package.join_target * WAIT_PART:
-            # only the pace of cold servers is in the way, and it gives way in a moment
-            if not self.waiting:
-                # one timer for all: one for each viewing breeds more at every look
-                self.host.wake(self.host.now() + WAIT_STEP)
-            self.waiting.append(vw)
         else:
             self._block(vw)
 
@@ -255,8 +239,6 @@
             if not self._holds(server, vw) or not self._may_send(server) or self._sick(server):
                 continue
             links = (server.link, server.rack.link)
-            if any(self._short(link) for link in links):
-                continue
             narrow = server.rack.link if self._left(server.link, rate) >= 0 else server.link
             for victim in self._by_turn(narrow):
                 if victim.rung > victim.package.floor:
@@ -295,11 +277,8 @@
 
     def _highest_passing(self, vw: Viewing, server: Server) -> int | None:
         lowest = vw.package.floor
-        for rung in range(max(lowest, min(vw.ceiling, vw.package.top)), lowest - 1, -1):
-            rate = vw.package.rates[rung]
-            if self._passes(server.link, rate) and self._passes(server.rack.link, rate):
-                return rung
-        return None
+        rungs = range(max(lowest, min(vw.ceiling, vw.package.top)), lowest - 1, -1)
+        return next((rung for rung in rungs if self._room(server, vw.package.rates[rung]) >= 0), None)
 
     # ---- guards on what is sent
 
@@ -408,15 +387,11 @@
 
     def _attach(self, vw: Viewing, server: Server) -> None:
         vw.server = server
-        seat = (vw.title, vw.package)
-        self.seats[seat] = self.seats.get(seat, 0) + 1
+        self.seats[vw.title, vw.package] += 1
         self._rate(vw, vw.rung)
 
     def _detach(self, vw: Viewing) -> None:
-        seat = (vw.title, vw.package)
-        self.seats[seat] -= 1
-        if not self.seats[seat]:
-            del self.seats[seat]
+        self.seats[vw.title, vw.package] -= 1
         self._count(vw, 0.0)
         for link in (vw.server.link, vw.server.rack.link):
             link.playing.pop(vw, None)
@@ -463,10 +438,10 @@
         return BOUND * SPREAD * sqrt(max(0.0, link.own_squares + self._others(link) * typical + rate * rate))
 
     def _left(self, link: Link, rate: float = 0.0) -> float:
-        return link.size - self._use(link) - self._margin(link, rate) - rate
+        return -inf if self._short(link) else link.size - self._use(link) - self._margin(link, rate) - rate
 
-    def _passes(self, link: Link, rate: float = 0.0) -> bool:
-        return self._left(link, rate) >= 0 and not self._short(link)
+    def _room(self, server: Server, rate: float = 0.0) -> float:
+        return min(self._left(server.link, rate), self._left(server.rack.link, rate))
 
     def _short(self, link: Link) -> bool:
         return link.missing > 0 and self.host.now() - link.missing_at < NOTE_LASTS
@@ -513,14 +488,7 @@
     # ---- the round
 
     def tick(self) -> None:
-        waiting, self.waiting = self.waiting, []
-        for vw in waiting:
-            if not vw.over:
-                self._place(vw)
-        if self.host.now() < self.round_at:
-            return
-        self.round_at = self.host.now() + TICK
-        self.host.wake(self.round_at)
+        self.host.wake(self.host.now() + TICK)
         self._learn_usual([server.link for server in self.servers if server.open])
         self._learn_usual([rack.link for rack in self.racks])
         for server in self.servers:
@@ -587,7 +555,7 @@
             if vw.rung >= min(vw.ceiling, vw.package.top) or now < vw.changed_at + CLIMB_PACE:
                 continue
             more = vw.package.rates[vw.rung + 1] - vw.package.rates[vw.rung]
-            if not all(self._passes(link, more) for link in links):
+            if self._room(server, more) < 0:
                 continue
             # room too is for all who hear of it
             chance = 1.0
