Others' viewings vary like this front's own, on every link

Cause: the spread of others' use was taken from own viewings on the same link, so links where a front had nothing, at hundreds of fronts nearly all, were tested with no spread and looked the roomiest.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -102,6 +102,7 @@
         self.servers: list[Server] = []
         self.racks = []
         self.seats: Counter = Counter()
+        self.own = self.squares = 0.0
         # fronts hear at the same moment how full links are; they take turns within the second to react
         host.wake(terms.now + TICK * (self.me + 1) // self.fronts)
 
@@ -407,11 +408,13 @@
         self._count(vw, vw.package.rates[rung])
 
     def _count(self, vw: Viewing, rate: float) -> None:
-        change = rate - vw.held_rate
+        change, squares = rate - vw.held_rate, rate * rate - vw.held_rate * vw.held_rate
+        self.own += change
+        self.squares += squares
         for link in (vw.server.link, vw.server.rack.link):
             self._age(link)
             link.own += change
-            link.own_squares += rate * rate - vw.held_rate * vw.held_rate
+            link.own_squares += squares
             link.fresh += change
         vw.held_rate = rate
 
@@ -434,7 +437,8 @@
         return link.own + max(0.0, self._others(link) + link.swing)
 
     def _margin(self, link: Link, rate: float) -> float:
-        typical = link.own_squares / link.own if link.own > 1 else 0.0
+        # others' viewings vary like this front's: with no spread, links not known looked the roomiest
+        typical = self.squares / self.own if self.own > 1 else 0.0
         return BOUND * SPREAD * sqrt(max(0.0, link.own_squares + self._others(link) * typical + rate * rate))
 
     def _left(self, link: Link, rate: float = 0.0) -> float:
