Ask the two best holders not heard of for 2 s before a viewing is placed

Could do harm: each probe has its price, most in bursts, where viewers come again and are asked for again.

--- a/curlewshift/adapter/codec.py
+++ b/curlewshift/adapter/codec.py
@@ -96,6 +96,13 @@
     return {name: value for name, value in report.items() if 0 <= value < 1e9}
 
 
+def outcome_of(fields: Fields) -> Outcome:
+    outcome = OUTCOMES.get(fields.text("code"))
+    if outcome is None:
+        raise Malformed(f"{fields.kind}: code={fields.text('code')!r} is no outcome")
+    return outcome
+
+
 def time_text(ns: int) -> str:
     return repr(ns / NS)
 
@@ -147,7 +154,7 @@
         packages=packages,
         cells=extra.get("cells") or 1, racks_told="x1" in (part("telemetry").get("fields") or []),
         told_late=ns(extra, "told_late_ms"),
-        max_tune_ins=bounds.get("max_attempts") or 1, longest_wait=longest,
+        max_tune_ins=bounds.get("max_attempts") or 1, probes=bool(bounds.get("probes")), longest_wait=longest,
         warm_within=ns(duty, "warm_within_ms"), start_capacity=duty.get("start_capacity") or 0.0,
         fall_multiple=duty.get("fall_multiple") or 0.0, fall_within=ns(duty, "fall_ms"),
         free_further=duty.get("free_resends") if duty.get("look_back_ms") else None,
--- a/curlewshift/adapter/loop.py
+++ b/curlewshift/adapter/loop.py
@@ -5,7 +5,7 @@
 import traceback
 
 from curlewshift.adapter.codec import (
-    OUTCOMES, Fields, Malformed, boot_of, fields_of, load_of, mark_of, terms_of, time_text)
+    Fields, Malformed, boot_of, fields_of, load_of, mark_of, outcome_of, terms_of, time_text)
 from curlewshift.model import Link, Listed, Rack, Server, Viewing
 from curlewshift.rules import Rules
 
@@ -47,6 +47,9 @@
         self.viewings.pop(viewing.name, None)
         self._act("surrender", f"call={viewing.name}")
 
+    def probe(self, server):
+        self._act("poll", f"server={server.name}")
+
     def wake(self, at):
         self._act("arm", f"nonce=tick\tinstant_ms={time_text(at)}")
 
@@ -113,9 +116,7 @@
 
     def on_done(self, fields):
         viewing = self.viewings.get(fields.whole("call"))
-        outcome = OUTCOMES.get(fields.text("code"))
-        if outcome is None:
-            raise Malformed(f"done: code={fields.text('code')!r} is no outcome")
+        outcome = outcome_of(fields)
         report = load_of(fields, self.report_names)
         server = self.servers.get(fields.text("server"))
         if server is not None and report:
@@ -142,6 +143,7 @@
         server = self.servers.get(fields.text("server"))
         if server is not None:
             self._report(server, load_of(fields, self.report_names))
+            self.rules.probed(server, outcome_of(fields))
 
     def on_message(self, fields):
         """Fronts share nothing here: what another one says is not listened to."""
--- a/curlewshift/host.py
+++ b/curlewshift/host.py
@@ -23,5 +23,8 @@
     def abort(self, viewing: Viewing) -> None:
         """Final answer: failed, with nothing promised about what ran."""
 
+    def probe(self, server: Server) -> None:
+        """Ask the server whether it runs and how full it is; `probed` tells once it answers or fails to."""
+
     def wake(self, at: int) -> None:
         """Call the rules' `tick` once the clock reaches `at`."""
--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -90,6 +90,7 @@
     trouble: float = 0.0
     trouble_at: int = 0
     full_until: int = 0
+    asking: list = field(default_factory=list)
 
 
 @dataclass(eq=False, slots=True)
@@ -113,6 +114,7 @@
     over: bool = False
     tune_ins: int = 0
     sent_at: int = 0
+    asked: int = 0
     may_have_run: bool = False
     tried: list = field(default_factory=list)
     turn: int = 0
@@ -142,6 +144,7 @@
     racks_told: bool
     told_late: int
     max_tune_ins: int
+    probes: bool
     longest_wait: int
     warm_within: int
     start_capacity: float
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -43,6 +43,8 @@
 WHOLE = 0.98
 
 # A tune-in may use this part of the time left to the join target, so that another still fits in.
+PROBES = 2
+NEWS_FRESH = 2 * SECOND
 TUNE_IN_PART = 0.4
 SHORTEST_TUNE_IN = SECOND // 5
 COME_BACK = SECOND
@@ -85,7 +87,7 @@
         self.racks_told = terms.racks_told
         # own changes younger than this are not in the reports yet
         self.lag = max(terms.told_late, SECOND // 4)
-        self.max_tune_ins = terms.max_tune_ins
+        self.max_tune_ins, self.probes = terms.max_tune_ins, terms.probes
         self.wait = min(COME_BACK, terms.longest_wait)
         self.warm_within = terms.warm_within
         self.fall_within = terms.fall_within
@@ -147,7 +149,8 @@
     def wanted(self, vw: Viewing) -> None:
         if self.free_further is not None:
             self.taken.append(self.host.now())
-        self._place(vw)
+        if not self.probes or not self._ask(vw):
+            self._place(vw)
 
     def begun(self, vw: Viewing) -> None:
         server = vw.server
@@ -176,6 +179,32 @@
 
     # ---- placing
 
+    def _ask(self, vw: Viewing) -> int:
+        """Ask the best holders not heard of lately how full they are, before the viewing is placed.
+
+        Against fronts so many that each hears of few servers: what they do not know fills links that are
+        short already, and nobody who places there is told. Harm: each probe has its price.
+        """
+        now = self.host.now()
+        unheard = [server for server in self.servers if now - server.link.told_at > NEWS_FRESH
+                   and self._holds(server, vw) and self._may_send(server) and not self._sick(server)]
+        unheard.sort(key=lambda server: (self._room(server), shared_order(vw, server)), reverse=True)
+        for server in unheard[:PROBES]:
+            if not server.asking:
+                self.host.probe(server)
+            server.asking.append(vw)
+            vw.asked += 1
+        return vw.asked
+
+    def probed(self, server: Server, outcome: Outcome) -> None:
+        if outcome in (Outcome.SILENT, Outcome.UNREACHED, Outcome.BROKEN):
+            self._judge(server, outcome, False)
+        asking, server.asking = server.asking, []
+        for vw in asking:
+            vw.asked -= 1
+            if not vw.asked and not vw.over:
+                self._place(vw)
+
     def _again(self, vw: Viewing) -> None:
         # a paid set-up that may have run is never sent again, and a block would invite the same
         if vw.package.paid_at_setup and vw.may_have_run:
@@ -493,6 +522,10 @@
 
     def tick(self) -> None:
         self.host.wake(self.host.now() + TICK)
+        for server in self.servers:
+            if server.asking and self.host.now() - server.asking[0].asked_at > TICK:
+                # an answer that never came must not hold an owed one back
+                self.probed(server, Outcome.SILENT)
         self._learn_usual([server.link for server in self.servers if server.open])
         self._learn_usual([rack.link for rack in self.racks])
         for server in self.servers:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -80,6 +80,27 @@
         self.assertGreater(story.rules._use(story.servers[2].link), 500.0)
 
 
+class Asking(unittest.TestCase):
+    def test_the_best_holders_not_heard_of_are_asked_and_the_emptier_one_is_taken(self):
+        story = Story(count=4, probes=True)
+        story.later(10 * SECOND)
+        vw = story.want()
+        (first,), (second,) = story.host.all("probe")
+        self.assertEqual(story.host.all("tune_in"), [])
+        story.rules.link_told(first, 0.9)
+        story.rules.probed(first, Outcome.PLAYED)
+        story.rules.link_told(second, 0.1)
+        story.rules.probed(second, Outcome.PLAYED)
+        self.assertEqual((vw.server is first, vw.rung), (False, 2))
+
+    def test_a_probe_that_is_never_answered_holds_no_viewing_back(self):
+        story = Story(count=1, probes=True)
+        story.later(10 * SECOND)
+        vw = story.want()
+        story.ticks(2)
+        self.assertTrue(vw.over or vw.server)
+
+
 class Answers(unittest.TestCase):
     def test_a_tune_in_that_times_out_leaves_room_for_another(self):
         story = Story()
