Where no holder passes, the lowest rung may join while use alone fits the links

Joining at the lowest rung shows in the next reports, and all who play there owe their part of the excess. Could do harm: a link may run short for a report's delay. Guards against any crowd.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -240,18 +240,23 @@
             if not self._holds(server, vw) or not self._may_send(server):
                 continue
             rung = self._highest_passing(vw, server)
-            if rung is None:
-                continue
+            passes = rung is not None
+            if not passes:
+                # Nothing is kept free for the lowest rung: whoever plays wider there steps once it shows. Fronts
+                # with nothing of their own to step would block, and nobody tells the others to make room.
+                rung = vw.package.floor
+                if self._room(server, vw.package.rates[rung], 0.0) < 0:
+                    continue
             sick = self._sick(server)
             # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
             if sick and (vw.package.paid_at_setup or server.out):
                 continue
-            rank = (not sick, not self._silent(server), server not in vw.tried,
+            rank = (passes, not sick, not self._silent(server), server not in vw.tried,
                     self._room(server) // (ROOM_STEP * server.link.size), shared_order(vw, server))
             if best is None or rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
-        if best is None:
-            best, best_rung = self._make_room(vw), vw.package.floor
+        if best is None or not best_rank[0]:
+            best, best_rung = self._make_room(vw) or best, vw.package.floor
         if best is not None:
             self._tune_in(vw, best, best_rung)
         else:
@@ -465,16 +470,16 @@
         self._age(link)
         return link.own + max(0.0, self._others(link) + link.swing)
 
-    def _margin(self, link: Link, rate: float) -> float:
+    def _margin(self, link: Link, rate: float, bound: float) -> float:
         # others' viewings vary like this front's: with no spread, links not known looked the roomiest
         typical = self.squares / self.own if self.own > 1 else 0.0
-        return BOUND * SPREAD * sqrt(max(0.0, link.own_squares + self._others(link) * typical + rate * rate))
+        return bound * SPREAD * sqrt(max(0.0, link.own_squares + self._others(link) * typical + rate * rate))
 
-    def _left(self, link: Link, rate: float = 0.0) -> float:
-        return -inf if self._short(link) else link.size - self._use(link) - self._margin(link, rate) - rate
+    def _left(self, link: Link, rate: float = 0.0, bound: float = BOUND) -> float:
+        return -inf if self._short(link) else link.size - self._use(link) - self._margin(link, rate, bound) - rate
 
-    def _room(self, server: Server, rate: float = 0.0) -> float:
-        return min(self._left(server.link, rate), self._left(server.rack.link, rate))
+    def _room(self, server: Server, rate: float = 0.0, bound: float = BOUND) -> float:
+        return min(self._left(server.link, rate, bound), self._left(server.rack.link, rate, bound))
 
     def _short(self, link: Link) -> bool:
         return link.missing > 0 and self.host.now() - link.missing_at < NOTE_LASTS
