--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -255,37 +255,11 @@
                     self._room(server) // (ROOM_STEP * server.link.size), shared_order(vw, server))
             if best is None or rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
-        if best is None or not best_rank[0]:
-            best, best_rung = self._make_room(vw) or best, vw.package.floor
         if best is not None:
             self._tune_in(vw, best, best_rung)
         else:
             self._block(vw)
 
-    def _make_room(self, vw: Viewing) -> Server | None:
-        """Where no holder passes even on the lowest rung, one viewing steps down if that lets the new one in.
-
-        Against a fleet that blocks at its doors while what plays inside is wide: a rung costs a viewing part
-        of its value, a block all of it. It frees nothing on links that are short, or full by others' use.
-        """
-        rate = vw.package.rates[vw.package.floor]
-        best, best_left, best_victim = None, 0.0, None
-        for server in self.servers:
-            if not self._holds(server, vw) or not self._may_send(server) or self._sick(server):
-                continue
-            links = (server.link, server.rack.link)
-            narrow = server.rack.link if self._left(server.link, rate) >= 0 else server.link
-            for victim in self._by_turn(narrow):
-                if victim.rung > victim.package.floor:
-                    freed = victim.held_rate - victim.package.rates[victim.rung - 1]
-                    left = min(self._left(link, rate) + freed for link in links)
-                    if left >= 0 and (best is None or left > best_left):
-                        best, best_left, best_victim = server, left, victim
-                    break
-        if best is not None:
-            self._step(best_victim, best_victim.rung - 1)
-        return best
-
     def _holds(self, server: Server, vw: Viewing) -> bool:
         return (server.cell - vw.base) % self.cells < vw.span
 
