--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -84,9 +84,9 @@
     out: int = 0
     out_cap: int = 0
     heard_at: int = 0
-    gaps: float = 0.0
-    gap_sum: float = 0.0
-    gap_squares: float = 0.0
+    gaps: int = 0
+    gap: float = 0.0
+    gap_off: float = 0.0
     trouble: float = 0.0
     trouble_at: int = 0
     full_until: int = 0
@@ -113,7 +113,6 @@
     playing: bool = False
     over: bool = False
     tune_ins: int = 0
-    sent_at: int = 0
     asked: int = 0
     may_have_run: bool = False
     tried: list = field(default_factory=list)
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -42,21 +42,25 @@
 # Under this share delivered a viewing gives up nothing by being left out of the account.
 WHOLE = 0.98
 
-# A tune-in may use this part of the time left to the join target, so that another still fits in.
+# So many holders are asked how full they are where what was heard of them is older than this.
 PROBES = 2
 NEWS_FRESH = 2 * SECOND
+# A tune-in may use this part of the time left to the join target, so that another still fits in.
 TUNE_IN_PART = 0.4
 SHORTEST_TUNE_IN = SECOND // 5
 COME_BACK = SECOND
 # Turns at a cold server last so many of the windows in which its set-ups are counted.
 TURN = 4
 
-# What is held against a server fades; over the mark it gets viewings only where nobody else can.
+# What is held against a server fades; over the mark it gets viewings only where nobody else can; an answer
+# leaves this part of it.
 TROUBLE_FADES = 8 * SECOND
 TROUBLE_MARK = 0.5
+TROUBLE_OF_ONE = 1.3
 TROUBLE_MOST = 4.0
+TROUBLE_LEFT = 0.3
 GAPS_KNOWN = 4
-GAPS_KEPT = 0.9
+GAP_WEIGHS = 0.1
 UNUSUAL = 3.0
 FULL_LASTS = SECOND // 2
 FRESH_CAP = 2
@@ -66,6 +70,7 @@
 
 # Only these prove that the server never ran the tune-in.
 NEVER_RAN = {Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT}
+FAILURES = {Outcome.ERROR, Outcome.SILENT, Outcome.UNREACHED, Outcome.BROKEN}
 
 
 def faded(value: float, age: int, lasts: int) -> float:
@@ -79,30 +84,23 @@
 
 class Rules:
     def __init__(self, host: Host, terms: Terms):
-        self.host = host
-        self.chance = Random(terms.seed)
-        self.born = terms.now
-        self.me, self.fronts = terms.me, max(1, terms.fronts)
-        self.cells = terms.cells
-        self.racks_told = terms.racks_told
+        self.host, self.chance = host, Random(terms.seed)
+        self.born, self.me, self.fronts = terms.now, terms.me, max(1, terms.fronts)
+        self.cells, self.racks_told = terms.cells, terms.racks_told
         # own changes younger than this are not in the reports yet
         self.lag = max(terms.told_late, SECOND // 4)
         self.max_tune_ins, self.probes = terms.max_tune_ins, terms.probes
         self.wait = min(COME_BACK, terms.longest_wait)
-        self.warm_within = terms.warm_within
-        self.fall_within = terms.fall_within
-        # this front's part of the pace a cold server starts with, for each of its places, and the set-ups in
-        # one window, from all fronts together, at which it falls
-        self.pace_part = terms.start_capacity / (terms.warm_within or inf) / self.fronts
-        self.cold_part = (self.pace_part * self.fronts * terms.fall_multiple * terms.fall_within
-                          if terms.warm_within else inf)
-        self.free_further, self.further_share = terms.free_further, terms.further_share
-        self.look_back = terms.look_back
+        self.warm_within, self.fall_within = terms.warm_within, terms.fall_within
+        # the pace a cold server starts with and the set-ups in a window at which it falls, for each place
+        self.pace = terms.start_capacity / max(1, terms.warm_within)
+        self.cold_part = self.pace * terms.fall_multiple * terms.fall_within or inf
+        self.free_further = inf if terms.free_further is None else terms.free_further
+        self.further_share, self.look_back = terms.further_share, terms.look_back
         self.taken, self.further = deque(), deque()
         # set-ups a nanosecond to servers not proven warm, all together, and what of them is left to use
         self.unproven_pace, self.unproven_left, self.unproven_at = 0.0, self.chance.random(), terms.now
         self.servers: list[Server] = []
-        self.racks = []
         self.seats: Counter = Counter()
         self.own = self.squares = 0.0
         # fronts hear at the same moment how full links are; they take turns within the second to react
@@ -122,9 +120,7 @@
                 if stale or not line.started:
                     # a stale list proves nothing warm: any server on it may have come up just now
                     server.unproven_until = self.born + self.warm_within
-                    self.unproven_pace += server.streams * self.pace_part
-            if server.rack not in self.racks:
-                self.racks.append(server.rack)
+                    self.unproven_pace += server.streams * self.pace / self.fronts
             if line.started > server.started:
                 server.started = line.started
                 server.cold_until = max(line.started + self.warm_within, server.cold_until)
@@ -138,7 +134,6 @@
     # ---- viewings
 
     def handed_over(self, vw: Viewing, server: Server) -> None:
-        vw.tune_ins = 0
         self._attach(vw, server)
         self._start(vw)
 
@@ -147,8 +142,7 @@
             self._rate(vw, rung)
 
     def wanted(self, vw: Viewing) -> None:
-        if self.free_further is not None:
-            self.taken.append(self.host.now())
+        self.taken.append(self.host.now())
         if not self.probes or not self._ask(vw):
             self._place(vw)
 
@@ -167,12 +161,12 @@
             self._detach(vw)
             if not played:
                 server.out -= 1
-            self._judge(server, outcome, played)
+            self._judge(server, outcome)
         if closed or vw.over or played:
             vw.over = True
-            return
-        vw.may_have_run |= outcome not in NEVER_RAN
-        self._again(vw)
+        else:
+            vw.may_have_run |= outcome not in NEVER_RAN
+            self._again(vw)
 
     def left(self, vw: Viewing) -> None:
         vw.over = True
@@ -182,11 +176,10 @@
     def _ask(self, vw: Viewing) -> int:
         """Ask the best holders not heard of lately how full they are, before the viewing is placed.
 
-        Against fronts so many that each hears of few servers: what they do not know fills links that are
-        short already, and nobody who places there is told. Harm: each probe has its price.
+        Against fronts so many that each hears of few servers, and fills links that are short already.
+        Harm: each probe has its price.
         """
-        now = self.host.now()
-        unheard = [server for server in self.servers if now - server.link.told_at > NEWS_FRESH
+        unheard = [server for server in self.servers if self.host.now() - server.link.told_at > NEWS_FRESH
                    and self._holds(server, vw) and self._may_send(server) and not self._sick(server)]
         unheard.sort(key=lambda server: (self._room(server), shared_order(vw, server)), reverse=True)
         for server in unheard[:PROBES]:
@@ -197,8 +190,8 @@
         return vw.asked
 
     def probed(self, server: Server, outcome: Outcome) -> None:
-        if outcome in (Outcome.SILENT, Outcome.UNREACHED, Outcome.BROKEN):
-            self._judge(server, outcome, False)
+        if outcome in FAILURES:
+            self._judge(server, outcome)
         asking, server.asking = server.asking, []
         for vw in asking:
             vw.asked -= 1
@@ -216,13 +209,12 @@
             self._place(vw)
 
     def _budget_left(self, vw: Viewing) -> bool:
-        if not vw.tune_ins or self.free_further is None:
-            return True
         since = self.host.now() - self.look_back
         for times in (self.taken, self.further):
             while times and times[0] <= since:
                 times.popleft()
-        return len(self.further) + 1 <= self.free_further + self.further_share * len(self.taken)
+        allowed = self.free_further + self.further_share * len(self.taken)
+        return not vw.tune_ins or len(self.further) + 1 <= allowed
 
     def _block(self, vw: Viewing) -> None:
         vw.over = True
@@ -235,40 +227,38 @@
         if late or not seats_left or not self._budget_left(vw):
             self._block(vw)
             return
-        best, best_rank, best_rung = None, None, 0
+        lowest = vw.package.floor
+        highest = max(lowest, min(vw.ceiling, vw.package.top))
+        # At last nothing is kept free for the lowest rung: who plays wider there steps once it shows. Fronts
+        # with nothing of their own to step would block, and nobody tells the others to make room.
+        ways = [(rung, BOUND) for rung in range(highest, lowest - 1, -1)] + [(lowest, 0.0)]
+        best, best_rank, best_rung = None, (), 0
         for server in self.servers:
-            if not self._holds(server, vw) or not self._may_send(server):
+            if not (self._holds(server, vw) and self._may_send(server)):
                 continue
-            rung = self._highest_passing(vw, server)
-            passes = rung is not None
-            if not passes:
-                # Nothing is kept free for the lowest rung: whoever plays wider there steps once it shows. Fronts
-                # with nothing of their own to step would block, and nobody tells the others to make room.
-                rung = vw.package.floor
-                if self._room(server, vw.package.rates[rung], 0.0) < 0:
-                    continue
+            fits = ((rung, at) for rung, at in ways if self._room(server, vw.package.rates[rung], at) >= 0)
+            rung, bound = next(fits, (None, 0.0))
             sick = self._sick(server)
             # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
-            if sick and (vw.package.paid_at_setup or server.out):
+            if rung is None or sick and (vw.package.paid_at_setup or server.out):
                 continue
-            rank = (passes, not sick, not self._silent(server), server not in vw.tried,
+            rank = (bound, not sick, not self._silent(server), server not in vw.tried,
                     self._room(server) // (ROOM_STEP * server.link.size), shared_order(vw, server))
-            if best is None or rank > best_rank:
+            if rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
-        if best is not None:
-            self._tune_in(vw, best, best_rung)
-        else:
+        if best is None:
             self._block(vw)
+        else:
+            self._tune_in(vw, best, best_rung)
 
     def _holds(self, server: Server, vw: Viewing) -> bool:
         return (server.cell - vw.base) % self.cells < vw.span
 
     def _tune_in(self, vw: Viewing, server: Server, rung: int) -> None:
         now = self.host.now()
-        if vw.tune_ins and self.free_further is not None:
+        if vw.tune_ins:
             self.further.append(now)
         vw.tune_ins += 1
-        vw.sent_at = now
         vw.tried.append(server)
         vw.rung = rung
         server.sent.append(now)
@@ -284,11 +274,6 @@
             self.host.set_rung(vw, rung)
         self.host.tune_in(vw, server, until)
 
-    def _highest_passing(self, vw: Viewing, server: Server) -> int | None:
-        lowest = vw.package.floor
-        rungs = range(max(lowest, min(vw.ceiling, vw.package.top)), lowest - 1, -1)
-        return next((rung for rung in rungs if self._room(server, vw.package.rates[rung]) >= 0), None)
-
     # ---- guards on what is sent
 
     def _may_send(self, server: Server) -> bool:
@@ -299,17 +284,14 @@
             return True
         if server.out >= server.out_cap:
             return False
+        server.sent = [at for at in server.sent if at > now - self.warm_within]
         if self._own_part_left(server, now):
             return True
-        return now >= server.cold_until and not server.failed and not server.sent and self._unproven_part_left(now)
-
-    def _unproven_part_left(self, now: int) -> bool:
-        """A front that has just started keeps to its part of the pace of all unproven servers together.
-
-        Against set-ups of many new fronts at servers that restarted unseen. By turns, a front of hundreds
-        would have nowhere to send for its whole warm-up. The parts hold the mean over all fronts, and one
-        set-up a server and front at most; a crowd for one title right after a start could still pass it.
-        """
+        # A front that has just started keeps to its part of the starting pace of all unproven servers at
+        # once, one set-up a server: by turns, one of hundreds would have nowhere to send all its warm-up.
+        # That holds the mean over fronts; a crowd for one title right after many starts could still pass it.
+        if server.sent or server.failed or now < server.cold_until:
+            return False
         self.unproven_left = min(2.0, self.unproven_left + (now - self.unproven_at) * self.unproven_pace)
         self.unproven_at = now
         return self.unproven_left >= 1
@@ -321,7 +303,6 @@
         rest between, so that no window holds what two of them sent. Turns differ from server to server.
         """
         window = self.fall_within
-        server.sent = [at for at in server.sent if at > now - window]
         budget = self.cold_part * server.streams
         part = budget / self.fronts
         if part < 1:
@@ -330,7 +311,7 @@
             if turn % self.fronts != self.me or spent >= window * TURN:
                 return False
             part = budget
-        return len(server.sent) + 1 <= part
+        return sum(at > now - window for at in server.sent) + 1 <= part
 
     # ---- health
 
@@ -345,48 +326,39 @@
         """
         if server.gaps < GAPS_KNOWN or not server.link.playing:
             return False
-        mean = server.gap_sum / server.gaps
-        spread = sqrt(max(0.0, server.gap_squares / server.gaps - mean * mean))
-        return self.host.now() - server.heard_at > mean + UNUSUAL * max(spread, mean / 4)
+        return self.host.now() - server.heard_at > server.gap + UNUSUAL * max(server.gap_off, server.gap / 4)
 
     def _heard(self, server: Server) -> None:
         now = self.host.now()
         gap = now - server.heard_at
-        if gap <= 0:
-            return
         # gaps count only while signs are due: the time before the first viewing there says nothing
-        if server.heard_at and server.link.playing:
-            server.gaps = server.gaps * GAPS_KEPT + 1
-            server.gap_sum = server.gap_sum * GAPS_KEPT + gap
-            server.gap_squares = server.gap_squares * GAPS_KEPT + gap * gap
+        if gap > 0 and server.heard_at and server.link.playing:
+            server.gaps += 1
+            weight = max(GAP_WEIGHS, 1 / server.gaps)
+            server.gap_off += weight * (abs(gap - (server.gap or gap)) - server.gap_off)
+            server.gap += weight * (gap - server.gap)
         server.heard_at = now
 
-    def _blame(self, server: Server, much: float) -> None:
+    def _judge(self, server: Server, outcome: Outcome) -> None:
         now = self.host.now()
-        trouble = faded(server.trouble, now - server.trouble_at, TROUBLE_FADES) + much
-        # one loss ends many viewings at once: that they were many says nothing of how long it lasts
-        server.trouble = min(trouble, TROUBLE_MOST)
-        server.trouble_at = now
-
-    def _judge(self, server: Server, outcome: Outcome, played: bool) -> None:
         if outcome is Outcome.FULL:
             # it answers, so it lives; what it last reported is out of date
-            server.full_until = self.host.now() + FULL_LASTS
+            server.full_until = now + FULL_LASTS
             self._age(server.link)
             server.link.others = max(server.link.others, server.link.size - server.link.own)
-            server.link.told, server.link.told_at = True, self.host.now()
-        elif outcome is Outcome.ERROR:
-            self._blame(server, 1.0)
-        elif outcome in (Outcome.SILENT, Outcome.UNREACHED, Outcome.BROKEN):
-            # whatever was wrong, it may come back cold, and no list need tell
-            self._blame(server, 1.5)
-            server.failed = True
-            server.out_cap = FRESH_CAP
+            server.link.told, server.link.told_at = True, now
+        elif outcome in FAILURES:
+            trouble = faded(server.trouble, now - server.trouble_at, TROUBLE_FADES)
+            # one loss ends many viewings at once: that they were many says nothing of how long it lasts
+            server.trouble, server.trouble_at = min(trouble + TROUBLE_OF_ONE, TROUBLE_MOST), now
+            if outcome is not Outcome.ERROR:
+                # whatever was wrong, it may come back cold, and no list need tell
+                server.failed, server.out_cap = True, FRESH_CAP
 
     def _answered(self, server: Server) -> None:
         now = self.host.now()
         self._heard(server)
-        server.trouble *= 0.3
+        server.trouble *= TROUBLE_LEFT
         server.out_cap += 1
         if server.failed:
             server.failed = False
@@ -429,9 +401,8 @@
     def _age(self, link: Link) -> None:
         now = self.host.now()
         if now > link.aged_at:
-            age = now - link.aged_at
-            link.fresh = faded(link.fresh, age, self.lag)
-            link.swing = faded(link.swing, age, self.lag)
+            link.fresh = faded(link.fresh, now - link.aged_at, self.lag)
+            link.swing = faded(link.swing, now - link.aged_at, self.lag)
             link.aged_at = now
 
     def _others(self, link: Link) -> float:
@@ -444,13 +415,13 @@
         self._age(link)
         return link.own + max(0.0, self._others(link) + link.swing)
 
-    def _margin(self, link: Link, rate: float, bound: float) -> float:
+    def _left(self, link: Link, rate: float = 0.0, bound: float = BOUND) -> float:
+        if self._short(link):
+            return -inf
         # others' viewings vary like this front's: with no spread, links not known looked the roomiest
         typical = self.squares / self.own if self.own > 1 else 0.0
-        return bound * SPREAD * sqrt(max(0.0, link.own_squares + self._others(link) * typical + rate * rate))
-
-    def _left(self, link: Link, rate: float = 0.0, bound: float = BOUND) -> float:
-        return -inf if self._short(link) else link.size - self._use(link) - self._margin(link, rate, bound) - rate
+        squares = max(0.0, link.own_squares + self._others(link) * typical + rate * rate)
+        return link.size - self._use(link) - rate - bound * SPREAD * sqrt(squares)
 
     def _room(self, server: Server, rate: float = 0.0, bound: float = BOUND) -> float:
         return min(self._left(server.link, rate, bound), self._left(server.rack.link, rate, bound))
@@ -467,13 +438,11 @@
         if share >= WHOLE:
             link.missing = 0.0
             return
-        # the share was measured before the newest own changes: what they took off already counts
-        before = link.own - link.fresh
-        link.missing = 1 - share
-        link.missing_at = now
+        link.missing, link.missing_at = 1 - share, now
         link.climbs_from = now + CLIMB_HOLD
         if now - self.lag >= link.relieved_at:
-            link.owed = max(0.0, link.own - before * share)
+            # the share was measured before the newest own changes: what they took off already counts
+            link.owed = max(0.0, link.own - (link.own - link.fresh) * share)
 
     def link_told(self, server: Server, use: float) -> None:
         self._heard(server)
@@ -490,9 +459,8 @@
         if link.size == inf:
             return
         self._age(link)
-        others = max(0.0, use * link.size - (link.own - link.fresh))
+        others, now = max(0.0, use * link.size - (link.own - link.fresh)), self.host.now()
         # one noisy or late report must not turn the link over: news weighs by the time since the last
-        now = self.host.now()
         weight = 1 - exp(-(now - link.told_at) / NEWS_SETTLES) if link.told else 1.0
         link.others += max(weight, NEWS_LEAST) * (others - link.others)
         link.told, link.told_at = True, now
@@ -502,15 +470,15 @@
     def tick(self) -> None:
         self.host.wake(self.host.now() + TICK)
         for server in self.servers:
+            # a probe's answer that never came must not hold an owed one back
             if server.asking and self.host.now() - server.asking[0].asked_at > TICK:
-                # an answer that never came must not hold an owed one back
                 self.probed(server, Outcome.SILENT)
-        self._learn_usual([server.link for server in self.servers if server.open])
-        self._learn_usual([rack.link for rack in self.racks])
-        for server in self.servers:
-            self._relieve(server.link)
-        for rack in self.racks:
-            self._relieve(rack.link)
+        links = [server.link for server in self.servers]
+        uplinks = list({server.rack: server.rack.link for server in self.servers}.values())
+        self._learn_usual(links)
+        self._learn_usual(uplinks)
+        for link in links + uplinks:
+            self._relieve(link)
         for server in self.servers:
             self._climb(server)
 
@@ -520,7 +488,7 @@
         size = sum(link.size for link in links)
         if not 0 < size < inf:
             return
-        # before any news the others are held to ask of the fleet what this front does; that counts as one link
+        # before any news the others are held to ask of the fleet what this front does: that counts as a link
         weight, share = 1.0, (self.fronts - 1) * sum(link.own for link in links) / size
         for link in links:
             if link.told:
@@ -533,7 +501,7 @@
     def _by_turn(self, link: Link) -> list[Viewing]:
         # Rounds begin on the highest rung: nobody gives up a lower one before all are down to it. By time or
         # steps taken, newcomers stayed on top of those who had stepped. Within a round, least value first.
-        return sorted(link.playing, key=lambda vw: (-vw.rung, vw.package.value / (vw.held_rate or 1.0), vw.turn))
+        return sorted(link.playing, key=lambda vw: (-vw.rung, vw.package.value / vw.held_rate, vw.turn))
 
     def _part(self, link: Link) -> float:
         return link.own / max(link.own, self._use(link), 1e-9)
@@ -552,19 +520,17 @@
             return
         link.swing -= owed * (1 - part) / part
         for vw in self._by_turn(link):
-            if vw.rung > vw.package.floor:
+            if owed > 0 and vw.rung > vw.package.floor:
                 less = vw.held_rate - vw.package.rates[vw.rung - 1]
                 if self.chance.random() >= max(owed / less, part):
                     return
                 self._step(vw, vw.rung - 1)
                 owed -= less
-                if owed <= 0:
-                    return
 
     def _climb(self, server: Server) -> None:
         now = self.host.now()
         links = (server.link, server.rack.link)
-        # what the others use shows in reports alone: before the first, full links look empty to a new front
+        # before the first report, full links look empty to a new front
         if any(now < link.climbs_from or not link.told for link in links):
             return
         for vw in reversed(self._by_turn(server.link)):
