--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -518,6 +518,8 @@
             owed = (self._use(link) - OVERLOAD * link.size) * part
         if owed <= 0 or not link.playing:
             return
+        # rounds begin on the highest rung, over all fronts too: who plays wider than usual owes more
+        owed *= link.own_squares / link.own / (self.squares / self.own)
         link.swing -= owed * (1 - part) / part
         for vw in self._by_turn(link):
             if owed > 0 and vw.rung > vw.package.floor:
