--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -21,6 +21,7 @@
 TICK = SECOND
 BOUND = 3.09
 SPREAD = 0.16
+SPREAD_OF_MANY = 1.0
 CLIMB_PACE = 10 * SECOND
 CLIMB_HOLD = 30 * SECOND
 
@@ -92,6 +93,8 @@
         self.max_tune_ins, self.probes = terms.max_tune_ins, terms.probes
         self.wait = min(COME_BACK, terms.longest_wait)
         self.warm_within, self.fall_within = terms.warm_within, terms.fall_within
+        # of what plays on a link, many fronts see little each, and little of it is theirs to step
+        self.spread = SPREAD * (1 + SPREAD_OF_MANY * (1 - 1 / self.fronts) ** 4)
         # the pace a cold server starts with and the set-ups in a window at which it falls, for each place
         self.pace = terms.start_capacity / max(1, terms.warm_within)
         self.cold_part = self.pace * terms.fall_multiple * terms.fall_within or inf
@@ -162,11 +165,17 @@
             if not played:
                 server.out -= 1
             self._judge(server, outcome)
+        vw.may_have_run |= outcome not in NEVER_RAN
         if closed or vw.over or played:
             vw.over = True
+        elif vw.package.paid_at_setup and vw.may_have_run:
+            # it is never sent again, and a block would invite the same
+            vw.over = True
+            self.host.abort(vw)
+        elif self.host.now() >= vw.asked_at + vw.package.join_target:
+            self._block(vw)
         else:
-            vw.may_have_run |= outcome not in NEVER_RAN
-            self._again(vw)
+            self._place(vw)
 
     def left(self, vw: Viewing) -> None:
         vw.over = True
@@ -198,16 +207,6 @@
             if not vw.asked and not vw.over:
                 self._place(vw)
 
-    def _again(self, vw: Viewing) -> None:
-        # a paid set-up that may have run is never sent again, and a block would invite the same
-        if vw.package.paid_at_setup and vw.may_have_run:
-            vw.over = True
-            self.host.abort(vw)
-        elif self.host.now() >= vw.asked_at + vw.package.join_target:
-            self._block(vw)
-        else:
-            self._place(vw)
-
     def _budget_left(self, vw: Viewing) -> bool:
         since = self.host.now() - self.look_back
         for times in (self.taken, self.further):
@@ -421,7 +420,7 @@
         # others' viewings vary like this front's: with no spread, links not known looked the roomiest
         typical = self.squares / self.own if self.own > 1 else 0.0
         squares = max(0.0, link.own_squares + self._others(link) * typical + rate * rate)
-        return link.size - self._use(link) - rate - bound * SPREAD * sqrt(squares)
+        return link.size - self._use(link) - rate - bound * self.spread * sqrt(squares)
 
     def _room(self, server: Server, rate: float = 0.0, bound: float = BOUND) -> float:
         return min(self._left(server.link, rate, bound), self._left(server.rack.link, rate, bound))
@@ -432,15 +431,12 @@
     # ---- notes
 
     def delivered(self, server: Server, share: float) -> None:
-        link = server.link
+        link, now = server.link, self.host.now()
         self._age(link)
-        now = self.host.now()
-        if share >= WHOLE:
-            link.missing = 0.0
-            return
-        link.missing, link.missing_at = 1 - share, now
-        link.climbs_from = now + CLIMB_HOLD
-        if now - self.lag >= link.relieved_at:
+        link.missing, link.missing_at = (1 - share if share < WHOLE else 0.0), now
+        if link.missing:
+            link.climbs_from = now + CLIMB_HOLD
+        if link.missing and now - self.lag >= link.relieved_at:
             # the share was measured before the newest own changes: what they took off already counts
             link.owed = max(0.0, link.own - (link.own - link.fresh) * share)
 
