--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -508,9 +508,9 @@
         Where that is less than a step chance settles it: a step by every front would be many times too much.
         """
         part, owed = self._part(link), link.owed
-        if self._short(link):
+        if owed > 0:
             link.owed, link.relieved_at = 0.0, self.host.now()
-        elif link.told:
+        elif link.told and not self._short(link):
             owed = (self._use(link) - OVERLOAD * link.size) * part
         if owed <= 0 or not link.playing:
             return
