Links not heard of are held to be used to a part that grows with the fronts

Guards against any start on old or no news; harm: an empty fleet fills on lower rungs for the first seconds.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -35,8 +35,9 @@
 # Rooms that differ by less than this part of a link are equal: reports are no finer, and fronts that heard
 # the same ones would all pick the same server.
 ROOM_STEP = 0.06
-# Without news, what was told of one link gives way to what is usual on the others.
+# Without news, what was told of one link gives way to what is usual on the others, and that is this at first.
 NEWS_AGES = 12 * SECOND
+UNHEARD_USE = 0.6
 
 # A note of short delivery is renewed each second while it lasts; without news for longer it is over.
 NOTE_LASTS = 5 * SECOND // 2
@@ -85,7 +86,7 @@
 
 class Rules:
     def __init__(self, host: Host, terms: Terms):
-        self.host, self.chance = host, Random(terms.seed)
+        self.host, self.chance, self.servers = host, Random(terms.seed), []
         self.born, self.me, self.fronts = terms.now, terms.me, max(1, terms.fronts)
         self.cells, self.racks_told = terms.cells, terms.racks_told
         # own changes younger than this are not in the reports yet
@@ -94,7 +95,8 @@
         self.wait = min(COME_BACK, terms.longest_wait)
         self.warm_within, self.fall_within = terms.warm_within, terms.fall_within
         # of what plays on a link, many fronts see little each, and little of it is theirs to step
-        self.spread = SPREAD * (1 + SPREAD_OF_MANY * (1 - 1 / self.fronts) ** 4)
+        self.many = (1 - 1 / self.fronts) ** 4
+        self.spread = SPREAD * (1 + SPREAD_OF_MANY * self.many)
         # the pace a cold server starts with and the set-ups in a window at which it falls, for each place
         self.pace = terms.start_capacity / max(1, terms.warm_within)
         self.cold_part = self.pace * terms.fall_multiple * terms.fall_within or inf
@@ -103,7 +105,6 @@
         self.taken, self.further = deque(), deque()
         # set-ups a nanosecond to servers not proven warm, all together, and what of them is left to use
         self.unproven_pace, self.unproven_left, self.unproven_at = 0.0, self.chance.random(), terms.now
-        self.servers: list[Server] = []
         self.seats: Counter = Counter()
         self.own = self.squares = 0.0
         # fronts hear at the same moment how full links are; they take turns within the second to react
@@ -133,6 +134,7 @@
                     # only what failed before this start is over with it: a later loss may bring another start
                     server.failed, server.trouble = False, 0.0
             server.open = line.open
+        self._learn_usual()
 
     # ---- viewings
 
@@ -183,13 +185,9 @@
     # ---- placing
 
     def _ask(self, vw: Viewing) -> int:
-        """Ask the best holders not heard of lately how full they are, before the viewing is placed.
-
-        Against fronts so many that each hears of few servers, and fills links that are short already.
-        Harm: each probe has its price.
-        """
-        unheard = [server for server in self.servers if self.host.now() - server.link.told_at > NEWS_FRESH
-                   and self._holds(server, vw) and self._may_send(server) and not self._sick(server)]
+        """Against fronts so many that each hears of few servers, and fills links that are short already."""
+        unheard = [server for server in self._open_to(vw)
+                   if self.host.now() - server.link.told_at > NEWS_FRESH and not self._sick(server)]
         unheard.sort(key=lambda server: (self._room(server), shared_order(vw, server)), reverse=True)
         for server in unheard[:PROBES]:
             if not server.asking:
@@ -232,9 +230,7 @@
         # with nothing of their own to step would block, and nobody tells the others to make room.
         ways = [(rung, BOUND) for rung in range(highest, lowest - 1, -1)] + [(lowest, 0.0)]
         best, best_rank, best_rung = None, (), 0
-        for server in self.servers:
-            if not (self._holds(server, vw) and self._may_send(server)):
-                continue
+        for server in self._open_to(vw):
             fits = ((rung, at) for rung, at in ways if self._room(server, vw.package.rates[rung], at) >= 0)
             rung, bound = next(fits, (None, 0.0))
             sick = self._sick(server)
@@ -250,8 +246,9 @@
         else:
             self._tune_in(vw, best, best_rung)
 
-    def _holds(self, server: Server, vw: Viewing) -> bool:
-        return (server.cell - vw.base) % self.cells < vw.span
+    def _open_to(self, vw: Viewing) -> list[Server]:
+        return [server for server in self.servers
+                if (server.cell - vw.base) % self.cells < vw.span and self._may_send(server)]
 
     def _tune_in(self, vw: Viewing, server: Server, rung: int) -> None:
         now = self.host.now()
@@ -469,30 +466,34 @@
             # a probe's answer that never came must not hold an owed one back
             if server.asking and self.host.now() - server.asking[0].asked_at > TICK:
                 self.probed(server, Outcome.SILENT)
-        links = [server.link for server in self.servers]
-        uplinks = list({server.rack: server.rack.link for server in self.servers}.values())
-        self._learn_usual(links)
-        self._learn_usual(uplinks)
-        for link in links + uplinks:
+        self._learn_usual()
+        for link in sum(self._links(), []):
             self._relieve(link)
         for server in self.servers:
             self._climb(server)
 
-    def _learn_usual(self, links: list[Link]) -> None:
+    def _links(self) -> tuple[list[Link], list[Link]]:
+        uplinks = {server.rack: server.rack.link for server in self.servers}
+        return [server.link for server in self.servers], list(uplinks.values())
+
+    def _learn_usual(self) -> None:
         """Against old news: a link not heard of for long is held to be used as the fleet is of late."""
         now = self.host.now()
-        size = sum(link.size for link in links)
-        if not 0 < size < inf:
-            return
-        # before any news the others are held to ask of the fleet what this front does: that counts as a link
-        weight, share = 1.0, (self.fronts - 1) * sum(link.own for link in links) / size
-        for link in links:
-            if link.told:
-                more = faded(1.0, now - link.told_at, NEWS_AGES)
-                weight += more
-                share += (link.others / link.size - share) * more / weight
-        for link in links:
-            link.usual = share * link.size
+        for links in self._links():
+            size = sum(link.size for link in links)
+            if not 0 < size < inf:
+                continue
+            # before any news others are held to ask for what this front does, and to a front with nothing yet
+            # full links must not look empty; that counts as a link heard of
+            asked = (self.fronts - 1) * sum(link.own for link in links) / size
+            weight, share = 1.0, max(UNHEARD_USE * self.many, asked)
+            for link in links:
+                if link.told:
+                    more = faded(1.0, now - link.told_at, NEWS_AGES)
+                    weight += more
+                    share += (link.others / link.size - share) * more / weight
+            for link in links:
+                link.usual = share * link.size
 
     def _by_turn(self, link: Link) -> list[Viewing]:
         # Rounds begin on the highest rung: nobody gives up a lower one before all are down to it. By time or
