--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -148,7 +148,8 @@
 
     def wanted(self, vw: Viewing) -> None:
         self.taken.append(self.host.now())
-        if not self.probes or not self._ask(vw):
+        # a probe may stay unanswered until the tick after next: who leaves before is not kept waiting
+        if not self.probes or vw.expires - vw.asked_at <= 2 * TICK or not self._ask(vw):
             self._place(vw)
 
     def begun(self, vw: Viewing) -> None:
@@ -483,8 +484,7 @@
             size = sum(link.size for link in links)
             if not 0 < size < inf:
                 continue
-            # before any news others are held to ask for what this front does, and to a front with nothing yet
-            # full links must not look empty; that counts as a link heard of
+            # before any news others ask for what this front does, and no little: full links look empty
             asked = (self.fronts - 1) * sum(link.own for link in links) / size
             weight, share = 1.0, max(UNHEARD_USE * self.many, asked)
             for link in links:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -167,6 +167,12 @@
         story.ticks(2)
         self.assertTrue(vw.over or vw.server)
 
+    def test_a_viewer_who_leaves_before_a_probe_may_fail_is_placed_at_once(self):
+        story = Story(count=2, probes=True)
+        story.later(20 * SECOND)
+        vw = story.want(pack=package(patience=SECOND))
+        self.assertEqual((story.host.all("probe"), vw.tune_ins), ([], 1))
+
 
 class Answers(unittest.TestCase):
     def test_a_tune_in_that_times_out_leaves_room_for_another(self):
