Holders as objects: a request costs what its holders cost, not the fleet

Cause: in the field a title lies on any set of servers, and a request looked at all of them; a list of n servers cost the square of n. The adapter indexes its cells. First version of desk/, the I/O-free session core, not yet called by anything.

--- a/curlewshift/adapter/codec.py
+++ b/curlewshift/adapter/codec.py
@@ -152,7 +152,7 @@
     return Terms(
         now=now, seed=seed, me=boot.get("my_number") or 0, fronts=boot.get("balancers") or 1,
         packages=packages,
-        cells=extra.get("cells") or 1, racks_told="x1" in (part("telemetry").get("fields") or []),
+        racks_told="x1" in (part("telemetry").get("fields") or []),
         told_late=ns(extra, "told_late_ms"),
         max_tune_ins=bounds.get("max_attempts") or 1, probes=bool(bounds.get("probes")), longest_wait=longest,
         warm_within=ns(duty, "warm_within_ms"), start_capacity=duty.get("start_capacity") or 0.0,
--- a/curlewshift/adapter/loop.py
+++ b/curlewshift/adapter/loop.py
@@ -10,6 +10,19 @@
 from curlewshift.rules import Rules
 
 
+class Span:
+    """The servers at `span` cells in a row from `base`, whatever the list has there by now."""
+
+    __slots__ = ("cells", "base", "span")
+
+    def __init__(self, cells: list[dict], base: int, span: int):
+        self.cells, self.base, self.span = cells, base, min(span, len(cells))
+
+    def __iter__(self):
+        for cell in range(self.base, self.base + self.span):
+            yield from self.cells[cell % len(self.cells)]
+
+
 class Front:
     """One instance: the objects behind the wire's ids, and the host that its rules act through."""
 
@@ -20,6 +33,7 @@
         self.viewings: dict[int, Viewing] = {}
         extra = boot.get("extra") or {}
         self.kinds = dict(zip(boot.get("flavors") or [], extra.get("kind_streams") or []))
+        self.cells: list[dict[Server, bool]] = [{} for _ in range(max(1, extra.get("cells") or 1))]
         self.rack_count = extra.get("cabinets") or 1
         self.rack_size = extra.get("rack_kb") or float("inf")
         self.size_of_one = extra.get("kb_per_weight") or float("inf")
@@ -165,7 +179,7 @@
             name=fields.whole("call"), title=fields.text("title", ""), mark=fields.key("path_key"),
             package=package, ceiling=int(fields.number("ceiling_rung", package.top)), asked_at=self.clock,
             expires=fields.time("expires_ms", 0) or self.clock + package.patience,
-            base=int(fields.number("base", 0)), span=int(fields.number("span", 1 << 30)),
+            holders=Span(self.cells, int(fields.number("base", 0)), int(fields.number("span", 1 << 30))),
             expected=fields.time("predicted_ms", 0),
             came_back=fields.flag("came_back"), moved=fields.flag("back_from_move"))
 
@@ -173,7 +187,7 @@
         server = self.servers.get(name)
         if server is None:
             # handed over on a machine that no list named: it is counted, but sent nothing
-            server = Server(name, mark_of(name), "", -1, 0, self._rack(-1), Link(self.size_of_one), open=False)
+            server = Server(name, mark_of(name), "", 0, self._rack(-1), Link(self.size_of_one), open=False)
             self.servers[name] = server
         return server
 
@@ -186,7 +200,12 @@
         server = self._server(row.text("server"))
         position = row.whole("position", 0)
         rack = self._rack(position % self.rack_count)
-        server.zone, server.cell = row.text("rack_zone", ""), position
+        server.zone = row.text("rack_zone", "")
+        cell = self.cells[position % len(self.cells)]
+        if server not in cell:
+            for other in self.cells:
+                other.pop(server, None)
+            cell[server] = True
         server.streams = self.kinds.get(row.text("type", ""), 0)
         server.link.size = row.number("heft", 1.0) * self.size_of_one
         if server.rack is not rack or server not in rack.servers:
--- /dev/null
+++ b/curlewshift/desk/desk.py
@@ -0,0 +1,378 @@
+"""A front's session core: from requests at the door to calls of the rules, and back to one answer each.
+
+Made by whoever hosts a front (curlewshift/front on sockets, tests with a fake), which tells it what happens by
+one method for each thing and acts for it through `Outside`. It decides nothing about where a viewing goes; it
+owns ids, the joining of retries under one key, deadlines, and that every request is answered exactly once.
+
+What comes late is dropped here and nowhere else: a tune-in ends by its first outcome, be that its answer or its
+time, and a session that was set up for nobody is torn down.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from curlewshift.desk.course import Answer, Course, Kind, Request, TuneIn
+from curlewshift.desk.outside import Outside
+from curlewshift.desk.roster import Gap, Roster, Row, mark_of
+from curlewshift.desk.timers import Timers
+from curlewshift.model import Listed, Outcome, Server, Terms, Viewing
+from curlewshift.rules import Rules
+
+SECOND = 1_000_000_000
+
+# So many requests may be in work; more are told to come back at once, at no cost to anyone.
+MOST_WAITING = 2000
+# So many keys of ended viewings are kept; the oldest give way.
+MOST_KEYS = 20_000
+# A server that the list has dropped is forgotten once this has passed with nothing playing there.
+FORGET_AFTER = 60 * SECOND
+
+
+class Misuse(Exception):
+    """A request that cannot be taken as it stands; its text says why. It has cost no tune-in."""
+
+
+class Unknown(Misuse):
+    """No such title or package."""
+
+
+class KeyReused(Misuse):
+    """A key that was used before for something else."""
+
+
+class Desk:
+    def __init__(self, outside: Outside, terms: Terms, roster: Roster, rules: type[Rules] = Rules,
+                 most_waiting: int = MOST_WAITING, most_keys: int = MOST_KEYS):
+        self.outside, self.roster = outside, roster
+        self.packages = {package.name: package for package in terms.packages}
+        self.courses: dict[Viewing, Course] = {}
+        self.keys: dict[str, Course] = {}
+        self.ended_keys: deque[Course] = deque()
+        self.waiting, self.most_waiting, self.most_keys = 0, most_waiting, most_keys
+        self.draining = False
+        self.names = 0
+        self.longest_wait = terms.longest_wait
+        self.timers = Timers(outside.wake)
+        self.rules = rules(self, terms)
+
+    # ---- requests at the door
+
+    def asked(self, name: str, package: str, title: str, ceiling: int | None = None, patience: int = 0,
+              key: str | None = None, offer: object = None, came_back: bool = False) -> Request:
+        """A viewer wants to play a title; it is answered through `Outside.answer`, perhaps before this returns.
+
+        `patience` (ns) is how long it will wait, if that is less than the package's. Raises `Misuse`.
+        """
+        now = self.outside.now()
+        pack, held = self.packages.get(package), self.roster.titles.get(title)
+        if pack is None:
+            raise Unknown(f"there is no package {package!r}")
+        if held is None:
+            raise Unknown(f"there is no title {title!r}")
+        lasts = min(patience, pack.patience) if patience > 0 else pack.patience
+        request = Request(name, now, now + lasts)
+        before = self.keys.get(key) if key is not None else None
+        if before is not None and before.keep_until <= now and before.vw not in self.courses:
+            self._drop_key(before)
+            before = None
+        if before is not None:
+            if (before.offer, before.vw.package, before.vw.title) != (offer, pack, title):
+                raise KeyReused("this key was used before for another offer, title or package")
+            self._join(before, request)
+            return request
+        if self.draining or self.waiting >= self.most_waiting:
+            cause = "this front is going out of service" if self.draining else "too many requests are in work here"
+            self._answer(request, Answer(Kind.REFUSED, cause, min(SECOND, self.longest_wait)))
+            return request
+        top = pack.top if ceiling is None else ceiling
+        if top < pack.floor:
+            raise Misuse(f"package {package!r} is not played under rung {pack.floor}, the request allows {top} at most")
+        self.names += 1
+        vw = Viewing(self.names, title, mark_of(key or name), pack, top, now, now + lasts, held.holders,
+                     came_back=came_back)
+        course = Course(vw, key, offer, [request])
+        self._open(course, request)
+        return request
+
+    def hung_up(self, request: Request) -> None:
+        """The viewer gave up on this request before it was answered: nothing is owed to it any more."""
+        if request.answer is not None or request.gone:
+            return
+        request.gone = True
+        self.waiting -= 1
+        course = request.course
+        if not course.waiting and course.answer is None:
+            self.rules.left(course.vw)
+            if course.tune_in is None:
+                self._close(course)
+
+    def closed(self, course: Course) -> None:
+        """The viewer ends a viewing that plays."""
+        if self.courses.get(course.vw) is course and course.vw.playing:
+            server, session = course.vw.server, course.session
+            self._finish(course, Outcome.PLAYED)
+            self.outside.tear_down(server, session)
+
+    def ceiling_told(self, course: Course, rung: int) -> None:
+        """The viewer allows no rung above this from now on. Raises `Misuse` under the package's floor."""
+        vw = course.vw
+        if rung < vw.package.floor:
+            raise Misuse(f"package {vw.package.name!r} is not played under rung {vw.package.floor}")
+        vw.ceiling = min(rung, vw.package.top)
+        if vw.playing and vw.rung > vw.ceiling:
+            self.rules.rung_told(vw, vw.ceiling)
+            self.outside.set_rung(course, vw.ceiling)
+
+    def drain(self) -> None:
+        """Take nothing new; what is in work is still answered."""
+        self.draining = True
+
+    # ---- what comes of tune-ins and sessions
+
+    def stands(self, tune_in: TuneIn) -> bool:
+        """Asked just before the first byte goes out: a list change or the time may have overtaken the pick."""
+        return tune_in.outcome is None and tune_in.server.open and self.outside.now() < tune_in.until
+
+    def played(self, tune_in: TuneIn, session: object, report: dict[str, float] | None = None) -> None:
+        """The server has set the session up."""
+        if tune_in.outcome is not None:
+            # its time came first, or this is said twice: a session of which nobody will hear
+            if tune_in.course.session is not session:
+                self.outside.tear_down(tune_in.server, session)
+            return
+        self._report(tune_in.server, report)
+        tune_in.outcome = Outcome.PLAYED
+        course, vw = tune_in.course, tune_in.course.vw
+        course.tune_in, course.session = None, session
+        self.rules.begun(vw)
+        if not course.waiting:
+            self.rules.ended(vw, Outcome.PLAYED, True)
+            self._close(course)
+            self.outside.tear_down(tune_in.server, session)
+            return
+        vw.over = False
+        self._answer_all(course, Answer(Kind.PLAYS, "plays", course=course))
+
+    def failed(self, tune_in: TuneIn, outcome: Outcome, report: dict[str, float] | None = None) -> None:
+        """The tune-in has ended without a session; the outcome says whether it may have run all the same."""
+        if tune_in.outcome is not None:
+            return
+        self._report(tune_in.server, report)
+        tune_in.outcome = outcome
+        course, vw = tune_in.course, tune_in.course.vw
+        course.tune_in = None
+        left = vw.over
+        self.rules.ended(vw, outcome, left)
+        if left:
+            self._after_leaving(course)
+
+    def lost(self, course: Course, outcome: Outcome = Outcome.BROKEN) -> None:
+        """A viewing that played has ended at its server, by itself (`PLAYED`) or broken."""
+        if self.courses.get(course.vw) is course and course.vw.playing:
+            self._finish(course, outcome)
+
+    def server_lost(self, server: Server) -> None:
+        """The server has restarted or is gone: nothing of what played there plays any more."""
+        for vw in list(server.link.playing):
+            self.lost(self.courses[vw])
+
+    def handed_over(self, package: str, title: str, ceiling: int, server: Server, session: object,
+                    rung: int) -> Course:
+        """A viewing that plays already, from before this front started. Raises `Unknown`."""
+        pack, held = self.packages.get(package), self.roster.titles.get(title)
+        if pack is None or held is None:
+            raise Unknown(f"there is no package {package!r} or no title {title!r}")
+        self.names += 1
+        now = self.outside.now()
+        vw = Viewing(self.names, title, mark_of(f"handed over {self.names}"), pack, ceiling, now,
+                     now + pack.patience, held.holders)
+        course = Course(vw, None, None, session=session)
+        course.answer = Answer(Kind.PLAYS, "handed over", course=course)
+        self.courses[vw] = course
+        self.rules.handed_over(vw, server)
+        self.rules.rung_told(vw, rung)
+        return course
+
+    # ---- notes, reports, probes
+
+    def delivered(self, server: Server, share: float) -> None:
+        self.rules.delivered(server, min(1.0, max(0.0, share)))
+
+    def told(self, server: Server, report: dict[str, float]) -> None:
+        """How full the server's link (`link`) and its rack's uplink (`uplink`) are: asked over what they give."""
+        self._report(server, report)
+
+    def probed(self, server: Server, outcome: Outcome, report: dict[str, float] | None = None) -> None:
+        self._report(server, report)
+        self.rules.probed(server, outcome)
+
+    def _report(self, server: Server, report: dict[str, float] | None) -> None:
+        link, uplink = (report or {}).get("link"), (report or {}).get("uplink")
+        if link is not None and 0 <= link < 1e6:
+            self.rules.link_told(server, link)
+        if uplink is not None and 0 <= uplink < 1e6:
+            self.rules.uplink_told(server, uplink)
+
+    # ---- the server list
+
+    def list_full(self, epoch: str, generation: int, rows: list[Row], stale: bool = False) -> None:
+        """All servers there are; `stale` for what this front kept from before it started."""
+        self._listed(self.roster.full(epoch, generation, rows), stale)
+
+    def list_change(self, epoch: str, since: int, generation: int, rows: list[Row]) -> None:
+        try:
+            lines = self.roster.change(epoch, since, generation, rows)
+        except Gap:
+            self.outside.whole_list()
+            return
+        self._listed(lines, False)
+
+    def _listed(self, lines: list[Listed] | None, stale: bool) -> None:
+        if not lines:
+            return
+        self.rules.listed(lines, stale)
+        dropped = [line.server for line in lines if line.server not in self.roster.shelf_of]
+        for server in dropped:
+            # A list that has dropped it will not tell of it again: its seats and claims must not stay for ever.
+            for vw in list(server.link.playing):
+                course = self.courses[vw]
+                session = course.session
+                self.lost(course)
+                self.outside.tear_down(server, session)
+            self.timers.at(self.outside.now() + FORGET_AFTER, lambda server=server: self._forget(server))
+
+    def _forget(self, server: Server) -> None:
+        unused = not server.out and not server.link.playing and server not in self.roster.shelf_of
+        if unused and self.roster.servers.get(server.name) is server:
+            self.roster.forget(server)
+            self.rules.forgotten(server)
+
+    # ---- time
+
+    def time(self) -> None:
+        """Call when the time asked for by `Outside.wake` has come; calling it early or twice does no harm."""
+        self.timers.run(self.outside.now())
+
+    # ---- the rules' host, see curlewshift/host.py
+
+    def now(self) -> int:
+        return self.outside.now()
+
+    def wake(self, at: int) -> None:
+        self.timers.at(at, self.rules_tick)
+
+    def rules_tick(self) -> None:
+        self.rules.tick()
+
+    def tune_in(self, viewing: Viewing, server: Server, until: int) -> None:
+        course = self.courses[viewing]
+        tune_in = TuneIn(course, server, viewing.tune_ins, viewing.rung, until)
+        course.tune_in = tune_in
+        self.timers.at(until, lambda: self._time_out(tune_in))
+        self.outside.tune_in(tune_in)
+
+    def set_rung(self, viewing: Viewing, rung: int) -> None:
+        if viewing.playing:
+            self.outside.set_rung(self.courses[viewing], rung)
+
+    def block(self, viewing: Viewing, wait: int) -> None:
+        self._refuse_or_fail(viewing, Answer(Kind.REFUSED, "no server has room for it now", wait))
+
+    def abort(self, viewing: Viewing) -> None:
+        self._refuse_or_fail(viewing, Answer(Kind.FAILED, "its set-up failed and may have run all the same"))
+
+    def probe(self, server: Server) -> None:
+        self.outside.probe(server)
+
+    # ---- inside
+
+    def _open(self, course: Course, request: Request) -> None:
+        request.course = course
+        self.waiting += 1
+        self.courses[course.vw] = course
+        if course.key is not None:
+            self.keys[course.key] = course
+        vw = course.vw
+        self.timers.at(vw.expires, lambda: self._overdue(course, vw))
+        self.rules.wanted(vw)
+
+    def _join(self, course: Course, request: Request) -> None:
+        request.course = course
+        course.requests = [*course.waiting, request]
+        self.waiting += 1
+        if course.answer is not None:
+            self._answer(request, course.answer)
+
+    def _time_out(self, tune_in: TuneIn) -> None:
+        if tune_in.outcome is None:
+            self.outside.withdraw(tune_in)
+            self.failed(tune_in, Outcome.SILENT)
+
+    def _overdue(self, course: Course, vw: Viewing) -> None:
+        """Nothing else may have answered, and patience ends now: no request is left without."""
+        if course.vw is not vw or course.answer is not None or vw not in self.courses:
+            return
+        if course.tune_in is not None:
+            self._time_out(course.tune_in)
+        if course.waiting and course.vw is vw and course.answer is None:
+            self.rules.left(vw)
+            self._answer_all(course, Answer(Kind.FAILED, "nothing came of it in the viewer's time"))
+            self._close(course)
+
+    def _after_leaving(self, course: Course) -> None:
+        """Its viewer had left while a tune-in was out. Whoever came again meanwhile starts where that ended."""
+        old, waiting = course.vw, course.waiting
+        if not waiting:
+            self._close(course)
+        elif old.package.paid_at_setup and old.may_have_run:
+            self.abort(old)
+        else:
+            self.courses.pop(old)
+            self.names += 1
+            expires = min(request.expires for request in waiting)
+            course.vw = Viewing(self.names, old.title, old.mark, old.package, old.ceiling, self.outside.now(),
+                                expires, old.holders, came_back=True)
+            self.waiting -= 1
+            self._open(course, waiting[0])
+
+    def _refuse_or_fail(self, vw: Viewing, answer: Answer) -> None:
+        course = self.courses[vw]
+        self._answer_all(course, answer)
+        self._close(course)
+
+    def _answer_all(self, course: Course, answer: Answer) -> None:
+        course.answer = answer
+        for request in course.waiting:
+            self._answer(request, answer)
+        course.requests = []
+
+    def _answer(self, request: Request, answer: Answer) -> None:
+        assert request.answer is None, "a request is answered once"
+        request.answer = answer
+        if request.course is not None:
+            self.waiting -= 1
+        self.outside.answer(request, answer)
+
+    def _finish(self, course: Course, outcome: Outcome) -> None:
+        self.rules.ended(course.vw, outcome, True)
+        course.answer = Answer(Kind.FAILED, "this viewing has ended")
+        self._close(course)
+
+    def _close(self, course: Course) -> None:
+        self.courses.pop(course.vw, None)
+        if course.key is None or self.keys.get(course.key) is not course:
+            return
+        if course.answer is None:
+            del self.keys[course.key]
+            return
+        # a client that never got its answer asks for it again within its patience
+        course.keep_until = max(course.vw.expires, self.outside.now() + SECOND)
+        self.ended_keys.append(course)
+        while self.ended_keys and (len(self.ended_keys) > self.most_keys
+                                   or self.ended_keys[0].keep_until <= self.outside.now()):
+            self._drop_key(self.ended_keys.popleft())
+
+    def _drop_key(self, course: Course) -> None:
+        if self.keys.get(course.key) is course and course.vw not in self.courses:
+            del self.keys[course.key]
--- /dev/null
+++ b/curlewshift/desk/outside.py
@@ -0,0 +1,41 @@
+"""What the desk asks of whoever runs it: sockets, a replay, an emulator or a test.
+
+Each call is carried out at once or begun at once; what comes of it is told to the desk later by its
+own methods, never from within the call. Times are whole nanoseconds of the outside's clock.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from curlewshift.desk.course import Answer, Course, Request, TuneIn
+from curlewshift.model import Server
+
+
+class Outside(Protocol):
+    def now(self) -> int:
+        """The clock; it never goes back, and the clocks of all fronts agree to well within a second."""
+
+    def wake(self, at: int) -> None:
+        """Call `Desk.time` once the clock has reached `at`; only the earliest of these need be kept."""
+
+    def tune_in(self, tune_in: TuneIn) -> None:
+        """Ask the server for the session, unless `Desk.stands` says no just before the first byte goes out."""
+
+    def withdraw(self, tune_in: TuneIn) -> None:
+        """Nobody waits for this tune-in any more: let go of it. What it set up all the same must end."""
+
+    def set_rung(self, course: Course, rung: int) -> None:
+        """Tell the server that plays the viewing its new rung; a newer one overtakes an older one."""
+
+    def tear_down(self, server: Server, session: object) -> None:
+        """End this session at the server. Failing to is no loss: the server ends what nobody watches."""
+
+    def probe(self, server: Server) -> None:
+        """Ask the server how full it is; `Desk.probed` tells the answer, once."""
+
+    def answer(self, request: Request, answer: Answer) -> None:
+        """The one answer of this request."""
+
+    def whole_list(self) -> None:
+        """The list held has a gap: ask for all of it."""
--- /dev/null
+++ b/curlewshift/desk/roster.py
@@ -0,0 +1,140 @@
+"""The server list as this front has it, and which servers hold which title.
+
+Called by the desk alone. A list is known by its epoch (one life of the list service) and a generation in it.
+Rows come decoded and valid; names stop here, from here on servers are objects.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from math import inf
+
+from curlewshift.model import Link, Listed, Rack, Server
+
+OPEN = "on"
+FADING = "fading"
+GONE = "off"
+
+
+@dataclass(slots=True)
+class Row:
+    """One line of the list. `started` is on the outside's clock (ns), 0 for long ago; `link` is kB a second."""
+
+    server: str
+    state: str
+    started: int = 0
+    zone: str = ""
+    rack: str = ""
+    link: float = inf
+    streams: int = 0
+    shelf: str = ""
+
+
+@dataclass(eq=False, slots=True)
+class Title:
+    name: str
+    shelves: tuple[str, ...]
+    holders: list[Server] = field(default_factory=list)
+
+
+def mark_of(name: str) -> int:
+    """A number that every front makes alike from a name, whatever the process."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+class Roster:
+    """`uplinks` is kB a second by rack, `titles` the shelves (one a server or several) that hold each title."""
+
+    def __init__(self, uplinks: dict[str, float], titles: dict[str, tuple[str, ...]]):
+        self.uplinks = uplinks
+        self.titles = {name: Title(name, tuple(shelves)) for name, shelves in titles.items()}
+        self.on_shelf: dict[str, list[Title]] = {}
+        for title in self.titles.values():
+            for shelf in dict.fromkeys(title.shelves):
+                self.on_shelf.setdefault(shelf, []).append(title)
+        self.servers: dict[str, Server] = {}
+        self.shelf_of: dict[Server, str] = {}
+        self.racks: dict[str, Rack] = {}
+        self.epoch, self.generation = "", -1
+
+    # ---- what the list says; each returns the lines for the rules, or None if the news is to be dropped
+
+    def full(self, epoch: str, generation: int, rows: list[Row]) -> list[Listed] | None:
+        """All there is: who is missing has gone. An older list of the same life of the service says nothing."""
+        if epoch == self.epoch and generation < self.generation:
+            return None
+        self.epoch, self.generation = epoch, generation
+        named = {row.server for row in rows}
+        lines = [self._line(row) for row in rows]
+        for server in list(self.servers.values()):
+            if server.name not in named:
+                self._shelve(server, None)
+                lines.append(Listed(server, False, server.started))
+        return lines
+
+    def change(self, epoch: str, since: int, generation: int, rows: list[Row]) -> list[Listed] | None:
+        """News since the list held. Raises `Gap` if it does not follow on that list."""
+        if epoch == self.epoch and generation <= self.generation:
+            return None
+        if epoch != self.epoch or since != self.generation:
+            raise Gap(f"held {self.epoch!r} {self.generation}, told of changes since {epoch!r} {since}")
+        self.generation = generation
+        return [self._line(row) for row in rows]
+
+    def forget(self, server: Server) -> None:
+        self._shelve(server, None)
+        del self.servers[server.name]
+        if server in server.rack.servers:
+            server.rack.servers.remove(server)
+
+    # ---- names to objects
+
+    def _line(self, row: Row) -> Listed:
+        server = self.servers.get(row.server)
+        rack = self._rack(row.rack)
+        if server is None:
+            server = Server(row.server, mark_of(row.server), row.zone, row.streams, rack, Link(row.link))
+            self.servers[row.server] = server
+            rack.servers.append(server)
+        elif row.state != GONE:
+            server.zone, server.streams, server.link.size = row.zone, row.streams, row.link
+            if server.rack is not rack:
+                self._move(server, rack)
+        self._shelve(server, None if row.state == GONE else row.shelf)
+        return Listed(server, row.state == OPEN, row.started)
+
+    def _rack(self, name: str) -> Rack:
+        if name not in self.racks:
+            self.racks[name] = Rack(len(self.racks), Link(self.uplinks.get(name, inf)))
+        return self.racks[name]
+
+    def _move(self, server: Server, rack: Rack) -> None:
+        """What plays there moves its claim along with the machine."""
+        old = server.rack
+        if server in old.servers:
+            old.servers.remove(server)
+        for link, sign in ((old.link, -1), (rack.link, 1)):
+            link.own += sign * server.link.own
+            link.own_squares += sign * server.link.own_squares
+        for viewing in server.link.playing:
+            old.link.playing.pop(viewing, None)
+            rack.link.playing[viewing] = True
+        server.rack = rack
+        rack.servers.append(server)
+
+    def _shelve(self, server: Server, shelf: str | None) -> None:
+        held = self.shelf_of.get(server)
+        if held == shelf:
+            return
+        for title in self.on_shelf.get(held, ()):
+            title.holders.remove(server)
+        self.shelf_of.pop(server, None)
+        if shelf is not None:
+            self.shelf_of[server] = shelf
+            for title in self.on_shelf.get(shelf, ()):
+                title.holders.append(server)
+
+
+class Gap(Exception):
+    """News of the list that does not follow on what is held."""
--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Iterable
 
 
 class Outcome(Enum):
@@ -70,7 +71,6 @@
     name: str
     mark: int
     zone: str
-    cell: int
     streams: int
     rack: Rack
     link: Link
@@ -102,8 +102,8 @@
     ceiling: int
     asked_at: int
     expires: int
-    base: int
-    span: int
+    # the servers that hold the title; the host keeps it true while the viewing waits
+    holders: Iterable
     expected: int = 0
     came_back: bool = False
     moved: bool = False
@@ -139,7 +139,6 @@
     me: int
     fronts: int
     packages: list[Package]
-    cells: int
     racks_told: bool
     told_late: int
     max_tune_ins: int
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -86,9 +86,11 @@
 
 class Rules:
     def __init__(self, host: Host, terms: Terms):
-        self.host, self.chance, self.servers = host, Random(terms.seed), []
+        self.host, self.chance = host, Random(terms.seed)
+        # a dict for its order and its quick look-up: long lists once cost the square of their length
+        self.servers: dict[Server, bool] = {}
         self.born, self.me, self.fronts = terms.now, terms.me, max(1, terms.fronts)
-        self.cells, self.racks_told = terms.cells, terms.racks_told
+        self.racks_told = terms.racks_told
         # own changes younger than this are not in the reports yet
         self.lag = max(terms.told_late, SECOND // 4)
         self.max_tune_ins, self.probes = terms.max_tune_ins, terms.probes
@@ -119,7 +121,7 @@
                 if not line.open:
                     server.open = False
                     continue
-                self.servers.append(server)
+                self.servers[server] = True
                 server.out_cap = FRESH_CAP
                 if stale or not line.started:
                     # a stale list proves nothing warm: any server on it may have come up just now
@@ -136,6 +138,10 @@
             server.open = line.open
         self._learn_usual()
 
+    def forgotten(self, server: Server) -> None:
+        """Gone, with nothing playing there: every tick would look at it until the front stops."""
+        self.servers.pop(server, None)
+
     # ---- viewings
 
     def handed_over(self, vw: Viewing, server: Server) -> None:
@@ -248,8 +254,7 @@
             self._tune_in(vw, best, best_rung)
 
     def _open_to(self, vw: Viewing) -> list[Server]:
-        return [server for server in self.servers
-                if (server.cell - vw.base) % self.cells < vw.span and self._may_send(server)]
+        return [server for server in vw.holders if self._may_send(server)]
 
     def _tune_in(self, vw: Viewing, server: Server, rung: int) -> None:
         now = self.host.now()
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -36,15 +36,15 @@
     def __init__(self, count=2, size=1000.0, uplink=1e6, warm=True, **changed):
         self.host = FakeHost()
         facts = dict(
-            now=self.host.clock, seed=7, me=0, fronts=1, packages=[], cells=count,
+            now=self.host.clock, seed=7, me=0, fronts=1, packages=[],
             racks_told=True, told_late=500 * MS, max_tune_ins=3, probes=False, longest_wait=2 * SECOND,
             warm_within=10 * SECOND, start_capacity=0.5, fall_multiple=2.0, fall_within=SECOND, free_further=None, further_share=0.0, look_back=0)
         self.rules = Rules(self.host, Terms(**{**facts, **changed}))
         self.rack = Rack(0, Link(uplink))
-        self.servers = [Server(f"s{n}", n + 1, "a", n, 20, self.rack, Link(size)) for n in range(count)]
+        self.servers = [Server(f"s{n}", n + 1, "a", 20, self.rack, Link(size)) for n in range(count)]
         self.rack.servers = list(self.servers)
         self.list(*self.servers, stale=True)
-        self.count, self.names = count, 0
+        self.names = 0
         if warm:
             self.later(20 * SECOND)
             for server in self.servers:
@@ -66,7 +66,7 @@
         self.names += 1
         pack = pack or package()
         return Viewing(self.names, title, self.names, pack, ceiling, self.host.clock,
-                       self.host.clock + pack.patience, 0, self.count)
+                       self.host.clock + pack.patience, self.servers)
 
     def want(self, **how):
         vw = self.viewing(**how)
