--- /dev/null
+++ b/curlewshift/cli.py
@@ -0,0 +1,175 @@
+"""The command line. Exit 0: done and well; 1: a rule broken or a part that failed; 2: bad input."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+PATH = click.Path(path_type=Path)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main():
+    """A session front: places video sessions on streaming servers and shapes them there."""
+
+
+def read_or_exit(reader, path):
+    """What the reader makes of the file; or all its mistakes on standard error, and exit 2."""
+    from curlewshift.site.reading import Mistakes
+    try:
+        return reader(path)
+    except Mistakes as mistakes:
+        click.echo(str(mistakes), err=True)
+        sys.exit(2)
+
+
+def site_of(path: Path):
+    from curlewshift.site.site import read_site
+    return read_or_exit(read_site, path)
+
+
+def run(task, *arguments):
+    import anyio
+    try:
+        return anyio.run(task, *arguments)
+    except KeyboardInterrupt:
+        sys.exit(1)
+    except OSError as wrong:
+        click.echo(f"curlewshift: {wrong}", err=True)
+        sys.exit(1)
+    except ExceptionGroup as group:
+        known, rest = group.split(OSError)
+        if rest is not None:
+            raise
+        for wrong in known.exceptions:
+            click.echo(f"curlewshift: {wrong}", err=True)
+        sys.exit(1)
+
+
+@main.command()
+@click.argument("site", type=PATH)
+def check(site):
+    """Read SITE and tell all that is wrong with it."""
+    held = site_of(site)
+    click.echo(f"{site}: {len(held.doors)} fronts, {len(held.machines)} servers, {len(held.titles)} titles, "
+               f"{len(held.packages)} packages")
+
+
+@main.command()
+@click.argument("site", type=PATH)
+@click.option("--name", help="Which front of the site; the first if not said.")
+@click.option("--state", type=PATH, help="A folder for what outlives the process.")
+@click.option("--seed", type=int, help="For its chance; drawn if not said.")
+@click.option("--life", default="", hidden=True)
+@click.option("--sabotage", default=None, hidden=True)
+def front(site, name, state, seed, life, sabotage):
+    """Run a front of SITE until SIGTERM."""
+    import secrets
+
+    from curlewshift.front.front import Front
+    from curlewshift.front.spoilt import NAMES, spoilt
+    from curlewshift.logs import make_log
+    held = site_of(site)
+    try:
+        number = held.door(name) if name else 0
+    except KeyError:
+        click.echo(f"{site}: there is no front {name!r}, but {', '.join(door.name for door in held.doors)}", err=True)
+        sys.exit(2)
+    if sabotage is not None and sabotage not in NAMES:
+        click.echo(f"there is no sabotage {sabotage!r}, but {', '.join(NAMES)}", err=True)
+        sys.exit(2)
+    if state is not None:
+        state.mkdir(parents=True, exist_ok=True)
+    arguments = (held, number, secrets.randbits(32) if seed is None else seed, state,
+                 make_log(front=held.doors[number].name), life)
+    run((spoilt(sabotage, *arguments) if sabotage else Front(*arguments)).run)
+
+
+@main.group()
+def standin():
+    """Run stand-ins alone."""
+
+
+@standin.command("server")
+@click.argument("site", type=PATH)
+@click.option("--traffic", type=PATH)
+def standin_server(site, traffic):
+    """All media servers of SITE and its list, where the site says, until interrupted."""
+    from curlewshift.standins.running import run_site
+    run(run_site, site_of(site), traffic)
+
+
+@standin.command("list")
+@click.argument("site", type=PATH)
+def standin_list(site):
+    """The server list of SITE alone, all servers held to be up, until interrupted."""
+    from curlewshift.standins.running import run_list
+    run(run_list, site_of(site))
+
+
+@standin.command("fleet", hidden=True)
+@click.argument("script", type=PATH)
+@click.option("--traffic", type=PATH, required=True)
+@click.option("--seed", type=int, default=1)
+def standin_fleet(script, traffic, seed):
+    """The servers and list of a rehearsal: tells the list's port, then reads when the day begins."""
+    from curlewshift.standins.running import run_fleet
+    from curlewshift.standins.script import read_script
+    run(run_fleet, read_or_exit(read_script, script), seed, traffic)
+
+
+@main.command()
+@click.argument("script", type=PATH)
+@click.option("--out", type=PATH, required=True, help="A folder for verdict, traffic, chart and logs.")
+@click.option("--seed", type=int, help="Instead of the script's.")
+@click.option("--sabotage", help="Spoil the fronts on purpose, to see the rule caught.")
+def rehearse(script, out, seed, sabotage):
+    """Play the day of SCRIPT on loopback and judge the six rules from the sockets."""
+    from rich.console import Console
+    from rich.progress import BarColumn, Progress, TextColumn
+
+    from curlewshift.front.spoilt import NAMES
+    from curlewshift.rehearsal.chart import draw_day
+    from curlewshift.rehearsal.rehearse import Rehearsal, StartFailed
+    from curlewshift.rehearsal.table import verdict_tables
+    from curlewshift.standins.script import read_script
+    from curlewshift.standins.traffic import read_traffic
+    held = read_or_exit(read_script, script)
+    if sabotage is not None and sabotage not in NAMES:
+        click.echo(f"there is no sabotage {sabotage!r}, but {', '.join(NAMES)}", err=True)
+        sys.exit(2)
+    with Progress(TextColumn("{task.description}"), BarColumn(), TextColumn("{task.completed:.0f}/{task.total:.0f} s"),
+                  console=Console(stderr=True)) as bar:
+        task = bar.add_task("rehearsing", total=held.lasts)
+
+        def told(done, of):
+            bar.update(task, completed=done, total=of)
+        try:
+            verdict = run(Rehearsal(held, script, out, held.seed if seed is None else seed, sabotage, told).run)
+        except* StartFailed as failed:
+            click.echo(f"curlewshift: {failed.exceptions[0]}", err=True)
+            sys.exit(1)
+    draw_day(read_traffic(out / "traffic.jsonl"), out / "day.svg")
+    for table in verdict_tables(verdict):
+        Console().print(table)
+    sys.exit(1 if any(rule["broken"] for rule in verdict["rules"].values()) else 0)
+
+
+@main.group()
+def measure():
+    """Measurements; each is one run, its figures are ratios."""
+
+
+@measure.command("joins")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+@click.option("--count", type=click.IntRange(10, 100_000), default=1500, help="Joins each way.")
+def measure_joins(out, count):
+    """Joins through a front beside the same joins straight at a stand-in."""
+    import json
+
+    from curlewshift.rehearsal.joins import measure_joins as measured
+    figures = run(measured, count)
+    out.write_text(json.dumps(figures, indent=1) + "\n")
+    click.echo(json.dumps(figures, indent=1))
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -177,6 +177,15 @@
         for vw in list(server.link.playing):
             self.lost(self.courses[vw])
 
+    def notes_broke(self, server: Server) -> None:
+        """The stream of notes ended by itself: the server may be gone, and may come back cold unannounced."""
+        self.rules.probed(server, Outcome.BROKEN)
+
+    def restarted(self, server: Server) -> None:
+        """It answers, and is not the process that it was: nothing plays there, and it is cold from now on at worst."""
+        self.server_lost(server)
+        self.rules.listed([Listed(server, server.open, max(self.outside.now(), server.started))], False)
+
     def handed_over(self, package: str, title: str, ceiling: int, server: Server, session: object,
                     rung: int) -> Course:
         """A viewing that plays already, from before this front started. Raises `Unknown`."""
@@ -306,8 +315,8 @@
 
     def _time_out(self, tune_in: TuneIn) -> None:
         if tune_in.outcome is None:
-            self.outside.withdraw(tune_in)
-            self.failed(tune_in, Outcome.SILENT)
+            heard = self.outside.withdraw(tune_in)
+            self.failed(tune_in, Outcome.SILENT if heard else Outcome.UNREACHED)
 
     def _overdue(self, course: Course, vw: Viewing) -> None:
         """Nothing else may have answered, and patience ends now: no request is left without."""
--- a/curlewshift/desk/outside.py
+++ b/curlewshift/desk/outside.py
@@ -22,8 +22,8 @@
     def tune_in(self, tune_in: TuneIn) -> None:
         """Ask the server for the session, unless `Desk.stands` says no just before the first byte goes out."""
 
-    def withdraw(self, tune_in: TuneIn) -> None:
-        """Nobody waits for this tune-in any more: let go of it. What it set up all the same must end."""
+    def withdraw(self, tune_in: TuneIn) -> bool:
+        """Its time is over: let go of it; what it set up all the same must end. True if the server may have heard."""
 
     def set_rung(self, course: Course, rung: int) -> None:
         """Tell the server that plays the viewing its new rung; a newer one overtakes an older one."""
--- /dev/null
+++ b/curlewshift/exchange/server.py
@@ -0,0 +1,263 @@
+"""The answering side: one task reads a connection, one serves its requests in order.
+
+Called by the front's door and by the stand-ins with a handler for one request. Whatever a peer does, slow, cut off,
+malformed or too long, ends with a 4xx or the end of its own connection, and never with anyone else's.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+from typing import Awaitable, Callable
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from curlewshift.signalling.bodies import PROBLEM_TYPE, Problem, encode
+
+# A head has to be there this long after its first byte, and a body this long after its head (s).
+HEAD_WITHIN = 5.0
+BODY_WITHIN = 5.0
+IDLE_FOR = 30.0
+WRITE_WITHIN = 5.0
+MOST_HEAD = 16 * 1024
+MOST_BODY = 64 * 1024
+# Bytes read ahead of a handler at work, pipelined requests among them.
+MOST_AHEAD = 64 * 1024
+
+REASONS = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
+           405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+           415: "Unsupported Media Type", 422: "Unprocessable Content", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable"}
+
+
+class PeerGone(Exception):
+    """The peer has closed or broken the connection."""
+
+
+class TooMuch(Exception):
+    """More than is read: `status` and `wrong` go to the peer, then the connection ends."""
+
+    def __init__(self, status: int, wrong: str):
+        super().__init__(wrong)
+        self.status, self.wrong = status, wrong
+
+
+class Exchange:
+    """One request, and the means to answer it once."""
+
+    __slots__ = ("method", "target", "path", "query", "headers", "body", "line", "answered")
+
+    def __init__(self, line: Line, method: str, target: str, headers: dict[str, str], body: bytes):
+        self.line, self.method, self.target, self.headers, self.body = line, method, target, headers, body
+        path, _, query = target.partition("?")
+        self.path = path
+        self.query = dict(part.partition("=")[::2] for part in query.split("&") if part)
+        self.answered = False
+
+    async def answer(self, status: int, headers: list[tuple[str, str]] = (), body: bytes = b"") -> None:
+        """Raises `PeerGone`."""
+        self.answered = True
+        await self.line.send_whole(status, headers, body)
+
+    async def problem(self, status: int, detail: str, type: str = "about:blank",
+                      headers: list[tuple[str, str]] = (), retry_after_ms: int | None = None) -> None:
+        """Problem details (RFC 9457)."""
+        body = Problem(type=type, title=REASONS.get(status, "Error"), status=status, detail=detail,
+                       retry_after_ms=retry_after_ms)
+        await self.answer(status, [("content-type", PROBLEM_TYPE), *headers], encode(body))
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> Callable[[bytes], Awaitable[None]]:
+        """A body of no known length: returns what sends a piece of it. The connection ends with it."""
+        self.answered = True
+        return await self.line.send_open(status, headers)
+
+    def on_hang_up(self, call: Callable[[], None]) -> None:
+        """`call` runs once the peer has closed or broken the connection, at once if it has."""
+        self.line.on_gone(call)
+
+    def abort(self) -> None:
+        """End the connection with a reset and without an answer."""
+        self.answered = True
+        self.line.reset()
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class Line:
+    """One connection. `name` is the peer's address."""
+
+    def __init__(self, stream: SocketStream, handler: Handler):
+        self.stream, self.handler = stream, handler
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.ahead, self.more, self.room = bytearray(), anyio.Event(), anyio.Event()
+        self.gone = False
+        self.gone_calls: list[Callable[[], None]] = []
+        self.silent = False
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._pump)
+            try:
+                while await self._serve_one():
+                    pass
+            except (PeerGone, TimeoutError):
+                pass
+            finally:
+                tasks.cancel_scope.cancel()
+        self._is_gone()
+        with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+            await self.stream.aclose()
+
+    async def _pump(self) -> None:
+        try:
+            while True:
+                data = await self.stream.receive(65536)
+                if len(self.ahead) > MOST_AHEAD:
+                    self.room = anyio.Event()
+                    await self.room.wait()
+                self.ahead += data
+                self.more.set()
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            self._is_gone()
+
+    def _is_gone(self) -> None:
+        self.gone = True
+        self.more.set()
+        calls, self.gone_calls = self.gone_calls, []
+        for call in calls:
+            call()
+
+    def on_gone(self, call: Callable[[], None]) -> None:
+        if self.gone:
+            call()
+        else:
+            self.gone_calls.append(call)
+
+    def off_gone(self) -> None:
+        self.gone_calls.clear()
+
+    async def _event(self):
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            while not self.ahead:
+                if self.gone:
+                    raise PeerGone
+                self.more = anyio.Event()
+                await self.more.wait()
+            data = bytes(self.ahead)
+            self.ahead.clear()
+            self.room.set()
+            self.http.receive_data(data)
+
+    async def _serve_one(self) -> bool:
+        try:
+            exchange = await self._read()
+        except TooMuch as wrong:
+            await self._last_words(wrong.status, wrong.wrong)
+            return False
+        except h11.RemoteProtocolError as wrong:
+            await self._last_words(wrong.error_status_hint or 400, f"this is not HTTP/1.1: {wrong}")
+            return False
+        if exchange is None:
+            return False
+        await self.handler(exchange)
+        self.off_gone()
+        if not exchange.answered:
+            raise AssertionError(f"{exchange.method} {exchange.target} was not answered")
+        if self.gone or self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            return False
+        self.http.start_next_cycle()
+        return True
+
+    async def _read(self) -> Exchange | None:
+        # the time for a head starts with its first byte: an idle connection owes nothing
+        if not self.ahead and not self.http.trailing_data[0]:
+            with anyio.move_on_after(IDLE_FOR) as idle:
+                while not self.ahead:
+                    if self.gone:
+                        return None
+                    self.more = anyio.Event()
+                    await self.more.wait()
+            if idle.cancelled_caught:
+                return None
+        with anyio.move_on_after(HEAD_WITHIN) as slow:
+            request = await self._event()
+        if slow.cancelled_caught:
+            raise TooMuch(408, f"the head of the request was not there within {HEAD_WITHIN:g} s")
+        if not isinstance(request, h11.Request):
+            return None
+        body = bytearray()
+        with anyio.move_on_after(BODY_WITHIN) as slow:
+            while True:
+                event = await self._event()
+                if isinstance(event, h11.EndOfMessage):
+                    break
+                if isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > MOST_BODY:
+                        raise TooMuch(413, f"the body is longer than {MOST_BODY} bytes")
+        if slow.cancelled_caught:
+            raise TooMuch(408, f"the body of the request was not there within {BODY_WITHIN:g} s")
+        headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers}
+        return Exchange(self, request.method.decode("latin-1"), request.target.decode("latin-1"), headers, bytes(body))
+
+    async def _last_words(self, status: int, wrong: str) -> None:
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = encode(Problem(title=REASONS.get(status, "Error"), status=status, detail=wrong))
+            await self.send_whole(status, [("content-type", PROBLEM_TYPE), ("connection", "close")], body)
+            # what the peer still sends must be read for a while, or the reset it causes would eat the answer
+            with anyio.move_on_after(0.5):
+                while not self.gone:
+                    self.ahead.clear()
+                    self.room.set()
+                    self.more = anyio.Event()
+                    await self.more.wait()
+
+    async def send_whole(self, status: int, headers, body: bytes) -> None:
+        head = h11.Response(status_code=status, reason=REASONS.get(status, ""),
+                            headers=[*headers, ("content-length", str(len(body)))])
+        await self._send((self.http.send(head) or b"") + (self.http.send(h11.Data(data=body)) or b"")
+                         + (self.http.send(h11.EndOfMessage()) or b""))
+
+    async def send_open(self, status: int, headers):
+        head = h11.Response(status_code=status, reason=REASONS.get(status, ""),
+                            headers=[*headers, ("connection", "close")])
+        await self._send(self.http.send(head))
+
+        async def piece(data: bytes) -> None:
+            await self._send(self.http.send(h11.Data(data=data)))
+        return piece
+
+    async def _send(self, data: bytes) -> None:
+        if self.silent:
+            return
+        try:
+            with anyio.fail_after(WRITE_WITHIN):
+                await self.stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError, TimeoutError):
+            self._is_gone()
+            raise PeerGone from None
+
+    def reset(self) -> None:
+        raw = self.stream.extra(SocketAttribute.raw_socket)
+        try:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        except OSError:
+            pass
+        self.gone = True
+
+
+async def serve(listener, handler: Handler, on_fault: Callable[[Exception], None]) -> None:
+    """Serves until cancelled. `listener` is one TCP listener of anyio; `on_fault` hears of a handler that failed,
+    which costs its own connection and no other."""
+    async def one(stream: SocketStream) -> None:
+        try:
+            await Line(stream, handler).run()
+        except Exception as fault:
+            on_fault(fault)
+    await listener.serve(one)
--- /dev/null
+++ b/curlewshift/front/__init__.py
@@ -0,0 +1,1 @@
+"""The running front: anyio task groups round the desk."""
--- /dev/null
+++ b/curlewshift/front/followers.py
@@ -0,0 +1,166 @@
+"""What the front listens to: the server list, and the notes of each server. Each resumes where it broke off."""
+
+from __future__ import annotations
+
+from random import Random
+
+import anyio
+
+from curlewshift.desk.desk import Desk
+from curlewshift.desk.roster import Row
+from curlewshift.exchange.client import Broken, Call, NeverSent, connect
+from curlewshift.front.kept import KeptList
+from curlewshift.model import Server
+from curlewshift.signalling.bodies import BadBody, ListNews, ListRow, Note, decode
+from curlewshift.signalling.events import Event, Reader, TooLong
+from curlewshift.site.site import host_port
+
+MS = 1_000_000
+# Between tries to reach what does not answer (s): first, and at most.
+FIRST_PAUSE = 0.2
+LONGEST_PAUSE = 2.0
+CONNECT_WITHIN = 2.0
+# A stream that says nothing for so long, not even that it lives, is given up and asked for again (s).
+QUIET_FOR = 10.0
+
+
+def row_of(row: ListRow) -> Row:
+    return Row(row.server, row.state, row.started_ms * MS, row.zone, row.rack, row.link, row.streams, row.shelf)
+
+
+class Stream:
+    """One server-sent event stream, kept up over breaks. `on_open` and `on_event` are called as it goes."""
+
+    def __init__(self, host: str, port: int, target: str, chance: Random):
+        self.host, self.port, self.target, self.chance = host, port, target, chance
+        self.last_id: str | None = None
+        self.refused = False
+        self.call: Call | None = None
+
+    async def events(self):
+        """Yields `Event`, and None each time the stream has broken or could not be had; `refused` tells which."""
+        pause = FIRST_PAUSE
+        while True:
+            opened = False
+            try:
+                self.call = await connect(self.host, self.port, CONNECT_WITHIN)
+                try:
+                    async for event in self._read(self.call):
+                        opened, self.refused, pause = True, False, FIRST_PAUSE
+                        yield event
+                finally:
+                    await self.call.close()
+            except NeverSent:
+                self.refused = True
+            except (Broken, TooLong, TimeoutError):
+                self.refused = False
+            if opened or self.refused:
+                yield None
+            await anyio.sleep(pause * self.chance.uniform(0.5, 1.0))
+            pause = min(LONGEST_PAUSE, pause * 2)
+
+    def afresh(self) -> None:
+        """Break off, and begin again without what was had."""
+        self.last_id = None
+        if self.call is not None:
+            self.call.reset()
+
+    async def _read(self, call: Call):
+        headers = [("accept", "text/event-stream")]
+        if self.last_id is not None:
+            headers.append(("last-event-id", self.last_id))
+        with anyio.fail_after(QUIET_FOR):
+            answered = await call.begin("GET", self.target, headers)
+        if answered.status != 200:
+            raise Broken(f"answered {answered.status}")
+        reader, pieces = Reader(), call.pieces()
+        while True:
+            with anyio.fail_after(QUIET_FOR):
+                try:
+                    data = await anext(pieces)
+                except StopAsyncIteration:
+                    return
+            for event in reader.feed(data):
+                self.last_id = reader.last_id
+                yield event
+
+
+class ListFollower:
+    def __init__(self, desk: Desk, host: str, port: int, name: str, kept: KeptList | None, chance: Random, log,
+                 on_list):
+        self.desk, self.kept, self.log, self.on_list = desk, kept, log, on_list
+        self.stream = Stream(host, port, f"/list?front={name}", chance)
+
+    async def run(self) -> None:
+        async for event in self.stream.events():
+            if event is None:
+                self.log.info("list-broke", cause="refused" if self.stream.refused else "ended")
+                continue
+            self._take(event)
+
+    def _take(self, event: Event) -> None:
+        try:
+            news = decode(event.data, ListNews)
+        except BadBody as wrong:
+            self.log.warning("list-unreadable", cause=str(wrong))
+            self.stream.afresh()
+            return
+        rows = [row_of(row) for row in news.servers]
+        self.log.info("list", what=event.kind, generation=news.generation, servers=len(rows))
+        full = event.kind == "full"
+        if full:
+            self.desk.list_full(news.epoch, news.generation, rows)
+        else:
+            self.desk.list_change(news.epoch, news.since, news.generation, rows)
+        if self.kept is not None:
+            self.kept.take(news, full)
+        self.on_list()
+
+
+class NotesFollower:
+    """The notes of one server. Which of its lives speaks, it says first; another one means that nothing plays."""
+
+    def __init__(self, desk: Desk, server: Server, front: str, chance: Random, log, course_of):
+        self.desk, self.server, self.log, self.course_of = desk, server, log, course_of
+        self.stream = Stream(*host_port(server.name), f"/notes?front={front}", chance)
+        self.boot = ""
+        self.broke = False
+
+    async def run(self) -> None:
+        async for event in self.stream.events():
+            if event is None:
+                self._broke()
+            else:
+                self._take(event)
+
+    def _broke(self) -> None:
+        if self.boot and not self.broke:
+            self.broke = True
+            self.log.info("notes-broke", server=self.server.name, playing=len(self.server.link.playing))
+            self.desk.notes_broke(self.server)
+        if self.stream.refused and self.server.link.playing:
+            # nobody listens there any more: the process is gone, and what it played with it
+            self.log.info("server-gone", server=self.server.name, playing=len(self.server.link.playing))
+            self.desk.server_lost(self.server)
+
+    def _take(self, event: Event) -> None:
+        try:
+            note = decode(event.data, Note)
+        except BadBody as wrong:
+            self.log.warning("note-unreadable", server=self.server.name, cause=str(wrong))
+            return
+        if event.kind == "hello":
+            if self.boot and note.boot != self.boot:
+                self.log.info("server-restarted", server=self.server.name)
+                self.desk.restarted(self.server)
+            self.boot, self.broke = note.boot, False
+        elif event.kind == "delivered":
+            self.desk.delivered(self.server, note.share)
+        elif event.kind == "load":
+            report = {"link": note.link, "uplink": note.uplink}
+            self.desk.told(self.server, {name: value for name, value in report.items() if value is not None})
+        elif event.kind == "ended":
+            course = self.course_of(self.server, note.session)
+            if course is not None:
+                self.log.info("ended", viewing=course.vw.name, server=self.server.name, cause=note.why)
+                self.desk.lost(course)
--- /dev/null
+++ b/curlewshift/front/front.py
@@ -0,0 +1,193 @@
+"""One running front: the desk's outside on real sockets, and the life of the process."""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+from random import Random
+
+import anyio
+
+from curlewshift.desk.course import Answer, Course, Kind, Request, TuneIn
+from curlewshift.desk.desk import Desk
+from curlewshift.desk.roster import Roster
+from curlewshift.exchange.server import serve
+from curlewshift.front.clock import Clock
+from curlewshift.front.door import Door
+from curlewshift.front.followers import ListFollower, NotesFollower, row_of
+from curlewshift.front.kept import KeptList
+from curlewshift.front.reach import Reach
+from curlewshift.model import Server
+from curlewshift.site.site import Site
+
+NS = 1_000_000_000
+# Between looks for sessions that have ended and servers that have gone (s).
+SWEEP = 1.0
+# For the last DELETEs of a front that stops (s).
+LAST_WORDS = 2.0
+
+
+class Front:
+    """Made for the number-th front of the site. `name` tells servers and list which life of which front speaks."""
+
+    reach_class = Reach
+
+    def __init__(self, site: Site, number: int, seed: int, state: Path | None, log, life: str = "",
+                 desk: type[Desk] = Desk, **how):
+        self.site, self.log = site, log
+        self.door_at = site.doors[number]
+        self.clock = Clock()
+        self.name = life or f"{self.door_at.name}.{self.clock.now() // 1_000_000 % 10**9}"
+        self.chance = Random(seed)
+        self.kept = KeptList(state / "list.json") if state else None
+        self.door = Door(site.duties.way_back, log)
+        self.wakes: list[int] = []
+        self.woken = anyio.Event()
+        self.followed: dict[Server, anyio.CancelScope] = {}
+        self.terms = site.terms(self.clock.now(), seed, number)
+        # the desk's first wake comes while it is made
+        self.desk = desk(self, self.terms, Roster(site.uplinks, site.titles), most_waiting=site.most_waiting, **how)
+        self.door.desk = self.desk
+
+    async def run(self, ready=None) -> None:
+        """Serves until told to end. `ready` is called once the door is open."""
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            self.reach = self.reach_class(self.desk, tasks, self.name, self.site.most_connections, self.log)
+            if self.kept is not None:
+                rows = [row_of(row) for row in self.kept.read()]
+                if rows:
+                    self.log.info("list", what="kept", servers=len(rows))
+                    self.desk.list_full("", -1, rows, stale=True)
+            self.lists = ListFollower(self.desk, *self.site.list_at, self.name, self.kept, Random(self.chance.random()),
+                                      self.log, self._follow_servers)
+            self._follow_servers()
+            listener = await anyio.create_tcp_listener(local_host=self.door_at.host, local_port=self.door_at.port,
+                                                       backlog=1024)
+            tasks.start_soon(self._signals)
+            tasks.start_soon(self._keep_time)
+            tasks.start_soon(self._sweep)
+            tasks.start_soon(self.lists.run)
+            tasks.start_soon(serve, listener.listeners[0], self.door.serve, self._door_fault)
+            self.log.info("open", front=self.door_at.name, port=self.door_at.port)
+            if ready is not None:
+                ready()
+
+    # ---- the life of the process
+
+    async def _signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for which in signals:
+                self.log.info("drain", cause=signal.Signals(which).name, waiting=self.desk.waiting)
+                await self.end()
+                return
+
+    async def end(self) -> None:
+        """New requests are refused with advice, those taken are answered, what plays is ended; then all stops."""
+        self.desk.drain()
+        longest = max(package.patience for package in self.site.packages) / NS
+        with anyio.move_on_after(longest + 1):
+            while self.desk.waiting:
+                await anyio.sleep(0.02)
+        await anyio.sleep(0.05)
+        for course in list(self.desk.courses.values()):
+            self.desk.closed(course)
+        with anyio.move_on_after(LAST_WORDS):
+            while self.reach.endings:
+                await anyio.sleep(0.02)
+        self.log.info("ended", cause="drained")
+        self.tasks.cancel_scope.cancel()
+
+    def _door_fault(self, fault: Exception) -> None:
+        self.log.error("door-fault", cause=repr(fault), exc_info=fault)
+
+    async def _keep_time(self) -> None:
+        while True:
+            self.woken = anyio.Event()
+            if self.wakes:
+                wait = (min(self.wakes) - self.clock.now()) / NS
+                with anyio.move_on_after(max(0.0, wait)):
+                    await self.woken.wait()
+                now = self.clock.now()
+                if any(at <= now for at in self.wakes):
+                    self.wakes = [at for at in self.wakes if at > now]
+                    self.desk.time()
+            else:
+                await self.woken.wait()
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP)
+            self.door.sweep()
+
+    # ---- servers of the list are listened to
+
+    def _follow_servers(self) -> None:
+        held = self.desk.roster.shelf_of
+        for server in held:
+            if server not in self.followed:
+                scope = self.followed[server] = anyio.CancelScope()
+                self.tasks.start_soon(self._follow, server, scope)
+        for server in [server for server in self.followed if server not in held]:
+            self.followed.pop(server).cancel()
+            self.reach.forget(server)
+
+    async def _follow(self, server: Server, scope: anyio.CancelScope) -> None:
+        follower = NotesFollower(self.desk, server, self.name, Random(self.chance.random()), self.log, self._course_of)
+        with scope:
+            while True:
+                try:
+                    await follower.run()
+                except Exception as fault:
+                    # one server's notes that go wrong in a way on no list must not end the front
+                    self.log.error("fault", server=server.name, cause=repr(fault), exc_info=fault)
+                    await anyio.sleep(SWEEP)
+
+    def _course_of(self, server: Server, path: str) -> Course | None:
+        for vw in server.link.playing:
+            course = self.desk.courses[vw]
+            if course.session.path == path:
+                return course
+        return None
+
+    # ---- the desk's outside, see curlewshift/desk/outside.py
+
+    def now(self) -> int:
+        return self.clock.now()
+
+    def wake(self, at: int) -> None:
+        self.wakes.append(at)
+        self.woken.set()
+
+    def tune_in(self, tune_in: TuneIn) -> None:
+        vw = tune_in.course.vw
+        self.log.info("tune-in", viewing=vw.name, server=tune_in.server.name, rung=tune_in.rung,
+                      number=tune_in.number, request=tune_in.course.requests[0].name if tune_in.course.requests else "")
+        self.reach.tune_in(tune_in)
+
+    def withdraw(self, tune_in: TuneIn) -> bool:
+        self.log.info("withdrawn", viewing=tune_in.course.vw.name, server=tune_in.server.name, cause="its time is over")
+        return self.reach.withdraw(tune_in)
+
+    def set_rung(self, course: Course, rung: int) -> None:
+        self.log.info("rung", viewing=course.vw.name, server=course.vw.server.name, rung=rung)
+        self.reach.set_rung(course, rung)
+
+    def tear_down(self, server: Server, session: object) -> None:
+        self.log.info("tear-down", server=server.name, session=session.path)
+        self.reach.tear_down(server, session)
+
+    def probe(self, server: Server) -> None:
+        self.log.info("probe", server=server.name)
+        self.reach.probe(server)
+
+    def answer(self, request: Request, answer: Answer) -> None:
+        viewing = request.course.vw.name if request.course is not None else 0
+        more = {"server": answer.course.vw.server.name} if answer.kind is Kind.PLAYS and answer.course.vw.server else {}
+        self.log.info("answer", viewing=viewing, request=request.name, answer=answer.kind.value, cause=answer.cause,
+                      after_ms=(self.now() - request.arrived) // 1_000_000, **more)
+        self.door.answer(request, answer)
+
+    def whole_list(self) -> None:
+        self.log.info("list-gap")
+        self.lists.stream.afresh()
--- /dev/null
+++ b/curlewshift/front/reach.py
@@ -0,0 +1,239 @@
+"""The front's hands at the servers: tune-ins, layers, endings, probes. One task each, ended by its scope.
+
+What proves that a tune-in never ran is told apart here: a connection that was refused or not had, a request of which
+no byte was written, and a 503 that says by its problem type that it was turned away unseen. All else may have run.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from curlewshift.desk.course import Course, TuneIn
+from curlewshift.desk.desk import Desk
+from curlewshift.exchange.client import Answered, Broken, Call, NeverSent, ask, connect
+from curlewshift.model import Outcome, Server
+from curlewshift.signalling.bodies import TURNED_AWAY, BadBody, LayerChoice, Problem, decode, encode
+from curlewshift.signalling.loads import HEADER, decode_load
+from curlewshift.site.site import host_port
+
+NS = 1_000_000_000
+SDP = "application/sdp"
+# Idle connections kept to one server, for packages that may be set up again.
+MOST_IDLE = 8
+# For calls on which no viewer waits (s).
+PATIENT = 2.0
+
+
+@dataclass(frozen=True)
+class Offer:
+    """A viewer's offer; two are the same if their credentials are."""
+
+    identity: str
+    text: str = ""
+
+    def __eq__(self, other):
+        return isinstance(other, Offer) and self.identity == other.identity
+
+    def __hash__(self):
+        return hash(self.identity)
+
+
+@dataclass(slots=True)
+class Session:
+    """Where a session is at its server, and the server's answer for the viewer."""
+
+    path: str
+    answer: str
+
+
+@dataclass(slots=True)
+class Out:
+    """A tune-in under way."""
+
+    scope: anyio.CancelScope
+    call: Call | None = None
+
+
+class Reach:
+    def __init__(self, desk: Desk, tasks: TaskGroup, name: str, most_connections: int, log):
+        self.desk, self.tasks, self.name, self.log = desk, tasks, name, log
+        self.most_connections = most_connections
+        self.out: dict[TuneIn, Out] = {}
+        self.connections: dict[Server, int] = {}
+        self.idle: dict[Server, list[Call]] = {}
+        # the newest rung of each viewing whose server is being told one
+        self.layers: dict[Course, int] = {}
+        # sessions whose servers are being told to end them
+        self.endings = 0
+
+    # ---- tune-ins
+
+    def tune_in(self, tune_in: TuneIn) -> None:
+        out = self.out[tune_in] = Out(anyio.CancelScope())
+        request = tune_in.course.requests[0].name if tune_in.course.requests else str(tune_in.course.vw.name)
+        self.tasks.start_soon(self._tune_in, tune_in, out, request)
+
+    def withdraw(self, tune_in: TuneIn) -> bool:
+        out = self.out.get(tune_in)
+        if out is None:
+            return True
+        out.scope.cancel()
+        return out.call is not None and out.call.written
+
+    async def _tune_in(self, tune_in: TuneIn, out: Out, request: str) -> None:
+        server = tune_in.server
+        kept = False
+        try:
+            with out.scope:
+                try:
+                    call = out.call = await self._connection(tune_in)
+                    if not self.desk.stands(tune_in):
+                        # nothing has gone out yet, so it can be taken back
+                        self.desk.failed(tune_in, Outcome.UNSENT)
+                        return
+                    answered = await self._ask(tune_in, call, request)
+                    kept = self._keep(tune_in, call)
+                    self._judge(tune_in, answered)
+                except NeverSent as wrong:
+                    self.log.info("not-reached", server=server.name, viewing=request, cause=str(wrong))
+                    self.desk.failed(tune_in, Outcome.UNREACHED)
+                except Broken as wrong:
+                    self.log.info("broke", server=server.name, viewing=request, cause=str(wrong))
+                    self.desk.failed(tune_in, Outcome.BROKEN)
+                except Exception as fault:
+                    # one tune-in that goes wrong in a way on no list must not end the front
+                    self.log.error("fault", viewing=request, server=server.name, cause=repr(fault), exc_info=fault)
+                    self.desk.failed(tune_in, Outcome.BROKEN)
+        finally:
+            del self.out[tune_in]
+            if out.call is not None and not kept:
+                await self._drop(server, out.call)
+
+    async def _connection(self, tune_in: TuneIn) -> Call:
+        server = tune_in.server
+        idle = self.idle.get(server)
+        # a kept connection may end under the request, which proves nothing: not for what is paid
+        while idle and not tune_in.course.vw.package.paid_at_setup:
+            call = idle.pop()
+            if call.again():
+                return call
+            await self._drop(server, call)
+        if self.connections.get(server, 0) >= self.most_connections:
+            raise NeverSent(f"{self.most_connections} connections to this server are in use")
+        self.connections[server] = self.connections.get(server, 0) + 1
+        try:
+            left = (tune_in.until - self.desk.now()) / NS
+            return await connect(*host_port(server.name), max(0.001, left))
+        except BaseException:
+            self._count_down(server)
+            raise
+
+    async def _ask(self, tune_in: TuneIn, call: Call, request: str) -> Answered:
+        vw = tune_in.course.vw
+        offer = tune_in.course.offer
+        return await call.ask("POST", f"/whep/{vw.package.name}/{vw.title}?layer={tune_in.rung}", [
+            ("content-type", SDP), ("x-request-id", request), ("x-front", self.name),
+            ("x-tune-in", str(tune_in.number))], offer.text.encode() if offer else b"")
+
+    def _judge(self, tune_in: TuneIn, answered: Answered) -> None:
+        report = decode_load(answered.headers.get(HEADER, ""))
+        if answered.status == 201 and answered.headers.get("location", "").startswith("/"):
+            session = Session(answered.headers["location"], answered.body.decode("utf-8", "replace"))
+            self.desk.played(tune_in, session, report)
+            return
+        full = answered.status == 503 and _problem(answered).type == TURNED_AWAY
+        self.desk.failed(tune_in, Outcome.FULL if full else Outcome.ERROR, report)
+
+    # ---- connections
+
+    def _keep(self, tune_in: TuneIn, call: Call) -> bool:
+        idle = self.idle.setdefault(tune_in.server, [])
+        if len(idle) >= MOST_IDLE or call.http.our_state is not call.http.their_state:
+            return False
+        idle.append(call)
+        return True
+
+    async def _drop(self, server: Server, call: Call) -> None:
+        self._count_down(server)
+        await call.close()
+
+    def _count_down(self, server: Server) -> None:
+        left = self.connections.pop(server, 1) - 1
+        if left > 0:
+            self.connections[server] = left
+
+    def forget(self, server: Server) -> None:
+        """Lets go of idle connections to a server that is gone."""
+        for call in self.idle.pop(server, []):
+            self.tasks.start_soon(self._drop, server, call)
+
+    # ---- what no viewer waits for
+
+    def set_rung(self, course: Course, rung: int) -> None:
+        busy = course in self.layers
+        self.layers[course] = rung
+        if not busy:
+            self.tasks.start_soon(self._tell_layers, course)
+
+    async def _tell_layers(self, course: Course) -> None:
+        """One at a time and the newest last, so that an older one never arrives after it. Tried twice: a rung that
+        was not told shows in the reports, and the rules answer it from there."""
+        tries = 0
+        try:
+            while course.vw.playing and tries < 2:
+                server, rung, path = course.vw.server, self.layers[course], course.session.path
+                status = await self._call(server, "POST", path + "/layer", encode(LayerChoice(str(rung))))
+                if status is None or status >= 500:
+                    tries += 1
+                elif self.layers[course] == rung:
+                    return
+                else:
+                    tries = 0
+        finally:
+            del self.layers[course]
+
+    def tear_down(self, server: Server, session: Session) -> None:
+        self.endings += 1
+        self.tasks.start_soon(self._end, server, session)
+
+    async def _end(self, server: Server, session: Session) -> None:
+        try:
+            await self._call(server, "DELETE", session.path)
+        finally:
+            self.endings -= 1
+
+    def probe(self, server: Server) -> None:
+        self.tasks.start_soon(self._probe, server)
+
+    async def _probe(self, server: Server) -> None:
+        try:
+            answered = await ask(*host_port(server.name), "GET", "/load", [("x-front", self.name)], within=PATIENT)
+        except NeverSent:
+            self.desk.probed(server, Outcome.UNREACHED)
+        except Broken:
+            self.desk.probed(server, Outcome.BROKEN)
+        except TimeoutError:
+            self.desk.probed(server, Outcome.SILENT)
+        else:
+            well = answered.status < 300
+            self.desk.probed(server, Outcome.PLAYED if well else Outcome.ERROR,
+                             decode_load(answered.headers.get(HEADER, "")))
+
+    async def _call(self, server: Server, method: str, path: str, body: bytes = b"") -> int | None:
+        kind = [("content-type", "application/json")] if body else []
+        try:
+            answered = await ask(*host_port(server.name), method, path, [("x-front", self.name), *kind], body, PATIENT)
+        except (NeverSent, Broken, TimeoutError) as wrong:
+            self.log.info("not-told", server=server.name, what=f"{method} {path}", cause=str(wrong) or "no answer")
+            return None
+        return answered.status
+
+
+def _problem(answered: Answered) -> Problem:
+    try:
+        return decode(answered.body, Problem)
+    except BadBody:
+        return Problem(title="", status=answered.status)
--- /dev/null
+++ b/curlewshift/front/spoilt.py
@@ -0,0 +1,149 @@
+"""Fronts spoilt on purpose, one rule each: the rehearsal has to catch every one of them.
+
+Only `curlewshift front --sabotage NAME` reaches this; no front that serves anyone is made from it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from curlewshift.desk.desk import Desk
+from curlewshift.front.door import Door
+from curlewshift.front.front import Front
+from curlewshift.front.reach import Reach
+from curlewshift.model import Outcome
+from curlewshift.rules import NEVER_RAN, Rules
+
+EVERY = 8
+
+
+class LoseAnswer(Front):
+    """Forgets to answer one request in some."""
+
+    count = 0
+
+    def answer(self, request, answer):
+        self.count += 1
+        if self.count % EVERY:
+            super().answer(request, answer)
+
+
+class TwiceDoor(Door):
+    """Writes some answers a second time on the same connection."""
+
+    count = 0
+
+    async def write(self, exchange, answer):
+        await super().write(exchange, answer)
+        self.count += 1
+        if not self.count % EVERY:
+            await exchange.line.stream.send(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")
+
+
+class AnswerTwice(Front):
+    def __init__(self, *args, **how):
+        super().__init__(*args, **how)
+        self.door.__class__ = TwiceDoor
+
+
+class ResendPaid(Rules):
+    """Takes every failed set-up for one that never ran."""
+
+    def ended(self, vw, outcome, closed):
+        if not closed and not vw.playing and not vw.over and outcome not in NEVER_RAN:
+            outcome = Outcome.UNREACHED
+        super().ended(vw, outcome, closed)
+
+
+class IgnoreDrain(Rules):
+    """Holds every server that it has seen open to be open for ever."""
+
+    def listed(self, lines, stale):
+        super().listed(lines, stale)
+        for server in self.servers:
+            server.open = True
+
+    def _may_send(self, server):
+        return True
+
+
+class StubbornDesk(Desk):
+    def stands(self, tune_in):
+        return tune_in.outcome is None
+
+
+class PushCold(Rules):
+    """Likes cold servers best and keeps no pace there."""
+
+    def listed(self, lines, stale):
+        super().listed(lines, stale)
+        for server in self.servers:
+            server.unproven_until = 0
+
+    def _may_send(self, server):
+        return server.open
+
+    def _room(self, server, rate=0.0, bound=3.09):
+        room = super()._room(server, rate, bound)
+        return 1e9 if self.host.now() < server.cold_until and room > 0 else room
+
+
+class UnderFloor(Front):
+    """Knows of no floor."""
+
+    def __init__(self, site, *args, **how):
+        site.packages = [replace(package, floor=0) for package in site.packages]
+        super().__init__(site, *args, **how)
+
+    def tune_in(self, tune_in):
+        tune_in.rung = 0 if tune_in.number == 1 and tune_in.course.vw.name % EVERY == 0 else tune_in.rung
+        super().tune_in(tune_in)
+
+
+class OverSeats(Front):
+    """Knows of no seats."""
+
+    def __init__(self, site, *args, **how):
+        site.packages = [replace(package, seats=0) for package in site.packages]
+        super().__init__(site, *args, **how)
+
+
+class Overspend(Front):
+    """Knows of no budget for further tune-ins, and sends them freely."""
+
+    def __init__(self, site, *args, **how):
+        site.duties = replace(site.duties, free_further=None, most_tune_ins=50)
+        super().__init__(site, *args, **how)
+        self.reach_class = WastefulReach
+
+
+class WastefulReach(Reach):
+    """Takes one answer in two for none."""
+
+    count = 0
+
+    def _judge(self, tune_in, answered):
+        self.count += 1
+        if answered.status == 201 and not tune_in.course.vw.package.paid_at_setup and self.count % 2:
+            self.desk.failed(tune_in, Outcome.FULL)
+        else:
+            super()._judge(tune_in, answered)
+
+
+def spoilt(name: str, *args) -> Front:
+    return {
+        "lose-answer": lambda: LoseAnswer(*args),
+        "answer-twice": lambda: AnswerTwice(*args),
+        "resend-paid": lambda: Front(*args, rules=ResendPaid),
+        "ignore-drain": lambda: Front(*args, desk=StubbornDesk, rules=IgnoreDrain),
+        "push-cold": lambda: Front(*args, rules=PushCold),
+        "under-floor": lambda: UnderFloor(*args),
+        "over-seats": lambda: OverSeats(*args),
+        "overspend-budget": lambda: Overspend(*args),
+    }[name]()
+
+
+NAMES = ("lose-answer", "answer-twice", "resend-paid", "ignore-drain", "push-cold", "under-floor", "over-seats",
+         "overspend-budget")
+# The rule that each of them breaks.
+BREAKS = dict(zip(NAMES, ("1", "1", "2", "3", "4", "5", "5", "6")))
--- /dev/null
+++ b/curlewshift/rehearsal/rehearse.py
@@ -0,0 +1,199 @@
+"""Plays a script: starts everything, lets the day pass, stops everything, and has the traffic judged."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from pathlib import Path
+from random import Random
+from typing import Callable
+
+import anyio
+from lxml import etree
+
+from curlewshift.rehearsal.processes import Child, free_ports, listens
+from curlewshift.site.site import Site
+from curlewshift.standins.script import OF_FRONTS, Script, Trouble
+from curlewshift.standins.traffic import Traffic, read_traffic
+from curlewshift.standins.viewers import Viewers
+from curlewshift.verdict.verdict import Figures, judge
+
+NS = 1_000_000_000
+# Python starts slowly on a machine that is busy (s).
+START_WITHIN = 30.0
+# Fronts get so long to hear of all servers before the day begins (s).
+SETTLE = 1.5
+# After the last arrival viewings run out, but no longer than this (s).
+RUN_OUT = 8.0
+
+
+class StartFailed(Exception):
+    """A part of the rehearsal did not come up; its log says why."""
+
+
+def figures_of(site: Site) -> Figures:
+    duties, packages = site.duties, site.packages
+    return Figures(
+        grace=duties.grace, warm_within=duties.warm_within, start_capacity=duties.start_capacity,
+        fall_multiple=duties.fall_multiple, fall_within=duties.fall_within, free_further=duties.free_further,
+        further_share=duties.further_share, look_back=duties.look_back,
+        patience={package.name: package.patience for package in packages},
+        join_target={package.name: package.join_target for package in packages},
+        value={package.name: package.value for package in packages},
+        paid={package.name for package in packages if package.paid_at_setup},
+        floor={package.name: package.floor for package in packages},
+        seats={package.name: package.seats for package in packages})
+
+
+class FrontProcess:
+    """One front over its lives."""
+
+    def __init__(self, day: Rehearsal, number: int, port: int):
+        self.day, self.number, self.port = day, number, port
+        self.name = day.script.site.doors[number].name
+        self.lives = 0
+        self.child: Child | None = None
+        self.state = day.out / self.name
+        self.state.mkdir(exist_ok=True)
+
+    @property
+    def life(self) -> str:
+        return f"{self.name}.{self.lives}"
+
+    async def start(self) -> None:
+        self.lives += 1
+        self.day.traffic.seen("front-up", front=self.name, life=self.life)
+        arguments = ["front", str(self.day.out / "site.xml"), "--name", self.name, "--life", self.life, "--state",
+                     str(self.state), "--seed", str(self.day.seed * 1000 + self.number * 100 + self.lives)]
+        if self.day.sabotage:
+            arguments += ["--sabotage", self.day.sabotage]
+        self.child = Child(arguments, self.day.out / f"{self.name}.log")
+        if not await listens(self.port, START_WITHIN):
+            raise StartFailed(f"front {self.name} does not listen; see {self.day.out / (self.name + '.log')}")
+
+    def kill(self) -> None:
+        self.child.kill()
+        self.day.traffic.seen("front-down", front=self.name, life=self.life, how="killed")
+
+    async def end(self) -> None:
+        self.child.ask_to_end()
+        status = await self.child.ended()
+        self.day.traffic.seen("front-down", front=self.name, life=self.life,
+                              how="ended" if status == 0 else "killed", status=status)
+
+
+class Rehearsal:
+    """`progress(done, of)` is told seconds of the day."""
+
+    def __init__(self, script: Script, script_path: Path, out: Path, seed: int, sabotage: str | None,
+                 progress: Callable[[float, float], None]):
+        self.script, self.script_path, self.out = script, script_path, out
+        self.seed, self.sabotage, self.progress = seed, sabotage, progress
+        out.mkdir(parents=True, exist_ok=True)
+        for old in [*out.glob("*.jsonl"), *out.glob("*.log"), *out.glob("*/list.json"), out / "verdict.json"]:
+            old.unlink(missing_ok=True)
+        self.traffic = Traffic(out / "viewers.jsonl")
+        self.fronts: list[FrontProcess] = []
+        self.fleet: Child | None = None
+
+    async def run(self) -> dict:
+        """The verdict, which is written to the folder too. Raises `StartFailed`."""
+        try:
+            await self._day()
+        finally:
+            for child in [self.fleet, *(front.child for front in self.fronts)]:
+                if child is not None:
+                    child.kill()
+            self.traffic.close()
+        return self._judge()
+
+    async def _day(self) -> None:
+        ports = free_ports(len(self.script.site.doors), Random(os.getpid()))
+        list_port = await self._start_fleet()
+        self._write_site(ports, list_port)
+        self.fronts = [FrontProcess(self, number, port) for number, port in enumerate(ports)]
+        async with anyio.create_task_group() as tasks:
+            for front in self.fronts:
+                tasks.start_soon(front.start)
+        await anyio.sleep(SETTLE)
+        begins = time.monotonic() + 0.2
+        self.begins = begins
+        self.traffic.seen("day", begins=int(begins * NS), lasts=int(self.script.lasts * NS))
+        self.fleet.process.stdin.write(f"{begins}\n".encode())
+        self.fleet.process.stdin.flush()
+        viewers = Viewers(self.script.site, self.script, [("127.0.0.1", port) for port in ports], self.seed,
+                          self.traffic)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._tell_progress, begins)
+            async with anyio.create_task_group() as troubles:
+                for trouble in self.script.troubles:
+                    if trouble.kind in OF_FRONTS:
+                        troubles.start_soon(self._befall, trouble, begins)
+                with anyio.move_on_after(begins + self.script.lasts + RUN_OUT - time.monotonic()):
+                    await viewers.come(begins)
+            tasks.cancel_scope.cancel()
+        async with anyio.create_task_group() as tasks:
+            for front in self.fronts:
+                tasks.start_soon(front.end)
+        await anyio.sleep(0.3)
+        self.fleet.ask_to_end()
+        await self.fleet.ended()
+
+    async def _start_fleet(self) -> int:
+        self.fleet = Child(["standin", "fleet", str(self.script_path), "--traffic", str(self.out / "servers.jsonl"),
+                            "--seed", str(self.seed)], self.out / "fleet.log", talks=True)
+        with anyio.move_on_after(START_WITHIN):
+            line = await anyio.to_thread.run_sync(self.fleet.process.stdout.readline, abandon_on_cancel=True)
+            if line.strip():
+                return int(json.loads(line)["list"])
+        raise StartFailed(f"the stand-in servers did not start; see {self.out / 'fleet.log'}")
+
+    def _write_site(self, ports: list[int], list_port: int) -> None:
+        """The site as its fronts get it: with the ports of this run."""
+        tree = etree.parse(str(self.script.site_path))
+        for front, port in zip(tree.iterfind("fronts/front"), ports):
+            front.set("listen", f"127.0.0.1:{port}")
+        tree.find("list").set("address", f"127.0.0.1:{list_port}")
+        tree.write(str(self.out / "site.xml"), encoding="utf-8", xml_declaration=True)
+
+    async def _tell_progress(self, begins: float) -> None:
+        whole = self.script.lasts + RUN_OUT
+        while True:
+            self.progress(max(0.0, min(whole, time.monotonic() - begins)), whole)
+            await anyio.sleep(0.5)
+
+    # ---- what befalls fronts
+
+    async def _befall(self, trouble: Trouble, begins: float) -> None:
+        await anyio.sleep(max(0.0, begins + trouble.at - time.monotonic()))
+        chance = Random(f"{self.seed} {trouble.kind} {trouble.at}")
+        count = max(1, round(trouble.part * len(self.fronts)))
+        struck = chance.sample(self.fronts, count)
+        self.traffic.seen("trouble", kind=trouble.kind, lasts=trouble.lasts, fronts=[front.name for front in struck])
+        if trouble.kind == "front-crash":
+            for front in struck:
+                front.kill()
+            await anyio.sleep(trouble.lasts)
+            async with anyio.create_task_group() as tasks:
+                for front in struck:
+                    tasks.start_soon(front.start)
+        else:
+            for front in struck:
+                next_at = time.monotonic() + trouble.lasts / count
+                await front.end()
+                await front.start()
+                await anyio.sleep(max(0.0, next_at - time.monotonic()))
+
+    # ---- the verdict
+
+    def _judge(self) -> dict:
+        events = read_traffic(self.out / "viewers.jsonl") + read_traffic(self.out / "servers.jsonl")
+        events.sort(key=lambda event: event["at"])
+        with open(self.out / "traffic.jsonl", "w") as whole:
+            for event in events:
+                whole.write(json.dumps(event) + "\n")
+        verdict = judge(events, figures_of(self.script.site))
+        verdict["seed"], verdict["sabotage"] = self.seed, self.sabotage
+        (self.out / "verdict.json").write_text(json.dumps(verdict, indent=1) + "\n")
+        return verdict
--- /dev/null
+++ b/curlewshift/rehearsal/table.py
@@ -0,0 +1,25 @@
+"""The verdict as tables for people."""
+
+from __future__ import annotations
+
+from rich.table import Table
+
+RULES = {"1": "each request answered once, in time", "2": "no set-up twice", "3": "drains kept",
+         "4": "cold servers spared", "5": "floors and seats kept", "6": "further tune-ins within budget"}
+
+
+def verdict_tables(verdict: dict) -> list[Table]:
+    counts = Table(title="requests")
+    names = ("requests", "answers", "duplicates", "unanswered", "late", "service")
+    for name in names:
+        counts.add_column(name, justify="right")
+    counts.add_row(*(str(verdict[name]) for name in names))
+    rules = Table(title="rules, from the sockets of stand-ins and viewers")
+    for name in ("rule", "", "applied", "broken", "verdict"):
+        rules.add_column(name)
+    for number, rule in verdict["rules"].items():
+        word = "not tried" if not rule["tried"] else "BROKEN" if rule["broken"] else "kept"
+        rules.add_row(number, RULES[number], str(rule["applied"]), str(rule["broken"]), word)
+        for example in rule["examples"]:
+            rules.add_row("", f"  {example}", "", "", "")
+    return [counts, rules]
--- /dev/null
+++ b/curlewshift/signalling/sdp.py
@@ -0,0 +1,151 @@
+"""Session descriptions (RFC 8866) as offered and answered over WHEP (draft-ietf-wish-whep, RFC 3264, RFC 8829).
+
+Used by the door, which refuses a bad offer before it costs anything, and by the stand-ins.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from dataclasses import dataclass, field
+
+# Longer descriptions are no browser's; nothing is read past this.
+MOST_BYTES = 64 * 1024
+FINGERPRINT = re.compile(r"[a-z0-9-]+ ([0-9A-F]{2}:)+[0-9A-F]{2}", re.IGNORECASE)
+ICE_CHARS = re.compile(r"[A-Za-z0-9+/]+")
+
+
+class BadDescription(Exception):
+    """What is wrong with a description, with the line it was seen on (0: the whole)."""
+
+    def __init__(self, line: int, wrong: str):
+        super().__init__(f"line {line}: {wrong}" if line else wrong)
+
+
+@dataclass(slots=True)
+class Media:
+    kind: str
+    port: int
+    line: int
+    attributes: dict[str, list[str]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Description:
+    attributes: dict[str, list[str]]
+    media: list[Media]
+
+    def first(self, name: str, media: Media) -> str | None:
+        """An attribute of this media section, or of the session where the section has none (RFC 8866, 5.13)."""
+        values = media.attributes.get(name) or self.attributes.get(name)
+        return values[0] if values else None
+
+
+def parse(text: str) -> Description:
+    """The session and media level attributes, in order. Raises `BadDescription`."""
+    if len(text) > MOST_BYTES:
+        raise BadDescription(0, f"the description is longer than {MOST_BYTES} characters")
+    lines = text.split("\n")
+    session: dict[str, list[str]] = {}
+    media: list[Media] = []
+    seen = ""
+    for number, raw in enumerate(lines, 1):
+        line = raw.rstrip("\r")
+        if not line:
+            if any(rest.strip() for rest in lines[number:]):
+                raise BadDescription(number, "an empty line inside the description")
+            break
+        kind, equals, value = line[0], line[1:2], line[2:]
+        if equals != "=" or not kind.islower():
+            raise BadDescription(number, f"expected letter=value, got {line[:40]!r}")
+        if number == 1 and line != "v=0":
+            raise BadDescription(1, f"expected 'v=0', got {line[:40]!r}")
+        seen += kind if not media else ""
+        if kind == "m":
+            media.append(_media(number, value))
+        elif kind == "a":
+            name, _, rest = value.partition(":")
+            owner = media[-1].attributes if media else session
+            owner.setdefault(name, []).append(rest)
+    for kind, name in (("o", "origin"), ("s", "session name"), ("t", "time")):
+        if kind not in seen:
+            raise BadDescription(0, f"the {name} line ({kind}=) is missing")
+    return Description(session, media)
+
+
+def _media(number: int, value: str) -> Media:
+    parts = value.split()
+    if len(parts) < 4:
+        raise BadDescription(number, "expected 'm=kind port protocol formats'")
+    port = parts[1].partition("/")[0]
+    if not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise BadDescription(number, f"{parts[1]!r} is no port")
+    if parts[2] not in ("UDP/TLS/RTP/SAVPF", "UDP/TLS/RTP/SAVP"):
+        raise BadDescription(number, f"expected UDP/TLS/RTP/SAVPF, got {parts[2]!r}")
+    return Media(parts[0], int(port), number)
+
+
+def checked_offer(text: str) -> Description:
+    """An offer to receive, as WHEP demands it of a player. Raises `BadDescription`."""
+    offer = parse(text)
+    if not offer.media:
+        raise BadDescription(0, "the offer has no media section (m=)")
+    for media in offer.media:
+        for name in ("ice-ufrag", "ice-pwd", "fingerprint", "setup"):
+            if offer.first(name, media) is None:
+                raise BadDescription(media.line, f"this media section has no a={name}")
+        ufrag, pwd = offer.first("ice-ufrag", media), offer.first("ice-pwd", media)
+        if not 4 <= len(ufrag) <= 256 or not ICE_CHARS.fullmatch(ufrag):
+            raise BadDescription(media.line, "a=ice-ufrag is not 4 to 256 ICE characters (RFC 8839, 5.4)")
+        if not 22 <= len(pwd) <= 256 or not ICE_CHARS.fullmatch(pwd):
+            raise BadDescription(media.line, "a=ice-pwd is not 22 to 256 ICE characters (RFC 8839, 5.4)")
+        if not FINGERPRINT.fullmatch(offer.first("fingerprint", media)):
+            raise BadDescription(media.line, "a=fingerprint is not 'hash XX:XX:...' (RFC 8122, 5)")
+        if offer.first("setup", media) not in ("actpass", "active", "passive"):
+            raise BadDescription(media.line, "a=setup is not actpass, active or passive")
+        if "rtcp-mux" not in media.attributes:
+            raise BadDescription(media.line, "this media section has no a=rtcp-mux (RFC 8834, 4.5)")
+        if not {"recvonly", "sendrecv"} & media.attributes.keys():
+            raise BadDescription(media.line, "a player's offer has to be recvonly or sendrecv here")
+    return offer
+
+
+def identity(offer: Description) -> str:
+    """The same for the same offer sent again: its ICE credentials and fingerprint, hashed."""
+    media = offer.media[0]
+    parts = [offer.first(name, media) or "" for name in ("ice-ufrag", "ice-pwd", "fingerprint")]
+    return hashlib.blake2b("\n".join(parts).encode(), digest_size=16).hexdigest()
+
+
+def offer_text(ufrag: str, pwd: str, fingerprint: str) -> str:
+    """A player's offer of one video section."""
+    return _text([
+        "v=0", f"o=- {int.from_bytes(ufrag.encode()[:6], 'big')} 1 IN IP4 127.0.0.1", "s=-", "t=0 0",
+        "a=group:BUNDLE 0", "m=video 9 UDP/TLS/RTP/SAVPF 96", "c=IN IP4 0.0.0.0", "a=mid:0", "a=recvonly",
+        f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}", f"a=fingerprint:{fingerprint}", "a=setup:actpass", "a=rtcp-mux",
+        "a=rtpmap:96 VP8/90000"])
+
+
+def answer_text(offer: Description, ufrag: str, pwd: str, fingerprint: str, host: str, port: int) -> str:
+    """A server's answer to every section of the offer, with the one host candidate where the media is to be had."""
+    lines = ["v=0", "o=- 1 1 IN IP4 127.0.0.1", "s=-", "t=0 0"]
+    lines += [f"a=group:{group}" for group in offer.attributes.get("group", [])]
+    for media in offer.media:
+        lines += [f"m={media.kind} 9 UDP/TLS/RTP/SAVPF 96", "c=IN IP4 0.0.0.0"]
+        lines += [f"a=mid:{mid}" for mid in media.attributes.get("mid", [])]
+        lines += ["a=sendonly", f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}", f"a=fingerprint:{fingerprint}",
+                  "a=setup:passive", "a=rtcp-mux", f"a=candidate:1 1 tcp 2105458943 {host} {port} typ host tcptype passive"]
+    return _text(lines)
+
+
+def candidate_of(answer: Description) -> tuple[str, int]:
+    """Host and port of the first candidate. Raises `BadDescription`."""
+    value = answer.first("candidate", answer.media[0]) if answer.media else None
+    parts = (value or "").split()
+    if len(parts) < 6 or not parts[5].isdigit():
+        raise BadDescription(0, "the answer has no candidate")
+    return parts[4], int(parts[5])
+
+
+def _text(lines: list[str]) -> str:
+    return "\r\n".join(lines) + "\r\n"
--- /dev/null
+++ b/curlewshift/site/site.py
@@ -0,0 +1,162 @@
+"""One site's settings as objects, and the terms that a front's rules get from them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from curlewshift.model import Package, Terms
+from curlewshift.site.reading import Mistakes, rate, read_xml, span
+
+SCHEMA = Path(__file__).with_name("site.xsd")
+
+
+@dataclass(slots=True)
+class Door:
+    name: str
+    host: str
+    port: int
+
+
+@dataclass(slots=True)
+class Machine:
+    """A media server that the site owns. Which of them run is the list's to tell."""
+
+    shelf: str
+    host: str
+    port: int
+    rack: str
+    zone: str
+    link: float
+    streams: int
+    cores: int
+
+
+@dataclass(slots=True)
+class Duties:
+    """The figures of the six rules and what else the deployment states (times in ns)."""
+
+    way_back: int
+    longest_wait: int
+    most_tune_ins: int
+    grace: int
+    warm_within: int
+    start_capacity: float
+    fall_multiple: float
+    fall_within: int
+    free_further: int | None
+    further_share: float
+    look_back: int
+    told_late: int
+    told_every: int
+    probes: bool
+    uplinks: bool
+
+
+@dataclass(slots=True)
+class Site:
+    name: str
+    doors: list[Door]
+    list_at: tuple[str, int]
+    packages: list[Package]
+    uplinks: dict[str, float]
+    machines: list[Machine]
+    titles: dict[str, tuple[str, ...]]
+    duties: Duties
+    most_waiting: int
+    most_connections: int
+
+    def door(self, name: str) -> int:
+        """The number of the front of that name. Raises `KeyError`."""
+        for number, door in enumerate(self.doors):
+            if door.name == name:
+                return number
+        raise KeyError(name)
+
+    def terms(self, now: int, seed: int, me: int) -> Terms:
+        duties = self.duties
+        return Terms(
+            now=now, seed=seed, me=me, fronts=len(self.doors), packages=self.packages, racks_told=duties.uplinks,
+            told_late=duties.told_late, max_tune_ins=duties.most_tune_ins, probes=duties.probes,
+            longest_wait=duties.longest_wait, warm_within=duties.warm_within,
+            start_capacity=duties.start_capacity, fall_multiple=duties.fall_multiple,
+            fall_within=duties.fall_within, free_further=duties.free_further,
+            further_share=duties.further_share, look_back=duties.look_back)
+
+
+def host_port(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def read_site(path: Path | str) -> Site:
+    """Raises `Mistakes` with all that is wrong."""
+    root = read_xml(path, SCHEMA)
+    wrong: list[tuple[int, str]] = []
+    ladder = [rate(rung.get("rate")) for rung in root.iterfind("ladder/rung")]
+    for rung, lower, higher in zip(root.findall("ladder/rung")[1:], ladder, ladder[1:]):
+        if higher <= lower:
+            wrong.append((rung.sourceline, f"rung: rates have to rise, {higher:g} kB/s follows {lower:g} kB/s"))
+    packages = [_package(element, ladder, wrong) for element in root.iterfind("packages/package")]
+    machines = [
+        Machine(element.get("shelf"), *host_port(element.get("listen")), rack.get("name"), rack.get("zone", ""),
+                rate(element.get("link")), int(element.get("streams")), int(element.get("cores", "2")))
+        for rack in root.iterfind("racks/rack") for element in rack.iterfind("server")]
+    shelves, titles = {machine.shelf for machine in machines}, {}
+    for element in root.iterfind("catalogue/title"):
+        named = tuple(element.get("shelves").split())
+        for shelf in named:
+            if shelf not in shelves:
+                wrong.append((element.sourceline, f"title: no server has the shelf {shelf!r}"))
+        titles[element.get("name")] = named
+    for element in root.iter("front", "server", "list"):
+        _, port = host_port(element.get("listen") or element.get("address"))
+        if not 0 < port < 65536:
+            wrong.append((element.sourceline, f"{element.tag}: port {port} is not from 1 to 65535"))
+    duties = _duties(root.find("obligations"), wrong)
+    if wrong:
+        raise Mistakes(path, wrong)
+    fronts = root.find("fronts")
+    return Site(
+        name=root.get("name"), list_at=host_port(root.find("list").get("address")),
+        doors=[Door(front.get("name"), *host_port(front.get("listen"))) for front in fronts],
+        packages=packages, machines=machines, titles=titles, duties=duties,
+        uplinks={rack.get("name"): rate(rack.get("uplink")) for rack in root.iterfind("racks/rack")},
+        most_waiting=int(fronts.get("most-waiting", "2000")),
+        most_connections=int(fronts.get("most-connections-to-a-server", "64")))
+
+
+def _package(element, ladder: list[float], wrong: list[tuple[int, str]]) -> Package:
+    highest = len(ladder) - 1
+    floor, top = int(element.get("floor", "0")), int(element.get("top", str(highest)))
+    name, line = element.get("name"), element.sourceline
+    if top > highest:
+        wrong.append((line, f"package {name}: top is rung {top}, the ladder ends with rung {highest}"))
+    if floor > min(top, highest):
+        wrong.append((line, f"package {name}: floor is rung {floor}, above its top {min(top, highest)}"))
+    target, patience = span(element.get("join-target")), span(element.get("patience"))
+    if patience < target:
+        wrong.append((line, f"package {name}: patience is shorter than the join target"))
+    scale = float(element.get("scale", "1"))
+    return Package(name=name, value=float(element.get("value")), join_target=target, patience=patience,
+                   paid_at_setup=element.get("paid-at-setup") in ("true", "1"),
+                   rates=tuple(rung * scale for rung in ladder), floor=floor, top=top,
+                   seats=int(element.get("seats", "0")))
+
+
+def _duties(element, wrong: list[tuple[int, str]]) -> Duties:
+    answers, drains, cold, news = (element.find(name) for name in ("answers", "drains", "cold-servers", "news"))
+    further = element.find("further-tune-ins")
+    duties = Duties(
+        way_back=span(answers.get("way-back")), longest_wait=span(answers.get("longest-wait")),
+        most_tune_ins=int(answers.get("most-tune-ins")), grace=span(drains.get("grace")),
+        warm_within=span(cold.get("warm-within")), start_capacity=float(cold.get("start-capacity")),
+        fall_multiple=float(cold.get("fall-multiple")), fall_within=span(cold.get("fall-within")),
+        free_further=int(further.get("free")) if further is not None else None,
+        further_share=float(further.get("share")) if further is not None else 0.0,
+        look_back=span(further.get("within")) if further is not None else 0,
+        told_late=span(news.get("told-late")), told_every=span(news.get("told-every")),
+        probes=news.get("probes") in ("true", "1"), uplinks=news.get("uplinks") in ("true", "1"))
+    if duties.warm_within and not duties.start_capacity:
+        wrong.append((cold.sourceline, "cold-servers: a start-capacity of 0 would never let a server be tried"))
+    return duties
--- /dev/null
+++ b/curlewshift/standins/script.py
@@ -0,0 +1,97 @@
+"""A rehearsal's script: who comes, and what goes wrong when, to which part, and how much."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from curlewshift.site.reading import Mistakes, read_xml, span
+from curlewshift.site.site import Site, read_site
+
+SCHEMA = Path(__file__).with_name("script.xsd")
+NS = 1_000_000_000
+# What a trouble is where the script does not say: lasts (s), part of the servers or fronts, size.
+USUAL = {
+    "burst": (6, 1.0, 2.0), "crowd": (6, 1.0, 1.0), "crash": (5, 0.2, 1.0), "vanish": (6, 0.2, 1.0),
+    "hang": (4, 0.2, 1.0), "slow": (6, 0.25, 3.0), "neighbour": (8, 0.4, 0.5), "fast-errors": (4, 0.2, 1.0),
+    "answer-lost": (4, 0.2, 1.0), "deploy": (15, 0.6, 1.0), "preempt": (5, 0.2, 1.0), "front-crash": (2, 0.34, 1.0),
+    "front-roll": (9, 1.0, 1.0), "cold-restart": (1, 0.2, 1.0), "list-stuck": (5, 1.0, 1.0), "notes-late": (6, 1.0, 3.0),
+}
+OF_FRONTS = ("front-crash", "front-roll")
+OF_VIEWERS = ("burst", "crowd")
+# A longer day or more viewers than this a second is not for one machine.
+LONGEST_DAY = 600 * NS
+MOST_EACH_SECOND = 200.0
+
+
+@dataclass(slots=True)
+class Trouble:
+    """Times are seconds from the start of the day."""
+
+    kind: str
+    at: float
+    lasts: float
+    part: float
+    size: float
+
+
+@dataclass(slots=True)
+class Wish:
+    package: str
+    share: float
+    watches: float
+
+
+@dataclass(slots=True)
+class Script:
+    site_path: Path
+    site: Site
+    lasts: float
+    seed: int
+    each_second: float
+    come_again: float
+    hang_up: float
+    wishes: list[Wish]
+    troubles: list[Trouble]
+
+
+def usual(kind: str, at: float) -> Trouble:
+    return Trouble(kind, at, *USUAL[kind])
+
+
+def read_script(path: Path | str) -> Script:
+    """Raises `Mistakes`, of this file or of the site that it names."""
+    root = read_xml(path, SCHEMA)
+    wrong: list[tuple[int, str]] = []
+    site_path = Path(path).parent / root.get("site")
+    site = read_site(site_path)
+    viewers = root.find("viewers")
+    known = {package.name for package in site.packages}
+    wishes = []
+    for wish in viewers.iterfind("wants"):
+        if wish.get("package") not in known:
+            wrong.append((wish.sourceline, f"wants: {site_path.name} has no package {wish.get('package')!r}"))
+        wishes.append(Wish(wish.get("package"), float(wish.get("share")), span(wish.get("watches")) / NS))
+    if sum(wish.share for wish in wishes) <= 0:
+        wrong.append((viewers.sourceline, "viewers: the shares of what is wanted come to nothing"))
+    lasts = span(root.get("lasts"))
+    if lasts > LONGEST_DAY:
+        wrong.append((root.sourceline, f"rehearsal: a day lasts {LONGEST_DAY // NS} s at most"))
+    each_second = float(viewers.get("each-second"))
+    if each_second > MOST_EACH_SECOND:
+        wrong.append((viewers.sourceline, f"viewers: {MOST_EACH_SECOND:g} come each second at most"))
+    troubles = []
+    for element in root.iterfind("trouble"):
+        trouble = usual(element.get("kind"), span(element.get("at")) / NS)
+        trouble.lasts = span(element.get("lasts")) / NS if element.get("lasts") else trouble.lasts
+        trouble.part = float(element.get("part", trouble.part))
+        trouble.size = float(element.get("size", trouble.size))
+        if trouble.at * NS >= lasts:
+            wrong.append((element.sourceline, f"trouble {trouble.kind}: begins after the day has ended"))
+        if trouble.kind == "neighbour" and trouble.size >= 1:
+            wrong.append((element.sourceline, "trouble neighbour: size is the part of the link taken, under 1"))
+        troubles.append(trouble)
+    if wrong:
+        raise Mistakes(path, wrong)
+    return Script(site_path, site, lasts / NS, int(root.get("seed", "1")), each_second,
+                  float(viewers.get("come-again")), float(viewers.get("hang-up-and-retry", "0")), wishes, troubles)
--- /dev/null
+++ b/curlewshift/standins/server.py
@@ -0,0 +1,407 @@
+"""A media server's stand-in: WHEP on a loopback socket, a link that is shared, and all the ways to go wrong.
+
+It speaks what curlewshift/front/reach.py asks of a server: POST /whep/PACKAGE/TITLE?layer=N, POST /session/ID/layer,
+DELETE /session/ID, GET /notes, GET /load, and GET /media/UFRAG for viewers, which stands for the media itself: a line
+every half second with the rung in force and the share delivered. A session that nobody watches ends by itself.
+"""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+
+from curlewshift.exchange.server import Exchange, Line, PeerGone
+from curlewshift.signalling.bodies import TURNED_AWAY, BadBody, LayerChoice, Note, decode, encode
+from curlewshift.signalling.events import CONTENT_TYPE, KEEP_ALIVE, Event, encode_event
+from curlewshift.signalling.loads import HEADER, encode_load
+from curlewshift.signalling.sdp import BadDescription, answer_text, checked_offer
+from curlewshift.site.site import Duties, Machine
+from curlewshift.standins.physics import LinkModel, warmth
+from curlewshift.standins.traffic import Traffic
+
+NS = 1_000_000_000
+MS = 1_000_000
+SDP = "application/sdp"
+FINGERPRINT = "sha-256 " + ":".join(["5A"] * 32)
+# The work of one set-up on one core (s), and set-ups that may wait for a core.
+SETUP_WORK = 0.03
+MOST_QUEUED = 40
+# A session without a watcher for so long is over, and so are those of a front that is not heard of (s).
+WATCHED_WITHIN = 3.0
+FRONT_WITHIN = 2.0
+MEDIA_EVERY = 0.5
+# Load reports are renewed so often (s), and are off by so much.
+REPORT_EVERY = 0.3
+NOISE = 0.02
+# Notes go to fronts at the same moments, so that they hear together (s).
+SHORT_EVERY = 1.0
+HISTORY = 200
+SHORT_UNDER = 0.98
+
+
+@dataclass(eq=False, slots=True)
+class Session:
+    name: str
+    # what the media is asked for by
+    ufrag: str
+    front: str
+    request: str
+    package: str
+    title: str
+    rung: int
+    rate: float
+    # its true rate over that of the ladder
+    truth: float
+    watchers: int = 0
+    unwatched_since: int = field(default_factory=time.monotonic_ns)
+
+
+@dataclass(eq=False, slots=True)
+class Listener:
+    """A front that follows the notes. `ended` are the notes it has not been sent yet."""
+
+    front: str
+    ended: deque = field(default_factory=deque)
+    news: anyio.Event = field(default_factory=anyio.Event)
+    open: bool = True
+    closed_at: int = 0
+    was_short: bool = False
+
+
+class MediaServer:
+    """One life of one machine. `born` is nanoseconds of the monotonic clock, long ago for a warm one."""
+
+    def __init__(self, machine: Machine, name: str, link: LinkModel, ladder: dict[str, tuple[float, ...]],
+                 duties: Duties, born: int, chance: Random, traffic: Traffic):
+        self.machine, self.name, self.link, self.ladder = machine, name, link, ladder
+        self.duties, self.born, self.chance, self.traffic = duties, born, chance, traffic
+        self.boot = f"{chance.getrandbits(32):08x}"
+        self.sessions: dict[str, Session] = {}
+        self.media: dict[str, Session] = {}
+        self.listeners: dict[str, Listener] = {}
+        self.lines: set[Line] = set()
+        self.cores = anyio.CapacityLimiter(machine.cores)
+        self.queued = 0
+        self.arrivals: deque[int] = deque()
+        self.report = {"link": 0.0, "uplink": 0.0}
+        self.history: deque[tuple[int, float, float, float]] = deque(maxlen=HISTORY)
+        self.draining = False
+        self.fails_fast = False
+        self.loses_answers = ""
+        self.notes_late = 0.0
+        self.thaw = anyio.Event()
+        self.thaw.set()
+        self.fallen = anyio.Event()
+        self.scope = anyio.CancelScope()
+
+    # ---- its life
+
+    async def run(self, listener, ready=None) -> None:
+        """Serves until it dies or falls over."""
+        self.traffic.seen("boot", server=self.name, boot=self.boot, streams=self.machine.streams, born=self.born)
+        with self.scope:
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(self._live)
+                tasks.start_soon(self._fall, tasks)
+                if ready is not None:
+                    ready()
+                await listener.serve(self._connection)
+        for line in list(self.lines):
+            line.reset()
+        self.link.asked = 0.0
+        self.traffic.seen("dead", server=self.name, boot=self.boot, playing=len(self.sessions))
+
+    def die(self) -> None:
+        """At once, with a reset to everyone."""
+        for line in list(self.lines):
+            line.reset()
+        self.scope.cancel()
+
+    def freeze(self) -> None:
+        """Accepts and never answers: its sockets stay, and nothing comes out of them."""
+        self.thaw = anyio.Event()
+
+    def unfreeze(self) -> None:
+        self.thaw.set()
+
+    async def _fall(self, tasks) -> None:
+        await self.fallen.wait()
+        self.traffic.seen("fell-over", server=self.name, boot=self.boot)
+        self.die()
+
+    async def _connection(self, stream) -> None:
+        line = Line(stream, self._serve)
+        self.lines.add(line)
+        try:
+            await line.run()
+        except (PeerGone, AssertionError):
+            pass
+        finally:
+            self.lines.discard(line)
+
+    async def _live(self) -> None:
+        """What happens by itself: reports, what is short, sessions that nobody watches, fronts that are gone."""
+        last_report = 0.0
+        while True:
+            now = time.monotonic_ns()
+            self._reckon()
+            self.history.append((now, self.link.use(), self.link.uplink.asked() / self.link.uplink.size,
+                                 self.link.share()))
+            if now / NS - last_report >= REPORT_EVERY:
+                last_report = now / NS
+                noise = self.chance.uniform(1 - NOISE, 1 + NOISE)
+                self.report = {"link": self.link.use() * noise,
+                               "uplink": self.link.uplink.asked() / self.link.uplink.size * noise}
+            if self.thaw.is_set():
+                for session in list(self.sessions.values()):
+                    listener = self.listeners.get(session.front)
+                    if not session.watchers and now - session.unwatched_since > WATCHED_WITHIN * NS:
+                        self._end(session, "nobody watches")
+                    elif listener is None or not listener.open and now - listener.closed_at > FRONT_WITHIN * NS:
+                        self._end(session, "its front is gone")
+            await anyio.sleep(0.1)
+
+    def _reckon(self) -> None:
+        self.link.asked = sum(session.rate * session.truth for session in self.sessions.values())
+
+    # ---- requests
+
+    async def _serve(self, exchange: Exchange) -> None:
+        parts = exchange.path.strip("/").split("/")
+        if parts[0] == "whep" and len(parts) == 3 and exchange.method == "POST":
+            await self._setup(exchange, *parts[1:])
+            return
+        await self.thaw.wait()
+        if parts[0] == "notes" and exchange.method == "GET":
+            await self._notes(exchange)
+        elif parts[0] == "media" and len(parts) == 2 and exchange.method == "GET":
+            await self._media(exchange, parts[1])
+        elif parts[0] == "session" and len(parts) == 2 and exchange.method == "DELETE":
+            session = self.sessions.get(parts[1])
+            if session is not None:
+                self._end(session, "deleted", tell=False)
+            await exchange.answer(200 if session else 404)
+        elif parts[0] == "session" and len(parts) == 3 and exchange.method == "POST":
+            await self._layer(exchange, parts[1])
+        elif parts[0] == "load" and exchange.method == "GET":
+            await exchange.answer(204, [(HEADER, encode_load(self.report))])
+        else:
+            await exchange.problem(404, "there is nothing at this path")
+
+    async def _setup(self, exchange: Exchange, package: str, title: str) -> None:
+        headers = exchange.headers
+        facts = dict(server=self.name, boot=self.boot, front=headers.get("x-front", ""),
+                     request=headers.get("x-request-id", ""), number=int(headers.get("x-tune-in", "0")))
+        layer = int(exchange.query.get("layer", "0"))
+        self.traffic.seen("setup", package=package, title=title, rung=layer, **facts)
+        closed = False
+
+        def over(how: str) -> None:
+            nonlocal closed
+            if not closed:
+                closed = True
+                self.traffic.seen("setup-over", how=how, **facts)
+        exchange.on_hang_up(lambda: over("gone"))
+        try:
+            await self._set_up(exchange, package, title, layer, facts, over)
+        finally:
+            over("dropped")
+
+    async def _set_up(self, exchange, package, title, layer, facts, over) -> None:
+        self._count_arrival()
+        await self.thaw.wait()
+        if exchange.line.gone:
+            raise PeerGone
+        rates = self.ladder.get(package)
+        try:
+            offer = checked_offer(exchange.body.decode("utf-8", "replace"))
+            if rates is None or not 0 <= layer < len(rates):
+                raise BadDescription(0, "no such package or layer")
+        except BadDescription as wrong:
+            over("bad")
+            await exchange.problem(400, str(wrong))
+            return
+        if self.draining or len(self.sessions) + self.queued >= self.machine.streams or self.queued >= MOST_QUEUED:
+            over("turned-away")
+            await exchange.problem(503, "it drains" if self.draining else "it is full", TURNED_AWAY,
+                                   [(HEADER, encode_load(self.report))])
+            return
+        if self.fails_fast:
+            over("error")
+            await exchange.problem(500, "the set-up failed")
+            return
+        self.queued += 1
+        try:
+            async with self.cores:
+                self.traffic.seen("ran", **facts)
+                await anyio.sleep(SETUP_WORK / self._warmth())
+        finally:
+            self.queued -= 1
+        await self.thaw.wait()
+        if self.loses_answers:
+            await self._lose(exchange)
+            return
+        if exchange.line.gone:
+            # whoever asked has gone: no media will ever flow
+            raise PeerGone
+        session = Session(secrets.token_hex(8), secrets.token_hex(4), facts["front"], facts["request"], package, title, layer, rates[layer],
+                          self.chance.uniform(0.88, 1.12))
+        self.sessions[session.name] = self.media[session.ufrag] = session
+        self._reckon()
+        self.traffic.seen("session", session=session.name, package=package, title=title, rung=layer, **facts)
+        over("answered")
+        answer = answer_text(offer, session.ufrag, secrets.token_hex(12), FINGERPRINT, self.machine.host,
+                             int(self.name.rpartition(":")[2]))
+        try:
+            await exchange.answer(201, [("content-type", SDP), ("location", f"/session/{session.name}"),
+                                        (HEADER, encode_load(self.report))], answer.encode())
+        except PeerGone:
+            self._end(session, "its answer was not taken", tell=False)
+            raise
+
+    async def _lose(self, exchange: Exchange) -> None:
+        """The work is done and the answer gets lost: by a reset, or by silence until the other side has enough."""
+        if self.loses_answers == "reset":
+            exchange.abort()
+            raise PeerGone
+        gone = anyio.Event()
+        exchange.on_hang_up(gone.set)
+        await gone.wait()
+        raise PeerGone
+
+    def _warmth(self) -> float:
+        return warmth(time.monotonic_ns() - self.born, self.duties.warm_within, self.duties.start_capacity)
+
+    def _count_arrival(self) -> None:
+        """A cold machine that is sent more than a multiple of its present pace within the window falls over."""
+        now = time.monotonic_ns()
+        self.arrivals.append(now)
+        while self.arrivals[0] <= now - self.duties.fall_within:
+            self.arrivals.popleft()
+        if now - self.born >= self.duties.warm_within:
+            return
+        pace = self.machine.streams / self.duties.warm_within * self._warmth()
+        if len(self.arrivals) > max(1.0, self.duties.fall_multiple * pace * self.duties.fall_within):
+            self.fallen.set()
+
+    async def _layer(self, exchange: Exchange, name: str) -> None:
+        session = self.sessions.get(name)
+        try:
+            rung = int(decode(exchange.body, LayerChoice).encoding_id)
+        except (BadBody, ValueError) as wrong:
+            await exchange.problem(400, str(wrong))
+            return
+        if session is None or not 0 <= rung < len(self.ladder[session.package]):
+            await exchange.problem(404 if session is None else 400, "no such session or layer")
+            return
+        session.rung, session.rate = rung, self.ladder[session.package][rung]
+        self._reckon()
+        self.traffic.seen("layer", server=self.name, session=name, rung=rung, front=session.front,
+                          package=session.package)
+        await exchange.answer(204)
+
+    def _end(self, session: Session, why: str, tell: bool = True) -> None:
+        if self.sessions.pop(session.name, None) is None:
+            return
+        del self.media[session.ufrag]
+        self._reckon()
+        self.traffic.seen("session-end", server=self.name, session=session.name, why=why)
+        listener = self.listeners.get(session.front)
+        if tell and listener is not None:
+            listener.ended.append(Note(session=f"/session/{session.name}", why=why))
+            listener.news.set()
+
+    # ---- what viewers and fronts listen to
+
+    async def _media(self, exchange: Exchange, ufrag: str) -> None:
+        session = self.media.get(ufrag)
+        if session is None:
+            await exchange.problem(404, "no such session")
+            return
+        piece = await exchange.start(200, [("content-type", "application/jsonl")])
+        session.watchers += 1
+        try:
+            while session.name in self.sessions:
+                if self.thaw.is_set():
+                    await piece(b'{"rung":%d,"share":%.3f}\n' % (session.rung, self.link.share()))
+                await anyio.sleep(MEDIA_EVERY)
+                if exchange.line.gone:
+                    raise PeerGone
+            exchange.line.gone = True
+        finally:
+            session.watchers -= 1
+            session.unwatched_since = time.monotonic_ns()
+
+    async def _notes(self, exchange: Exchange) -> None:
+        front = exchange.query.get("front", "")
+        listener = self.listeners.get(front)
+        if listener is None or listener.open:
+            listener = self.listeners[front] = Listener(front)
+        listener.open = True
+        piece = await exchange.start(200, [("content-type", CONTENT_TYPE)])
+        self.traffic.seen("notes-open", server=self.name, boot=self.boot, front=front)
+        exchange.on_hang_up(listener.news.set)
+        try:
+            await piece(_event("hello", Note(boot=self.boot)))
+            await self._note_loop(exchange, listener, piece)
+        finally:
+            listener.open, listener.closed_at = False, time.monotonic_ns()
+            self.traffic.seen("notes-end", server=self.name, boot=self.boot, front=front)
+
+    async def _note_loop(self, exchange: Exchange, listener: Listener, piece) -> None:
+        next_short, next_load = _next(SHORT_EVERY), _next(self.duties.told_every / NS)
+        while True:
+            if exchange.line.gone:
+                raise PeerGone
+            await self.thaw.wait()
+            while listener.ended:
+                await piece(_event("ended", listener.ended.popleft()))
+            now = time.monotonic()
+            if now >= next_short:
+                next_short = _next(SHORT_EVERY)
+                await self._tell_short(listener, piece)
+            if now >= next_load:
+                next_load = _next(self.duties.told_every / NS)
+                if self._plays_for(listener):
+                    _, link, uplink, _ = self._then()
+                    await piece(_event("load", Note(link=link, uplink=uplink if self.duties.uplinks else None)))
+            listener.news = anyio.Event()
+            exchange.on_hang_up(listener.news.set)
+            with anyio.move_on_after(max(0.01, min(next_short, next_load) - time.monotonic())):
+                await listener.news.wait()
+
+    async def _tell_short(self, listener: Listener, piece) -> None:
+        share = self._then()[3]
+        short = share < SHORT_UNDER and self._plays_for(listener)
+        if short or listener.was_short:
+            listener.was_short = short
+            await piece(_event("delivered", Note(share=share)))
+        else:
+            await piece(KEEP_ALIVE)
+
+    def _plays_for(self, listener: Listener) -> bool:
+        return any(session.front == listener.front for session in self.sessions.values())
+
+    def _then(self) -> tuple[int, float, float, float]:
+        """How it was as long ago as notes are late."""
+        then = time.monotonic_ns() - self.duties.told_late - int(self.notes_late * NS)
+        held = self.history[0]
+        for entry in self.history:
+            if entry[0] > then:
+                break
+            held = entry
+        return held
+
+
+def _next(every: float) -> float:
+    """The next moment, on the clock that all share, that is a multiple of this."""
+    return (time.monotonic() // every + 1) * every
+
+
+def _event(kind: str, note: Note) -> bytes:
+    return encode_event(Event(kind, encode(note).decode()))
--- /dev/null
+++ b/curlewshift/standins/viewers.py
@@ -0,0 +1,192 @@
+"""Viewers: they arrive, ask a front, watch the media, leave early where it is short, and come again when turned away.
+
+What each sees on its own sockets goes into the traffic: every request, every answer to it, and every answer too many.
+"""
+
+from __future__ import annotations
+
+import secrets
+import time
+from random import Random
+
+import anyio
+import msgspec
+
+from curlewshift.exchange.client import Answered, Broken, Call, NeverSent, ask, connect
+from curlewshift.signalling.bodies import BadBody, Problem, decode
+from curlewshift.signalling.sdp import BadDescription, candidate_of, offer_text, parse
+from curlewshift.site.site import Site
+from curlewshift.standins.script import Script, Wish
+from curlewshift.standins.traffic import Traffic
+
+NS = 1_000_000_000
+SDP = "application/sdp"
+FINGERPRINT = "sha-256 " + ":".join(["A5"] * 32)
+# A viewer whose share stays under this for so many lines of media leaves.
+TOO_LITTLE, FOR_LINES = 0.75, 4
+# Pauses before it comes again (s), unless it is told how long to wait.
+PAUSE = (0.5, 2.0)
+MOST_VISITS = 4
+# After an answer the connection is watched for another one for so long (s).
+LISTENS_ON = 0.4
+# Viewers who hang up on a slow answer do so after this (s), and ask again with the same key.
+HANGS_UP_AFTER = 0.25
+MEDIA_WITHIN = 2.0
+
+
+class Viewers:
+    """`doors` are host and port of each front, in the site's order."""
+
+    def __init__(self, site: Site, script: Script, doors: list[tuple[str, int]], seed: int, traffic: Traffic):
+        self.site, self.script, self.doors, self.traffic = site, script, doors, traffic
+        self.chance = Random(seed)
+        self.packages = {package.name: package for package in site.packages}
+        self.titles = list(site.titles)
+        self.names = 0
+        self.watching = 0
+
+    async def come(self, begins: float) -> None:
+        """All who arrive in the day; returns when the last has gone."""
+        async with anyio.create_task_group() as tasks:
+            at = begins
+            ends = begins + self.script.lasts
+            while True:
+                rate, title = self._pressure(at - begins)
+                at += self.chance.expovariate(rate)
+                if at >= ends:
+                    break
+                await anyio.sleep(max(0.0, at - time.monotonic()))
+                self.names += 1
+                tasks.start_soon(self._view, f"v{self.names}", Random(self.chance.random()), title, ends)
+
+    def _pressure(self, now: float) -> tuple[float, str | None]:
+        """Arrivals a second at this moment, and the title of a crowd if this one belongs to it."""
+        rate = crowd = self.script.each_second
+        extra = 0.0
+        for trouble in self.script.troubles:
+            if trouble.at <= now < trouble.at + trouble.lasts:
+                if trouble.kind == "burst":
+                    rate *= trouble.size
+                elif trouble.kind == "crowd":
+                    extra += crowd * trouble.size
+        wanted = self.titles[-1] if extra and self.chance.random() < extra / (rate + extra) else None
+        return rate + extra, wanted
+
+    async def _view(self, viewing: str, chance: Random, crowd: str | None, ends: float) -> None:
+        wish = chance.choices(self.script.wishes, [wish.share for wish in self.script.wishes])[0]
+        title = crowd or chance.choices(self.titles, [1 / rank for rank in range(1, len(self.titles) + 1)])[0]
+        package = self.packages[wish.package]
+        top = package.top if chance.random() < 0.75 else max(package.floor, package.top - 1)
+        left = chance.expovariate(1 / wish.watches)
+        self.traffic.seen("viewing", viewing=viewing, package=wish.package, title=title)
+        for visit in range(MOST_VISITS):
+            began = time.monotonic()
+            how, wait = await self._visit(f"{viewing}.{visit}", viewing, wish, title, top, left, chance)
+            left -= time.monotonic() - began if how == "broke" else 0
+            again = how in ("refused", "broke", "unreached") and left > 1 and chance.random() < self.script.come_again
+            if not again or time.monotonic() > ends:
+                return
+            await anyio.sleep(wait + chance.uniform(0, 0.5) if wait else chance.uniform(*PAUSE))
+
+    async def _visit(self, request: str, viewing: str, wish: Wish, title: str, top: int, lasts: float,
+                     chance: Random) -> tuple[str, float]:
+        """One request, and what comes of it: how it ended, and how long the viewer was told to stay away (s)."""
+        door = chance.randrange(len(self.doors))
+        ufrag, pwd = secrets.token_hex(4), secrets.token_hex(12)
+        offer = offer_text(ufrag, pwd, FINGERPRINT).encode()
+        key = f"{request}-{ufrag}"
+        if chance.random() < self.script.hang_up:
+            with anyio.move_on_after(HANGS_UP_AFTER):
+                await self._ask(request + "h", viewing, door, wish.package, title, top, key, offer, hangs_up=True)
+        answered = await self._ask(request, viewing, door, wish.package, title, top, key, offer)
+        if answered is None:
+            return "unreached", 0.0
+        if answered.status == 201:
+            return await self._watch(door, answered, lasts), 0.0
+        if answered.status == 503:
+            try:
+                return "refused", (decode(answered.body, Problem).retry_after_ms or 0) / 1000
+            except BadBody:
+                return "refused", 0.0
+        return "failed", 0.0
+
+    async def _ask(self, request, viewing, door, package, title, top, key, offer, hangs_up=False) -> Answered | None:
+        patience = self.packages[package].patience
+        facts = dict(request=request, viewing=viewing, front=self.site.doors[door].name)
+        call = None
+        try:
+            call = await connect(*self.doors[door], 1.0)
+            self.traffic.seen("ask", package=package, title=title, patience=patience, **facts)
+            with anyio.move_on_after(patience / NS) as waiting:
+                answered = await call.ask("POST", f"/whep/{package}/{title}?top={top}", [
+                    ("content-type", SDP), ("x-request-id", request), ("idempotency-key", key)], offer)
+            if waiting.cancelled_caught:
+                self.traffic.seen("gave-up", **facts)
+                return None
+            self.traffic.seen("answer", status=answered.status, **facts)
+            await self._listen_on(call, facts)
+            return answered
+        except NeverSent:
+            self.traffic.seen("unreached", **facts)
+        except Broken as wrong:
+            self.traffic.seen("broke", cause=str(wrong), **facts)
+        except anyio.get_cancelled_exc_class():
+            if hangs_up and call is not None and call.written:
+                self.traffic.seen("hung-up", **facts)
+            raise
+        finally:
+            if call is not None:
+                await call.close()
+        return None
+
+    async def _listen_on(self, call: Call, facts: dict) -> None:
+        with anyio.move_on_after(LISTENS_ON):
+            while data := await call.more():
+                if data.startswith(b"HTTP/1.1 "):
+                    self.traffic.seen("answer", status=int(data[9:12]), again=True, **facts)
+
+    async def _watch(self, door: int, answered: Answered, lasts: float) -> str:
+        self.watching += 1
+        try:
+            with anyio.move_on_after(max(0.1, lasts)):
+                if not await self._media(answered):
+                    return "broke"
+        finally:
+            self.watching -= 1
+        try:
+            await ask(*self.doors[door], "DELETE", answered.headers.get("location", "/"), within=2.0)
+        except (NeverSent, Broken, TimeoutError):
+            pass
+        return "watched"
+
+    async def _media(self, answered: Answered) -> bool:
+        """Reads the media as they come; false if they break, true if the viewer has had enough of too little."""
+        try:
+            answer = parse(answered.body.decode())
+            host, port = candidate_of(answer)
+            ufrag = answer.first("ice-ufrag", answer.media[0])
+            call = await connect(host, port, MEDIA_WITHIN)
+        except (BadDescription, NeverSent):
+            return False
+        short, rest = 0, b""
+        try:
+            with anyio.fail_after(MEDIA_WITHIN):
+                head = await call.begin("GET", f"/media/{ufrag}")
+            if head.status != 200:
+                return False
+            pieces = call.pieces()
+            while True:
+                with anyio.fail_after(MEDIA_WITHIN * 2):
+                    data = await anext(pieces, None)
+                if data is None:
+                    return False
+                *lines, rest = (rest + data).split(b"\n")
+                for line in lines:
+                    share = msgspec.json.decode(line)["share"]
+                    short = short + 1 if share < TOO_LITTLE else 0
+                if short >= FOR_LINES:
+                    return True
+        except (Broken, TimeoutError):
+            return False
+        finally:
+            await call.close()
