--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -98,18 +98,21 @@
         self.silent = False
 
     async def run(self) -> None:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._pump)
-            try:
-                while await self._serve_one():
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._pump)
+                try:
+                    while await self._serve_one():
+                        pass
+                except (PeerGone, TimeoutError):
                     pass
-            except (PeerGone, TimeoutError):
-                pass
-            finally:
-                tasks.cancel_scope.cancel()
-        self._is_gone()
-        with anyio.CancelScope(shield=True), anyio.move_on_after(1):
-            await self.stream.aclose()
+                finally:
+                    tasks.cancel_scope.cancel()
+        finally:
+            # also when cancelled: a socket left open would look to the peer like one that still serves it
+            self._is_gone()
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+                await self.stream.aclose()
 
     async def _pump(self) -> None:
         try:
