--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -255,12 +255,17 @@
         self.gone = True
 
 
-async def serve(listener, handler: Handler, on_fault: Callable[[Exception], None]) -> None:
-    """Serves until cancelled. `listener` is one TCP listener of anyio; `on_fault` hears of a handler that failed,
-    which costs its own connection and no other."""
+async def serve(listener, handler: Handler, on_fault: Callable[[Exception], None], tasks=None) -> None:
+    """Serves until cancelled, or until the listener is closed; connections had by then go on in `tasks`.
+
+    `on_fault` hears of a handler that failed, which costs its own connection and no other.
+    """
     async def one(stream: SocketStream) -> None:
         try:
             await Line(stream, handler).run()
         except Exception as fault:
             on_fault(fault)
-    await listener.serve(one)
+    try:
+        await listener.serve(one, task_group=tasks)
+    except anyio.ClosedResourceError:
+        pass
--- a/curlewshift/front/door.py
+++ b/curlewshift/front/door.py
@@ -39,6 +39,8 @@
         self.sessions: dict[str, Course] = {}
         self.tokens: dict[Course, str] = {}
         self.names = 0
+        # requests read and not yet answered
+        self.busy = 0
 
     # ---- the desk's side
 
@@ -62,6 +64,13 @@
     # ---- the viewers' side
 
     async def serve(self, exchange: Exchange) -> None:
+        self.busy += 1
+        try:
+            await self._serve(exchange)
+        finally:
+            self.busy -= 1
+
+    async def _serve(self, exchange: Exchange) -> None:
         try:
             parts = exchange.path.strip("/").split("/")
             if parts[0] == "whep" and len(parts) == 3:
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -39,7 +39,7 @@
         self.clock = Clock()
         self.name = life or f"{self.door_at.name}.{self.clock.now() // 1_000_000 % 10**9}"
         self.chance = Random(seed)
-        self.kept = KeptList(state / "list.json") if state else None
+        self.kept = KeptList(state / "list.json", log) if state else None
         self.door = Door(site.duties.way_back, log)
         self.wakes: list[int] = []
         self.woken = anyio.Event()
@@ -68,7 +68,10 @@
             tasks.start_soon(self._keep_time)
             tasks.start_soon(self._sweep)
             tasks.start_soon(self.lists.run)
-            tasks.start_soon(serve, listener.listeners[0], self.door.serve, self._door_fault)
+            if self.kept is not None:
+                tasks.start_soon(self.kept.run)
+            self.listener = listener.listeners[0]
+            tasks.start_soon(serve, self.listener, self.door.serve, self._door_fault, tasks)
             self.log.info("open", front=self.door_at.name, port=self.door_at.port)
             if ready is not None:
                 ready()
@@ -95,6 +98,12 @@
         with anyio.move_on_after(LAST_WORDS):
             while self.reach.endings:
                 await anyio.sleep(0.02)
+        # Closed before the process ends, which takes a while: who comes now is turned away by the machine at once
+        # and not reset later, and what was taken is still answered.
+        await self.listener.aclose()
+        with anyio.move_on_after(LAST_WORDS):
+            while self.door.busy:
+                await anyio.sleep(0.01)
         self.log.info("ended", cause="drained")
         self.tasks.cancel_scope.cancel()
 
--- a/curlewshift/standins/viewers.py
+++ b/curlewshift/standins/viewers.py
@@ -102,7 +102,7 @@
         if answered is None:
             return "unreached", 0.0
         if answered.status == 201:
-            return await self._watch(door, answered, lasts), 0.0
+            return await self._watch(request, door, answered, lasts), 0.0
         if answered.status == 503:
             try:
                 return "refused", (decode(answered.body, Problem).retry_after_ms or 0) / 1000
@@ -145,7 +145,7 @@
                 if data.startswith(b"HTTP/1.1 "):
                     self.traffic.seen("answer", status=int(data[9:12]), again=True, **facts)
 
-    async def _watch(self, door: int, answered: Answered, lasts: float) -> str:
+    async def _watch(self, request: str, door: int, answered: Answered, lasts: float) -> str:
         self.watching += 1
         try:
             with anyio.move_on_after(max(0.1, lasts)):
@@ -154,7 +154,10 @@
         finally:
             self.watching -= 1
         try:
-            await ask(*self.doors[door], "DELETE", answered.headers.get("location", "/"), within=2.0)
+            gone = await ask(*self.doors[door], "DELETE", answered.headers.get("location", "/"), within=2.0)
+            if gone.status == 200:
+                # one that hung up and asked again holds what the first of the two requests set up
+                self.traffic.seen("closed", requests=[request, request + "h"])
         except (NeverSent, Broken, TimeoutError):
             pass
         return "watched"
--- a/curlewshift/verdict/verdict.py
+++ b/curlewshift/verdict/verdict.py
@@ -282,6 +282,8 @@
     ended = {event["session"]: event["at"] for event in day.by_kind["session-end"]}
     died = {(event["server"], event["boot"]): event["at"] for event in day.by_kind["dead"]}
     sessions = {Day._tune_in(event): event for event in day.by_kind["session"]}
+    # what its viewer has ended is held by nobody, even if a server that hangs does not hear of it
+    closed = {request: event["at"] for event in day.by_kind["closed"] for request in event["requests"]}
     held: dict[tuple, list[tuple[int, int]]] = defaultdict(list)
     for setup in day.by_kind["setup"]:
         seats = day.figures.seats.get(setup["package"], 0)
@@ -293,7 +295,7 @@
         over = day.end_of(setup)
         end = over["at"] if over else setup["at"]
         if session is not None and over and over["how"] == "answered":
-            end = ended.get(session["session"], 2**63)
+            end = min(ended.get(session["session"], 2**63), closed.get(setup["request"], 2**63))
         end = min(end, died.get((setup["server"], setup["boot"]), 2**63), life.ended if life else 2**63)
         key = (setup["front"], setup["package"], setup["title"])
         # what ended at the server just before is known to its front a moment later, never the other way round
