--- a/curlewshift/desk/timers.py
+++ b/curlewshift/desk/timers.py
@@ -24,9 +24,11 @@
 
     def run(self, now: int) -> None:
         """Calls all that is due. What a call sets for `now` or earlier is called too, after what was due before."""
-        self.next_wake = None
+        # nothing that is set meanwhile needs a wake of its own
+        self.next_wake = -1
         while self.heap and self.heap[0][0] <= now:
             heapq.heappop(self.heap)[2]()
+        self.next_wake = None
         self._wake()
 
     def _wake(self) -> None:
--- a/curlewshift/exchange/client.py
+++ b/curlewshift/exchange/client.py
@@ -42,6 +42,8 @@
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
         # set before the first byte of a request goes out, as a cancelled write may have reached the peer
         self.written = False
+        # what was read along with the last answer has been handed on
+        self.trailed = False
 
     async def ask(self, method: str, target: str, headers: list[tuple[str, str]] = (), body: bytes = b"") -> Answered:
         """The whole answer. Raises `NeverSent`, `Broken`."""
@@ -108,7 +110,7 @@
         if self.http.trailing_data[0] or self._readable():
             return False
         self.http.start_next_cycle()
-        self.written = False
+        self.written = self.trailed = False
         return True
 
     def _readable(self) -> bool:
@@ -123,7 +125,8 @@
     async def more(self) -> bytes:
         """What comes after an answer on this connection; empty once the peer has closed it."""
         data, closed = self.http.trailing_data
-        if data or closed:
+        if not self.trailed and (data or closed):
+            self.trailed = True
             return data
         try:
             return await self.stream.receive(65536)
--- a/curlewshift/standins/viewers.py
+++ b/curlewshift/standins/viewers.py
@@ -29,6 +29,7 @@
 MOST_VISITS = 4
 # After an answer the connection is watched for another one for so long (s).
 LISTENS_ON = 0.4
+MOST_HEARD = 20
 # Viewers who hang up on a slow answer do so after this (s), and ask again with the same key.
 HANGS_UP_AFTER = 0.25
 MEDIA_WITHIN = 2.0
@@ -141,7 +142,10 @@
 
     async def _listen_on(self, call: Call, facts: dict) -> None:
         with anyio.move_on_after(LISTENS_ON):
-            while data := await call.more():
+            for _ in range(MOST_HEARD):
+                data = await call.more()
+                if not data:
+                    return
                 if data.startswith(b"HTTP/1.1 "):
                     self.traffic.seen("answer", status=int(data[9:12]), again=True, **facts)
 
