--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -94,11 +94,12 @@
 
 @standin.command("server")
 @click.argument("site", type=PATH)
-@click.option("--traffic", type=PATH)
-def standin_server(site, traffic):
+@click.option("--traffic", type=PATH, help="A file for what the servers see.")
+@click.option("--setup-work", default=30.0, help="Milliseconds of a core that one set-up takes.")
+def standin_server(site, traffic, setup_work):
     """All media servers of SITE and its list, where the site says, until interrupted."""
     from curlewshift.standins.running import run_site
-    run(run_site, site_of(site), traffic)
+    run(run_site, site_of(site), traffic, setup_work / 1000)
 
 
 @standin.command("list")
--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -142,20 +142,34 @@
     def off_gone(self) -> None:
         self.gone_calls.clear()
 
-    async def _event(self):
-        while True:
+    def _event_here(self):
+        """The next event that what has been read makes, or `h11.NEED_DATA`."""
+        event = self.http.next_event()
+        if event is h11.NEED_DATA and self.ahead:
+            data = bytes(self.ahead)
+            self.ahead.clear()
+            self.room.set()
+            self.http.receive_data(data)
             event = self.http.next_event()
-            if event is not h11.NEED_DATA:
-                return event
+        return event
+
+    async def _event(self):
+        while (event := self._event_here()) is h11.NEED_DATA:
             while not self.ahead:
                 if self.gone:
                     raise PeerGone
                 self.more = anyio.Event()
                 await self.more.wait()
-            data = bytes(self.ahead)
-            self.ahead.clear()
-            self.room.set()
-            self.http.receive_data(data)
+        return event
+
+    async def _event_within(self, limit: float, what: str):
+        # most messages come whole, and a scope for each costs more than reading it
+        event = self._event_here()
+        if event is h11.NEED_DATA:
+            with anyio.move_on_after(limit):
+                return await self._event()
+            raise TooMuch(408, f"the {what} of the request was not there in time")
+        return event
 
     async def _serve_one(self) -> bool:
         try:
@@ -188,24 +202,19 @@
                     await self.more.wait()
             if idle.cancelled_caught:
                 return None
-        with anyio.move_on_after(HEAD_WITHIN) as slow:
-            request = await self._event()
-        if slow.cancelled_caught:
-            raise TooMuch(408, f"the head of the request was not there within {HEAD_WITHIN:g} s")
+        request = await self._event_within(HEAD_WITHIN, "head")
         if not isinstance(request, h11.Request):
             return None
         body = bytearray()
-        with anyio.move_on_after(BODY_WITHIN) as slow:
-            while True:
-                event = await self._event()
-                if isinstance(event, h11.EndOfMessage):
-                    break
-                if isinstance(event, h11.Data):
-                    body += event.data
-                    if len(body) > MOST_BODY:
-                        raise TooMuch(413, f"the body is longer than {MOST_BODY} bytes")
-        if slow.cancelled_caught:
-            raise TooMuch(408, f"the body of the request was not there within {BODY_WITHIN:g} s")
+        ends = anyio.current_time() + BODY_WITHIN
+        while True:
+            event = await self._event_within(max(0.0, ends - anyio.current_time()), "body")
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MOST_BODY:
+                    raise TooMuch(413, f"the body is longer than {MOST_BODY} bytes")
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers}
         return Exchange(self, request.method.decode("latin-1"), request.target.decode("latin-1"), headers, bytes(body))
 
--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -89,13 +89,15 @@
         try:
             with out.scope:
                 try:
-                    call = out.call = await self._connection(tune_in)
+                    # a kept connection may end under the request, which proves nothing: not for what is paid
+                    fresh = tune_in.course.vw.package.paid_at_setup
+                    call = out.call = await self._connection(server, (tune_in.until - self.desk.now()) / NS, fresh)
                     if not self.desk.stands(tune_in):
                         # nothing has gone out yet, so it can be taken back
                         self.desk.failed(tune_in, Outcome.UNSENT)
                         return
                     answered = await self._ask(tune_in, call, request)
-                    kept = self._keep(tune_in, call)
+                    kept = self._keep(server, call)
                     self._judge(tune_in, answered)
                 except NeverSent as wrong:
                     self.log.info("not-reached", server=server.name, viewing=request, cause=str(wrong))
@@ -112,11 +114,10 @@
             if out.call is not None and not kept:
                 await self._drop(server, out.call)
 
-    async def _connection(self, tune_in: TuneIn) -> Call:
-        server = tune_in.server
+    async def _connection(self, server: Server, within: float, fresh: bool = False) -> Call:
+        """One that is idle, or a new one within so many seconds. Raises `NeverSent`."""
         idle = self.idle.get(server)
-        # a kept connection may end under the request, which proves nothing: not for what is paid
-        while idle and not tune_in.course.vw.package.paid_at_setup:
+        while idle and not fresh:
             call = idle.pop()
             if call.again():
                 return call
@@ -125,8 +126,7 @@
             raise NeverSent(f"{self.most_connections} connections to this server are in use")
         self.connections[server] = self.connections.get(server, 0) + 1
         try:
-            left = (tune_in.until - self.desk.now()) / NS
-            return await connect(*host_port(server.name), max(0.001, left))
+            return await connect(*host_port(server.name), max(0.001, within))
         except BaseException:
             self._count_down(server)
             raise
@@ -149,8 +149,8 @@
 
     # ---- connections
 
-    def _keep(self, tune_in: TuneIn, call: Call) -> bool:
-        idle = self.idle.setdefault(tune_in.server, [])
+    def _keep(self, server: Server, call: Call) -> bool:
+        idle = self.idle.setdefault(server, [])
         if len(idle) >= MOST_IDLE or call.http.our_state is not call.http.their_state:
             return False
         idle.append(call)
@@ -224,12 +224,19 @@
 
     async def _call(self, server: Server, method: str, path: str, body: bytes = b"") -> int | None:
         kind = [("content-type", "application/json")] if body else []
+        call, kept = None, False
         try:
-            answered = await ask(*host_port(server.name), method, path, [("x-front", self.name), *kind], body, PATIENT)
+            with anyio.fail_after(PATIENT):
+                call = await self._connection(server, PATIENT)
+                answered = await call.ask(method, path, [("x-front", self.name), *kind], body)
+            kept = self._keep(server, call)
+            return answered.status
         except (NeverSent, Broken, TimeoutError) as wrong:
             self.log.info("not-told", server=server.name, what=f"{method} {path}", cause=str(wrong) or "no answer")
             return None
-        return answered.status
+        finally:
+            if call is not None and not kept:
+                await self._drop(server, call)
 
 
 def _problem(answered: Answered) -> Problem:
--- /dev/null
+++ b/curlewshift/rehearsal/joins.py
@@ -0,0 +1,119 @@
+"""Joins through a front beside the same joins straight at a stand-in, in one run on one machine.
+
+The stand-in's set-up takes no time here, so that what is compared is the work of carrying a join: any real set-up
+makes the ratio smaller. Time is the viewer's, CPU that of the one process that answers.
+"""
+
+from __future__ import annotations
+
+import os
+import secrets
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+
+import anyio
+from hdrh.histogram import HdrHistogram
+
+from curlewshift.exchange.client import connect
+from curlewshift.rehearsal.processes import Child, free_ports, listens
+from curlewshift.signalling.sdp import offer_text
+
+SDP = "application/sdp"
+FINGERPRINT = "sha-256 " + ":".join(["A5"] * 32)
+SERVERS = 4
+AT_ONCE = 16
+WARM_UP = 100
+PAUSE = 0.002
+
+SITE = """<site name="measure">
+  <fronts most-waiting="1000"><front name="f" listen="127.0.0.1:{front}"/></fronts>
+  <list address="127.0.0.1:{list}"/>
+  <ladder><rung rate="100kB/s"/><rung rate="200kB/s"/></ladder>
+  <packages><package name="p" value="1" join-target="1s" patience="4s"/></packages>
+  <racks><rack name="r" uplink="9000MB/s">{servers}</rack></racks>
+  <catalogue><title name="t" shelves="{shelves}"/></catalogue>
+  <obligations>
+    <answers way-back="100ms" longest-wait="2s" most-tune-ins="3"/><drains grace="2s"/>
+    <cold-servers warm-within="5s" start-capacity="0.5" fall-multiple="2" fall-within="1s"/>
+    <news told-late="500ms" told-every="3s" probes="true" uplinks="true"/>
+  </obligations>
+</site>
+"""
+
+
+def cpu_of(pid: int) -> float:
+    """Seconds of CPU that a process has used so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def joins(port: int, count: int, histogram: HdrHistogram, pause: float = 0.0) -> None:
+    """One viewer after the other on one connection; each joins and leaves. Only the join is timed: `pause` (s) lets
+    the work of the leaving end before the next one comes."""
+    call = await connect("127.0.0.1", port, 2.0)
+    try:
+        for _ in range(count):
+            offer = offer_text(secrets.token_hex(4), secrets.token_hex(12), FINGERPRINT).encode()
+            began = time.perf_counter_ns()
+            answered = await call.ask("POST", "/whep/p/t?layer=0&top=1", [
+                ("content-type", SDP), ("x-front", "direct"), ("x-request-id", "q")], offer)
+            histogram.record_value(max(1, (time.perf_counter_ns() - began) // 1000))
+            if answered.status != 201 or not call.again():
+                raise RuntimeError(f"a join was answered {answered.status}: {answered.body[:200]!r}")
+            ended = await call.ask("DELETE", answered.headers["location"])
+            if ended.status != 200 or not call.again():
+                raise RuntimeError(f"an end was answered {ended.status}")
+            if pause:
+                await anyio.sleep(pause)
+    finally:
+        await call.close()
+
+
+async def one_way(port: int, pid: int, count: int) -> dict:
+    """Latency of one viewer alone, then joins a second of CPU with many at once."""
+    await joins(port, WARM_UP, HdrHistogram(1, 10_000_000, 3))
+    alone, crowd = HdrHistogram(1, 10_000_000, 3), HdrHistogram(1, 10_000_000, 3)
+    await joins(port, count, alone, PAUSE)
+    cpu, began = cpu_of(pid), time.perf_counter()
+    async with anyio.create_task_group() as tasks:
+        for _ in range(AT_ONCE):
+            tasks.start_soon(joins, port, max(1, count // AT_ONCE), crowd)
+    done, cpu, took = count // AT_ONCE * AT_ONCE, cpu_of(pid) - cpu, time.perf_counter() - began
+    return {"p50_us": alone.get_value_at_percentile(50), "p99_us": alone.get_value_at_percentile(99),
+            "joins_a_second_a_core": round(done / max(cpu, 0.01)), "joins_a_second": round(done / took),
+            "p99_us_at_once": crowd.get_value_at_percentile(99)}
+
+
+async def measure_joins(count: int) -> dict:
+    with tempfile.TemporaryDirectory() as folder:
+        ports = free_ports(SERVERS + 2, Random(os.getpid()))
+        servers = "".join(f'<server shelf="s{n}" listen="127.0.0.1:{port}" link="9000MB/s" streams="100000"/>'
+                          for n, port in enumerate(ports[2:]))
+        site = Path(folder) / "site.xml"
+        site.write_text(SITE.format(front=ports[0], list=ports[1], servers=servers,
+                                    shelves=" ".join(f"s{n}" for n in range(SERVERS))))
+        log = Path(folder) / "log"
+        standin = Child(["standin", "server", str(site), "--setup-work", "0"], log)
+        front = Child(["front", str(site), "--seed", "1"], log)
+        try:
+            for port in (ports[0], ports[2]):
+                if not await listens(port, 20.0):
+                    raise RuntimeError(f"nothing listens at port {port}: {log.read_text()[-500:]}")
+            await anyio.sleep(1.5)
+            # half of each way first, then the other half: a machine that slows down meanwhile slows both
+            direct, through = [], []
+            for _ in range(2):
+                direct.append(await one_way(ports[2], standin.process.pid, count // 2))
+                through.append(await one_way(ports[0], front.process.pid, count // 2))
+        finally:
+            front.kill()
+            standin.kill()
+    direct, through = ({name: round(sum(half[name] for half in halves) / 2) for name in halves[0]}
+                       for halves in (direct, through))
+    return {"joins_each_way": count, "direct": direct, "through": through,
+            "ratios": {"p50": round(through["p50_us"] / direct["p50_us"], 2),
+                       "p99": round(through["p99_us"] / direct["p99_us"], 2),
+                       "joins_a_second_a_core": round(
+                           through["joins_a_second_a_core"] / direct["joins_a_second_a_core"], 2)}}
--- a/curlewshift/standins/fleet.py
+++ b/curlewshift/standins/fleet.py
@@ -18,7 +18,7 @@
 from curlewshift.standins.listing import ServerList
 from curlewshift.standins.physics import LinkModel, Uplink
 from curlewshift.standins.script import OF_FRONTS, OF_VIEWERS, Script, Trouble
-from curlewshift.standins.server import MediaServer
+from curlewshift.standins.server import SETUP_WORK, MediaServer
 from curlewshift.standins.traffic import Traffic
 
 NS = 1_000_000_000
@@ -62,8 +62,10 @@
 
 
 class Fleet:
-    def __init__(self, site: Site, seed: int, traffic: Traffic, own_ports: bool = False):
-        """`own_ports`: the servers listen where the site says, and not wherever there is a port."""
+    def __init__(self, site: Site, seed: int, traffic: Traffic, own_ports: bool = False, setup_work: float = SETUP_WORK):
+        """`own_ports`: the servers listen where the site says, and not wherever there is a port. `setup_work` (s) is
+        what one set-up takes of a core."""
+        self.setup_work = setup_work
         self.site, self.traffic, self.own_ports = site, traffic, own_ports
         # troubles draw from chance of their own: what befalls whom does not hang on what else was drawn
         self.chance, self.fate = Random(seed), Random(seed + 1)
@@ -101,7 +103,7 @@
         else:
             port, listener = await self.ports.listener()
         server = place.server = MediaServer(place.machine, f"{host}:{port}", place.link, self.ladder, self.site.duties,
-                                            born, Random(self.chance.random()), self.traffic)
+                                            born, Random(self.chance.random()), self.traffic, self.setup_work)
         self.tasks.start_soon(self._live, place, server, listener)
         if tell:
             self.list.knows(self._row(server, "on"))
--- a/curlewshift/standins/running.py
+++ b/curlewshift/standins/running.py
@@ -29,10 +29,10 @@
             return
 
 
-async def run_site(site: Site, traffic: Path | None) -> None:
+async def run_site(site: Site, traffic: Path | None, setup_work: float) -> None:
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(until_told, tasks)
-        await Fleet(site, 1, Traffic(traffic), own_ports=True).start(tasks)
+        await Fleet(site, 1, Traffic(traffic), own_ports=True, setup_work=setup_work).start(tasks)
         print(f"{len(site.machines)} servers and their list are up", file=sys.stderr)
 
 
--- a/curlewshift/standins/server.py
+++ b/curlewshift/standins/server.py
@@ -57,6 +57,7 @@
     rate: float
     # its true rate over that of the ladder
     truth: float
+    began: int = field(default_factory=time.monotonic_ns)
     watchers: int = 0
     unwatched_since: int = field(default_factory=time.monotonic_ns)
 
@@ -77,9 +78,10 @@
     """One life of one machine. `born` is nanoseconds of the monotonic clock, long ago for a warm one."""
 
     def __init__(self, machine: Machine, name: str, link: LinkModel, ladder: dict[str, tuple[float, ...]],
-                 duties: Duties, born: int, chance: Random, traffic: Traffic):
+                 duties: Duties, born: int, chance: Random, traffic: Traffic, setup_work: float = SETUP_WORK):
         self.machine, self.name, self.link, self.ladder = machine, name, link, ladder
         self.duties, self.born, self.chance, self.traffic = duties, born, chance, traffic
+        self.setup_work = setup_work
         self.boot = f"{chance.getrandbits(32):08x}"
         self.sessions: dict[str, Session] = {}
         self.media: dict[str, Session] = {}
@@ -162,7 +164,8 @@
                     listener = self.listeners.get(session.front)
                     if not session.watchers and now - session.unwatched_since > WATCHED_WITHIN * NS:
                         self._end(session, "nobody watches")
-                    elif listener is None or not listener.open and now - listener.closed_at > FRONT_WITHIN * NS:
+                    elif (listener is None or not listener.open) and now - max(
+                            session.began, listener.closed_at if listener else 0) > FRONT_WITHIN * NS:
                         self._end(session, "its front is gone")
             await anyio.sleep(0.1)
 
@@ -239,7 +242,7 @@
         try:
             async with self.cores:
                 self.traffic.seen("ran", **facts)
-                await anyio.sleep(SETUP_WORK / self._warmth())
+                await anyio.sleep(self.setup_work / self._warmth())
         finally:
             self.queued -= 1
         await self.thaw.wait()
