--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -174,3 +174,16 @@
     figures = run(measured, count)
     out.write_text(json.dumps(figures, indent=1) + "\n")
     click.echo(json.dumps(figures, indent=1))
+
+
+@measure.command("fleet")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+@click.option("--count", type=click.IntRange(100, 1_000_000), default=3000, help="Requests for each size.")
+def measure_fleet(out, count):
+    """What a request and a whole list cost at 100 to 6,400 servers."""
+    import json
+
+    from curlewshift.rehearsal.fleet_cost import measure_fleet as measured
+    figures = measured(count)
+    out.write_text(json.dumps(figures, indent=1) + "\n")
+    click.echo(json.dumps(figures, indent=1))
--- a/curlewshift/exchange/client.py
+++ b/curlewshift/exchange/client.py
@@ -7,7 +7,6 @@
 
 import select
 import socket
-import struct
 from dataclasses import dataclass
 from typing import AsyncIterator
 
@@ -133,10 +132,10 @@
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             return b""
 
-    def reset(self) -> None:
+    def cut(self) -> None:
+        """End the connection under whoever reads it: that finds it broken."""
         try:
-            self.stream.extra(SocketAttribute.raw_socket).setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.stream.extra(SocketAttribute.raw_socket).shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
 
--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -278,3 +278,6 @@
         await listener.serve(one, task_group=tasks)
     except anyio.ClosedResourceError:
         pass
+    finally:
+        with anyio.CancelScope(shield=True):
+            await listener.aclose()
--- a/curlewshift/front/followers.py
+++ b/curlewshift/front/followers.py
@@ -63,7 +63,7 @@
         """Break off, and begin again without what was had."""
         self.last_id = None
         if self.call is not None:
-            self.call.reset()
+            self.call.cut()
 
     async def _read(self, call: Call):
         headers = [("accept", "text/event-stream")]
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -51,6 +51,13 @@
 
     async def run(self, ready=None) -> None:
         """Serves until told to end. `ready` is called once the door is open."""
+        try:
+            await self._run(ready)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.reach.close()
+
+    async def _run(self, ready) -> None:
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
             self.reach = self.reach_class(self.desk, tasks, self.name, self.site.most_connections, self.log)
--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -170,6 +170,12 @@
         for call in self.idle.pop(server, []):
             self.tasks.start_soon(self._drop, server, call)
 
+    async def close(self) -> None:
+        """Lets go of all idle connections."""
+        for server in list(self.idle):
+            for call in self.idle.pop(server):
+                await self._drop(server, call)
+
     # ---- what no viewer waits for
 
     def set_rung(self, course: Course, rung: int) -> None:
--- a/curlewshift/site/reading.py
+++ b/curlewshift/site/reading.py
@@ -10,6 +10,7 @@
 
 from lxml import etree
 
+XS = "{http://www.w3.org/2001/XMLSchema}"
 MS = 1_000_000
 SPANS = {"ms": MS, "s": 1000 * MS, "min": 60_000 * MS, "h": 3_600_000 * MS}
 # kB a second
@@ -19,6 +20,7 @@
     "rate": "a rate with its unit, such as 740kB/s or 6Mbit/s",
     "address": "host:port, such as 127.0.0.1:8080",
     "word": "1 to 64 letters, digits, dots, dashes or underscores",
+    "words": "names with spaces between",
     "share": "a number from 0 to 1",
     "positive": "a number above 0",
     "xs:positiveInteger": "a whole number above 0",
@@ -60,23 +62,34 @@
         root = etree.fromstring(raw, parser)
     except etree.XMLSyntaxError as wrong:
         raise Mistakes(path, [(wrong.lineno or 0, f"this is not XML: {wrong.msg}")]) from None
-    form = etree.XMLSchema(etree.parse(str(schema)))
+    tree = etree.parse(str(schema))
+    form = etree.XMLSchema(tree)
     if not form.validate(root):
-        raise Mistakes(path, [(entry.line, plain(entry.message)) for entry in form.error_log if telling(entry.message)])
+        types = types_of(tree)
+        raise Mistakes(path, [(entry.line, plain(entry.message, types)) for entry in form.error_log])
     return root
 
 
-def telling(message: str) -> bool:
-    """The schema says one mistake twice, once by pattern and once by type; the second has what was expected."""
-    return "[facet" not in message or "maxInclusive" in message or "minInclusive" in message
+def types_of(schema) -> dict[tuple[str, str], str]:
+    """The type's name, or the words allowed, of each attribute by element and attribute."""
+    words = {kind.get("name"): ", ".join(value.get("value") for value in kind.iter(XS + "enumeration"))
+             for kind in schema.iter(XS + "simpleType")}
+    types = {}
+    for element in schema.iter(XS + "element"):
+        for attribute in element.iterfind(f"{XS}complexType/{XS}attribute"):
+            kind = attribute.get("type")
+            types[element.get("name"), attribute.get("name")] = words.get(kind) or kind
+    return types
 
 
-def plain(message: str) -> str:
-    value = re.match(r"Element '(.+?)', attribute '(.+?)': '(.*)' is not a valid value of the (?:atomic|list|local atomic) "
-                     r"type '(.+?)'", message)
+def plain(message: str, types: dict[tuple[str, str], str]) -> str:
+    """One mistake as the schema's library tells it, in words for who wrote the file."""
+    value = re.match(r"Element '(.+?)', attribute '(.+?)': (?:\[facet '.+?'\] The value )?'(.*?)' (?:is|has) ", message)
     if value:
-        element, attribute, came, kind = value.groups()
-        return f"{element}: {attribute} should be {FORMS.get(kind, kind)}, but is {came!r}"
+        element, attribute, came = value.groups()
+        kind = types.get((element, attribute), "")
+        form = FORMS.get(kind) or (f"one of {kind}" if ", " in kind else "something else")
+        return f"{element}: {attribute} should be {form}, but is {came!r}"
     missing = re.match(r"Element '(.+?)': The attribute '(.+?)' is required", message)
     if missing:
         return f"{missing[1]}: {missing[2]} is missing"
--- a/curlewshift/standins/listing.py
+++ b/curlewshift/standins/listing.py
@@ -77,7 +77,7 @@
             while at < self.generation:
                 following = [(number, rows) for number, rows in self.changes if number > at]
                 number, rows = following[0]
-                await self._send(piece, front, "change", ListNews(self.epoch, number, rows, since=at))
+                await self._send(piece, front, "change", ListNews(self.epoch, number, rows, since=number - 1))
                 at = number
             with anyio.move_on_after(ALIVE_EVERY):
                 await news.wait()
--- /dev/null
+++ b/tests/test_signalling.py
@@ -0,0 +1,95 @@
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from curlewshift.signalling.bodies import BadBody, ListNews, Note, decode, encode
+from curlewshift.signalling.events import Event, Reader, TooLong, encode_event
+from curlewshift.signalling.loads import decode_load, encode_load
+from curlewshift.signalling.sdp import (
+    BadDescription, answer_text, candidate_of, checked_offer, identity, offer_text, parse)
+
+FINGERPRINT = "sha-256 " + ":".join(["A5"] * 32)
+OFFER = offer_text("abcd", "p" * 22, FINGERPRINT)
+STEADY = settings(derandomize=True, deadline=None, max_examples=200)
+
+
+class Descriptions(unittest.TestCase):
+    def test_an_offer_is_read_and_its_answer_leads_to_the_media(self):
+        offer = checked_offer(OFFER)
+        answer = parse(answer_text(offer, "efgh", "q" * 22, FINGERPRINT, "127.0.0.1", 4321))
+        self.assertEqual(candidate_of(answer), ("127.0.0.1", 4321))
+        self.assertEqual(answer.first("ice-ufrag", answer.media[0]), "efgh")
+        self.assertEqual(answer.first("mid", answer.media[0]), "0")
+
+    def test_the_same_offer_again_is_known_by_its_credentials(self):
+        again = checked_offer(OFFER.replace("s=-", "s=later"))
+        other = checked_offer(offer_text("abce", "p" * 22, FINGERPRINT))
+        self.assertEqual(identity(checked_offer(OFFER)), identity(again))
+        self.assertNotEqual(identity(again), identity(other))
+
+    def test_what_is_wrong_is_said_with_its_line(self):
+        for change, line, wrong in (
+                (("v=0", "v=1"), 1, "expected 'v=0'"), (("a=rtcp-mux\r\n", ""), 6, "a=rtcp-mux"),
+                (("a=recvonly", "a=sendonly"), 6, "recvonly"), (("p" * 22, "p" * 21), 6, "ice-pwd"),
+                (("a=setup:actpass", "a=setup:holdconn"), 6, "a=setup"), (("abcd", "ab d"), 6, "ice-ufrag"),
+                (("sha-256 A5", "sha-256 G5"), 6, "fingerprint"), (("m=video 9", "m=video 70000"), 6, "no port"),
+                (("UDP/TLS/RTP/SAVPF", "RTP/AVP"), 6, "SAVPF"), (("t=0 0", "t"), 4, "letter=value"),
+                (("t=0 0\r\n", ""), 0, "the time line"), (("a=mid", "\r\na=mid"), 8, "empty line")):
+            with self.subTest(change=change), self.assertRaises(BadDescription) as found:
+                checked_offer(OFFER.replace(*change))
+            self.assertIn(wrong, str(found.exception))
+            if line:
+                self.assertTrue(str(found.exception).startswith(f"line {line}:"), found.exception)
+
+    @STEADY
+    @given(st.one_of(st.text(max_size=400), st.builds(
+        lambda at, what: OFFER[:at] + what + OFFER[at + len(what):], st.integers(0, len(OFFER)), st.text(max_size=9))))
+    def test_nothing_that_is_sent_breaks_the_reading(self, text):
+        try:
+            identity(checked_offer(text))
+        except BadDescription as wrong:
+            self.assertTrue(str(wrong))
+
+
+class Events(unittest.TestCase):
+    EVENTS = [Event("full", "one\ntwo", "7"), Event("change", "", "8"), Event("note", "ä: b", "8")]
+
+    @STEADY
+    @given(st.lists(st.integers(1, 9), max_size=60))
+    def test_events_come_whole_whatever_the_cuts(self, cuts):
+        raw, reader, got = b":\n\n" + b"".join(encode_event(event) for event in self.EVENTS), Reader(), []
+        for cut in cuts:
+            got += reader.feed(raw[:cut])
+            raw = raw[cut:]
+        got += reader.feed(raw)
+        self.assertEqual([(event.kind, event.data) for event in got],
+                         [(event.kind, event.data) for event in self.EVENTS])
+        self.assertEqual(reader.last_id, "8")
+
+    def test_an_event_without_end_ends_the_stream(self):
+        reader = Reader()
+        with self.assertRaises(TooLong):
+            for _ in range(40):
+                reader.feed(b"data: " + b"x" * 500_000 + b"\n")
+
+
+class Bodies(unittest.TestCase):
+    def test_a_report_comes_back_and_a_bad_one_is_no_report(self):
+        self.assertEqual(decode_load(encode_load({"link": 0.5, "uplink": 1.25})), {"link": 0.5, "uplink": 1.25})
+        for bad in ("", "JSON {}", "TEXT", "TEXT link=x, =3, uplink=-1, cpu_utilization=0.4", "TEXT link=nan"):
+            self.assertEqual(decode_load(bad), {}, bad)
+
+    def test_a_body_of_another_shape_is_refused_in_words(self):
+        news = ListNews("e", 3, [])
+        self.assertEqual(decode(encode(news), ListNews), news)
+        for raw in (b"", b"[]", b'{"epoch": 3}', b'{"epoch":"e","generation":"x","servers":[]}', b"\xff", b"[" * 9999):
+            with self.subTest(raw=raw[:20]), self.assertRaises(BadBody) as found:
+                decode(raw, ListNews)
+            self.assertIn("the body is not a ListNews", str(found.exception))
+
+    def test_what_is_new_in_a_note_is_skipped(self):
+        self.assertEqual(decode(b'{"share":0.5,"novel":[1]}', Note).share, 0.5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_site.py
@@ -0,0 +1,89 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from curlewshift.cli import main
+from curlewshift.site.reading import Mistakes
+from curlewshift.site.site import read_site
+from curlewshift.standins.script import read_script
+
+EXAMPLES = Path(__file__).resolve().parents[1] / "examples"
+SMALL = (EXAMPLES / "small-site.xml").read_text()
+
+
+class Reading(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "site.xml"
+
+    def wrong(self, *changes, reader=read_site, text=SMALL):
+        for old, new in changes:
+            self.assertIn(old, text)
+            text = text.replace(old, new, 1)
+        self.path.write_text(text)
+        with self.assertRaises(Mistakes) as found:
+            reader(self.path)
+        return str(found.exception).replace(str(self.path), "F")
+
+    def line(self, what):
+        return next(number for number, line in enumerate(SMALL.splitlines(), 1) if what in line)
+
+    def test_units_become_nanoseconds_and_kilobytes(self):
+        self.path.write_text(SMALL.replace('patience="4s"', 'patience="0.1min"', 1).replace("7MB/s", "56Mbit/s", 1))
+        site = read_site(self.path)
+        self.assertEqual(site.packages[0].patience, 6_000_000_000)
+        self.assertEqual(site.packages[0].rates[0], 144.0)
+        self.assertEqual(site.machines[2].link, 7000.0)
+        terms = site.terms(0, 1, 2)
+        self.assertEqual((terms.fronts, terms.me, terms.free_further, terms.look_back), (3, 2, 6, 10_000_000_000))
+
+    def test_all_mistakes_are_told_at_once_with_their_lines(self):
+        told = self.wrong(('join-target="1s" patience="4s"', 'join-target="1" patience="4s"'),
+                          ('uplink="13MB/s"', ""), ('grace="2s"', 'grace="2s" mercy="3"'))
+        self.assertEqual(told.splitlines(), [
+            f"F:{self.line('receipt')}: package: join-target should be a time with its unit, such as 250ms, 5s or "
+            "2min, but is '1'",
+            f"F:{self.line('rack name=')}: rack: uplink is missing",
+            f"F:{self.line('grace')}: drains: there is no mercy here"])
+
+    def test_what_no_schema_sees_is_told_too(self):
+        told = self.wrong(('floor="1"', 'floor="4"'), ('rate="210kB/s"', 'rate="90kB/s"'), ('"s1 ', '"s99 '),
+                          ('name="lesson" value="1" join-target="1.5s"', 'name="lesson" value="1" join-target="5s"'))
+        for words in ("rates have to rise, 90 kB/s follows 120 kB/s", "floor is rung 4, above its top 3",
+                      "patience is shorter than the join target", "no server has the shelf 's99'"):
+            self.assertIn(words, told)
+
+    def test_other_mistakes_in_plain_words(self):
+        for changes, words in (
+                ([("<list address", "<lists address")], "expected list here, but lists came"),
+                ([('name="review"', 'name="receipt"')], "'receipt' is there twice"),
+                ([("</site>", "")], "this is not XML"),
+                ([('start-capacity="0.4"', 'start-capacity="1.4"')], "start-capacity should be a number from 0 to 1"),
+                ([("127.0.0.1:8090", "127.0.0.1:99999")], "port 99999 is not from 1 to 65535")):
+            self.assertIn(words, self.wrong(*changes))
+
+    def test_a_script_names_what_it_cannot_mean(self):
+        script = (EXAMPLES / "bad-day.xml").read_text()
+        (self.path.parent / "small-site.xml").write_text(SMALL)
+        told = self.wrong(('package="lesson"', 'package="opera"'), ('at="3s"', 'at="300s"'),
+                          reader=read_script, text=script)
+        self.assertIn("small-site.xml has no package 'opera'", told)
+        self.assertIn("trouble crash: begins after the day has ended", told)
+        self.assertIn("kind should be one of burst, crowd", self.wrong(('kind="hang"', 'kind="boredom"'), reader=read_script, text=script))
+
+    def test_the_command_line_ends_with_2_and_the_mistakes(self):
+        self.path.write_text(SMALL.replace('value="3"', 'value="three"'))
+        ran = CliRunner().invoke(main, ["check", str(self.path)])
+        self.assertEqual(ran.exit_code, 2)
+        self.assertIn("value should be a number above 0, but is 'three'", ran.output)
+        self.assertEqual(CliRunner().invoke(main, ["check", str(self.path) + "x"]).exit_code, 2)
+        self.assertEqual(CliRunner().invoke(main, ["check", str(EXAMPLES / "small-site.xml")]).exit_code, 0)
+        ran = CliRunner().invoke(main, ["front", str(EXAMPLES / "small-site.xml"), "--name", "f9"])
+        self.assertEqual((ran.exit_code, "there is no front 'f9'" in ran.output), (2, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_verdict.py
@@ -0,0 +1,152 @@
+"""Each rule's judge is shown a day that keeps the rule, the same day with the rule broken, and a day without it."""
+
+import unittest
+
+from curlewshift.verdict.verdict import Figures, judge
+
+MS = 1_000_000
+SECOND = 1000 * MS
+FIGURES = Figures(
+    grace=2 * SECOND, warm_within=10 * SECOND, start_capacity=0.5, fall_multiple=2.0, fall_within=SECOND,
+    free_further=1, further_share=0.5, look_back=10 * SECOND, patience={"clip": 4 * SECOND, "paid": 4 * SECOND},
+    join_target={"clip": SECOND, "paid": SECOND}, value={"clip": 3.0, "paid": 1.0}, paid={"paid"},
+    floor={"clip": 1, "paid": 0}, seats={"clip": 1, "paid": 0})
+
+
+class Traffic:
+    """Short hands for a day's events; times are milliseconds."""
+
+    def __init__(self):
+        self.events = []
+        self.add("front-up", 0, front="f", life="f.1")
+
+    def add(self, ev, at, **facts):
+        self.events.append({"ev": ev, "at": at * MS, **facts})
+        return self
+
+    def ask(self, at, request, package="clip", viewing=None):
+        self.add("viewing", at, viewing=viewing or request, package=package, title="t")
+        return self.add("ask", at, request=request, viewing=viewing or request, front="f", package=package,
+                        patience=4 * SECOND)
+
+    def answer(self, at, request, status=201):
+        return self.add("answer", at, request=request, status=status)
+
+    def setup(self, at, request, number=1, package="clip", server="s", boot="b", rung=1, how="answered", over=None,
+              title="t"):
+        facts = dict(server=server, boot=boot, front="f.1", request=request, number=number)
+        self.add("setup", at, package=package, title=title, rung=rung, **facts)
+        if how:
+            self.add("setup-over", over if over is not None else at + 5, how=how, **facts)
+        if how == "answered":
+            self.add("session", at + 5, session=f"{request}/{number}", package=package, title=title, rung=rung, **facts)
+        return self
+
+    def rule(self, number):
+        told = judge(self.events, FIGURES)["rules"][number]
+        return told["applied"], told["broken"]
+
+
+class Rules(unittest.TestCase):
+    def test_1_one_answer_in_time(self):
+        self.assertEqual(Traffic().rule("1"), (0, 0))
+        day = Traffic().ask(100, "a").answer(200, "a").ask(100, "b").answer(4100, "b", 503)
+        self.assertEqual(day.rule("1"), (2, 0))
+        self.assertEqual(day.answer(300, "a", 503).rule("1"), (2, 1))
+        self.assertEqual(Traffic().ask(100, "a").rule("1"), (1, 1))
+        self.assertEqual(Traffic().ask(100, "a").answer(4200, "a").rule("1"), (1, 1))
+
+    def test_1_what_a_killed_front_held_is_excused_and_what_an_ending_one_took_is_not(self):
+        killed = Traffic().ask(100, "a").add("front-down", 900, front="f", life="f.1", how="killed")
+        self.assertEqual(killed.rule("1"), (1, 0))
+        ended = Traffic().ask(100, "a").add("front-down", 900, front="f", life="f.1", how="ended")
+        self.assertEqual(ended.rule("1"), (1, 1))
+        hung_up = Traffic().ask(100, "a").add("hung-up", 300, request="a")
+        self.assertEqual(hung_up.rule("1"), (1, 0))
+
+    def test_2_never_two_out(self):
+        day = Traffic().setup(100, "a", over=300, how="turned-away").setup(310, "a", 2)
+        self.assertEqual(day.rule("2"), (1, 0))
+        day = Traffic().setup(100, "a", over=900, how="gone").setup(310, "a", 2)
+        self.assertEqual(day.rule("2"), (1, 1))
+        self.assertEqual(Traffic().setup(100, "a").rule("2"), (0, 0))
+
+    def test_2_paid_only_after_proof(self):
+        proof = Traffic().setup(100, "a", package="paid", how="turned-away").setup(200, "a", 2, "paid")
+        self.assertEqual(proof.rule("2"), (1, 0))
+        resent = Traffic().setup(100, "a", package="paid", how="gone").setup(200, "a", 2, "paid")
+        self.assertEqual(resent.rule("2"), (1, 1))
+        refused = Traffic().setup(100, "a", package="paid", how="gone").answer(300, "a", 503)
+        self.assertEqual(refused.rule("2"), (1, 1))
+        aborted = Traffic().setup(100, "a", package="paid", how="gone").answer(300, "a", 502)
+        self.assertEqual(aborted.rule("2"), (1, 0))
+
+    def test_3_nothing_past_the_grace(self):
+        told = dict(front="f.1", server="s", started=0)
+        self.assertEqual(Traffic().setup(100, "a").rule("3"), (0, 0))
+        day = Traffic().add("told", 100, state="fading", **told).setup(2000, "a")
+        self.assertEqual(day.rule("3"), (1, 0))
+        self.assertEqual(day.setup(2200, "b").rule("3"), (1, 1))
+        day = Traffic().add("told", 100, state="fading", **told).add("told", 900, state="on", **told).setup(9000, "a")
+        self.assertEqual(day.rule("3"), (1, 0))
+        day = Traffic().add("told", 100, state="on", **told).add("told-all", 200, front="f.1", servers=[])
+        self.assertEqual(day.setup(5000, "a").rule("3"), (1, 1))
+
+    def cold(self, count, told=True, born=1000):
+        day = Traffic().add("boot", born, server="s", boot="b", streams=20, born=born * MS)
+        if told:
+            day.add("told", born + 50, front="f.1", server="s", state="on", started=0)
+        for number in range(count):
+            # 20 places, half warm, times 2 for 1 s: 2 set-ups in any second
+            day.setup(born + 100 + number, f"q{number}")
+        return day
+
+    def test_4_a_cold_server_bears_its_pace(self):
+        self.assertEqual(Traffic().rule("4"), (0, 0))
+        self.assertEqual(self.cold(2).rule("4"), (1, 0))
+        self.assertEqual(self.cold(4).rule("4"), (1, 1))
+        # a warm one bears all, and one that nobody had to know of is nobody's fault
+        self.assertEqual(self.cold(4, told=False).rule("4"), (1, 0))
+        warm = Traffic().add("boot", 1000, server="s", boot="b", streams=20, born=-10**12)
+        self.assertEqual(warm.setup(1100, "a").rule("4"), (0, 0))
+
+    def test_4_a_witness_and_a_new_front_have_to_know(self):
+        witness = self.cold(4, told=False)
+        witness.add("boot", 0, server="s", boot="a", streams=20, born=-10**12)
+        witness.add("notes-end", 900, server="s", boot="a", front="f.1")
+        self.assertEqual(witness.rule("4"), (1, 1))
+        new = Traffic().add("boot", -500, server="s", boot="b", streams=20, born=-500 * MS)
+        for number in range(4):
+            new.setup(100 + number, f"q{number}")
+        self.assertEqual(new.rule("4"), (1, 1))
+
+    def test_5_floors_of_set_ups_and_steps(self):
+        self.assertEqual(Traffic().setup(100, "a", package="paid", rung=0).rule("5"), (0, 0))
+        self.assertEqual(Traffic().setup(100, "a", rung=0).rule("5")[1], 1)
+        stepped = Traffic().setup(100, "a").add("layer", 200, session="a/1", rung=0, package="clip", server="s")
+        self.assertEqual(stepped.rule("5")[1], 1)
+
+    def test_5_seats_count_set_ups_and_viewings_until_they_end(self):
+        day = Traffic().setup(100, "a").add("session-end", 500, session="a/1").setup(600, "b")
+        self.assertEqual(day.rule("5")[1], 0)
+        self.assertEqual(Traffic().setup(100, "a").setup(600, "b").rule("5")[1], 1)
+        self.assertEqual(Traffic().setup(100, "a").setup(600, "b", title="other").rule("5")[1], 0)
+        self.assertEqual(Traffic().setup(100, "a", how="gone", over=700).setup(600, "b").rule("5")[1], 1)
+        ended = Traffic().setup(100, "a").add("closed", 500, requests=["a"]).setup(600, "b")
+        self.assertEqual(ended.rule("5")[1], 0)
+
+    def test_6_further_tune_ins_within_budget(self):
+        day = Traffic().ask(0, "a").ask(10, "b")
+        self.assertEqual(day.setup(100, "a", 2).setup(300, "b", 2).rule("6"), (2, 0))
+        self.assertEqual(day.setup(500, "a", 3).rule("6"), (3, 1))
+        later = Traffic().ask(0, "a").setup(100, "a", 2).setup(20_000, "a", 3)
+        self.assertEqual(later.rule("6"), (2, 0))
+
+    def test_service_counts_value_and_one_viewing_once(self):
+        day = Traffic().ask(0, "a").answer(100, "a", 503).ask(500, "a2", viewing="a").answer(600, "a2")
+        day.ask(0, "p", "paid").answer(1500, "p")
+        self.assertEqual(judge(day.events, FIGURES)["service"], 0.75)
+
+
+if __name__ == "__main__":
+    unittest.main()
