--- a/curlewshift/desk/course.py
+++ b/curlewshift/desk/course.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from curlewshift.desk.errands import Errands
 from curlewshift.model import Outcome, Server, Viewing
+from curlewshift.retries.keys import Held
 
 
 class Kind(Enum):
@@ -54,16 +56,15 @@
     """One viewing from its request to its end at this front."""
 
     vw: Viewing
-    key: str | None
-    # the same for the same offer, so that a key used again for another one is seen
     offer: object
+    # its key, while the table has it
+    held: Held | None = None
+    errands: Errands | None = None
     requests: list[Request] = field(default_factory=list)
     tune_in: TuneIn | None = None
     # whatever the outside needs to reach the session at its server
     session: object = None
     answer: Answer | None = None
-    # not before this may the key be forgotten
-    keep_until: int = 0
 
     @property
     def waiting(self) -> list[Request]:
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -10,21 +10,20 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 from curlewshift.desk.course import Answer, Course, Kind, Request, TuneIn
+from curlewshift.desk.errands import Errand, Errands, Result
 from curlewshift.desk.outside import Outside
 from curlewshift.desk.roster import Gap, Roster, Row, mark_of
 from curlewshift.desk.timers import Timers
 from curlewshift.model import Listed, Outcome, Server, Terms, Viewing
+from curlewshift.retries.endings import Ending, Endings
+from curlewshift.retries.keys import MOST_ENDED, KeyTable
 from curlewshift.rules import Rules
 
 SECOND = 1_000_000_000
 
 # So many requests may be in work; more are told to come back at once, at no cost to anyone.
 MOST_WAITING = 2000
-# So many keys of ended viewings are kept; the oldest give way.
-MOST_KEYS = 20_000
 # A server that the list has dropped is forgotten once this has passed with nothing playing there.
 FORGET_AFTER = 60 * SECOND
 
@@ -43,17 +42,17 @@
 
 class Desk:
     def __init__(self, outside: Outside, terms: Terms, roster: Roster, rules: type[Rules] = Rules,
-                 most_waiting: int = MOST_WAITING, most_keys: int = MOST_KEYS):
+                 most_waiting: int = MOST_WAITING, most_keys: int = MOST_ENDED):
         self.outside, self.roster = outside, roster
         self.packages = {package.name: package for package in terms.packages}
         self.courses: dict[Viewing, Course] = {}
-        self.keys: dict[str, Course] = {}
-        self.ended_keys: deque[Course] = deque()
-        self.waiting, self.most_waiting, self.most_keys = 0, most_waiting, most_keys
+        self.keys = KeyTable(terms.now, most_keys)
+        self.waiting, self.most_waiting = 0, most_waiting
         self.draining = False
         self.names = 0
         self.longest_wait = terms.longest_wait
         self.timers = Timers(outside.wake)
+        self.endings = Endings(outside.now, outside.end_session, self.timers.at)
         self.rules = rules(self, terms)
 
     # ---- requests at the door
@@ -72,14 +71,11 @@
             raise Unknown(f"there is no title {title!r}")
         lasts = min(patience, pack.patience) if patience > 0 else pack.patience
         request = Request(name, now, now + lasts)
-        before = self.keys.get(key) if key is not None else None
-        if before is not None and before.keep_until <= now and before.vw not in self.courses:
-            self._drop_key(before)
-            before = None
+        before = self.keys.find(key, now) if key is not None else None
         if before is not None:
-            if (before.offer, before.vw.package, before.vw.title) != (offer, pack, title):
+            if before.mark != (offer, pack, title):
                 raise KeyReused("this key was used before for another offer, title or package")
-            self._join(before, request)
+            self._join(before.course, request)
             return request
         if self.draining or self.waiting >= self.most_waiting:
             cause = "this front is going out of service" if self.draining else "too many requests are in work here"
@@ -91,7 +87,9 @@
         self.names += 1
         vw = Viewing(self.names, title, mark_of(key or name), pack, top, now, now + lasts, held.holders,
                      came_back=came_back)
-        course = Course(vw, key, offer, [request])
+        course = Course(vw, offer, requests=[request], errands=Errands(self.outside.tell))
+        if key is not None:
+            course.held = self.keys.hold(key, (offer, pack, title), course)
         self._open(course, request)
         return request
 
@@ -112,7 +110,7 @@
         if self.courses.get(course.vw) is course and course.vw.playing:
             server, session = course.vw.server, course.session
             self._finish(course, Outcome.PLAYED)
-            self.outside.tear_down(server, session)
+            self.endings.end(server, session)
 
     def ceiling_told(self, course: Course, rung: int) -> None:
         """The viewer allows no rung above this from now on. Raises `Misuse` under the package's floor."""
@@ -122,7 +120,11 @@
         vw.ceiling = min(rung, vw.package.top)
         if vw.playing and vw.rung > vw.ceiling:
             self.rules.rung_told(vw, vw.ceiling)
-            self.outside.set_rung(course, vw.ceiling)
+            course.errands.rung(course, vw.ceiling)
+
+    def patched(self, course: Course, patch: object, told) -> None:
+        """The client changes its session; `told(errand)` is called once, with what came of it at its server."""
+        course.errands.patch(course, patch, told)
 
     def drain(self) -> None:
         """Take nothing new; what is in work is still answered."""
@@ -139,7 +141,7 @@
         if tune_in.outcome is not None:
             # its time came first, or this is said twice: a session of which nobody will hear
             if tune_in.course.session is not session:
-                self.outside.tear_down(tune_in.server, session)
+                self.endings.end(tune_in.server, session)
             return
         self._report(tune_in.server, report)
         tune_in.outcome = Outcome.PLAYED
@@ -149,7 +151,7 @@
         if not course.waiting:
             self.rules.ended(vw, Outcome.PLAYED, True)
             self._close(course)
-            self.outside.tear_down(tune_in.server, session)
+            self.endings.end(tune_in.server, session)
             return
         vw.over = False
         self._answer_all(course, Answer(Kind.PLAYS, "plays", course=course))
@@ -176,6 +178,7 @@
         """The server has restarted or is gone: nothing of what played there plays any more."""
         for vw in list(server.link.playing):
             self.lost(self.courses[vw])
+        self.endings.server_gone(server)
 
     def notes_broke(self, server: Server) -> None:
         """The stream of notes ended by itself: the server may be gone, and may come back cold unannounced."""
@@ -196,13 +199,22 @@
         now = self.outside.now()
         vw = Viewing(self.names, title, mark_of(f"handed over {self.names}"), pack, ceiling, now,
                      now + pack.patience, held.holders)
-        course = Course(vw, None, None, session=session)
+        course = Course(vw, None, session=session, errands=Errands(self.outside.tell))
         course.answer = Answer(Kind.PLAYS, "handed over", course=course)
         self.courses[vw] = course
         self.rules.handed_over(vw, server)
         self.rules.rung_told(vw, rung)
         return course
 
+    def told_server(self, errand: Errand, result: Result, reply: object = None) -> None:
+        errand.course.errands.answered(errand, result, reply)
+
+    def session_ended(self, ending: Ending, answered: bool) -> None:
+        if answered:
+            self.endings.answered(ending)
+        else:
+            self.endings.unanswered(ending)
+
     # ---- notes, reports, probes
 
     def delivered(self, server: Server, share: float) -> None:
@@ -248,7 +260,7 @@
                 course = self.courses[vw]
                 session = course.session
                 self.lost(course)
-                self.outside.tear_down(server, session)
+                self.endings.end(server, session)
             self.timers.at(self.outside.now() + FORGET_AFTER, lambda server=server: self._forget(server))
 
     def _forget(self, server: Server) -> None:
@@ -283,7 +295,8 @@
 
     def set_rung(self, viewing: Viewing, rung: int) -> None:
         if viewing.playing:
-            self.outside.set_rung(self.courses[viewing], rung)
+            course = self.courses[viewing]
+            course.errands.rung(course, rung)
 
     def block(self, viewing: Viewing, wait: int) -> None:
         self._refuse_or_fail(viewing, Answer(Kind.REFUSED, "no server has room for it now", wait))
@@ -300,8 +313,6 @@
         request.course = course
         self.waiting += 1
         self.courses[course.vw] = course
-        if course.key is not None:
-            self.keys[course.key] = course
         vw = course.vw
         self.timers.at(vw.expires, lambda: self._overdue(course, vw))
         self.rules.wanted(vw)
@@ -370,18 +381,11 @@
 
     def _close(self, course: Course) -> None:
         self.courses.pop(course.vw, None)
-        if course.key is None or self.keys.get(course.key) is not course:
+        course.errands.finish()
+        if course.held is None:
             return
         if course.answer is None:
-            del self.keys[course.key]
-            return
-        # a client that never got its answer asks for it again within its patience
-        course.keep_until = max(course.vw.expires, self.outside.now() + SECOND)
-        self.ended_keys.append(course)
-        while self.ended_keys and (len(self.ended_keys) > self.most_keys
-                                   or self.ended_keys[0].keep_until <= self.outside.now()):
-            self._drop_key(self.ended_keys.popleft())
-
-    def _drop_key(self, course: Course) -> None:
-        if self.keys.get(course.key) is course and course.vw not in self.courses:
-            del self.keys[course.key]
+            self.keys.forget(course.held)
+        else:
+            # a client that never got its answer asks for it again within its patience
+            self.keys.ended(course.held, max(course.vw.expires, self.outside.now() + SECOND))
--- a/curlewshift/desk/outside.py
+++ b/curlewshift/desk/outside.py
@@ -9,7 +9,9 @@
 from typing import Protocol
 
 from curlewshift.desk.course import Answer, Course, Request, TuneIn
+from curlewshift.desk.errands import Errand
 from curlewshift.model import Server
+from curlewshift.retries.endings import Ending
 
 
 class Outside(Protocol):
@@ -25,11 +27,12 @@
     def withdraw(self, tune_in: TuneIn) -> bool:
         """Its time is over: let go of it; what it set up all the same must end. True if the server may have heard."""
 
-    def set_rung(self, course: Course, rung: int) -> None:
-        """Tell the server that plays the viewing its new rung; a newer one overtakes an older one."""
+    def tell(self, errand: Errand) -> None:
+        """Tell the server that plays this viewing its new rung, or pass its client's patch on; `Desk.told_server`
+        hears what came of it."""
 
-    def tear_down(self, server: Server, session: object) -> None:
-        """End this session at the server. Failing to is no loss: the server ends what nobody watches."""
+    def end_session(self, ending: Ending) -> None:
+        """Ask the server to end this session; `Desk.session_ended` hears whether it answered."""
 
     def probe(self, server: Server) -> None:
         """Ask the server how full it is; `Desk.probed` tells the answer, once."""
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -139,6 +139,11 @@
         for number in range(50):
             outside.desk.closed(outside.play(key=f"k{number}"))
         self.assertLessEqual(len(outside.desk.keys), 10)
+        # a viewing in work keeps its key whatever comes
+        outside.ask(key="mine")
+        for number in range(50):
+            outside.desk.closed(outside.play(key=f"l{number}"))
+        self.assertIsNotNone(outside.desk.keys.find("mine", outside.clock))
 
 
 class Full(unittest.TestCase):
