--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -68,8 +68,10 @@
     """Run a front of SITE until SIGTERM."""
     import secrets
 
+    from curlewshift.exchange.tls import BadCertificate
     from curlewshift.front.front import Front
     from curlewshift.front.spoilt import NAMES, spoilt
+    from curlewshift.limits.permits import BadKeys
     from curlewshift.logs import make_log
     held = site_of(site)
     try:
@@ -84,7 +86,45 @@
         state.mkdir(parents=True, exist_ok=True)
     arguments = (held, number, secrets.randbits(32) if seed is None else seed, state,
                  make_log(front=held.doors[number].name), life)
-    run((spoilt(sabotage, *arguments) if sabotage else Front(*arguments)).run)
+    try:
+        made = spoilt(sabotage, *arguments) if sabotage else Front(*arguments)
+    except (BadKeys, BadCertificate, OSError) as wrong:
+        click.echo(f"{site}: {wrong}", err=True)
+        sys.exit(2)
+    run(made.run)
+
+
+@main.group()
+def authority():
+    """A private authority for the site's certificates."""
+
+
+@authority.command("make")
+@click.argument("folder", type=PATH)
+@click.option("--name", default="curlewshift", help="What it is called in its certificate.")
+def authority_make(folder, name):
+    """Make an authority in FOLDER."""
+    from curlewshift.site.authority import NoAuthority, make_authority
+    try:
+        click.echo(make_authority(folder, name))
+    except (NoAuthority, OSError) as wrong:
+        click.echo(f"curlewshift: {wrong}", err=True)
+        sys.exit(2)
+
+
+@authority.command("issue")
+@click.argument("folder", type=PATH)
+@click.argument("hosts", nargs=-1, required=True)
+@click.option("--out", type=PATH, required=True, help="Path without ending: .pem and .key are added.")
+@click.option("--days", default=90.0)
+def authority_issue(folder, hosts, out, days):
+    """Sign a certificate for HOSTS (names or addresses) with the authority in FOLDER."""
+    from curlewshift.site.authority import NoAuthority, issue
+    try:
+        click.echo("\n".join(str(path) for path in issue(folder, list(hosts), out, days)))
+    except (NoAuthority, OSError) as wrong:
+        click.echo(f"curlewshift: {wrong}", err=True)
+        sys.exit(2)
 
 
 @main.group()
--- a/curlewshift/exchange/client.py
+++ b/curlewshift/exchange/client.py
@@ -132,6 +132,13 @@
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             return b""
 
+    def say_no_more(self) -> None:
+        """Close this side: the peer sees that nothing more comes, and what it has said already can still be read."""
+        try:
+            self.stream.extra(SocketAttribute.raw_socket).shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
     def cut(self) -> None:
         """End the connection under whoever reads it: that finds it broken."""
         try:
@@ -144,23 +151,27 @@
             await self.stream.aclose()
 
 
-async def connect(host: str, port: int, within: float) -> Call:
-    """Raises `NeverSent`. `within` is seconds."""
+async def connect(host: str, port: int, within: float, tls=None) -> Call:
+    """Raises `NeverSent`. `within` is seconds, `tls` an ssl context that checks the host's name."""
     try:
         with anyio.fail_after(within):
-            stream = await anyio.connect_tcp(host, port)
+            if tls is None:
+                stream = await anyio.connect_tcp(host, port)
+            else:
+                stream = await anyio.connect_tcp(host, port, ssl_context=tls, tls_hostname=host,
+                                                 tls_standard_compatible=False)
     except TimeoutError:
         raise NeverSent(f"no connection to {host}:{port} within {within:.3g} s") from None
-    except OSError as wrong:
-        raise NeverSent(f"no connection to {host}:{port}: {wrong}") from None
+    except (OSError, anyio.BrokenResourceError, anyio.EndOfStream) as wrong:
+        raise NeverSent(f"no connection to {host}:{port}: {wrong or type(wrong).__name__}") from None
     return Call(stream, f"{host}:{port}")
 
 
 async def ask(host: str, port: int, method: str, target: str, headers=(), body: bytes = b"",
-              within: float = 5.0) -> Answered:
+              within: float = 5.0, tls=None) -> Answered:
     """One request on a connection of its own. Raises `NeverSent`, `Broken`, `TimeoutError`."""
     with anyio.fail_after(within):
-        call = await connect(host, port, within)
+        call = await connect(host, port, within, tls)
         try:
             return await call.ask(method, target, headers, body)
         finally:
--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -13,11 +13,13 @@
 import anyio
 import h11
 from anyio.abc import SocketAttribute, SocketStream
+from anyio.streams.tls import TLSListener
 
 from curlewshift.signalling.bodies import PROBLEM_TYPE, Problem, encode
 
 # A head has to be there this long after its first byte, and a body this long after its head (s).
 HEAD_WITHIN = 5.0
+HANDSHAKE_WITHIN = 5.0
 BODY_WITHIN = 5.0
 IDLE_FOR = 30.0
 WRITE_WITHIN = 5.0
@@ -26,10 +28,11 @@
 # Bytes read ahead of a handler at work, pipelined requests among them.
 MOST_AHEAD = 64 * 1024
 
-REASONS = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
-           405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
-           415: "Unsupported Media Type", 422: "Unprocessable Content", 431: "Request Header Fields Too Large",
-           500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable"}
+REASONS = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found",
+           405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 412: "Precondition Failed", 413: "Content Too Large",
+           415: "Unsupported Media Type", 422: "Unprocessable Content", 428: "Precondition Required", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable",
+           504: "Gateway Timeout"}
 
 
 class PeerGone(Exception):
@@ -47,7 +50,7 @@
 class Exchange:
     """One request, and the means to answer it once."""
 
-    __slots__ = ("method", "target", "path", "query", "headers", "body", "line", "answered")
+    __slots__ = ("method", "target", "path", "query", "headers", "body", "line", "answered", "always")
 
     def __init__(self, line: Line, method: str, target: str, headers: dict[str, str], body: bytes):
         self.line, self.method, self.target, self.headers, self.body = line, method, target, headers, body
@@ -55,11 +58,13 @@
         self.path = path
         self.query = dict(part.partition("=")[::2] for part in query.split("&") if part)
         self.answered = False
+        # headers of every answer
+        self.always: list[tuple[str, str]] = []
 
     async def answer(self, status: int, headers: list[tuple[str, str]] = (), body: bytes = b"") -> None:
         """Raises `PeerGone`."""
         self.answered = True
-        await self.line.send_whole(status, headers, body)
+        await self.line.send_whole(status, [*self.always, *headers], body)
 
     async def problem(self, status: int, detail: str, type: str = "about:blank",
                       headers: list[tuple[str, str]] = (), retry_after_ms: int | None = None) -> None:
@@ -71,7 +76,7 @@
     async def start(self, status: int, headers: list[tuple[str, str]]) -> Callable[[bytes], Awaitable[None]]:
         """A body of no known length: returns what sends a piece of it. The connection ends with it."""
         self.answered = True
-        return await self.line.send_open(status, headers)
+        return await self.line.send_open(status, [*self.always, *headers])
 
     def on_hang_up(self, call: Callable[[], None]) -> None:
         """`call` runs once the peer has closed or broken the connection, at once if it has."""
@@ -96,6 +101,7 @@
         self.gone = False
         self.gone_calls: list[Callable[[], None]] = []
         self.silent = False
+        self.peer = stream.extra(SocketAttribute.remote_address)[0]
 
     async def run(self) -> None:
         try:
@@ -264,11 +270,13 @@
         self.gone = True
 
 
-async def serve(listener, handler: Handler, on_fault: Callable[[Exception], None], tasks=None) -> None:
+async def serve(listener, handler: Handler, on_fault: Callable[[Exception], None], tasks=None, tls=None) -> None:
     """Serves until cancelled, or until the listener is closed; connections had by then go on in `tasks`.
 
-    `on_fault` hears of a handler that failed, which costs its own connection and no other.
+    `on_fault` hears of a handler that failed, which costs its own connection and no other. `tls` is an ssl context.
     """
+    if tls is not None:
+        listener = TLSListener(listener, tls, standard_compatible=False, handshake_timeout=HANDSHAKE_WITHIN)
     async def one(stream: SocketStream) -> None:
         try:
             await Line(stream, handler).run()
--- a/curlewshift/front/door.py
+++ b/curlewshift/front/door.py
@@ -1,9 +1,11 @@
-"""The door: WHEP requests of viewers, checked before they cost anything, and answered once each."""
+"""The door: WHEP and WHIP requests, checked before they cost anything, and answered once each.
+
+WHIP is RFC 9725, WHEP draft-ietf-wish-whep. What a session takes after it plays is in sessions.py beside this file.
+"""
 
 from __future__ import annotations
 
 import re
-import secrets
 
 import anyio
 
@@ -11,107 +13,125 @@
 from curlewshift.desk.desk import Desk, KeyReused, Misuse, Unknown
 from curlewshift.exchange.server import Exchange, PeerGone
 from curlewshift.front.reach import SDP, Offer
-from curlewshift.signalling.bodies import BadBody, LayerChoice, decode
-from curlewshift.signalling.sdp import BadDescription, checked_offer, identity
+from curlewshift.front.sessions import EVENTS, LAYERS, PATCHES, Sessions, Wrong
+from curlewshift.limits.permits import NoPermit, Permit, Permits, allow
+from curlewshift.signalling.sdp import PLAYS, PUBLISHES, BadDescription, checked_offer, identity
+from curlewshift.site.site import Site
 
 MS = 1_000_000
 NS = 1_000_000_000
-LAYERS = "urn:ietf:params:whep:ext:core:layer"
 WAIT = re.compile(r"wait=([0-9]{1,6})")
 MOST_NAME = 128
-
-
-class Wrong(Exception):
-    """What a request did wrong, and the status that says so."""
-
-    def __init__(self, status: int, detail: str):
-        super().__init__(detail)
-        self.status = status
+# Any page may ask: what a request may do hangs on its token and not on where its page came from.
+CORS = [("access-control-allow-origin", "*"),
+        ("access-control-expose-headers", "location, link, etag, retry-after, accept-patch")]
+PREFLIGHT = [("access-control-allow-methods", "OPTIONS, POST, PATCH, DELETE, GET"),
+             ("access-control-allow-headers", "authorization, content-type, if-match, idempotency-key, prefer, "
+                                              "x-request-id, last-event-id"),
+             ("access-control-max-age", "600")]
 
 
 class Door:
-    """`way_back` (ns) is kept off a viewer's patience for the answer to travel in."""
+    """`permits` is None where anyone may ask."""
 
-    def __init__(self, way_back: int, log):
-        self.way_back, self.log = way_back, log
+    def __init__(self, site: Site, log, permits: Permits | None = None):
+        self.way_back, self.log, self.permits = site.duties.way_back, log, permits
+        self.published, self.ice_servers = site.published, site.ice_servers
         self.desk: Desk | None = None
+        self.now = None
         self.waiters: dict[Request, anyio.Event] = {}
-        self.sessions: dict[str, Course] = {}
-        self.tokens: dict[Course, str] = {}
+        self.sessions = Sessions(self, log)
         self.names = 0
         # requests read and not yet answered
         self.busy = 0
 
     # ---- the desk's side
 
-    def answer(self, request: Request, answer: Answer) -> None:
+    def answer(self, request: Request, answer: Answer | None) -> None:
         waiter = self.waiters.pop(request, None)
         if waiter is not None:
             waiter.set()
 
-    def course(self, token: str) -> Course:
-        course = self.sessions.get(token)
-        if course is None or not course.vw.playing:
-            raise Wrong(404, "there is no such session here")
-        return course
+    def rung_changed(self, course: Course, rung: int) -> None:
+        self.sessions.rung_changed(course, rung)
 
     def sweep(self) -> None:
-        """Forgets the names of sessions that have ended."""
-        for course, token in list(self.tokens.items()):
-            if course.vw not in self.desk.courses:
-                del self.tokens[course], self.sessions[token]
+        self.sessions.sweep()
 
     # ---- the viewers' side
 
     async def serve(self, exchange: Exchange) -> None:
         self.busy += 1
+        exchange.always = CORS
         try:
             await self._serve(exchange)
-        finally:
-            self.busy -= 1
-
-    async def _serve(self, exchange: Exchange) -> None:
-        try:
-            parts = exchange.path.strip("/").split("/")
-            if parts[0] == "whep" and len(parts) == 3:
-                await self._play(exchange, *parts[1:])
-            elif parts[0] == "session" and len(parts) in (2, 3):
-                await self._session(exchange, parts)
-            else:
-                raise Wrong(404, "there is nothing at this path; viewings are asked for at /whep/PACKAGE/TITLE")
         except Wrong as wrong:
-            await exchange.problem(wrong.status, str(wrong))
+            await exchange.problem(wrong.status, str(wrong), headers=wrong.headers)
+        except NoPermit as wrong:
+            await exchange.problem(wrong.status, str(wrong), headers=[("www-authenticate", wrong.challenge)])
         except Unknown as wrong:
             await exchange.problem(404, str(wrong))
         except KeyReused as wrong:
             await exchange.problem(422, str(wrong))
         except Misuse as wrong:
             await exchange.problem(422, str(wrong))
+        finally:
+            self.busy -= 1
+
+    async def _serve(self, exchange: Exchange) -> None:
+        parts = exchange.path.strip("/").split("/")
+        if parts[0] in (PLAYS, PUBLISHES) and len(parts) == 3:
+            await self._endpoint(exchange, *parts)
+        elif parts[0] == "session" and 2 <= len(parts) <= 4:
+            await self.sessions.serve(exchange, parts[1], parts[2:])
+        else:
+            raise Wrong(404, "there is nothing at this path; viewings are asked for at /whep/PACKAGE/TITLE and "
+                             "published at /whip/PACKAGE/TITLE")
 
-    async def _play(self, exchange: Exchange, package: str, title: str) -> None:
+    def permit(self, exchange: Exchange) -> Permit | None:
+        """Who asks, where tokens are asked for. Raises `NoPermit`."""
+        if self.permits is None:
+            return None
+        return self.permits.read(exchange.headers.get("authorization"), self.now())
+
+    async def _endpoint(self, exchange: Exchange, way: str, package: str, title: str) -> None:
         if exchange.method == "OPTIONS":
-            await exchange.answer(204, [("accept-post", SDP), ("allow", "OPTIONS, POST")])
+            # a preflight bears no token (Fetch, 4.8), and tells nothing that a token would hide
+            await exchange.answer(204, [("accept-post", SDP), ("allow", "OPTIONS, POST"), *PREFLIGHT, *self._ice()])
             return
         if exchange.method != "POST":
-            raise Wrong(405, "a viewing is asked for by POST")
+            raise Wrong(405, "sessions are asked for by POST", [("allow", "OPTIONS, POST")])
+        permit = self.permit(exchange)
+        if permit is not None:
+            allow(permit, package, title, way == PUBLISHES, exchange.line.peer)
         if exchange.headers.get("content-type", "").partition(";")[0].strip().lower() != SDP:
-            raise Wrong(415, f"a viewing is asked for with an offer of type {SDP}")
-        try:
-            text = exchange.body.decode("utf-8")
-            offer = Offer(identity(checked_offer(text)), text)
-        except UnicodeDecodeError:
-            raise Wrong(400, "the offer is not UTF-8 text") from None
-        except BadDescription as wrong:
-            raise Wrong(400, f"the offer: {wrong}") from None
+            raise Wrong(415, f"sessions are asked for with an offer of type {SDP}", [("accept-post", SDP)])
+        if package in self.desk.packages and (package in self.published) != (way == PUBLISHES):
+            other = PUBLISHES if way == PLAYS else PLAYS
+            raise Wrong(404, f"package {package!r} is asked for at /{other}/")
+        offer = self._offer(exchange, way)
         name, key = exchange.headers.get("x-request-id"), exchange.headers.get("idempotency-key")
         for what, value in (("X-Request-Id", name), ("Idempotency-Key", key)):
             if value is not None and not (0 < len(value) <= MOST_NAME and value.isprintable()):
                 raise Wrong(400, f"{what} has to be 1 to {MOST_NAME} printable characters")
+        # Without a key the offer is one: its credentials are made anew for each session (RFC 8839, 5.4). A holder's
+        # keys are its own, so that nobody gets at another's session by guessing one.
+        mine = f"{permit.holder if permit else ''}\n{f'key {key}' if key else f'offer {way} {offer.identity}'}"
         self.names += 1
         request = self.desk.asked(
             name or f"r{self.names}", package, title, self._ceiling(exchange), self._patience(exchange, package),
-            key, offer)
-        await self._answered(exchange, request)
+            mine, offer)
+        await self._answered(exchange, request, permit)
+
+    def _offer(self, exchange: Exchange, way: str) -> Offer:
+        try:
+            text = exchange.body.decode("utf-8")
+            checked = checked_offer(text, way)
+        except UnicodeDecodeError:
+            raise Wrong(400, "the offer is not UTF-8 text") from None
+        except BadDescription as wrong:
+            raise Wrong(400, f"the offer: {wrong}") from None
+        return Offer(identity(checked), text, way, checked.first("ice-ufrag", checked.media[0]))
 
     def _ceiling(self, exchange: Exchange) -> int | None:
         top = exchange.query.get("top")
@@ -130,7 +150,7 @@
         patience = min(pack.patience, int(said[1]) * NS) if said else pack.patience
         return max(1, patience - self.way_back)
 
-    async def _answered(self, exchange: Exchange, request: Request) -> None:
+    async def _answered(self, exchange: Exchange, request: Request, permit: Permit | None) -> None:
         if request.answer is None:
             waiter = self.waiters[request] = anyio.Event()
 
@@ -146,11 +166,11 @@
                 self.waiters.pop(request, None)
         if request.answer is None:
             raise PeerGone
-        await self.write(exchange, request.answer)
+        await self.write(exchange, request.answer, permit)
 
-    async def write(self, exchange: Exchange, answer: Answer) -> None:
+    async def write(self, exchange: Exchange, answer: Answer, permit: Permit | None = None) -> None:
         if answer.kind is Kind.PLAYS:
-            await self._write_plays(exchange, answer.course)
+            await self._write_plays(exchange, answer.course, permit)
         elif answer.kind is Kind.REFUSED:
             # whole seconds, rounded up: never sooner than advised
             wait = [("retry-after", str(-(-answer.wait // NS)))] if answer.wait else []
@@ -158,35 +178,14 @@
         else:
             await exchange.problem(502, answer.cause)
 
-    async def _write_plays(self, exchange: Exchange, course: Course) -> None:
-        token = self.tokens.get(course)
-        if token is None:
-            token = self.tokens[course] = secrets.token_urlsafe(12)
-            self.sessions[token] = course
-        try:
-            await exchange.answer(201, [
-                ("content-type", SDP), ("location", f"/session/{token}"),
-                ("link", f'</session/{token}/layer>; rel="{LAYERS}"')], course.session.answer.encode())
-        except PeerGone:
-            # with a key the viewer may come for its answer yet; without one, nobody ever will
-            if course.key is None:
-                self.desk.closed(course)
-            raise
-
-    async def _session(self, exchange: Exchange, parts: list[str]) -> None:
-        course = self.course(parts[1])
-        if len(parts) == 2 and exchange.method == "DELETE":
-            self.log.info("closed", viewing=course.vw.name, cause="the viewer ended it")
-            self.desk.closed(course)
-            await exchange.answer(200)
-        elif len(parts) == 3 and parts[2] == "layer" and exchange.method == "POST":
-            try:
-                rung = decode(exchange.body, LayerChoice).encoding_id
-            except BadBody as wrong:
-                raise Wrong(400, str(wrong)) from None
-            if not rung.isascii() or not rung.isdigit() or len(rung) > 3:
-                raise Wrong(400, f"encodingId has to be the number of a rung, got {rung[:20]!r}")
-            self.desk.ceiling_told(course, int(rung))
-            await exchange.answer(204)
-        else:
-            raise Wrong(405, "a session takes DELETE, and POST at its layer")
+    async def _write_plays(self, exchange: Exchange, course: Course, permit: Permit | None) -> None:
+        path = self.sessions.path_of(course, permit)
+        etag = [("etag", course.session.etag)] if course.session.etag else []
+        links = [("link", f'<{path}/layer>; rel="{LAYERS}"'), ("link", f'<{path}/events>; rel="{EVENTS}"')]
+        await exchange.answer(201, [("content-type", SDP), ("location", path), ("accept-patch", PATCHES), *etag,
+                                    *links, *self._ice()], course.session.answer.encode())
+
+    def _ice(self) -> list[tuple[str, str]]:
+        return [("link", server) for server in self.ice_servers]
+
+
--- a/curlewshift/front/followers.py
+++ b/curlewshift/front/followers.py
@@ -31,8 +31,8 @@
 class Stream:
     """One server-sent event stream, kept up over breaks. `on_open` and `on_event` are called as it goes."""
 
-    def __init__(self, host: str, port: int, target: str, chance: Random):
-        self.host, self.port, self.target, self.chance = host, port, target, chance
+    def __init__(self, host: str, port: int, target: str, chance: Random, tls=None):
+        self.host, self.port, self.target, self.chance, self.tls = host, port, target, chance, tls
         self.last_id: str | None = None
         self.refused = False
         self.call: Call | None = None
@@ -43,7 +43,7 @@
         while True:
             opened = False
             try:
-                self.call = await connect(self.host, self.port, CONNECT_WITHIN)
+                self.call = await connect(self.host, self.port, CONNECT_WITHIN, self.tls)
                 try:
                     async for event in self._read(self.call):
                         opened, self.refused, pause = True, False, FIRST_PAUSE
@@ -120,9 +120,9 @@
 class NotesFollower:
     """The notes of one server. Which of its lives speaks, it says first; another one means that nothing plays."""
 
-    def __init__(self, desk: Desk, server: Server, front: str, chance: Random, log, course_of):
+    def __init__(self, desk: Desk, server: Server, front: str, chance: Random, log, course_of, tls=None):
         self.desk, self.server, self.log, self.course_of = desk, server, log, course_of
-        self.stream = Stream(*host_port(server.name), f"/notes?front={front}", chance)
+        self.stream = Stream(*host_port(server.name), f"/notes?front={front}", chance, tls)
         self.boot = ""
         self.broke = False
 
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -10,14 +10,18 @@
 
 from curlewshift.desk.course import Answer, Course, Kind, Request, TuneIn
 from curlewshift.desk.desk import Desk
+from curlewshift.desk.errands import Errand
 from curlewshift.desk.roster import Roster
 from curlewshift.exchange.server import serve
+from curlewshift.exchange.tls import BadCertificate, ServerTls, client_context
 from curlewshift.front.clock import Clock
 from curlewshift.front.door import Door
 from curlewshift.front.followers import ListFollower, NotesFollower, row_of
 from curlewshift.front.kept import KeptList
 from curlewshift.front.reach import Reach
+from curlewshift.limits.permits import BadKeys, Permits, read_keys
 from curlewshift.model import Server
+from curlewshift.retries.endings import Ending
 from curlewshift.site.site import Site
 
 NS = 1_000_000_000
@@ -40,7 +44,13 @@
         self.name = life or f"{self.door_at.name}.{self.clock.now() // 1_000_000 % 10**9}"
         self.chance = Random(seed)
         self.kept = KeptList(state / "list.json", log) if state else None
-        self.door = Door(site.duties.way_back, log)
+        # what these files lack is told before anything listens
+        self.permits = Permits(read_keys(site.token_keys.read_bytes())) if site.token_keys else None
+        self.tls = ServerTls(*site.tls) if site.tls else None
+        self.servers_tls = client_context(site.authority) if site.authority else None
+        self.door = Door(site, log, self.permits)
+        self.door.now = self.clock.now
+        self.keys_read = b""
         self.wakes: list[int] = []
         self.woken = anyio.Event()
         self.followed: dict[Server, anyio.CancelScope] = {}
@@ -60,7 +70,8 @@
     async def _run(self, ready) -> None:
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
-            self.reach = self.reach_class(self.desk, tasks, self.name, self.site.most_connections, self.log)
+            self.reach = self.reach_class(self.desk, tasks, self.name, self.site.most_connections, self.log,
+                                         self.servers_tls)
             if self.kept is not None:
                 rows = [row_of(row) for row in self.kept.read()]
                 if rows:
@@ -78,7 +89,8 @@
             if self.kept is not None:
                 tasks.start_soon(self.kept.run)
             self.listener = listener.listeners[0]
-            tasks.start_soon(serve, self.listener, self.door.serve, self._door_fault, tasks)
+            tasks.start_soon(serve, self.listener, self.door.serve, self._door_fault, tasks,
+                             self.tls.context if self.tls else None)
             self.log.info("open", front=self.door_at.name, port=self.door_at.port)
             if ready is not None:
                 ready()
@@ -103,7 +115,7 @@
         for course in list(self.desk.courses.values()):
             self.desk.closed(course)
         with anyio.move_on_after(LAST_WORDS):
-            while self.reach.endings:
+            while len(self.desk.endings):
                 await anyio.sleep(0.02)
         # Closed before the process ends, which takes a while: who comes now is turned away by the machine at once
         # and not reset later, and what was taken is still answered.
@@ -135,6 +147,25 @@
         while True:
             await anyio.sleep(SWEEP)
             self.door.sweep()
+            await anyio.to_thread.run_sync(self._renew, abandon_on_cancel=True)
+
+    def _renew(self) -> None:
+        """Keys and certificates that have changed are in force from now on; bad ones change nothing."""
+        if self.tls is not None and self.tls.changed():
+            try:
+                self.tls.load()
+                self.log.info("renewed", what="certificate")
+            except BadCertificate as wrong:
+                self.log.warning("not-renewed", what="certificate", cause=str(wrong))
+        if self.permits is not None:
+            try:
+                raw = self.site.token_keys.read_bytes()
+                if raw != self.keys_read:
+                    came, went = self.permits.replace(read_keys(raw))
+                    self.keys_read = raw
+                    self.log.info("renewed", what="keys", came=sorted(came), went=sorted(went))
+            except (OSError, BadKeys) as wrong:
+                self.log.warning("not-renewed", what="keys", cause=str(wrong))
 
     # ---- servers of the list are listened to
 
@@ -149,7 +180,8 @@
             self.reach.forget(server)
 
     async def _follow(self, server: Server, scope: anyio.CancelScope) -> None:
-        follower = NotesFollower(self.desk, server, self.name, Random(self.chance.random()), self.log, self._course_of)
+        follower = NotesFollower(self.desk, server, self.name, Random(self.chance.random()), self.log, self._course_of,
+                                 self.servers_tls)
         with scope:
             while True:
                 try:
@@ -185,13 +217,18 @@
         self.log.info("withdrawn", viewing=tune_in.course.vw.name, server=tune_in.server.name, cause="its time is over")
         return self.reach.withdraw(tune_in)
 
-    def set_rung(self, course: Course, rung: int) -> None:
-        self.log.info("rung", viewing=course.vw.name, server=course.vw.server.name, rung=rung)
-        self.reach.set_rung(course, rung)
-
-    def tear_down(self, server: Server, session: object) -> None:
-        self.log.info("tear-down", server=server.name, session=session.path)
-        self.reach.tear_down(server, session)
+    def tell(self, errand: Errand) -> None:
+        vw = errand.course.vw
+        if errand.rung is not None:
+            self.log.info("rung", viewing=vw.name, server=vw.server.name, rung=errand.rung)
+            self.door.rung_changed(errand.course, errand.rung)
+        else:
+            self.log.info("patch", viewing=vw.name, server=vw.server.name)
+        self.reach.tell(errand)
+
+    def end_session(self, ending: Ending) -> None:
+        self.log.info("tear-down", server=ending.server.name, session=ending.session.path, number=ending.tries)
+        self.reach.end_session(ending)
 
     def probe(self, server: Server) -> None:
         self.log.info("probe", server=server.name)
--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -11,18 +11,28 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from curlewshift.desk.course import Course, TuneIn
+from curlewshift.desk.course import TuneIn
 from curlewshift.desk.desk import Desk
+from curlewshift.desk.errands import Errand, Result
 from curlewshift.exchange.client import Answered, Broken, Call, NeverSent, ask, connect
 from curlewshift.model import Outcome, Server
-from curlewshift.signalling.bodies import TURNED_AWAY, BadBody, LayerChoice, Problem, decode, encode
+from curlewshift.retries.endings import Ending
+from curlewshift.signalling.bodies import (
+    PROBLEM_TYPE, TURNED_AWAY, BadBody, LayerChoice, Problem, decode, encode)
+from curlewshift.signalling.conditions import refusal
+from curlewshift.signalling.fragments import CONTENT_TYPE as FRAGMENT
+from curlewshift.signalling.fragments import Fragment
 from curlewshift.signalling.loads import HEADER, decode_load
+from curlewshift.signalling.sdp import PLAYS
 from curlewshift.site.site import host_port
 
 NS = 1_000_000_000
 SDP = "application/sdp"
+JSON = [("content-type", "application/json")]
 # Idle connections kept to one server, for packages that may be set up again.
 MOST_IDLE = 8
+# An answer that crosses with the giving up of its tune-in is waited for so long (s).
+LATE_ANSWER = 2.0
 # For calls on which no viewer waits (s).
 PATIENT = 2.0
 
@@ -33,9 +43,12 @@
 
     identity: str
     text: str = ""
+    # whep or whip: it is also the first part of the path at the server
+    way: str = PLAYS
+    ufrag: str = ""
 
     def __eq__(self, other):
-        return isinstance(other, Offer) and self.identity == other.identity
+        return isinstance(other, Offer) and (self.identity, self.way) == (other.identity, other.way)
 
     def __hash__(self):
         return hash(self.identity)
@@ -47,6 +60,27 @@
 
     path: str
     answer: str
+    # of its ICE session, as the server has it, and the client's own credentials
+    etag: str = ""
+    ufrag: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Patch:
+    """What a client sends to change its session."""
+
+    body: bytes
+    fragment: Fragment
+    if_match: str | None
+
+
+@dataclass(slots=True)
+class Reply:
+    """A server's words on a patch, or the front's own for it."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes = b""
 
 
 @dataclass(slots=True)
@@ -55,19 +89,16 @@
 
     scope: anyio.CancelScope
     call: Call | None = None
+    given_up: bool = False
 
 
 class Reach:
-    def __init__(self, desk: Desk, tasks: TaskGroup, name: str, most_connections: int, log):
+    def __init__(self, desk: Desk, tasks: TaskGroup, name: str, most_connections: int, log, tls=None):
         self.desk, self.tasks, self.name, self.log = desk, tasks, name, log
-        self.most_connections = most_connections
+        self.most_connections, self.tls = most_connections, tls
         self.out: dict[TuneIn, Out] = {}
         self.connections: dict[Server, int] = {}
         self.idle: dict[Server, list[Call]] = {}
-        # the newest rung of each viewing whose server is being told one
-        self.layers: dict[Course, int] = {}
-        # sessions whose servers are being told to end them
-        self.endings = 0
 
     # ---- tune-ins
 
@@ -80,8 +111,15 @@
         out = self.out.get(tune_in)
         if out is None:
             return True
-        out.scope.cancel()
-        return out.call is not None and out.call.written
+        if out.call is None or not out.call.written:
+            out.scope.cancel()
+            return False
+        # The server sees that nobody waits; an answer that is on its way already is still read, as the session that
+        # it tells of has to be ended.
+        out.given_up = True
+        out.call.say_no_more()
+        out.scope.deadline = anyio.current_time() + LATE_ANSWER
+        return True
 
     async def _tune_in(self, tune_in: TuneIn, out: Out, request: str) -> None:
         server = tune_in.server
@@ -112,7 +150,8 @@
         finally:
             del self.out[tune_in]
             if out.call is not None and not kept:
-                await self._drop(server, out.call)
+                with anyio.CancelScope(shield=True):
+                    await self._drop(server, out.call)
 
     async def _connection(self, server: Server, within: float, fresh: bool = False) -> Call:
         """One that is idle, or a new one within so many seconds. Raises `NeverSent`."""
@@ -126,7 +165,7 @@
             raise NeverSent(f"{self.most_connections} connections to this server are in use")
         self.connections[server] = self.connections.get(server, 0) + 1
         try:
-            return await connect(*host_port(server.name), max(0.001, within))
+            return await connect(*host_port(server.name), max(0.001, within), self.tls)
         except BaseException:
             self._count_down(server)
             raise
@@ -134,17 +173,20 @@
     async def _ask(self, tune_in: TuneIn, call: Call, request: str) -> Answered:
         vw = tune_in.course.vw
         offer = tune_in.course.offer
-        return await call.ask("POST", f"/whep/{vw.package.name}/{vw.title}?layer={tune_in.rung}", [
+        return await call.ask("POST", f"/{offer.way}/{vw.package.name}/{vw.title}?layer={tune_in.rung}", [
             ("content-type", SDP), ("x-request-id", request), ("x-front", self.name),
             ("x-tune-in", str(tune_in.number))], offer.text.encode() if offer else b"")
 
     def _judge(self, tune_in: TuneIn, answered: Answered) -> None:
         report = decode_load(answered.headers.get(HEADER, ""))
         if answered.status == 201 and answered.headers.get("location", "").startswith("/"):
-            session = Session(answered.headers["location"], answered.body.decode("utf-8", "replace"))
+            session = Session(answered.headers["location"], answered.body.decode("utf-8", "replace"),
+                              answered.headers.get("etag", ""), tune_in.course.offer.ufrag)
             self.desk.played(tune_in, session, report)
             return
-        full = answered.status == 503 and _problem(answered).type == TURNED_AWAY
+        # A redirect has done nothing (RFC 9110, 15.4). It is not followed: where it points may be draining or cold,
+        # and only the rules know; they pick again, as they do for a server that is full.
+        full = answered.status in (307, 308) or answered.status == 503 and _problem(answered).type == TURNED_AWAY
         self.desk.failed(tune_in, Outcome.FULL if full else Outcome.ERROR, report)
 
     # ---- connections
@@ -178,45 +220,47 @@
 
     # ---- what no viewer waits for
 
-    def set_rung(self, course: Course, rung: int) -> None:
-        busy = course in self.layers
-        self.layers[course] = rung
-        if not busy:
-            self.tasks.start_soon(self._tell_layers, course)
+    def tell(self, errand: Errand) -> None:
+        vw = errand.course.vw
+        self.tasks.start_soon(self._tell, errand, vw.server, errand.course.session)
 
-    async def _tell_layers(self, course: Course) -> None:
-        """One at a time and the newest last, so that an older one never arrives after it. Tried twice: a rung that
-        was not told shows in the reports, and the rules answer it from there."""
-        tries = 0
-        try:
-            while course.vw.playing and tries < 2:
-                server, rung, path = course.vw.server, self.layers[course], course.session.path
-                status = await self._call(server, "POST", path + "/layer", encode(LayerChoice(str(rung))))
-                if status is None or status >= 500:
-                    tries += 1
-                elif self.layers[course] == rung:
-                    return
-                else:
-                    tries = 0
-        finally:
-            del self.layers[course]
+    async def _tell(self, errand: Errand, server: Server, session: Session) -> None:
+        if errand.rung is not None:
+            answered = await self._call(server, "POST", session.path + "/layer", JSON,
+                                        encode(LayerChoice(str(errand.rung))))
+        else:
+            patch: Patch = errand.patch
+            restarts = patch.fragment.restarts(session.ufrag)
+            status = refusal(patch.if_match, session.etag, restarts)
+            if status is not None:
+                self.desk.told_server(errand, Result.REFUSED, _own_words(status, session))
+                return
+            answered = await self._call(server, "PATCH", session.path, [
+                ("content-type", FRAGMENT), ("if-match", patch.if_match)], patch.body)
+            if answered is not None and answered.status == 200:
+                session.etag = answered.headers.get("etag", session.etag)
+                session.ufrag = patch.fragment.ufrag
+        if answered is None or answered.status >= 500:
+            self.desk.told_server(errand, Result.UNANSWERED)
+            return
+        kept = [(name, answered.headers[name]) for name in ("content-type", "etag") if name in answered.headers]
+        done = Result.DONE if answered.status < 300 else Result.REFUSED
+        self.desk.told_server(errand, done, Reply(answered.status, kept, answered.body))
 
-    def tear_down(self, server: Server, session: Session) -> None:
-        self.endings += 1
-        self.tasks.start_soon(self._end, server, session)
+    def end_session(self, ending: Ending) -> None:
+        self.tasks.start_soon(self._end_session, ending)
 
-    async def _end(self, server: Server, session: Session) -> None:
-        try:
-            await self._call(server, "DELETE", session.path)
-        finally:
-            self.endings -= 1
+    async def _end_session(self, ending: Ending) -> None:
+        answered = await self._call(ending.server, "DELETE", ending.session.path)
+        self.desk.session_ended(ending, answered is not None and answered.status < 500)
 
     def probe(self, server: Server) -> None:
         self.tasks.start_soon(self._probe, server)
 
     async def _probe(self, server: Server) -> None:
         try:
-            answered = await ask(*host_port(server.name), "GET", "/load", [("x-front", self.name)], within=PATIENT)
+            answered = await ask(*host_port(server.name), "GET", "/load", [("x-front", self.name)], within=PATIENT,
+                                 tls=self.tls)
         except NeverSent:
             self.desk.probed(server, Outcome.UNREACHED)
         except Broken:
@@ -228,21 +272,30 @@
             self.desk.probed(server, Outcome.PLAYED if well else Outcome.ERROR,
                              decode_load(answered.headers.get(HEADER, "")))
 
-    async def _call(self, server: Server, method: str, path: str, body: bytes = b"") -> int | None:
-        kind = [("content-type", "application/json")] if body else []
+    async def _call(self, server: Server, method: str, path: str, headers: list[tuple[str, str]] = (),
+                    body: bytes = b"") -> Answered | None:
         call, kept = None, False
         try:
             with anyio.fail_after(PATIENT):
                 call = await self._connection(server, PATIENT)
-                answered = await call.ask(method, path, [("x-front", self.name), *kind], body)
+                answered = await call.ask(method, path, [("x-front", self.name), *headers], body)
             kept = self._keep(server, call)
-            return answered.status
+            return answered
         except (NeverSent, Broken, TimeoutError) as wrong:
             self.log.info("not-told", server=server.name, what=f"{method} {path}", cause=str(wrong) or "no answer")
             return None
         finally:
             if call is not None and not kept:
-                await self._drop(server, call)
+                with anyio.CancelScope(shield=True):
+                    await self._drop(server, call)
+
+
+def _own_words(status: int, session: Session) -> Reply:
+    """A patch that is refused here: its server need not hear of it."""
+    words = {428: "a patch needs If-Match with the ETag of the session", 400: "If-Match is not a list of entity tags",
+             412: "the ICE session has changed; its ETag is another one now"}[status]
+    body = encode(Problem(title="Refused", status=status, detail=words))
+    return Reply(status, [("content-type", PROBLEM_TYPE), *([("etag", session.etag)] if session.etag else [])], body)
 
 
 def _problem(answered: Answered) -> Problem:
--- /dev/null
+++ b/curlewshift/front/sessions.py
@@ -0,0 +1,196 @@
+"""What a session takes after it plays: PATCH, DELETE, layers and events, at an address that names no server."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+
+from curlewshift.desk.course import Course
+from curlewshift.desk.errands import Errand, Result
+from curlewshift.exchange.server import Exchange, PeerGone
+from curlewshift.front.reach import Patch
+from curlewshift.limits.permits import NoPermit, Permit
+from curlewshift.signalling.bodies import BadBody, LayerChoice, decode
+from curlewshift.signalling.events import CONTENT_TYPE, KEEP_ALIVE, Event, encode_event
+from curlewshift.signalling.fragments import CONTENT_TYPE as PATCHES
+from curlewshift.signalling.fragments import parse_fragment
+from curlewshift.signalling.sdp import BadDescription
+
+LAYERS = "urn:ietf:params:whep:ext:core:layer"
+EVENTS = "urn:ietf:params:whep:ext:core:server-sent-events"
+KNOWN_EVENTS = ("active", "inactive", "layers")
+# Event streams of one session, and how often they say that they live (s).
+MOST_STREAMS = 4
+ALIVE_EVERY = 5.0
+# A patch is not waited for longer than this: it may wait behind others, and its server may hang (s).
+PATCH_WITHIN = 5.0
+
+
+class Wrong(Exception):
+    """What a request did wrong, and the status that says so."""
+
+    def __init__(self, status: int, detail: str, headers: list[tuple[str, str]] = ()):
+        super().__init__(detail)
+        self.status, self.headers = status, list(headers)
+
+
+@dataclass(eq=False, slots=True)
+class Held:
+    """One session at the door. `streams` are its event streams by name: the kinds wanted and what has changed."""
+
+    course: Course
+    token: str
+    holder: str | None
+    streams: dict[str, frozenset[str]] = field(default_factory=dict)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+
+class Sessions:
+    def __init__(self, door, log):
+        self.door, self.log = door, log
+        self.by_token: dict[str, Held] = {}
+        self.by_course: dict[Course, Held] = {}
+
+    def path_of(self, course: Course, permit: Permit | None) -> str:
+        held = self.by_course.get(course)
+        if held is None:
+            held = Held(course, secrets.token_urlsafe(16), permit.holder if permit else None)
+            self.by_course[course] = self.by_token[held.token] = held
+        return f"/session/{held.token}"
+
+    def rung_changed(self, course: Course, rung: int) -> None:
+        held = self.by_course.get(course)
+        if held is not None:
+            held.changed.set()
+            held.changed = anyio.Event()
+
+    def sweep(self) -> None:
+        """Forgets sessions that have ended; their event streams end with a last word."""
+        for course, held in list(self.by_course.items()):
+            if course.vw not in self.door.desk.courses:
+                del self.by_course[course], self.by_token[held.token]
+                held.changed.set()
+
+    # ---- requests
+
+    async def serve(self, exchange: Exchange, token: str, rest: list[str]) -> None:
+        if exchange.method == "OPTIONS":
+            from curlewshift.front.door import PREFLIGHT
+            await exchange.answer(204, [("accept-patch", PATCHES), ("allow", "OPTIONS, PATCH, DELETE"), *PREFLIGHT])
+            return
+        permit = self.door.permit(exchange)
+        held = self.by_token.get(token)
+        if held is None or not held.course.vw.playing:
+            raise Wrong(404, "there is no such session here")
+        if permit is not None and permit.holder != held.holder:
+            raise NoPermit(403, "insufficient_scope", "the session is another's")
+        if not rest and exchange.method == "DELETE":
+            self.log.info("closed", viewing=held.course.vw.name, cause="the viewer ended it")
+            self.door.desk.closed(held.course)
+            await exchange.answer(200)
+        elif not rest and exchange.method == "PATCH":
+            await self._patch(exchange, held.course)
+        elif rest == ["layer"] and exchange.method == "POST":
+            await self._layer(exchange, held.course)
+        elif rest == ["events"] and exchange.method == "POST":
+            await self._subscribe(exchange, held)
+        elif rest[:1] == ["events"] and len(rest) == 2 and exchange.method == "GET":
+            await self._stream(exchange, held, rest[1])
+        else:
+            # GET, HEAD and PUT of a session are for other versions of the papers (RFC 9725, 4.2)
+            raise Wrong(405, "a session takes PATCH and DELETE, its layer and its events POST",
+                        [("allow", "OPTIONS, PATCH, DELETE")])
+
+    async def _patch(self, exchange: Exchange, course: Course) -> None:
+        if exchange.headers.get("content-type", "").partition(";")[0].strip().lower() != PATCHES:
+            raise Wrong(415, f"a session is patched with {PATCHES}", [("accept-patch", PATCHES)])
+        try:
+            fragment = parse_fragment(exchange.body.decode("utf-8"))
+        except UnicodeDecodeError:
+            raise Wrong(400, "the fragment is not UTF-8 text") from None
+        except BadDescription as wrong:
+            raise Wrong(400, f"the fragment: {wrong}") from None
+        ended = anyio.Event()
+        errands: list[Errand] = []
+
+        def told(errand: Errand) -> None:
+            errands.append(errand)
+            ended.set()
+        exchange.on_hang_up(ended.set)
+        self.door.desk.patched(course, Patch(exchange.body, fragment, exchange.headers.get("if-match")), told)
+        with anyio.move_on_after(PATCH_WITHIN):
+            await ended.wait()
+        if exchange.line.gone:
+            raise PeerGone
+        await self._patched(exchange, errands[0] if errands else None)
+
+    async def _patched(self, exchange: Exchange, errand: Errand | None) -> None:
+        if errand is not None and errand.reply is not None:
+            await exchange.answer(errand.reply.status, errand.reply.headers, errand.reply.body)
+        elif errand is not None and errand.result is Result.OVER:
+            raise Wrong(404, "the session has ended")
+        elif errand is not None and errand.result is Result.CROWDED:
+            raise Wrong(503, "too many changes of this session wait", [("retry-after", "1")])
+        else:
+            raise Wrong(504, "the server of this session did not answer; the change may have been taken all the same")
+
+    async def _layer(self, exchange: Exchange, course: Course) -> None:
+        try:
+            rung = decode(exchange.body, LayerChoice).encoding_id
+        except BadBody as wrong:
+            raise Wrong(400, str(wrong)) from None
+        if not rung.isascii() or not rung.isdigit() or len(rung) > 3:
+            raise Wrong(400, f"encodingId has to be the number of a rung, got {rung[:20]!r}")
+        self.door.desk.ceiling_told(course, int(rung))
+        await exchange.answer(204)
+
+    # ---- server-sent events
+
+    async def _subscribe(self, exchange: Exchange, held: Held) -> None:
+        try:
+            kinds = frozenset(decode(exchange.body or b"[]", list[str]))
+        except BadBody as wrong:
+            raise Wrong(400, str(wrong)) from None
+        if len(held.streams) >= MOST_STREAMS:
+            raise Wrong(409, f"this session has {MOST_STREAMS} event streams")
+        name = secrets.token_urlsafe(6)
+        held.streams[name] = (kinds or frozenset(KNOWN_EVENTS)) & frozenset(KNOWN_EVENTS)
+        await exchange.answer(201, [("location", f"/session/{held.token}/events/{name}")])
+
+    async def _stream(self, exchange: Exchange, held: Held, name: str) -> None:
+        kinds = held.streams.get(name)
+        if kinds is None:
+            raise Wrong(404, "there is no such event stream")
+        piece = await exchange.start(200, [("content-type", CONTENT_TYPE)])
+        try:
+            if "active" in kinds:
+                await piece(encode_event(Event("active", "{}")))
+            await self._tell(exchange, held, kinds, piece)
+        finally:
+            held.streams.pop(name, None)
+
+    async def _tell(self, exchange: Exchange, held: Held, kinds: frozenset[str], piece) -> None:
+        told, vw = None, held.course.vw
+        while not exchange.line.gone:
+            changed = held.changed
+            if not vw.playing:
+                if "inactive" in kinds:
+                    await piece(encode_event(Event("inactive", "{}")))
+                return
+            if "layers" in kinds and vw.rung != told:
+                told = vw.rung
+                await piece(encode_event(Event("layers", layers(vw.package.rates, vw.ceiling, told))))
+            with anyio.move_on_after(ALIVE_EVERY) as quiet:
+                await changed.wait()
+            if quiet.cancelled_caught:
+                await piece(KEEP_ALIVE)
+
+
+def layers(rates: tuple[float, ...], ceiling: int, rung: int) -> str:
+    """The body of a `layers` event: the rung in force is the active encoding, bitrates are bits a second."""
+    rows = [{"encodingId": str(number), "bitrate": int(rate * 8000)} for number, rate in enumerate(rates)]
+    return msgspec.json.encode({"0": {"active": [rows[rung]], "inactive": [
+        row for number, row in enumerate(rows) if number != rung and number <= ceiling]}}).decode()
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -33,8 +33,8 @@
 
     count = 0
 
-    async def write(self, exchange, answer):
-        await super().write(exchange, answer)
+    async def write(self, exchange, answer, permit=None):
+        await super().write(exchange, answer, permit)
         self.count += 1
         if not self.count % EVERY:
             await exchange.line.stream.send(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")
--- /dev/null
+++ b/curlewshift/limits/__init__.py
@@ -0,0 +1,1 @@
+"""What may pass the door, decided without I/O."""
--- /dev/null
+++ b/curlewshift/signalling/fragments.py
@@ -0,0 +1,103 @@
+"""Trickle ICE fragments (RFC 8840): what a client sends by PATCH to add candidates or to restart ICE (RFC 9725, 4.3)."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+from curlewshift.signalling.sdp import ICE_CHARS, BadDescription
+
+CONTENT_TYPE = "application/trickle-ice-sdpfrag"
+MOST_BYTES = 16 * 1024
+MOST_CANDIDATES = 200
+# RFC 8839, 5.1: foundation, component, transport, priority, address, port, typ, and extensions by pairs
+CANDIDATE = re.compile(
+    r"[A-Za-z0-9+/]{1,32} [0-9]{1,5} [A-Za-z0-9-]+ [0-9]{1,10} \S+ [0-9]{1,5} typ [a-z0-9-]+( \S+ \S+)*", re.ASCII)
+
+
+@dataclass(slots=True)
+class Part:
+    """What a fragment says of one media section, known by its mid."""
+
+    mid: str
+    candidates: list[str] = field(default_factory=list)
+    ended: bool = False
+
+
+@dataclass(slots=True)
+class Fragment:
+    ufrag: str
+    pwd: str
+    parts: list[Part]
+
+    def restarts(self, ufrag: str) -> bool:
+        """Whether this begins another ICE session than the one of these credentials."""
+        return self.ufrag != ufrag
+
+
+def parse_fragment(text: str) -> Fragment:
+    """Raises `BadDescription`. Unknown attributes are skipped, as RFC 8840 demands (4.4)."""
+    if len(text) > MOST_BYTES:
+        raise BadDescription(0, f"the fragment is longer than {MOST_BYTES} characters")
+    ufrag = pwd = ""
+    parts: list[Part] = []
+    inside, count = False, 0
+    for number, raw in enumerate(text.split("\n"), 1):
+        line = raw.rstrip("\r")
+        if not line:
+            continue
+        kind, equals, value = line[0], line[1:2], line[2:]
+        if equals != "=" or not kind.islower():
+            raise BadDescription(number, f"expected letter=value, got {line[:40]!r}")
+        if kind == "m":
+            # a pseudo line that is there for the attributes that follow it
+            inside = True
+            parts.append(Part(""))
+            continue
+        if kind != "a":
+            continue
+        name, _, rest = value.partition(":")
+        if name == "ice-ufrag":
+            ufrag = _credential(number, "a=ice-ufrag", rest, 4)
+        elif name == "ice-pwd":
+            pwd = _credential(number, "a=ice-pwd", rest, 22)
+        elif name == "mid":
+            if not parts or parts[-1].mid:
+                parts.append(Part(""))
+            parts[-1].mid = rest
+        elif name in ("candidate", "end-of-candidates"):
+            if not parts:
+                raise BadDescription(number, f"a={name} before any media section (m= and a=mid)")
+            count += 1
+            if count > MOST_CANDIDATES:
+                raise BadDescription(number, f"over {MOST_CANDIDATES} candidates")
+            if name == "end-of-candidates":
+                parts[-1].ended = True
+            elif parts[-1].ended:
+                raise BadDescription(number, "a candidate after the end of candidates")
+            elif not CANDIDATE.fullmatch(rest):
+                raise BadDescription(number, "a=candidate is not as RFC 8839, 5.1 has it")
+            else:
+                parts[-1].candidates.append(rest)
+    if not ufrag or not pwd:
+        raise BadDescription(0, "the fragment has no a=ice-ufrag and a=ice-pwd (RFC 8840, 4.4)")
+    if inside and any(not part.mid for part in parts):
+        raise BadDescription(0, "a media section of the fragment has no a=mid")
+    return Fragment(ufrag, pwd, parts)
+
+
+def _credential(number: int, name: str, value: str, least: int) -> str:
+    if not least <= len(value) <= 256 or not ICE_CHARS.fullmatch(value):
+        raise BadDescription(number, f"{name} is not {least} to 256 ICE characters (RFC 8839, 5.4)")
+    return value
+
+
+def fragment_text(ufrag: str, pwd: str, candidates: list[str] = (), mid: str = "0", ended: bool = False) -> str:
+    lines = [f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}"]
+    if candidates or ended:
+        lines += ["m=video 9 UDP/TLS/RTP/SAVPF 0", f"a=mid:{mid}"]
+        lines += [f"a=candidate:{candidate}" for candidate in candidates]
+        lines += ["a=end-of-candidates"] * ended
+    return "\r\n".join(lines) + "\r\n"
+
+
--- a/curlewshift/signalling/sdp.py
+++ b/curlewshift/signalling/sdp.py
@@ -85,31 +85,57 @@
     return Media(parts[0], int(port), number)
 
 
-def checked_offer(text: str) -> Description:
-    """An offer to receive, as WHEP demands it of a player. Raises `BadDescription`."""
+# Which way media flow in an offer: WHEP plays, WHIP publishes.
+PLAYS, PUBLISHES = "whep", "whip"
+DIRECTIONS = {PLAYS: ("recvonly", "sendrecv"), PUBLISHES: ("sendonly", "sendrecv")}
+
+
+def checked_offer(text: str, way: str = PLAYS) -> Description:
+    """An offer as WHEP demands it of a player, or WHIP of a publisher (RFC 9725, 4.2 and 4.4). Raises
+    `BadDescription`."""
     offer = parse(text)
     if not offer.media:
         raise BadDescription(0, "the offer has no media section (m=)")
     for media in offer.media:
-        for name in ("ice-ufrag", "ice-pwd", "fingerprint", "setup"):
-            if offer.first(name, media) is None:
-                raise BadDescription(media.line, f"this media section has no a={name}")
-        ufrag, pwd = offer.first("ice-ufrag", media), offer.first("ice-pwd", media)
-        if not 4 <= len(ufrag) <= 256 or not ICE_CHARS.fullmatch(ufrag):
-            raise BadDescription(media.line, "a=ice-ufrag is not 4 to 256 ICE characters (RFC 8839, 5.4)")
-        if not 22 <= len(pwd) <= 256 or not ICE_CHARS.fullmatch(pwd):
-            raise BadDescription(media.line, "a=ice-pwd is not 22 to 256 ICE characters (RFC 8839, 5.4)")
-        if not FINGERPRINT.fullmatch(offer.first("fingerprint", media)):
-            raise BadDescription(media.line, "a=fingerprint is not 'hash XX:XX:...' (RFC 8122, 5)")
-        if offer.first("setup", media) not in ("actpass", "active", "passive"):
-            raise BadDescription(media.line, "a=setup is not actpass, active or passive")
+        _check_transport(offer, media)
         if "rtcp-mux" not in media.attributes:
-            raise BadDescription(media.line, "this media section has no a=rtcp-mux (RFC 8834, 4.5)")
-        if not {"recvonly", "sendrecv"} & media.attributes.keys():
-            raise BadDescription(media.line, "a player's offer has to be recvonly or sendrecv here")
+            raise BadDescription(media.line, "this media section has no a=rtcp-mux (RFC 9725, 4.4.1)")
+        if not set(DIRECTIONS[way]) & media.attributes.keys():
+            raise BadDescription(media.line, f"the offer has to be {' or '.join(DIRECTIONS[way])} here")
+    _check_bundle(offer)
     return offer
 
 
+def _check_transport(offer: Description, media: Media) -> None:
+    for name in ("ice-ufrag", "ice-pwd", "fingerprint", "setup"):
+        if offer.first(name, media) is None:
+            raise BadDescription(media.line, f"this media section has no a={name}")
+    ufrag, pwd = offer.first("ice-ufrag", media), offer.first("ice-pwd", media)
+    if not 4 <= len(ufrag) <= 256 or not ICE_CHARS.fullmatch(ufrag):
+        raise BadDescription(media.line, "a=ice-ufrag is not 4 to 256 ICE characters (RFC 8839, 5.4)")
+    if not 22 <= len(pwd) <= 256 or not ICE_CHARS.fullmatch(pwd):
+        raise BadDescription(media.line, "a=ice-pwd is not 22 to 256 ICE characters (RFC 8839, 5.4)")
+    if not FINGERPRINT.fullmatch(offer.first("fingerprint", media)):
+        raise BadDescription(media.line, "a=fingerprint is not 'hash XX:XX:...' (RFC 8122, 5)")
+    if offer.first("setup", media) not in ("actpass", "active"):
+        raise BadDescription(media.line, "a=setup of an offer has to be actpass, or active (RFC 9725, 4.4.5)")
+
+
+def _check_bundle(offer: Description) -> None:
+    """One bundle that has every section, by mids that differ (RFC 9143, 7.2; RFC 9725, 4.4.1)."""
+    groups = [group.split()[1:] for group in offer.attributes.get("group", []) if group.split()[:1] == ["BUNDLE"]]
+    if len(groups) != 1:
+        raise BadDescription(0, f"the offer has {len(groups)} bundles (a=group:BUNDLE), it needs one")
+    mids = []
+    for media in offer.media:
+        mid = media.attributes.get("mid", [""])[0]
+        if not mid or mid in mids:
+            raise BadDescription(media.line, f"a=mid of this media section is {'missing' if not mid else 'there twice'}")
+        mids.append(mid)
+        if mid not in groups[0]:
+            raise BadDescription(media.line, f"this media section ({mid}) is not in the bundle")
+
+
 def identity(offer: Description) -> str:
     """The same for the same offer sent again: its ICE credentials and fingerprint, hashed."""
     media = offer.media[0]
@@ -117,11 +143,12 @@
     return hashlib.blake2b("\n".join(parts).encode(), digest_size=16).hexdigest()
 
 
-def offer_text(ufrag: str, pwd: str, fingerprint: str) -> str:
-    """A player's offer of one video section."""
+def offer_text(ufrag: str, pwd: str, fingerprint: str, way: str = PLAYS) -> str:
+    """An offer of one video section."""
     return _text([
         "v=0", f"o=- {int.from_bytes(ufrag.encode()[:6], 'big')} 1 IN IP4 127.0.0.1", "s=-", "t=0 0",
-        "a=group:BUNDLE 0", "m=video 9 UDP/TLS/RTP/SAVPF 96", "c=IN IP4 0.0.0.0", "a=mid:0", "a=recvonly",
+        "a=group:BUNDLE 0", "m=video 9 UDP/TLS/RTP/SAVPF 96", "c=IN IP4 0.0.0.0", "a=mid:0",
+        f"a={DIRECTIONS[way][0]}",
         f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}", f"a=fingerprint:{fingerprint}", "a=setup:actpass", "a=rtcp-mux",
         "a=rtpmap:96 VP8/90000"])
 
@@ -133,7 +160,7 @@
     for media in offer.media:
         lines += [f"m={media.kind} 9 UDP/TLS/RTP/SAVPF 96", "c=IN IP4 0.0.0.0"]
         lines += [f"a=mid:{mid}" for mid in media.attributes.get("mid", [])]
-        lines += ["a=sendonly", f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}", f"a=fingerprint:{fingerprint}",
+        lines += ["a=recvonly" if "sendonly" in media.attributes else "a=sendonly", f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}", f"a=fingerprint:{fingerprint}",
                   "a=setup:passive", "a=rtcp-mux", f"a=candidate:1 1 tcp 2105458943 {host} {port} typ host tcptype passive"]
     return _text(lines)
 
--- a/curlewshift/site/reading.py
+++ b/curlewshift/site/reading.py
@@ -26,6 +26,7 @@
     "xs:positiveInteger": "a whole number above 0",
     "xs:nonNegativeInteger": "a whole number, 0 or more",
     "xs:boolean": "true or false",
+    None: "an address of an ICE server, such as stun:host or turn:host:port",
     "xs:decimal": "a number",
 }
 
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -65,6 +65,14 @@
     duties: Duties
     most_waiting: int
     most_connections: int
+    # packages whose viewings publish (WHIP) instead of playing (WHEP)
+    published: frozenset[str] = frozenset()
+    # files for bearer tokens, the door's TLS and the servers' authority; None: without
+    token_keys: Path | None = None
+    tls: tuple[Path, Path] | None = None
+    authority: Path | None = None
+    # values of Link for ICE servers (RFC 9725, 4.6)
+    ice_servers: tuple[str, ...] = ()
 
     def door(self, name: str) -> int:
         """The number of the front of that name. Raises `KeyError`."""
@@ -119,11 +127,28 @@
     fronts = root.find("fronts")
     return Site(
         name=root.get("name"), list_at=host_port(root.find("list").get("address")),
-        doors=[Door(front.get("name"), *host_port(front.get("listen"))) for front in fronts],
+        doors=[Door(front.get("name"), *host_port(front.get("listen"))) for front in fronts.iterfind("front")],
         packages=packages, machines=machines, titles=titles, duties=duties,
         uplinks={rack.get("name"): rate(rack.get("uplink")) for rack in root.iterfind("racks/rack")},
         most_waiting=int(fronts.get("most-waiting", "2000")),
-        most_connections=int(fronts.get("most-connections-to-a-server", "64")))
+        most_connections=int(fronts.get("most-connections-to-a-server", "64")),
+        published=frozenset(element.get("name") for element in root.iterfind("packages/package")
+                            if element.get("published") in ("true", "1")),
+        **_files(Path(path).parent, fronts),
+        ice_servers=tuple(_ice_link(element) for element in fronts.iterfind("ice-server")))
+
+
+def _files(folder: Path, fronts) -> dict:
+    """Files are named from where the settings are."""
+    tokens, tls, servers = (fronts.find(name) for name in ("tokens", "tls", "servers-tls"))
+    return {"token_keys": folder / tokens.get("keys") if tokens is not None else None,
+            "tls": (folder / tls.get("certificate"), folder / tls.get("key")) if tls is not None else None,
+            "authority": folder / servers.get("authority") if servers is not None else None}
+
+
+def _ice_link(element) -> str:
+    more = "".join(f'; {name}="{element.get(name)}"' for name in ("username", "credential") if element.get(name))
+    return f'<{element.get("url")}>; rel="ice-server"{more}' + ('; credential-type="password"' if more else "")
 
 
 def _package(element, ladder: list[float], wrong: list[tuple[int, str]]) -> Package:
--- a/curlewshift/standins/server.py
+++ b/curlewshift/standins/server.py
@@ -17,9 +17,12 @@
 
 from curlewshift.exchange.server import Exchange, Line, PeerGone
 from curlewshift.signalling.bodies import TURNED_AWAY, BadBody, LayerChoice, Note, decode, encode
+from curlewshift.signalling.conditions import refusal
 from curlewshift.signalling.events import CONTENT_TYPE, KEEP_ALIVE, Event, encode_event
+from curlewshift.signalling.fragments import CONTENT_TYPE as FRAGMENT
+from curlewshift.signalling.fragments import fragment_text, parse_fragment
 from curlewshift.signalling.loads import HEADER, encode_load
-from curlewshift.signalling.sdp import BadDescription, answer_text, checked_offer
+from curlewshift.signalling.sdp import PLAYS, PUBLISHES, BadDescription, answer_text, checked_offer
 from curlewshift.site.site import Duties, Machine
 from curlewshift.standins.physics import LinkModel, warmth
 from curlewshift.standins.traffic import Traffic
@@ -57,10 +60,18 @@
     rate: float
     # its true rate over that of the ladder
     truth: float
+    # the client's credentials, and how many ICE sessions there were
+    theirs: str = ""
+    restarts: int = 0
     began: int = field(default_factory=time.monotonic_ns)
     watchers: int = 0
+    candidates: list = field(default_factory=list)
     unwatched_since: int = field(default_factory=time.monotonic_ns)
 
+    @property
+    def etag(self) -> str:
+        return f'"{self.name[:6]}.{self.restarts}"'
+
 
 @dataclass(eq=False, slots=True)
 class Listener:
@@ -95,6 +106,8 @@
         self.draining = False
         self.fails_fast = False
         self.loses_answers = ""
+        # it points elsewhere; it goes on for those who have hung up
+        self.redirects = self.stubborn = False
         self.notes_late = 0.0
         self.thaw = anyio.Event()
         self.thaw.set()
@@ -176,8 +189,8 @@
 
     async def _serve(self, exchange: Exchange) -> None:
         parts = exchange.path.strip("/").split("/")
-        if parts[0] == "whep" and len(parts) == 3 and exchange.method == "POST":
-            await self._setup(exchange, *parts[1:])
+        if parts[0] in (PLAYS, PUBLISHES) and len(parts) == 3 and exchange.method == "POST":
+            await self._setup(exchange, *parts)
             return
         await self.thaw.wait()
         if parts[0] == "notes" and exchange.method == "GET":
@@ -189,6 +202,8 @@
             if session is not None:
                 self._end(session, "deleted", tell=False)
             await exchange.answer(200 if session else 404)
+        elif parts[0] == "session" and len(parts) == 2 and exchange.method == "PATCH":
+            await self._patch(exchange, parts[1])
         elif parts[0] == "session" and len(parts) == 3 and exchange.method == "POST":
             await self._layer(exchange, parts[1])
         elif parts[0] == "load" and exchange.method == "GET":
@@ -196,7 +211,7 @@
         else:
             await exchange.problem(404, "there is nothing at this path")
 
-    async def _setup(self, exchange: Exchange, package: str, title: str) -> None:
+    async def _setup(self, exchange: Exchange, way: str, package: str, title: str) -> None:
         headers = exchange.headers
         facts = dict(server=self.name, boot=self.boot, front=headers.get("x-front", ""),
                      request=headers.get("x-request-id", ""), number=int(headers.get("x-tune-in", "0")))
@@ -211,24 +226,28 @@
                 self.traffic.seen("setup-over", how=how, **facts)
         exchange.on_hang_up(lambda: over("gone"))
         try:
-            await self._set_up(exchange, package, title, layer, facts, over)
+            await self._set_up(exchange, way, package, title, layer, facts, over)
         finally:
             over("dropped")
 
-    async def _set_up(self, exchange, package, title, layer, facts, over) -> None:
+    async def _set_up(self, exchange, way, package, title, layer, facts, over) -> None:
         self._count_arrival()
         await self.thaw.wait()
-        if exchange.line.gone:
+        if exchange.line.gone and not self.stubborn:
             raise PeerGone
         rates = self.ladder.get(package)
         try:
-            offer = checked_offer(exchange.body.decode("utf-8", "replace"))
+            offer = checked_offer(exchange.body.decode("utf-8", "replace"), way)
             if rates is None or not 0 <= layer < len(rates):
                 raise BadDescription(0, "no such package or layer")
         except BadDescription as wrong:
             over("bad")
             await exchange.problem(400, str(wrong))
             return
+        if self.redirects:
+            over("turned-away")
+            await exchange.answer(307, [("location", f"http://127.0.0.1:1{exchange.path}")])
+            return
         if self.draining or len(self.sessions) + self.queued >= self.machine.streams or self.queued >= MOST_QUEUED:
             over("turned-away")
             await exchange.problem(503, "it drains" if self.draining else "it is full", TURNED_AWAY,
@@ -249,11 +268,11 @@
         if self.loses_answers:
             await self._lose(exchange)
             return
-        if exchange.line.gone:
+        if exchange.line.gone and not self.stubborn:
             # whoever asked has gone: no media will ever flow
             raise PeerGone
         session = Session(secrets.token_hex(8), secrets.token_hex(4), facts["front"], facts["request"], package, title, layer, rates[layer],
-                          self.chance.uniform(0.88, 1.12))
+                          self.chance.uniform(0.88, 1.12), offer.first("ice-ufrag", offer.media[0]))
         self.sessions[session.name] = self.media[session.ufrag] = session
         self._reckon()
         self.traffic.seen("session", session=session.name, package=package, title=title, rung=layer, **facts)
@@ -262,7 +281,7 @@
                              int(self.name.rpartition(":")[2]))
         try:
             await exchange.answer(201, [("content-type", SDP), ("location", f"/session/{session.name}"),
-                                        (HEADER, encode_load(self.report))], answer.encode())
+                                        ("etag", session.etag), (HEADER, encode_load(self.report))], answer.encode())
         except PeerGone:
             self._end(session, "its answer was not taken", tell=False)
             raise
@@ -308,6 +327,32 @@
                           package=session.package)
         await exchange.answer(204)
 
+    async def _patch(self, exchange: Exchange, name: str) -> None:
+        """Candidates, or another ICE session (RFC 9725, 4.3)."""
+        session = self.sessions.get(name)
+        if session is None:
+            await exchange.problem(404, "no such session")
+            return
+        try:
+            fragment = parse_fragment(exchange.body.decode("utf-8", "replace"))
+        except BadDescription as wrong:
+            await exchange.problem(400, str(wrong))
+            return
+        restarts = fragment.restarts(session.theirs)
+        status = refusal(exchange.headers.get("if-match"), session.etag, restarts)
+        if status is not None:
+            await exchange.problem(status, "the condition does not hold", headers=[("etag", session.etag)])
+            return
+        added = [candidate for part in fragment.parts for candidate in part.candidates]
+        session.candidates = added if restarts else session.candidates + added
+        self.traffic.seen("patch", server=self.name, session=name, restarts=restarts, candidates=len(added))
+        if not restarts:
+            await exchange.answer(204)
+            return
+        session.restarts, session.theirs = session.restarts + 1, fragment.ufrag
+        await exchange.answer(200, [("content-type", FRAGMENT), ("etag", session.etag)],
+                              fragment_text(session.ufrag, secrets.token_hex(12)).encode())
+
     def _end(self, session: Session, why: str, tell: bool = True) -> None:
         if self.sessions.pop(session.name, None) is None:
             return
