--- a/curlewshift/exchange/client.py
+++ b/curlewshift/exchange/client.py
@@ -69,8 +69,7 @@
             while True:
                 event = await self._event()
                 if isinstance(event, h11.Response):
-                    return Answered(event.status_code, {name.decode("latin-1"): value.decode("latin-1")
-                                                        for name, value in event.headers})
+                    return Answered(event.status_code, _headers(event))
                 if not isinstance(event, h11.InformationalResponse):
                     raise Broken("the connection ended before an answer")
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as wrong:
@@ -151,6 +150,15 @@
             await self.stream.aclose()
 
 
+def _headers(event) -> dict[str, str]:
+    """Lines of one name are one list (RFC 9110, 5.3)."""
+    headers: dict[str, str] = {}
+    for raw, value in event.headers:
+        name, text = raw.decode("latin-1"), value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {text}" if name in headers else text
+    return headers
+
+
 async def connect(host: str, port: int, within: float, tls=None) -> Call:
     """Raises `NeverSent`. `within` is seconds, `tls` an ssl context that checks the host's name."""
     try:
--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -192,6 +192,8 @@
         self.off_gone()
         if not exchange.answered:
             raise AssertionError(f"{exchange.method} {exchange.target} was not answered")
+        if self.http.our_state is h11.SEND_BODY and not self.gone:
+            await self._send(self.http.send(h11.EndOfMessage()))
         if self.gone or self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
             return False
         self.http.start_next_cycle()
@@ -270,13 +272,23 @@
         self.gone = True
 
 
+class QuietListener(TLSListener):
+    """A handshake that fails costs its own connection and no line in any log: anyone can make it fail."""
+
+    @staticmethod
+    async def handle_handshake_error(exc: BaseException, stream) -> None:
+        await anyio.aclose_forcefully(stream)
+        if not isinstance(exc, Exception):
+            raise exc
+
+
 async def serve(listener, handler: Handler, on_fault: Callable[[Exception], None], tasks=None, tls=None) -> None:
     """Serves until cancelled, or until the listener is closed; connections had by then go on in `tasks`.
 
     `on_fault` hears of a handler that failed, which costs its own connection and no other. `tls` is an ssl context.
     """
     if tls is not None:
-        listener = TLSListener(listener, tls, standard_compatible=False, handshake_timeout=HANDSHAKE_WITHIN)
+        listener = QuietListener(listener, tls, standard_compatible=False, handshake_timeout=HANDSHAKE_WITHIN)
     async def one(stream: SocketStream) -> None:
         try:
             await Line(stream, handler).run()
--- a/curlewshift/standins/server.py
+++ b/curlewshift/standins/server.py
@@ -380,7 +380,6 @@
                 await anyio.sleep(MEDIA_EVERY)
                 if exchange.line.gone:
                     raise PeerGone
-            exchange.line.gone = True
         finally:
             session.watchers -= 1
             session.unwatched_since = time.monotonic_ns()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -52,7 +52,7 @@
 class SmallSite:
     """`servers` stand-ins that hold title t, each on a shelf of its own."""
 
-    def __init__(self, servers=2, patience=2 * SECOND, **duties):
+    def __init__(self, servers=2, patience=2 * SECOND, site=None, **duties):
         self.traffic = Seen()
         ports = free_ports(servers + 2, random.Random())
         facts = dict(
@@ -62,10 +62,12 @@
         self.duties = Duties(**{**facts, **duties})
         self.packages = [
             package(name="clip", join_target=SECOND, patience=patience, floor=1),
-            package(name="paid", join_target=SECOND, patience=patience, paid_at_setup=True)]
+            package(name="paid", join_target=SECOND, patience=patience, paid_at_setup=True),
+            package(name="camera", join_target=SECOND, patience=patience, seats=2)]
         machines = [Machine(f"s{n}", "127.0.0.1", port, "r", "z", 10_000.0, 50, 4) for n, port in enumerate(ports[2:])]
         self.site = Site("test", [Door("f", "127.0.0.1", ports[0])], ("127.0.0.1", ports[1]), self.packages,
-                         {"r": 1e6}, machines, {"t": tuple(machine.shelf for machine in machines)}, self.duties, 100, 64)
+                         {"r": 1e6}, machines, {"t": tuple(machine.shelf for machine in machines)}, self.duties, 100, 64,
+                         frozenset({"camera"}), **(site or {}))
         self.list = ServerList(random.Random(1), self.traffic)
         self.uplink = Uplink(1e6)
         self.servers = {}
