--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -195,7 +195,8 @@
     draw_day(read_traffic(out / "traffic.jsonl"), out / "day.svg")
     for table in verdict_tables(verdict):
         Console().print(table)
-    sys.exit(1 if any(rule["broken"] for rule in verdict["rules"].values()) else 0)
+    broken = any(rule["broken"] for rule in verdict["rules"].values())
+    sys.exit(1 if broken or verdict["left_standing"] else 0)
 
 
 @main.group()
@@ -207,7 +208,7 @@
 @click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
 @click.option("--count", type=click.IntRange(10, 100_000), default=1500, help="Joins each way.")
 def measure_joins(out, count):
-    """Joins through a front beside the same joins straight at a stand-in."""
+    """Joins through a front, plain and with TLS, beside the same joins straight at a stand-in."""
     import json
 
     from curlewshift.rehearsal.joins import measure_joins as measured
@@ -227,3 +228,15 @@
     figures = measured(count)
     out.write_text(json.dumps(figures, indent=1) + "\n")
     click.echo(json.dumps(figures, indent=1))
+
+
+@measure.command("keys")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_keys(out):
+    """What a key costs in the table beside a plain dictionary that is swept."""
+    import json
+
+    from curlewshift.rehearsal.key_cost import measure_keys as measured
+    figures = measured()
+    out.write_text(json.dumps(figures, indent=1) + "\n")
+    click.echo(json.dumps(figures, indent=1))
--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -100,7 +100,7 @@
         self.ahead, self.more, self.room = bytearray(), anyio.Event(), anyio.Event()
         self.gone = False
         self.gone_calls: list[Callable[[], None]] = []
-        self.silent = False
+        self.silent = self.headless = False
         self.peer = stream.extra(SocketAttribute.remote_address)[0]
 
     async def run(self) -> None:
@@ -213,6 +213,7 @@
         request = await self._event_within(HEAD_WITHIN, "head")
         if not isinstance(request, h11.Request):
             return None
+        self.headless = request.method == b"HEAD"
         body = bytearray()
         ends = anyio.current_time() + BODY_WITHIN
         while True:
@@ -241,8 +242,11 @@
     async def send_whole(self, status: int, headers, body: bytes) -> None:
         head = h11.Response(status_code=status, reason=REASONS.get(status, ""),
                             headers=[*headers, ("content-length", str(len(body)))])
-        await self._send((self.http.send(head) or b"") + (self.http.send(h11.Data(data=body)) or b"")
-                         + (self.http.send(h11.EndOfMessage()) or b""))
+        # a HEAD is answered with the length of what is left out (RFC 9110, 9.3.2)
+        data = self.http.send(head) or b""
+        if not self.headless:
+            data += self.http.send(h11.Data(data=body)) or b""
+        await self._send(data + (self.http.send(h11.EndOfMessage()) or b""))
 
     async def send_open(self, status: int, headers):
         head = h11.Response(status_code=status, reason=REASONS.get(status, ""),
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -111,10 +111,13 @@
 class Overspend(Front):
     """Knows of no budget for further tune-ins, and sends them freely."""
 
+    @property
+    def reach_class(self):
+        return WastefulReach
+
     def __init__(self, site, *args, **how):
         site.duties = replace(site.duties, free_further=None, most_tune_ins=50)
         super().__init__(site, *args, **how)
-        self.reach_class = WastefulReach
 
 
 class WastefulReach(Reach):
@@ -130,6 +133,35 @@
             super()._judge(tune_in, answered)
 
 
+class DoubleReach(Reach):
+    """Asks a second server along with the first, as one who wants to be quick might."""
+
+    count = 0
+
+    async def _ask(self, tune_in, call, request):
+        self.count += 1
+        others = [server for server in tune_in.course.vw.holders if server is not tune_in.server and server.open]
+        if others and not self.count % 3:
+            offer, vw = tune_in.course.offer, tune_in.course.vw
+            self.tasks.start_soon(
+                self._call, others[0], "POST", f"/{offer.way}/{vw.package.name}/{vw.title}?layer={tune_in.rung}", [
+                    ("content-type", "application/sdp"), ("x-request-id", request),
+                    ("x-tune-in", str(tune_in.number + 1))], offer.text.encode())
+        return await super()._ask(tune_in, call, request)
+
+
+class DoubleTuneIn(Front):
+    reach_class = DoubleReach
+
+
+class LostTeardown(Desk):
+    """Forgets the sessions that nobody was told of."""
+
+    def __init__(self, *args, **how):
+        super().__init__(*args, **how)
+        self.endings.end = lambda server, session: None
+
+
 def spoilt(name: str, *args) -> Front:
     return {
         "lose-answer": lambda: LoseAnswer(*args),
@@ -140,10 +172,10 @@
         "under-floor": lambda: UnderFloor(*args),
         "over-seats": lambda: OverSeats(*args),
         "overspend-budget": lambda: Overspend(*args),
+        "double-tune-in": lambda: DoubleTuneIn(*args),
+        "lost-teardown": lambda: Front(*args, desk=LostTeardown),
     }[name]()
 
 
 NAMES = ("lose-answer", "answer-twice", "resend-paid", "ignore-drain", "push-cold", "under-floor", "over-seats",
-         "overspend-budget")
-# The rule that each of them breaks.
-BREAKS = dict(zip(NAMES, ("1", "1", "2", "3", "4", "5", "5", "6")))
+         "overspend-budget", "double-tune-in", "lost-teardown")
--- a/curlewshift/rehearsal/joins.py
+++ b/curlewshift/rehearsal/joins.py
@@ -17,8 +17,10 @@
 from hdrh.histogram import HdrHistogram
 
 from curlewshift.exchange.client import connect
+from curlewshift.exchange.tls import client_context
 from curlewshift.rehearsal.processes import Child, free_ports, listens
 from curlewshift.signalling.sdp import offer_text
+from curlewshift.site.authority import issue, make_authority
 
 SDP = "application/sdp"
 FINGERPRINT = "sha-256 " + ":".join(["A5"] * 32)
@@ -27,8 +29,9 @@
 WARM_UP = 100
 PAUSE = 0.002
 
+TLS = '<tls certificate="door.pem" key="door.key"/>'
 SITE = """<site name="measure">
-  <fronts most-waiting="1000"><front name="f" listen="127.0.0.1:{front}"/></fronts>
+  <fronts most-waiting="1000"><front name="f" listen="127.0.0.1:{front}"/>{tls}</fronts>
   <list address="127.0.0.1:{list}"/>
   <ladder><rung rate="100kB/s"/><rung rate="200kB/s"/></ladder>
   <packages><package name="p" value="1" join-target="1s" patience="4s"/></packages>
@@ -49,10 +52,10 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-async def joins(port: int, count: int, histogram: HdrHistogram, pause: float = 0.0) -> None:
+async def joins(port: int, count: int, histogram: HdrHistogram, pause: float = 0.0, tls=None) -> None:
     """One viewer after the other on one connection; each joins and leaves. Only the join is timed: `pause` (s) lets
     the work of the leaving end before the next one comes."""
-    call = await connect("127.0.0.1", port, 2.0)
+    call = await connect("127.0.0.1", port, 2.0, tls)
     try:
         for _ in range(count):
             offer = offer_text(secrets.token_hex(4), secrets.token_hex(12), FINGERPRINT).encode()
@@ -71,49 +74,77 @@
         await call.close()
 
 
-async def one_way(port: int, pid: int, count: int) -> dict:
+async def one_way(port: int, pid: int, count: int, tls=None) -> dict:
     """Latency of one viewer alone, then joins a second of CPU with many at once."""
-    await joins(port, WARM_UP, HdrHistogram(1, 10_000_000, 3))
+    await joins(port, WARM_UP, HdrHistogram(1, 10_000_000, 3), 0.0, tls)
     alone, crowd = HdrHistogram(1, 10_000_000, 3), HdrHistogram(1, 10_000_000, 3)
-    await joins(port, count, alone, PAUSE)
+    await joins(port, count, alone, PAUSE, tls)
     cpu, began = cpu_of(pid), time.perf_counter()
     async with anyio.create_task_group() as tasks:
         for _ in range(AT_ONCE):
-            tasks.start_soon(joins, port, max(1, count // AT_ONCE), crowd)
+            tasks.start_soon(joins, port, max(1, count // AT_ONCE), crowd, 0.0, tls)
     done, cpu, took = count // AT_ONCE * AT_ONCE, cpu_of(pid) - cpu, time.perf_counter() - began
     return {"p50_us": alone.get_value_at_percentile(50), "p99_us": alone.get_value_at_percentile(99),
             "joins_a_second_a_core": round(done / max(cpu, 0.01)), "joins_a_second": round(done / took),
             "p99_us_at_once": crowd.get_value_at_percentile(99)}
 
 
+async def open_sessions(port: int, count: int) -> None:
+    """Sessions that are asked for and not ended."""
+    call = await connect("127.0.0.1", port, 2.0)
+    try:
+        for _ in range(count):
+            offer = offer_text(secrets.token_hex(4), secrets.token_hex(12), FINGERPRINT).encode()
+            if (await call.ask("POST", "/whep/p/t", [("content-type", SDP)], offer)).status != 201 or not call.again():
+                raise RuntimeError("a join was not answered well")
+    finally:
+        await call.close()
+
+
+def memory_of(pid: int) -> float:
+    """Resident memory in kB."""
+    fields = Path(f"/proc/{pid}/statm").read_text().split()
+    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE") / 1024
+
+
 async def measure_joins(count: int) -> dict:
-    with tempfile.TemporaryDirectory() as folder:
-        ports = free_ports(SERVERS + 2, Random(os.getpid()))
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        ports = free_ports(SERVERS + 3, Random(os.getpid()))
+        authority = make_authority(folder / "authority", "measure")
+        issue(folder / "authority", ["127.0.0.1"], folder / "door")
         servers = "".join(f'<server shelf="s{n}" listen="127.0.0.1:{port}" link="9000MB/s" streams="100000"/>'
-                          for n, port in enumerate(ports[2:]))
-        site = Path(folder) / "site.xml"
-        site.write_text(SITE.format(front=ports[0], list=ports[1], servers=servers,
-                                    shelves=" ".join(f"s{n}" for n in range(SERVERS))))
-        log = Path(folder) / "log"
-        standin = Child(["standin", "server", str(site), "--setup-work", "0"], log)
-        front = Child(["front", str(site), "--seed", "1"], log)
+                          for n, port in enumerate(ports[3:]))
+        sites = {}
+        for kind, port, tls in (("plain", ports[0], ""), ("tls", ports[1], TLS)):
+            sites[kind] = folder / f"{kind}.xml"
+            sites[kind].write_text(SITE.format(front=port, list=ports[2], servers=servers, tls=tls,
+                                               shelves=" ".join(f"s{n}" for n in range(SERVERS))))
+        log = folder / "log"
+        standin = Child(["standin", "server", str(sites["plain"]), "--setup-work", "0"], log)
+        plain, secure = (Child(["front", str(sites[kind]), "--seed", "1"], log) for kind in ("plain", "tls"))
         try:
-            for port in (ports[0], ports[2]):
+            for port in (ports[0], ports[1], ports[3]):
                 if not await listens(port, 20.0):
                     raise RuntimeError(f"nothing listens at port {port}: {log.read_text()[-500:]}")
             await anyio.sleep(1.5)
-            # half of each way first, then the other half: a machine that slows down meanwhile slows both
-            direct, through = [], []
+            context = client_context(authority)
+            ways = {"direct": (ports[3], standin, None), "through": (ports[0], plain, None),
+                    "through_tls": (ports[1], secure, context)}
+            # each way by halves: a machine that slows down meanwhile slows all
+            halves: dict[str, list[dict]] = {way: [] for way in ways}
             for _ in range(2):
-                direct.append(await one_way(ports[2], standin.process.pid, count // 2))
-                through.append(await one_way(ports[0], front.process.pid, count // 2))
+                for way, (port, child, tls) in ways.items():
+                    halves[way].append(await one_way(port, child.process.pid, count // 2, tls))
+            before = memory_of(plain.process.pid)
+            await open_sessions(ports[0], count)
+            per_session = (memory_of(plain.process.pid) - before) / count
         finally:
-            front.kill()
-            standin.kill()
-    direct, through = ({name: round(sum(half[name] for half in halves) / 2) for name in halves[0]}
-                       for halves in (direct, through))
-    return {"joins_each_way": count, "direct": direct, "through": through,
-            "ratios": {"p50": round(through["p50_us"] / direct["p50_us"], 2),
-                       "p99": round(through["p99_us"] / direct["p99_us"], 2),
-                       "joins_a_second_a_core": round(
-                           through["joins_a_second_a_core"] / direct["joins_a_second_a_core"], 2)}}
+            for child in (plain, secure, standin):
+                child.kill()
+    figures = {way: {name: round(sum(half[name] for half in parts) / 2) for name in parts[0]}
+               for way, parts in halves.items()}
+    direct = figures["direct"]
+    ratios = {way: {name: round(figures[way][name] / direct[name], 2)
+                    for name in ("p50_us", "p99_us", "joins_a_second_a_core")} for way in ("through", "through_tls")}
+    return {"joins_each_way": count, **figures, "ratios": ratios, "kB_a_session": round(per_session, 2)}
--- /dev/null
+++ b/curlewshift/rehearsal/key_cost.py
@@ -0,0 +1,63 @@
+"""What a key costs: the table with its buckets beside a plain dictionary that is swept, in one run."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+
+from curlewshift.retries.keys import KeyTable
+
+SECOND = 1_000_000_000
+KEPT_FOR = 5 * SECOND
+SWEEP_EVERY = SECOND // 4
+
+
+class Swept:
+    """The plain way: a dictionary, and every quarter of a second a look at all of it."""
+
+    def __init__(self, now: int):
+        self.held: dict[str, tuple] = {}
+        self.swept_at = now
+
+    def find(self, key, now):
+        if now - self.swept_at >= SWEEP_EVERY:
+            self.swept_at = now
+            for old in [old for old, (_, _, until) in self.held.items() if until is not None and until <= now]:
+                del self.held[old]
+        held = self.held.get(key)
+        return None if held is None or held[2] is not None and held[2] <= now else held
+
+    def hold(self, key, mark, course):
+        self.held[key] = (mark, course, None)
+        return key
+
+    def ended(self, key, until):
+        mark, course, _ = self.held[key]
+        self.held[key] = (mark, course, until)
+
+
+def one(table, rate: int, seconds: int) -> dict:
+    """`rate` keys a second, each asked for, held, ended at once and kept for five seconds."""
+    chance, now, gap = Random(1), 0, SECOND // rate
+    took = []
+    for number in range(rate * seconds):
+        now += gap
+        key = f"key {number} {chance.random()}"
+        began = time.perf_counter_ns()
+        if table.find(key, now) is None:
+            table.ended(table.hold(key, "mark", None), now + KEPT_FOR)
+        took.append(time.perf_counter_ns() - began)
+    took.sort()
+    return {"mean_us": round(sum(took) / len(took) / 1000, 2), "worst_ms": round(took[-1] / 1e6, 2),
+            "p999_us": round(took[len(took) * 999 // 1000] / 1000, 1)}
+
+
+def measure_keys(rates=(200, 2000, 20_000)) -> dict:
+    rows = []
+    for rate in rates:
+        seconds = max(10, min(60, 200_000 // rate))
+        table, swept = one(KeyTable(0, 10 ** 9), rate, seconds), one(Swept(0), rate, seconds)
+        rows.append({"keys_a_second": rate, "held": rate * 5, "table": table, "swept": swept, "ratios": {
+            "mean": round(table["mean_us"] / swept["mean_us"], 2),
+            "worst": round(table["worst_ms"] / max(0.01, swept["worst_ms"]), 2)}})
+    return {"rates": rows}
--- a/curlewshift/rehearsal/table.py
+++ b/curlewshift/rehearsal/table.py
@@ -9,11 +9,12 @@
 
 
 def verdict_tables(verdict: dict) -> list[Table]:
-    counts = Table(title="requests")
-    names = ("requests", "answers", "duplicates", "unanswered", "late", "service")
-    for name in names:
-        counts.add_column(name, justify="right")
-    counts.add_row(*(str(verdict[name]) for name in names))
+    counts = Table(title="requests and sessions")
+    counts.add_column("")
+    counts.add_column("count", justify="right")
+    for name in ("requests", "answers", "duplicates", "unanswered", "late", "tune_ins_per_request_max", "torn_down",
+                 "left_standing", "service"):
+        counts.add_row(name.replace("_", " "), str(verdict[name]))
     rules = Table(title="rules, from the sockets of stand-ins and viewers")
     for name in ("rule", "", "applied", "broken", "verdict"):
         rules.add_column(name)
--- a/curlewshift/retries/keys.py
+++ b/curlewshift/retries/keys.py
@@ -14,40 +14,43 @@
 
 from typing import Any
 
-from curlewshift.schedule.wheel import Entry, Wheel
-
 # Kept answers; beyond this the ones that would be forgotten first are forgotten now.
 MOST_ENDED = 20_000
-TICK = 250_000_000
+# Ended keys are forgotten together in spans of this (ns). A timing wheel of single entries was measured too, and cost
+# twice as much a key: nothing here needs its order within a span.
+SPAN = 250_000_000
 
 
 class Held:
-    """One key. `mark` tells what was asked under it, `course` what came of that."""
+    """One key. `mark` tells what was asked under it, `course` what came of that; `until` is 0 while in work."""
 
-    __slots__ = ("key", "mark", "course", "entry")
+    __slots__ = ("key", "mark", "course", "until")
 
     def __init__(self, key: str, mark: Any, course: Any):
-        self.key, self.mark, self.course, self.entry = key, mark, course, None
+        self.key, self.mark, self.course, self.until = key, mark, course, 0
 
 
 class KeyTable:
-    """Times are ns of the caller's clock."""
+    """Times are ns of the caller's clock. Each operation costs the same whatever is held: an ended key is put into the
+    bucket of its span, and a bucket is emptied once, when its span has passed."""
 
     def __init__(self, now: int, most_ended: int = MOST_ENDED):
         self.held: dict[str, Held] = {}
-        self.wheel = Wheel(now, TICK)
-        self.most_ended = most_ended
+        self.buckets: dict[int, list[str]] = {}
+        self.next_span = now // SPAN
+        self.ended_count, self.most_ended = 0, most_ended
 
     def __len__(self) -> int:
         return len(self.held)
 
     def find(self, key: str, now: int) -> Held | None:
-        """Who holds this key. What is past its time is forgotten on the way, a few at a time."""
-        self._turn(now)
+        """Who holds this key. What is past its time is forgotten on the way."""
+        if now // SPAN > self.next_span:
+            self._turn(now // SPAN)
         held = self.held.get(key)
-        # the wheel tells late by up to its tick: the time itself decides
-        if held is not None and held.entry is not None and held.entry.at <= now:
-            self._forget(held)
+        # buckets are late by up to their span: the time itself decides
+        if held is not None and 0 < held.until <= now:
+            self._drop(held)
             return None
         return held
 
@@ -59,31 +62,36 @@
 
     def ended(self, held: Held, until: int) -> None:
         """What was asked has its answer for good; that is told again until then."""
-        if self.held.get(held.key) is not held or held.entry is not None:
+        if self.held.get(held.key) is not held or held.until:
             return
-        held.entry = self.wheel.add(until, held)
-        while len(self.wheel) > self.most_ended:
-            self._forget_first()
+        held.until = max(1, until)
+        self.buckets.setdefault(max(until // SPAN, self.next_span), []).append(held.key)
+        self.ended_count += 1
+        while self.ended_count > self.most_ended:
+            self._empty(min(self.buckets))
 
     def forget(self, held: Held) -> None:
         """Nothing came of it, and nothing can have run: the key is free."""
         if self.held.get(held.key) is held:
-            self._forget(held)
-
-    def _turn(self, now: int) -> None:
-        for held in self.wheel.due(now):
-            if self.held.get(held.key) is held:
-                del self.held[held.key]
-
-    def _forget(self, held: Held) -> None:
-        entry: Entry | None = held.entry
-        if entry is not None:
-            self.wheel.cancel(entry)
+            self._drop(held)
+
+    def _turn(self, span: int) -> None:
+        """All spans before this one are over; after a long rest there may be more spans than buckets."""
+        if span - self.next_span > len(self.buckets):
+            over = sorted(past for past in self.buckets if past < span)
+        else:
+            over = [past for past in range(self.next_span, span) if past in self.buckets]
+        self.next_span = span
+        for past in over:
+            self._empty(past)
+
+    def _empty(self, bucket: int) -> None:
+        """Forgets the ended keys of a bucket. One that was used anew since belongs to another bucket, or to none."""
+        for key in self.buckets.pop(bucket):
+            held = self.held.get(key)
+            if held is not None and held.until and held.until // SPAN <= bucket:
+                self._drop(held)
+
+    def _drop(self, held: Held) -> None:
         del self.held[held.key]
-
-    def _forget_first(self) -> None:
-        """The wheel is asked for a time by which something is due, and gives up the first of that."""
-        at = self.wheel.next_due()
-        for held in self.wheel.due(at):
-            if self.held.get(held.key) is held:
-                del self.held[held.key]
+        self.ended_count -= held.until > 0
--- a/curlewshift/standins/script.py
+++ b/curlewshift/standins/script.py
@@ -51,6 +51,7 @@
     each_second: float
     come_again: float
     hang_up: float
+    leave: float
     wishes: list[Wish]
     troubles: list[Trouble]
 
@@ -94,4 +95,5 @@
     if wrong:
         raise Mistakes(path, wrong)
     return Script(site_path, site, lasts / NS, int(root.get("seed", "1")), each_second,
-                  float(viewers.get("come-again")), float(viewers.get("hang-up-and-retry", "0")), wishes, troubles)
+                  float(viewers.get("come-again")), float(viewers.get("hang-up-and-retry", "0")),
+                  float(viewers.get("hang-up-and-leave", "0")), wishes, troubles)
--- a/curlewshift/standins/server.py
+++ b/curlewshift/standins/server.py
@@ -140,9 +140,11 @@
     def freeze(self) -> None:
         """Accepts and never answers: its sockets stay, and nothing comes out of them."""
         self.thaw = anyio.Event()
+        self.traffic.seen("froze", server=self.name, boot=self.boot)
 
     def unfreeze(self) -> None:
         self.thaw.set()
+        self.traffic.seen("thawed", server=self.name, boot=self.boot)
 
     async def _fall(self, tasks) -> None:
         await self.fallen.wait()
@@ -358,7 +360,7 @@
             return
         del self.media[session.ufrag]
         self._reckon()
-        self.traffic.seen("session-end", server=self.name, session=session.name, why=why)
+        self.traffic.seen("session-end", server=self.name, boot=self.boot, session=session.name, why=why)
         listener = self.listeners.get(session.front)
         if tell and listener is not None:
             listener.ended.append(Note(session=f"/session/{session.name}", why=why))
--- a/curlewshift/standins/viewers.py
+++ b/curlewshift/standins/viewers.py
@@ -14,7 +14,8 @@
 
 from curlewshift.exchange.client import Answered, Broken, Call, NeverSent, ask, connect
 from curlewshift.signalling.bodies import BadBody, Problem, decode
-from curlewshift.signalling.sdp import BadDescription, candidate_of, offer_text, parse
+from curlewshift.signalling.sdp import (
+    PLAYS, PUBLISHES, BadDescription, candidate_of, offer_text, parse)
 from curlewshift.site.site import Site
 from curlewshift.standins.script import Script, Wish
 from curlewshift.standins.traffic import Traffic
@@ -32,6 +33,7 @@
 MOST_HEARD = 20
 # Viewers who hang up on a slow answer do so after this (s), and ask again with the same key.
 HANGS_UP_AFTER = 0.25
+LEAVES_AFTER = (0.01, 0.3)
 MEDIA_WITHIN = 2.0
 
 
@@ -94,8 +96,13 @@
         """One request, and what comes of it: how it ended, and how long the viewer was told to stay away (s)."""
         door = chance.randrange(len(self.doors))
         ufrag, pwd = secrets.token_hex(4), secrets.token_hex(12)
-        offer = offer_text(ufrag, pwd, FINGERPRINT).encode()
+        way = PUBLISHES if wish.package in self.site.published else PLAYS
+        offer = offer_text(ufrag, pwd, FINGERPRINT, way).encode()
         key = f"{request}-{ufrag}"
+        if chance.random() < self.script.leave:
+            with anyio.move_on_after(chance.uniform(*LEAVES_AFTER)):
+                await self._ask(request, viewing, door, wish.package, title, top, key, offer, hangs_up=True)
+            return "left", 0.0
         if chance.random() < self.script.hang_up:
             with anyio.move_on_after(HANGS_UP_AFTER):
                 await self._ask(request + "h", viewing, door, wish.package, title, top, key, offer, hangs_up=True)
@@ -114,12 +121,13 @@
     async def _ask(self, request, viewing, door, package, title, top, key, offer, hangs_up=False) -> Answered | None:
         patience = self.packages[package].patience
         facts = dict(request=request, viewing=viewing, front=self.site.doors[door].name)
+        way = PUBLISHES if package in self.site.published else PLAYS
         call = None
         try:
             call = await connect(*self.doors[door], 1.0)
             self.traffic.seen("ask", package=package, title=title, patience=patience, **facts)
             with anyio.move_on_after(patience / NS) as waiting:
-                answered = await call.ask("POST", f"/whep/{package}/{title}?top={top}", [
+                answered = await call.ask("POST", f"/{way}/{package}/{title}?top={top}", [
                     ("content-type", SDP), ("x-request-id", request), ("idempotency-key", key)], offer)
             if waiting.cancelled_caught:
                 self.traffic.seen("gave-up", **facts)
--- a/curlewshift/verdict/verdict.py
+++ b/curlewshift/verdict/verdict.py
@@ -125,7 +125,8 @@
     cold_spared(day, rules["4"])
     terms_kept(day, rules["5"])
     budget_kept(day, rules["6"])
-    return {**counts, "service": service(day), "rules": {number: rule.told() for number, rule in rules.items()},
+    return {**counts, "service": service(day), **sessions_ended(day),
+            "tune_ins_per_request_max": max((len(setups) for setups in day.setups.values()), default=0), "rules": {number: rule.told() for number, rule in rules.items()},
             "troubles": sorted({event["kind"] for event in day.by_kind["trouble"]})}
 
 
@@ -335,6 +336,31 @@
                 rule.breaks(f"{front}: {made} further tune-ins within the span in which {came} requests came")
 
 
+# ---- sessions that nobody was told of
+
+def sessions_ended(day: Day) -> dict:
+    """Sessions set up for requests that never heard of them: `torn_down` by their front, or `left_standing` until
+    the server ended them itself. What a server that hung or died could not hear is its front's fault no more, nor is
+    what a front that ended by force had no time for."""
+    plays = {event["request"] for event in day.by_kind["answer"] if event["status"] == 201}
+    ends = {event["session"]: event for event in day.by_kind["session-end"]}
+    hung = {(event["server"], event["boot"]) for event in day.by_kind["froze"]}
+    torn = left = 0
+    for session in day.by_kind["session"]:
+        request = session["request"]
+        # one that hung up and asked again gets what the first request set up
+        if request in plays or request.removesuffix("h") in plays:
+            continue
+        end = ends.get(session["session"])
+        if end is not None and end.get("why") == "deleted":
+            torn += 1
+        elif end is not None and end.get("why") == "nobody watches":
+            life = day.life.get(session["front"])
+            excused = (session["server"], session["boot"]) in hung or life is None or life.ended < end["at"]
+            left += not excused
+    return {"torn_down": torn, "left_standing": left}
+
+
 # ---- service
 
 def service(day: Day) -> float:
--- a/tests/test_desk_histories.py
+++ b/tests/test_desk_histories.py
@@ -181,7 +181,7 @@
                 super().__init__()
                 spoil(self.desk)
         with self.assertRaises(AssertionError) as found:
-            run_state_machine_as_test(Spoilt, settings=settings(HOW, phases=[Phase.generate]))
+            run_state_machine_as_test(Spoilt, settings=settings(HOW, phases=[Phase.generate], max_examples=2000))
         self.assertIn(what, "\n".join([str(found.exception), *traceback.format_exception(found.exception)]))
 
     def test_an_answer_forgotten(self):
@@ -197,7 +197,8 @@
 
     def test_a_drain_not_heard(self):
         def spoil(desk):
-            desk.rules._may_send = lambda server: True
+            may_send = desk.rules._may_send
+            desk.rules._may_send = lambda server: not server.open or may_send(server)
         self.finds(spoil, "closed")
 
     def test_a_late_session_left_standing(self):
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,129 @@
+"""Whatever bytes come to the door, nobody else is hurt: an answer of 4xx or the end of that connection, no 500, no
+traceback, nothing left open, and not one tune-in."""
+
+import random
+import unittest
+
+import anyio
+from hypothesis import given, settings, strategies as st
+
+from curlewshift.client.caller import links_of
+from curlewshift.signalling.conditions import refusal, tags_of
+from curlewshift.signalling.fragments import fragment_text, parse_fragment
+from curlewshift.signalling.sdp import BadDescription
+from tests.sockets import SDP, SmallSite, an_offer, story, until
+
+STEADY = settings(derandomize=True, deadline=None, max_examples=300)
+FRAGMENT = fragment_text("abcd", "p" * 22, ["1 1 udp 2113929471 192.0.2.1 50000 typ host"], ended=True)
+REQUEST = (b"POST /whep/clip/t?top=2 HTTP/1.1\r\nhost: x\r\ncontent-type: application/sdp\r\nprefer: wait=1\r\n"
+           b"idempotency-key: k\r\nauthorization: Bearer x\r\ncontent-length: %d\r\n\r\n")
+
+
+class Texts(unittest.TestCase):
+    @STEADY
+    @given(st.one_of(st.text(max_size=300), st.builds(
+        lambda at, what: FRAGMENT[:at] + what + FRAGMENT[at + len(what):], st.integers(0, len(FRAGMENT)),
+        st.text(max_size=9))))
+    def test_fragments(self, text):
+        try:
+            fragment = parse_fragment(text)
+        except BadDescription as wrong:
+            self.assertTrue(str(wrong))
+        else:
+            self.assertTrue(fragment.ufrag and fragment.pwd)
+
+    def test_a_fragment_says_what_it_lacks(self):
+        for change, wrong in ((("a=ice-ufrag:abcd\r\n", ""), "ice-ufrag"), (("a=mid:0\r\n", ""), "no a=mid"),
+                              (("typ host", "typ"), "RFC 8839"), (("m=video", "\r\n\r\nhello"), "letter=value"),
+                              (("a=end-of-candidates", "a=end-of-candidates\r\na=candidate:1"), "after the end")):
+            with self.subTest(change=change), self.assertRaises(BadDescription) as found:
+                parse_fragment(FRAGMENT.replace(*change))
+            self.assertIn(wrong, str(found.exception))
+
+    @STEADY
+    @given(st.text(alphabet='W/"*, abc\t', max_size=40))
+    def test_conditions_never_let_more_through_than_they_name(self, header):
+        tags = tags_of(header)
+        status = refusal(header, '"now"', False)
+        self.assertIn(status, (None, 400, 412))
+        if status is None:
+            self.assertIn('"now"', tags)
+        self.assertEqual(refusal(None, '"now"', False), 428)
+        self.assertIsNone(refusal('"old", "now"', '"now"', False))
+
+    @STEADY
+    @given(st.text(max_size=80))
+    def test_links(self, header):
+        self.assertIsInstance(links_of(header), dict)
+
+
+class Bytes(unittest.TestCase):
+    def garbled(self, chance):
+        """A request that is cut, doubled, flipped, filled or without its middle; none is whole."""
+        offer = an_offer()
+        raw = bytearray(REQUEST % len(offer) + offer)
+        how = chance.randrange(6)
+        at = chance.randrange(len(raw))
+        if how == 0:
+            return bytes(raw[:at])
+        if how == 1:
+            return bytes(raw[:at] + raw[at + chance.randrange(1, 60):])
+        if how == 2:
+            for _ in range(chance.randrange(1, 30)):
+                raw[chance.randrange(len(raw))] = chance.randrange(256)
+            return bytes(raw)
+        if how == 3:
+            return bytes(raw[:at] + raw[:at] + raw[at:])
+        if how == 4:
+            return bytes(raw[:at]) + chance.randbytes(chance.randrange(1, 3000))
+        return chance.randbytes(chance.randrange(1, 400))
+
+    @story
+    async def test_bytes_that_mean_nothing(self):
+        chance, faults = random.Random(7), []
+        async with SmallSite(servers=1).up() as site:
+            site.front._door_fault = faults.append
+            statuses = []
+
+            async def one(data):
+                with anyio.move_on_after(3):
+                    got = await site.raw(data, end=True)
+                    statuses.extend(int(part[:3]) for part in got.split(b"HTTP/1.1 ")[1:] if part[:3].isdigit())
+            async with anyio.create_task_group() as tasks:
+                slots = anyio.CapacityLimiter(40)
+                for _ in range(400):
+                    async def slot(data=self.garbled(chance)):
+                        async with slots:
+                            await one(data)
+                    tasks.start_soon(slot)
+            self.assertEqual(faults, [])
+            self.assertEqual([status for status in statuses if status >= 500 and status != 503], [])
+            self.assertGreater(sum(400 <= status < 500 for status in statuses), 100)
+            await until(lambda: site.front.door.busy == 0 and site.front.desk.waiting == 0)
+            self.assertEqual((await site.ask()).status, 201)
+
+    @story
+    async def test_whole_requests_of_odd_parts(self):
+        chance, faults = random.Random(8), []
+        words = ["whep", "whip", "session", "layer", "events", "clip", "paid", "t", "..", "%2e", "x" * 300, "", "ä", "?", "*"]
+        async with SmallSite(servers=1).up() as site:
+            site.front._door_fault = faults.append
+            statuses = []
+            for _ in range(150):
+                method = chance.choice(["GET", "POST", "PATCH", "DELETE", "OPTIONS", "HEAD", "PUT", "BREW"])
+                path = "/" + "/".join(chance.choice(words) for _ in range(chance.randrange(4)))
+                headers = [(name, chance.choice(["", "1", "\"x\"", "application/sdp", "wait=9", "Bearer x", "*"]))
+                           for name in chance.sample(["content-type", "if-match", "prefer", "authorization", "accept",
+                                                      "idempotency-key", "x-request-id", "last-event-id"], 3)]
+                body = chance.choice([b"", b"{}", b"[1]", b"v=0", b"\xff\xfe", b"a" * 5000])
+                head = f"{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+                head += "".join(f"{name}: {value}\r\n" for name, value in headers)
+                got = await site.raw(f"{head}content-length: {len(body)}\r\n\r\n".encode() + body)
+                statuses.append(int(got[9:12]) if got[9:12].isdigit() else 0)
+            self.assertEqual(faults, [])
+            self.assertEqual(sorted(set(statuses) - {200, 204, 400, 404, 405, 415, 422}), [])
+            self.assertEqual(site.traffic.all("setup"), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -55,7 +55,7 @@
         table.ended(held, 10 ** 15 + SECOND)
         self.assertIs(table.find("k", 10 ** 15 + SECOND - 1), held)
         self.assertIsNone(table.find("k", 10 ** 15 + SECOND))
-        self.assertEqual((len(table), len(table.wheel)), (0, 0))
+        self.assertEqual((len(table), table.ended_count), (0, 0))
 
     def test_the_ended_are_bounded_and_those_due_first_go_first(self):
         table = KeyTable(0, most_ended=100)
@@ -64,6 +64,15 @@
         self.assertLessEqual(len(table), 100)
         self.assertIsNotNone(table.find("999", 1))
 
+    def test_ended_keys_leave_with_their_span_and_one_used_anew_stays(self):
+        table = KeyTable(0)
+        for number in range(100):
+            table.ended(table.hold(str(number), "m", None), SECOND + number)
+        self.assertIsNone(table.find("7", SECOND + 50))
+        mine = table.hold("7", "m", None)
+        self.assertIsNone(table.find("none", 3 * SECOND))
+        self.assertEqual((table.held, table.ended_count, table.buckets), ({"7": mine}, 0, {}))
+
     def test_a_key_forgotten_is_free_and_the_old_holder_does_not_touch_the_new(self):
         table = KeyTable(0)
         old = table.hold("k", "m", "c")
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -384,11 +384,13 @@
 
 
 class Tokens(unittest.TestCase):
-    NOW = time.time_ns()
+    @property
+    def now(self):
+        return time.time_ns()
 
     def refused(self, authorization):
         with self.assertRaises(NoPermit) as found:
-            Permits(read_keys(json.dumps({"keys": [SECRET]}).encode())).read(authorization, self.NOW)
+            Permits(read_keys(json.dumps({"keys": [SECRET]}).encode())).read(authorization, self.now)
         return found.exception.status, found.exception.error
 
     def test_what_is_no_token_of_ours_is_refused(self):
@@ -402,7 +404,7 @@
 
     def test_a_permit_is_for_what_it_says(self):
         permits = Permits(read_keys(json.dumps({"keys": [SECRET]}).encode()))
-        permit = permits.read(f"Bearer {token(packages=['clip'], titles=['t'], addresses=['127.0.0.0/8'])}", self.NOW)
+        permit = permits.read(f"Bearer {token(packages=['clip'], titles=['t'], addresses=['127.0.0.0/8'])}", self.now)
         allow(permit, "clip", "t", False, "127.0.0.9")
         for wanted in (("paid", "t", False, "127.0.0.9"), ("clip", "u", False, "127.0.0.9"),
                        ("clip", "t", True, "127.0.0.9"), ("clip", "t", False, "192.0.2.1")):
--- a/tests/test_verdict.py
+++ b/tests/test_verdict.py
@@ -142,6 +142,21 @@
         later = Traffic().ask(0, "a").setup(100, "a", 2).setup(20_000, "a", 3)
         self.assertEqual(later.rule("6"), (2, 0))
 
+    def test_a_session_nobody_heard_of_has_to_be_torn_down(self):
+        def ended(why, answered=False, **more):
+            day = Traffic().ask(0, "a").setup(100, "a")
+            day.add("session-end", 5000, session="a/1", why=why, server="s", boot="b")
+            if answered:
+                day.answer(150, "a")
+            for ev, facts in more.items():
+                day.add(ev, 120, **facts)
+            verdict = judge(day.events, FIGURES)
+            return verdict["torn_down"], verdict["left_standing"]
+        self.assertEqual(ended("deleted"), (1, 0))
+        self.assertEqual(ended("nobody watches"), (0, 1))
+        self.assertEqual(ended("nobody watches", answered=True), (0, 0))
+        self.assertEqual(ended("nobody watches", froze=dict(server="s", boot="b")), (0, 0))
+
     def test_service_counts_value_and_one_viewing_once(self):
         day = Traffic().ask(0, "a").answer(100, "a", 503).ask(500, "a2", viewing="a").answer(600, "a2")
         day.ask(0, "p", "paid").answer(1500, "p")
