--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -16,6 +16,8 @@
 from curlewshift.desk.roster import Gap, Roster, Row, mark_of
 from curlewshift.desk.timers import Timers
 from curlewshift.model import Listed, Outcome, Server, Terms, Viewing
+from curlewshift.peaks.calendar import Calendar
+from curlewshift.peaks.peaks import Peaks
 from curlewshift.retries.endings import Ending, Endings
 from curlewshift.retries.keys import MOST_ENDED, KeyTable
 from curlewshift.rules import Rules
@@ -42,7 +44,7 @@
 
 class Desk:
     def __init__(self, outside: Outside, terms: Terms, roster: Roster, rules: type[Rules] = Rules,
-                 most_waiting: int = MOST_WAITING, most_keys: int = MOST_ENDED):
+                 most_waiting: int = MOST_WAITING, most_keys: int = MOST_ENDED, calendar: Calendar | None = None):
         self.outside, self.roster = outside, roster
         self.packages = {package.name: package for package in terms.packages}
         self.courses: dict[Viewing, Course] = {}
@@ -53,6 +55,7 @@
         self.longest_wait = terms.longest_wait
         self.timers = Timers(outside.wake)
         self.endings = Endings(outside.now, outside.end_session, self.timers.at)
+        self.peaks = Peaks(calendar or Calendar(terms.packages), terms.fronts, terms.now)
         self.rules = rules(self, terms)
 
     # ---- requests at the door
@@ -87,6 +90,7 @@
         self.names += 1
         vw = Viewing(self.names, title, mark_of(key or name), pack, top, now, now + lasts, held.holders,
                      came_back=came_back)
+        self.peaks.came(pack, now)
         course = Course(vw, offer, requests=[request], errands=Errands(self.outside.tell))
         if key is not None:
             course.held = self.keys.hold(key, (offer, pack, title), course)
@@ -154,6 +158,7 @@
             self.endings.end(tune_in.server, session)
             return
         vw.over = False
+        self.peaks.started(vw, self.outside.now())
         self._answer_all(course, Answer(Kind.PLAYS, "plays", course=course))
 
     def failed(self, tune_in: TuneIn, outcome: Outcome, report: dict[str, float] | None = None) -> None:
@@ -284,6 +289,7 @@
         self.timers.at(at, self.rules_tick)
 
     def rules_tick(self) -> None:
+        self.peaks.tick(self.outside.now(), self.outside.wall(), list(self.rules.servers))
         self.rules.tick()
 
     def tune_in(self, viewing: Viewing, server: Server, until: int) -> None:
@@ -376,6 +382,7 @@
 
     def _finish(self, course: Course, outcome: Outcome) -> None:
         self.rules.ended(course.vw, outcome, True)
+        self.peaks.ended(course.vw, self.outside.now())
         course.answer = Answer(Kind.FAILED, "this viewing has ended")
         self._close(course)
 
--- a/curlewshift/desk/outside.py
+++ b/curlewshift/desk/outside.py
@@ -18,6 +18,9 @@
     def now(self) -> int:
         """The clock; it never goes back, and the clocks of all fronts agree to well within a second."""
 
+    def wall(self) -> int:
+        """Unix time (ns) as the machine has it now; unlike `now` it may be set back or forward."""
+
     def wake(self, at: int) -> None:
         """Call `Desk.time` once the clock has reached `at`; only the earliest of these need be kept."""
 
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from pathlib import Path
 from random import Random
 
@@ -203,6 +204,9 @@
     def now(self) -> int:
         return self.clock.now()
 
+    def wall(self) -> int:
+        return time.time_ns()
+
     def wake(self, at: int) -> None:
         self.wakes.append(at)
         self.woken.set()
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -83,8 +83,8 @@
     def _may_send(self, server):
         return server.open
 
-    def _room(self, server, rate=0.0, bound=3.09):
-        room = super()._room(server, rate, bound)
+    def _room(self, server, rate=0.0, bound=3.09, vw=None):
+        room = super()._room(server, rate, bound, vw)
         return 1e9 if self.host.now() < server.cold_until and room > 0 else room
 
 
--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -57,6 +57,8 @@
     missing_at: int = 0
     climbs_from: int = 0
     playing: dict = field(default_factory=dict)
+    # room that this front keeps free, by the package it is kept for (kB a second); the host's to set
+    holds: dict = field(default_factory=dict)
 
 
 @dataclass(eq=False, slots=True)
--- /dev/null
+++ b/curlewshift/peaks/peaks.py
@@ -0,0 +1,160 @@
+"""How much room this front holds, on which links, from when, and until when.
+
+Called by the desk: once a second, and for each arrival, start and end of a viewing. What it decides it writes into the
+links (`Link.holds`), where the rules' test counts it as used for all packages but its own; it sends, steps and blocks
+nothing by itself, so that whatever a hold does is the design's doing. Each front holds its own part and knows no other.
+
+A hold is what the peak will need, less what its package uses already: by Little's law arrivals a second times how
+long they last times the rate of the rung they are likely to get. It is shared over links by their size, so that room
+lost with a server is lost to the hold in proportion; a part of a link is never more than was announced for it.
+"""
+
+from __future__ import annotations
+
+from math import inf
+
+from curlewshift.model import Link, Package, Server, Viewing
+from curlewshift.peaks.calendar import Calendar, Peak
+from curlewshift.peaks.forecast import Seen, began_early, expected
+
+SECOND = 1_000_000_000
+# How long a viewing lasts before any was seen to end.
+LASTS = 20 * SECOND
+# Room is made for this long at the least and at the most before a peak begins.
+LEAST_LEAD, MOST_LEAD = 2 * SECOND, 60 * SECOND
+# After its end a hold is given back evenly over this, so that others do not all climb into it in one second while the
+# last of the peak still come.
+GIVEN_BACK = 4 * SECOND
+# A rung in use counts from so much of the package's viewings here on.
+FEW = 3
+
+
+class Holding:
+    """What a peak makes this front do at present."""
+
+    __slots__ = ("peak", "package", "early", "phase", "need")
+
+    def __init__(self, peak: Peak, package: Package):
+        self.peak, self.package = peak, package
+        # the wall's time at which it was seen to have begun, where that was before it was announced for
+        self.early, self.phase, self.need = 0, "ahead", 0.0
+
+
+class Peaks:
+    """`fronts` is how many there are: each holds one part of as many."""
+
+    def __init__(self, calendar: Calendar, fronts: int, now: int):
+        self.calendar, self.fronts = calendar, max(1, fronts)
+        self.seen = {package: Seen(now) for package in calendar.packages.values()}
+        self.began: dict[Viewing, int] = {}
+        self.holding: dict[str, Holding] = {}
+        self.held: set[Link] = set()
+        self.whole = 0.0
+
+    # ---- what is seen
+
+    def came(self, package: Package, now: int) -> None:
+        self.seen[package].came(now)
+
+    def started(self, vw: Viewing, now: int) -> None:
+        self.began[vw] = now
+
+    def ended(self, vw: Viewing, now: int) -> None:
+        began = self.began.pop(vw, None)
+        if began is not None:
+            self.seen[vw.package].lasted(now - began)
+
+    # ---- what is decided
+
+    def tick(self, now: int, wall: int, servers: list[Server]) -> None:
+        """Once a second. Nothing is looked at while nothing is on the calendar."""
+        if not self.calendar.peaks and not self.held:
+            return
+        self.calendar.over(wall, GIVEN_BACK)
+        for name in [name for name in self.holding if name not in self.calendar.peaks]:
+            del self.holding[name]
+        links, uplinks = self._links(servers)
+        for link in self.held:
+            link.holds.clear()
+        self.held.clear()
+        total = sum(link.size for link in links)
+        # of the whole that was there when the first peak was held for: what is lost is lost to holds too
+        self.whole = max(self.whole, total) if self.holding else total
+        wanted: dict[Package, tuple[float, float]] = {}
+        for peak in self.calendar.peaks.values():
+            need = self._need(peak, now, wall, servers)
+            package = self.calendar.packages[peak.package]
+            # two peaks of one package are one crowd announced twice: the larger holds for both
+            wanted[package] = max(wanted.get(package, (0.0, 0.0)), (need, peak.most))
+        for package, (need, most) in wanted.items():
+            if need > 0 and total > 0:
+                self._hold(package, need * total / self.whole, most, links)
+                self._hold(package, need * total / self.whole, most, uplinks)
+
+    def _need(self, peak: Peak, now: int, wall: int, servers: list[Server]) -> float:
+        """What the peak needs now (kB a second), at this front and all others together."""
+        package = self.calendar.packages[peak.package]
+        holding = self.holding.get(peak.name)
+        if holding is None or holding.peak is not peak:
+            holding = self.holding[peak.name] = Holding(peak, package)
+        seen, own_rate = self.seen[package], peak.rate / self.fronts
+        starts_in = peak.starts - wall
+        if not holding.early and began_early(own_rate, seen, now, starts_in, peak.length):
+            holding.early = wall
+        if holding.early > wall:
+            # the wall's clock was set back
+            holding.early = 0
+        begins = holding.early or peak.starts
+        holding.need = 0.0
+        if wall >= peak.ends + GIVEN_BACK:
+            holding.phase = "over"
+        elif wall < begins and begins - wall > self._lead(servers, package):
+            holding.phase = "ahead"
+        else:
+            holding.phase = "making room" if wall < begins else "on" if wall < peak.ends else "giving back"
+            rate = expected(own_rate, seen.rate(now), wall - begins, peak.length)
+            left = max(0.0, min(1.0, 1 - (wall - peak.ends) / GIVEN_BACK))
+            holding.need = left * self.fronts * rate * self._lasts(peak, seen) / SECOND * self._likely_rate(
+                package, servers)
+        return holding.need
+
+    def _hold(self, package: Package, need: float, most: float, links: list[Link]) -> None:
+        size = sum(link.size for link in links if link.size < inf)
+        for link in links:
+            if link.size == inf:
+                continue
+            room = min(most, need / size) * link.size
+            # where not even one would fit over its floor, room helps nobody
+            if room < package.rates[package.floor]:
+                continue
+            used = sum(vw.held_rate for vw in link.playing if vw.package is package)
+            if room / self.fronts > used:
+                link.holds[package] = room / self.fronts - used
+                self.held.add(link)
+
+    # ---- figures
+
+    @staticmethod
+    def _links(servers: list[Server]) -> tuple[list[Link], list[Link]]:
+        """Links of what may be sent to, and their uplinks; what drains or is gone has no room to hold."""
+        links = [server.link for server in servers if server.open and server.link.size < inf]
+        return links, list({server.rack: server.rack.link for server in servers if server.open}.values())
+
+    def _lasts(self, peak: Peak, seen: Seen) -> float:
+        return peak.lasts or (seen.length if seen.lengths else LASTS)
+
+    def _lead(self, servers: list[Server], package: Package) -> int:
+        """How long ahead room has to be made: until about half of what plays there has ended. Steps free some of it
+        sooner, but only where there are rungs to step."""
+        lengths = [seen.length for other, seen in self.seen.items() if other is not package and seen.lengths]
+        usual = sum(lengths) / len(lengths) if lengths else LASTS
+        playing = [vw for server in servers for vw in server.link.playing if vw.package is not package]
+        low = sum(vw.rung <= vw.package.floor for vw in playing) / len(playing) if playing else 0.0
+        return int(min(MOST_LEAD, max(LEAST_LEAD, usual * (0.25 + 0.45 * low))))
+
+    @staticmethod
+    def _likely_rate(package: Package, servers: list[Server]) -> float:
+        """The rate at which its viewings play here, or a rung over the floor where too few do."""
+        rates = [vw.held_rate for server in servers for vw in server.link.playing if vw.package is package]
+        modest = package.rates[min(package.floor + 1, package.top)]
+        return max(modest, sum(rates) / len(rates)) if len(rates) >= FEW else modest
--- a/curlewshift/rehearsal/fleet_cost.py
+++ b/curlewshift/rehearsal/fleet_cost.py
@@ -22,13 +22,15 @@
     def now(self):
         return self.clock
 
+    wall = now
+
     def tune_in(self, tune_in):
         self.out.append(tune_in)
 
     def _nothing(self, *what):
         pass
 
-    wake = set_rung = tear_down = probe = answer = whole_list = withdraw = _nothing
+    wake = tell = end_session = probe = answer = whole_list = withdraw = _nothing
 
 
 def one_size(fleet: int, requests: int) -> dict:
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -238,14 +238,14 @@
         ways = [(rung, BOUND) for rung in range(highest, lowest - 1, -1)] + [(lowest, 0.0)]
         best, best_rank, best_rung = None, (), 0
         for server in self._open_to(vw):
-            fits = ((rung, at) for rung, at in ways if self._room(server, vw.package.rates[rung], at) >= 0)
+            fits = ((rung, at) for rung, at in ways if self._room(server, vw.package.rates[rung], at, vw) >= 0)
             rung, bound = next(fits, (None, 0.0))
             sick = self._sick(server)
             # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
             if rung is None or sick and (vw.package.paid_at_setup or server.out):
                 continue
             rank = (bound, not sick, not self._silent(server), server not in vw.tried,
-                    self._room(server) // (ROOM_STEP * server.link.size), shared_order(vw, server))
+                    self._room(server, vw=vw) // (ROOM_STEP * server.link.size), shared_order(vw, server))
             if rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
         if best is None:
@@ -417,16 +417,21 @@
         self._age(link)
         return link.own + max(0.0, self._others(link) + link.swing)
 
-    def _left(self, link: Link, rate: float = 0.0, bound: float = BOUND) -> float:
+    def _held(self, link: Link, vw: Viewing | None) -> float:
+        """What is kept free here for packages other than this viewing's counts as used."""
+        return sum(room for package, room in link.holds.items() if vw is None or package is not vw.package)
+
+    def _left(self, link: Link, rate: float = 0.0, bound: float = BOUND, vw: Viewing | None = None) -> float:
         if self._short(link):
             return -inf
         # others' viewings vary like this front's: with no spread, links not known looked the roomiest
         typical = self.squares / self.own if self.own > 1 else 0.0
         squares = max(0.0, link.own_squares + self._others(link) * typical + rate * rate)
-        return link.size - self._use(link) - rate - bound * self.spread * sqrt(squares)
+        held = self._held(link, vw) if link.holds else 0.0
+        return link.size - self._use(link) - held - rate - bound * self.spread * sqrt(squares)
 
-    def _room(self, server: Server, rate: float = 0.0, bound: float = BOUND) -> float:
-        return min(self._left(server.link, rate, bound), self._left(server.rack.link, rate, bound))
+    def _room(self, server: Server, rate: float = 0.0, bound: float = BOUND, vw: Viewing | None = None) -> float:
+        return min(self._left(server.link, rate, bound, vw), self._left(server.rack.link, rate, bound, vw))
 
     def _short(self, link: Link) -> bool:
         return link.missing > 0 and self.host.now() - link.missing_at < NOTE_LASTS
@@ -518,6 +523,8 @@
             link.owed, link.relieved_at = 0.0, self.host.now()
         elif link.told and not self._short(link):
             owed = (self._use(link) - OVERLOAD * link.size) * part
+        if owed <= 0 and link.holds and not self._short(link):
+            self._make_room(link)
         if owed <= 0 or not link.playing:
             return
         # rounds begin on the highest rung, over all fronts too: who plays wider than usual owes more
@@ -531,6 +538,14 @@
                 self._step(vw, vw.rung - 1)
                 owed -= less
 
+    def _make_room(self, link: Link) -> None:
+        """Steps that free what is held here and still used; what it is held for steps for no hold."""
+        owed = min(self._held(link, None), self._use(link) + self._held(link, None) - link.size)
+        for vw in self._by_turn(link):
+            if owed > 0 and vw.rung > vw.package.floor and vw.package not in link.holds:
+                owed -= vw.held_rate - vw.package.rates[vw.rung - 1]
+                self._step(vw, vw.rung - 1)
+
     def _climb(self, server: Server) -> None:
         now = self.host.now()
         links = (server.link, server.rack.link)
@@ -541,12 +556,12 @@
             if vw.rung >= min(vw.ceiling, vw.package.top) or now < vw.changed_at + CLIMB_PACE:
                 continue
             more = vw.package.rates[vw.rung + 1] - vw.package.rates[vw.rung]
-            if self._room(server, more) < 0:
+            if self._room(server, more, vw=vw) < 0:
                 continue
             # room too is for all who hear of it
             chance = 1.0
             for link in links:
-                part, room = self._part(link), self._left(link, more) + more
+                part, room = self._part(link), self._left(link, more, vw=vw) + more
                 chance = min(chance, room * part / more)
                 link.swing += min(room, more / part) * (1 - part)
             if self.chance.random() < chance:
--- a/tests/desk_fake.py
+++ b/tests/desk_fake.py
@@ -20,7 +20,7 @@
     def __init__(self, servers=4, **changed):
         self.clock, self.wake_at = 1000 * SECOND, None
         self.out, self.done, self.answers, self.torn, self.rungs, self.probes = [], [], {}, [], [], []
-        self.errands, self.ending = [], []
+        self.errands, self.ending, self.wall_off = [], [], 0
         self.lists_wanted = 0
         # the books: what was sent when, by request; what may have run; who was told what
         self.sent, self.ran, self.taken, self.further, self.cold = [], set(), [], [], {}
@@ -29,7 +29,7 @@
             now=self.clock, seed=5, me=0, fronts=1, packages=PACKAGES, racks_told=True, told_late=500 * MS,
             max_tune_ins=3, probes=False, longest_wait=2 * SECOND, warm_within=10 * SECOND, start_capacity=0.5,
             fall_multiple=2.0, fall_within=SECOND, free_further=FREE, further_share=SHARE, look_back=SPAN)
-        how = {key: changed.pop(key) for key in ("most_waiting", "most_keys") if key in changed}
+        how = {key: changed.pop(key) for key in ("most_waiting", "most_keys", "calendar") if key in changed}
         titles = {"t1": ("a", "b"), "t2": ("b", "c", "d"), "t3": ("a", "b", "c", "d")}
         self.desk = Desk(self, Terms(**{**facts, **changed}), Roster({"r": 1e6}, titles), **how)
         self.generation, self.rows = 0, {}
@@ -50,6 +50,9 @@
     def now(self):
         return self.clock
 
+    def wall(self):
+        return self.clock + self.wall_off
+
     def wake(self, at):
         self.wake_at = at if self.wake_at is None else min(at, self.wake_at)
 
