--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -64,7 +64,8 @@
 @click.option("--seed", type=int, help="For its chance; drawn if not said.")
 @click.option("--life", default="", hidden=True)
 @click.option("--sabotage", default=None, hidden=True)
-def front(site, name, state, seed, life, sabotage):
+@click.option("--reserve", default=None, hidden=True)
+def front(site, name, state, seed, life, sabotage, reserve):
     """Run a front of SITE until SIGTERM."""
     import secrets
 
@@ -91,9 +92,102 @@
     except (BadKeys, BadCertificate, OSError) as wrong:
         click.echo(f"{site}: {wrong}", err=True)
         sys.exit(2)
+    if reserve is not None:
+        from curlewshift.peaks.reserve import FixedReserve
+        package, _, share = reserve.partition("=")
+        made.desk.peaks.__class__ = FixedReserve
+        made.desk.peaks.package, made.desk.peaks.share = made.desk.packages[package], float(share)
     run(made.run)
 
 
+@main.group()
+def peak():
+    """Announced peaks of a front that runs, through its state folder."""
+
+
+def tell_front(state: Path, command: dict) -> dict:
+    """The front's answer; or its no, in words, and exit 2; exit 1 if none listens."""
+    from curlewshift.front.control import tell
+    try:
+        answer = run(tell, state, command)
+    except TimeoutError:
+        click.echo(f"curlewshift: the front at {state} does not answer", err=True)
+        sys.exit(1)
+    if not answer.get("ok"):
+        click.echo(f"curlewshift: {answer.get('wrong')}", err=True)
+        sys.exit(2)
+    return answer
+
+
+STATE = click.option("--state", type=PATH, required=True, help="The front's state folder.")
+WHY = click.option("--why", required=True, help="Goes into the log with your name.")
+
+
+def moment(text: str) -> int:
+    """Unix time in ns, of a date and time with its zone or in this machine's, or of +SPAN from now."""
+    import time
+    from datetime import datetime
+
+    from curlewshift.site.reading import span
+    try:
+        if text.startswith("+"):
+            return time.time_ns() + span(text[1:])
+        return int(datetime.fromisoformat(text).timestamp() * 1e9)
+    except (ValueError, AttributeError, KeyError, OverflowError):
+        raise click.BadParameter(f"{text!r} is neither a date and time, such as 2027-01-31T17:00+01:00, nor +10min") \
+            from None
+
+
+@peak.command("announce")
+@click.argument("name")
+@STATE
+@click.option("--package", required=True)
+@click.option("--starts", required=True, help="Date and time, or +SPAN from now.")
+@click.option("--ends", required=True, help="Date and time, or +SPAN from now.")
+@click.option("--rate", type=float, required=True, help="Viewings of the package a second, all fronts together.")
+@click.option("--most", type=float, default=0.5, help="The part of any link that may be held, at most.")
+@click.option("--lasts", default="0s", help="How long its viewings last, if known.")
+@WHY
+def peak_announce(name, state, package, starts, ends, rate, most, lasts, why):
+    """Announce the peak NAME. Tell every front."""
+    from curlewshift.site.reading import span
+    try:
+        length = span(lasts)
+    except (AttributeError, KeyError, ValueError):
+        raise click.BadParameter(f"{lasts!r} is no time with its unit, such as 20s") from None
+    tell_front(state, {"do": "announce", "why": why, "peak": {
+        "name": name, "package": package, "starts": moment(starts), "ends": moment(ends), "rate": rate, "most": most,
+        "lasts": length}})
+
+
+@peak.command("cancel")
+@click.argument("name")
+@STATE
+@WHY
+def peak_cancel(name, state, why):
+    """Take the peak NAME off the calendar; what is held for it is given back at the next second."""
+    tell_front(state, {"do": "cancel", "name": name, "why": why})
+
+
+@peak.command("list")
+@STATE
+def peak_list(state):
+    """What is announced, and what is held for it here."""
+    from datetime import datetime
+
+    from rich.console import Console
+    from rich.table import Table
+    table = Table()
+    for column in ("peak", "package", "starts", "ends", "a second", "most", "phase", "held here", "who", "why"):
+        table.add_column(column)
+    for row in tell_front(state, {"do": "peaks"})["peaks"]:
+        times = [datetime.fromtimestamp(row[name] / 1e9).astimezone().isoformat(timespec="seconds")
+                 for name in ("starts", "ends")]
+        table.add_row(row["name"], row["package"], *times, f"{row['rate']:g}", f"{row['most']:.0%}", row["phase"],
+                      f"{row['held_here']} kB/s", row["who"], row["why"])
+    Console(width=200).print(table)
+
+
 @main.group()
 def authority():
     """A private authority for the site's certificates."""
@@ -166,7 +260,9 @@
 @click.option("--out", type=PATH, required=True, help="A folder for verdict, traffic, chart and logs.")
 @click.option("--seed", type=int, help="Instead of the script's.")
 @click.option("--sabotage", help="Spoil the fronts on purpose, to see the rule caught.")
-def rehearse(script, out, seed, sabotage):
+@click.option("--hold", type=click.Choice(["announced", "none", "reserve"]), default="announced",
+              help="Whether fronts hear of what the script announces, or keep a fixed reserve all day instead.")
+def rehearse(script, out, seed, sabotage, hold):
     """Play the day of SCRIPT on loopback and judge the six rules from the sockets."""
     from rich.console import Console
     from rich.progress import BarColumn, Progress, TextColumn
@@ -188,7 +284,7 @@
         def told(done, of):
             bar.update(task, completed=done, total=of)
         try:
-            verdict = run(Rehearsal(held, script, out, held.seed if seed is None else seed, sabotage, told).run)
+            verdict = run(Rehearsal(held, script, out, held.seed if seed is None else seed, sabotage, told, hold).run)
         except* StartFailed as failed:
             click.echo(f"curlewshift: {failed.exceptions[0]}", err=True)
             sys.exit(1)
--- /dev/null
+++ b/curlewshift/front/control.py
@@ -0,0 +1,133 @@
+"""The front's control socket: commands of operators on the same machine, one JSON line each way.
+
+A Unix socket in the front's state folder. Who may write to it is decided by the file's permissions (owner alone), and
+who did is told by the kernel and goes into the log with the reason that was given.
+"""
+
+from __future__ import annotations
+
+import os
+import pwd
+import socket
+import sqlite3
+import struct
+from pathlib import Path
+
+import anyio
+import msgspec
+from anyio.abc import SocketAttribute
+
+from curlewshift.peaks.calendar import Nonsense, Peak
+
+MOST_BYTES = 64 * 1024
+WITHIN = 5.0
+
+
+class Command(msgspec.Struct):
+    """`do` is `peaks`, `announce` or `cancel`."""
+
+    do: str
+    peak: dict = {}
+    name: str = ""
+    why: str = ""
+
+
+class Control:
+    def __init__(self, front, path: Path, store):
+        self.front, self.path, self.store = front, path, store
+
+    async def run(self) -> None:
+        self.path.unlink(missing_ok=True)
+        before = os.umask(0o177)
+        try:
+            listener = await anyio.create_unix_listener(self.path)
+        finally:
+            os.umask(before)
+        async with listener:
+            await listener.serve(self._one)
+
+    async def _one(self, stream) -> None:
+        async with stream:
+            try:
+                with anyio.fail_after(WITHIN):
+                    raw = b""
+                    while not raw.endswith(b"\n") and len(raw) < MOST_BYTES:
+                        raw += await stream.receive()
+                    answer = await self._carry_out(raw, _who(stream))
+                    await stream.send(msgspec.json.encode(answer) + b"\n")
+            except (TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+
+    async def _carry_out(self, raw: bytes, who: str) -> dict:
+        try:
+            command = msgspec.json.decode(raw, type=Command)
+            if command.do == "peaks":
+                return {"ok": True, "peaks": self._peaks()}
+            if not command.why.strip():
+                raise Nonsense("say why: it goes into the log with your name")
+            if command.do == "announce":
+                return await self._announce(command, who)
+            if command.do == "cancel":
+                return await self._cancel(command, who)
+            raise Nonsense(f"there is no command {command.do!r}")
+        except (msgspec.DecodeError, msgspec.ValidationError) as wrong:
+            return {"ok": False, "wrong": f"this is no command: {wrong}"}
+        except (Nonsense, sqlite3.Error) as wrong:
+            self.front.log.info("control-refused", who=who, cause=str(wrong))
+            return {"ok": False, "wrong": str(wrong)}
+
+    async def _announce(self, command: Command, who: str) -> dict:
+        try:
+            peak = msgspec.convert({**command.peak, "who": who, "why": command.why}, Peak)
+        except msgspec.ValidationError as wrong:
+            raise Nonsense(f"this is no peak: {wrong}") from None
+        calendar, now = self.front.calendar, self.front.wall()
+        calendar.announce(peak, now)
+        try:
+            await anyio.to_thread.run_sync(self.store.announced, peak, now)
+        except sqlite3.Error:
+            # what is not kept is not confirmed, and not in force either
+            calendar.cancel(peak.name)
+            raise
+        self.front.log.info("peak-announced", peak=peak.name, package=peak.package, who=who, cause=command.why)
+        return {"ok": True}
+
+    async def _cancel(self, command: Command, who: str) -> dict:
+        if command.name not in self.front.calendar.peaks:
+            raise Nonsense(f"there is no peak {command.name!r}")
+        await anyio.to_thread.run_sync(self.store.cancelled, command.name, self.front.wall(), who, command.why)
+        self.front.calendar.peaks.pop(command.name, None)
+        self.front.log.info("peak-cancelled", peak=command.name, who=who, cause=command.why)
+        return {"ok": True}
+
+    def _peaks(self) -> list[dict]:
+        holding = self.front.desk.peaks.holding
+        rows = []
+        for peak in self.front.calendar.peaks.values():
+            held = holding.get(peak.name)
+            package = self.front.calendar.packages[peak.package]
+            kept = sum(link.holds.get(package, 0.0) for link in self.front.desk.peaks.held)
+            rows.append({**msgspec.to_builtins(peak), "phase": held.phase if held else "ahead",
+                         "needs": round(held.need if held else 0.0), "held_here": round(kept)})
+        return rows
+
+
+def _who(stream) -> str:
+    """The user at the other end, as the kernel knows it."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    _, uid, _ = struct.unpack("3i", raw.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i")))
+    try:
+        return pwd.getpwuid(uid).pw_name
+    except KeyError:
+        return str(uid)
+
+
+async def tell(state: Path, command: dict) -> dict:
+    """A front's answer to one command. Raises `OSError` if none listens there."""
+    with anyio.fail_after(WITHIN):
+        async with await anyio.connect_unix(state / "control") as stream:
+            await stream.send(msgspec.json.encode(command) + b"\n")
+            raw = b""
+            while not raw.endswith(b"\n"):
+                raw += await stream.receive()
+            return msgspec.json.decode(raw)
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -16,14 +16,17 @@
 from curlewshift.exchange.server import serve
 from curlewshift.exchange.tls import BadCertificate, ServerTls, client_context
 from curlewshift.front.clock import Clock
+from curlewshift.front.control import Control
 from curlewshift.front.door import Door
 from curlewshift.front.followers import ListFollower, NotesFollower, row_of
 from curlewshift.front.kept import KeptList
 from curlewshift.front.reach import Reach
 from curlewshift.limits.permits import BadKeys, Permits, read_keys
 from curlewshift.model import Server
+from curlewshift.peaks.calendar import Calendar, Nonsense
 from curlewshift.retries.endings import Ending
 from curlewshift.site.site import Site
+from curlewshift.state.peaks import PeakStore
 
 NS = 1_000_000_000
 # Between looks for sessions that have ended and servers that have gone (s).
@@ -56,10 +59,27 @@
         self.woken = anyio.Event()
         self.followed: dict[Server, anyio.CancelScope] = {}
         self.terms = site.terms(self.clock.now(), seed, number)
+        self.calendar = Calendar(site.packages)
+        self.control = None
+        if state is not None:
+            store = PeakStore(state / "peaks.db")
+            self._take_calendar(store)
+            self.control = Control(self, state / "control", store)
         # the desk's first wake comes while it is made
-        self.desk = desk(self, self.terms, Roster(site.uplinks, site.titles), most_waiting=site.most_waiting, **how)
+        self.desk = desk(self, self.terms, Roster(site.uplinks, site.titles), most_waiting=site.most_waiting,
+                         calendar=self.calendar, **how)
         self.door.desk = self.desk
 
+    def _take_calendar(self, store: PeakStore) -> None:
+        """The calendar as it was; what is over or makes no sense under other settings is named and left out."""
+        if store.damage:
+            self.log.error("calendar-damaged", cause=store.damage)
+        for peak in store.read():
+            try:
+                self.calendar.announce(peak, self.wall())
+            except Nonsense as wrong:
+                self.log.warning("peak-left-out", peak=peak.name, cause=str(wrong))
+
     async def run(self, ready=None) -> None:
         """Serves until told to end. `ready` is called once the door is open."""
         try:
@@ -89,6 +109,8 @@
             tasks.start_soon(self.lists.run)
             if self.kept is not None:
                 tasks.start_soon(self.kept.run)
+            if self.control is not None:
+                tasks.start_soon(self.control.run)
             self.listener = listener.listeners[0]
             tasks.start_soon(serve, self.listener, self.door.serve, self._door_fault, tasks,
                              self.tls.context if self.tls else None)
--- /dev/null
+++ b/curlewshift/peaks/reserve.py
@@ -0,0 +1,23 @@
+"""A baseline for comparison alone: a fixed part of every link kept free for one package, all day."""
+
+from __future__ import annotations
+
+from math import inf
+
+from curlewshift.model import Package, Server
+from curlewshift.peaks.peaks import Peaks
+
+
+class FixedReserve(Peaks):
+    """Holds `share` of every link for `package`, whatever comes."""
+
+    package: Package
+    share: float
+
+    def tick(self, now: int, wall: int, servers: list[Server]) -> None:
+        for link in self.held:
+            link.holds.clear()
+        self.held.clear()
+        for links in self._links(servers):
+            need = self.share * sum(link.size for link in links if link.size < inf)
+            self._hold(self.package, need, self.share, links)
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -12,11 +12,13 @@
 import anyio
 from lxml import etree
 
+from curlewshift.front.control import tell
 from curlewshift.rehearsal.processes import Child, free_ports, listens
 from curlewshift.site.site import Site
-from curlewshift.standins.script import OF_FRONTS, Script, Trouble
+from curlewshift.standins.script import OF_FRONTS, Announced, Script, Trouble
 from curlewshift.standins.traffic import Traffic, read_traffic
 from curlewshift.standins.viewers import Viewers
+from curlewshift.verdict.phases import phases
 from curlewshift.verdict.verdict import Figures, judge
 
 NS = 1_000_000_000
@@ -26,6 +28,8 @@
 SETTLE = 1.5
 # After the last arrival viewings run out, but no longer than this (s).
 RUN_OUT = 6.0
+# The baseline's part of every link, kept all day: about what an announced peak holds at its height.
+RESERVE = 0.3
 
 
 class StartFailed(Exception):
@@ -66,6 +70,9 @@
         self.day.traffic.seen("front-up", front=self.name, life=self.life)
         arguments = ["front", str(self.day.out / "site.xml"), "--name", self.name, "--life", self.life, "--state",
                      str(self.state), "--seed", str(self.day.seed * 1000 + self.number * 100 + self.lives)]
+        if self.day.hold == "reserve":
+            for announced in self.day.script.announced[:1]:
+                arguments += ["--reserve", f"{announced.package}={RESERVE}"]
         if self.day.sabotage:
             arguments += ["--sabotage", self.day.sabotage]
         self.child = Child(arguments, self.day.out / f"{self.name}.log")
@@ -87,11 +94,11 @@
     """`progress(done, of)` is told seconds of the day."""
 
     def __init__(self, script: Script, script_path: Path, out: Path, seed: int, sabotage: str | None,
-                 progress: Callable[[float, float], None]):
+                 progress: Callable[[float, float], None], hold: str = "announced"):
         self.script, self.script_path, self.out = script, script_path, out
-        self.seed, self.sabotage, self.progress = seed, sabotage, progress
+        self.seed, self.sabotage, self.progress, self.hold = seed, sabotage, progress, hold
         out.mkdir(parents=True, exist_ok=True)
-        for old in [*out.glob("*.jsonl"), *out.glob("*.log"), *out.glob("*/list.json"), out / "verdict.json"]:
+        for old in [*out.glob("*/peaks.db*"), *out.glob("*.jsonl"), *out.glob("*.log"), *out.glob("*/list.json"), out / "verdict.json"]:
             old.unlink(missing_ok=True)
         self.traffic = Traffic(out / "viewers.jsonl")
         self.fronts: list[FrontProcess] = []
@@ -119,6 +126,9 @@
         await anyio.sleep(SETTLE)
         begins = time.monotonic() + 0.2
         self.begins = begins
+        if self.hold == "announced":
+            for announced in self.script.announced:
+                await self._announce(announced, time.time_ns() + int((begins - time.monotonic()) * NS))
         self.traffic.seen("day", begins=int(begins * NS), lasts=int(self.script.lasts * NS))
         self.fleet.process.stdin.write(f"{begins}\n".encode())
         self.fleet.process.stdin.flush()
@@ -149,6 +159,16 @@
                 return int(json.loads(line)["list"])
         raise StartFailed(f"the stand-in servers did not start; see {self.out / 'fleet.log'}")
 
+    async def _announce(self, announced: Announced, begins: int) -> None:
+        """Each front is told, as an operator would. `begins` is Unix time."""
+        starts = begins + int(announced.at * NS)
+        for front in self.fronts:
+            answer = await tell(front.state, {"do": "announce", "why": "the rehearsal's script", "peak": {
+                "name": announced.name, "package": announced.package, "starts": starts,
+                "ends": starts + int(announced.lasts * NS), "rate": announced.rate, "most": announced.most}})
+            if not answer["ok"]:
+                raise StartFailed(f"{front.name} does not take the peak {announced.name}: {answer['wrong']}")
+
     def _write_site(self, ports: list[int], list_port: int) -> None:
         """The site as its fronts get it: with the ports of this run."""
         tree = etree.parse(str(self.script.site_path))
@@ -194,6 +214,9 @@
             for event in events:
                 whole.write(json.dumps(event) + "\n")
         verdict = judge(events, figures_of(self.script.site))
-        verdict["seed"], verdict["sabotage"] = self.seed, self.sabotage
+        verdict["seed"], verdict["sabotage"], verdict["hold"] = self.seed, self.sabotage, self.hold
+        peaks = [trouble for trouble in self.script.troubles if trouble.kind == "peak"]
+        if peaks:
+            verdict["phases"] = phases(events, figures_of(self.script.site), peaks[0].at, peaks[0].at + peaks[0].lasts)
         (self.out / "verdict.json").write_text(json.dumps(verdict, indent=1) + "\n")
         return verdict
--- a/curlewshift/standins/script.py
+++ b/curlewshift/standins/script.py
@@ -16,9 +16,10 @@
     "hang": (4, 0.2, 1.0), "slow": (6, 0.25, 3.0), "neighbour": (8, 0.4, 0.5), "fast-errors": (4, 0.2, 1.0),
     "answer-lost": (4, 0.2, 1.0), "deploy": (15, 0.6, 1.0), "preempt": (5, 0.2, 1.0), "front-crash": (2, 0.34, 1.0),
     "front-roll": (9, 1.0, 1.0), "cold-restart": (1, 0.2, 1.0), "list-stuck": (5, 1.0, 1.0), "notes-late": (6, 1.0, 3.0),
+    "peak": (10, 1.0, 2.0),
 }
 OF_FRONTS = ("front-crash", "front-roll")
-OF_VIEWERS = ("burst", "crowd")
+OF_VIEWERS = ("burst", "crowd", "peak")
 # A longer day or more viewers than this a second is not for one machine.
 LONGEST_DAY = 600 * NS
 MOST_EACH_SECOND = 200.0
@@ -33,6 +34,19 @@
     lasts: float
     part: float
     size: float
+    package: str = ""
+
+
+@dataclass(slots=True)
+class Announced:
+    """What fronts are told of at the start of the day; seconds of the day."""
+
+    name: str
+    package: str
+    at: float
+    lasts: float
+    rate: float
+    most: float
 
 
 @dataclass(slots=True)
@@ -54,6 +68,7 @@
     leave: float
     wishes: list[Wish]
     troubles: list[Trouble]
+    announced: list[Announced]
 
 
 def usual(kind: str, at: float) -> Trouble:
@@ -91,9 +106,19 @@
             wrong.append((element.sourceline, f"trouble {trouble.kind}: begins after the day has ended"))
         if trouble.kind == "neighbour" and trouble.size >= 1:
             wrong.append((element.sourceline, "trouble neighbour: size is the part of the link taken, under 1"))
+        trouble.package = element.get("package", "")
+        if trouble.kind == "peak" and trouble.package not in known:
+            wrong.append((element.sourceline, f"trouble peak: {site_path.name} has no package {trouble.package!r}"))
         troubles.append(trouble)
+    announced = []
+    for element in root.iterfind("announce"):
+        if element.get("package") not in known:
+            wrong.append((element.sourceline, f"announce: {site_path.name} has no package {element.get('package')!r}"))
+        announced.append(Announced(element.get("name"), element.get("package"), span(element.get("at")) / NS,
+                                   span(element.get("lasts")) / NS, float(element.get("rate")),
+                                   float(element.get("most", "0.5"))))
     if wrong:
         raise Mistakes(path, wrong)
     return Script(site_path, site, lasts / NS, int(root.get("seed", "1")), each_second,
                   float(viewers.get("come-again")), float(viewers.get("hang-up-and-retry", "0")),
-                  float(viewers.get("hang-up-and-leave", "0")), wishes, troubles)
+                  float(viewers.get("hang-up-and-leave", "0")), wishes, troubles, announced)
--- a/curlewshift/standins/viewers.py
+++ b/curlewshift/standins/viewers.py
@@ -54,29 +54,39 @@
             at = begins
             ends = begins + self.script.lasts
             while True:
-                rate, title = self._pressure(at - begins)
+                rate, title, package = self._pressure(at - begins)
                 at += self.chance.expovariate(rate)
                 if at >= ends:
                     break
                 await anyio.sleep(max(0.0, at - time.monotonic()))
                 self.names += 1
-                tasks.start_soon(self._view, f"v{self.names}", Random(self.chance.random()), title, ends)
+                tasks.start_soon(self._view, f"v{self.names}", Random(self.chance.random()), title, package, ends)
 
-    def _pressure(self, now: float) -> tuple[float, str | None]:
-        """Arrivals a second at this moment, and the title of a crowd if this one belongs to it."""
-        rate = crowd = self.script.each_second
-        extra = 0.0
+    def _pressure(self, now: float) -> tuple[float, str | None, str | None]:
+        """Arrivals a second at this moment, and the title of a crowd, or the package of a peak, that the next one
+        belongs to."""
+        usual = rate = self.script.each_second
+        more: list[tuple[float, str | None, str | None]] = []
         for trouble in self.script.troubles:
             if trouble.at <= now < trouble.at + trouble.lasts:
                 if trouble.kind == "burst":
                     rate *= trouble.size
                 elif trouble.kind == "crowd":
-                    extra += crowd * trouble.size
-        wanted = self.titles[-1] if extra and self.chance.random() < extra / (rate + extra) else None
-        return rate + extra, wanted
-
-    async def _view(self, viewing: str, chance: Random, crowd: str | None, ends: float) -> None:
-        wish = chance.choices(self.script.wishes, [wish.share for wish in self.script.wishes])[0]
+                    more.append((usual * trouble.size, self.titles[-1], None))
+                elif trouble.kind == "peak":
+                    more.append((trouble.size, None, trouble.package))
+        whole = rate + sum(part[0] for part in more)
+        drawn = self.chance.random() * whole - rate
+        for part, title, package in more:
+            if 0 <= drawn < part:
+                return whole, title, package
+            drawn -= part
+        return whole, None, None
+
+    async def _view(self, viewing: str, chance: Random, crowd: str | None, peak: str | None,
+                    ends: float) -> None:
+        of_peak = [wish for wish in self.script.wishes if wish.package == peak]
+        wish = of_peak[0] if of_peak else chance.choices(self.script.wishes, [wish.share for wish in self.script.wishes])[0]
         title = crowd or chance.choices(self.titles, [1 / rank for rank in range(1, len(self.titles) + 1)])[0]
         package = self.packages[wish.package]
         top = package.top if chance.random() < 0.75 else max(package.floor, package.top - 1)
--- /dev/null
+++ b/curlewshift/state/__init__.py
@@ -0,0 +1,1 @@
+"""What outlives a process."""
