Background work in slices within a budget; holds lie where their titles are asked for

Need: nothing behind may make joins wait, and room held on servers that few peak titles lie on helped nobody.

--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -65,7 +65,8 @@
 @click.option("--life", default="", hidden=True)
 @click.option("--sabotage", default=None, hidden=True)
 @click.option("--reserve", default=None, hidden=True)
-def front(site, name, state, seed, life, sabotage, reserve):
+@click.option("--busy", is_flag=True, hidden=True)
+def front(site, name, state, seed, life, sabotage, reserve, busy):
     """Run a front of SITE until SIGTERM."""
     import secrets
 
@@ -97,6 +98,9 @@
         package, _, share = reserve.partition("=")
         made.desk.peaks.__class__ = FixedReserve
         made.desk.peaks.package, made.desk.peaks.share = made.desk.packages[package], float(share)
+    if busy:
+        from curlewshift.rehearsal.joins import fill_background
+        fill_background(made.background, made.now())
     run(made.run)
 
 
@@ -336,3 +340,15 @@
     figures = measured()
     out.write_text(json.dumps(figures, indent=1) + "\n")
     click.echo(json.dumps(figures, indent=1))
+
+
+@measure.command("wheel")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_wheel(out):
+    """What setting, taking back and telling timers costs on the wheel beside a heap."""
+    import json
+
+    from curlewshift.rehearsal.wheel_cost import measure_wheel as measured
+    figures = measured()
+    out.write_text(json.dumps(figures, indent=1) + "\n")
+    click.echo(json.dumps(figures, indent=1))
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -90,7 +90,7 @@
         self.names += 1
         vw = Viewing(self.names, title, mark_of(key or name), pack, top, now, now + lasts, held.holders,
                      came_back=came_back)
-        self.peaks.came(pack, now)
+        self.peaks.came(pack, now, held.holders)
         course = Course(vw, offer, requests=[request], errands=Errands(self.outside.tell))
         if key is not None:
             course.held = self.keys.hold(key, (offer, pack, title), course)
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -25,12 +25,17 @@
 from curlewshift.model import Server
 from curlewshift.peaks.calendar import Calendar, Nonsense
 from curlewshift.retries.endings import Ending
+from curlewshift.schedule.background import Background, Job
 from curlewshift.site.site import Site
 from curlewshift.state.peaks import PeakStore
 
 NS = 1_000_000_000
-# Between looks for sessions that have ended and servers that have gone (s).
+# Between looks for sessions that have ended, and for files that have changed (s).
 SWEEP = 1.0
+# Work behind: how often it is looked for, and how long and how often it is held back while requests are in work (s).
+LOOK = 0.05
+HELD_BACK = 0.002
+MOST_HELD_BACK = 50
 # For the last DELETEs of a front that stops (s).
 LAST_WORDS = 2.0
 
@@ -69,6 +74,9 @@
         self.desk = desk(self, self.terms, Roster(site.uplinks, site.titles), most_waiting=site.most_waiting,
                          calendar=self.calendar, **how)
         self.door.desk = self.desk
+        self.background = Background(self.clock.now(), time.monotonic_ns, self._overran)
+        for name, work in (("sweep", self.door.sweep), ("renew", self._start_renewal)):
+            self.background.add(name, work, self.clock.now() + int(SWEEP * NS), every=int(SWEEP * NS))
 
     def _take_calendar(self, store: PeakStore) -> None:
         """The calendar as it was; what is over or makes no sense under other settings is named and left out."""
@@ -105,7 +113,7 @@
                                                        backlog=1024)
             tasks.start_soon(self._signals)
             tasks.start_soon(self._keep_time)
-            tasks.start_soon(self._sweep)
+            tasks.start_soon(self._work_behind)
             tasks.start_soon(self.lists.run)
             if self.kept is not None:
                 tasks.start_soon(self.kept.run)
@@ -166,11 +174,31 @@
             else:
                 await self.woken.wait()
 
-    async def _sweep(self) -> None:
+    async def _work_behind(self) -> None:
+        """Slices of background work, one between two looks at the sockets, and none while the door is at work unless
+        it has been kept waiting too long."""
+        held_back = 0
         while True:
-            await anyio.sleep(SWEEP)
-            self.door.sweep()
-            await anyio.to_thread.run_sync(self._renew, abandon_on_cancel=True)
+            now = self.now()
+            at = self.background.next_run(now)
+            if at is None or at > now:
+                await anyio.sleep(min(LOOK, (at - now) / NS) if at is not None else LOOK)
+            elif self.door.busy and held_back < MOST_HELD_BACK:
+                held_back += 1
+                await anyio.sleep(HELD_BACK)
+            else:
+                held_back = 0
+                try:
+                    self.background.run(now)
+                except Exception as fault:
+                    self.log.error("fault", what="background work", cause=repr(fault), exc_info=fault)
+                await anyio.sleep(0.001)
+
+    def _overran(self, job: Job, cost: int) -> None:
+        self.log.info("overran", job=job.name, took_ms=round(cost / 1e6, 1), times=job.overran)
+
+    def _start_renewal(self) -> None:
+        self.tasks.start_soon(anyio.to_thread.run_sync, self._renew)
 
     def _renew(self) -> None:
         """Keys and certificates that have changed are in force from now on; bad ones change nothing."""
--- a/curlewshift/peaks/peaks.py
+++ b/curlewshift/peaks/peaks.py
@@ -5,8 +5,9 @@
 nothing by itself, so that whatever a hold does is the design's doing. Each front holds its own part and knows no other.
 
 A hold is what the peak will need, less what its package uses already: by Little's law arrivals a second times how
-long they last times the rate of the rung they are likely to get. It is shared over links by their size, so that room
-lost with a server is lost to the hold in proportion; a part of a link is never more than was announced for it.
+long they last times the rate of the rung they are likely to get. It is shared over links by where the package's
+titles lie, as they are asked for; room lost with a server is lost to the hold in proportion, and a part of a link is
+never more than was announced for it.
 """
 
 from __future__ import annotations
@@ -25,6 +26,9 @@
 # After its end a hold is given back evenly over this, so that others do not all climb into it in one second while the
 # last of the peak still come.
 GIVEN_BACK = 4 * SECOND
+# Where titles lie is learned from so many arrivals; before, links count by their size, as so many would.
+REMEMBERED = 200
+UNLEARNED = 10
 # A rung in use counts from so much of the package's viewings here on.
 FEW = 3
 
@@ -50,11 +54,22 @@
         self.holding: dict[str, Holding] = {}
         self.held: set[Link] = set()
         self.whole = 0.0
+        # arrivals of each package by where they could have been placed, and how many were counted in
+        self.wanted: dict[Package, dict[Server, float]] = {package: {} for package in self.seen}
+        self.weighed: dict[Package, float] = {package: 0.0 for package in self.seen}
 
     # ---- what is seen
 
-    def came(self, package: Package, now: int) -> None:
+    def came(self, package: Package, now: int, holders: list[Server]) -> None:
         self.seen[package].came(now)
+        wanted = self.wanted[package]
+        for server in holders:
+            wanted[server] = wanted.get(server, 0.0) + 1 / len(holders)
+        self.weighed[package] += 1
+        if self.weighed[package] > REMEMBERED:
+            # old wishes give way, and servers that are gone with them
+            self.weighed[package] /= 2
+            self.wanted[package] = {server: part / 2 for server, part in wanted.items() if part > 0.02}
 
     def started(self, vw: Viewing, now: int) -> None:
         self.began[vw] = now
@@ -73,11 +88,11 @@
         self.calendar.over(wall, GIVEN_BACK)
         for name in [name for name in self.holding if name not in self.calendar.peaks]:
             del self.holding[name]
-        links, uplinks = self._links(servers)
+        links = self._links(servers)
         for link in self.held:
             link.holds.clear()
         self.held.clear()
-        total = sum(link.size for link in links)
+        total = sum(server.link.size for server in links)
         # of the whole that was there when the first peak was held for: what is lost is lost to holds too
         self.whole = max(self.whole, total) if self.holding else total
         wanted: dict[Package, tuple[float, float]] = {}
@@ -88,8 +103,13 @@
             wanted[package] = max(wanted.get(package, (0.0, 0.0)), (need, peak.most))
         for package, (need, most) in wanted.items():
             if need > 0 and total > 0:
-                self._hold(package, need * total / self.whole, most, links)
-                self._hold(package, need * total / self.whole, most, uplinks)
+                weights = self._weights(package, links, total)
+                self._hold(package, need * total / self.whole, most, {
+                    server.link: weight for server, weight in weights.items()})
+                above: dict[Link, float] = {}
+                for server, weight in weights.items():
+                    above[server.rack.link] = above.get(server.rack.link, 0.0) + weight
+                self._hold(package, need * total / self.whole, most, above)
 
     def _need(self, peak: Peak, now: int, wall: int, servers: list[Server]) -> float:
         """What the peak needs now (kB a second), at this front and all others together."""
@@ -118,12 +138,25 @@
                 package, servers)
         return holding.need
 
-    def _hold(self, package: Package, need: float, most: float, links: list[Link]) -> None:
-        size = sum(link.size for link in links if link.size < inf)
-        for link in links:
-            if link.size == inf:
-                continue
-            room = min(most, need / size) * link.size
+    def _weights(self, package: Package, servers: list[Server], total: float) -> dict[Server, float]:
+        """How much of what the peak needs belongs on each server: where its titles lie, as they are asked for.
+
+        By size alone, room stood empty on servers whose titles few wanted while those of the wanted ones were full.
+        """
+        wanted = self.wanted[package]
+        return {server: wanted.get(server, 0.0) + UNLEARNED * server.link.size / total for server in servers}
+
+    def _hold(self, package: Package, need: float, most: float, weights: dict[Link, float]) -> None:
+        """Shares what is needed over links by weight; what one may not hold goes to the others, once."""
+        weights = {link: weight for link, weight in weights.items() if link.size < inf}
+        whole = sum(weights.values())
+        if not whole:
+            return
+        rooms = {link: min(most * link.size, need * weight / whole) for link, weight in weights.items()}
+        left, open_ones = need - sum(rooms.values()), sum(most * link.size - room for link, room in rooms.items())
+        for link, room in rooms.items():
+            if left > 0 and open_ones > 0:
+                room += (most * link.size - room) * min(1.0, left / open_ones)
             # where not even one would fit over its floor, room helps nobody
             if room < package.rates[package.floor]:
                 continue
@@ -135,10 +168,9 @@
     # ---- figures
 
     @staticmethod
-    def _links(servers: list[Server]) -> tuple[list[Link], list[Link]]:
-        """Links of what may be sent to, and their uplinks; what drains or is gone has no room to hold."""
-        links = [server.link for server in servers if server.open and server.link.size < inf]
-        return links, list({server.rack: server.rack.link for server in servers if server.open}.values())
+    def _links(servers: list[Server]) -> list[Server]:
+        """What may be sent to; what drains or is gone has no room to hold."""
+        return [server for server in servers if server.open and server.link.size < inf]
 
     def _lasts(self, peak: Peak, seen: Seen) -> float:
         return peak.lasts or (seen.length if seen.lengths else LASTS)
--- a/curlewshift/peaks/reserve.py
+++ b/curlewshift/peaks/reserve.py
@@ -18,6 +18,7 @@
         for link in self.held:
             link.holds.clear()
         self.held.clear()
-        for links in self._links(servers):
-            need = self.share * sum(link.size for link in links if link.size < inf)
-            self._hold(self.package, need, self.share, links)
+        servers = self._links(servers)
+        for links in ([server.link for server in servers], {server.rack.link for server in servers}):
+            size = sum(link.size for link in links if link.size < inf)
+            self._hold(self.package, self.share * size, self.share, {link: link.size for link in links})
--- a/curlewshift/rehearsal/joins.py
+++ b/curlewshift/rehearsal/joins.py
@@ -89,6 +89,17 @@
             "p99_us_at_once": crowd.get_value_at_percentile(99)}
 
 
+def fill_background(background, now: int) -> None:
+    """More work behind than there is ever time for: slices of half a millisecond, of several priorities, for ever."""
+    def burn() -> bool:
+        ends = time.perf_counter_ns() + 500_000
+        while time.perf_counter_ns() < ends:
+            pass
+        return True
+    for number in range(8):
+        background.add(f"busy {number}", burn, now, priority=number % 3)
+
+
 async def open_sessions(port: int, count: int) -> None:
     """Sessions that are asked for and not ended."""
     call = await connect("127.0.0.1", port, 2.0)
@@ -110,27 +121,28 @@
 async def measure_joins(count: int) -> dict:
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        ports = free_ports(SERVERS + 3, Random(os.getpid()))
+        ports = free_ports(SERVERS + 4, Random(os.getpid()))
         authority = make_authority(folder / "authority", "measure")
         issue(folder / "authority", ["127.0.0.1"], folder / "door")
         servers = "".join(f'<server shelf="s{n}" listen="127.0.0.1:{port}" link="9000MB/s" streams="100000"/>'
-                          for n, port in enumerate(ports[3:]))
+                          for n, port in enumerate(ports[4:]))
         sites = {}
-        for kind, port, tls in (("plain", ports[0], ""), ("tls", ports[1], TLS)):
+        for kind, port, tls in (("plain", ports[0], ""), ("tls", ports[1], TLS), ("busy", ports[3], "")):
             sites[kind] = folder / f"{kind}.xml"
             sites[kind].write_text(SITE.format(front=port, list=ports[2], servers=servers, tls=tls,
                                                shelves=" ".join(f"s{n}" for n in range(SERVERS))))
         log = folder / "log"
         standin = Child(["standin", "server", str(sites["plain"]), "--setup-work", "0"], log)
-        plain, secure = (Child(["front", str(sites[kind]), "--seed", "1"], log) for kind in ("plain", "tls"))
+        plain, secure, busy = (Child(["front", str(sites[kind]), "--seed", "1", *more], log)
+                               for kind, *more in (("plain",), ("tls",), ("busy", "--busy")))
         try:
-            for port in (ports[0], ports[1], ports[3]):
+            for port in (ports[0], ports[1], ports[3], ports[4]):
                 if not await listens(port, 20.0):
                     raise RuntimeError(f"nothing listens at port {port}: {log.read_text()[-500:]}")
             await anyio.sleep(1.5)
             context = client_context(authority)
-            ways = {"direct": (ports[3], standin, None), "through": (ports[0], plain, None),
-                    "through_tls": (ports[1], secure, context)}
+            ways = {"direct": (ports[4], standin, None), "through": (ports[0], plain, None),
+                    "through_tls": (ports[1], secure, context), "through_busy": (ports[3], busy, None)}
             # each way by halves: a machine that slows down meanwhile slows all
             halves: dict[str, list[dict]] = {way: [] for way in ways}
             for _ in range(2):
@@ -140,11 +152,13 @@
             await open_sessions(ports[0], count)
             per_session = (memory_of(plain.process.pid) - before) / count
         finally:
-            for child in (plain, secure, standin):
+            for child in (plain, secure, busy, standin):
                 child.kill()
     figures = {way: {name: round(sum(half[name] for half in parts) / 2) for name in parts[0]}
                for way, parts in halves.items()}
     direct = figures["direct"]
     ratios = {way: {name: round(figures[way][name] / direct[name], 2)
                     for name in ("p50_us", "p99_us", "joins_a_second_a_core")} for way in ("through", "through_tls")}
+    ratios["busy_over_idle"] = {name: round(figures["through_busy"][name] / figures["through"][name], 2)
+                                for name in ("p50_us", "p99_us")}
     return {"joins_each_way": count, **figures, "ratios": ratios, "kB_a_session": round(per_session, 2)}
