--- a/curlewshift/rehearsal/chart.py
+++ b/curlewshift/rehearsal/chart.py
@@ -21,8 +21,11 @@
         return (event["at"] - begins) / NS
 
     seconds = range(0, int(lasts) + 8)
-    figure, (answers, rungs, use, troubles) = pyplot.subplots(
-        4, 1, figsize=(11, 10), sharex=True, height_ratios=(3, 2, 2, 3))
+    held = [event for event in events if event["ev"] == "held"]
+    rows = 5 if held else 4
+    figure, panels = pyplot.subplots(rows, 1, figsize=(11, 2.5 * rows), sharex=True,
+                                     height_ratios=(3, 2, 2, 3, 3)[:rows])
+    answers, rungs, use, troubles = panels[:4]
     bottom = [0] * len(seconds)
     for name, status, colour in (("plays", 201, "#3a7d44"), ("refused", 503, "#e3a72f"), ("failed", 502, "#b3312c")):
         counted = Counter(int(at(event)) for event in events if event["ev"] == "answer" and event["status"] == status)
@@ -49,6 +52,32 @@
     troubles.set_yticks([])
     troubles.set_xlabel("seconds of the day")
     troubles.set_xlim(0, lasts + 8)
+    if held:
+        _draw_room(panels[4], events, held, at, seconds)
     figure.tight_layout()
     figure.savefig(path, metadata={"Date": None})
     pyplot.close(figure)
+
+
+def _draw_room(panel, events: list[dict], held: list[dict], at, seconds) -> None:
+    """Room held and used (kB a second), and the value answered each second, by package."""
+    for package in sorted({event["package"] for event in held}):
+        rooms = Counter()
+        for event in held:
+            if event["package"] == package:
+                rooms[int(at(event))] += event["room"]
+        panel.plot(seconds, [rooms[second] for second in seconds], label=f"held for {package}")
+    samples = [event for event in events if event["ev"] == "use"]
+    for package in sorted({package for event in samples for package in event.get("used", {})}):
+        panel.plot([at(event) for event in samples], [event["used"].get(package, 0) for event in samples],
+                   linestyle=":", label=f"used by {package}")
+    panel.set_ylabel("kB a second")
+    panel.legend(loc="upper left", fontsize=7)
+    value = panel.twinx()
+    package_of = {event["request"]: event["package"] for event in events if event["ev"] == "ask"}
+    for package in sorted(set(package_of.values())):
+        counted = Counter(int(at(event)) for event in events if event["ev"] == "answer" and event["status"] == 201
+                          and package_of.get(event["request"]) == package)
+        value.step(seconds, [counted[second] for second in seconds], linewidth=0.6, where="post", label=package)
+    value.set_ylabel("starts a second")
+    panel.set_xlabel("seconds of the day")
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -136,6 +136,8 @@
                           self.traffic)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tell_progress, begins)
+            if self.hold == "announced" and self.script.announced:
+                tasks.start_soon(self._watch_holds)
             async with anyio.create_task_group() as troubles:
                 for trouble in self.script.troubles:
                     if trouble.kind in OF_FRONTS:
@@ -183,6 +185,19 @@
             self.progress(max(0.0, min(whole, time.monotonic() - begins)), whole)
             await anyio.sleep(0.5)
 
+    async def _watch_holds(self) -> None:
+        """What each front holds, once a second, for the chart."""
+        while True:
+            for front in self.fronts:
+                try:
+                    peaks = (await tell(front.state, {"do": "peaks"}))["peaks"]
+                except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
+                    continue
+                for row in peaks:
+                    self.traffic.seen("held", front=front.name, peak=row["name"], package=row["package"],
+                                      phase=row["phase"], needs=row["needs"], room=row["held_here"])
+            await anyio.sleep(1)
+
     # ---- what befalls fronts
 
     async def _befall(self, trouble: Trouble, begins: float) -> None:
--- a/curlewshift/standins/running.py
+++ b/curlewshift/standins/running.py
@@ -72,8 +72,13 @@
     """How full the links are, once a second, for the chart."""
     while True:
         links = [place.link for place in fleet.places]
-        rungs = [session.rung for place in fleet.places for session in place.server.sessions.values()]
+        sessions = [session for place in fleet.places for session in place.server.sessions.values()]
+        rungs = [session.rung for session in sessions]
+        used: dict[str, float] = {}
+        for session in sessions:
+            used[session.package] = used.get(session.package, 0.0) + session.rate * session.truth
         traffic.seen("use", asked=round(sum(link.asked for link in links)), gives=round(sum(link.gives() for link in links)),
                      fullest=round(max(link.use() for link in links), 3), playing=len(rungs),
+                     used={package: round(rate) for package, rate in used.items()},
                      rung=round(sum(rungs) / len(rungs), 3) if rungs else 0)
         await anyio.sleep(1)
--- a/tests/test_peaks.py
+++ b/tests/test_peaks.py
@@ -1,10 +1,13 @@
 import sqlite3
+import sys
 import tempfile
 import unittest
 from dataclasses import replace
 from pathlib import Path
 
 
+import anyio
+
 from curlewshift.front.control import tell
 from curlewshift.peaks.calendar import Calendar, Nonsense, Peak
 from curlewshift.peaks.forecast import Seen, began_early, expected
@@ -13,6 +16,7 @@
 from tests.fake import SECOND, Story, package
 from tests.sockets import SmallSite, story, until
 
+ROOT = Path(__file__).resolve().parents[1]
 MINUTE = 60 * SECOND
 
 
@@ -325,6 +329,31 @@
                 self.assertTrue((await tell(state, {"do": "cancel", "name": "m", "why": "moved"}))["ok"])
                 self.assertEqual(site.front.calendar.peaks, {})
 
+    @story
+    async def test_the_command_line_says_what_is_wrong_and_lists_what_is_on(self):
+        with tempfile.TemporaryDirectory() as folder:
+            state = Path(folder)
+
+            async def peak_command(*words):
+                return await anyio.run_process([sys.executable, "-m", "curlewshift", "peak", *words, "--state", folder],
+                                               cwd=ROOT, check=False)
+            nobody = await peak_command("list")
+            self.assertEqual(nobody.returncode, 1)
+            async with SmallSite(servers=1).up(state):
+                await until((state / "control").exists)
+                how = ("--package", "clip", "--rate", "2", "--why", "a story")
+                wrong = await peak_command("announce", "m", "--starts", "+10min", "--ends", "+5min", *how)
+                self.assertEqual((wrong.returncode, b"ends before it starts" in wrong.stderr), (2, True))
+                wrong = await peak_command("announce", "m", "--starts", "noon", "--ends", "+5min", *how)
+                self.assertEqual((wrong.returncode, b"neither a date and time" in wrong.stderr), (2, True))
+                well = await peak_command("announce", "m", "--starts", "+10min", "--ends", "2099-01-01T00:00+00:00", *how)
+                self.assertEqual((well.returncode, b"24 hours at most" in well.stderr), (2, True))
+                well = await peak_command("announce", "m", "--starts", "+10min", "--ends", "+20min", *how)
+                self.assertEqual(well.returncode, 0, well.stderr)
+                told = await peak_command("list")
+                self.assertIn(b"a story", told.stdout)
+                self.assertIn(b"ahead", told.stdout)
+
     @story
     async def test_what_could_not_be_kept_is_not_confirmed(self):
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -72,6 +72,12 @@
                           reader=read_script, text=script)
         self.assertIn("small-site.xml has no package 'opera'", told)
         self.assertIn("trouble crash: begins after the day has ended", told)
+        peak = (EXAMPLES / "peak-day.xml").read_text()
+        (self.path.parent / "peak-site.xml").write_text((EXAMPLES / "peak-site.xml").read_text())
+        told = self.wrong(('<announce name="month-end" package="receipt"', '<announce name="month-end" package="opera"'),
+                          ('<trouble kind="peak" package="receipt"', '<trouble kind="peak"'), reader=read_script, text=peak)
+        self.assertIn("announce: peak-site.xml has no package 'opera'", told)
+        self.assertIn("trouble peak: peak-site.xml has no package ''", told)
         self.assertIn("kind should be one of burst, crowd", self.wrong(('kind="hang"', 'kind="boredom"'), reader=read_script, text=script))
 
     def test_the_command_line_ends_with_2_and_the_mistakes(self):
