--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -62,11 +62,12 @@
 @click.option("--name", help="Which front of the site; the first if not said.")
 @click.option("--state", type=PATH, help="A folder for what outlives the process.")
 @click.option("--seed", type=int, help="For its chance; drawn if not said.")
+@click.option("--capture", type=PATH, help="A folder for all it is told and decides, to be replayed.")
 @click.option("--life", default="", hidden=True)
 @click.option("--sabotage", default=None, hidden=True)
 @click.option("--reserve", default=None, hidden=True)
 @click.option("--busy", is_flag=True, hidden=True)
-def front(site, name, state, seed, life, sabotage, reserve, busy):
+def front(site, name, state, seed, capture, life, sabotage, reserve, busy):
     """Run a front of SITE until SIGTERM."""
     import secrets
 
@@ -89,7 +90,7 @@
     arguments = (held, number, secrets.randbits(32) if seed is None else seed, state,
                  make_log(front=held.doors[number].name), life)
     try:
-        made = spoilt(sabotage, *arguments) if sabotage else Front(*arguments)
+        made = spoilt(sabotage, *arguments) if sabotage else Front(*arguments, capture=capture)
     except (BadKeys, BadCertificate, OSError) as wrong:
         click.echo(f"{site}: {wrong}", err=True)
         sys.exit(2)
@@ -104,6 +105,34 @@
     run(made.run)
 
 
+@main.command()
+@click.argument("log", type=PATH)
+@click.option("--until", type=float, help="Seconds of the capture to replay, from its beginning.")
+@click.option("--viewing", type=int, help="Explain one viewing, by its number in the front's log.")
+def replay(log, until, viewing):
+    """Tell a desk again what the front of LOG (a capture's folder, or a segment) was told, and compare what it does."""
+    from curlewshift.capture.records import NotALog
+    from curlewshift.capture.replay import Replay
+    from curlewshift.capture.store import read_capture
+    try:
+        records, damage = read_capture(log)
+        again = Replay(records, viewing, None if until is None else records[0][1]["now"] + int(until * 1e9))
+        done = again.run()
+    except (OSError, NotALog, ValueError, LookupError) as wrong:
+        click.echo(f"curlewshift: {wrong}", err=True)
+        sys.exit(2)
+    for line in done.explained:
+        click.echo(line)
+    if viewing is not None and not done.explained:
+        click.echo(f"viewing {viewing} was not placed in what was replayed", err=True)
+    if damage:
+        click.echo(f"the capture ends early: {damage}", err=True)
+    click.echo(f"{done.told} things told, {done.did} done in answer, over {(done.until - again.began) / 1e9:.1f} s")
+    if done.difference is not None:
+        click.echo(f"not the same: {done.difference}", err=True)
+        sys.exit(1)
+
+
 @main.group()
 def peak():
     """Announced peaks of a front that runs, through its state folder."""
@@ -266,7 +295,8 @@
 @click.option("--sabotage", help="Spoil the fronts on purpose, to see the rule caught.")
 @click.option("--hold", type=click.Choice(["announced", "none", "reserve"]), default="announced",
               help="Whether fronts hear of what the script announces, or keep a fixed reserve all day instead.")
-def rehearse(script, out, seed, sabotage, hold):
+@click.option("--capture", is_flag=True, help="Capture every life of every front, and replay each at the end.")
+def rehearse(script, out, seed, sabotage, hold, capture):
     """Play the day of SCRIPT on loopback and judge the six rules from the sockets."""
     from rich.console import Console
     from rich.progress import BarColumn, Progress, TextColumn
@@ -288,7 +318,7 @@
         def told(done, of):
             bar.update(task, completed=done, total=of)
         try:
-            verdict = run(Rehearsal(held, script, out, held.seed if seed is None else seed, sabotage, told, hold).run)
+            verdict = run(Rehearsal(held, script, out, held.seed if seed is None else seed, sabotage, told, hold, capture).run)
         except* StartFailed as failed:
             click.echo(f"curlewshift: {failed.exceptions[0]}", err=True)
             sys.exit(1)
@@ -296,7 +326,10 @@
     for table in verdict_tables(verdict):
         Console().print(table)
     broken = any(rule["broken"] for rule in verdict["rules"].values())
-    sys.exit(1 if broken or verdict["left_standing"] else 0)
+    differ = [life for life, run in verdict.get("replays", {}).items() if run["difference"]]
+    for life in differ:
+        click.echo(f"the replay of {life} is not the same: {verdict['replays'][life]['difference']}", err=True)
+    sys.exit(1 if broken or differ or verdict["left_standing"] else 0)
 
 
 @main.group()
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -16,7 +16,7 @@
 from curlewshift.desk.roster import Gap, Roster, Row, mark_of
 from curlewshift.desk.timers import Timers
 from curlewshift.model import Listed, Outcome, Server, Terms, Viewing
-from curlewshift.peaks.calendar import Calendar
+from curlewshift.peaks.calendar import Calendar, Peak
 from curlewshift.peaks.peaks import Peaks
 from curlewshift.retries.endings import Ending, Endings
 from curlewshift.retries.keys import MOST_ENDED, KeyTable
@@ -274,6 +274,16 @@
             self.roster.forget(server)
             self.rules.forgotten(server)
 
+    # ---- announced peaks
+
+    def announce(self, peak: Peak) -> None:
+        """Raises `Nonsense`."""
+        self.peaks.calendar.announce(peak, self.outside.wall())
+
+    def cancel(self, name: str) -> None:
+        """Raises `Nonsense`."""
+        self.peaks.calendar.cancel(name)
+
     # ---- time
 
     def time(self) -> None:
--- a/curlewshift/front/control.py
+++ b/curlewshift/front/control.py
@@ -81,13 +81,12 @@
             peak = msgspec.convert({**command.peak, "who": who, "why": command.why}, Peak)
         except msgspec.ValidationError as wrong:
             raise Nonsense(f"this is no peak: {wrong}") from None
-        calendar, now = self.front.calendar, self.front.wall()
-        calendar.announce(peak, now)
+        self.front.desk.announce(peak)
         try:
-            await anyio.to_thread.run_sync(self.store.announced, peak, now)
+            await anyio.to_thread.run_sync(self.store.announced, peak, self.front.wall())
         except sqlite3.Error:
             # what is not kept is not confirmed, and not in force either
-            calendar.cancel(peak.name)
+            self.front.desk.cancel(peak.name)
             raise
         self.front.log.info("peak-announced", peak=peak.name, package=peak.package, who=who, cause=command.why)
         return {"ok": True}
@@ -96,7 +95,8 @@
         if command.name not in self.front.calendar.peaks:
             raise Nonsense(f"there is no peak {command.name!r}")
         await anyio.to_thread.run_sync(self.store.cancelled, command.name, self.front.wall(), who, command.why)
-        self.front.calendar.peaks.pop(command.name, None)
+        if command.name in self.front.calendar.peaks:
+            self.front.desk.cancel(command.name)
         self.front.log.info("peak-cancelled", peak=command.name, who=who, cause=command.why)
         return {"ok": True}
 
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -9,6 +9,8 @@
 
 import anyio
 
+from curlewshift.capture.store import CaptureWriter
+from curlewshift.capture.tap import tapped
 from curlewshift.desk.course import Answer, Course, Kind, Request, TuneIn
 from curlewshift.desk.desk import Desk
 from curlewshift.desk.errands import Errand
@@ -46,7 +48,7 @@
     reach_class = Reach
 
     def __init__(self, site: Site, number: int, seed: int, state: Path | None, log, life: str = "",
-                 desk: type[Desk] = Desk, **how):
+                 desk: type[Desk] = Desk, capture: Path | None = None, **how):
         self.site, self.log = site, log
         self.door_at = site.doors[number]
         self.clock = Clock()
@@ -70,6 +72,10 @@
             store = PeakStore(state / "peaks.db")
             self._take_calendar(store)
             self.control = Control(self, state / "control", store)
+        self.capture = None
+        if capture is not None:
+            self.capture = CaptureWriter(capture, lambda why: log.warning("capture-ended", cause=why))
+            desk = tapped(desk, self.capture.note)
         # the desk's first wake comes while it is made
         self.desk = desk(self, self.terms, Roster(site.uplinks, site.titles), most_waiting=site.most_waiting,
                          calendar=self.calendar, **how)
@@ -95,6 +101,8 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self.reach.close()
+                if self.capture is not None:
+                    await anyio.to_thread.run_sync(self.capture.close)
 
     async def _run(self, ready) -> None:
         async with anyio.create_task_group() as tasks:
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -12,6 +12,8 @@
 import anyio
 from lxml import etree
 
+from curlewshift.capture.replay import Replay
+from curlewshift.capture.store import read_capture
 from curlewshift.front.control import tell
 from curlewshift.rehearsal.processes import Child, free_ports, listens
 from curlewshift.site.site import Site
@@ -70,6 +72,8 @@
         self.day.traffic.seen("front-up", front=self.name, life=self.life)
         arguments = ["front", str(self.day.out / "site.xml"), "--name", self.name, "--life", self.life, "--state",
                      str(self.state), "--seed", str(self.day.seed * 1000 + self.number * 100 + self.lives)]
+        if self.day.capture:
+            arguments += ["--capture", str(self.day.out / "captures" / self.life)]
         if self.day.hold == "reserve":
             for announced in self.day.script.announced[:1]:
                 arguments += ["--reserve", f"{announced.package}={RESERVE}"]
@@ -94,9 +98,10 @@
     """`progress(done, of)` is told seconds of the day."""
 
     def __init__(self, script: Script, script_path: Path, out: Path, seed: int, sabotage: str | None,
-                 progress: Callable[[float, float], None], hold: str = "announced"):
+                 progress: Callable[[float, float], None], hold: str = "announced", capture: bool = False):
         self.script, self.script_path, self.out = script, script_path, out
         self.seed, self.sabotage, self.progress, self.hold = seed, sabotage, progress, hold
+        self.capture = capture
         out.mkdir(parents=True, exist_ok=True)
         for old in [*out.glob("*/peaks.db*"), *out.glob("*.jsonl"), *out.glob("*.log"), *out.glob("*/list.json"), out / "verdict.json"]:
             old.unlink(missing_ok=True)
@@ -233,5 +238,17 @@
         peaks = [trouble for trouble in self.script.troubles if trouble.kind == "peak"]
         if peaks:
             verdict["phases"] = phases(events, figures_of(self.script.site), peaks[0].at, peaks[0].at + peaks[0].lasts)
+        if self.capture:
+            verdict["replays"] = self._replays()
         (self.out / "verdict.json").write_text(json.dumps(verdict, indent=1) + "\n")
         return verdict
+
+    def _replays(self) -> dict:
+        """Each life of each front decided again; one that was killed is replayed up to where its capture ends."""
+        told = {}
+        for folder in sorted((self.out / "captures").iterdir()):
+            records, damage = read_capture(folder)
+            run = Replay(records).run()
+            told[folder.name] = {"told": run.told, "did": run.did, "cut_off": damage,
+                                 "difference": str(run.difference) if run.difference else ""}
+        return told
--- /dev/null
+++ b/tests/test_capture.py
@@ -0,0 +1,218 @@
+"""What was captured is decided again the same, wherever the capture ends; and a change of one decision is found."""
+
+import random
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from curlewshift.capture.records import MAGIC, NotALog, Reading, frame
+from curlewshift.capture.replay import Replay
+from curlewshift.capture.store import CaptureWriter, read_capture
+from curlewshift.capture.tap import DID, TOLD, tapped
+from curlewshift.desk.desk import Desk, KeyReused
+from curlewshift.model import Outcome
+from curlewshift.peaks.calendar import Calendar
+from curlewshift.rules import Rules
+from tests import desk_fake
+from tests.desk_fake import PACKAGES, FakeOutside
+from tests.fake import MS, SECOND
+
+FAILED = [Outcome.ERROR, Outcome.FULL, Outcome.SILENT, Outcome.UNREACHED, Outcome.BROKEN]
+
+
+def a_day(seed, steps=400, **changed):
+    """A random day of one front, captured. Returns its records and its outside."""
+    records = []
+    with mock.patch.object(desk_fake, "Desk", tapped(Desk, records.append)):
+        outside = FakeOutside(calendar=Calendar(PACKAGES), **changed)
+    chance, requests, desk = random.Random(seed), [], outside.desk
+    for _ in range(steps):
+        what = chance.randrange(14)
+        courses = list(desk.courses.values())
+        if what < 4:
+            try:
+                requests.append(outside.ask(chance.choice(["clip", "paid", "lesson"]), chance.choice(["t1", "t2", "t3"]),
+                                            chance.choice([None, None, "k1", "k2"]), chance.choice(["o1", "o1", "o2"])))
+            except KeyReused:
+                pass
+        elif what < 8 and outside.out:
+            outcome = chance.choice(FAILED + [Outcome.PLAYED] * 8)
+            outside.ends(chance.choice(outside.out), outcome)
+        elif what == 8 and requests:
+            desk.hung_up(chance.choice(requests))
+        elif what == 9 and courses:
+            getattr(desk, chance.choice(["closed", "lost"]))(chance.choice(courses))
+        elif what == 10:
+            server = outside.server(f"s{chance.randrange(4)}") if desk.roster.servers else None
+            if server:
+                desk.told(server, {"link": chance.random() * 1.3, "uplink": chance.random()})
+                if chance.random() < 0.2:
+                    desk.delivered(server, chance.random())
+        elif what == 11:
+            outside.change(outside.row(f"s{chance.randrange(4)}", chance.choice(["on", "on", "fading"]),
+                                       "abcd"[chance.randrange(4)], chance.choice([SECOND, outside.clock])))
+        elif what == 12 and outside.ending:
+            desk.session_ended(outside.ending.pop(), chance.random() < 0.7)
+        else:
+            outside.later(chance.choice([0, 0, MS, 300 * MS, SECOND, 4 * SECOND]))
+    return records, outside
+
+
+def logged(records):
+    return MAGIC + b"".join(frame(record) for record in records)
+
+
+class Same(unittest.TestCase):
+    def test_a_day_is_decided_again_the_same_three_times(self):
+        for seed in range(8):
+            records, _ = a_day(seed)
+            read = list(Reading(logged(records)))
+            runs = [Replay(read).run() for _ in range(3)]
+            self.assertEqual([str(run.difference) for run in runs], ["None"] * 3, seed)
+            self.assertEqual({(run.told, run.did) for run in runs},
+                             {(sum(row[0] == TOLD for row in read), sum(row[0] == DID for row in read))})
+            self.assertGreater(runs[0].did, 50)
+
+    def test_with_a_peak_on_the_calendar_and_the_wall_set(self):
+        records = []
+        with mock.patch.object(desk_fake, "Desk", tapped(Desk, records.append)):
+            outside = FakeOutside(calendar=Calendar(PACKAGES))
+        from tests.test_peaks import peak
+        outside.desk.announce(peak(starts=outside.wall() + SECOND, ends=outside.wall() + 9 * SECOND))
+        outside.later(3 * SECOND)
+        for number in range(20):
+            outside.ask(("clip", "lesson")[number % 2], "t3")
+        outside.wall_off = 100 * SECOND
+        outside.later(3 * SECOND)
+        self.assertIsNone(Replay(Reading(logged(records))).run().difference)
+
+    def test_things_of_one_instant_keep_their_order(self):
+        records, outside = [], None
+        with mock.patch.object(desk_fake, "Desk", tapped(Desk, records.append)):
+            outside = FakeOutside()
+        first, second = outside.ask("paid"), outside.ask("paid")
+        tune_in = outside.out[0]
+        outside.clock = tune_in.until
+        outside.ends(tune_in, Outcome.PLAYED, "s")
+        outside.later(0)
+        self.assertNotEqual(outside.answers[first].kind, outside.answers[second].kind)
+        self.assertIsNone(Replay(Reading(logged(records))).run().difference)
+
+
+class Found(unittest.TestCase):
+    def test_other_rules_are_found_at_the_first_decision_that_differs(self):
+        records, _ = a_day(1)
+
+        class Other(Rules):
+            def _room(self, server, rate=0.0, bound=3.09, vw=None):
+                return -super()._room(server, rate, bound, vw)
+        run = Replay(records, rules=Other).run()
+        self.assertIn(run.difference.what, ("tune_in", "answer"))
+        self.assertNotEqual(run.difference.logged, run.difference.came)
+        self.assertIn("the log has", str(run.difference))
+        self.assertLess(run.told, sum(row[0] == TOLD for row in records))
+
+    def test_one_changed_record_is_found(self):
+        records, _ = a_day(2)
+        at = next(number for number, row in enumerate(records) if row[0] == DID and row[1] == "tune_in" and number > 40)
+        changed = [list(row) for row in records]
+        changed[at][2] = [*changed[at][2][:4], changed[at][2][4] + 1, changed[at][2][5]]
+        run = Replay(changed).run()
+        self.assertEqual((run.difference.record, run.difference.what), (at, "tune_in"))
+
+    def test_one_viewing_is_explained(self):
+        records, _ = a_day(3)
+        viewing = next(row[2][1] for row in records if row[0] == DID and row[1] == "tune_in")
+        words = "\n".join(Replay(records, viewing=viewing).run().explained)
+        for said in ("rungs", "own use", "pass the test", "so: s"):
+            self.assertIn(said, words)
+
+    def test_up_to_a_time(self):
+        records, _ = a_day(4)
+        half = [row[1] for row in records if row[0] == TOLD][100]
+        run = Replay(records, until=half).run()
+        self.assertLessEqual(run.until, half)
+        self.assertLess(run.told, sum(row[0] == TOLD for row in records))
+
+
+class Stored(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder, self.ended = Path(folder.name) / "capture", []
+
+    def test_segments_are_read_back_as_one_and_replayed(self):
+        records, _ = a_day(9)
+        writer = CaptureWriter(self.folder, self.ended.append, segment=2000)
+        for record in records:
+            writer.note(record)
+            if len(writer.waiting) > 20:
+                time.sleep(0.001)
+        writer.close()
+        read, damage = read_capture(self.folder)
+        self.assertEqual((len(read), damage, self.ended), (len(records), "", []))
+        self.assertIsNone(Replay(read).run().difference)
+
+    def test_a_full_budget_and_a_full_disk_end_the_capture_and_what_is_there_is_whole(self):
+        records, _ = a_day(9)
+        writer = CaptureWriter(self.folder, self.ended.append, budget=5000)
+        for record in records:
+            writer.note(record)
+        writer.close()
+        self.assertEqual(len(self.ended), 1)
+        self.assertIn("budget", self.ended[0])
+        writer = CaptureWriter(self.folder, self.ended.append)
+        with mock.patch.object(writer, "_out", side_effect=lambda raw: writer._end("it cannot be written: No space")):
+            writer.note(records[0])
+            writer.note(records[1])
+            writer.close()
+        self.assertEqual(len(self.ended), 2)
+
+    def test_nothing_waits_for_a_disk_that_stands_still(self):
+        writer = CaptureWriter(self.folder, self.ended.append)
+        still = threading.Event()
+        with mock.patch.object(writer, "_out", side_effect=lambda raw: still.wait(5)):
+            big = [TOLD, 0, 0, "asked", ["x" * 100_000], {}]
+            began = time.monotonic()
+            for _ in range(400):
+                writer.note(big)
+            self.assertLess(time.monotonic() - began, 2)
+            self.assertIn("slower", self.ended[0])
+            still.set()
+            writer.close()
+
+
+class Damaged(unittest.TestCase):
+    def test_a_log_cut_off_anywhere_is_replayed_up_to_there_and_says_so(self):
+        raw = logged(a_day(5, steps=60)[0])
+        chance = random.Random(1)
+        for cut in [len(MAGIC), len(raw) - 1, *(chance.randrange(len(MAGIC), len(raw)) for _ in range(40))]:
+            reading = Reading(raw[:cut], "log")
+            records = list(reading)
+            if records:
+                self.assertIsNone(Replay(records).run().difference, cut)
+            whole = len(MAGIC + b"".join(frame(record) for record in records)) == cut
+            self.assertEqual(reading.damage == "", whole)
+
+    def test_a_flipped_bit_ends_the_reading_there(self):
+        records, _ = a_day(6, steps=60)
+        raw = bytearray(logged(records))
+        raw[len(raw) // 2] ^= 8
+        reading = Reading(bytes(raw), "log")
+        read = list(reading)
+        self.assertLess(len(read), len(records))
+        self.assertEqual(read, list(Reading(logged(records)))[:len(read)])
+        self.assertIn("log: ", reading.damage)
+
+    def test_what_is_no_log_is_said_to_be_none(self):
+        for raw in (b"", b"hello", MAGIC[:-3]):
+            with self.assertRaises(NotALog):
+                Reading(raw)
+
+
+
+if __name__ == "__main__":
+    unittest.main()
