--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -76,6 +76,7 @@
     from curlewshift.front.spoilt import NAMES, spoilt
     from curlewshift.limits.permits import BadKeys
     from curlewshift.logs import make_log
+    from curlewshift.state.journal import Taken
     held = site_of(site)
     try:
         number = held.door(name) if name else 0
@@ -91,7 +92,7 @@
                  make_log(front=held.doors[number].name), life)
     try:
         made = spoilt(sabotage, *arguments) if sabotage else Front(*arguments, capture=capture)
-    except (BadKeys, BadCertificate, OSError) as wrong:
+    except (BadKeys, BadCertificate, Taken, OSError) as wrong:
         click.echo(f"{site}: {wrong}", err=True)
         sys.exit(2)
     if reserve is not None:
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -274,6 +274,20 @@
             self.roster.forget(server)
             self.rules.forgotten(server)
 
+    def interrupted(self, key: str, offer: object, package: str, title: str, until: int) -> None:
+        """A paid request of an earlier life of this front that may have run: who comes again with its key is told
+        that it failed, until then. What the settings have no more cannot be asked for either."""
+        pack = self.packages.get(package)
+        if pack is None or title not in self.roster.titles or self.keys.find(key, self.outside.now()) is not None:
+            return
+        self.names += 1
+        vw = Viewing(self.names, title, mark_of(key), pack, pack.top, self.outside.now(), until, (), over=True,
+                     may_have_run=True)
+        course = Course(vw, offer, errands=Errands(self.outside.tell))
+        course.answer = Answer(Kind.FAILED, "the front was restarted while it was set up; it may have run")
+        course.held = self.keys.hold(key, (offer, pack, title), course)
+        self.keys.ended(course.held, until)
+
     # ---- announced peaks
 
     def announce(self, peak: Peak) -> None:
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -22,13 +22,15 @@
 from curlewshift.front.door import Door
 from curlewshift.front.followers import ListFollower, NotesFollower, row_of
 from curlewshift.front.kept import KeptList
-from curlewshift.front.reach import Reach
+from curlewshift.front.reach import Offer, Reach
 from curlewshift.limits.permits import BadKeys, Permits, read_keys
 from curlewshift.model import Server
 from curlewshift.peaks.calendar import Calendar, Nonsense
 from curlewshift.retries.endings import Ending
 from curlewshift.schedule.background import Background, Job
 from curlewshift.site.site import Site
+from curlewshift.state.intents import KEPT_ON, Intents
+from curlewshift.state.journal import Journal, Lock
 from curlewshift.state.peaks import PeakStore
 
 NS = 1_000_000_000
@@ -68,7 +70,13 @@
         self.terms = site.terms(self.clock.now(), seed, number)
         self.calendar = Calendar(site.packages)
         self.control = None
+        self.intents, self.journal = Intents(), None
         if state is not None:
+            # one front a folder: two would each think the other's set-ups never happened
+            self.lock = Lock(state)
+            self.journal = Journal(state / "intents.log")
+            if self.journal.damage:
+                log.error("intents-damaged", cause=self.journal.damage)
             store = PeakStore(state / "peaks.db")
             self._take_calendar(store)
             self.control = Control(self, state / "control", store)
@@ -80,10 +88,21 @@
         self.desk = desk(self, self.terms, Roster(site.uplinks, site.titles), most_waiting=site.most_waiting,
                          calendar=self.calendar, **how)
         self.door.desk = self.desk
+        self._take_up_intents()
         self.background = Background(self.clock.now(), time.monotonic_ns, self._overran)
         for name, work in (("sweep", self.door.sweep), ("renew", self._start_renewal)):
             self.background.add(name, work, self.clock.now() + int(SWEEP * NS), every=int(SWEEP * NS))
 
+    def _take_up_intents(self) -> None:
+        if self.journal is None:
+            return
+        wall = self.wall()
+        for intent in self.intents.restore(self.journal.records, wall):
+            self.log.info("interrupted", package=intent.package, server=intent.server, cause="it may have run")
+            self.desk.interrupted(intent.key, Offer(intent.offer, way=intent.way), intent.package, intent.title,
+                                  self.now() + intent.until + KEPT_ON - wall)
+        self.journal.records = []
+
     def _take_calendar(self, store: PeakStore) -> None:
         """The calendar as it was; what is over or makes no sense under other settings is named and left out."""
         if store.damage:
@@ -101,6 +120,9 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self.reach.close()
+                if self.journal is not None:
+                    self.journal.close()
+                    self.lock.release()
                 if self.capture is not None:
                     await anyio.to_thread.run_sync(self.capture.close)
 
@@ -108,7 +130,7 @@
         async with anyio.create_task_group() as tasks:
             self.tasks = tasks
             self.reach = self.reach_class(self.desk, tasks, self.name, self.site.most_connections, self.log,
-                                         self.servers_tls)
+                                         self.servers_tls, self.intents, self.journal, self.wall)
             if self.kept is not None:
                 rows = [row_of(row) for row in self.kept.read()]
                 if rows:
--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -25,6 +25,8 @@
 from curlewshift.signalling.loads import HEADER, decode_load
 from curlewshift.signalling.sdp import PLAYS
 from curlewshift.site.site import host_port
+from curlewshift.state.intents import Intent, Intents
+from curlewshift.state.journal import Journal, NotKept
 
 NS = 1_000_000_000
 SDP = "application/sdp"
@@ -93,9 +95,13 @@
 
 
 class Reach:
-    def __init__(self, desk: Desk, tasks: TaskGroup, name: str, most_connections: int, log, tls=None):
+    def __init__(self, desk: Desk, tasks: TaskGroup, name: str, most_connections: int, log, tls=None,
+                 intents: Intents | None = None, journal: Journal | None = None, wall=None):
         self.desk, self.tasks, self.name, self.log = desk, tasks, name, log
         self.most_connections, self.tls = most_connections, tls
+        # what is to be known after a kill; without a state folder nothing is
+        self.intents, self.journal, self.wall = intents, journal, wall
+        self.disk = anyio.CapacityLimiter(1)
         self.out: dict[TuneIn, Out] = {}
         self.connections: dict[Server, int] = {}
         self.idle: dict[Server, list[Call]] = {}
@@ -130,16 +136,22 @@
                     # a kept connection may end under the request, which proves nothing: not for what is paid
                     fresh = tune_in.course.vw.package.paid_at_setup
                     call = out.call = await self._connection(server, (tune_in.until - self.desk.now()) / NS, fresh)
+                    if fresh and self.journal is not None:
+                        await self._intend(tune_in)
                     if not self.desk.stands(tune_in):
                         # nothing has gone out yet, so it can be taken back
-                        self.desk.failed(tune_in, Outcome.UNSENT)
+                        self._end(tune_in, Outcome.UNSENT)
                         return
                     answered = await self._ask(tune_in, call, request)
                     kept = self._keep(server, call)
                     self._judge(tune_in, answered)
                 except NeverSent as wrong:
                     self.log.info("not-reached", server=server.name, viewing=request, cause=str(wrong))
-                    self.desk.failed(tune_in, Outcome.UNREACHED)
+                    self._end(tune_in, Outcome.UNREACHED)
+                except NotKept as wrong:
+                    # a paid set-up that could not be known of after a kill is not begun
+                    self.log.error("intent-not-kept", server=server.name, viewing=request, cause=str(wrong))
+                    self._end(tune_in, Outcome.UNSENT)
                 except Broken as wrong:
                     self.log.info("broke", server=server.name, viewing=request, cause=str(wrong))
                     self.desk.failed(tune_in, Outcome.BROKEN)
@@ -187,7 +199,38 @@
         # A redirect has done nothing (RFC 9110, 15.4). It is not followed: where it points may be draining or cold,
         # and only the rules know; they pick again, as they do for a server that is full.
         full = answered.status in (307, 308) or answered.status == 503 and _problem(answered).type == TURNED_AWAY
-        self.desk.failed(tune_in, Outcome.FULL if full else Outcome.ERROR, report)
+        self._end(tune_in, Outcome.FULL if full else Outcome.ERROR, report)
+
+    async def _intend(self, tune_in: TuneIn) -> None:
+        """On the disk before the first byte goes out. Raises `NotKept`."""
+        course = tune_in.course
+        if course.held is None:
+            return
+        vw, offer = course.vw, course.offer
+        until = self.wall() + max(0, vw.expires - self.desk.now())
+        record = self.intents.began(Intent(course.held.key, offer.identity, offer.way, vw.package.name, vw.title,
+                                           tune_in.server.name, until))
+        await anyio.to_thread.run_sync(self.journal.add, record, True, limiter=self.disk)
+
+    def _end(self, tune_in: TuneIn, outcome: Outcome, report: dict[str, float] | None = None) -> None:
+        """Not flushed: a lost end makes the answer after a kill more careful than it need be, and no more."""
+        held = tune_in.course.held
+        if self.journal is not None and held is not None and tune_in.course.vw.package.paid_at_setup:
+            record = self.intents.ended(held.key, outcome)
+            if record is not None:
+                self.tasks.start_soon(self._note, record)
+        self.desk.failed(tune_in, outcome, report)
+
+    async def _note(self, record: list) -> None:
+        try:
+            await anyio.to_thread.run_sync(self.journal.add, record, False, limiter=self.disk)
+            if self.intents.stale():
+                async with self.disk:
+                    # what is open is asked for with the disk in hand: an intent that waits for it is in there
+                    self.intents.forget(self.wall())
+                    await anyio.to_thread.run_sync(self.journal.begin_anew, self.intents.anew())
+        except NotKept as wrong:
+            self.log.warning("end-not-kept", cause=str(wrong))
 
     # ---- connections
 
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,233 @@
+"""Kills, torn tails, full disks: what was promised before holds after."""
+
+import errno
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import anyio
+
+from curlewshift.capture.records import MAGIC, frame
+from curlewshift.exchange.client import Broken, ask
+from curlewshift.model import Outcome
+from curlewshift.state.intents import BEGAN, ENDED, KEPT_ON, Intent, Intents
+from curlewshift.state.journal import Journal, Lock, NotKept, Taken
+from tests.fake import SECOND
+from tests.sockets import SDP, SmallSite, an_offer, story, until
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+def intent(key="k", until=100 * SECOND):
+    return Intent(key, "offer", "whep", "paid", "t", "s", until)
+
+
+class Remembering(unittest.TestCase):
+    def test_only_proof_that_nothing_ran_closes_an_intent(self):
+        for outcome in Outcome:
+            intents = Intents()
+            record = intents.began(intent())
+            closing = intents.ended("k", outcome)
+            proof = outcome in (Outcome.FULL, Outcome.UNREACHED, Outcome.UNSENT)
+            self.assertEqual(closing, [ENDED, "k"] if proof else None)
+            again = Intents().restore([record, *([closing] if closing else [])], 0)
+            self.assertEqual(again, [] if proof else [intent()], outcome)
+
+    def test_a_second_try_of_one_key_is_open_again(self):
+        intents = Intents()
+        records = [intents.began(intent()), intents.ended("k", Outcome.FULL), intents.began(intent())]
+        self.assertEqual(Intents().restore(records, 0), [intent()])
+
+    def test_what_nobody_asks_for_any_more_is_forgotten_and_the_log_begins_anew(self):
+        intents = Intents()
+        for number in range(3000):
+            intents.began(intent(str(number), until=number * SECOND))
+        self.assertFalse(intents.stale())
+        intents.forget(2990 * SECOND + KEPT_ON)
+        self.assertTrue(intents.stale())
+        anew = intents.anew()
+        self.assertEqual((len(anew), intents.stale()), (9, False))
+        self.assertEqual(len(Intents().restore(anew, 2990 * SECOND)), 9)
+
+    def test_records_of_another_version_take_nothing_back(self):
+        records = [Intents().began(intent()), ["novel", 1], [ENDED], [BEGAN, "x"], []]
+        self.assertEqual(Intents().restore(records, 0), [intent()])
+
+
+class Disk(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "log"
+
+    def filled(self, count=5):
+        journal = Journal(self.path)
+        for number in range(count):
+            journal.add(["r", number], True)
+        return journal
+
+    def test_a_kill_after_every_byte_leaves_what_was_whole(self):
+        self.filled().close()
+        raw = self.path.read_bytes()
+        for cut in range(len(raw)):
+            self.path.write_bytes(raw[:cut])
+            journal = Journal(self.path)
+            whole = [["r", number] for number in range(5)
+                     if len(MAGIC + b"".join(frame(["r", n]) for n in range(number + 1))) <= cut]
+            self.assertEqual(journal.records, whole, cut)
+            journal.add(["more"], True)
+            journal.close()
+            again = Journal(self.path)
+            self.assertEqual(again.records, [*whole, ["more"]], cut)
+            again.close()
+
+    def test_a_flipped_bit_is_told_of_and_the_file_kept_for_a_person(self):
+        self.filled().close()
+        whole = self.path.read_bytes()
+        for at in range(len(MAGIC), len(whole) - len(frame(["r", 4]))):
+            raw = bytearray(whole)
+            raw[at] ^= 1
+            self.path.write_bytes(raw)
+            journal = Journal(self.path)
+            self.assertIn("put aside", journal.damage, at)
+            self.assertLess(len(journal.records), 5)
+            self.assertEqual(self.path.with_name("log.damaged").read_bytes(), bytes(raw))
+            journal.close()
+
+    def test_a_short_write_is_taken_back(self):
+        journal = self.filled(2)
+        write = os.write
+        with mock.patch("os.write", lambda file, raw: write(file, raw[:3])), self.assertRaises(NotKept):
+            journal.add(["lost"], True)
+        journal.add(["kept"], True)
+        journal.close()
+        self.assertEqual(Journal(self.path).records, [["r", 0], ["r", 1], ["kept"]])
+
+    def test_a_full_disk_keeps_nothing_new_and_loses_nothing_old(self):
+        journal = self.filled(2)
+        with mock.patch("os.write", side_effect=OSError(errno.ENOSPC, "No space left on device")):
+            with self.assertRaises(NotKept) as found:
+                journal.add(["lost"], True)
+        self.assertIn("No space left", str(found.exception))
+        journal.add(["kept"], True)
+        self.assertEqual(Journal(self.path).records[-1], ["kept"])
+
+    def test_after_a_failed_flush_nothing_more_is_promised(self):
+        journal = self.filled(2)
+        with mock.patch("os.fsync", side_effect=OSError(errno.EIO, "Input/output error")):
+            with self.assertRaises(NotKept):
+                journal.add(["perhaps"], True)
+        with self.assertRaises(NotKept):
+            journal.add(["not trusted"], True)
+
+    def test_a_log_begun_anew_is_whole_or_the_old_one(self):
+        journal = self.filled(5)
+        with mock.patch("os.replace", side_effect=OSError("a kill")), self.assertRaises(NotKept):
+            journal.begin_anew([["new"]])
+        self.assertEqual(len(Journal(self.path).records), 5)
+        journal.begin_anew([["new"]])
+        journal.add(["after"], True)
+        self.assertEqual(Journal(self.path).records, [["new"], ["after"]])
+
+    def test_one_process_has_a_folder(self):
+        first = Lock(self.path.parent)
+        with self.assertRaises(Taken):
+            Lock(self.path.parent)
+        first.release()
+        Lock(self.path.parent).release()
+
+
+class Recovery(unittest.TestCase):
+    @story
+    async def test_a_paid_set_up_cut_off_by_a_kill_is_never_made_again(self):
+        """A front in a process of its own, killed while the server works on a paid set-up."""
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            async with SmallSite(servers=1, patience=4 * SECOND).up() as site:
+                self._write_site(folder, site)
+                offer, key = an_offer(), [("idempotency-key", "k")]
+                site.servers["s0"].freeze()
+                front = await self._start(folder)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._kill_when, front, lambda: site.traffic.all("setup"))
+                    with self.assertRaises(Broken):
+                        await self._post("paid", offer, key)
+                site.servers["s0"].unfreeze()
+                front = await self._start(folder)
+                try:
+                    answered = await self._post("paid", offer, key)
+                    self.assertEqual(answered.status, 502)
+                    self.assertIn(b"may have run", answered.body)
+                    self.assertEqual(len(site.traffic.all("setup")), 1)
+                    other = await self._post("paid", an_offer(), key)
+                    self.assertEqual(other.status, 422)
+                    with anyio.fail_after(8):
+                        while (await self._post("paid", an_offer(), [])).status != 201:
+                            await anyio.sleep(0.3)
+                finally:
+                    front.kill()
+                    front.wait()
+
+    @story
+    async def test_a_set_up_whose_intent_cannot_be_kept_is_not_begun(self):
+        with tempfile.TemporaryDirectory() as name:
+            async with SmallSite(servers=1).up(Path(name)) as site:
+                self.assertEqual((await site.ask("paid")).status, 201)
+                with mock.patch.object(site.front.journal, "add", side_effect=NotKept("no space")):
+                    refused = await site.ask("paid")
+                    self.assertEqual(refused.status, 503)
+                    self.assertEqual((await site.ask("clip")).status, 201)
+                self.assertEqual(len(site.traffic.all("setup")), 2)
+
+    def test_two_fronts_on_one_folder_are_refused(self):
+        with tempfile.TemporaryDirectory() as name:
+            lock = Lock(Path(name))
+            ran = subprocess.run([sys.executable, "-m", "curlewshift", "front", "examples/small-site.xml", "--state", name],
+                                 cwd=ROOT, capture_output=True, text=True, timeout=30)
+            lock.release()
+        self.assertEqual((ran.returncode, "another front has" in ran.stderr), (2, True), ran.stderr)
+
+    # ---- a front as a process
+
+    def _write_site(self, folder, site):
+        from curlewshift.rehearsal.processes import free_ports
+        import random
+        self.port = free_ports(1, random.Random())[0]
+        (folder / "site.xml").write_text(f"""<site name="kill">
+  <fronts><front name="f" listen="127.0.0.1:{self.port}"/></fronts>
+  <list address="127.0.0.1:{site.site.list_at[1]}"/>
+  <ladder><rung rate="100kB/s"/><rung rate="200kB/s"/><rung rate="400kB/s"/></ladder>
+  <packages><package name="paid" value="1" join-target="1s" patience="4s" paid-at-setup="true"/></packages>
+  <racks><rack name="r" uplink="100MB/s"><server shelf="s0" listen="127.0.0.1:1" link="10MB/s" streams="50"/></rack></racks>
+  <catalogue><title name="t" shelves="s0"/></catalogue>
+  <obligations><answers way-back="100ms" longest-wait="2s" most-tune-ins="3"/><drains grace="2s"/>
+    <cold-servers warm-within="1s" start-capacity="0.5" fall-multiple="20" fall-within="1s"/>
+    <news told-late="200ms" told-every="1s" probes="false" uplinks="true"/></obligations>
+</site>""")
+
+    async def _start(self, folder):
+        from curlewshift.rehearsal.processes import listens
+        front = subprocess.Popen([sys.executable, "-m", "curlewshift", "front", str(folder / "site.xml"), "--state",
+                                  str(folder / "state")], cwd=ROOT, stderr=subprocess.DEVNULL)
+        self.addCleanup(front.kill)
+        assert await listens(self.port, 20)
+        await anyio.sleep(0.5)
+        return front
+
+    async def _kill_when(self, front, what):
+        await until(what, 10)
+        front.send_signal(signal.SIGKILL)
+        await anyio.to_thread.run_sync(front.wait)
+
+    async def _post(self, pack, offer, headers):
+        return await ask("127.0.0.1", self.port, "POST", f"/whep/{pack}/t", [SDP, *headers], offer, within=10)
+
+
+
+if __name__ == "__main__":
+    unittest.main()
