--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -8,6 +8,7 @@
 import click
 
 PATH = click.Path(path_type=Path)
+EXAMPLES = Path(__file__).resolve().parents[1] / "examples"
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -290,14 +291,15 @@
 
 
 @main.command()
-@click.argument("script", type=PATH)
+@click.argument("script", type=PATH, required=False)
 @click.option("--out", type=PATH, required=True, help="A folder for verdict, traffic, chart and logs.")
+@click.option("--trouble", help="Kinds with commas between, at drawn times, instead of the script's own.")
 @click.option("--seed", type=int, help="Instead of the script's.")
 @click.option("--sabotage", help="Spoil the fronts on purpose, to see the rule caught.")
 @click.option("--hold", type=click.Choice(["announced", "none", "reserve"]), default="announced",
               help="Whether fronts hear of what the script announces, or keep a fixed reserve all day instead.")
 @click.option("--capture", is_flag=True, help="Capture every life of every front, and replay each at the end.")
-def rehearse(script, out, seed, sabotage, hold, capture):
+def rehearse(script, out, trouble, seed, sabotage, hold, capture):
     """Play the day of SCRIPT on loopback and judge the six rules from the sockets."""
     from rich.console import Console
     from rich.progress import BarColumn, Progress, TextColumn
@@ -308,6 +310,15 @@
     from curlewshift.rehearsal.table import verdict_tables
     from curlewshift.standins.script import read_script
     from curlewshift.standins.traffic import read_traffic
+    if trouble is not None:
+        from curlewshift.rehearsal.mix import mixed_script
+        try:
+            script = mixed_script(script or EXAMPLES / "bad-day.xml", trouble.split(","), seed or 1, out)
+        except (ValueError, OSError) as wrong:
+            click.echo(f"curlewshift: {wrong}", err=True)
+            sys.exit(2)
+    if script is None:
+        raise click.UsageError("a SCRIPT or --trouble is needed")
     held = read_or_exit(read_script, script)
     if sabotage is not None and sabotage not in NAMES:
         click.echo(f"there is no sabotage {sabotage!r}, but {', '.join(NAMES)}", err=True)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -33,7 +33,7 @@
     def rehearse(self, *more):
         return subprocess.Popen(
             [sys.executable, "-m", "curlewshift", "rehearse", str(self.folder / "day.xml"), "--out",
-             str(self.folder / "-".join(["out", *more[1:]])), *more], cwd=ROOT, stdout=subprocess.PIPE,
+             str(self.folder / "-".join(["out", *more[1:2]])), *more], cwd=ROOT, stdout=subprocess.PIPE,
             stderr=subprocess.PIPE, text=True)
 
     def test_a_short_day_keeps_the_rules_and_a_spoilt_one_is_caught(self):
@@ -51,6 +51,24 @@
         self.assertEqual(spoilt.returncode, 1, told)
         self.assertGreater(verdict["rules"]["1"]["broken"], 0)
 
+    def test_any_mix_of_troubles_is_drawn_by_its_seed_and_replayed(self):
+        from curlewshift.rehearsal.mix import mixed_script
+        base = self.folder / "day.xml"
+        first, again, other = (mixed_script(base, ["hang", "front-crash"], seed, self.folder / name).read_text()
+                               for name, seed in (("a", 1), ("b", 1), ("c", 2)))
+        self.assertEqual(first, again)
+        self.assertNotEqual(first, other.replace('seed="2"', 'seed="1"'))
+        with self.assertRaises(ValueError):
+            mixed_script(base, ["boredom"], 1, self.folder / "d")
+        run = self.rehearse("--trouble", "front-crash,answer-lost", "--capture")
+        told = run.communicate(timeout=100)
+        out = next(self.folder.glob("out-*"))
+        verdict = json.loads((out / "verdict.json").read_text())
+        self.assertEqual((run.returncode, verdict["troubles"]), (0, ["answer-lost", "front-crash"]), told)
+        self.assertEqual([life["difference"] for life in verdict["replays"].values()], [""] * len(verdict["replays"]))
+        self.assertGreater(len(verdict["replays"]), 3)
+        self.assertGreater(sum(life["did"] for life in verdict["replays"].values()), 50)
+
     def test_a_script_that_means_nothing_ends_with_2(self):
         (self.folder / "day.xml").write_text(SCRIPT.replace('kind="crash"', 'kind="boredom"'))
         run = self.rehearse()
