--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -349,17 +349,20 @@
     """Measurements; each is one run, its figures are ratios."""
 
 
+def keep(out: Path, figures: dict) -> None:
+    import json
+    text = json.dumps(figures, indent=1)
+    out.write_text(text + "\n")
+    click.echo(text)
+
+
 @measure.command("joins")
 @click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
 @click.option("--count", type=click.IntRange(10, 100_000), default=1500, help="Joins each way.")
 def measure_joins(out, count):
     """Joins through a front, plain and with TLS, beside the same joins straight at a stand-in."""
-    import json
-
     from curlewshift.rehearsal.joins import measure_joins as measured
-    figures = run(measured, count)
-    out.write_text(json.dumps(figures, indent=1) + "\n")
-    click.echo(json.dumps(figures, indent=1))
+    keep(out, run(measured, count))
 
 
 @measure.command("fleet")
@@ -367,33 +370,21 @@
 @click.option("--count", type=click.IntRange(100, 1_000_000), default=3000, help="Requests for each size.")
 def measure_fleet(out, count):
     """What a request and a whole list cost at 100 to 6,400 servers."""
-    import json
-
     from curlewshift.rehearsal.fleet_cost import measure_fleet as measured
-    figures = measured(count)
-    out.write_text(json.dumps(figures, indent=1) + "\n")
-    click.echo(json.dumps(figures, indent=1))
+    keep(out, measured(count))
 
 
 @measure.command("keys")
 @click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
 def measure_keys(out):
     """What a key costs in the table beside a plain dictionary that is swept."""
-    import json
-
     from curlewshift.rehearsal.key_cost import measure_keys as measured
-    figures = measured()
-    out.write_text(json.dumps(figures, indent=1) + "\n")
-    click.echo(json.dumps(figures, indent=1))
+    keep(out, measured())
 
 
 @measure.command("wheel")
 @click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
 def measure_wheel(out):
     """What setting, taking back and telling timers costs on the wheel beside a heap."""
-    import json
-
     from curlewshift.rehearsal.wheel_cost import measure_wheel as measured
-    figures = measured()
-    out.write_text(json.dumps(figures, indent=1) + "\n")
-    click.echo(json.dumps(figures, indent=1))
+    keep(out, measured())
--- a/curlewshift/desk/outside.py
+++ b/curlewshift/desk/outside.py
@@ -8,7 +8,7 @@
 
 from typing import Protocol
 
-from curlewshift.desk.course import Answer, Course, Request, TuneIn
+from curlewshift.desk.course import Answer, Request, TuneIn
 from curlewshift.desk.errands import Errand
 from curlewshift.model import Server
 from curlewshift.retries.endings import Ending
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -5,7 +5,7 @@
 from curlewshift.desk.timers import Timers
 from curlewshift.model import Outcome
 from tests.desk_fake import FakeOutside
-from tests.fake import MS, SECOND
+from tests.fake import SECOND
 
 
 class Once(unittest.TestCase):
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -12,8 +12,7 @@
 from curlewshift.exchange import server as exchange_server
 from curlewshift.exchange.client import Broken, NeverSent, connect
 from curlewshift.signalling.bodies import LayerChoice, encode
-from tests.fake import SECOND
-from tests.sockets import SDP, SmallSite, an_offer, story, until
+from tests.sockets import SmallSite, an_offer, story, until
 
 
 class Course(unittest.TestCase):
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -11,7 +11,7 @@
 from curlewshift.signalling.conditions import refusal, tags_of
 from curlewshift.signalling.fragments import fragment_text, parse_fragment
 from curlewshift.signalling.sdp import BadDescription
-from tests.sockets import SDP, SmallSite, an_offer, story, until
+from tests.sockets import SmallSite, an_offer, story, until
 
 STEADY = settings(derandomize=True, deadline=None, max_examples=300)
 FRAGMENT = fragment_text("abcd", "p" * 22, ["1 1 udp 2113929471 192.0.2.1 50000 typ host"], ended=True)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -4,7 +4,6 @@
 import json
 import secrets
 import ssl
-import subprocess
 import sys
 import tempfile
 import time
