--- a/curlewshift/verdict/verdict.py
+++ b/curlewshift/verdict/verdict.py
@@ -285,6 +285,11 @@
     sessions = {Day._tune_in(event): event for event in day.by_kind["session"]}
     # what its viewer has ended is held by nobody, even if a server that hangs does not hear of it
     closed = {request: event["at"] for event in day.by_kind["closed"] for request in event["requests"]}
+    # a server that the list has dropped plays nothing as far as its front is told, even if it only vanished
+    dropped: dict[tuple[str, str], list[int]] = defaultdict(list)
+    for event in day.by_kind["told"]:
+        if event["state"] == "off":
+            dropped[event["front"], event["server"]].append(event["at"])
     held: dict[tuple, list[tuple[int, int]]] = defaultdict(list)
     for setup in day.by_kind["setup"]:
         seats = day.figures.seats.get(setup["package"], 0)
@@ -298,6 +303,9 @@
         if session is not None and over and over["how"] == "answered":
             end = min(ended.get(session["session"], 2**63), closed.get(setup["request"], 2**63))
         end = min(end, died.get((setup["server"], setup["boot"]), 2**63), life.ended if life else 2**63)
+        told_off = dropped[setup["front"], setup["server"]]
+        after = bisect_left(told_off, setup["at"])
+        end = min(end, told_off[after] if after < len(told_off) else 2**63)
         key = (setup["front"], setup["package"], setup["title"])
         # what ended at the server just before is known to its front a moment later, never the other way round
         held[key] += [(setup["at"], 1), (max(setup["at"], end - APART), -1)]
--- a/tests/test_verdict.py
+++ b/tests/test_verdict.py
@@ -135,6 +135,15 @@
         ended = Traffic().setup(100, "a").add("closed", 500, requests=["a"]).setup(600, "b")
         self.assertEqual(ended.rule("5")[1], 0)
 
+    def test_5_a_server_that_the_list_dropped_holds_no_seat(self):
+        told = dict(front="f.1", server="s", started=0)
+        day = Traffic().setup(100, "a").add("told", 500, state="off", **told).setup(600, "b", server="other")
+        self.assertEqual(day.rule("5")[1], 0)
+        before = Traffic().add("told", 50, state="off", **told).setup(100, "a").setup(600, "b", server="other")
+        self.assertEqual(before.rule("5")[1], 1)
+        fading = Traffic().setup(100, "a").add("told", 500, state="fading", **told).setup(600, "b", server="other")
+        self.assertEqual(fading.rule("5")[1], 1)
+
     def test_6_further_tune_ins_within_budget(self):
         day = Traffic().ask(0, "a").ask(10, "b")
         self.assertEqual(day.setup(100, "a", 2).setup(300, "b", 2).rule("6"), (2, 0))
