--- a/curlewshift/capture/records.py
+++ b/curlewshift/capture/records.py
@@ -30,12 +30,13 @@
 
 
 class Reading:
-    """The records of one segment. After the last, `damage` says what ended it, empty if it is whole."""
+    """The records of one segment. After the last, `damage` says what ended it, empty if it is whole, and `whole` how
+    many bytes were read well."""
 
     def __init__(self, raw: bytes, name: str = "capture"):
         if not raw.startswith(MAGIC):
             raise NotALog(f"{name}: this is no capture, or one of another version")
-        self.raw, self.name, self.damage = raw, name, ""
+        self.raw, self.name, self.damage, self.whole = raw, name, "", len(MAGIC)
 
     def __iter__(self) -> Iterator[list[Any]]:
         at = len(MAGIC)
@@ -56,5 +57,5 @@
             except msgspec.DecodeError as wrong:
                 self.damage = f"{self.name}: the record at byte {at} cannot be read: {wrong}"
                 return
+            at = self.whole = at + HEAD.size + length
             yield record
-            at += HEAD.size + length
--- a/curlewshift/capture/replay.py
+++ b/curlewshift/capture/replay.py
@@ -131,16 +131,15 @@
         """What the desk of this run notes, in step with the log."""
         if record[0] == BEGAN or self.done.difference is not None:
             return
-        if self.position >= len(self.records):
-            if record[0] == DID:
-                # the log was cut off here
-                return
-        logged = self.records[self.position] if self.position < len(self.records) else None
         if record[0] == TOLD:
             self.position += 1
             return
+        if self.position >= len(self.records):
+            # the log was cut off here
+            return
+        logged = self.records[self.position]
         self.done.did += 1
-        came, had = record[1:3], logged[1:3] if logged and logged[0] == DID else None
+        came, had = record[1:3], logged[1:3] if logged[0] == DID else None
         if came != had:
             self._differs(record[1], had, came)
             return
--- a/curlewshift/capture/tap.py
+++ b/curlewshift/capture/tap.py
@@ -74,7 +74,7 @@
     return ["opaque", ids.of(thing)]
 
 
-def act(ids: Ids, name: str, thing: Any) -> list:
+def act(ids: Ids, thing: Any) -> list:
     """What was done, in plain values and with what people want to read of it."""
     if isinstance(thing, TuneIn):
         vw = thing.course.vw
@@ -100,7 +100,7 @@
     def _noted(self, name: str):
         def done(*things):
             result = getattr(self.outside, name)(*things)
-            what = act(self.ids, name, things[0]) if things else []
+            what = act(self.ids, things[0]) if things else []
             if name == "answer":
                 request, answer = things
                 what = [self.ids.of(request), request.name, answer.kind.value, answer.cause, answer.wait]
--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -31,6 +31,16 @@
     return read_or_exit(read_site, path)
 
 
+def check_sabotage(name: str | None) -> None:
+    """Spoilt fronts are loaded for a rehearsal that names one, and for no other."""
+    if name is None:
+        return
+    from curlewshift.front.spoilt import NAMES
+    if name not in NAMES:
+        click.echo(f"there is no sabotage {name!r}, but {', '.join(NAMES)}", err=True)
+        sys.exit(2)
+
+
 def run(task, *arguments):
     import anyio
     try:
@@ -74,7 +84,6 @@
 
     from curlewshift.exchange.tls import BadCertificate
     from curlewshift.front.front import Front
-    from curlewshift.front.spoilt import NAMES, spoilt
     from curlewshift.limits.permits import BadKeys
     from curlewshift.logs import make_log
     from curlewshift.state.journal import Taken
@@ -84,15 +93,17 @@
     except KeyError:
         click.echo(f"{site}: there is no front {name!r}, but {', '.join(door.name for door in held.doors)}", err=True)
         sys.exit(2)
-    if sabotage is not None and sabotage not in NAMES:
-        click.echo(f"there is no sabotage {sabotage!r}, but {', '.join(NAMES)}", err=True)
-        sys.exit(2)
+    check_sabotage(sabotage)
     if state is not None:
         state.mkdir(parents=True, exist_ok=True)
     arguments = (held, number, secrets.randbits(32) if seed is None else seed, state,
                  make_log(front=held.doors[number].name), life)
     try:
-        made = spoilt(sabotage, *arguments) if sabotage else Front(*arguments, capture=capture)
+        if sabotage is not None:
+            from curlewshift.front.spoilt import spoilt
+            made = spoilt(sabotage, *arguments)
+        else:
+            made = Front(*arguments, capture=capture)
     except (BadKeys, BadCertificate, Taken, OSError) as wrong:
         click.echo(f"{site}: {wrong}", err=True)
         sys.exit(2)
@@ -304,7 +315,6 @@
     from rich.console import Console
     from rich.progress import BarColumn, Progress, TextColumn
 
-    from curlewshift.front.spoilt import NAMES
     from curlewshift.rehearsal.chart import draw_day
     from curlewshift.rehearsal.rehearse import Rehearsal, StartFailed
     from curlewshift.rehearsal.table import verdict_tables
@@ -320,9 +330,7 @@
     if script is None:
         raise click.UsageError("a SCRIPT or --trouble is needed")
     held = read_or_exit(read_script, script)
-    if sabotage is not None and sabotage not in NAMES:
-        click.echo(f"there is no sabotage {sabotage!r}, but {', '.join(NAMES)}", err=True)
-        sys.exit(2)
+    check_sabotage(sabotage)
     with Progress(TextColumn("{task.description}"), BarColumn(), TextColumn("{task.completed:.0f}/{task.total:.0f} s"),
                   console=Console(stderr=True)) as bar:
         task = bar.add_task("rehearsing", total=held.lasts)
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -313,7 +313,7 @@
         self.timers.at(at, self.rules_tick)
 
     def rules_tick(self) -> None:
-        self.peaks.tick(self.outside.now(), self.outside.wall(), list(self.rules.servers))
+        self.peaks.tick(self.outside.now(), self.outside.wall(), self.rules.servers)
         self.rules.tick()
 
     def tune_in(self, viewing: Viewing, server: Server, until: int) -> None:
--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -100,7 +100,7 @@
         self.ahead, self.more, self.room = bytearray(), anyio.Event(), anyio.Event()
         self.gone = False
         self.gone_calls: list[Callable[[], None]] = []
-        self.silent = self.headless = False
+        self.headless = False
         self.peer = stream.extra(SocketAttribute.remote_address)[0]
 
     async def run(self) -> None:
@@ -258,8 +258,6 @@
         return piece
 
     async def _send(self, data: bytes) -> None:
-        if self.silent:
-            return
         try:
             with anyio.fail_after(WRITE_WITHIN):
                 await self.stream.send(data)
--- a/curlewshift/front/door.py
+++ b/curlewshift/front/door.py
@@ -10,10 +10,10 @@
 import anyio
 
 from curlewshift.desk.course import Answer, Course, Kind, Request
-from curlewshift.desk.desk import Desk, KeyReused, Misuse, Unknown
+from curlewshift.desk.desk import Desk, Misuse, Unknown
 from curlewshift.exchange.server import Exchange, PeerGone
 from curlewshift.front.reach import SDP, Offer
-from curlewshift.front.sessions import EVENTS, LAYERS, PATCHES, Sessions, Wrong
+from curlewshift.front.sessions import EVENTS, LAYERS, PATCHES, PREFLIGHT, Sessions, Wrong
 from curlewshift.limits.permits import NoPermit, Permit, Permits, allow
 from curlewshift.signalling.sdp import PLAYS, PUBLISHES, BadDescription, checked_offer, identity
 from curlewshift.site.site import Site
@@ -25,10 +25,6 @@
 # Any page may ask: what a request may do hangs on its token and not on where its page came from.
 CORS = [("access-control-allow-origin", "*"),
         ("access-control-expose-headers", "location, link, etag, retry-after, accept-patch")]
-PREFLIGHT = [("access-control-allow-methods", "OPTIONS, POST, PATCH, DELETE, GET"),
-             ("access-control-allow-headers", "authorization, content-type, if-match, idempotency-key, prefer, "
-                                              "x-request-id, last-event-id"),
-             ("access-control-max-age", "600")]
 
 
 class Door:
@@ -69,12 +65,8 @@
             await exchange.problem(wrong.status, str(wrong), headers=wrong.headers)
         except NoPermit as wrong:
             await exchange.problem(wrong.status, str(wrong), headers=[("www-authenticate", wrong.challenge)])
-        except Unknown as wrong:
-            await exchange.problem(404, str(wrong))
-        except KeyReused as wrong:
-            await exchange.problem(422, str(wrong))
         except Misuse as wrong:
-            await exchange.problem(422, str(wrong))
+            await exchange.problem(404 if isinstance(wrong, Unknown) else 422, str(wrong))
         finally:
             self.busy -= 1
 
--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -91,7 +91,6 @@
 
     scope: anyio.CancelScope
     call: Call | None = None
-    given_up: bool = False
 
 
 class Reach:
@@ -122,7 +121,6 @@
             return False
         # The server sees that nobody waits; an answer that is on its way already is still read, as the session that
         # it tells of has to be ended.
-        out.given_up = True
         out.call.say_no_more()
         out.scope.deadline = anyio.current_time() + LATE_ANSWER
         return True
--- a/curlewshift/front/sessions.py
+++ b/curlewshift/front/sessions.py
@@ -21,6 +21,11 @@
 
 LAYERS = "urn:ietf:params:whep:ext:core:layer"
 EVENTS = "urn:ietf:params:whep:ext:core:server-sent-events"
+# What a page may send, answered without a token at endpoints and sessions alike.
+PREFLIGHT = [("access-control-allow-methods", "OPTIONS, POST, PATCH, DELETE, GET"),
+             ("access-control-allow-headers", "authorization, content-type, if-match, idempotency-key, prefer, "
+                                              "x-request-id, last-event-id"),
+             ("access-control-max-age", "600")]
 KNOWN_EVENTS = ("active", "inactive", "layers")
 # Event streams of one session, and how often they say that they live (s).
 MOST_STREAMS = 4
@@ -78,7 +83,6 @@
 
     async def serve(self, exchange: Exchange, token: str, rest: list[str]) -> None:
         if exchange.method == "OPTIONS":
-            from curlewshift.front.door import PREFLIGHT
             await exchange.answer(204, [("accept-patch", PATCHES), ("allow", "OPTIONS, PATCH, DELETE"), *PREFLIGHT])
             return
         permit = self.door.permit(exchange)
--- a/curlewshift/peaks/peaks.py
+++ b/curlewshift/peaks/peaks.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from math import inf
 
 from curlewshift.model import Link, Package, Server, Viewing
@@ -36,10 +37,10 @@
 class Holding:
     """What a peak makes this front do at present."""
 
-    __slots__ = ("peak", "package", "early", "phase", "need")
+    __slots__ = ("peak", "early", "phase", "need")
 
-    def __init__(self, peak: Peak, package: Package):
-        self.peak, self.package = peak, package
+    def __init__(self, peak: Peak):
+        self.peak = peak
         # the wall's time at which it was seen to have begun, where that was before it was announced for
         self.early, self.phase, self.need = 0, "ahead", 0.0
 
@@ -81,7 +82,7 @@
 
     # ---- what is decided
 
-    def tick(self, now: int, wall: int, servers: list[Server]) -> None:
+    def tick(self, now: int, wall: int, servers: Collection[Server]) -> None:
         """Once a second. Nothing is looked at while nothing is on the calendar."""
         if not self.calendar.peaks and not self.held:
             return
@@ -116,7 +117,7 @@
         package = self.calendar.packages[peak.package]
         holding = self.holding.get(peak.name)
         if holding is None or holding.peak is not peak:
-            holding = self.holding[peak.name] = Holding(peak, package)
+            holding = self.holding[peak.name] = Holding(peak)
         seen, own_rate = self.seen[package], peak.rate / self.fronts
         starts_in = peak.starts - wall
         if not holding.early and began_early(own_rate, seen, now, starts_in, peak.length):
--- a/curlewshift/site/reading.py
+++ b/curlewshift/site/reading.py
@@ -83,6 +83,19 @@
     return types
 
 
+# What the schema's library says of the other mistakes, and how it is said to people.
+WORDS = (
+    (r"Element '(.+?)': The attribute '(.+?)' is required", lambda element, name: f"{element}: {name} is missing"),
+    (r"Element '(.+?)', attribute '(.+?)': The attribute '.+?' is not allowed",
+     lambda element, name: f"{element}: there is no {name} here"),
+    (r"Element '(.+?)': This element is not expected\. Expected is (?:one of )?\( (.+?) \)",
+     lambda came, names: f"expected {names.replace(', ', ' or ')} here, but {came} came"),
+    (r"Element '(.+?)': Missing child element\(s\)\. Expected is (?:one of )?\( (.+?) \)",
+     lambda element, names: f"{element}: {names.replace(', ', ' or ')} is missing inside"),
+    (r"Element '(.+?)': Duplicate key-sequence \['(.+?)'\]", lambda element, name: f"{element}: {name!r} is there twice"),
+)
+
+
 def plain(message: str, types: dict[tuple[str, str], str]) -> str:
     """One mistake as the schema's library tells it, in words for who wrote the file."""
     value = re.match(r"Element '(.+?)', attribute '(.+?)': (?:\[facet '.+?'\] The value )?'(.*?)' (?:is|has) ", message)
@@ -91,19 +104,8 @@
         kind = types.get((element, attribute), "")
         form = FORMS.get(kind) or (f"one of {kind}" if ", " in kind else "something else")
         return f"{element}: {attribute} should be {form}, but is {came!r}"
-    missing = re.match(r"Element '(.+?)': The attribute '(.+?)' is required", message)
-    if missing:
-        return f"{missing[1]}: {missing[2]} is missing"
-    strange = re.match(r"Element '(.+?)', attribute '(.+?)': The attribute '.+?' is not allowed", message)
-    if strange:
-        return f"{strange[1]}: there is no {strange[2]} here"
-    expected = re.match(r"Element '(.+?)': This element is not expected\. Expected is (?:one of )?\( (.+?) \)", message)
-    if expected:
-        return f"expected {expected[2].replace(', ', ' or ')} here, but {expected[1]} came"
-    short = re.match(r"Element '(.+?)': Missing child element\(s\)\. Expected is (?:one of )?\( (.+?) \)", message)
-    if short:
-        return f"{short[1]}: {short[2].replace(', ', ' or ')} is missing inside"
-    twice = re.match(r"Element '(.+?)': Duplicate key-sequence \['(.+?)'\]", message)
-    if twice:
-        return f"{twice[1]}: {twice[2]!r} is there twice"
+    for pattern, words in WORDS:
+        said = re.match(pattern, message)
+        if said:
+            return words(*said.groups())
     return message
--- a/curlewshift/state/journal.py
+++ b/curlewshift/state/journal.py
@@ -58,7 +58,7 @@
         whole = self._read()
         self.file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
         if whole is None:
-            self._begin([])
+            self._begin()
         else:
             os.ftruncate(self.file, whole)
             os.lseek(self.file, 0, os.SEEK_END)
@@ -76,13 +76,12 @@
             os.replace(self.path, self.path.with_name(self.path.name + ".damaged"))
             return None
         self.records = list(reading)
-        whole = len(MAGIC) + sum(len(frame(record)) for record in self.records)
-        if reading.damage and holds_a_record(raw[whole + 1:]):
+        if reading.damage and holds_a_record(raw[reading.whole + 1:]):
             # a kill tears the last record alone: what has whole ones behind it was damaged by something else, and is
             # kept for a person to look at
             self.path.with_name(self.path.name + ".damaged").write_bytes(raw)
             self.damage = f"{reading.damage}; what follows was put aside"
-        return whole
+        return reading.whole
 
     def add(self, record: list, flush: bool) -> None:
         """Raises `NotKept`; the log is then as it was before."""
@@ -130,13 +129,11 @@
         self.file = os.open(self.path, os.O_RDWR)
         self.size = os.lseek(self.file, 0, os.SEEK_END)
 
-    def _begin(self, records: list[list]) -> None:
-        raw = MAGIC + b"".join(frame(record) for record in records)
+    def _begin(self) -> None:
         os.ftruncate(self.file, 0)
-        os.lseek(self.file, 0, os.SEEK_SET)
-        os.write(self.file, raw)
+        os.write(self.file, MAGIC)
         os.fsync(self.file)
-        self.size = len(raw)
+        self.size = len(MAGIC)
 
     def close(self) -> None:
         os.close(self.file)
--- a/curlewshift/state/peaks.py
+++ b/curlewshift/state/peaks.py
@@ -17,10 +17,6 @@
 VERSION = 1
 
 
-class Damaged(Exception):
-    """The file could not be read; the text says where it was put aside."""
-
-
 class PeakStore:
     def __init__(self, path: Path):
         self.path = path
