--- a/curlewshift/adapter/codec.py
+++ b/curlewshift/adapter/codec.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 
-from curlewshift.model import Outcome, Package, Terms
+from curlewshift.model import Outcome
 
 NS = 1_000_000
 
@@ -107,11 +106,6 @@
     return repr(ns / NS)
 
 
-def mark_of(name: str) -> int:
-    """A number that every front makes alike from an id, whatever the process."""
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
 def boot_of(text: str) -> dict:
     try:
         boot = json.loads(text)
@@ -120,42 +114,3 @@
     if not isinstance(boot, dict):
         raise Malformed("up: boot_info is not an object")
     return boot
-
-
-def _nth(values, index, default):
-    return values[index] if index < len(values) else default
-
-
-def terms_of(boot: dict, now: int, seed: int) -> Terms:
-    """The settings as terms; a missing key means that nothing of the kind is stated."""
-
-    def part(name):
-        value = boot.get(name)
-        return value if isinstance(value, dict) else {}
-
-    def ns(owner, name):
-        return round((owner.get(name) or 0) * NS)
-
-    extra, bounds, duty = part("extra"), part("bounds"), part("obligations")
-    ladder = extra.get("rung_kb") or [1.0]
-    packages = []
-    for index, row in enumerate(boot.get("classes") or []):
-        scale = _nth(extra.get("scale_by_class") or [], index, 1.0)
-        top = min(_nth(extra.get("top_by_class") or [], index, len(ladder) - 1), len(ladder) - 1)
-        packages.append(Package(
-            name=row["name"], value=row.get("gain", 1.0), join_target=ns(row, "goal_time_ms"),
-            patience=ns(row, "give_up_ms"), paid_at_setup=row.get("effect", "unsafe") != "safe",
-            rates=tuple(rate * scale for rate in ladder),
-            floor=_nth(extra.get("floor_by_class") or [], index, 0), top=top,
-            seats=_nth(extra.get("class_seats") or [], index, 0)))
-    longest = ns(bounds, "max_retry_after_ms") if bounds.get("retry_after") else 0
-    return Terms(
-        now=now, seed=seed, me=boot.get("my_number") or 0, fronts=boot.get("balancers") or 1,
-        packages=packages,
-        racks_told="x1" in (part("telemetry").get("fields") or []),
-        told_late=ns(extra, "told_late_ms"),
-        max_tune_ins=bounds.get("max_attempts") or 1, probes=bool(bounds.get("probes")), longest_wait=longest,
-        warm_within=ns(duty, "warm_within_ms"), start_capacity=duty.get("start_capacity") or 0.0,
-        fall_multiple=duty.get("fall_multiple") or 0.0, fall_within=ns(duty, "fall_ms"),
-        free_further=duty.get("free_resends") if duty.get("look_back_ms") else None,
-        further_share=duty.get("budget_share") or 0.0, look_back=ns(duty, "look_back_ms"))
--- a/curlewshift/adapter/loop.py
+++ b/curlewshift/adapter/loop.py
@@ -4,39 +4,20 @@
 
 import traceback
 
-from curlewshift.adapter.codec import (
-    Fields, Malformed, boot_of, fields_of, load_of, mark_of, outcome_of, terms_of, time_text)
-from curlewshift.model import Link, Listed, Rack, Server, Viewing
+from curlewshift.adapter.codec import Fields, Malformed, boot_of, fields_of, load_of, outcome_of, time_text
+from curlewshift.deployment import Fleet, terms_of, use_of
+from curlewshift.model import Listed, Server, Viewing
 from curlewshift.rules import Rules
 
 
-class Span:
-    """The servers at `span` cells in a row from `base`, whatever the list has there by now."""
-
-    __slots__ = ("cells", "base", "span")
-
-    def __init__(self, cells: list[dict], base: int, span: int):
-        self.cells, self.base, self.span = cells, base, min(span, len(cells))
-
-    def __iter__(self):
-        for cell in range(self.base, self.base + self.span):
-            yield from self.cells[cell % len(self.cells)]
-
-
 class Front:
     """One instance: the objects behind the wire's ids, and the host that its rules act through."""
 
     def __init__(self, who: str, now: int, seed: int, boot: dict, reply: list[str]):
         self.who, self.clock, self.reply = who, now, reply
-        self.servers: dict[str, Server] = {}
-        self.racks: dict[int, Rack] = {}
+        self.fleet = Fleet(boot)
+        self.servers = self.fleet.servers
         self.viewings: dict[int, Viewing] = {}
-        extra = boot.get("extra") or {}
-        self.kinds = dict(zip(boot.get("flavors") or [], extra.get("kind_streams") or []))
-        self.cells: list[dict[Server, bool]] = [{} for _ in range(max(1, extra.get("cells") or 1))]
-        self.rack_count = extra.get("cabinets") or 1
-        self.rack_size = extra.get("rack_kb") or float("inf")
-        self.size_of_one = extra.get("kb_per_weight") or float("inf")
         self.report_names = (boot.get("telemetry") or {}).get("fields") or []
         terms = terms_of(boot, now, seed)
         self.packages = {package.name: package for package in terms.packages}
@@ -106,7 +87,7 @@
     def on_open(self, fields):
         viewing = self._viewing(fields)
         self.viewings[viewing.name] = viewing
-        self.rules.handed_over(viewing, self._server(fields.text("server")))
+        self.rules.handed_over(viewing, self.fleet.server(fields.text("server")))
 
     def on_begun(self, fields):
         viewing = self.viewings.get(fields.whole("call"))
@@ -163,7 +144,7 @@
         """Fronts share nothing here: what another one says is not listened to."""
 
     def _report(self, server, report):
-        link, uplink = report.get("x0", report.get("busy")), report.get("x1")
+        link, uplink = use_of(report)
         if link is not None:
             self.rules.link_told(server, link)
         if uplink is not None:
@@ -179,50 +160,13 @@
             name=fields.whole("call"), title=fields.text("title", ""), mark=fields.key("path_key"),
             package=package, ceiling=int(fields.number("ceiling_rung", package.top)), asked_at=self.clock,
             expires=fields.time("expires_ms", 0) or self.clock + package.patience,
-            holders=Span(self.cells, int(fields.number("base", 0)), int(fields.number("span", 1 << 30))),
+            holders=self.fleet.holders(int(fields.number("base", 0)), int(fields.number("span", 1 << 30))),
             expected=fields.time("predicted_ms", 0),
             came_back=fields.flag("came_back"), moved=fields.flag("back_from_move"))
 
-    def _server(self, name: str) -> Server:
-        server = self.servers.get(name)
-        if server is None:
-            # handed over on a machine that no list named: it is counted, but sent nothing
-            server = Server(name, mark_of(name), "", 0, self._rack(-1), Link(self.size_of_one), open=False)
-            self.servers[name] = server
-        return server
-
-    def _rack(self, number: int) -> Rack:
-        if number not in self.racks:
-            self.racks[number] = Rack(number, Link(self.rack_size))
-        return self.racks[number]
-
     def _listed(self, row: Fields) -> Server:
-        server = self._server(row.text("server"))
-        position = row.whole("position", 0)
-        rack = self._rack(position % self.rack_count)
-        server.zone = row.text("rack_zone", "")
-        cell = self.cells[position % len(self.cells)]
-        if server not in cell:
-            for other in self.cells:
-                other.pop(server, None)
-            cell[server] = True
-        server.streams = self.kinds.get(row.text("type", ""), 0)
-        server.link.size = row.number("heft", 1.0) * self.size_of_one
-        if server.rack is not rack or server not in rack.servers:
-            if server in server.rack.servers:
-                server.rack.servers.remove(server)
-            if server.rack is not rack:
-                # what plays there moves its claim along with the machine
-                server.rack.link.own -= server.link.own
-                server.rack.link.own_squares -= server.link.own_squares
-                rack.link.own += server.link.own
-                rack.link.own_squares += server.link.own_squares
-                for viewing in server.link.playing:
-                    server.rack.link.playing.pop(viewing, None)
-                    rack.link.playing[viewing] = True
-            server.rack = rack
-            rack.servers.append(server)
-        return server
+        return self.fleet.listed(row.text("server"), row.whole("position", 0), row.text("rack_zone", ""),
+                                 row.text("type", ""), row.number("heft", 1.0))
 
 
 class Bench:
--- a/curlewshift/cli.py
+++ b/curlewshift/cli.py
@@ -118,6 +118,27 @@
     run(made.run)
 
 
+@main.command()
+def node():
+    """Run the front node that NODE_CONFIG describes, until SIGTERM."""
+    import os
+
+    from curlewshift.node import configuration
+    path = os.environ.get("NODE_CONFIG")
+    if not path:
+        click.echo("curlewshift: NODE_CONFIG names no configuration", err=True)
+        sys.exit(2)
+    try:
+        posting = configuration.read(path)
+    except configuration.Unreadable as wrong:
+        click.echo(f"curlewshift: {path} {wrong}", err=True)
+        sys.exit(2)
+    from curlewshift.logs import make_log
+    from curlewshift.node.node import Node
+    log = make_log(front=posting.name)
+    run(lambda: Node(posting, path, log).run())
+
+
 @main.command()
 @click.argument("log", type=PATH)
 @click.option("--until", type=float, help="Seconds of the capture to replay, from its beginning.")
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -10,10 +10,13 @@
 
 from __future__ import annotations
 
+from typing import Iterable
+
+from curlewshift.deployment import Fleet, mark_of
 from curlewshift.desk.course import Answer, Course, Kind, Request, TuneIn
 from curlewshift.desk.errands import Errand, Errands, Result
 from curlewshift.desk.outside import Outside
-from curlewshift.desk.roster import Gap, Roster, Row, mark_of
+from curlewshift.desk.roster import Gap, Roster, Row
 from curlewshift.desk.timers import Timers
 from curlewshift.model import Listed, Outcome, Package, Server, Terms, Viewing
 from curlewshift.peaks.calendar import Calendar, Peak
@@ -44,7 +47,7 @@
 
 
 class Desk:
-    def __init__(self, outside: Outside, terms: Terms, roster: Roster, rules: type[Rules] = Rules,
+    def __init__(self, outside: Outside, terms: Terms, roster: Roster | Fleet, rules: type[Rules] = Rules,
                  most_waiting: int = MOST_WAITING, most_keys: int = MOST_ENDED, calendar: Calendar | None = None):
         self.outside, self.roster = outside, roster
         self.packages = {package.name: package for package in terms.packages}
@@ -64,17 +67,20 @@
     # ---- requests at the door
 
     def asked(self, name: str, package: str, title: str, ceiling: int | None = None, patience: int = 0,
-              key: str | None = None, offer: object = None, came_back: bool = False) -> Request:
+              key: str | None = None, offer: object = None, came_back: bool = False, holders: Iterable | None = None,
+              mark: int | None = None, arrived: int | None = None, expected: int = 0) -> Request:
         """A viewer wants to play a title; it is answered through `Outside.answer`, perhaps before this returns.
 
-        `patience` (ns) is how long it will wait, if that is less than the package's. Raises `Misuse`.
+        `patience` (ns) is how long it will wait, if that is less than the package's, from when it `arrived`. Where the
+        request itself says which servers hold its title, they come as `holders`, and its viewer's `mark` with them.
+        Raises `Misuse`.
         """
-        now = self.outside.now()
-        pack, held = self.packages.get(package), self.roster.titles.get(title)
+        now = self.outside.now() if arrived is None else arrived
+        pack = self.packages.get(package)
         if pack is None:
             raise Unknown(f"there is no package {package!r}")
-        if held is None:
-            raise Unknown(f"there is no title {title!r}")
+        if holders is None:
+            holders = self._holders(title)
         lasts = min(patience, pack.patience) if patience > 0 else pack.patience
         request = Request(name, now, now + lasts)
         before = self.keys.find(key, now) if key is not None else None
@@ -91,9 +97,9 @@
         if top < pack.floor:
             raise Misuse(f"package {package!r} is not played under rung {pack.floor}, the request allows {top} at most")
         self.names += 1
-        vw = Viewing(self.names, title, mark_of(key or name), pack, top, now, now + lasts, held.holders,
-                     came_back=came_back)
-        self.peaks.came(pack, now, held.holders)
+        vw = Viewing(self.names, title, mark_of(key or name) if mark is None else mark, pack, top, now, now + lasts,
+                     holders, expected=expected, came_back=came_back)
+        self.peaks.came(pack, now, holders)
         course = Course(vw, offer, requests=[request], errands=Errands(self.outside.tell))
         if key is not None:
             course.held = self.keys.hold(key, (offer, pack, title), course)
@@ -115,6 +121,15 @@
             if course.tune_in is None:
                 self._close(course)
 
+    def gave_up(self, request: Request) -> None:
+        """Its viewer has said that it wants it no more: nobody will come again for what is out for it."""
+        self.hung_up(request)
+        course = request.course
+        if course is not None and course.tune_in is not None and not course.waiting:
+            tune_in = course.tune_in
+            self.outside.withdraw(tune_in)
+            self.failed(tune_in, Outcome.CANCELLED)
+
     def closed(self, course: Course) -> None:
         """The viewer ends a viewing that plays."""
         if self.courses.get(course.vw) is course and course.vw.playing:
@@ -204,6 +219,22 @@
         """It is not the process that it was when this front last heard of it: it may be as cold as one that starts now."""
         self.rules.listed([Listed(server, server.open, max(self.outside.now(), server.started))], False)
 
+    def plays_at(self, package: str, title: str, ceiling: int, server: Server, session: object, holders: Iterable,
+                 mark: int, expected: int = 0) -> Course:
+        """A viewing that this front is told it has at a server, on a rung yet to be told. It counts whatever there is
+        room for, as it plays. Raises `Unknown`."""
+        pack = self.packages.get(package)
+        if pack is None:
+            raise Unknown(f"there is no package {package!r}")
+        self.names += 1
+        now = self.outside.now()
+        vw = Viewing(self.names, title, mark, pack, ceiling, now, now + pack.patience, holders, expected=expected)
+        course = Course(vw, None, session=session, errands=Errands(self.outside.tell))
+        course.answer = Answer(Kind.PLAYS, "handed over", course=course)
+        self.courses[vw] = course
+        self.rules.handed_over(vw, server)
+        return course
+
     def handed_over(self, package: str, title: str, ceiling: int, server: Server, session: object,
                     rung: int, key: str | None = None, offer: object = None) -> Course:
         """A viewing that plays already, from before this front started; `key` is its client's. Raises `Misuse`."""
@@ -291,11 +322,21 @@
             return
         self._listed(lines, False)
 
+    def lines_told(self, lines: list[Listed], stale: bool) -> None:
+        """News of a list whose servers the outside keeps. What plays on one that has gone ends when it is seen to."""
+        self.rules.listed(lines, stale)
+        for line in lines:
+            if not self.roster.lists(line.server):
+                self._forget_later(line.server)
+
+    def _forget_later(self, server: Server) -> None:
+        self.timers.at(self.outside.now() + FORGET_AFTER, lambda: self._forget(server))
+
     def _listed(self, lines: list[Listed] | None, stale: bool) -> None:
         if not lines:
             return
         self.rules.listed(lines, stale)
-        dropped = [line.server for line in lines if line.server not in self.roster.shelf_of]
+        dropped = [line.server for line in lines if not self.roster.lists(line.server)]
         for server in dropped:
             # A list that has dropped it will not tell of it again: its seats and claims must not stay for ever.
             for vw in list(server.link.playing):
@@ -303,13 +344,22 @@
                 session = course.session
                 self.lost(course)
                 self.endings.end(server, session)
-            self.timers.at(self.outside.now() + FORGET_AFTER, lambda server=server: self._forget(server))
+            self._forget_later(server)
 
     def _forget(self, server: Server) -> None:
-        unused = not server.out and not server.link.playing and server not in self.roster.shelf_of
-        if unused and self.roster.servers.get(server.name) is server:
-            self.roster.forget(server)
-            self.rules.forgotten(server)
+        if self.roster.lists(server) or self.roster.servers.get(server.name) is not server:
+            return
+        if server.out or server.link.playing:
+            self._forget_later(server)
+            return
+        self.roster.forget(server)
+        self.rules.forgotten(server)
+
+    def _holders(self, title: str) -> Iterable:
+        held = self.roster.titles.get(title)
+        if held is None:
+            raise Unknown(f"there is no title {title!r}")
+        return held.holders
 
     # ---- paid set-ups of an earlier life
 
--- a/curlewshift/desk/roster.py
+++ b/curlewshift/desk/roster.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass, field
 from math import inf
 
+from curlewshift.deployment import mark_of
 from curlewshift.model import Link, Listed, Rack, Server
 
 OPEN = "on"
@@ -38,11 +38,6 @@
     holders: list[Server] = field(default_factory=list)
 
 
-def mark_of(name: str) -> int:
-    """A number that every front makes alike from a name, whatever the process."""
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
 class Roster:
     """`uplinks` is kB a second by rack, `titles` the shelves (one a server or several) that hold each title."""
 
@@ -82,6 +77,9 @@
         self.generation = generation
         return [self._line(row) for row in rows]
 
+    def lists(self, server: Server) -> bool:
+        return server in self.shelf_of
+
     def forget(self, server: Server) -> None:
         self._shelve(server, None)
         del self.servers[server.name]
--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 import struct
 import time
@@ -17,6 +16,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 from anyio.streams.tls import TLSListener
 
+from curlewshift.exchange.accepting import Patient
 from curlewshift.signalling.bodies import PROBLEM_TYPE, Problem, encode
 
 # A head has to be there this long after its first byte, and a body this long after its head (s).
@@ -29,9 +29,6 @@
 MOST_BODY = 64 * 1024
 # Bytes read ahead of a handler at work, pipelined requests among them.
 MOST_AHEAD = 64 * 1024
-# What an accept says where there is no descriptor or memory left, and how long it is left alone then (s).
-NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-FULL_PAUSE = 0.02
 
 REASONS = {200: "OK", 201: "Created", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden", 404: "Not Found",
            405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 412: "Precondition Failed", 413: "Content Too Large",
@@ -303,51 +300,6 @@
             raise exc
 
 
-class Patient:
-    """A listener that accepts while there is room, and for which no descriptor left is a pause and not the end.
-
-    `gate` is a curlewshift.limits.descriptors.Gate, or None: what is not accepted waits in the kernel's queue.
-    """
-
-    def __init__(self, listener, gate=None):
-        self.listener, self.gate = listener, gate
-        self.extra_attributes = listener.extra_attributes
-
-    def extra(self, *args):
-        return self.listener.extra(*args)
-
-    async def aclose(self) -> None:
-        await self.listener.aclose()
-
-    async def serve(self, handler, task_group=None) -> None:
-        if task_group is not None:
-            await self._accept(handler, task_group)
-            return
-        async with anyio.create_task_group() as own:
-            await self._accept(handler, own)
-
-    async def _accept(self, handler, tasks) -> None:
-        """Until the listener is closed."""
-        while True:
-            if self.gate is not None:
-                while not self.gate.may_accept():
-                    self.gate.make_room()
-                    await anyio.sleep(FULL_PAUSE)
-            try:
-                stream = await self.listener.accept()
-            except anyio.ClosedResourceError:
-                return
-            except OSError as wrong:
-                if wrong.errno not in NO_ROOM:
-                    raise
-                if self.gate is not None:
-                    self.gate.ran_out()
-                    self.gate.make_room()
-                await anyio.sleep(FULL_PAUSE)
-                continue
-            tasks.start_soon(handler, stream)
-
-
 async def serve(listener, handler: Handler, on_fault: Callable[[Exception], None], tasks=None, tls=None,
                 gate=None) -> None:
     """Serves until cancelled, or until the listener is closed; connections had by then go on in `tasks`.
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -19,7 +19,6 @@
 from curlewshift.desk.roster import Roster
 from curlewshift.exchange.server import serve
 from curlewshift.exchange.tls import BadCertificate, ServerTls, client_context
-from curlewshift.front.clock import Clock
 from curlewshift.front.control import Control
 from curlewshift.front.door import Door
 from curlewshift.front.followers import ListFollower, NotesFollower, row_of
@@ -34,6 +33,8 @@
 from curlewshift.recovery.recovery import Doubt, Found, Recovery, recovery_of
 from curlewshift.retries.endings import Ending
 from curlewshift.schedule.background import Background, Job
+from curlewshift.schedule.clock import Clock
+from curlewshift.schedule.waking import Waking
 from curlewshift.site.site import Site
 from curlewshift.state.book import Book, Remembered
 from curlewshift.state.intents import Intents
@@ -78,8 +79,7 @@
         self.gate = Gate(resource.getrlimit(resource.RLIMIT_NOFILE)[0], time.monotonic)
         if site.limits is not None:
             self.door.admission = Admission(site.limits, self.chance.getrandbits(32), self.clock.now(), self.door.ticket_told)
-        self.wakes: list[int] = []
-        self.woken = anyio.Event()
+        self.waking = Waking(self.clock, lambda: self.desk.time())
         self.followed: dict[Server, anyio.CancelScope] = {}
         self.terms = site.terms(self.clock.now(), seed, number)
         self.calendar = Calendar(site.packages)
@@ -209,7 +209,7 @@
             listener = await anyio.create_tcp_listener(local_host=self.door_at.host, local_port=self.door_at.port,
                                                        backlog=1024)
             tasks.start_soon(self._signals)
-            tasks.start_soon(self._keep_time)
+            tasks.start_soon(self.waking.run)
             tasks.start_soon(self._work_behind)
             tasks.start_soon(self.lists.run)
             if self.kept is not None:
@@ -256,20 +256,6 @@
     def _door_fault(self, fault: Exception) -> None:
         self.log.error("door-fault", cause=repr(fault), exc_info=fault)
 
-    async def _keep_time(self) -> None:
-        while True:
-            self.woken = anyio.Event()
-            if self.wakes:
-                wait = (min(self.wakes) - self.clock.now()) / NS
-                with anyio.move_on_after(max(0.0, wait)):
-                    await self.woken.wait()
-                now = self.clock.now()
-                if any(at <= now for at in self.wakes):
-                    self.wakes = [at for at in self.wakes if at > now]
-                    self.desk.time()
-            else:
-                await self.woken.wait()
-
     async def _work_behind(self) -> None:
         """Slices of background work, one between two looks at the sockets, and none while the door is at work unless
         it has been kept waiting too long."""
@@ -356,8 +342,7 @@
         return time.time_ns()
 
     def wake(self, at: int) -> None:
-        self.wakes.append(at)
-        self.woken.set()
+        self.waking.at(at)
 
     def tune_in(self, tune_in: TuneIn) -> None:
         vw = tune_in.course.vw
--- a/curlewshift/limits/descriptors.py
+++ b/curlewshift/limits/descriptors.py
@@ -20,8 +20,10 @@
     """`limit` is the process's soft limit of descriptors; `clock()` is in seconds. Connections have `at_work`,
     `rested_at` (s) and `drop()`."""
 
-    def __init__(self, limit: int, clock):
-        kept = int(min(KEPT_MOST, max(KEPT_LEAST, limit * KEPT_PART)))
+    def __init__(self, limit: int, clock, kept: int | None = None):
+        """`kept` where it is known how many others need."""
+        if kept is None:
+            kept = int(min(KEPT_MOST, max(KEPT_LEAST, limit * KEPT_PART)))
         self.most = self.first_most = max(4, limit - kept)
         self.clock = clock
         self.lines: dict[object, bool] = {}
--- /dev/null
+++ b/curlewshift/node/__init__.py
@@ -0,0 +1,1 @@
+"""The front node in service: RTSP towards viewers, the binary form towards media servers, the bulletin's list."""
--- /dev/null
+++ b/curlewshift/node/node.py
@@ -0,0 +1,243 @@
+"""The front node: the desk's outside towards viewers, media servers and the bulletin, and the life of the process.
+
+Started by `python -m curlewshift node` with NODE_CONFIG in its environment. It decides nothing about requests.
+"""
+
+from __future__ import annotations
+
+import gc
+import signal
+import time
+from dataclasses import dataclass
+
+import anyio
+
+from curlewshift.deployment import Fleet, terms_of
+from curlewshift.desk.course import Answer, Course, Kind, Request, TuneIn
+from curlewshift.desk.desk import Desk
+from curlewshift.desk.errands import Errand, Result
+from curlewshift.limits.descriptors import Gate
+from curlewshift.model import Listed, Outcome, Server
+from curlewshift.node import bulletin, configuration
+from curlewshift.node.door import SWEEP, Asked, Door
+from curlewshift.node.follower import Follower
+from curlewshift.node.reach import Reach, Session
+from curlewshift.retries.endings import Ending
+from curlewshift.schedule.clock import Clock
+from curlewshift.schedule.waking import Waking
+
+MS = 1_000_000
+NS = 1_000_000_000
+# Of all descriptors, this part is for media servers; a few more are for files, the bulletin and the loop itself.
+SERVERS_PART, OTHERS = 0.4, 16
+# After a SIGTERM connections go on coming for 0.4 s and requests for 0.2 s more; nobody is left waiting after this (s).
+STILL_COME = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Offered:
+    """What a viewer's set-up carries on to the media server."""
+
+    name: str
+    description: bytes
+
+
+class Node:
+    def __init__(self, posting: configuration.Posting, path: str, log):
+        self.posting, self.path, self.log = posting, path, log
+        self.clock = Clock()
+        settings = posting.settings
+        self.zones, self.kinds = settings.get("areas") or [], settings.get("flavors") or []
+        self.fleet = Fleet(settings)
+        self.ready = self.draining = False
+        self.waking = Waking(self.clock, lambda: self.desk.time())
+        self.desk = Desk(self, terms_of(settings, self.clock.now(), posting.seed), self.fleet)
+        extra = settings.get("extra") or {}
+        for_servers = int(posting.descriptors * SERVERS_PART)
+        self.door = Door(self, Gate(posting.descriptors, time.monotonic, for_servers + OTHERS), log,
+                         len(self.fleet.cells), len(extra.get("rung_kb") or [0]) - 1)
+        self.for_servers = for_servers
+
+    async def run(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP, signal.SIGINT) as signals:
+            async with anyio.create_task_group() as self.tasks:
+                bounds, extra = self.posting.settings.get("bounds") or {}, self.posting.settings.get("extra") or {}
+
+                def ns(owner, name, default):
+                    return round((owner.get(name) or default) * MS)
+                self.reach = Reach(
+                    self.desk, self.clock.now, self.tasks, self.log, self.ended, self.for_servers,
+                    bounds.get("streams_per_conn") or 1, ns(bounds, "connect_timeout_ms", 250),
+                    ns(extra, "told_every_ms", 0), ns(bounds, "idle_close_ms", 30_000))
+                for number, (_, full, rows) in enumerate(configuration.events(self.posting)):
+                    self._listed(rows, full, stale=not number)
+                self.follower = Follower(self.posting.bulletin, self.posting.last, self._news, self.log)
+                listener = await anyio.create_tcp_listener(
+                    local_host=self.posting.listen[0], local_port=self.posting.listen[1], backlog=1024)
+                self.tasks.start_soon(self._signals, signals)
+                self.tasks.start_soon(self.waking.run)
+                self.tasks.start_soon(self._sweep)
+                self.tasks.start_soon(self.follower.run)
+                self.tasks.start_soon(self.door.serve, listener.listeners[0], self.tasks)
+                # what is there now stays: collections need not look at it again
+                gc.collect()
+                gc.freeze()
+                self.ready = True
+                self.log.info("open", front=self.posting.name, servers=len(self.fleet.servers))
+
+    # ---- the life of the process
+
+    async def _signals(self, signals) -> None:
+        async for which in signals:
+            if which == signal.SIGHUP:
+                self._posted_anew()
+            elif not self.draining:
+                self.tasks.start_soon(self._end)
+
+    def _posted_anew(self) -> None:
+        """The bulletin's address may have changed; what this node is, and what plays here, has not."""
+        try:
+            posting = configuration.read(self.path)
+        except configuration.Unreadable as wrong:
+            self.log.error("configuration", cause=f"the old one stays in force, as the new one {wrong}")
+            return
+        self.log.info("configuration", bulletin=":".join(map(str, posting.bulletin)))
+        for number, full, rows in configuration.events(posting):
+            if number > self.follower.last:
+                self._listed(rows, full)
+                self.follower.last = number
+        self.follower.move(posting.bulletin)
+
+    async def _end(self) -> None:
+        """New requests are refused, those taken are answered, and what plays is looked after to its end."""
+        self.draining, self.ready = True, False
+        self.log.info("drain", waiting=self.desk.waiting, playing=len(self.desk.courses))
+        self.desk.drain()
+        await anyio.sleep(STILL_COME)
+        while self.desk.courses or self.desk.waiting or self.door.unsaid:
+            await anyio.sleep(0.05)
+        self.log.info("ended")
+        self.tasks.cancel_scope.cancel()
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP)
+            for what, sweep in (("door", self.door.sweep), ("reach", self.reach.sweep)):
+                try:
+                    sweep()
+                except Exception as fault:
+                    self.log.error("fault", what=what, cause=repr(fault), exc_info=fault)
+
+    # ---- the list
+
+    def _news(self, whole: bool, payload: bytes) -> None:
+        self._listed(lambda told: bulletin.each_record(payload, told), whole)
+
+    def _listed(self, rows, full: bool, stale: bool = False) -> None:
+        lines, named = [], set()
+
+        def told(name, address, state, zone, kind, cell, weight, started_ms):
+            server = self.fleet.listed(name, cell, _nth(self.zones, zone), _nth(self.kinds, kind), weight)
+            named.add(server)
+            started = started_ms * MS
+            if state == bulletin.GONE:
+                self.fleet.unlisted(server)
+            else:
+                self.reach.listed(server, address)
+            if started > server.started and self.reach.stands(server):
+                self.reach.restarted(server, started)
+            lines.append(Listed(server, state == bulletin.READY, started))
+        rows(told)
+        if full:
+            for server in list(self.fleet.servers.values()):
+                if server not in named:
+                    self.fleet.unlisted(server)
+                    lines.append(Listed(server, False, server.started))
+        self.log.info("list", servers=len(named), whole=full, open=sum(line.open for line in lines))
+        self.desk.lines_told(lines, stale)
+
+    # ---- the door's side
+
+    def asked(self, asked: Asked, package: str, title: str, base: int, span: int, top: int, mark: int, expected: int,
+              came_back: bool, patience: int, arrived: int, description: bytes) -> Request:
+        return self.desk.asked(
+            asked.name, package, title, top, patience, offer=Offered(asked.name, description), came_back=came_back,
+            holders=self.fleet.holders(base, span), mark=mark, arrived=arrived, expected=expected)
+
+    def plays_at(self, name: str, package: str, title: str, base: int, span: int, top: int, mark: int, expected: int,
+                 at: str) -> Course | None:
+        server = self.fleet.servers.get(at)
+        if server is None or server not in self.reach.posts:
+            return None
+        course = self.desk.plays_at(package, title, top, server, Session(bytes.fromhex(name), server),
+                                    self.fleet.holders(base, span), mark, expected)
+        self.reach.plays_at(course)
+        return course
+
+    def gave_up(self, request: Request) -> None:
+        self.desk.gave_up(request)
+
+    def released(self, asked: Asked) -> None:
+        """Its viewer has ended it."""
+        if asked.cause:
+            asked.course.session.cause = asked.cause
+        self.reach.closed(asked.course)
+        self.desk.closed(asked.course)
+
+    # ---- reach's side
+
+    def ended(self, course: Course, outcome: Outcome, cause: int | None) -> None:
+        """It has ended at its server."""
+        self.desk.lost(course, outcome)
+        asked = self.door.asked.get(course.session.id.hex())
+        if asked is not None and asked.course is course:
+            self.door.release(asked, cause)
+
+    # ---- the desk's outside, see curlewshift/desk/outside.py
+
+    def now(self) -> int:
+        return self.clock.now()
+
+    def wall(self) -> int:
+        return time.time_ns()
+
+    def wake(self, at: int) -> None:
+        self.waking.at(at)
+
+    def tune_in(self, tune_in: TuneIn) -> None:
+        self.reach.tune_in(tune_in)
+
+    def withdraw(self, tune_in: TuneIn) -> bool:
+        self.log.info("withdrawn", session=tune_in.course.offer.name, server=tune_in.server.name)
+        return self.reach.withdraw(tune_in)
+
+    def tell(self, errand: Errand) -> None:
+        self.reach.rung(errand.course, errand.rung)
+        # it wants no answer, and the desk is not told from within its call
+        self.desk.timers.at(self.now(), lambda: self.desk.told_server(errand, Result.DONE))
+
+    def end_session(self, ending: Ending) -> None:
+        self.reach.end_session(ending)
+
+    def probe(self, server: Server) -> None:
+        self.reach.probe(server)
+
+    def answer(self, request: Request, answer: Answer) -> None:
+        course = request.course
+        self.log.info("answer", session=request.name, answer=answer.kind.value, wait_ms=answer.wait // MS,
+                      after_ms=(self.now() - request.arrived) // MS, tries=course.vw.tune_ins if course else 0,
+                      server=course.vw.server.name if course and course.vw.server else "")
+        asked = self.door.asked.get(request.name)
+        if asked is None:
+            return
+        description = b""
+        if answer.kind is Kind.PLAYS:
+            description, course.session.description = course.session.description, b""
+        self.door.answer(asked, answer, description)
+
+    def whole_list(self) -> None:
+        """The bulletin's events follow on one another by their numbers; see the follower."""
+
+
+def _nth(names: list[str], place: int) -> str:
+    return names[place] if place < len(names) else ""
--- /dev/null
+++ b/curlewshift/node/reach.py
@@ -0,0 +1,537 @@
+"""The reach to media servers: connections, what is out on them, and what they say. It decides nothing.
+
+Everything hangs on the server's object and never on its address: another server may come to stand where one has gone.
+What ends a tune-in is told apart by whether the server can have run it: not if the connection was refused or not up in
+time, if the server said so (full, moot), or if the set-up never left for the kernel. Everything else may have run.
+"""
+
+from __future__ import annotations
+
+import os
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import anyio
+
+from curlewshift.desk.course import Course, TuneIn
+from curlewshift.deployment import use_of
+from curlewshift.model import Outcome, Server
+from curlewshift.node import isup
+from curlewshift.node.wire import ENDED, Wire
+from curlewshift.retries.endings import Ending
+
+MS = 1_000_000
+NS = 1_000_000_000
+# How often connections are looked after (s).
+SWEEP = 0.1
+# A message that has begun to come is whole after this, or its connection is of no more use.
+WHOLE_WITHIN = NS // 2
+# A connection on which a set-up found no answer is put to no new use; unused ones beside the first are closed.
+IDLE_FOR = 5 * NS
+# A server with sessions is asked for a sign once it has been silent for so long, or for this many of its usual gaps.
+SILENT_FOR, SILENT_GAPS = 2 * NS, 1.5
+# Not answered within this, a connection of its own is tried; this many in a row that never come up prove it gone. The
+# page wants viewers released 8 s after the end of a session of which nobody could tell.
+SIGN_WITHIN = NS // 2
+NEVER_UP = 2
+# A server that has restarted tells what is over on the next connection; after this it is taken as told.
+TOLD_WITHIN = 2 * NS
+# A release is heard once it has been out for so long on a connection that is still sound: saying so is free.
+HEARD_AFTER = NS
+# Set-ups that were given up, kept to end what they set up all the same.
+MOST_GIVEN_UP = 2000
+# Set-ups moved to another connection because theirs ended before they left.
+MOST_MOVES = 3
+BEFORE = {isup.FULL: Outcome.FULL, isup.MOOT: Outcome.UNSENT, isup.ERROR: Outcome.ERROR}
+AFTER = {isup.OVER: Outcome.PLAYED, isup.CANCELLED: Outcome.CANCELLED}
+
+
+@dataclass(eq=False, slots=True)
+class Session:
+    """What a media server has set up. `cause` is why it is to end."""
+
+    id: bytes
+    server: Server
+    description: bytes = b""
+    cause: int = isup.OVER
+    since: int = 0
+
+
+@dataclass(eq=False, slots=True)
+class Flight:
+    """One set-up on its way. `handed` once its bytes may be in the kernel."""
+
+    tune_in: TuneIn
+    id: bytes
+    line: Line | None = None
+    handed: bool = False
+    moves: int = 0
+    sent_at: int = 0
+
+
+class Line:
+    """One connection to a media server, from the first try to its end."""
+
+    def __init__(self, post: Post):
+        self.post = post
+        self.wire: Wire | None = None
+        self.reader = isup.Reader()
+        self.flights: dict[bytes, Flight] = {}
+        self.unsent: list[tuple[bytes, Flight | None]] = []
+        # ids and times of releases on which nothing has come back yet
+        self.ending: dict[bytes, tuple[Ending, int]] = {}
+        self.over = False
+        # nothing new goes out on it
+        self.doubtful = False
+        self.opened_at = self.heard_at = self.used_at = post.reach.now()
+        self.began_at = 0
+
+    @property
+    def up(self) -> bool:
+        return self.wire is not None and not self.over and not self.wire.gone
+
+    def send(self, data: bytes, flight: Flight | None = None) -> None:
+        self.used_at = self.post.reach.now()
+        if self.wire is None:
+            self.unsent.append((data, flight))
+        else:
+            self.wire.send(data, flight)
+
+    def take_back(self, flight: Flight) -> None:
+        self.unsent = [entry for entry in self.unsent if entry[1] is not flight]
+        if self.wire is not None:
+            self.wire.take_back(flight)
+
+
+class Post:
+    """One media server as this node reaches it."""
+
+    def __init__(self, reach: Reach, server: Server, address: tuple[str, int]):
+        self.reach, self.server, self.address = reach, server, address
+        self.lines: list[Line] = []
+        self.standing: dict[bytes, Course] = {}
+        self.probes: dict[bytes, int] = {}
+        self.heard_at = reach.now()
+        self.never_up = 0
+        # when it was last asked for a sign, and whether it has been refused since it was heard
+        self.asked_at = 0
+        self.refused = False
+
+
+class Reach:
+    """`ended(course, outcome, cause)` is told of sessions that have ended at their server. Times from `terms` are ns."""
+
+    def __init__(self, desk, clock, tasks, log, ended, most_lines: int, streams: int, connect_within: int,
+                 told_every: int, idle_close: int):
+        self.desk, self.now, self.tasks, self.log, self.ended = desk, clock, tasks, log, ended
+        self.most_lines, self.streams = most_lines, streams
+        self.connect_within = connect_within / NS
+        self.silent_for = max(SILENT_FOR, int(told_every * SILENT_GAPS))
+        # the server's own time to close is left to it
+        self.idle_for = min(IDLE_FOR, idle_close // 2)
+        self.posts: dict[Server, Post] = {}
+        self.flights: dict[TuneIn, Flight] = {}
+        self.given_up: OrderedDict[tuple[Server, bytes], TuneIn] = OrderedDict()
+        self.count = 0
+
+    # ---- servers
+
+    def listed(self, server: Server, address: tuple[str, int]) -> None:
+        post = self.posts.get(server)
+        for other in list(self.posts.values()):
+            if other.address == address and other is not post:
+                # one that has gone: whoever answers there now knows nothing of it
+                self._lost(other, "refused")
+                other.address = None
+        if post is None:
+            self.posts[server] = Post(self, server, address)
+        elif post.address != address:
+            post.address = address
+            for line in list(post.lines):
+                self._break(line, "it has another address now")
+
+    def restarted(self, server: Server, at: int) -> None:
+        """It has started anew at this time: what it set up before is over, whether it gets to say so or not."""
+        self.desk.timers.at(self.now() + TOLD_WITHIN, lambda: self._over_since(server, at))
+
+    def _over_since(self, server: Server, at: int) -> None:
+        post = self.posts.get(server)
+        for id, course in list(post.standing.items()) if post is not None else ():
+            if course.session.since < at:
+                del post.standing[id]
+                self.ended(course, Outcome.BROKEN, isup.RESET)
+
+    def plays_at(self, course: Course) -> None:
+        post = self.posts[course.session.server]
+        post.standing[course.session.id] = course
+        self._keep_open(post)
+
+    def stands(self, server: Server) -> int:
+        return len(self.posts[server].standing) if server in self.posts else 0
+
+    # ---- what goes out
+
+    def tune_in(self, tune_in: TuneIn) -> None:
+        flight = self.flights[tune_in] = Flight(tune_in, bytes.fromhex(tune_in.course.offer.name))
+        self._fly(flight)
+
+    def _fly(self, flight: Flight) -> None:
+        tune_in = flight.tune_in
+        post = self.posts[tune_in.server]
+        line = self._line(post, flight.id)
+        flight.line = line
+        line.flights[flight.id] = flight
+        self._write(line, flight)
+
+    def _write(self, line: Line, flight: Flight) -> None:
+        vw = flight.tune_in.course.vw
+        flight.sent_at = self.now()
+        wait = max(1, (flight.tune_in.until - self.now()) // MS)
+        line.send(isup.set_up(flight.id, vw.package.name, vw.title, wait, flight.tune_in.rung,
+                              flight.tune_in.course.offer.description), flight)
+
+    def withdraw(self, tune_in: TuneIn) -> bool:
+        flight = self.flights.pop(tune_in, None)
+        if flight is None:
+            return False
+        line = flight.line
+        if line.flights.get(flight.id) is flight:
+            del line.flights[flight.id]
+        if not flight.handed:
+            line.take_back(flight)
+            return False
+        line.send(isup.release(flight.id, isup.OVER))
+        if line.heard_at < flight.sent_at and self.now() >= tune_in.until:
+            line.doubtful = True
+        self.given_up[tune_in.server, flight.id] = tune_in
+        if len(self.given_up) > MOST_GIVEN_UP:
+            self.given_up.popitem(last=False)
+        return True
+
+    def rung(self, course: Course, rung: int) -> None:
+        self._some_line(self.posts[course.session.server]).send(isup.rung(course.session.id, rung))
+
+    def end_session(self, ending: Ending) -> None:
+        post = self.posts.get(ending.server)
+        if post is None:
+            self._later(lambda: self.desk.session_ended(ending, True))
+            return
+        line = self._some_line(post)
+        line.ending[ending.session.id] = (ending, self.now())
+        line.send(isup.release(ending.session.id, ending.session.cause))
+
+    def probe(self, server: Server) -> None:
+        post = self.posts.get(server)
+        if post is not None:
+            self._probe(post, self._some_line(post))
+
+    def _probe(self, post: Post, line: Line) -> None:
+        name = os.urandom(8)
+        post.probes[name] = self.now()
+        line.send(isup.probe(name))
+
+    def _later(self, call) -> None:
+        """The desk is never told from within its own call."""
+        self.desk.timers.at(self.now(), call)
+
+    # ---- connections
+
+    def _line(self, post: Post, id: bytes) -> Line:
+        """One that is idle, else a new one while there may be more, else that with least out on it."""
+        sound = [line for line in post.lines if not line.over and not line.doubtful and id not in line.flights
+                 and len(line.flights) < self.streams and (line.wire is None or not line.wire.gone)]
+        idle = next((line for line in sound if line.up and not line.flights), None)
+        if idle is not None:
+            return idle
+        if not sound or self.count < self.most_lines and len(post.lines) < self._share():
+            return self._open(post)
+        return min(sound, key=lambda line: (len(line.flights), line.wire is None))
+
+    def _share(self) -> int:
+        return max(2, self.most_lines // max(1, len(self.posts)))
+
+    def _some_line(self, post: Post) -> Line:
+        lines = [line for line in post.lines if not line.over and (line.wire is None or not line.wire.gone)]
+        if not lines:
+            return self._open(post)
+        return max(lines, key=lambda line: (not line.doubtful, line.up, line.heard_at))
+
+    def _keep_open(self, post: Post) -> None:
+        if not any(not line.over for line in post.lines):
+            self._open(post)
+
+    def _open(self, post: Post) -> Line:
+        line = Line(post)
+        post.lines.append(line)
+        self.count += 1
+        self.tasks.start_soon(self._run, line)
+        return line
+
+    async def _run(self, line: Line) -> None:
+        post = line.post
+        try:
+            stream = None
+            if post.address is None:
+                self._not_up(line, ConnectionRefusedError("its address is another server's by now"))
+                return
+            try:
+                with anyio.move_on_after(self.connect_within):
+                    stream = await anyio.connect_tcp(*post.address)
+            except OSError as wrong:
+                self._not_up(line, wrong)
+                return
+            if stream is None:
+                self._not_up(line, None)
+                return
+            if line.over:
+                await anyio.aclose_forcefully(stream)
+                return
+            post.never_up, post.refused = 0, False
+            line.wire = Wire(stream, self.tasks)
+            self._take_off(line)
+            while not line.wire.gone:
+                data = await line.wire.receive()
+                if not data:
+                    break
+                self._read(line, data)
+        except Exception as fault:
+            self.log.error("fault", what="a connection to a media server", server=post.server.name, cause=repr(fault),
+                           exc_info=fault)
+        finally:
+            self._break(line, "it has ended")
+            if line.wire is not None:
+                await line.wire.close()
+
+    def _take_off(self, line: Line) -> None:
+        """What waited for the connection goes out on it, unless the list or the time has overtaken it."""
+        unsent, line.unsent = line.unsent, []
+        for data, flight in unsent:
+            if flight is None:
+                line.send(data)
+            elif self.desk.stands(flight.tune_in):
+                self._write(line, flight)
+            else:
+                self._end(flight, Outcome.UNSENT)
+
+    def _not_up(self, line: Line, wrong: OSError | None) -> None:
+        post = line.post
+        # no descriptor left is nothing that the server has done
+        own = wrong is not None and wrong.errno in (23, 24)
+        post.refused = wrong is not None and not own
+        if wrong is None:
+            post.never_up += 1
+        self.log.info("not-up", server=post.server.name, cause=repr(wrong) if wrong is not None else "not up in time")
+        self._gone(line)
+        for flight in list(line.flights.values()):
+            self._end(flight, Outcome.UNSENT if own else Outcome.UNREACHED)
+        if post.probes and not any(other.up for other in post.lines):
+            post.probes.clear()
+            self.desk.probed(post.server, Outcome.UNREACHED)
+        self._endings_back(line)
+        if post.refused and post.standing and not any(other.up for other in post.lines):
+            self._lost(post, "refused")
+
+    def _gone(self, line: Line) -> None:
+        if not line.over:
+            line.over = True
+            line.post.lines.remove(line)
+            self.count -= 1
+
+    def _break(self, line: Line, why: str) -> None:
+        """The connection is of no more use: what was out on it may have run, what had not left is sent on another."""
+        if line.over:
+            return
+        self._gone(line)
+        if line.wire is not None:
+            line.wire.drop()
+        if line.flights:
+            self.log.info("line-broke", server=line.post.server.name, cause=why, out=len(line.flights))
+        for flight in list(line.flights.values()):
+            if flight.handed:
+                self._end(flight, Outcome.BROKEN)
+            elif flight.moves >= MOST_MOVES or not self.desk.stands(flight.tune_in):
+                self._end(flight, Outcome.UNSENT)
+            else:
+                flight.moves += 1
+                line.flights.pop(flight.id)
+                self._fly(flight)
+        self._endings_back(line)
+
+    def _endings_back(self, line: Line) -> None:
+        ending, line.ending = line.ending, {}
+        for one, _ in ending.values():
+            self._later(lambda one=one: self.desk.session_ended(one, False))
+
+    def _end(self, flight: Flight, outcome: Outcome, report: dict[str, float] | None = None) -> None:
+        self.flights.pop(flight.tune_in, None)
+        if flight.line is not None and flight.line.flights.get(flight.id) is flight:
+            del flight.line.flights[flight.id]
+        self.desk.failed(flight.tune_in, outcome, report)
+
+    # ---- what comes in
+
+    def _read(self, line: Line, data: bytes) -> None:
+        now = self.now()
+        line.heard_at = line.post.heard_at = now
+        if not line.reader.partial:
+            line.began_at = now
+        wrong = None
+        try:
+            messages = line.reader.feed(data)
+        except isup.Malformed as caught:
+            messages, wrong = caught.before, caught
+        if messages:
+            line.began_at = now
+        try:
+            for kind, id, parameters in messages:
+                if line.over:
+                    return
+                self._take(line, kind, id, parameters)
+        except isup.Malformed as caught:
+            wrong = caught
+        if wrong is not None:
+            self.log.info("malformed", what="media server", server=line.post.server.name, cause=str(wrong))
+            self._break(line, str(wrong))
+
+    def _take(self, line: Line, kind: int, id: bytes, parameters: dict[int, bytes]) -> None:
+        post = line.post
+        if kind == isup.ANSWER:
+            self._answered(line, id, parameters)
+        elif kind == isup.RELEASE:
+            self._released(line, id, isup.cause_of(parameters), self._report(parameters))
+        elif kind == isup.RELEASED:
+            self._ending_heard(line, id)
+        elif kind == isup.NOTE:
+            self._note(post, id, isup.text_of(parameters, isup.KIND), isup.text_of(parameters, isup.FIGURE))
+        elif kind == isup.PROBED:
+            if post.probes.pop(id, None) is not None:
+                passed = isup.cause_of(parameters) == 1
+                self.desk.probed(post.server, Outcome.PLAYED if passed else Outcome.ERROR, self._report(parameters))
+        elif kind == isup.PROBE:
+            line.send(isup.probed(id, True))
+        elif kind in (isup.SET_UP, isup.RUNG):
+            raise isup.Malformed(f"a message of type {kind} from a media server")
+
+    @staticmethod
+    def _report(parameters: dict[int, bytes]) -> dict[str, float]:
+        link, uplink = use_of(isup.report_of(parameters))
+        return {name: use for name, use in (("link", link), ("uplink", uplink)) if use is not None}
+
+    def _answered(self, line: Line, id: bytes, parameters: dict[int, bytes]) -> None:
+        post = line.post
+        description = parameters.get(isup.DESCRIPTION)
+        if description is None:
+            raise isup.Malformed("an answer without a description")
+        session = Session(id, post.server, description, since=self.now())
+        flight = line.flights.get(id)
+        if flight is None:
+            late = self.given_up.pop((post.server, id), None)
+            if late is not None and id not in post.standing:
+                # it crossed its giving up
+                self.desk.played(late, session)
+            return
+        if not flight.handed:
+            # ahead of its set-up: it belongs to something else
+            return
+        del line.flights[id]
+        self.flights.pop(flight.tune_in, None)
+        course = flight.tune_in.course
+        self.desk.played(flight.tune_in, session, self._report(parameters))
+        if course.session is session and course.vw.playing:
+            post.standing[id] = course
+
+    def _released(self, line: Line, id: bytes, cause: int, report: dict[str, float]) -> None:
+        post = line.post
+        flight = line.flights.get(id)
+        if flight is not None:
+            self._end(flight, BEFORE.get(cause, Outcome.BROKEN), report)
+            return
+        self.given_up.pop((post.server, id), None)
+        self._ending_heard(line, id)
+        if report:
+            self.desk.told(post.server, report)
+        course = post.standing.pop(id, None)
+        if course is not None:
+            line.send(isup.released(id))
+            self.ended(course, AFTER.get(cause, Outcome.BROKEN), None if cause == isup.CANCELLED else cause)
+
+    def _ending_heard(self, line: Line, id: bytes) -> None:
+        for other in line.post.lines:
+            held = other.ending.pop(id, None)
+            if held is not None:
+                self._later(lambda: self.desk.session_ended(held[0], True))
+
+    def _note(self, post: Post, id: bytes, name: str, figure: str) -> None:
+        try:
+            figure = float(figure)
+        except ValueError:
+            raise isup.Malformed(f"a note with the figure {figure!r}") from None
+        course = post.standing.get(id)
+        if name == "kept_up" and 0 <= figure < 1e6:
+            self.desk.delivered(post.server, figure)
+        elif name == "tier" and course is not None and 0 <= figure < 1e3:
+            self.desk.rung_found(course, int(figure))
+        elif name == "wire":
+            self.desk.told(post.server, {"link": figure})
+        elif name == "trunk":
+            self.desk.told(post.server, {"uplink": figure})
+
+    # ---- endings that this side has made
+
+    def closed(self, course: Course) -> None:
+        """Ended by its viewer: the server is told by the desk's endings."""
+        self.posts[course.session.server].standing.pop(course.session.id, None)
+
+    def _lost(self, post: Post, why: str) -> None:
+        """The server is not there any more; what played on it is over."""
+        self.log.warning("server-lost", server=post.server.name, cause=why, standing=len(post.standing))
+        standing, post.standing = post.standing, {}
+        for course in standing.values():
+            self.ended(course, Outcome.BROKEN, isup.RESET)
+            if why != "refused":
+                # a machine that was only cut off plays on, for nobody
+                self.desk.orphaned(post.server, course.session)
+        for line in list(post.lines):
+            self._break(line, why)
+
+    # ---- looked after
+
+    def sweep(self) -> None:
+        now = self.now()
+        for post in list(self.posts.values()):
+            for line in list(post.lines):
+                self._look_after(line, now)
+            if post.standing:
+                self._keep_open(post)
+                self._ask_for_sign(post, now)
+            elif not post.lines and self.desk.roster.servers.get(post.server.name) is not post.server:
+                del self.posts[post.server]
+
+    def _look_after(self, line: Line, now: int) -> None:
+        if line.reader.partial and now - line.began_at > WHOLE_WITHIN:
+            self._break(line, "half a message and no more")
+            return
+        for id, (ending, at) in list(line.ending.items()):
+            if line.up and now - at > HEARD_AFTER:
+                del line.ending[id]
+                self.desk.session_ended(ending, True)
+        spare = len(line.post.lines) > 1 or not line.post.standing
+        if line.up and not line.flights and not line.ending and (line.doubtful or now - line.used_at > self.idle_for):
+            if spare:
+                self._break(line, "idle")
+
+    def _ask_for_sign(self, post: Post, now: int) -> None:
+        """A machine that has vanished says nothing, and its connections stay open: only a new one tells."""
+        if now - post.heard_at <= self.silent_for:
+            post.asked_at = 0
+            return
+        if not post.asked_at:
+            post.asked_at = now
+            self._probe(post, self._some_line(post))
+        elif now - post.asked_at > SIGN_WITHIN:
+            if post.never_up >= NEVER_UP:
+                post.never_up = 0
+                self._lost(post, "silent, and no connection comes up")
+            elif all(line.up and now - line.opened_at > self.silent_for for line in post.lines):
+                post.asked_at = now
+                self._probe(post, self._open(post))
