Node: refused connections count beside one that only looks open

Ruled out: the bulletin (told at 14.8 s), the door. Cause: reach.py, _not_up: a refusal counted only where no other connection was up, and one whose reset never came stayed up and silent. Now two in a row with nothing heard between count whatever looks open; vanished machines are seen the same way, a second after the first failure and not by silence alone. Its story is in tests/test_node.py.

--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -34,6 +34,8 @@
 # page wants viewers released 8 s after the end of a session of which nobody could tell.
 SIGN_WITHIN = NS // 2
 NEVER_UP = 2
+# and for so long at the least: many at once may fail for one lost moment.
+FAILING_FOR = NS
 # A server that has restarted tells what is over on the next connection; after this it is taken as told.
 TOLD_WITHIN = 2 * NS
 # A release is heard once it has been out for so long on a connection that is still sound: saying so is free.
@@ -112,7 +114,8 @@
         self.standing: dict[bytes, Course] = {}
         self.probes: dict[bytes, int] = {}
         self.heard_at = reach.now()
-        self.never_up = 0
+        # connections in a row that did not come up while nothing was heard on others, and since when
+        self.never_up = self.failing_since = 0
         # when it was last asked for a sign, and whether it has been refused since it was heard
         self.asked_at = 0
         self.refused = False
@@ -318,7 +321,9 @@
         # no descriptor left is nothing that the server has done
         own = wrong is not None and wrong.errno in (23, 24)
         post.refused = wrong is not None and not own
-        if wrong is None:
+        if not own:
+            if not post.never_up:
+                post.failing_since = line.opened_at
             post.never_up += 1
         self.log.info("not-up", server=post.server.name, cause=repr(wrong) if wrong is not None else "not up in time")
         self._gone(line)
@@ -328,7 +333,9 @@
             post.probes.clear()
             self.desk.probed(post.server, Outcome.UNREACHED)
         self._endings_back(line)
-        if post.refused and post.standing and not any(other.up for other in post.lines):
+        # an old connection may look open long after its process has died: then nothing is heard on it any more
+        alone = not any(other.up for other in post.lines)
+        if post.refused and post.standing and (alone or post.never_up >= NEVER_UP):
             self._lost(post, "refused")
 
     def _gone(self, line: Line) -> None:
@@ -375,6 +382,7 @@
     def _read(self, line: Line, data: bytes) -> None:
         now = self.now()
         line.heard_at = line.post.heard_at = now
+        line.post.never_up = 0
         if not line.reader.partial:
             line.began_at = now
         wrong = None
@@ -529,6 +537,12 @@
 
     def _ask_for_sign(self, post: Post, now: int) -> None:
         """A machine that has vanished says nothing, and its connections stay open: only a new one tells."""
+        if post.never_up >= NEVER_UP and now - post.failing_since >= FAILING_FOR:
+            self._lost(post, "silent, and no connection comes up")
+            post.never_up = 0
+            return
+        if post.never_up and all(line.up for line in post.lines):
+            self._open(post)
         if now - post.heard_at <= self.silent_for:
             post.asked_at = 0
             return
@@ -536,9 +550,6 @@
             post.asked_at = now
             self._probe(post, self._some_line(post))
         elif now - post.asked_at > SIGN_WITHIN:
-            if post.never_up >= NEVER_UP:
-                post.never_up = 0
-                self._lost(post, "silent, and no connection comes up")
-            elif all(line.up and now - line.opened_at > self.silent_for for line in post.lines):
+            if all(line.up and now - line.opened_at > self.silent_for for line in post.lines):
                 post.asked_at = now
                 self._probe(post, self._open(post))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -153,6 +153,16 @@
             await place.medias[0].close()
             self.assertEqual((await viewer.hear()).fields["reason"], "cause=41")
 
+    @story
+    async def test_also_if_a_connection_to_it_stays_open_and_silent(self):
+        async with Place().up() as place:
+            viewer, media = await place.viewer(), place.medias[0]
+            await viewer.answer(A)
+            media.does = media.silent
+            await media.listener.aclose()
+            release = await viewer.hear(7.5)
+            self.assertEqual(release.fields["reason"], "cause=41")
+
     @story
     async def test_and_on_a_machine_that_vanished_before_eight_seconds_are_over(self):
         async with Place().up() as place:
