Node: one way to see a dead server behind a connection that looks open

Cause: taking out the guard of the refused case left its story green: the look once a second covers it. Test for timers after one that failed.

--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -333,9 +333,7 @@
             post.probes.clear()
             self.desk.probed(post.server, Outcome.UNREACHED)
         self._endings_back(line)
-        # an old connection may look open long after its process has died: then nothing is heard on it any more
-        alone = not any(other.up for other in post.lines)
-        if post.refused and post.standing and (alone or post.never_up >= NEVER_UP):
+        if post.refused and post.standing and not any(other.up for other in post.lines):
             self._lost(post, "refused")
 
     def _gone(self, line: Line) -> None:
@@ -538,6 +536,7 @@
     def _ask_for_sign(self, post: Post, now: int) -> None:
         """A machine that has vanished says nothing, and its connections stay open: only a new one tells."""
         if post.never_up >= NEVER_UP and now - post.failing_since >= FAILING_FOR:
+            # refused or not: an old connection may look open long after its process has died
             self._lost(post, "silent, and no connection comes up")
             post.never_up = 0
             return
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -74,6 +74,16 @@
         self.outside.change(self.outside.row(tune_in.server.name, "fading"))
         self.assertFalse(self.desk.stands(tune_in))
 
+    def test_a_timer_that_fails_leaves_the_later_ones_awake(self):
+        wakes, ran = [], []
+        timers = Timers(wakes.append)
+        timers.at(5, lambda: 1 / 0)
+        timers.at(6, lambda: ran.append(6))
+        self.assertRaises(ZeroDivisionError, timers.run, 5)
+        self.assertEqual(wakes[-1], 6)
+        timers.run(6)
+        self.assertEqual(ran, [6])
+
     def test_a_thousand_viewings_end_at_once(self):
         self.outside = FakeOutside(free_further=None)
         for server in list(self.outside.rows.values()):
