Read over: one intake, one move between racks, one viewing that plays already

Cause: a reading of the whole change. Door and reach each had the same loop around a codec, fleet and roster the same move of a claim, and the desk made viewings that play already in two places; each stands once now. A set-up that waited for its connection was written twice, once for nothing. Behaviour stays, but for one: a server at another's address is lost under its own cause in the log.

--- a/curlewshift/deployment.py
+++ b/curlewshift/deployment.py
@@ -62,6 +62,21 @@
     return report.get("x0", report.get("busy")), report.get("x1")
 
 
+def move(server: Server, rack: Rack) -> None:
+    """To another rack; what plays there moves its claim along with the machine."""
+    old = server.rack
+    if server in old.servers:
+        old.servers.remove(server)
+    for link, sign in ((old.link, -1), (rack.link, 1)):
+        link.own += sign * server.link.own
+        link.own_squares += sign * server.link.own_squares
+    for viewing in server.link.playing:
+        old.link.playing.pop(viewing, None)
+        rack.link.playing[viewing] = True
+    server.rack = rack
+    rack.servers.append(server)
+
+
 class Span:
     """The servers at `span` cells in a row from `base`, whatever the list has there by now."""
 
@@ -112,19 +127,9 @@
             cell[server] = True
         server.streams = self.kinds.get(kind, 0)
         server.link.size = weight * self.size_of_one
-        if server.rack is not rack or server not in rack.servers:
-            if server in server.rack.servers:
-                server.rack.servers.remove(server)
-            if server.rack is not rack:
-                # what plays there moves its claim along with the machine
-                server.rack.link.own -= server.link.own
-                server.rack.link.own_squares -= server.link.own_squares
-                rack.link.own += server.link.own
-                rack.link.own_squares += server.link.own_squares
-                for viewing in server.link.playing:
-                    server.rack.link.playing.pop(viewing, None)
-                    rack.link.playing[viewing] = True
-            server.rack = rack
+        if server.rack is not rack:
+            move(server, rack)
+        elif server not in rack.servers:
             rack.servers.append(server)
         return server
 
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -227,12 +227,9 @@
         if pack is None:
             raise Unknown(f"there is no package {package!r}")
         self.names += 1
-        now = self.outside.now()
-        vw = Viewing(self.names, title, mark, pack, ceiling, now, now + pack.patience, holders, expected=expected)
-        course = Course(vw, None, session=session, errands=Errands(self.outside.tell))
-        course.answer = Answer(Kind.PLAYS, "handed over", course=course)
-        self.courses[vw] = course
-        self.rules.handed_over(vw, server)
+        course = self._standing(pack, title, mark, ceiling, holders, session, expected)
+        self.courses[course.vw] = course
+        self.rules.handed_over(course.vw, server)
         return course
 
     def handed_over(self, package: str, title: str, ceiling: int, server: Server, session: object,
@@ -250,17 +247,21 @@
             course.vw.ceiling = ceiling
             return course
         self.names += 1
-        now = self.outside.now()
-        vw = Viewing(self.names, title, mark_of(f"handed over {self.names}"), pack, ceiling, now,
-                     now + pack.patience, held.holders)
-        course = Course(vw, None, session=session, errands=Errands(self.outside.tell))
-        course.answer = Answer(Kind.PLAYS, "handed over", course=course)
-        if key is not None and self.keys.find(key, now) is None:
+        course = self._standing(pack, title, mark_of(f"handed over {self.names}"), ceiling, held.holders, session)
+        if key is not None and self.keys.find(key, self.outside.now()) is None:
             # its client may ask again for an answer that it never got
             course.offer, course.held = offer, self.keys.hold(key, (offer, pack, title), course)
         self._plays_already(course, server, rung)
         return course
 
+    def _standing(self, pack: Package, title: str, mark: int, ceiling: int, holders: Iterable, session: object,
+                  expected: int = 0) -> Course:
+        now = self.outside.now()
+        vw = Viewing(self.names, title, mark, pack, ceiling, now, now + pack.patience, holders, expected=expected)
+        course = Course(vw, None, session=session, errands=Errands(self.outside.tell))
+        course.answer = Answer(Kind.PLAYS, "handed over", course=course)
+        return course
+
     def rung_found(self, course: Course, rung: int) -> None:
         """Its server says that a viewing plays on this rung, whatever it was told to."""
         vw = course.vw
--- a/curlewshift/desk/roster.py
+++ b/curlewshift/desk/roster.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from curlewshift.deployment import mark_of
+from curlewshift.deployment import mark_of, move
 from curlewshift.model import Link, Listed, Rack, Server
 
 OPEN = "on"
@@ -98,7 +98,7 @@
         elif row.state != GONE:
             server.zone, server.streams, server.link.size = row.zone, row.streams, row.link
             if server.rack is not rack:
-                self._move(server, rack)
+                move(server, rack)
         self._shelve(server, None if row.state == GONE else row.shelf)
         return Listed(server, row.state == OPEN, row.started)
 
@@ -107,20 +107,6 @@
             self.racks[name] = Rack(len(self.racks), Link(self.uplinks.get(name, inf)))
         return self.racks[name]
 
-    def _move(self, server: Server, rack: Rack) -> None:
-        """What plays there moves its claim along with the machine."""
-        old = server.rack
-        if server in old.servers:
-            old.servers.remove(server)
-        for link, sign in ((old.link, -1), (rack.link, 1)):
-            link.own += sign * server.link.own
-            link.own_squares += sign * server.link.own_squares
-        for viewing in server.link.playing:
-            old.link.playing.pop(viewing, None)
-            rack.link.playing[viewing] = True
-        server.rack = rack
-        rack.servers.append(server)
-
     def _shelve(self, server: Server, shelf: str | None) -> None:
         held = self.shelf_of.get(server)
         if held == shelf:
--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -15,7 +15,7 @@
 from curlewshift.desk.desk import Misuse
 from curlewshift.exchange.accepting import Patient
 from curlewshift.node import rtsp
-from curlewshift.node.wire import Wire
+from curlewshift.node.wire import Intake, Wire
 
 MS = 1_000_000
 NS = 1_000_000_000
@@ -56,17 +56,15 @@
     line: Line | None
     request: Request | None = None
     course: Course | None = None
-    # what the media server is told when its viewer ends it
-    cause: int = 0
 
 
 class Line:
     """One connection from viewers."""
 
     def __init__(self, wire: Wire, now: int):
-        self.wire, self.reader = wire, rtsp.Reader()
+        self.wire, self.intake = wire, Intake(rtsp.Reader(), rtsp.Malformed, now)
         self.waiting: dict[str, Asked] = {}
-        self.opened_at = self.began_at = now
+        self.opened_at = now
         # a whole message has been read
         self.spoke = False
         # a viewing was answered here, or a test: whoever is there follows the protocol
@@ -126,15 +124,8 @@
 
     def _read(self, line: Line, data: bytes) -> None:
         now = self.node.now()
-        if not line.reader.partial:
-            line.began_at = now
-        wrong = None
-        try:
-            messages = line.reader.feed(data)
-        except rtsp.Malformed as caught:
-            messages, wrong = caught.before, caught
-        if messages:
-            line.spoke, line.began_at = True, now
+        messages, wrong = line.intake.feed(data, now)
+        line.spoke = line.spoke or bool(messages)
         for message in messages:
             if line.wire.gone or line.wire.ending:
                 return
@@ -149,7 +140,7 @@
         now = self.node.now()
         for line in list(self.lines):
             silent = not line.spoke and now - line.opened_at > FIRST_WITHIN
-            if silent or line.reader.partial and now - line.began_at > MESSAGE_WITHIN:
+            if silent or line.intake.stuck(now, MESSAGE_WITHIN):
                 line.wire.drop()
         if self.gate.crowded:
             self.gate.make_room()
@@ -226,7 +217,7 @@
         line.waiting[name] = asked
         try:
             asked.request = self.node.asked(
-                asked, package, title[1], base, span, top, viewer, expected, "again" in legs,
+                name, package, title[1], base, span, top, viewer, expected, "again" in legs,
                 max(MS, int(wait) * MS - WAY_BACK), now, message.body)
         except BaseException:
             self._forget(asked)
@@ -242,9 +233,8 @@
             self._give_up(asked)
             return
         cause = CAUSE.fullmatch(message.fields.get("reason", ""))
-        asked.cause = min(int(cause[1]), 127) if cause else 0
         self._forget(asked)
-        self.node.released(asked)
+        self.node.released(asked.course, min(int(cause[1]), 127) if cause else 0)
 
     def _give_up(self, asked: Asked) -> None:
         self._forget(asked)
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -19,7 +19,7 @@
 from curlewshift.limits.descriptors import Gate
 from curlewshift.model import Listed, Outcome, Server
 from curlewshift.node import bulletin, configuration
-from curlewshift.node.door import SWEEP, Asked, Door
+from curlewshift.node.door import SWEEP, Door
 from curlewshift.node.follower import Follower
 from curlewshift.node.reach import Reach, Session
 from curlewshift.retries.endings import Ending
@@ -167,10 +167,10 @@
 
     # ---- the door's side
 
-    def asked(self, asked: Asked, package: str, title: str, base: int, span: int, top: int, mark: int, expected: int,
+    def asked(self, name: str, package: str, title: str, base: int, span: int, top: int, mark: int, expected: int,
               came_back: bool, patience: int, arrived: int, description: bytes) -> Request:
         return self.desk.asked(
-            asked.name, package, title, top, patience, offer=Offered(asked.name, description), came_back=came_back,
+            name, package, title, top, patience, offer=Offered(name, description), came_back=came_back,
             holders=self.fleet.holders(base, span), mark=mark, arrived=arrived, expected=expected)
 
     def plays_at(self, name: str, package: str, title: str, base: int, span: int, top: int, mark: int, expected: int,
@@ -186,12 +186,12 @@
     def gave_up(self, request: Request) -> None:
         self.desk.gave_up(request)
 
-    def released(self, asked: Asked) -> None:
-        """Its viewer has ended it."""
-        if asked.cause:
-            asked.course.session.cause = asked.cause
-        self.reach.closed(asked.course)
-        self.desk.closed(asked.course)
+    def released(self, course: Course, cause: int) -> None:
+        """Its viewer has ended it; 0 for no cause said."""
+        if cause:
+            course.session.cause = cause
+        self.reach.closed(course)
+        self.desk.closed(course)
 
     # ---- reach's side
 
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -17,13 +17,11 @@
 from curlewshift.deployment import use_of
 from curlewshift.model import Outcome, Server
 from curlewshift.node import isup
-from curlewshift.node.wire import ENDED, Wire
+from curlewshift.node.wire import Intake, Wire
 from curlewshift.retries.endings import Ending
 
 MS = 1_000_000
 NS = 1_000_000_000
-# How often connections are looked after (s).
-SWEEP = 0.1
 # A message that has begun to come is whole after this, or its connection is of no more use.
 WHOLE_WITHIN = NS // 2
 # A connection on which a set-up found no answer is put to no new use; unused ones beside the first are closed.
@@ -77,7 +75,6 @@
     def __init__(self, post: Post):
         self.post = post
         self.wire: Wire | None = None
-        self.reader = isup.Reader()
         self.flights: dict[bytes, Flight] = {}
         self.unsent: list[tuple[bytes, Flight | None]] = []
         # ids and times of releases on which nothing has come back yet
@@ -86,16 +83,21 @@
         # nothing new goes out on it
         self.doubtful = False
         self.opened_at = self.heard_at = self.used_at = post.reach.now()
-        self.began_at = 0
+        self.intake = Intake(isup.Reader(), isup.Malformed, self.opened_at)
 
     @property
     def up(self) -> bool:
-        return self.wire is not None and not self.over and not self.wire.gone
+        return self.wire is not None and not self.wire.gone
+
+    @property
+    def usable(self) -> bool:
+        """It is up, or may come up yet."""
+        return self.wire is None or not self.wire.gone
 
     def send(self, data: bytes, flight: Flight | None = None) -> None:
         self.used_at = self.post.reach.now()
         if self.wire is None:
-            self.unsent.append((data, flight))
+            self.unsent.append((data, None))
         else:
             self.wire.send(data, flight)
 
@@ -116,9 +118,8 @@
         self.heard_at = reach.now()
         # connections in a row that did not come up while nothing was heard on others, and since when
         self.never_up = self.failing_since = 0
-        # when it was last asked for a sign, and whether it has been refused since it was heard
+        # when it was last asked for a sign
         self.asked_at = 0
-        self.refused = False
 
 
 class Reach:
@@ -144,7 +145,7 @@
         for other in list(self.posts.values()):
             if other.address == address and other is not post:
                 # one that has gone: whoever answers there now knows nothing of it
-                self._lost(other, "refused")
+                self._lost(other, "its address is another server's")
                 other.address = None
         if post is None:
             self.posts[server] = Post(self, server, address)
@@ -187,6 +188,10 @@
         self._write(line, flight)
 
     def _write(self, line: Line, flight: Flight) -> None:
+        if line.wire is None:
+            # how long its viewer still waits is written when it goes out
+            line.unsent.append((b"", flight))
+            return
         vw = flight.tune_in.course.vw
         flight.sent_at = self.now()
         wait = max(1, (flight.tune_in.until - self.now()) // MS)
@@ -241,8 +246,8 @@
 
     def _line(self, post: Post, id: bytes) -> Line:
         """One that is idle, else a new one while there may be more, else that with least out on it."""
-        sound = [line for line in post.lines if not line.over and not line.doubtful and id not in line.flights
-                 and len(line.flights) < self.streams and (line.wire is None or not line.wire.gone)]
+        sound = [line for line in post.lines if line.usable and not line.doubtful and id not in line.flights
+                 and len(line.flights) < self.streams]
         idle = next((line for line in sound if line.up and not line.flights), None)
         if idle is not None:
             return idle
@@ -254,13 +259,13 @@
         return max(2, self.most_lines // max(1, len(self.posts)))
 
     def _some_line(self, post: Post) -> Line:
-        lines = [line for line in post.lines if not line.over and (line.wire is None or not line.wire.gone)]
+        lines = [line for line in post.lines if line.usable]
         if not lines:
             return self._open(post)
         return max(lines, key=lambda line: (not line.doubtful, line.up, line.heard_at))
 
     def _keep_open(self, post: Post) -> None:
-        if not any(not line.over for line in post.lines):
+        if not post.lines:
             self._open(post)
 
     def _open(self, post: Post) -> Line:
@@ -289,7 +294,7 @@
             if line.over:
                 await anyio.aclose_forcefully(stream)
                 return
-            post.never_up, post.refused = 0, False
+            post.never_up = 0
             line.wire = Wire(stream, self.tasks)
             self._take_off(line)
             while not line.wire.gone:
@@ -320,7 +325,6 @@
         post = line.post
         # no descriptor left is nothing that the server has done
         own = wrong is not None and wrong.errno in (23, 24)
-        post.refused = wrong is not None and not own
         if not own:
             if not post.never_up:
                 post.failing_since = line.opened_at
@@ -333,7 +337,7 @@
             post.probes.clear()
             self.desk.probed(post.server, Outcome.UNREACHED)
         self._endings_back(line)
-        if post.refused and post.standing and not any(other.up for other in post.lines):
+        if wrong is not None and not own and post.standing and not any(other.up for other in post.lines):
             self._lost(post, "refused")
 
     def _gone(self, line: Line) -> None:
@@ -381,15 +385,7 @@
         now = self.now()
         line.heard_at = line.post.heard_at = now
         line.post.never_up = 0
-        if not line.reader.partial:
-            line.began_at = now
-        wrong = None
-        try:
-            messages = line.reader.feed(data)
-        except isup.Malformed as caught:
-            messages, wrong = caught.before, caught
-        if messages:
-            line.began_at = now
+        messages, wrong = line.intake.feed(data, now)
         try:
             for kind, id, parameters in messages:
                 if line.over:
@@ -490,15 +486,15 @@
         """Ended by its viewer: the server is told by the desk's endings."""
         self.posts[course.session.server].standing.pop(course.session.id, None)
 
-    def _lost(self, post: Post, why: str) -> None:
-        """The server is not there any more; what played on it is over."""
+    def _lost(self, post: Post, why: str, cut_off: bool = False) -> None:
+        """The server is not there any more; what played on it is over. One that may only be `cut_off` plays on, for
+        nobody, and has to be told."""
         if post.standing:
             self.log.warning("server-lost", server=post.server.name, cause=why, standing=len(post.standing))
         standing, post.standing = post.standing, {}
         for course in standing.values():
             self.ended(course, Outcome.BROKEN, isup.RESET)
-            if why != "refused":
-                # a machine that was only cut off plays on, for nobody
+            if cut_off:
                 self.desk.orphaned(post.server, course.session)
         for line in list(post.lines):
             self._break(line, why)
@@ -521,7 +517,7 @@
                 del self.posts[post.server]
 
     def _look_after(self, line: Line, now: int) -> None:
-        if line.reader.partial and now - line.began_at > WHOLE_WITHIN:
+        if line.intake.stuck(now, WHOLE_WITHIN):
             self._break(line, "half a message and no more")
             return
         for id, (ending, at) in list(line.ending.items()):
@@ -537,7 +533,7 @@
         """A machine that has vanished says nothing, and its connections stay open: only a new one tells."""
         if post.never_up >= NEVER_UP and now - post.failing_since >= FAILING_FOR:
             # refused or not: an old connection may look open long after its process has died
-            self._lost(post, "silent, and no connection comes up")
+            self._lost(post, "silent, and no connection comes up", cut_off=True)
             post.never_up = 0
             return
         if post.never_up and all(line.up for line in post.lines):
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import socket
-import struct
+
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
@@ -16,6 +16,30 @@
 ENDED = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
 
 
+class Intake:
+    """What comes in on one connection: a codec's `reader`, and since when the message that is not whole yet has come."""
+
+    def __init__(self, reader, malformed: type[Exception], now: int):
+        self.reader, self.malformed, self.began_at = reader, malformed, now
+
+    def feed(self, data: bytes, now: int) -> tuple[list, Exception | None]:
+        """The messages that are whole, and what is wrong with what follows on them, if it is."""
+        if not self.reader.partial:
+            self.began_at = now
+        wrong = None
+        try:
+            messages = self.reader.feed(data)
+        except self.malformed as caught:
+            messages, wrong = caught.before, caught
+        if messages:
+            self.began_at = now
+        return messages, wrong
+
+    def stuck(self, now: int, within: int) -> bool:
+        """A message has begun and is not whole in time."""
+        return self.reader.partial and now - self.began_at > within
+
+
 class Wire:
     """`tasks` is the group in which it writes. `gone` is set once the connection is of no more use."""
 
@@ -70,15 +94,13 @@
         except ENDED:
             return b""
 
-    def drop(self, reset: bool = False) -> None:
-        """Closed from this side; who reads from it sees its end. A reset gives up at once what the peer still sends."""
+    def drop(self) -> None:
+        """Closed from this side; who reads from it sees its end."""
         if self.gone:
             return
         self.gone = True
         raw = self.stream.extra(SocketAttribute.raw_socket)
         try:
-            if reset:
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             raw.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
