--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -24,8 +24,9 @@
 NS = 1_000_000_000
 # A message that has begun to come is whole after this, or its connection is of no more use.
 WHOLE_WITHIN = NS // 2
-# A connection on which a set-up found no answer is put to no new use; unused ones beside the first are closed.
-IDLE_FOR = 5 * NS
+# Unused connections are kept, as a new one costs the server work, but for this part of its own time to close: one that
+# it closes under a set-up would leave in doubt what ran. While all that may be open are, they go after the shorter time.
+IDLE_PART, IDLE_FOR = 0.8, 5 * NS
 # A server with sessions is asked for a sign once it has been silent for so long, or for this many of its usual gaps.
 SILENT_FOR, SILENT_GAPS = 2 * NS, 1.5
 # Not answered within this, a connection of its own is tried; this many in a row that never come up prove it gone. The
@@ -131,8 +132,7 @@
         self.most_lines, self.streams = most_lines, streams
         self.connect_within = connect_within / NS
         self.silent_for = max(SILENT_FOR, int(told_every * SILENT_GAPS))
-        # the server's own time to close is left to it
-        self.idle_for = min(IDLE_FOR, idle_close // 2)
+        self.idle_for = int(idle_close * IDLE_PART)
         self.posts: dict[Server, Post] = {}
         self.flights: dict[TuneIn, Flight] = {}
         self.given_up: OrderedDict[tuple[Server, bytes], TuneIn] = OrderedDict()
@@ -525,9 +525,9 @@
                 del line.ending[id]
                 self.desk.session_ended(ending, True)
         spare = len(line.post.lines) > 1 or not line.post.standing
-        if line.up and not line.flights and not line.ending and (line.doubtful or now - line.used_at > self.idle_for):
-            if spare:
-                self._break(line, "idle")
+        idle_for = self.idle_for if self.count < self.most_lines else min(IDLE_FOR, self.idle_for)
+        if spare and line.up and not line.flights and not line.ending and (line.doubtful or now - line.used_at > idle_for):
+            self._break(line, "idle")
 
     def _ask_for_sign(self, post: Post, now: int) -> None:
         """A machine that has vanished says nothing, and its connections stay open: only a new one tells."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,6 +11,7 @@
 
 from curlewshift.node import isup
 from tests.node_place import CLIP, Bulletin, Media, Place
+from tests.fake import SECOND
 from tests.sockets import story, until
 
 A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
@@ -299,6 +300,37 @@
             self.assertEqual((ran.returncode, ran.stderr.count("\n"), ran.stdout), (2, 1, ""))
 
 
+class Connections(unittest.TestCase):
+    @story
+    async def test_an_unused_one_is_kept_while_its_server_keeps_it_unless_all_there_may_be_are_open(self):
+        async with Place().up() as place:
+            viewer, reach = await place.viewer(), place.node.reach
+            await viewer.answer(A)
+            await viewer.tear_down(A)
+            line = next(iter(reach.posts.values())).lines[0]
+            await until(lambda: not place.node.desk.courses and not line.ending)
+            reach._look_after(line, line.used_at + 10 * SECOND)
+            self.assertFalse(line.over)
+            await viewer.answer(B)
+            await viewer.tear_down(B)
+            self.assertEqual(len(place.medias[0].lines), 1)
+            await until(lambda: not place.node.desk.courses and not line.ending)
+            reach.most_lines = 1
+            reach._look_after(line, line.used_at + 10 * SECOND)
+            self.assertTrue(line.over)
+
+    @story
+    async def test_it_goes_before_its_server_would_close_it_under_a_set_up(self):
+        async with Place().up() as place:
+            viewer, reach = await place.viewer(), place.node.reach
+            await viewer.answer(A)
+            await viewer.tear_down(A)
+            line = next(iter(reach.posts.values())).lines[0]
+            await until(lambda: not place.node.desk.courses and not line.ending)
+            reach._look_after(line, line.used_at + 25 * SECOND)
+            self.assertTrue(line.over)
+
+
 class BadClients(unittest.TestCase):
     @story
     async def test_full_of_idle_connections_it_drops_those_and_takes_who_comes(self):
