Stories of fleet troubles at the node: replaced servers, no descriptor, giving up, no file

Need: hard cases of the standing fleet test that had no story: all servers replaced at once at each other's addresses, a descriptor refused inside the node, a paid set-up given up by a viewer who comes again at once, no file at SIGHUP. Found: all four hold as the node stands; each request has one answer.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,17 +1,19 @@
 """Stories of the front node, one for each failure met, on loopback."""
 
+import errno
 import json
 import os
 import signal
 import subprocess
 import sys
 import unittest
+from unittest import mock
 
 import anyio
 
 from curlewshift.node import isup
-from tests.node_place import CLIP, Bulletin, Media, Place
 from tests.fake import SECOND
+from tests.node_place import CLIP, Bulletin, Media, Place
 from tests.sockets import story, until
 
 A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
@@ -300,6 +302,66 @@
             self.assertEqual((ran.returncode, ran.stderr.count("\n"), ran.stdout), (2, 1, ""))
 
 
+class FleetTroubles(unittest.TestCase):
+    @story
+    async def test_all_servers_replaced_at_once_at_each_others_addresses(self):
+        async with Place(4).up() as place:
+            viewer, olds = await place.viewer(), place.medias
+            await viewer.answer(A)
+            for old in olds:
+                old.does = old.silent
+            await viewer.ask(B, package=CLIP)
+            await until(lambda: sum(len(old.had(isup.SET_UP)) for old in olds) == 2)
+            news = [Media(f"s-000000f{number}", number) for number in range(4)]
+            for number, old in enumerate(olds):
+                old.state, old.does = 2, old.plays
+                news[number].port, news[number].started = olds[number - 1].port, int(place.node.now() / 1e6) - 60_000
+            await until(lambda: place.bulletin.lines)
+            await place.bulletin.tell(2, *olds, *news)
+            # what played is released, what may have run has failed; each is told once
+            ends = {message.fields["session"]: message for message in (await viewer.hear(), await viewer.hear())}
+            self.assertEqual((ends[A].method, ends[B].status), ("TEARDOWN", 500))
+            self.assertEqual((await viewer.answer(C)).status, 200)
+            self.assertIn(place.node.door.asked[C].course.vw.server.name, [new.name for new in news])
+            self.assertEqual((len(place.node.desk.courses), viewer.got), (1, []))
+
+    @story
+    async def test_without_a_descriptor_left_a_viewing_is_refused_in_words_and_no_server_is_held_for_it(self):
+        async with Place(2).up() as place:
+            viewer, none_left = await place.viewer(), OSError(errno.EMFILE, "no descriptor left")
+            with mock.patch("anyio.connect_tcp", side_effect=none_left):
+                answer = await viewer.answer(A, package=CLIP)
+            self.assertEqual((answer.status, int(answer.fields["x-pause"]) > 0), (453, True))
+            self.assertEqual([server.trouble for server in place.node.fleet.servers.values()], [0.0, 0.0])
+            self.assertEqual((await viewer.answer(B, package=CLIP)).status, 200)
+
+    @story
+    async def test_who_gives_up_a_paid_set_up_and_comes_again_at_once_has_one_of_each_and_one_answer(self):
+        async with Place().up() as place:
+            viewer, media = await place.viewer(), place.medias[0]
+            media.does = media.silent
+            await viewer.ask(A, package=CLIP)
+            await until(lambda: media.had(isup.SET_UP))
+            media.does = media.plays
+            await viewer.tear_down(A)
+            await viewer.ask(B, package=CLIP, legs=";again:1")
+            heard = [await viewer.hear(), await viewer.hear()]
+            self.assertEqual({(one.fields["session"], one.status) for one in heard}, {(A, 200), (B, 200)})
+            self.assertEqual([id.hex() for id, _ in media.had(isup.SET_UP)], [A, B])
+            await until(lambda: [id.hex() for id, _ in media.had(isup.RELEASE)] == [A])
+            self.assertEqual((len(place.node.desk.courses), viewer.got), (1, []))
+
+    @story
+    async def test_no_file_at_sighup_leaves_the_old_one_in_force_and_one_line_says_so(self):
+        async with Place().up() as place:
+            place.path.unlink()
+            os.kill(os.getpid(), signal.SIGHUP)
+            await until(lambda: place.node.log.error.called)
+            self.assertEqual([call.args for call in place.node.log.error.call_args_list], [("configuration",)])
+            self.assertIn("No such file", place.node.log.error.call_args.kwargs["cause"])
+            self.assertEqual((await (await place.viewer()).answer(A)).status, 200)
+
+
 class Connections(unittest.TestCase):
     @story
     async def test_an_unused_one_is_kept_while_its_server_keeps_it_unless_all_there_may_be_are_open(self):
