--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -363,20 +363,22 @@
 
 
 class Connections(unittest.TestCase):
+    async def unused(self, place, viewer, id):
+        """The connection on which a viewing has been played and ended."""
+        await viewer.answer(id)
+        await viewer.tear_down(id)
+        line = next(iter(place.node.reach.posts.values())).lines[0]
+        await until(lambda: not place.node.desk.courses and not line.ending)
+        return line
+
     @story
     async def test_an_unused_one_is_kept_while_its_server_keeps_it_unless_all_there_may_be_are_open(self):
         async with Place().up() as place:
             viewer, reach = await place.viewer(), place.node.reach
-            await viewer.answer(A)
-            await viewer.tear_down(A)
-            line = next(iter(reach.posts.values())).lines[0]
-            await until(lambda: not place.node.desk.courses and not line.ending)
+            line = await self.unused(place, viewer, A)
             reach._look_after(line, line.used_at + 10 * SECOND)
             self.assertFalse(line.over)
-            await viewer.answer(B)
-            await viewer.tear_down(B)
-            self.assertEqual(len(place.medias[0].lines), 1)
-            await until(lambda: not place.node.desk.courses and not line.ending)
+            self.assertIs(await self.unused(place, viewer, B), line)
             reach.most_lines = 1
             reach._look_after(line, line.used_at + 10 * SECOND)
             self.assertTrue(line.over)
@@ -384,12 +386,8 @@
     @story
     async def test_it_goes_before_its_server_would_close_it_under_a_set_up(self):
         async with Place().up() as place:
-            viewer, reach = await place.viewer(), place.node.reach
-            await viewer.answer(A)
-            await viewer.tear_down(A)
-            line = next(iter(reach.posts.values())).lines[0]
-            await until(lambda: not place.node.desk.courses and not line.ending)
-            reach._look_after(line, line.used_at + 25 * SECOND)
+            line = await self.unused(place, await place.viewer(), A)
+            place.node.reach._look_after(line, line.used_at + 25 * SECOND)
             self.assertTrue(line.over)
 
 
