--- a/curlewshift/__main__.py
+++ b/curlewshift/__main__.py
@@ -1,6 +1,6 @@
 """`python -m curlewshift`: the command line."""
 
-from curlewshift.cli import main
+from curlewshift.commands.main import main
 
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/curlewshift/commands/common.py
@@ -0,0 +1,68 @@
+"""What several commands do alike. Exit 0: done and well; 1: a rule broken or a part that failed; 2: bad input."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+PATH = click.Path(path_type=Path)
+STATE = click.option("--state", type=PATH, required=True, help="The front's state folder.")
+
+
+def read_or_exit(reader, path):
+    """What the reader makes of the file; or all its mistakes on standard error, and exit 2."""
+    from curlewshift.site.reading import Mistakes
+    try:
+        return reader(path)
+    except Mistakes as mistakes:
+        click.echo(str(mistakes), err=True)
+        sys.exit(2)
+
+
+def site_of(path: Path):
+    from curlewshift.site.site import read_site
+    return read_or_exit(read_site, path)
+
+
+def check_sabotage(name: str | None) -> None:
+    """Spoilt fronts are loaded for a rehearsal that names one, and for no other."""
+    if name is None:
+        return
+    from curlewshift.front.spoilt import NAMES
+    if name not in NAMES:
+        click.echo(f"there is no sabotage {name!r}, but {', '.join(NAMES)}", err=True)
+        sys.exit(2)
+
+
+def run(task, *arguments):
+    import anyio
+    try:
+        return anyio.run(task, *arguments)
+    except KeyboardInterrupt:
+        sys.exit(1)
+    except OSError as wrong:
+        click.echo(f"curlewshift: {wrong}", err=True)
+        sys.exit(1)
+    except ExceptionGroup as group:
+        known, rest = group.split(OSError)
+        if rest is not None:
+            raise
+        for wrong in known.exceptions:
+            click.echo(f"curlewshift: {wrong}", err=True)
+        sys.exit(1)
+
+
+def tell_front(state: Path, command: dict) -> dict:
+    """The front's answer; or its no, in words, and exit 2; exit 1 if none listens."""
+    from curlewshift.front.control import tell
+    try:
+        answer = run(tell, state, command)
+    except TimeoutError:
+        click.echo(f"curlewshift: the front at {state} does not answer", err=True)
+        sys.exit(1)
+    if not answer.get("ok"):
+        click.echo(f"curlewshift: {answer.get('wrong')}", err=True)
+        sys.exit(2)
+    return answer
--- /dev/null
+++ b/curlewshift/commands/front.py
@@ -0,0 +1,59 @@
+"""`curlewshift front`: one front of a site, until SIGTERM."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+from curlewshift.commands.common import check_sabotage, PATH, run, site_of
+
+
+@click.command()
+@click.argument("site", type=PATH)
+@click.option("--name", help="Which front of the site; the first if not said.")
+@click.option("--state", type=PATH, help="A folder for what outlives the process.")
+@click.option("--seed", type=int, help="For its chance; drawn if not said.")
+@click.option("--capture", type=PATH, help="A folder for all it is told and decides, to be replayed.")
+@click.option("--life", default="", hidden=True)
+@click.option("--sabotage", default=None, hidden=True)
+@click.option("--reserve", default=None, hidden=True)
+@click.option("--busy", is_flag=True, hidden=True)
+def front(site, name, state, seed, capture, life, sabotage, reserve, busy):
+    """Run a front of SITE until SIGTERM."""
+    import secrets
+
+    from curlewshift.exchange.tls import BadCertificate
+    from curlewshift.front.front import Front
+    from curlewshift.limits.permits import BadKeys
+    from curlewshift.logs import make_log
+    from curlewshift.state.journal import Taken
+    held = site_of(site)
+    try:
+        number = held.door(name) if name else 0
+    except KeyError:
+        click.echo(f"{site}: there is no front {name!r}, but {', '.join(door.name for door in held.doors)}", err=True)
+        sys.exit(2)
+    check_sabotage(sabotage)
+    if state is not None:
+        state.mkdir(parents=True, exist_ok=True)
+    arguments = (held, number, secrets.randbits(32) if seed is None else seed, state,
+                 make_log(front=held.doors[number].name), life)
+    try:
+        if sabotage is not None:
+            from curlewshift.front.spoilt import spoilt
+            made = spoilt(sabotage, *arguments)
+        else:
+            made = Front(*arguments, capture=capture)
+    except (BadKeys, BadCertificate, Taken, OSError) as wrong:
+        click.echo(f"{site}: {wrong}", err=True)
+        sys.exit(2)
+    if reserve is not None:
+        from curlewshift.peaks.reserve import FixedReserve
+        package, _, share = reserve.partition("=")
+        made.desk.peaks.__class__ = FixedReserve
+        made.desk.peaks.package, made.desk.peaks.share = made.desk.packages[package], float(share)
+    if busy:
+        from curlewshift.rehearsal.joins import fill_background
+        fill_background(made.background, made.now())
+    run(made.run)
--- /dev/null
+++ b/curlewshift/commands/measure.py
@@ -0,0 +1,116 @@
+"""`curlewshift measure`: measurements, each in one run."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from curlewshift.commands.common import PATH, read_or_exit, run
+
+
+@click.group()
+def measure():
+    """Measurements; each is one run, its figures are ratios."""
+
+
+def keep(out: Path, figures: dict) -> None:
+    import json
+    text = json.dumps(figures, indent=1)
+    out.write_text(text + "\n")
+    click.echo(text)
+
+
+@measure.command("joins")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+@click.option("--count", type=click.IntRange(10, 100_000), default=1500, help="Joins each way.")
+def measure_joins(out, count):
+    """Joins through a front, plain and with TLS, beside the same joins straight at a stand-in."""
+    from curlewshift.rehearsal.joins import measure_joins as measured
+    keep(out, run(measured, count))
+
+
+@measure.command("fleet")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+@click.option("--count", type=click.IntRange(100, 1_000_000), default=3000, help="Requests for each size.")
+def measure_fleet(out, count):
+    """What a request and a whole list cost at 100 to 6,400 servers."""
+    from curlewshift.rehearsal.fleet_cost import measure_fleet as measured
+    keep(out, measured(count))
+
+
+@measure.command("keys")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_keys(out):
+    """What a key costs in the table beside a plain dictionary that is swept."""
+    from curlewshift.rehearsal.key_cost import measure_keys as measured
+    keep(out, measured())
+
+
+@measure.command("wheel")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_wheel(out):
+    """What setting, taking back and telling timers costs on the wheel beside a heap."""
+    from curlewshift.rehearsal.wheel_cost import measure_wheel as measured
+    keep(out, measured())
+
+
+@measure.command("recovery")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_recovery(out):
+    """How long a front that starts again takes to know what plays, by how many sessions there are."""
+    from curlewshift.rehearsal.recovery_cost import measure_recovery as measured
+    keep(out, run(measured))
+
+
+@measure.command("events")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_events(out):
+    """What an event costs in the emulator's buckets beside a plain heap."""
+    from curlewshift.emulator.queue_cost import measure_events as measured
+    keep(out, measured())
+
+
+@measure.command("agreement")
+@click.argument("script", type=PATH)
+@click.option("--days", type=PATH, required=True, help="A folder with rehearsals of SCRIPT on sockets, one a folder.")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_agreement(script, days, out):
+    """Whether the emulator shows the picture that sockets showed; exit 1 where a bound is passed."""
+    from curlewshift.emulator.agreement import agreement, picture
+    from curlewshift.emulator.world import World
+    from curlewshift.rehearsal.rehearse import figures_of
+    from curlewshift.standins.script import read_script
+    from curlewshift.standins.traffic import read_traffic
+    from curlewshift.verdict.verdict import judge
+    held = read_or_exit(read_script, script)
+    figures, there, here = figures_of(held.site), [], []
+    for traffic in sorted(days.glob("*/traffic.jsonl")):
+        events = read_traffic(traffic)
+        there.append(picture(events, judge(events, figures)))
+        emulated: list[dict] = []
+        World(held, len(there), emulated).run()
+        here.append(picture(emulated, judge(emulated, figures)))
+    if not there:
+        click.echo(f"curlewshift: there is no day in {days}", err=True)
+        sys.exit(2)
+    told = agreement(there, here)
+    keep(out, {"script": script.name, "days": len(there), "figures": told})
+    sys.exit(0 if all(one["agrees"] for one in told.values()) else 1)
+
+
+@measure.command("flood")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_flood(out):
+    """What clients get while others flood the door, with limits and without, with few descriptors."""
+    from curlewshift.rehearsal.flood import measure_flood as measured
+    keep(out, run(measured))
+
+
+@measure.command("limits")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_limits(out):
+    """What a refusal costs beside a join, a million addresses in memory, and how far off the sketch is."""
+    from curlewshift.rehearsal.limits_cost import measure_limits as measured
+    keep(out, run(measured))
--- /dev/null
+++ b/curlewshift/commands/rehearse.py
@@ -0,0 +1,65 @@
+"""`curlewshift rehearse`: a scripted day on loopback, judged from the sockets."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from curlewshift.commands.common import PATH, check_sabotage, read_or_exit, run
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+
+
+@click.command()
+@click.argument("script", type=PATH, required=False)
+@click.option("--out", type=PATH, required=True, help="A folder for verdict, traffic, chart and logs.")
+@click.option("--trouble", help="Kinds with commas between, at drawn times, instead of the script's own.")
+@click.option("--seed", type=int, help="Instead of the script's.")
+@click.option("--sabotage", help="Spoil the fronts on purpose, to see the rule caught.")
+@click.option("--hold", type=click.Choice(["announced", "none", "reserve"]), default="announced",
+              help="Whether fronts hear of what the script announces, or keep a fixed reserve all day instead.")
+@click.option("--capture", is_flag=True, help="Capture every life of every front, and replay each at the end.")
+@click.option("--forget", is_flag=True, help="Killed fronts lose what they knew of sessions, as a baseline.")
+def rehearse(script, out, trouble, seed, sabotage, hold, capture, forget):
+    """Play the day of SCRIPT on loopback and judge the six rules from the sockets."""
+    from rich.console import Console
+    from rich.progress import BarColumn, Progress, TextColumn
+
+    from curlewshift.rehearsal.chart import draw_day
+    from curlewshift.rehearsal.rehearse import Rehearsal, StartFailed
+    from curlewshift.rehearsal.table import verdict_tables
+    from curlewshift.standins.script import read_script
+    from curlewshift.standins.traffic import read_traffic
+    if trouble is not None:
+        from curlewshift.rehearsal.mix import mixed_script
+        try:
+            script = mixed_script(script or EXAMPLES / "bad-day.xml", trouble.split(","), seed or 1, out)
+        except (ValueError, OSError) as wrong:
+            click.echo(f"curlewshift: {wrong}", err=True)
+            sys.exit(2)
+    if script is None:
+        raise click.UsageError("a SCRIPT or --trouble is needed")
+    held = read_or_exit(read_script, script)
+    check_sabotage(sabotage)
+    with Progress(TextColumn("{task.description}"), BarColumn(), TextColumn("{task.completed:.0f}/{task.total:.0f} s"),
+                  console=Console(stderr=True)) as bar:
+        task = bar.add_task("rehearsing", total=held.lasts)
+
+        def told(done, of):
+            bar.update(task, completed=done, total=of)
+        try:
+            verdict = run(Rehearsal(held, script, out, held.seed if seed is None else seed, sabotage, told, hold, capture,
+                                      forget).run)
+        except* StartFailed as failed:
+            click.echo(f"curlewshift: {failed.exceptions[0]}", err=True)
+            sys.exit(1)
+    draw_day(read_traffic(out / "traffic.jsonl"), out / "day.svg")
+    for table in verdict_tables(verdict):
+        Console().print(table)
+    broken = any(rule["broken"] for rule in verdict["rules"].values())
+    differ = [life for life, run in verdict.get("replays", {}).items() if run["difference"]]
+    for life in differ:
+        click.echo(f"the replay of {life} is not the same: {verdict['replays'][life]['difference']}", err=True)
+    sys.exit(1 if broken or differ or verdict["left_standing"] or verdict["orphans_left"] else 0)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -4,7 +4,7 @@
 
 from click.testing import CliRunner
 
-from curlewshift.cli import main
+from curlewshift.commands.main import main
 from curlewshift.site.reading import Mistakes
 from curlewshift.site.site import read_site
 from curlewshift.standins.script import read_script
