Fronts that know each other: membership, a channel between them, a relay that breaks it

Need: each front decided alone and knew of no other; what is to be shared needs to know who is there. membership/ is SWIM with Lifeguard's local health, free of I/O, on time that neither steps nor counts what was slept through; peering/ has frames with a CRC, numbers a life, bounded bytes; one UDP socket a front. rehearse runs a relay through which all datagrams of peers pass, with ten kinds of trouble; verdict/members.py judges from the bytes and from what fronts say of each other. Off without <peers>.

--- a/curlewshift/commands/front.py
+++ b/curlewshift/commands/front.py
@@ -19,7 +19,8 @@
 @click.option("--sabotage", default=None, hidden=True)
 @click.option("--reserve", default=None, hidden=True)
 @click.option("--busy", is_flag=True, hidden=True)
-def front(site, name, state, seed, capture, life, sabotage, reserve, busy):
+@click.option("--led", is_flag=True, hidden=True)
+def front(site, name, state, seed, capture, life, sabotage, reserve, busy, led):
     """Run a front of SITE until SIGTERM."""
     import secrets
 
@@ -42,9 +43,9 @@
     try:
         if sabotage is not None:
             from curlewshift.front.spoilt import spoilt
-            made = spoilt(sabotage, *arguments)
+            made = spoilt(sabotage, *arguments, led=led)
         else:
-            made = Front(*arguments, capture=capture)
+            made = Front(*arguments, capture=capture, led=led)
     except (BadKeys, BadCertificate, Taken, OSError) as wrong:
         click.echo(f"{site}: {wrong}", err=True)
         sys.exit(2)
--- a/curlewshift/commands/standin.py
+++ b/curlewshift/commands/standin.py
@@ -39,3 +39,16 @@
     from curlewshift.standins.running import run_fleet
     from curlewshift.standins.script import read_script
     run(run_fleet, read_or_exit(read_script, script), seed, traffic)
+
+
+@standin.command("relay", hidden=True)
+@click.argument("script", type=PATH)
+@click.option("--front", "fronts", multiple=True, required=True, help="NAME=PORT, where the front really listens.")
+@click.option("--traffic", type=PATH, required=True)
+@click.option("--seed", type=int, default=1)
+def standin_relay(script, fronts, traffic, seed):
+    """What all datagrams between fronts of a rehearsal pass: tells its ports, then reads when the day begins."""
+    from curlewshift.standins.relay import run_relay
+    from curlewshift.standins.script import read_script
+    named = [(name, int(port)) for name, _, port in (one.partition("=") for one in fronts)]
+    run(run_relay, read_or_exit(read_script, script), named, seed, traffic)
--- a/curlewshift/emulator/world.py
+++ b/curlewshift/emulator/world.py
@@ -20,7 +20,7 @@
 from curlewshift.standins.fleet import DRAIN_FOR, LINK_OFF, LONG_AGO, PREEMPT_FOR, RIVAL_PACE
 from curlewshift.standins.listing import LATE
 from curlewshift.standins.physics import LinkModel, Uplink
-from curlewshift.standins.script import OF_FRONTS, OF_VIEWERS, Script, Trouble
+from curlewshift.standins.script import EMULATED, OF_FRONTS, OF_VIEWERS, Script, Trouble
 from curlewshift.standins.server import MEDIA_EVERY, REPORT_EVERY, SETUP_WORK, SHORT_EVERY, SHORT_UNDER
 from curlewshift.standins.viewers import TOO_LITTLE
 
@@ -195,6 +195,8 @@
             self._announce(announced)
         for trouble in self.script.troubles:
             at = self.begins + int(trouble.at * NS)
+            if trouble.kind not in EMULATED and trouble.kind not in OF_VIEWERS:
+                continue
             if trouble.kind in OF_VIEWERS:
                 self.queue.at(at, lambda trouble=trouble: self.seen("trouble", kind=trouble.kind, lasts=trouble.lasts,
                                                                     size=trouble.size, servers=[]))
--- a/curlewshift/front/control.py
+++ b/curlewshift/front/control.py
@@ -19,18 +19,21 @@
 from anyio.abc import SocketAttribute
 
 from curlewshift.peaks.calendar import Nonsense, Peak
+from curlewshift.schedule.clock import LedClock
 
 MOST_BYTES = 64 * 1024
 WITHIN = 5.0
 
 
 class Command(msgspec.Struct):
-    """`do` is `peaks`, `announce` or `cancel`."""
+    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, or, where the clock may be led, `clock`."""
 
     do: str
     peak: dict = {}
     name: str = ""
     why: str = ""
+    rate: float = 1.0
+    step: int = 0
 
 
 class Control:
@@ -68,6 +71,11 @@
                 return {"ok": True, "peaks": self._peaks()}
             if command.do == "limits":
                 return {"ok": True, **self._limits()}
+            if command.do == "peers":
+                peers = self.front.peers
+                return {"ok": True, "peers": peers.channel.show() if peers is not None else None}
+            if command.do == "clock":
+                return self._lead(command)
             if not command.why.strip():
                 raise Nonsense("say why: it goes into the log with your name")
             if command.do == "announce":
@@ -105,6 +113,13 @@
         self.front.log.info("peak-cancelled", peak=command.name, who=who, cause=command.why)
         return {"ok": True}
 
+    def _lead(self, command: Command) -> dict:
+        if not isinstance(self.front.clock, LedClock):
+            raise Nonsense("this front's clock is not to be led")
+        self.front.clock.lead(command.rate, command.step)
+        self.front.log.info("clock-led", rate=command.rate, step_s=command.step / 1e9)
+        return {"ok": True}
+
     def _limits(self) -> dict:
         front, admission = self.front, self.front.door.admission
         gate = {"connections": len(front.gate.lines), "most_connections": front.gate.most, "dropped": front.gate.dropped,
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -30,10 +30,11 @@
 from curlewshift.limits.permits import BadKeys, Permits, read_keys
 from curlewshift.model import Server
 from curlewshift.peaks.calendar import Calendar, Nonsense
+from curlewshift.peering.wire import PeerWire
 from curlewshift.recovery.recovery import Doubt, Found, Recovery, recovery_of
 from curlewshift.retries.endings import Ending
 from curlewshift.schedule.background import Background, Job
-from curlewshift.schedule.clock import Clock
+from curlewshift.schedule.clock import Clock, LedClock
 from curlewshift.schedule.waking import Waking
 from curlewshift.site.site import Site
 from curlewshift.state.book import Book, Remembered
@@ -60,12 +61,13 @@
     """Made for the number-th front of the site. `name` tells servers and list which life of which front speaks."""
 
     reach_class = Reach
+    peers_class = PeerWire
 
     def __init__(self, site: Site, number: int, seed: int, state: Path | None, log, life: str = "",
-                 desk: type[Desk] = Desk, capture: Path | None = None, **how):
+                 desk: type[Desk] = Desk, capture: Path | None = None, led: bool = False, **how):
         self.site, self.log = site, log
         self.door_at = site.doors[number]
-        self.clock = Clock()
+        self.clock = LedClock() if led else Clock()
         self.name = life or f"{self.door_at.name}.{self.clock.now() // 1_000_000 % 10**9}"
         self.chance = Random(seed)
         self.kept = KeptList(state / "list.json", log) if state else None
@@ -107,6 +109,10 @@
         self.desk = desk(self, self.terms, Roster(site.uplinks, site.titles), most_waiting=site.most_waiting,
                          calendar=self.calendar, **how)
         self.door.desk = self.desk
+        self.peers: PeerWire | None = None
+        if site.peers is not None:
+            self.peers = self.peers_class(site.name, self.door_at, site.peers, self.clock, log,
+                                          Random(self.chance.random()))
         self.background = Background(self.clock.now(), time.monotonic_ns, self._overran)
         if self.door.admission is not None:
             self.background.add("lines", lambda: self.door.admission.tick(self.now()), self.clock.now(), priority=0,
@@ -206,6 +212,8 @@
             if self.control is not None:
                 await tasks.start(self.control.run)
             self._follow_servers()
+            if self.peers is not None:
+                tasks.start_soon(self.peers.run)
             listener = await anyio.create_tcp_listener(local_host=self.door_at.host, local_port=self.door_at.port,
                                                        backlog=1024)
             tasks.start_soon(self._signals)
@@ -237,6 +245,8 @@
         with anyio.move_on_after(longest + 1):
             while self.desk.waiting:
                 await anyio.sleep(0.02)
+        if self.peers is not None:
+            await self.peers.leave()
         await anyio.sleep(0.05)
         for course in list(self.desk.courses.values()):
             self.desk.closed(course)
@@ -339,7 +349,7 @@
         return self.clock.now()
 
     def wall(self) -> int:
-        return time.time_ns()
+        return self.clock.wall()
 
     def wake(self, at: int) -> None:
         self.waking.at(at)
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -11,7 +11,9 @@
 from curlewshift.front.door import Door
 from curlewshift.front.front import Front
 from curlewshift.front.reach import Reach
+from curlewshift.membership.membership import Membership
 from curlewshift.model import Outcome
+from curlewshift.peering.wire import PeerWire
 from curlewshift.rules import NEVER_RAN, Rules
 
 EVERY = 8
@@ -169,21 +171,54 @@
         self.intents.restore(self.journal.records, self.wall())
 
 
-def spoilt(name: str, *args) -> Front:
+class DeafIncarnation(Membership):
+    """Does not contradict who accuses it."""
+
+    def _own_name(self, claim):
+        pass
+
+
+class OldLifeTaken(Membership):
+    """Takes a datagram of an earlier life for one of the member's present one."""
+
+    def heard(self, claim):
+        held = self.members.get(claim.name)
+        return super().heard(claim._replace(life=held.life) if held is not None else claim)
+
+
+class NeverForget(Membership):
+    def _forget(self):
+        pass
+
+
+def wired(membership: type[Membership]) -> type[Front]:
+    class Wire(PeerWire):
+        membership_class = membership
+
+    class Spoilt(Front):
+        peers_class = Wire
+    return Spoilt
+
+
+def spoilt(name: str, *args, **how) -> Front:
     return {
-        "lose-answer": lambda: LoseAnswer(*args),
-        "answer-twice": lambda: AnswerTwice(*args),
-        "resend-paid": lambda: Front(*args, rules=ResendPaid),
-        "ignore-drain": lambda: Front(*args, desk=StubbornDesk, rules=IgnoreDrain),
-        "push-cold": lambda: Front(*args, rules=PushCold),
-        "under-floor": lambda: UnderFloor(*args),
-        "over-seats": lambda: OverSeats(*args),
-        "overspend-budget": lambda: Overspend(*args),
-        "double-tune-in": lambda: DoubleTuneIn(*args),
-        "lost-teardown": lambda: Front(*args, desk=LostTeardown),
-        "leave-orphans": lambda: LeaveOrphans(*args),
+        "lose-answer": lambda: LoseAnswer(*args, **how),
+        "answer-twice": lambda: AnswerTwice(*args, **how),
+        "resend-paid": lambda: Front(*args, **how, rules=ResendPaid),
+        "ignore-drain": lambda: Front(*args, **how, desk=StubbornDesk, rules=IgnoreDrain),
+        "push-cold": lambda: Front(*args, **how, rules=PushCold),
+        "under-floor": lambda: UnderFloor(*args, **how),
+        "over-seats": lambda: OverSeats(*args, **how),
+        "overspend-budget": lambda: Overspend(*args, **how),
+        "double-tune-in": lambda: DoubleTuneIn(*args, **how),
+        "lost-teardown": lambda: Front(*args, **how, desk=LostTeardown),
+        "leave-orphans": lambda: LeaveOrphans(*args, **how),
+        "deaf-incarnation": lambda: wired(DeafIncarnation)(*args, **how),
+        "old-life-taken": lambda: wired(OldLifeTaken)(*args, **how),
+        "never-forget": lambda: wired(NeverForget)(*args, **how),
     }[name]()
 
 
 NAMES = ("lose-answer", "answer-twice", "resend-paid", "ignore-drain", "push-cold", "under-floor", "over-seats",
-         "overspend-budget", "double-tune-in", "lost-teardown", "leave-orphans")
+         "overspend-budget", "double-tune-in", "lost-teardown", "leave-orphans", "deaf-incarnation",
+         "old-life-taken", "never-forget")
--- a/curlewshift/rehearsal/processes.py
+++ b/curlewshift/rehearsal/processes.py
@@ -18,12 +18,12 @@
 END_WITHIN = 10.0
 
 
-def free_ports(count: int, chance: Random) -> list[int]:
+def free_ports(count: int, chance: Random, kind: int = socket.SOCK_STREAM) -> list[int]:
     """Loopback ports that nothing listens on now, outside those that outgoing connections are given."""
     found = []
     for _ in range(1000):
         port = chance.randrange(12_000, 20_000)
-        with socket.socket() as probe:
+        with socket.socket(socket.AF_INET, kind) as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind(("127.0.0.1", port))
@@ -55,6 +55,14 @@
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
 
+    def pause(self) -> None:
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+
     def ask_to_end(self) -> None:
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
--- a/curlewshift/schedule/clock.py
+++ b/curlewshift/schedule/clock.py
@@ -15,3 +15,34 @@
     def now(self) -> int:
         """Nanoseconds."""
         return self.offset + time.monotonic_ns()
+
+    def wall(self) -> int:
+        """Unix time as the machine has it now (ns); it may be set at any time."""
+        return time.time_ns()
+
+    def hard(self) -> int:
+        """`now`, for those who hold that any clock may be set (ns)."""
+        return self.now()
+
+
+class LedClock(Clock):
+    """A clock that is led astray on purpose, as rehearsals do: it runs at another rate, and `wall` and `hard` are set."""
+
+    def __init__(self):
+        super().__init__()
+        self.rate, self.step = 1.0, 0
+        self.since = self.began = super().now()
+
+    def now(self) -> int:
+        return self.began + int((super().now() - self.since) * self.rate)
+
+    def wall(self) -> int:
+        return super().wall() + self.now() - super().now() + self.step
+
+    def hard(self) -> int:
+        return self.now() + self.step
+
+    def lead(self, rate: float, step: int) -> None:
+        """From now on; `step` (ns) is added to what it was set by before."""
+        self.began, self.since = self.now(), super().now()
+        self.rate, self.step = rate, self.step + step
--- a/curlewshift/search/search.py
+++ b/curlewshift/search/search.py
@@ -15,13 +15,13 @@
 from curlewshift.emulator.world import World
 from curlewshift.rehearsal.rehearse import figures_of
 from curlewshift.rules import Rules
-from curlewshift.standins.script import USUAL, Script, usual
+from curlewshift.standins.script import EMULATED, Script, usual
 from curlewshift.verdict.verdict import judge
 
 # A day is a find from this much service less than the oracle's.
 GAP = 0.08
 MOST_TROUBLES = 6
-KINDS = tuple(kind for kind in USUAL if kind != "peak")
+KINDS = EMULATED
 # A shrunk day keeps so much of its gap.
 KEEPS = 0.75
 
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from ipaddress import ip_address
 from pathlib import Path
 
 from curlewshift.limits.admission import Bounds
+from curlewshift.membership.manners import Manners, usual_manners
 from curlewshift.model import Package, Terms
 from curlewshift.site.reading import Mistakes, rate, read_xml, span
 
 SECOND = 1_000_000_000
+# Of probes between fronts (ns).
+SHORTEST_PERIOD, LONGEST_PERIOD = SECOND // 10, 60 * SECOND
 SCHEMA = Path(__file__).with_name("site.xsd")
 
 
@@ -18,6 +22,18 @@
     name: str
     host: str
     port: int
+    # where its peers' datagrams come in, and where they reach it
+    peers_listen: tuple[str, int] | None = None
+    peers_reach: tuple[str, int] | None = None
+
+
+@dataclass(slots=True)
+class Peers:
+    """How the fronts of the site know each other. `most_bytes` a second."""
+
+    seeds: list[tuple[str, int]]
+    manners: Manners
+    most_bytes: int
 
 
 @dataclass(slots=True)
@@ -77,6 +93,8 @@
     ice_servers: tuple[str, ...] = ()
     # what is bound at the door; None: nothing but how many may wait
     limits: Bounds | None = None
+    # None: each front is for itself
+    peers: Peers | None = None
 
     def door(self, name: str) -> int:
         """The number of the front of that name. Raises `KeyError`."""
@@ -126,13 +144,15 @@
         if not 0 < port < 65536:
             wrong.append((element.sourceline, f"{element.tag}: port {port} is not from 1 to 65535"))
     duties = _duties(root.find("obligations"), wrong)
+    fronts = root.find("fronts")
+    doors = [Door(front.get("name"), *host_port(front.get("listen")), *_peer_places(front, wrong))
+             for front in fronts.iterfind("front")]
+    peers = _peers(fronts, doors, wrong)
     if wrong:
         raise Mistakes(path, wrong)
-    fronts = root.find("fronts")
     return Site(
         name=root.get("name"), list_at=host_port(root.find("list").get("address")),
-        doors=[Door(front.get("name"), *host_port(front.get("listen"))) for front in fronts.iterfind("front")],
-        packages=packages, machines=machines, titles=titles, duties=duties,
+        doors=doors, peers=peers, packages=packages, machines=machines, titles=titles, duties=duties,
         uplinks={rack.get("name"): rate(rack.get("uplink")) for rack in root.iterfind("racks/rack")},
         most_waiting=int(fronts.get("most-waiting", "2000")),
         most_connections=int(fronts.get("most-connections-to-a-server", "64")),
@@ -142,6 +162,56 @@
         ice_servers=tuple(_ice_link(element) for element in fronts.iterfind("ice-server")))
 
 
+def _peer_places(front, wrong: list[tuple[int, str]]) -> tuple:
+    """Addresses as numbers: a datagram does not wait for a name to be looked up."""
+    places = []
+    for name in ("peers-listen", "peers-reach"):
+        text = front.get(name)
+        place = host_port(text) if text else None
+        if place is not None:
+            try:
+                ip_address(place[0])
+            except ValueError:
+                wrong.append((front.sourceline, f"front: {name} should be an address in numbers, but is {text!r}"))
+            if not 0 < place[1] < 65536:
+                wrong.append((front.sourceline, f"front: {name}: port {place[1]} is not from 1 to 65535"))
+        places.append(place)
+    listen, reach = places
+    if reach is not None and listen is None:
+        wrong.append((front.sourceline, "front: peers-reach without peers-listen reaches nothing"))
+    return listen, reach or listen
+
+
+def _peers(fronts, doors: list[Door], wrong: list[tuple[int, str]]) -> Peers | None:
+    element = fronts.find("peers")
+    if element is None:
+        return None
+    line, at = element.sourceline, {door.name: door.peers_reach for door in doors}
+    for door in doors:
+        if door.peers_listen is None:
+            wrong.append((line, f"peers: front {door.name} says no peers-listen"))
+    seeds = element.get("seeds").split()
+    for name in seeds:
+        if name not in at:
+            wrong.append((line, f"peers: there is no front {name!r} to be a seed"))
+    if not seeds:
+        wrong.append((line, "peers: one seed at least is needed"))
+    period = span(element.get("period", "1s"))
+    if not SHORTEST_PERIOD <= period <= LONGEST_PERIOD:
+        wrong.append((line, "peers: period should be from 100ms to 1min"))
+    more = {name: span(element.get(said)) for name, said in (
+        ("answer_within", "answer-within"), ("forget_after", "forget-after")) if element.get(said)}
+    if more.get("answer_within", 0) * 2 > period:
+        wrong.append((line, "peers: answer-within is half a period at most, as others are asked in the other half"))
+    if more.get("forget_after", 20 * period) < 20 * period:
+        wrong.append((line, "peers: forget-after is shorter than 20 periods, and news of who is gone goes round so long"))
+    most_bytes = int(rate(element.get("most-bytes", "128kB/s")) * 1000)
+    if most_bytes < 4000:
+        wrong.append((line, "peers: most-bytes under 4kB/s leaves no room for news"))
+    return Peers([at[name] for name in seeds if at.get(name)],
+                 usual_manners(period, most_members=int(element.get("most-members", "4096")), **more), most_bytes)
+
+
 def _files(folder: Path, fronts) -> dict:
     """Files are named from where the settings are."""
     tokens, tls, servers = (fronts.find(name) for name in ("tokens", "tls", "servers-tls"))
--- a/curlewshift/standins/fleet.py
+++ b/curlewshift/standins/fleet.py
@@ -17,7 +17,7 @@
 from curlewshift.site.site import Machine, Site
 from curlewshift.standins.listing import ServerList
 from curlewshift.standins.physics import LinkModel, Uplink
-from curlewshift.standins.script import OF_FRONTS, OF_VIEWERS, Script, Trouble
+from curlewshift.standins.script import OF_FRONTS, OF_PEERS, OF_VIEWERS, Script, Trouble
 from curlewshift.standins.server import SETUP_WORK, MediaServer
 from curlewshift.standins.traffic import Traffic
 
@@ -125,7 +125,7 @@
     async def play(self, script: Script, begins: float) -> None:
         """All troubles of servers and list, from `begins` (s of the monotonic clock) on."""
         for trouble in script.troubles:
-            if trouble.kind not in OF_FRONTS and trouble.kind not in OF_VIEWERS:
+            if trouble.kind not in (*OF_FRONTS, *OF_VIEWERS, *OF_PEERS):
                 self.tasks.start_soon(self._befall, trouble, begins, Random(self.fate.random()))
 
     async def _befall(self, trouble: Trouble, begins: float, chance: Random) -> None:
--- a/curlewshift/standins/script.py
+++ b/curlewshift/standins/script.py
@@ -16,10 +16,17 @@
     "hang": (4, 0.2, 1.0), "slow": (6, 0.25, 3.0), "neighbour": (8, 0.4, 0.5), "fast-errors": (4, 0.2, 1.0),
     "answer-lost": (4, 0.2, 1.0), "deploy": (15, 0.6, 1.0), "preempt": (5, 0.2, 1.0), "front-crash": (2, 0.34, 1.0),
     "front-roll": (9, 1.0, 1.0), "cold-restart": (1, 0.2, 1.0), "list-stuck": (5, 1.0, 1.0), "notes-late": (6, 1.0, 3.0),
-    "peak": (10, 1.0, 2.0),
+    "peak": (10, 1.0, 2.0), "pause": (3, 0.2, 1.0), "clock-rate": (8, 0.2, 1.01), "clock-step": (1, 0.2, 600.0),
+    "cut": (5, 0.5, 1.0), "one-way": (5, 0.2, 1.0), "loss": (6, 1.0, 0.15), "late": (6, 1.0, 3.0),
+    "doubled": (6, 1.0, 0.3), "reordered": (6, 1.0, 0.3), "spoilt": (6, 1.0, 0.2),
 }
-OF_FRONTS = ("front-crash", "front-roll")
+# What befalls datagrams between fronts, by the relay that all of them pass.
+OF_PEERS = ("cut", "one-way", "loss", "late", "doubled", "reordered", "spoilt")
+# What befalls processes and their clocks.
+OF_FRONTS = ("front-crash", "front-roll", "pause", "clock-rate", "clock-step")
 OF_VIEWERS = ("burst", "crowd", "peak")
+# What deployments in the emulator's world know; it has viewers, servers and fronts, but nothing between fronts.
+EMULATED = tuple(kind for kind in USUAL if kind not in (*OF_PEERS, *OF_FRONTS[2:], "peak"))
 # Arrivals a second beside the usual ones, and the title or package that they are for.
 Part = tuple[float, str | None, str | None]
 # A longer day or more viewers than this a second is not for one machine.
@@ -137,6 +144,12 @@
         trouble.package = element.get("package", "")
         if trouble.kind == "peak" and trouble.package not in known:
             wrong.append((element.sourceline, f"trouble peak: {site_path.name} has no package {trouble.package!r}"))
+        if trouble.kind in OF_PEERS and site.peers is None:
+            wrong.append((element.sourceline, f"trouble {trouble.kind}: {site_path.name} has no peers that it could befall"))
+        if trouble.kind in ("loss", "doubled", "reordered", "spoilt") and trouble.size > 1:
+            wrong.append((element.sourceline, f"trouble {trouble.kind}: size is the share of datagrams, at most 1"))
+        if trouble.kind == "clock-rate" and not 0.9 <= trouble.size <= 1.1:
+            wrong.append((element.sourceline, "trouble clock-rate: size is from 0.9 to 1.1 times as fast"))
         troubles.append(trouble)
     announced = []
     for element in root.iterfind("announce"):
--- a/curlewshift/verdict/verdict.py
+++ b/curlewshift/verdict/verdict.py
@@ -88,6 +88,12 @@
         for event in self.by_kind["front-down"]:
             life = self.life[event["life"]]
             life.ended, life.how = event["at"], event["how"]
+        # a process that is stopped can neither read nor answer
+        self.stopped: dict[str, list[tuple[int, int]]] = defaultdict(list)
+        for event in self.by_kind["front-paused"]:
+            goes_on = [other["at"] for other in self.by_kind["front-goes-on"]
+                       if other["life"] == event["life"] and other["at"] >= event["at"]]
+            self.stopped[event["front"]].append((event["at"], min(goes_on, default=2**63)))
         # tune-ins as their servers saw them
         self.over = {self._tune_in(event): event for event in self.by_kind["setup-over"]}
         self.setups: dict[str, list[dict]] = defaultdict(list)
@@ -118,8 +124,18 @@
                 found = life
         return found
 
+    def reads_at(self, front: str, at: int) -> int:
+        """When a front can have read what was sent to it then."""
+        return max((until for since, until in self.stopped[front] if since <= at < until), default=at)
+
+    def excused_late(self, front: str, since: int, until: int) -> bool:
+        """Whether it was stopped when it had to answer."""
+        return any(stopped <= until + APART and since <= goes_on for stopped, goes_on in self.stopped[front])
+
     def excused(self, front: str, since: int, until: int) -> bool:
-        """Whether the front was killed while the request was its duty, or had ended before it took it."""
+        """Whether the front was killed while the request was its duty, or had ended before it took it, or was stopped."""
+        if self.excused_late(front, since, until):
+            return True
         for life in self.lives[front]:
             if life.how == "killed" and since - NEVER_TAKEN <= life.ended <= until + APART:
                 return True
@@ -164,7 +180,7 @@
         if len(got) > 1:
             duplicates += 1
             rule.breaks(f"{request} got {len(got)} answers")
-        elif got and got[0]["at"] > until + APART:
+        elif got and got[0]["at"] > until + APART and not day.excused_late(ask["front"], ask["at"], until):
             late += 1
             rule.breaks(f"{request} was answered {(got[0]['at'] - until) / MS:.0f} ms after patience ended")
         elif not got and request not in left and not day.excused(ask["front"], ask["at"], until):
@@ -205,11 +221,12 @@
     names: dict[str, set[str]] = defaultdict(set)
     for event in day.events:
         if event["ev"] == "told":
-            told[event["front"], event["server"]].append((event["at"], event["state"] == "on"))
+            at = day.reads_at(event["front"], event["at"])
+            told[event["front"], event["server"]].append((at, event["state"] == "on"))
             names[event["front"]].add(event["server"])
         elif event["ev"] == "told-all":
             for server in names[event["front"]] - set(event["servers"]):
-                told[event["front"], server].append((event["at"], False))
+                told[event["front"], server].append((day.reads_at(event["front"], event["at"]), False))
     rule.applied = sum(not state for states in told.values() for _, state in states)
     for setup in day.by_kind["setup"]:
         closed_since = None
