--- a/curlewshift/commands/measure.py
+++ b/curlewshift/commands/measure.py
@@ -114,3 +114,14 @@
     """What a refusal costs beside a join, a million addresses in memory, and how far off the sketch is."""
     from curlewshift.rehearsal.limits_cost import measure_limits as measured
     keep(out, run(measured))
+
+
+@measure.command("peers")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+@click.option("--count", type=click.IntRange(60, 100_000), default=1800, help="Joins each way, with peers and without.")
+def measure_peers(out, count):
+    """Whether fronts know each other rightly at 8 to 1,000 (simulated), and what that costs those who only serve."""
+    from curlewshift.emulator.peer_figures import measure_peers_emulated
+    from curlewshift.rehearsal.peers_cost import measure_service
+    emulated = measure_peers_emulated()
+    keep(out, {"emulated": emulated, "service": run(measure_service, count)})
--- a/curlewshift/membership/manners.py
+++ b/curlewshift/membership/manners.py
@@ -44,7 +44,7 @@
         """How long one stays suspect (ns) whom `others` have accused besides the first (Lifeguard, section IV-B)."""
         least = self.least(size)
         # there may be fewer who could accuse it
-        wanted = min(self.witnesses, size - 2)
+        wanted, others = min(self.witnesses, size - 2), max(0, others)
         if not self.lifeguard or wanted < 1:
             return least
         most = least * self.alone_times
--- a/curlewshift/membership/membership.py
+++ b/curlewshift/membership/membership.py
@@ -128,7 +128,7 @@
             # it can contradict only what it has heard (Lifeguard's buddy system)
             self.outside.tell(held.address, [held.claim()])
         self._arm()
-        return None if self.superseded else held
+        return held
 
     def told(self, claims: list[Claim], by: str) -> None:
         self._read()
@@ -195,8 +195,10 @@
     # ---- probing
 
     def _each_period(self) -> None:
+        # who is slow waits longer for answers, but asks as often (Lifeguard asks less often too): the last one left of many
+        # would otherwise need nine periods for each of the others
         health = self.health if self.manners.lifeguard else 0
-        self._after(self.manners.period * (1 + health), self._each_period)
+        self._after(self.manners.period, self._each_period)
         if self.superseded:
             return
         self._forget()
@@ -272,12 +274,12 @@
             self.no_room += 1
             return
         member = Member(claim.name, claim.host, claim.port, claim.life, claim.incarnation, Rank(claim.rank), self.now, by)
+        member.accusers = dict.fromkeys(claim.accusers[:self.manners.witnesses + 1])
         self.members[member.name] = member
         self._comes_in(member)
         self.news.put(member.claim())
         self.outside.changed(member, None, f"told by {by}" if by != member.name else "spoke")
         if member.rank is Rank.SUSPECT:
-            member.accusers = dict.fromkeys(claim.accusers[:self.manners.witnesses + 1])
             self._suspected(member)
 
     def _may_be_true(self, claim: Claim, held: Member, by: str) -> bool:
@@ -346,12 +348,17 @@
                 member.accusers[name] = None
         if len(member.accusers) > known:
             self.news.put(member.claim())
-            self._after(max(0, member.since + self._patience(member) - self.now), self._suspicion_over, member,
-                        member.incarnation, member.life)
+            self._suspicion_over(member, member.incarnation, member.life)
 
     def _suspicion_over(self, member: Member, incarnation: int, life: int) -> None:
         held = (member.rank, member.incarnation, member.life) == (Rank.SUSPECT, incarnation, life)
-        if held and self.members.get(member.name) is member and self.now >= member.since + self._patience(member):
+        if not held or self.members.get(member.name) is not member:
+            return
+        rest = member.since + self._patience(member) - self.now
+        if rest > 0:
+            # the fleet has grown since this was set: more could have accused it
+            self._after(rest, self._suspicion_over, member, incarnation, life)
+        else:
             self._change(member, member.claim()._replace(rank=int(Rank.GONE)), self.me.name)
 
     # ---- what is said of this front
--- a/curlewshift/peering/channel.py
+++ b/curlewshift/peering/channel.py
@@ -102,6 +102,9 @@
         known = self.membership
         if frame.claims:
             known.told([Claim(*claim) for claim in frame.claims], sender.name)
+        if known.superseded:
+            # it listens for the end of the process that has its name, and answers nobody
+            return
         if frame.kind == PING:
             self._send(sender.address, ACK, probe=frame.probe)
             known.digest_seen(sender, frame.view)
--- a/curlewshift/verdict/members.py
+++ b/curlewshift/verdict/members.py
@@ -13,8 +13,10 @@
 import msgspec
 
 SECOND = 1_000_000_000
-# Asking a front takes this; and what befell one still shows in views this many periods after it is over.
-ASKED, SHOWS_ON = SECOND // 4, 16
+# What befell a front still shows in views for so many periods after it is over.
+SHOWS_ON = 16
+# Who is gone is looked through once a period; with what asking takes.
+FORGETS_WITHIN = 4
 PING, ACK, ASK = 1, 2, 3
 KEPT_EXAMPLES = 5
 
@@ -36,6 +38,7 @@
     def __init__(self, events: list[dict], period: int):
         self.spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
         self.ends: list[int] = []
+        self.stopped: dict[str, list[tuple[int, int]]] = defaultdict(list)
         self.up: dict[str, list[tuple[int, int, str]]] = defaultdict(list)
         open_troubles: dict[tuple, int] = {}
         paused: dict[str, int] = {}
@@ -54,7 +57,9 @@
             elif event["ev"] == "front-paused":
                 paused[event["front"]] = at
             elif event["ev"] == "front-goes-on" and event["front"] in paused:
-                self.spans[event["front"]].append((paused.pop(event["front"]), at))
+                span = (paused.pop(event["front"]), at)
+                self.spans[event["front"]].append(span)
+                self.stopped[event["front"]].append(span)
                 self.ends.append(at)
             elif event["ev"] == "trouble" and event["kind"] in ("cut", "one-way"):
                 open_troubles[event["kind"], tuple(event["fronts"])] = at
@@ -85,7 +90,7 @@
     views = [event for event in events if event["ev"] == "view"]
     fates = Fates(events, period)
     told = {**_false_gone(views, fates), **_detection(views, fates, period), **_agreement(views, fates, over),
-            **_forgetting(views, forget_after, period), **_taken(events)}
+            **_forgetting(views, fates, forget_after, period), **_taken(events)}
     told["datagrams"] = sum(event["ev"] == "peer-heard" for event in events)
     told["bytes_a_second"] = _median([view["sent"] for view in views])
     told["broken"] = bool(told["false_gone"] or told["malformed_taken"] or told["old_life_taken"] or told["not_forgotten"]
@@ -156,10 +161,20 @@
     return {"agreed_after_s": (round(max(waits), 2) if waits else 0.0) if last else None, "agreed_times": len(waits)}
 
 
-def _forgetting(views: list[dict], forget_after: int, period: int) -> dict:
+def _forgetting(views: list[dict], fates: Fates, forget_after: int, period: int) -> dict:
     """Who is gone and still listed long after it should have been forgotten."""
-    late = {(view["front"], name, life) for view in views for name, life, rank, for_s in view["members"]
-            if rank in ("gone", "left") and for_s * SECOND > forget_after + 12 * period}
+    since: dict[tuple[str, str, int], int] = {}
+    late = set()
+    for view in views:
+        rows = {(view["front"], name, life) for name, life, rank, _ in view["members"] if rank in ("gone", "left")}
+        since = {key: at for key, at in since.items() if key[0] != view["front"] or key in rows}
+        for key in rows:
+            began = since.setdefault(key, view["at"])
+            # a front that was stopped meanwhile has not counted that time
+            stopped = sum(min(until, view["at"]) - max(at, began) for at, until in fates.stopped[view["front"]]
+                          if at < view["at"] and until > began)
+            if view["at"] - began - stopped > forget_after + FORGETS_WITHIN * period:
+                late.add(key)
     return {"not_forgotten": len(late)}
 
 
--- /dev/null
+++ b/tests/test_peering.py
@@ -0,0 +1,110 @@
+"""Fronts that know each other on real sockets: one beside a flood, and several processes with faults between them."""
+
+import json
+import re
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+
+import anyio
+import structlog
+
+from curlewshift.membership.manners import usual_manners
+from curlewshift.membership.member import Rank
+from curlewshift.peering.wire import PeerWire
+from curlewshift.rehearsal.processes import free_ports
+from curlewshift.schedule.clock import LedClock
+from curlewshift.site.site import Door, Peers
+from tests.fake import MS, SECOND
+from tests.sockets import SmallSite, story, until
+
+ROOT = Path(__file__).resolve().parents[1]
+FRONTS = 4
+
+
+class Beside(unittest.TestCase):
+    @story
+    async def test_a_flood_of_garbage_at_the_peers_port_costs_no_viewing(self):
+        ports = free_ports(2, Random(), socket.SOCK_DGRAM)
+        peers = Peers([("127.0.0.1", ports[0])], usual_manners(200 * MS), 64_000)
+        small = SmallSite(site={"peers": peers})
+        small.site.doors[0].peers_listen = small.site.doors[0].peers_reach = ("127.0.0.1", ports[0])
+        async with small.up() as site:
+            other = PeerWire("test", Door("g", "", 0, ("127.0.0.1", ports[1]), ("127.0.0.1", ports[1])), peers, LedClock(),
+                             structlog.wrap_logger(structlog.ReturnLogger()), Random(1))
+            site.tasks.start_soon(other.run)
+            known, channel = site.front.peers.channel.membership, site.front.peers.channel
+            await until(lambda: known.size == 2 and other.channel.membership.size == 2)
+            flood, chance = socket.socket(socket.AF_INET, socket.SOCK_DGRAM), Random(2)
+            with flood:
+                for number in range(30):
+                    for _ in range(300):
+                        data = chance.choice((b"", b"CWP\x01", b"CWP\x02")) + chance.randbytes(chance.choice((0, 40, 1300)))
+                        flood.sendto(data, ("127.0.0.1", ports[0]))
+                    answered = await site.ask()
+                    self.assertEqual(answered.status, 201, number)
+            refused = channel.refused
+            for why in ("oversized", "other-form", "other-version", "spoilt"):
+                self.assertGreater(refused[why], 0, why)
+            # its clock may be set while it serves
+            other.clock.lead(1.0, -600 * SECOND)
+            await until(lambda: other.channel.membership.steady.stalls == 1)
+            await until(lambda: known.members["g"].rank is Rank.ALIVE and known.members["g"].heard > known.now - 600 * MS)
+            await other.leave()
+            await until(lambda: known.members["g"].rank is Rank.LEFT)
+
+
+class Processes(unittest.TestCase):
+    """`SCRIPT`: each of the troubles that a short day has room for."""
+
+    SCRIPT = """<rehearsal site="site.xml" lasts="11s" seed="3">
+  <viewers each-second="8" come-again="0.9"><wants package="receipt" share="0.5" watches="3s"/>
+    <wants package="review" share="0.5" watches="3s"/></viewers>
+  <trouble kind="spoilt" at="0.5s" lasts="8s" size="0.1"/>
+  <trouble kind="late" at="0.6s" lasts="8s" size="3"/>
+  <trouble kind="pause" at="0.5s" lasts="4s" part="0.25"/>
+  <trouble kind="clock-step" at="2s" part="0.25" size="600"/>
+  <trouble kind="front-crash" at="7s" lasts="2s" part="0.25"/>
+  <trouble kind="cut" at="9.2s" lasts="1.6s" part="0.5"/>
+</rehearsal>
+"""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        site = (ROOT / "examples" / "fleet-site.xml").read_text()
+        for number in range(FRONTS + 1, 9):
+            site = re.sub(rf' *<front name="f{number}".*\n', "", site)
+        (self.folder / "site.xml").write_text(site.replace('period="500ms"', 'period="250ms"').replace('"10s" most', '"5s" most'))
+        (self.folder / "day.xml").write_text(self.SCRIPT)
+
+    def rehearse(self, *more):
+        return subprocess.Popen(
+            [sys.executable, "-m", "curlewshift", "rehearse", str(self.folder / "day.xml"), "--out",
+             str(self.folder / "-".join(["out", *more[1:2]])), *more], cwd=ROOT, stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE, text=True)
+
+    def test_a_short_day_of_faults_between_processes_and_one_in_which_nobody_contradicts(self):
+        kept, spoilt = self.rehearse(), self.rehearse("--sabotage", "deaf-incarnation")
+        told = [run.communicate(timeout=120) for run in (kept, spoilt)]
+        verdict = json.loads((self.folder / "out" / "verdict.json").read_text())
+        members = verdict["members"]
+        self.assertEqual((kept.returncode, [rule["broken"] for rule in verdict["rules"].values()], members["broken"]),
+                         (0, [0] * 6, False), (told, members))
+        self.assertGreater(verdict["requests"], 40)
+        self.assertGreater(members["spoilt"], 5)
+        self.assertGreater(members["detected"], 0)
+        self.assertGreater(members["agreed_times"], 0)
+        verdict = json.loads((self.folder / "out-deaf-incarnation" / "verdict.json").read_text())
+        self.assertEqual((spoilt.returncode, verdict["members"]["broken"]), (1, True), told)
+        logged = [json.loads(line) for line in (self.folder / "out" / "f1.log").read_text().splitlines()]
+        self.assertTrue(any(line["event"] == "member" and line["cause"] for line in logged))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -56,6 +56,24 @@
                       "patience is shorter than the join target", "no server has the shelf 's99'"):
             self.assertIn(words, told)
 
+    def test_peers_are_read_and_what_cannot_be_is_told(self):
+        fleet = (EXAMPLES / "fleet-site.xml").read_text()
+        self.path.write_text(fleet)
+        peers = read_site(self.path).peers
+        self.assertEqual((len(peers.seeds), peers.manners.period, peers.manners.answer_within, peers.manners.forget_after,
+                          peers.most_bytes), (3, 500_000_000, 150_000_000, 10_000_000_000, 64_000))
+        self.path.write_text(SMALL)
+        self.assertIsNone(read_site(self.path).peers)
+        for old, new, words in (
+                ('seeds="f1 f2 f3"', 'seeds="f1 f9"', "there is no front 'f9' to be a seed"),
+                ('peers-listen="127.0.0.1:8183"', 'peers-listen="media.example:8183"', "should be an address in numbers"),
+                (' peers-listen="127.0.0.1:8184"', "", "front f4 says no peers-listen"),
+                ('period="500ms"', 'period="5ms"', "period should be from 100ms to 1min"),
+                ('period="500ms"', 'period="500ms" answer-within="300ms"', "answer-within is half a period at most"),
+                ('forget-after="10s"', 'forget-after="2s"', "forget-after is shorter than 20 periods"),
+                ('most-bytes="64kB/s"', 'most-bytes="1kB/s"', "leaves no room for news")):
+            self.assertIn(words, self.wrong((old, new), text=fleet))
+
     def test_other_mistakes_in_plain_words(self):
         for changes, words in (
                 ([("<list address", "<lists address")], "expected list here, but lists came"),
