--- a/curlewshift/commands/main.py
+++ b/curlewshift/commands/main.py
@@ -8,7 +8,7 @@
 
 # Each lies in the file of its name, under its name.
 NOUNS = ("authority", "capture", "check", "experiment", "front", "limits", "measure", "node", "peak", "peers", "rehearse", "replay",
-         "search", "standin", "walk")
+         "search", "shared", "standin", "walk")
 
 
 class Nouns(click.Group):
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -309,6 +309,21 @@
         if uplink is not None and 0 <= uplink < 1e6:
             self.rules.uplink_told(server, uplink)
 
+    # ---- what other fronts share, as facts for the rules
+
+    def rights_held(self, server: Server, rights: list) -> None:
+        """Set-ups of the server's cold pace in this front's hands: from when, until when (ns of this clock), how many."""
+        server.rights = [tuple(one) for one in rights]
+
+    def doubted(self, server: Server, doubted: bool) -> None:
+        server.doubted = doubted
+
+    def counted(self, server: Server, use: float, age: int) -> None:
+        self.rules.counted(server, use, age)
+
+    def seen_warm(self, server: Server) -> None:
+        self.rules.seen_warm(server)
+
     # ---- the server list
 
     def list_full(self, epoch: str, generation: int, rows: list[Row], stale: bool = False) -> None:
--- a/curlewshift/emulator/front.py
+++ b/curlewshift/emulator/front.py
@@ -13,6 +13,7 @@
 from curlewshift.desk.offer import Offer
 from curlewshift.desk.roster import Roster
 from curlewshift.emulator.machine import Machine, SetUp
+from curlewshift.emulator.shared import EmulatedSharing
 from curlewshift.model import Outcome, Server
 from curlewshift.peaks.calendar import Calendar
 from curlewshift.recovery.recovery import Doubt, Found, recovery_of
@@ -76,6 +77,7 @@
         self.calendar = Calendar(terms.packages)
         self.desk = desk(self, terms, Roster(site.uplinks, site.titles), rules=rules, most_waiting=site.most_waiting,
                          calendar=self.calendar)
+        self.shared = EmulatedSharing(self, seed) if world.shared is not None else None
         if hasattr(self.desk.rules, "sees"):
             # an oracle, for comparison alone
             self.desk.rules.sees = world
@@ -122,6 +124,8 @@
             self.desk.time()
 
     def tune_in(self, tune_in: TuneIn) -> None:
+        if self.shared is not None:
+            self.shared.sharing.sent(tune_in.server)
         flight = self.flights[tune_in] = Flight()
         intent = intent_of(tune_in, tune_in.course.vw.expires)
         # the connection takes a way there and back
--- /dev/null
+++ b/curlewshift/emulator/shared.py
@@ -0,0 +1,128 @@
+"""Fronts of an emulated deployment that share: the program's own sharing, on links that lose and with fronts that are deaf.
+
+Who is in is known at once here; that it is found out late is measured elsewhere (emulator/peers.py).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+from curlewshift.model import Server
+from curlewshift.sharing.sharing import Sharing
+from curlewshift.sharing.terms import SharingTerms
+
+NS = 1_000_000_000
+MS = 1_000_000
+WAY = (0.4 * MS, 2 * MS)
+
+
+@dataclass
+class Shares:
+    """How fronts share in a run: the part of words that is lost, and which fronts hear and are heard by nobody. `counts`,
+    `rights` and `seen` leave a part of it out, to see what it is worth."""
+
+    terms: SharingTerms
+    loss: float = 0.0
+    deaf: set[int] = field(default_factory=set)
+    counts: bool = True
+    rights: bool = True
+    seen: bool = True
+    words: int = 0
+
+
+def usual_terms(window: int, term: int = 2 * NS) -> SharingTerms:
+    return SharingTerms(term=term, drift=0.001, window=max(window, MS), every=NS // 4)
+
+
+class EmulatedSharing:
+    """Sharing's outside for one life of one emulated front."""
+
+    def __init__(self, front, seed: int):
+        self.front, self.world, self.shares = front, front.world, front.world.shared
+        self.chance, self.spoken = Random(f"{seed} shares"), 0
+        order = [door.name for door in self.world.site.doors]
+        me = order.index(front.door)
+        self.life = front.now()
+        self.sharing = Sharing(self, order, me, self.life, self.shares.terms, self.world.site.duties.warm_within, self.chance)
+        self.world.queue.at(front.now() + self.chance.randrange(self.shares.terms.every), self._round)
+
+    def _round(self) -> None:
+        if self.front.alive:
+            self.sharing.time()
+            self.world.queue.at(self.now() + self.shares.terms.every, self._round)
+
+    def _say(self, to: str, what: str, *words) -> None:
+        other = next_front(self.world, to)
+        shares, chance = self.shares, self.chance
+        shares.words += 1
+        if other is None or {self.sharing.me, self.sharing.number_of[to]} & shares.deaf or chance.random() < shares.loss:
+            return
+        self.world.queue.at(self.now() + int(chance.uniform(*WAY)), self._arrives, other, what, words)
+
+    @staticmethod
+    def _arrives(front, what: str, words: tuple) -> None:
+        if front.alive:
+            getattr(front.shared.sharing, what)(*words)
+
+    # ---- sharing's outside
+
+    def now(self) -> int:
+        return self.front.now()
+
+    def servers(self):
+        return self.front.desk.rules.servers
+
+    def rights_of(self, server: Server) -> int:
+        return self.front.desk.rules.rights_of(server)
+
+    def members(self) -> list[str]:
+        return self.world.doors_up
+
+    def ask(self, to: str, number: int, keys: list[str]) -> None:
+        if self.shares.rights:
+            self._say(to, "asked", self.sharing.name, number, keys)
+
+    def lend(self, to: str, number: int, rights: list) -> None:
+        self._say(to, "lent", self.sharing.name, number, rights)
+
+    def give_back_to(self, to: str, number: int, key: str) -> None:
+        self._say(to, "given_back", self.sharing.name, number, key)
+
+    def tell_use(self, to: str, rows: list) -> None:
+        if self.shares.counts:
+            self.spoken += 1
+            self._say(to, "use_told", self.sharing.name, self.life, self.spoken, rows)
+
+    def tell_sums(self, to: str, rows: list) -> None:
+        self.spoken += 1
+        self._say(to, "sums_told", self.sharing.name, self.life, self.spoken, rows)
+
+    def tell_seen(self, to: str, rows: list) -> None:
+        if self.shares.seen:
+            self.spoken += 1
+            self._say(to, "seen_told", self.sharing.name, self.life, self.spoken, rows)
+
+    def rights_held(self, server: Server, rights: list) -> None:
+        self.front.desk.rights_held(server, rights)
+
+    def doubted(self, server: Server, doubted: bool) -> None:
+        if self.shares.seen:
+            self.front.desk.doubted(server, doubted)
+
+    def counted(self, server: Server, use: float, age: int) -> None:
+        if self.shares.counts:
+            self.front.desk.counted(server, use, age)
+
+    def seen_warm(self, server: Server) -> None:
+        if self.shares.seen:
+            self.front.desk.seen_warm(server)
+
+    def clock_off(self, by: float, out: bool) -> None:
+        pass
+
+
+def next_front(world, name: str):
+    """The life of that front that runs now; None if none does."""
+    front = world.fronts[world.number_of_door[name]]
+    return front if front is not None and front.alive else None
--- a/curlewshift/emulator/world.py
+++ b/curlewshift/emulator/world.py
@@ -15,6 +15,7 @@
 from curlewshift.emulator.front import Disk, EmulatedFront
 from curlewshift.emulator.machine import Machine, Session
 from curlewshift.emulator.queue import Buckets
+from curlewshift.emulator.shared import Shares
 from curlewshift.emulator.viewers import Viewers
 from curlewshift.rules import Rules
 from curlewshift.standins.fleet import DRAIN_FOR, LINK_OFF, LONG_AGO, PREEMPT_FOR, RIVAL_PACE
@@ -113,7 +114,9 @@
 
     def __init__(self, script: Script, seed: int, traffic: list | None = None, rules: type[Rules] = Rules,
                  wrong: str = "", forget: bool = False, across: int = 0, loss: float = 0.0, skew: float = 1.0,
-                 curve: Callable[[float], float] = lambda part: 1.0, queue=None, setup_work: float = SETUP_WORK):
+                 curve: Callable[[float], float] = lambda part: 1.0, queue=None, setup_work: float = SETUP_WORK,
+                 shared: Shares | None = None):
+        self.shared = shared
         self.script, self.site, self.traffic, self.rules, self.wrong = script, script.site, traffic, rules, wrong
         self.forget, self.across, self.loss, self.skew, self.curve = forget, across, loss, skew, curve
         self.setup_work, self.seed = setup_work, seed
@@ -137,6 +140,9 @@
         self.disks = [Disk() for _ in self.site.doors]
         self.lives = [0] * len(self.site.doors)
         self.fronts: list[EmulatedFront | None] = [None] * len(self.site.doors)
+        self.number_of_door = {door.name: number for number, door in enumerate(self.site.doors)}
+        # names of those that run, as fronts that know each other have them
+        self.doors_up: list[str] = []
         self.last_heard: dict[str, int] = {}
         self.viewers = Viewers(self, seed)
         self.events = 0
@@ -221,6 +227,8 @@
         front = EmulatedFront(self, number, self.lives[number], self.disks[number],
                               self.seed * 1000 + number * 100 + self.lives[number], self.rules, self.wrong)
         self.fronts[number] = front
+        if front.door not in self.doors_up:
+            self.doors_up.append(front.door)
         self.seen("front-up", front=front.door, life=front.name)
         self.listing.whole(front)
         for name, machine in self.machines.items():
@@ -231,6 +239,7 @@
         self.last_heard[front.name] = self.queue.now
         self.seen("front-down", front=front.door, life=front.name, how="killed")
         self._notes_end(front)
+        self.doors_up.remove(front.door)
         front.kill()
         self.viewers.front_died(front)
 
--- a/curlewshift/experiments/experiment.py
+++ b/curlewshift/experiments/experiment.py
@@ -13,6 +13,8 @@
 
 SCHEMA = Path(__file__).with_name("experiment.xsd")
 MOST_RUNS = 20_000
+# What fronts share in a run, to see what each part is worth.
+SHARED = ("shared", "counts", "rights", "seen")
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +94,9 @@
     if name == "policy":
         known = ("rules", *BASELINES)
         return [] if level in known else [f"there is no policy {level!r}, but {', '.join(known)}"]
+    if name == "shared":
+        known = ("alone", *SHARED)
+        return [] if level in known else [f"there is no way to share {level!r}, but {', '.join(known)}"]
     if name == "trouble":
         known = ("none", *EMULATED)
         return [] if level in known else [f"there is no trouble {level!r}, but {', '.join(known)}"]
--- a/curlewshift/experiments/one_run.py
+++ b/curlewshift/experiments/one_run.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import time
+from random import Random
 
 from curlewshift.baselines.baselines import BASELINES
 from curlewshift.emulator.queue import Runaway
+from curlewshift.emulator.shared import Shares, usual_terms
 from curlewshift.emulator.sizes import made_up
 from curlewshift.emulator.world import World
 from curlewshift.experiments.experiment import Experiment, Run
 from curlewshift.rehearsal.rehearse import figures_of
 from curlewshift.rules import Rules
-from curlewshift.standins.script import usual
+from curlewshift.standins.script import Script, usual
 from curlewshift.verdict.verdict import judge
 
 MS = 1_000_000
@@ -39,7 +41,7 @@
     rules = Rules if policy == "rules" else BASELINES[policy]
     traffic: list[dict] | None = [] if sizes["viewings"] <= JUDGED_TO else None
     world = World(script, run.seed, traffic, rules, across=int(float(levels.get("across", 0)) * MS),
-                  loss=float(levels.get("loss", 0)))
+                  loss=float(levels.get("loss", 0)), shared=shares(levels, script, run.seed))
     began = time.process_time()
     try:
         world.run()
@@ -56,6 +58,17 @@
     return figures
 
 
+def shares(levels: dict[str, str], script: Script, seed: int) -> Shares | None:
+    """How the fronts of a run share; None where each is for itself."""
+    how = levels.get("shared", "alone")
+    if how == "alone":
+        return None
+    fronts = len(script.site.doors)
+    deaf = Random(seed).sample(range(fronts), round(float(levels.get("deaf", 0)) * fronts))
+    parts = {} if how == "shared" else {part: part == how for part in ("counts", "rights", "seen")}
+    return Shares(usual_terms(script.site.duties.fall_within), float(levels.get("words-lost", 0)), set(deaf), **parts)
+
+
 def measured(world: World, cpu: float) -> dict:
     tally = world.viewers.tally
     day = [sample for sample in world.use if 0 <= sample[0] <= world.script.lasts and sample[2]]
--- a/curlewshift/front/control.py
+++ b/curlewshift/front/control.py
@@ -26,7 +26,7 @@
 
 
 class Command(msgspec.Struct):
-    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, or, where the clock may be led, `clock`."""
+    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, or, where the clock may be led, `clock`."""
 
     do: str
     peak: dict = {}
@@ -74,6 +74,9 @@
             if command.do == "peers":
                 peers = self.front.peers
                 return {"ok": True, "peers": peers.channel.show() if peers is not None else None}
+            if command.do == "shared":
+                shared = self.front.shared
+                return {"ok": True, "shared": shared.show() if shared is not None else None}
             if command.do == "clock":
                 return self._lead(command)
             if not command.why.strip():
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -30,6 +30,7 @@
 from curlewshift.limits.permits import BadKeys, Permits, read_keys
 from curlewshift.model import Server
 from curlewshift.peaks.calendar import Calendar, Nonsense
+from curlewshift.peering.shared import SharedWire
 from curlewshift.peering.wire import PeerWire
 from curlewshift.recovery.recovery import Doubt, Found, Recovery, recovery_of
 from curlewshift.retries.endings import Ending
@@ -62,6 +63,7 @@
 
     reach_class = Reach
     peers_class = PeerWire
+    shared_class = SharedWire
 
     def __init__(self, site: Site, number: int, seed: int, state: Path | None, log, life: str = "",
                  desk: type[Desk] = Desk, capture: Path | None = None, led: bool = False, **how):
@@ -113,6 +115,11 @@
         if site.peers is not None:
             self.peers = self.peers_class(site.name, self.door_at, site.peers, self.clock, log,
                                           Random(self.chance.random()))
+        self.shared: SharedWire | None = None
+        if self.peers is not None and site.sharing is not None:
+            self.shared = self.shared_class(
+                self.peers.channel, self.desk, [door.name for door in site.doors], number, site.sharing,
+                site.duties.warm_within, self.clock.now, log, Random(self.chance.random()))
         self.background = Background(self.clock.now(), time.monotonic_ns, self._overran)
         if self.door.admission is not None:
             self.background.add("lines", lambda: self.door.admission.tick(self.now()), self.clock.now(), priority=0,
@@ -214,6 +221,8 @@
             self._follow_servers()
             if self.peers is not None:
                 tasks.start_soon(self.peers.run)
+            if self.shared is not None:
+                tasks.start_soon(self.shared.run)
             listener = await anyio.create_tcp_listener(local_host=self.door_at.host, local_port=self.door_at.port,
                                                        backlog=1024)
             tasks.start_soon(self._signals)
@@ -358,6 +367,8 @@
         vw = tune_in.course.vw
         self.log.info("tune-in", viewing=vw.name, server=tune_in.server.name, rung=tune_in.rung,
                       number=tune_in.number, request=tune_in.course.requests[0].name if tune_in.course.requests else "")
+        if self.shared is not None:
+            self.shared.sharing.sent(tune_in.server)
         self.reach.tune_in(tune_in)
 
     def withdraw(self, tune_in: TuneIn) -> bool:
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -13,8 +13,12 @@
 from curlewshift.front.reach import Reach
 from curlewshift.membership.membership import Membership
 from curlewshift.model import Outcome
+from curlewshift.peering.shared import SharedWire
 from curlewshift.peering.wire import PeerWire
 from curlewshift.rules import NEVER_RAN, Rules
+from curlewshift.sharing.loans import Loans
+from curlewshift.sharing.sharing import Sharing
+from curlewshift.walk.budgets import FAULTS
 
 EVERY = 8
 
@@ -200,6 +204,18 @@
     return Spoilt
 
 
+def lending(loans: type[Loans]) -> type[Front]:
+    class Spoilt(Sharing):
+        loans_class = loans
+
+    class Wire(SharedWire):
+        sharing_class = Spoilt
+
+    class Lender(Front):
+        shared_class = Wire
+    return Lender
+
+
 def spoilt(name: str, *args, **how) -> Front:
     return {
         "lose-answer": lambda: LoseAnswer(*args, **how),
@@ -215,10 +231,11 @@
         "leave-orphans": lambda: LeaveOrphans(*args, **how),
         "deaf-incarnation": lambda: wired(DeafIncarnation)(*args, **how),
         "old-life-taken": lambda: wired(OldLifeTaken)(*args, **how),
+        **{fault: lambda loans=loans: lending(loans)(*args, **how) for fault, loans in FAULTS.items()},
         "never-forget": lambda: wired(NeverForget)(*args, **how),
     }[name]()
 
 
 NAMES = ("lose-answer", "answer-twice", "resend-paid", "ignore-drain", "push-cold", "under-floor", "over-seats",
          "overspend-budget", "double-tune-in", "lost-teardown", "leave-orphans", "deaf-incarnation",
-         "old-life-taken", "never-forget")
+         "old-life-taken", "never-forget", *FAULTS)
--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -57,6 +57,10 @@
     missing_at: int = 0
     climbs_from: int = 0
     playing: dict = field(default_factory=dict)
+    # what the other fronts say that they use together, when that was, and what reports show beyond it
+    counted: float = 0.0
+    counted_at: int = 0
+    strange: float = 0.0
     # room that this front keeps free, by the package it is kept for (kB a second); the host's to set
     holds: dict = field(default_factory=dict)
 
@@ -93,6 +97,12 @@
     trouble_at: int = 0
     full_until: int = 0
     asking: list = field(default_factory=list)
+    # what fronts that share have made of it: the set-ups of its cold pace in a window that are in this front's hands, each
+    # with from and until when (None: nothing is shared), when more were last wanted, and whether others' evidence is
+    # against it
+    rights: list | None = None
+    wanted_at: int = 0
+    doubted: bool = False
 
 
 @dataclass(eq=False, slots=True)
--- /dev/null
+++ b/curlewshift/peering/shared.py
@@ -0,0 +1,172 @@
+"""What a front shares, on the channel: words of sharing/ as bodies of one kind, and their time. Held by front/front.py.
+
+A body that is not well formed is counted and dropped: it costs its sender's words and nothing else.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Annotated
+
+import anyio
+import msgspec
+from msgspec import Meta
+
+from curlewshift.desk.desk import Desk
+from curlewshift.membership.member import Member
+from curlewshift.model import Server
+from curlewshift.peering.channel import Channel
+from curlewshift.sharing.sharing import Sharing
+from curlewshift.sharing.terms import SharingTerms
+
+KIND = 16
+NS = 1_000_000_000
+ASK, LEND, GIVE_BACK, USE, SUMS, SEEN = range(1, 7)
+
+Word = Annotated[str, Meta(min_length=1, max_length=128)]
+Count = Annotated[int, Meta(ge=0, lt=2**62)]
+Amount = Annotated[float, Meta(ge=0, le=1e12)]
+
+
+class Body(msgspec.Struct, array_like=True):
+    """`reading` is the sender's clock (ns), for the watch over clocks; `number` rises within a life, or is an ask's."""
+
+    what: Annotated[int, Meta(ge=1, le=6)]
+    number: Count
+    reading: Count
+    keys: Annotated[list[Word], Meta(max_length=64)] = []
+    rights: Annotated[list[tuple[Word, Count]], Meta(max_length=64)] = []
+    uses: Annotated[list[tuple[Word, Amount]], Meta(max_length=64)] = []
+    sums: Annotated[list[tuple[Word, Amount, Count]], Meta(max_length=64)] = []
+    seen: Annotated[list[tuple[Word, Amount, Amount, Count]], Meta(max_length=64)] = []
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Body)
+
+
+class SharedWire:
+    """Sharing's outside on a channel. `desk` is this front's; `order` are the fronts' names as in the settings."""
+
+    sharing_class = Sharing
+
+    def __init__(self, channel: Channel, desk: Desk, order: list[str], me: int, terms: SharingTerms, warm_within: int,
+                 now, log, chance: Random):
+        self.channel, self.desk, self.log, self.now = channel, desk, log, now
+        self.numbers, self.malformed = 0, 0
+        self.sharing = self.sharing_class(self, order, me, channel.membership.me.life, terms, warm_within, chance)
+        channel.carries(KIND, self.heard)
+
+    async def run(self) -> None:
+        every = self.sharing.terms.every / NS
+        while True:
+            try:
+                self.sharing.time()
+            except Exception as fault:
+                self.log.error("fault", what="sharing", cause=repr(fault), exc_info=fault)
+            await anyio.sleep(every)
+
+    def heard(self, sender: Member, data: bytes) -> None:
+        try:
+            body = DECODER.decode(data)
+        except msgspec.DecodeError:
+            self.malformed += 1
+            return
+        sharing, name, life = self.sharing, sender.name, sender.life
+        sharing.clock_told(name, life, body.reading)
+        if body.what == ASK:
+            sharing.asked(name, body.number, body.keys)
+        elif body.what == LEND:
+            sharing.lent(name, body.number, body.rights)
+        elif body.what == GIVE_BACK:
+            for key in body.keys:
+                sharing.given_back(name, body.number, key)
+        elif body.what == USE:
+            sharing.use_told(name, life, body.number, body.uses)
+        elif body.what == SUMS:
+            sharing.sums_told(name, life, body.number, body.sums)
+        else:
+            sharing.seen_told(name, life, body.number, body.seen)
+
+    def _say(self, to: str, what: int, number: int | None = None, **more) -> None:
+        member = self.channel.membership.members.get(to)
+        if member is None or not member.there:
+            return
+        self.numbers += 1
+        self.channel.say(member, KIND, ENCODER.encode(Body(
+            what, self.numbers if number is None else number, self.now(), **more)))
+
+    # ---- sharing's outside
+
+    def servers(self):
+        return list(self.desk.rules.servers)
+
+    def rights_of(self, server: Server) -> int:
+        return self.desk.rules.rights_of(server)
+
+    def members(self) -> list[str]:
+        return [member.name for member in self.channel.membership.ring]
+
+    def ask(self, to: str, number: int, keys: list[str]) -> None:
+        self._say(to, ASK, number, keys=keys)
+
+    def lend(self, to: str, number: int, rights: list[tuple[str, int]]) -> None:
+        self._say(to, LEND, number, rights=rights)
+
+    def give_back_to(self, to: str, number: int, key: str) -> None:
+        self._say(to, GIVE_BACK, number, keys=[key])
+
+    def tell_use(self, to: str, rows: list[tuple[str, float]]) -> None:
+        self._say(to, USE, uses=rows)
+
+    def tell_sums(self, to: str, rows: list[tuple[str, float, int]]) -> None:
+        self._say(to, SUMS, sums=rows)
+
+    def tell_seen(self, to: str, rows: list[tuple[str, float, float, int]]) -> None:
+        self._say(to, SEEN, seen=rows)
+
+    def rights_held(self, server: Server, rights: list) -> None:
+        self.desk.rights_held(server, rights)
+
+    def doubted(self, server: Server, doubted: bool) -> None:
+        why = [row for row in self.sharing.evidence.why(server.name, self.sharing.steady.last) if row[0] != self.sharing.name]
+        self.log.info("doubted" if doubted else "cleared", server=server.name, cause="; ".join(
+            f"{front} {good:.1f} well {bad:.1f} ill, weight {weight:.2f}" for front, good, bad, weight in why))
+        self.desk.doubted(server, doubted)
+
+    def counted(self, server: Server, use: float, age: int) -> None:
+        self.desk.counted(server, use, age)
+
+    def seen_warm(self, server: Server) -> None:
+        self.log.info("seen-warm", server=server.name, cause="others have used it for longer than it takes to get warm")
+        self.desk.seen_warm(server)
+
+    def clock_off(self, by: float, out: bool) -> None:
+        if out:
+            self.log.error("clock-off", by=round(by, 4), cause="it runs at another pace than those of the peers: this front "
+                           "neither lends nor borrows rights until it does not")
+        else:
+            self.log.info("clock-right-again", by=round(by, 4))
+
+    # ---- for people
+
+    def show(self) -> dict:
+        sharing = self.sharing
+        now, loans = sharing.steady.last, sharing.loans
+        reading = self.now()
+        rows = []
+        for server in self.servers():
+            told = sharing.counts.others.get(server.name)
+            held = server.rights or []
+            in_hand = sum(count for since, until, count in held if since <= reading < until)
+            rows.append({
+                "server": server.name, "rights": in_hand, "own": sharing.part(server.name),
+                "lent_to": sharing.order[loans.lent[server.name][1]] if loans.lent.get(server.name, (0,))[0] > now else "",
+                "borrowed_of": [sharing.order[lender] for lender in loans.borrowed.get(server.name, {})],
+                "used_here": round(server.link.own), "used_by_others": round(told[0]) if told else None,
+                "told_s": round((now - told[1]) / NS, 2) if told else None, "doubted": server.doubted,
+                "evidence": [[front, round(good, 2), round(bad, 2), round(weight, 2)]
+                             for front, good, bad, weight in sharing.evidence.why(server.name, now)]})
+        return {"me": sharing.name, "clock_off": round(sharing.clocks.off(), 5), "out": sharing.out,
+                "quiet_for_s": round(max(0, loans.quiet_until - now) / NS, 2), "given": loans.given, "got": loans.got,
+                "late": loans.late, "refused": loans.refused, "malformed": self.malformed, "servers": rows}
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -21,6 +21,7 @@
 from curlewshift.standins.script import OF_FRONTS, Announced, Script, Trouble
 from curlewshift.standins.traffic import Traffic, read_traffic
 from curlewshift.standins.viewers import Viewers
+from curlewshift.verdict.bounds import judge_bounds
 from curlewshift.verdict.members import judge_members
 from curlewshift.verdict.phases import phases
 from curlewshift.verdict.verdict import Figures, judge
@@ -331,6 +332,8 @@
         if self.relay is not None:
             manners = self.script.site.peers.manners
             verdict["members"] = judge_members(events, manners.period, manners.forget_after)
+        if self.script.site.sharing is not None:
+            verdict["bounds"] = judge_bounds(events, figures_of(self.script.site))
         if self.capture:
             verdict["replays"] = self._replays()
             verdict["replay_differences"] = sum(bool(run["difference"]) for run in verdict["replays"].values())
--- a/curlewshift/rehearsal/table.py
+++ b/curlewshift/rehearsal/table.py
@@ -19,6 +19,9 @@
                  "detected_periods_p99"):
         if "members" in verdict:
             counts.add_row("members: " + name.replace("_", " "), str(verdict["members"][name]))
+    for name in ("checked", "overdrawn", "used_share"):
+        if "bounds" in verdict:
+            counts.add_row("bounds: " + name.replace("_", " "), str(verdict["bounds"][name]))
     rules = Table(title="rules, from the sockets of stand-ins and viewers")
     for name in ("rule", "", "applied", "broken", "verdict"):
         rules.add_column(name)
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -65,6 +65,9 @@
 GAP_WEIGHS = 0.1
 UNUSUAL = 3.0
 FULL_LASTS = SECOND // 2
+# What other fronts count of a link is taken for its use by them so long; their evidence against a server
+# weighs with who has not heard of it for this long.
+COUNTED_LASTS = 2 * SECOND
 # Titles that played here of late; more are kept by none.
 TITLES_KNOWN = 10_000
 FRESH_CAP = 2
@@ -297,6 +300,7 @@
         server.sent = [at for at in server.sent if at > now - self.warm_within]
         if self._own_part_left(server, now):
             return True
+        server.wanted_at = now
         # A front that has just started keeps to its part of the starting pace of all unproven servers at
         # once, one set-up a server: by turns, one of hundreds would have nowhere to send all its warm-up.
         # That holds the mean over fronts; a crowd for one title right after many starts could still pass it.
@@ -306,6 +310,10 @@
         self.unproven_at = now
         return self.unproven_left >= 1
 
+    def rights_of(self, server: Server) -> int:
+        """Set-ups in a window that a cold server bears from all fronts together: what may be dealt out."""
+        return int(min(self.cold_part * server.streams, 10**6))
+
     def _own_part_left(self, server: Server, now: int) -> bool:
         """A cold server falls if all fronts together pass its pace in any window: each keeps to its part.
 
@@ -315,6 +323,10 @@
         window = self.fall_within
         budget = self.cold_part * server.streams
         part = budget / self.fronts
+        if server.rights is not None:
+            # dealt out among the fronts, and lent where they are needed
+            part = sum(count for since, until, count in server.rights if since <= now < until)
+            return sum(at > now - window for at in server.sent) + 1 <= part
         if part < 1:
             length = window * (TURN + 1)
             turn, spent = divmod(now + server.mark % (self.fronts * length), length)
@@ -326,7 +338,10 @@
     # ---- health
 
     def _sick(self, server: Server) -> bool:
-        return faded(server.trouble, self.host.now() - server.trouble_at, TROUBLE_FADES) > TROUBLE_MARK
+        now = self.host.now()
+        if server.doubted and now - server.heard_at > COUNTED_LASTS:
+            return True
+        return faded(server.trouble, now - server.trouble_at, TROUBLE_FADES) > TROUBLE_MARK
 
     def _silent(self, server: Server) -> bool:
         """Silence that is unusual, given the gaps between signs before, while signs are due.
@@ -422,6 +437,8 @@
             link.aged_at = now
 
     def _others(self, link: Link) -> float:
+        if link.counted_at and self.host.now() - link.counted_at < COUNTED_LASTS:
+            return max(0.0, link.counted + link.strange)
         if not link.told:
             return link.usual
         return link.usual + faded(link.others - link.usual, self.host.now() - link.told_at, NEWS_AGES)
@@ -471,6 +488,16 @@
             uplink.others = sum(self._others(one.link) for one in server.rack.servers)
             uplink.told = True
 
+    def counted(self, server: Server, use: float, age: int) -> None:
+        """Of this server's link the other fronts say that they use so much together (kB/s); `age` in ns."""
+        if not server.link.counted_at:
+            server.link.strange = 0.0
+        server.link.counted, server.link.counted_at = use, self.host.now() - age
+
+    def seen_warm(self, server: Server) -> None:
+        """Other fronts have used it for longer than it takes to get warm, and since this one started."""
+        server.unproven_until = 0
+
     def uplink_told(self, server: Server, use: float) -> None:
         self._told(server.rack.link, use)
 
@@ -481,6 +508,9 @@
         others, now = max(0.0, use * link.size - (link.own - link.fresh)), self.host.now()
         # one noisy or late report must not turn the link over: news weighs by the time since the last
         weight = 1 - exp(-(now - link.told_at) / NEWS_SETTLES) if link.told else 1.0
+        if link.counted_at and now - link.counted_at < COUNTED_LASTS:
+            # what uses the link beside the fronts, and what they do not get of what they ask for
+            link.strange += max(weight, NEWS_LEAST) * (others - link.counted - link.strange)
         link.others += max(weight, NEWS_LEAST) * (others - link.others)
         link.told, link.told_at = True, now
 
--- a/curlewshift/sharing/loans.py
+++ b/curlewshift/sharing/loans.py
@@ -1,7 +1,7 @@
 """Rights in escrow: each front has its part of every budget, and may lend it for a term to one that needs it more.
 
-The parts are the even split that a front alone keeps to, so that no count has to be agreed on and none is ever lost: what
-is lent returns by the lender's own clock, after the borrower has stopped by its own. Bounded counters with escrow (O'Neil
+The parts are an even split that each front knows by itself (`dealt`), so that no count has to be agreed on and none is ever
+lost: what is lent returns by the lender's own clock, after the borrower has stopped by its own. Bounded counters with escrow (O'Neil
 1986; Balegas et al. 2015), with a term in place of a return message: a right is in one pair of hands or in none, whatever is
 lost, doubled, late or killed, as long as clocks keep within the stated drift. Membership plays no part in that.
 
@@ -11,19 +11,27 @@
 from __future__ import annotations
 
 from itertools import count
-from typing import Protocol
+from typing import Callable, Protocol
 
 from curlewshift.schedule.steady import Steady
 from curlewshift.sharing.terms import SharingTerms
 
 # Keys of one message, and asks that may be out.
-MOST_KEYS, MOST_OUT = 24, 64
+MOST_KEYS, MOST_OUT = 24, 256
 
 
 class Outside(Protocol):
     def now(self) -> int: ...
     def ask(self, lender: int, number: int, keys: list[str]) -> None: ...
-    def lend(self, borrower: int, number: int, keys: list[str]) -> None: ...
+    def lend(self, borrower: int, number: int, rights: list[tuple[str, int]]) -> None: ...
+    def give_back(self, lender: int, number: int, key: str) -> None: ...
+    def part(self, key: str) -> int: ...
+
+
+def dealt(rights: int, number: int, fronts: int, mark: int) -> int:
+    """How many of so many rights are the number-th front's own. Where fronts hold different views of how many there are, no
+    more are held together than the highest of them says: more rights only go to more fronts."""
+    return rights // fronts + ((number + mark) % fronts < rights % fronts)
 
 
 class Loans:
@@ -39,10 +47,14 @@
         # a borrower may stop too soon, never too late: by the clock as it is, and a step back ends all loans
         self.latest = now
         self.quiet_until = self.steady.last + terms.quiet
-        self.lent: dict[str, int] = {}
-        self.borrowed: dict[str, dict[int, int]] = {}
+        # until when, and by whose ask of which number
+        self.lent: dict[str, tuple[int, int, int]] = {}
+        # until when, how many, and by which ask
+        self.borrowed: dict[str, dict[int, tuple[int, int, int]]] = {}
         self.wanted: dict[str, int] = {}
         self.used: dict[str, int] = {}
+        # borrowed and used
+        self.done: dict[str, None] = {}
         self.out: dict[int, tuple[int, int, frozenset[str]]] = {}
         self.numbers = count(first_number)
         self.withdrawn = False
@@ -50,23 +62,37 @@
 
     # ---- what this front may use
 
-    def may_use(self, key: str) -> list[int]:
-        """The fronts whose part of this budget is in this front's hands now, its own among them."""
+    def may_use(self, key: str) -> int:
+        """How many rights of this budget are in this front's hands now."""
         steady, now = self._read()
-        parts = [] if steady < max(self.quiet_until, self.lent.get(key, 0)) else [self.me]
+        count = 0 if steady < self.own_from(key) else self.outside.part(key)
         held = self.borrowed.get(key)
         if held:
-            for lender in [lender for lender, until in held.items() if now >= until]:
+            for lender in [lender for lender, (until, _, _) in held.items() if now >= until]:
                 del held[lender]
-            if held:
-                parts += held
-            else:
+            count += sum(lent for _, lent, _ in held.values())
+            if not held:
                 del self.borrowed[key]
-        return parts
+        return count
+
+    def own_from(self, key: str) -> int:
+        """From when (steady ns) this front's own part of the budget is in its own hands."""
+        return max(self.quiet_until, self.lent[key][0] if key in self.lent else 0)
 
     def uses(self, key: str) -> None:
         """A right of this budget is used now: `may_use` was asked in the same instant."""
         self.used[key] = self._read()[0]
+        self.wanted.pop(key, None)
+        if key in self.borrowed:
+            self.done[key] = None
+
+    def given_back(self, borrower: int, number: int, key: str) -> None:
+        """It was used a moment ago, perhaps: it rests for as long as any use has to be remembered. A word on an earlier loan
+        than the present one changes nothing."""
+        steady, _ = self._read()
+        held = self.lent.get(key)
+        if held is not None and held[1:] == (borrower, number):
+            self.lent[key] = (min(held[0], steady + self.terms.rest), borrower, number)
 
     def wants(self, key: str) -> None:
         """Something was refused for want of rights: they are asked for before they are short again."""
@@ -82,18 +108,21 @@
             return
         given = []
         for key in keys[:MOST_KEYS]:
-            just_used = key in self.used and steady < self.used[key] + 2 * self.terms.window
-            if steady >= self.lent.get(key, 0) and now >= self.wanted.get(key, 0) and not just_used:
+            # who used its part of late would miss it for longer than the other has it: lent as soon as it rested, the rights
+            # of a budget that all want were used less than without loans (511 of 741 uses in twelve histories)
+            just_used = key in self.used and steady < self.used[key] + self.terms.back_after
+            count = self.outside.part(key)
+            if count and steady >= self.own_from(key) and now >= self.wanted.get(key, 0) and not just_used:
                 # held for lent before a word of it goes out
-                self.lent[key] = steady + self.terms.back_after
-                given.append(key)
+                self.lent[key] = (steady + self.terms.back_after, borrower, number)
+                given.append((key, count))
         if given:
             self.given += len(given)
             self.outside.lend(borrower, number, given)
         else:
             self.refused += 1
 
-    def lends(self, lender: int, number: int, keys: list[str]) -> None:
+    def lends(self, lender: int, number: int, rights: list[tuple[str, int]]) -> None:
         """What was asked for has come; doubled, late or not asked for, it is nothing."""
         _, now = self._read()
         ask = self.out.pop(number, None)
@@ -104,27 +133,41 @@
         if now >= until or self.withdrawn:
             self.late += 1
             return
-        for key in keys:
+        for key, lent in rights:
             if key in ask[2]:
                 self.got += 1
-                self.borrowed.setdefault(key, {})[lender] = until
+                self.borrowed.setdefault(key, {})[lender] = (until, lent, number)
 
-    def time(self, others: list[int]) -> None:
-        """Asks for what is wanted, of so many others in the order given. Each `every`."""
+    def time(self, owners: Callable[[str], list[int]]) -> None:
+        """Asks for what is wanted, each `every`: of so many of those whose part is some, in the order given for each key.
+        One loan a key at a time: who asked for all that there was kept from the others what it did not use."""
         steady, now = self._read()
         self.steady.due = steady + self.terms.every
-        self.lent = {key: until for key, until in self.lent.items() if until > steady}
-        self.used = {key: at for key, at in self.used.items() if at + 2 * self.terms.window > steady}
+        self.lent = {key: held for key, held in self.lent.items() if held[0] > steady}
+        self.used = {key: at for key, at in self.used.items() if at + self.terms.back_after > steady}
         self.wanted = {key: until for key, until in self.wanted.items() if until > now}
         self.out = {number: ask for number, ask in self.out.items() if ask[1] + self.terms.term > now}
+        for key in self.done:
+            # it has done its work, and others wait for it: back before its term
+            for lender, (_, _, number) in self.borrowed.pop(key, {}).items():
+                self.outside.give_back(lender, number, key)
+        self.done.clear()
         if not self.wanted or self.withdrawn:
             return
-        for lender in others[:self.terms.most_asks]:
-            keys = [key for key in self.wanted if lender not in self.borrowed.get(key, ())][:MOST_KEYS]
-            if keys and len(self.out) < MOST_OUT:
-                number = next(self.numbers)
-                self.out[number] = (lender, now, frozenset(keys))
-                self.outside.ask(lender, number, keys)
+        asks: dict[int, list[str]] = {}
+        asked_for = set().union(*(keys for _, since, keys in self.out.values() if now - since < 2 * self.terms.every))
+        for key in self.wanted:
+            if key in asked_for or any(until > now for until, _, _ in self.borrowed.get(key, {}).values()):
+                continue
+            for lender in [one for one in owners(key) if one != self.me][:self.terms.most_asks]:
+                if len(asks.setdefault(lender, [])) < MOST_KEYS:
+                    asks[lender].append(key)
+        for lender, keys in asks.items():
+            if len(self.out) >= MOST_OUT:
+                break
+            number = next(self.numbers)
+            self.out[number] = (lender, now, frozenset(keys))
+            self.outside.ask(lender, number, keys)
 
     def withdraw(self, out: bool) -> None:
         """Its clock is past the bound: it neither lends nor borrows, and stops at once with what it borrowed."""
--- /dev/null
+++ b/curlewshift/sharing/sharing.py
@@ -0,0 +1,275 @@
+"""All that one front shares, brought together: loans of rights, counts of use, evidence on servers. Free of I/O.
+
+Held by peering/shared.py on sockets and by the emulator; both call `time` each `every`, hand on what comes, and carry out
+what is asked of `outside`. It reads the rules' own facts of servers and links, and writes facts that they read.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Iterable, Protocol
+
+from curlewshift.model import Server
+from curlewshift.schedule.steady import Steady
+from curlewshift.sharing.clock_watch import ClockWatch
+from curlewshift.sharing.counts import AGAIN, Counts, picked
+from curlewshift.sharing.evidence import FADES, Evidence
+from curlewshift.sharing.loans import Loans, dealt
+from curlewshift.sharing.terms import SharingTerms
+
+# Rows of one message; evidence is told to so many others a round, what is worst or newest first.
+MOST_ROWS = 16
+TELL_EVIDENCE_TO = 3
+# Links of no use to this front now whose use by others it asks for in one round.
+MOST_INTEREST = 64
+FOR_EVER = 2**63
+
+
+class Outside(Protocol):
+    def now(self) -> int: ...
+    def servers(self) -> Iterable[Server]: ...
+    def rights_of(self, server: Server) -> int: ...
+    def members(self) -> list[str]: ...
+    def ask(self, to: str, number: int, keys: list[str]) -> None: ...
+    def lend(self, to: str, number: int, rights: list[tuple[str, int]]) -> None: ...
+    def give_back_to(self, to: str, number: int, key: str) -> None: ...
+    def tell_use(self, to: str, rows: list[tuple[str, float]]) -> None: ...
+    def tell_sums(self, to: str, rows: list[tuple[str, float, int]]) -> None: ...
+    def tell_seen(self, to: str, rows: list[tuple[str, float, float, int]]) -> None: ...
+    def rights_held(self, server: Server, rights: list) -> None: ...
+    def doubted(self, server: Server, doubted: bool) -> None: ...
+    def counted(self, server: Server, use: float, age: int) -> None: ...
+    def seen_warm(self, server: Server) -> None: ...
+    def clock_off(self, by: float, out: bool) -> None: ...
+
+
+class Watch:
+    """What this front has seen of one server of late: faded counts, and since when it answers without a break."""
+
+    __slots__ = ("good", "bad", "at", "since", "heard_at", "trouble_at")
+
+    def __init__(self, now: int):
+        self.good = self.bad = 0.0
+        self.at, self.since = now, -1
+        self.heard_at = self.trouble_at = 0
+
+
+class Sharing:
+    """`order` are the fronts' names as in the settings, the same at every front; `me` is this one's number in it. `life` is
+    the channel's. `warm_within` (ns) is how long a server takes to get warm."""
+
+    loans_class, evidence_class = Loans, Evidence
+
+    def __init__(self, outside: Outside, order: list[str], me: int, life: int, terms: SharingTerms, warm_within: int,
+                 chance: Random):
+        self.outside, self.order, self.me, self.life, self.terms = outside, order, me, life, terms
+        self.warm_within, self.chance = warm_within, chance
+        self.number_of = {name: number for number, name in enumerate(order)}
+        self.name = order[me]
+        self.loans = self.loans_class(self, me, terms, chance.getrandbits(40))
+        self.counts = Counts(self.name, terms)
+        self.evidence = self.evidence_class(self.name, terms)
+        self.clocks = ClockWatch(terms.drift)
+        self.steady = Steady(outside.now(), terms.window)
+        self.born = self.steady.last
+        self.watches: dict[Server, Watch] = {}
+        self.servers: dict[str, Server] = {}
+        self.wanted_at: dict[Server, int] = {}
+        self.turn = chance.randrange(1 << 16)
+        self.out = False
+
+    # ---- each `every`
+
+    def time(self) -> None:
+        now = self._now()
+        servers = {server.name: server for server in self.outside.servers()}
+        names = [name for name in self.outside.members() if name in self.number_of and name != self.name]
+        self._watch_clock(set(names))
+        self._lend_and_borrow(servers, names)
+        self._tell_use(servers, names, now)
+        self._look(servers, now)
+        self._tell_seen(servers, names, now)
+        self._believe(servers, now)
+        self.counts.forget(now)
+        self.evidence.forget(now)
+
+    def _watch_clock(self, names: set[str]) -> None:
+        self.clocks.forget(names)
+        if self.clocks.past_bound() is not self.out:
+            self.out = not self.out
+            self.loans.withdraw(self.out)
+            self.outside.clock_off(self.clocks.off(), self.out)
+
+    # ---- rights
+
+    def _lend_and_borrow(self, servers: dict[str, Server], names: list[str]) -> None:
+        for server in servers.values():
+            if server.wanted_at != self.wanted_at.get(server, 0):
+                self.wanted_at[server] = server.wanted_at
+                self.loans.wants(server.name)
+        self.servers = servers
+        self.turn += self.terms.most_asks
+        there = {self.number_of[name] for name in names}
+        self.loans.time(lambda key: self._owners(key, there))
+        self._write_rights(servers.values())
+        if len(self.wanted_at) > 2 * len(servers) + 64:
+            self.wanted_at = {server: at for server, at in self.wanted_at.items() if server.name in servers}
+
+    def _owners(self, key: str, there: set[int]) -> list[int]:
+        """Fronts that are in and have a part of this budget, each round from another on, so that all are asked in time."""
+        server, fronts = self.servers.get(key), len(self.order)
+        if server is None:
+            return []
+        rights = self.outside.rights_of(server)
+        owners = [number for number in there if dealt(rights, number, fronts, server.mark)]
+        start = (self.turn + server.mark) % len(owners) if owners else 0
+        return owners[start:] + owners[:start]
+
+    def part(self, key: str) -> int:
+        server = self.servers.get(key)
+        return dealt(self.outside.rights_of(server), self.me, len(self.order), server.mark) if server is not None else 0
+
+    def _write_rights(self, servers: Iterable[Server]) -> None:
+        """As facts for the rules: how many are in this front's hands, from when and until when."""
+        loans, reading = self.loans, self.outside.now()
+        for server in servers:
+            own = loans.own_from(server.name)
+            since = loans.steady.reading_of(own) if own > loans.steady.last else 0
+            rights = [(since, FOR_EVER, self.part(server.name))]
+            for until, count, _ in loans.borrowed.get(server.name, {}).values():
+                if until > reading:
+                    rights.append((0, until, count))
+            if rights != server.rights:
+                self.outside.rights_held(server, rights)
+
+    def sent(self, server: Server) -> None:
+        """A set-up goes to this server now."""
+        self.loans.uses(server.name)
+
+    def ask(self, lender: int, number: int, keys: list[str]) -> None:
+        self.outside.ask(self.order[lender], number, keys)
+
+    def lend(self, borrower: int, number: int, rights: list[tuple[str, int]]) -> None:
+        self.outside.lend(self.order[borrower], number, rights)
+
+    def give_back(self, lender: int, number: int, key: str) -> None:
+        self.outside.give_back_to(self.order[lender], number, key)
+
+    def given_back(self, by: str, number: int, key: str) -> None:
+        if by in self.number_of:
+            self.loans.given_back(self.number_of[by], number, key)
+
+    def now(self) -> int:
+        return self.outside.now()
+
+    def asked(self, by: str, number: int, keys: list[str]) -> None:
+        if by in self.number_of:
+            self.loans.asked(self.number_of[by], number, keys)
+            # it is lent from this moment on, not from the next round
+            self._write_rights(self.servers[key] for key in keys if key in self.servers)
+
+    def lent(self, by: str, number: int, rights: list[tuple[str, int]]) -> None:
+        if by in self.number_of:
+            self.loans.lends(self.number_of[by], number, rights)
+            self._write_rights(self.servers[key] for key, _ in rights if key in self.servers)
+
+    # ---- counts
+
+    def _tell_use(self, servers: dict[str, Server], names: list[str], now: int) -> None:
+        counts = self.counts
+        # whose use by others this front wants to know: what it uses, and others in turn, as it may place there next
+        used = [server for server in servers.values() if server.link.own > 0]
+        rest = [server for server in servers.values() if server.link.own <= 0]
+        if rest:
+            start = counts.round * MOST_INTEREST // AGAIN % len(rest)
+            used += (rest[start:] + rest[:start])[:MOST_INTEREST]
+        interest = {server.name: server.link.own for server in used}
+        counts.wanted(interest)
+        together: dict[str, list[tuple[str, float]]] = {}
+        everyone = [*names, self.name]
+        for key, value in counts.due():
+            together.setdefault(picked(key, everyone), []).append((key, value))
+        for adder, rows in together.items():
+            for at in range(0, len(rows), MOST_ROWS):
+                part = rows[at:at + MOST_ROWS]
+                if adder == self.name:
+                    counts.heard(self.name, self.life, self.counts.round, part, now)
+                    counts.told(self.name, self.life, self.counts.round * 1000 + at, counts.sums(
+                        self.name, [key for key, _ in part], now), now)
+                else:
+                    self.outside.tell_use(adder, part)
+
+    def use_told(self, by: str, life: int, number: int, rows: list[tuple[str, float]]) -> None:
+        """One of the others uses so much; it hears what the rest does."""
+        now = self._now()
+        self.counts.heard(by, life, number, rows, now)
+        self.outside.tell_sums(by, self.counts.sums(by, [key for key, _ in rows], now))
+
+    def sums_told(self, by: str, life: int, number: int, rows: list[tuple[str, float, int]]) -> None:
+        self.counts.told(by, life, number, rows, self._now())
+
+    # ---- evidence
+
+    def _look(self, servers: dict[str, Server], now: int) -> None:
+        """What the rules hold of each server, as counts of good and bad signs."""
+        for server in [server for server in self.watches if server.name not in servers]:
+            del self.watches[server]
+        for server in servers.values():
+            watch = self.watches.get(server)
+            if watch is None:
+                if not server.heard_at and not server.trouble_at:
+                    continue
+                watch = self.watches[server] = Watch(now)
+            left = max(0.0, 1 - (now - watch.at) / FADES)
+            watch.good, watch.bad, watch.at = watch.good * left, watch.bad * left, now
+            if server.trouble_at != watch.trouble_at:
+                watch.trouble_at, watch.bad, watch.since = server.trouble_at, watch.bad + 1, -1
+            if server.heard_at != watch.heard_at:
+                # it could have started again in a long silence
+                silent = server.heard_at - watch.heard_at > self.warm_within // 2
+                watch.heard_at, watch.good = server.heard_at, watch.good + 1
+                if not server.failed and (watch.since < 0 or silent):
+                    watch.since = now
+
+    def _tell_seen(self, servers: dict[str, Server], names: list[str], now: int) -> None:
+        rows = []
+        for server, watch in self.watches.items():
+            if watch.good + watch.bad > 0.2:
+                # what this front has seen itself; what the list says of its start is every front's to read
+                lasting = now - watch.since if watch.since >= 0 else 0
+                rows.append((server.name, round(watch.good, 2), round(watch.bad, 2), lasting))
+        self.evidence.heard(self.name, self.life, self.counts.round, rows, now)
+        # the bad first, then in turn: all are told some time
+        rows.sort(key=lambda row: row[2] < 0.5)
+        bad = [row for row in rows if row[2] >= 0.5][:MOST_ROWS // 2]
+        well = rows[len(bad):]
+        if well:
+            start = self.counts.round * (MOST_ROWS - len(bad)) % len(well)
+            bad += (well[start:] + well[:start])[:MOST_ROWS - len(bad)]
+        if bad and names:
+            for name in self.chance.sample(names, min(TELL_EVIDENCE_TO, len(names))):
+                self.outside.tell_seen(name, bad)
+
+    def seen_told(self, by: str, life: int, number: int, rows: list[tuple[str, float, float, int]]) -> None:
+        self.evidence.heard(by, life, number, rows, self._now())
+
+    def _believe(self, servers: dict[str, Server], now: int) -> None:
+        doubted, reading = self.evidence.doubts(now), self.outside.now()
+        for server in servers.values():
+            if server.doubted is not (server.name in doubted):
+                self.outside.doubted(server, server.name in doubted)
+            told = self.counts.of_others(server.name, now)
+            if told is not None:
+                self.outside.counted(server, *told)
+            if server.unproven_until > reading and self.evidence.warm(server.name, self.warm_within, self.born, now):
+                self.outside.seen_warm(server)
+
+    def clock_told(self, by: str, life: int, reading: int) -> None:
+        self.clocks.heard(by, life, reading, self.outside.now())
+
+    # ---- time
+
+    def _now(self) -> int:
+        now = self.steady.read(self.outside.now())
+        self.steady.due = now + self.terms.every
+        return now
--- a/curlewshift/sharing/terms.py
+++ b/curlewshift/sharing/terms.py
@@ -16,7 +16,7 @@
     drift: float
     window: int
     every: int
-    most_asks: int = 4
+    most_asks: int = 1
     # a count told so long ago is worth half, and after four times that nothing
     ages: int = 2 * SECOND
 
@@ -27,6 +27,11 @@
         A step back that is smaller than the time between two looks at the clock is seen by nobody: two looks are added."""
         return int((self.term + 2 * self.window + 2 * self.every) * (1 + self.drift) / (1 - self.drift)) + 1
 
+    @property
+    def rest(self) -> int:
+        """What a right rests after its borrower gave it back: two windows, on the slowest clock."""
+        return int(2 * self.window * (1 + self.drift) / (1 - self.drift)) + 1
+
     @property
     def quiet(self) -> int:
         """A front that starts does not know what an earlier life lent: it uses nothing of its own until all that is over."""
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -9,6 +9,7 @@
 from curlewshift.limits.admission import Bounds
 from curlewshift.membership.manners import Manners, usual_manners
 from curlewshift.model import Package, Terms
+from curlewshift.sharing.terms import SharingTerms
 from curlewshift.site.reading import Mistakes, rate, read_xml, span
 
 SECOND = 1_000_000_000
@@ -95,6 +96,8 @@
     limits: Bounds | None = None
     # None: each front is for itself
     peers: Peers | None = None
+    # None: fronts that know each other share nothing
+    sharing: SharingTerms | None = None
 
     def door(self, name: str) -> int:
         """The number of the front of that name. Raises `KeyError`."""
@@ -148,11 +151,12 @@
     doors = [Door(front.get("name"), *host_port(front.get("listen")), *_peer_places(front, wrong))
              for front in fronts.iterfind("front")]
     peers = _peers(fronts, doors, wrong)
+    sharing = _sharing(fronts, duties, wrong)
     if wrong:
         raise Mistakes(path, wrong)
     return Site(
         name=root.get("name"), list_at=host_port(root.find("list").get("address")),
-        doors=doors, peers=peers, packages=packages, machines=machines, titles=titles, duties=duties,
+        doors=doors, peers=peers, sharing=sharing, packages=packages, machines=machines, titles=titles, duties=duties,
         uplinks={rack.get("name"): rate(rack.get("uplink")) for rack in root.iterfind("racks/rack")},
         most_waiting=int(fronts.get("most-waiting", "2000")),
         most_connections=int(fronts.get("most-connections-to-a-server", "64")),
@@ -212,6 +216,25 @@
                  usual_manners(period, most_members=int(element.get("most-members", "4096")), **more), most_bytes)
 
 
+def _sharing(fronts, duties: Duties, wrong: list[tuple[int, str]]) -> SharingTerms | None:
+    element = fronts.find("sharing")
+    if element is None:
+        return None
+    line = element.sourceline
+    if fronts.find("peers") is None:
+        wrong.append((line, "sharing: there are no peers to share with"))
+    term, every = span(element.get("term", "1500ms")), span(element.get("every", "250ms"))
+    drift = float(element.get("drift", "0.01"))
+    if not SHORTEST_PERIOD // 2 <= every <= SECOND:
+        wrong.append((line, "sharing: every should be from 50ms to 1s"))
+    if term < 2 * every:
+        wrong.append((line, "sharing: a term under two rounds is over before it is used"))
+    if drift > 0.2:
+        wrong.append((line, "sharing: drift is the part by which a clock may be off, 0.2 at most"))
+    # as long as set-ups at a cold server are counted together; without such a duty a moment
+    return SharingTerms(term, drift, max(duties.fall_within, SECOND // 100), every)
+
+
 def _files(folder: Path, fronts) -> dict:
     """Files are named from where the settings are."""
     tokens, tls, servers = (fronts.find(name) for name in ("tokens", "tls", "servers-tls"))
--- a/curlewshift/verdict/verdict.py
+++ b/curlewshift/verdict/verdict.py
@@ -247,7 +247,7 @@
     arrivals: dict[tuple[str, str], list[dict]] = defaultdict(list)
     for setup in day.by_kind["setup"]:
         arrivals[setup["server"], setup["boot"]].append(setup)
-    knew = _knowledge(day)
+    knew = knowledge(day)
     for boot in day.by_kind["boot"]:
         if boot["at"] - boot["born"] >= figures.warm_within:
             continue
@@ -269,7 +269,7 @@
                 break
 
 
-def _knowledge(day: Day):
+def knowledge(day: Day):
     """Whether the front of a set-up had to know that this start may be cold: told of it, a witness of how the life
     before failed, or started after it."""
     told: dict[tuple[str, str], list[int]] = defaultdict(list)
--- a/curlewshift/walk/budgets.py
+++ b/curlewshift/walk/budgets.py
@@ -21,9 +21,9 @@
 # A window by the fastest clock, in true units: what each counts by its own is no shorter.
 TRUE_WINDOW = TERMS.window / (1 + DRIFT)
 KEY = "k"
-# Rights are lent by the first front to the others. Any front lends and borrows alike, and what is borrowed is never lent on,
-# so that what breaks between some lender and its borrowers breaks here.
-LENDER = 0
+# The one right is the first front's own, and is lent to the others. What is borrowed is never lent on and each part is lent
+# whole, so that what breaks between some lender and its borrowers breaks here.
+LENDER, RIGHTS = 0, 1
 # Messages under way; one more pushes the oldest out. None need be lost otherwise: one that never arrives is lost. All may
 # arrive again as long as they are under way.
 MOST_MESSAGES = 2
@@ -48,12 +48,18 @@
     def ask(self, lender: int, number: int, keys: list[str]) -> None:
         self.world.send(("ask", self.number, lender, number, self.world.lives[self.number]))
 
-    def lend(self, borrower: int, number: int, keys: list[str]) -> None:
+    def lend(self, borrower: int, number: int, rights: list[tuple[str, int]]) -> None:
         self.world.send(("lend", self.number, borrower, number, 0))
 
+    def give_back(self, lender: int, number: int, key: str) -> None:
+        self.world.send(("back", self.number, lender, number, 0))
+
+    def part(self, key: str) -> int:
+        return RIGHTS if self.number == LENDER else 0
+
 
 class BudgetWorld:
-    """`rates` are units of each front's clock a tick; one right a front and window."""
+    """`rates` are units of each front's clock a tick."""
 
     def __init__(self, rates: tuple[int, ...], loans: type[Loans] = Loans, messages: int = MOST_MESSAGES):
         self.rates, self.kind, self.messages = rates, loans, messages
@@ -81,6 +87,7 @@
             twin.steady.due = front.steady.due
             twin.lent, twin.wanted, twin.used, twin.out = (
                 dict(front.lent), dict(front.wanted), dict(front.used), dict(front.out))
+            twin.done = dict(front.done)
             twin.borrowed = {key: dict(held) for key, held in front.borrowed.items()}
             twin.numbers = copy(front.numbers)
             other.fronts.append(twin)
@@ -92,12 +99,14 @@
         for front, now in zip(self.fronts, self.clocks):
             steady = front.steady.last
             # what a borrower wants and has used is asked of nobody here
-            lends = (max(0, front.lent.get(KEY, 0) - steady), min(9, steady - front.used.get(KEY, -9))
+            until, *loan = front.lent.get(KEY, (0,))
+            lends = (max(0, until - steady), tuple(loan) if until > steady else (), min(9, steady - front.used.get(KEY, -9))
                      ) if front.me == LENDER else ()
             fronts.append((
                 max(0, front.quiet_until - steady), lends,
-                tuple(sorted((lender, until - now) for lender, until in front.borrowed.get(KEY, {}).items() if until > now)),
-                tuple(sorted((now - ask[1], number) for number, ask in front.out.items() if now - ask[1] < TERMS.term))))
+                tuple(sorted((lender, until - now, number) for lender, (until, _, number)
+                             in front.borrowed.get(KEY, {}).items() if until > now)),
+                bool(front.done), tuple(sorted((now - ask[1], number) for number, ask in front.out.items() if now - ask[1] < TERMS.term))))
         recent = tuple(sorted((self.tick - tick, who) for tick, who, clock in self.uses
                               if (self.tick - tick) * UNITS < TRUE_WINDOW))
         return tuple(fronts), tuple(self.network), recent, sum(self.lives), tuple(
@@ -125,10 +134,10 @@
                 self.tick += 1
                 for number, rate in enumerate(self.rates):
                     self.clocks[number] += rate
-                    self.fronts[number].time([])
+                    self.fronts[number].time(lambda key: [])
         elif kind == "want":
             self.fronts[step[1]].wants(KEY)
-            self.fronts[step[1]].time([LENDER])
+            self.fronts[step[1]].time(lambda key: [LENDER])
         elif kind == "use":
             self.use(step[1])
         elif kind == "restart":
@@ -139,8 +148,10 @@
             what, sender, to, number, _ = step[1]
             if what == "ask":
                 self.fronts[to].asked(sender, number, [KEY])
+            elif what == "lend":
+                self.fronts[to].lends(sender, number, [(KEY, RIGHTS)])
             else:
-                self.fronts[to].lends(sender, number, [KEY])
+                self.fronts[to].given_back(sender, number, KEY)
 
     def restarted(self, number: int) -> Loans:
         # numbers of asks go on from another place in each life, as drawn ones do
@@ -154,7 +165,7 @@
         """As the rules count: so many in the window by its own clock as there are parts in its hands."""
         now = self.clocks[number]
         used = sum(now - clock < TERMS.window for _, who, clock in self.uses if who == number)
-        return used < len(self.fronts[number].may_use(KEY))
+        return used < self.fronts[number].may_use(KEY)
 
     def use(self, number: int) -> None:
         """All it may use at this moment."""
@@ -162,8 +173,8 @@
             self.fronts[number].uses(KEY)
             self.uses.append((self.tick, number, self.clocks[number]))
         together = sum((self.tick - tick) * UNITS < TRUE_WINDOW for tick, _, _ in self.uses)
-        if together > len(self.fronts):
-            raise Broken(f"{together} uses within one window of a budget of {len(self.fronts)}")
+        if together > RIGHTS:
+            raise Broken(f"{together} uses within one window of a budget of {RIGHTS}")
 
 
 @dataclass
@@ -216,15 +227,11 @@
 class NoTerm(Loans):
     """Keeps what it borrowed for ever."""
 
-    def may_use(self, key):
-        held = self.borrowed.get(key, {})
-        return list({*super().may_use(key), *held})
-
-    def lends(self, lender, number, keys):
-        super().lends(lender, number, keys)
-        for key in keys:
+    def lends(self, lender, number, rights):
+        super().lends(lender, number, rights)
+        for key, lent in rights:
             if lender in self.borrowed.get(key, {}):
-                self.borrowed[key][lender] = 2**62
+                self.borrowed[key][lender] = (2**62, lent, number)
 
 
 class RightsSurviveRestart(Loans):
