--- /dev/null
+++ b/curlewshift/emulator/lease_histories.py
@@ -0,0 +1,252 @@
+"""Random histories of fronts that ask for leases, and that no two hold one at the same true time, nor a number comes twice.
+
+Keepers and askers are the program's own, both in each front as in a process; words are lost, doubled and late, fronts are
+killed, stopped and started, clocks run within the drift. The world alone knows the true time and judges by it.
+"""
+
+from __future__ import annotations
+
+import heapq
+from itertools import count
+from random import Random
+
+from curlewshift.leases.asker import Asker
+from curlewshift.leases.keeper import Keeper
+from curlewshift.leases.terms import LeaseTerms
+
+MS = 1_000_000
+TERMS = LeaseTerms(term=2000 * MS, drift=0.02, every=200 * MS)
+LASTS = 60_000 * MS
+
+
+class TwoHolders(Exception):
+    """Two fronts held one lease at the same moment, or a later tenure's number was not higher."""
+
+
+class LeaseFront:
+    def __init__(self, history: LeaseHistory, number: int):
+        self.history, self.number = history, number
+        chance = history.chance
+        self.rate, self.offset = 1 + chance.uniform(-1, 1) * TERMS.drift, chance.randrange(10**12)
+        self.paused_until, self.life, self.alive = 0, 0, False
+        self.asker: Asker | None = None
+        self.keeper: Keeper | None = None
+
+    def start(self) -> None:
+        history = self.history
+        self.life += 1
+        self.alive, self.paused_until = True, 0
+        self.asker = history.askers(self, self.number, self.life, list(range(history.keepers_count)), TERMS,
+                                    Random(f"{history.seed} {self.number} {self.life}"))
+        self.keeper = history.keepers(self, TERMS)
+        for lease in history.names:
+            self.asker.want(lease)
+
+    def now(self) -> int:
+        return int(self.history.now * self.rate) + self.offset
+
+    def wall(self) -> int:
+        return 10**18 + self.history.now + self.history.wall_off
+
+    # ---- askers' words
+
+    def prepare(self, keeper, lease, ballot) -> None:
+        self.history.say(self, keeper, "keeper", "prepare", (self.number, lease, ballot))
+
+    def propose(self, keeper, lease, ballot, fence) -> None:
+        self.history.say(self, keeper, "keeper", "propose", (self.number, lease, ballot, fence))
+
+    def release(self, keeper, lease, ballot) -> None:
+        self.history.say(self, keeper, "keeper", "released", (self.number, lease, ballot))
+
+    def begins(self, lease, fence) -> None:
+        self.history.began(self, lease, fence)
+
+    def stops(self, lease, why) -> None:
+        pass
+
+    # ---- keepers' words
+
+    def promise(self, asker, lease, ballot, holder, of, fence) -> None:
+        self.history.say(self, asker, "asker", "promise", (self.number, lease, ballot, holder, of, fence))
+
+    def accept(self, asker, lease, ballot) -> None:
+        self.history.say(self, asker, "asker", "accepted", (self.number, lease, ballot))
+
+    def outbid(self, asker, lease, ballot, by) -> None:
+        self.history.say(self, asker, "asker", "outbid", (self.number, lease, ballot, by))
+
+
+class LeaseHistory:
+    def __init__(self, seed: int, fronts: int = 0, keepers: int = 0, leases: int = 0, asker: type[Asker] = Asker,
+                 keeper: type[Keeper] = Keeper, troubled: bool = True):
+        self.seed, self.chance, self.now = seed, Random(f"leases {seed}"), 0
+        chance = self.chance
+        self.askers, self.keepers = asker, keeper
+        size = fronts or chance.randint(3, 8)
+        self.keepers_count = keepers or min(size, chance.choice((3, 3, 5)))
+        self.names = [f"l{n}" for n in range(leases or chance.randint(1, 3))]
+        self.loss, self.doubled = chance.choice((0, 0.1, 0.4)), chance.choice((0, 0.3))
+        self.late, self.wall_off = chance.choice((5, 100, 5000)) * MS, 0
+        self.queue: list[tuple] = []
+        self.order = count()
+        self.fences: dict[str, int] = {}
+        self.tenures = self.acts = 0
+        # (since, until) in true time without a holder
+        self.held_at: dict[str, int] = {}
+        self.gaps: list[int] = []
+        self.words = 0
+        self.fronts = [LeaseFront(self, number) for number in range(size)]
+        for front in self.fronts:
+            front.start()
+            self.at(chance.randrange(TERMS.every), self._round, front)
+        self.at(0, self._look)
+        if troubled:
+            self.at(3000 * MS, self._trouble)
+
+    def at(self, when: int, call, *arguments) -> None:
+        heapq.heappush(self.queue, (when, next(self.order), call, arguments))
+
+    def run(self, until: int = LASTS) -> LeaseHistory:
+        """Raises `TwoHolders`."""
+        while self.queue and self.queue[0][0] < until:
+            self.now, _, call, arguments = heapq.heappop(self.queue)
+            call(*arguments)
+        return self
+
+    def say(self, sender: LeaseFront, to: int, part: str, what: str, words: tuple) -> None:
+        self.words += 1
+        if to == sender.number:
+            # itself it hears at once, and always
+            self.at(self.now, self._arrives, to, sender.life, part, what, words)
+            return
+        for _ in range(2 if self.chance.random() < self.doubled else 1):
+            if self.chance.random() >= self.loss:
+                self.at(self.now + 1 + self.chance.randrange(self.late), self._arrives, to, 0, part, what, words)
+
+    def _arrives(self, to: int, life: int, part: str, what: str, words: tuple) -> None:
+        front = self.fronts[to]
+        if not front.alive or life and life != front.life:
+            return
+        if front.paused_until > self.now:
+            self.at(front.paused_until, self._arrives, to, life, part, what, words)
+        else:
+            getattr(getattr(front, part), what)(*words)
+
+    def _round(self, front: LeaseFront) -> None:
+        if front.alive and front.paused_until <= self.now:
+            front.keeper.time()
+            front.asker.time()
+        self.at(self.now + TERMS.every, self._round, front)
+
+    def _look(self) -> None:
+        """Who may act at this moment: it is asked of each as it would ask itself before an act."""
+        for lease in self.names:
+            holders = [front for front in self.fronts if front.alive and front.paused_until <= self.now
+                       and front.asker.may_act(lease)]
+            if len(holders) > 1:
+                raise TwoHolders(f"{lease}: {' and '.join(str(front.number) for front in holders)} at {self.now / 1e9:.3f} s")
+            if holders:
+                self.acts += 1
+                before = self.held_at.get(lease)
+                if before is not None:
+                    self.gaps.append(self.now - before)
+                self.held_at[lease] = self.now
+        self.at(self.now + 17 * MS, self._look)
+
+    def began(self, front: LeaseFront, lease: str, fence: int) -> None:
+        self.tenures += 1
+        if fence <= self.fences.get(lease, 0):
+            raise TwoHolders(f"{lease}: number {fence} after {self.fences[lease]}")
+        self.fences[lease] = fence
+
+    def _trouble(self) -> None:
+        front, kind = self.chance.choice(self.fronts), self.chance.random()
+        if kind < 0.3:
+            front.start()
+        elif kind < 0.4:
+            front.alive = False
+            self.at(self.now + self.chance.randrange(8000 * MS), self._back, front, front.life)
+        elif kind < 0.7:
+            front.paused_until = self.now + self.chance.randrange(8000 * MS)
+        elif kind < 0.8:
+            for one in self.chance.sample(self.fronts, len(self.fronts)):
+                one.start()
+        else:
+            self.loss = self.chance.choice((0, 0.3, 1.0))
+        self.at(self.now + self.chance.randrange(6000 * MS), self._trouble)
+
+    def _back(self, front: LeaseFront, life: int) -> None:
+        if front.life == life:
+            front.start()
+
+
+def broken(seeds: range, **how) -> list[tuple[int, str]]:
+    """Seeds of histories in which two held at once, or a number did not rise, with what was seen."""
+    found = []
+    for seed in seeds:
+        try:
+            LeaseHistory(seed, **how).run()
+        except TwoHolders as two:
+            found.append((seed, str(two)))
+    return found
+
+
+# ---- planted faults
+
+class NoSilenceAfterStart(Keeper):
+    def __init__(self, outside, terms):
+        super().__init__(outside, terms)
+        self.silent_until = 0
+
+
+class DriftIgnored(Keeper):
+    """Lets go when the bare term is over by its own clock."""
+
+    def propose(self, asker, lease, ballot, fence):
+        super().propose(asker, lease, ballot, fence)
+        kept = self.leases.get(lease)
+        if kept is not None and kept.accepted == ballot:
+            kept.until = self.steady.last + self.terms.term
+
+
+class MajorityOfTwo(Asker):
+    """Takes two for a majority, however many keepers there are."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.majority = min(2, len(self.keepers))
+
+
+class RenewAfterEnd(Asker):
+    """Goes on holding while it tries to renew, though its term is over."""
+
+    def may_act(self, lease):
+        held = self.tries.get(lease)
+        return held.fence if held is not None and held.until else 0
+
+    def time(self):
+        now = self._now()
+        for held in self.tries.values():
+            if held.until and now >= held.until:
+                held.until = now + self.terms.every
+        super().time()
+
+
+class FenceNotRaised(Asker):
+    def _propose(self, lease, held, now):
+        super()._propose(lease, held, now)
+        held.fence = max(1, held.highest_fence)
+
+
+class ActWithoutLook(Asker):
+    """Believes at an act what it knew at its last round."""
+
+    def may_act(self, lease):
+        held = self.tries.get(lease)
+        return held.fence if held is not None and held.until else 0
+
+
+FAULTS = {"no-silence-after-start": dict(keeper=NoSilenceAfterStart), "drift-ignored": dict(keeper=DriftIgnored),
+          "majority-of-two": dict(asker=MajorityOfTwo), "renew-after-end": dict(asker=RenewAfterEnd),
+          "fence-not-raised": dict(asker=FenceNotRaised), "act-without-look": dict(asker=ActWithoutLook)}
--- a/curlewshift/walk/budgets.py
+++ b/curlewshift/walk/budgets.py
@@ -7,13 +7,11 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from copy import copy
-from dataclasses import dataclass
-from itertools import count
 
 from curlewshift.sharing.loans import Loans
 from curlewshift.sharing.terms import SharingTerms
+from curlewshift.walk.explore import Broken, Walked, explore
 
 # A tick is four units of a true clock; a clock at the bound shows three or five.
 UNITS, DRIFT = 4, 0.25
@@ -32,10 +30,6 @@
 MOST_RESTARTS = 1
 
 
-class Broken(Exception):
-    """More was used in one window than there is."""
-
-
 class End:
     """A front's outside. Its messages go into the world's network."""
 
@@ -177,41 +171,9 @@
             raise Broken(f"{together} uses within one window of a budget of {RIGHTS}")
 
 
-@dataclass
-class Walked:
-    states: int
-    steps: int
-    depth: int
-    breach: str = ""
-    course: tuple = ()
-    cut_off: bool = False
-
-
 def walk_budgets(depth: int, rates: tuple[int, ...] = (3, 4, 5), loans: type[Loans] = Loans, most: int = 10**9,
                  messages: int = MOST_MESSAGES) -> Walked:
-    """Breadth first, so that a course that breaks the sum is a shortest one. Stops after `most` states, and says so."""
-    first = BudgetWorld(rates, loans, messages)
-    seen, front, steps = {first.state()}, [(first, ())], 0
-    for level in count(1):
-        if level > depth or not front:
-            return Walked(len(seen), steps, level - 1)
-        after = []
-        for world, course in front:
-            for step in world.steps():
-                steps += 1
-                other = world.copied()
-                try:
-                    other.take(step)
-                except Broken as broken:
-                    return Walked(len(seen), steps, level, str(broken), (*course, step))
-                state = other.state()
-                if state not in seen:
-                    seen.add(state)
-                    after.append((other, (*course, step)))
-                    if len(seen) >= most:
-                        return Walked(len(seen), steps, level, cut_off=True)
-        front = after
-    raise AssertionError
+    return explore(BudgetWorld(rates, loans, messages), depth, most)
 
 
 # ---- planted faults: each has to give a shortest course that breaks the sum
@@ -244,6 +206,3 @@
 
 FAULTS = {"right-given-twice": RightGivenTwice, "no-term": NoTerm, "rights-survive-restart": RightsSurviveRestart}
 
-
-def tally(walked: Walked) -> Counter:
-    return Counter(step[0] for step in walked.course)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -2,15 +2,20 @@
 
 import random
 import unittest
+from unittest import mock
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as some
 
-from curlewshift.emulator.loan_histories import LoanHistory, Overdrawn, overdrawn
+from curlewshift.emulator.loan_histories import LoanHistory, overdrawn
+from curlewshift.emulator.peers import PeerFleet
 from curlewshift.emulator.shared import Shares, usual_terms
 from curlewshift.emulator.sizes import made_up
 from curlewshift.emulator.world import World
 from curlewshift.experiments.one_run import measured
+from curlewshift.membership.manners import usual_manners
+from curlewshift.peering.shared import KIND, SharedWire
 from curlewshift.sharing.clock_watch import APART, ClockWatch
 from curlewshift.sharing.counts import Counts, picked
 from curlewshift.sharing.evidence import Evidence
@@ -19,6 +24,8 @@
 from curlewshift.standins.script import Trouble
 from curlewshift.verdict.bounds import judge_bounds
 from curlewshift.walk.budgets import FAULTS, walk_budgets
+from tests.desk_fake import FakeOutside
+from tests.fake import Story
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -375,6 +382,110 @@
         self.assertFalse(self.watch(1.5, (1.0,)).past_bound())
 
 
+class OnTheChannel(unittest.TestCase):
+    """Words as bytes between two fronts, on the channel that serves."""
+
+    def pair(self):
+        fleet = PeerFleet(2, 1, usual_manners(SECOND // 2))
+        fleet.start()
+        fleet.until(fleet.agreed, 5)
+        ends = []
+        for post in fleet.posts:
+            desk = FakeOutside(servers=1, fronts=2).desk
+            ends.append(SharedWire(post.channel, desk, ["f0", "f1"], post.number, TERMS, 8 * SECOND, post.now, mock.Mock(),
+                                   random.Random(post.number)))
+        return fleet, ends
+
+    def rounds(self, fleet, ends, seconds):
+        for _ in range(int(seconds * 4)):
+            for end in ends:
+                end.sharing.time()
+            fleet.run(0.25)
+
+    def test_use_is_heard_of_and_a_right_goes_where_it_is_wanted(self):
+        fleet, (one, other) = self.pair()
+        server = next(iter(one.desk.rules.servers))
+        server.link.own = 300.0
+        # one right in all, after the silence of the start
+        with mock.patch.object(type(one.desk.rules), "rights_of", lambda rules, server: 1):
+            self.rounds(fleet, (one, other), 5)
+            there = next(iter(other.desk.rules.servers))
+            self.assertAlmostEqual(there.link.counted, 300.0)
+            owner, wanting = (one, other) if one.sharing.part("s0") else (other, one)
+            wanting.servers()[0].wanted_at = 1
+            self.rounds(fleet, (one, other), 1)
+            self.assertEqual((sum(count for since, until, count in wanting.servers()[0].rights if since <= wanting.now()),
+                              owner.sharing.loans.given), (1, 1))
+            shown = next(row for row in owner.show()["servers"] if row["server"] == "s0")
+            self.assertEqual((shown["rights"], shown["own"], shown["lent_to"]), (0, 1, wanting.sharing.name))
+
+    def test_what_is_malformed_is_counted_and_costs_nothing_else(self):
+        fleet, (one, other) = self.pair()
+        to = one.channel.membership.members["f1"]
+        for body in (b"", b"\xc1", msgspec.msgpack.encode([9, 1, 1]), msgspec.msgpack.encode([4, 1, 1, [], [], [["s", -1.0]]]),
+                     msgspec.msgpack.encode([4, 1, 1, [], [], [["s", float("nan")]]])):
+            one.channel.say(to, KIND, body)
+        self.rounds(fleet, (one, other), 1)
+        self.assertEqual((other.malformed, other.channel.membership.size), (5, 2))
+
+
+class InTheRules(unittest.TestCase):
+    """What is shared reaches the rules as facts; without them each decides as alone."""
+
+    def cold(self, **changed):
+        story = Story(1, fronts=40, **changed)
+        story.list(story.servers[0], started=story.host.clock)
+        return story, story.servers[0]
+
+    def test_rights_in_hand_bound_what_is_sent_in_place_of_the_even_part(self):
+        story, server = self.cold()
+        now = story.host.clock
+        self.assertEqual(story.rules.rights_of(server), 2)
+        server.rights = [(now + SECOND, 2**62, 1)]
+        self.assertFalse(story.rules._may_send(server))
+        self.assertEqual(server.wanted_at, now)
+        server.rights = [(0, now + SECOND, 1)]
+        self.assertTrue(story.rules._may_send(server))
+        server.sent.append(now)
+        self.assertFalse(story.rules._may_send(server))
+        story.later(SECOND + 1)
+        self.assertFalse(story.rules._may_send(server))
+
+    def test_a_count_stands_in_place_of_reports_while_it_is_fresh(self):
+        story = Story(1, size=1000.0)
+        rules, link = story.rules, story.servers[0].link
+        rules.link_told(story.servers[0], 0.9)
+        reported = rules._use(link)
+        rules.counted(story.servers[0], 100.0, 0)
+        self.assertAlmostEqual(rules._use(link), 100.0)
+        # what reports go on to show beyond it is added
+        for _ in range(20):
+            story.later(SECOND)
+            rules.counted(story.servers[0], 100.0, 0)
+            rules.link_told(story.servers[0], 0.5)
+        self.assertAlmostEqual(rules._use(link), 500.0, delta=30)
+        story.later(3 * SECOND)
+        self.assertNotEqual(rules._use(link), reported)
+        self.assertAlmostEqual(rules._use(link), rules._others(link))
+
+    def test_doubt_weighs_with_who_has_not_heard_of_the_server_of_late(self):
+        story = Story(1)
+        server = story.servers[0]
+        server.doubted = True
+        story.rules.link_told(server, 0.1)
+        self.assertFalse(story.rules._sick(server))
+        story.later(3 * SECOND)
+        self.assertTrue(story.rules._sick(server))
+
+    def test_a_server_that_others_used_for_long_is_unproven_no_more(self):
+        story = Story(1, warm=False, fronts=400)
+        server = story.servers[0]
+        server.sent.append(story.host.clock)
+        self.assertFalse(story.rules._may_send(server))
+        story.rules.seen_warm(server)
+        self.assertTrue(story.rules._may_send(server))
+
+
 class Together(unittest.TestCase):
     """Deployments in virtual time, with the fronts' own desks and rules; figures are simulated."""
 
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -74,6 +74,19 @@
                 ('most-bytes="64kB/s"', 'most-bytes="1kB/s"', "leaves no room for news")):
             self.assertIn(words, self.wrong((old, new), text=fleet))
 
+    def test_sharing_is_read_and_what_cannot_be_is_told(self):
+        bounds = (EXAMPLES / "bounds-site.xml").read_text()
+        self.path.write_text(bounds)
+        sharing = read_site(self.path).sharing
+        self.assertEqual((sharing.term, sharing.drift, sharing.window, sharing.every),
+                         (1_500_000_000, 0.01, 1_000_000_000, 250_000_000))
+        line = '<sharing term="1500ms" drift="0.01" every="250ms"/>'
+        for new, words in ((line.replace("1500ms", "300ms"), "a term under two rounds"),
+                           (line.replace("0.01", "0.5"), "0.2 at most"),
+                           (line.replace("250ms", "5ms"), "every should be from 50ms to 1s")):
+            self.assertIn(words, self.wrong((line, new), text=bounds))
+        self.assertIn("there are no peers to share with", self.wrong(("  </fronts>", line + "</fronts>")))
+
     def test_other_mistakes_in_plain_words(self):
         for changes, words in (
                 ([("<list address", "<lists address")], "expected list here, but lists came"),
