Leases for fleet-wide tasks: PaxosLease, numbers that fence, one prober a shard, judged from sockets

Need: work that is to be done once was done by every front. Keepers named in the site file decide by majority, without a disk: one that starts keeps still for the longest a lease may have been kept. A holder counts its term from before it asked. Acts bear the tenure's number, and a server refuses a lower one.

--- a/curlewshift/commands/main.py
+++ b/curlewshift/commands/main.py
@@ -7,7 +7,7 @@
 import click
 
 # Each lies in the file of its name, under its name.
-NOUNS = ("authority", "capture", "check", "experiment", "front", "limits", "measure", "node", "peak", "peers", "rehearse", "replay",
+NOUNS = ("authority", "capture", "check", "experiment", "front", "leases", "limits", "measure", "node", "peak", "peers", "rehearse", "replay",
          "search", "shared", "standin", "walk")
 
 
--- a/curlewshift/commands/rehearse.py
+++ b/curlewshift/commands/rehearse.py
@@ -62,5 +62,6 @@
     differ = [life for life, run in verdict.get("replays", {}).items() if run["difference"]]
     for life in differ:
         click.echo(f"the replay of {life} is not the same: {verdict['replays'][life]['difference']}", err=True)
-    members = verdict.get("members", {}).get("broken", False) or verdict.get("bounds", {}).get("overdrawn", 0)
+    members = verdict.get("members", {}).get("broken", False) or verdict.get("bounds", {}).get("overdrawn", 0) or (
+        verdict.get("leases", {}).get("overlaps", 0))
     sys.exit(1 if broken or differ or members or verdict["left_standing"] or verdict["orphans_left"] else 0)
--- a/curlewshift/commands/walk.py
+++ b/curlewshift/commands/walk.py
@@ -11,21 +11,27 @@
          "paid-seats": dict(paid=True, seats=1, clients=2)}
 
 
-def _walk_budgets(depth: int, fault: str | None) -> None:
-    """Over the fastest, slowest and true clock at each front in turn."""
+def _walk_between_fronts(of: str, depth: int, fault: str | None) -> None:
+    """Over the fastest, slowest and true clock at each in turn."""
     from itertools import permutations
-
-    from curlewshift.sharing.loans import Loans
-    from curlewshift.walk.budgets import DRIFT, FAULTS, UNITS, walk_budgets
-    if fault is not None and fault not in FAULTS:
-        click.echo(f"there is no fault {fault!r}, but {', '.join(FAULTS)}", err=True)
+    if of == "budgets":
+        from curlewshift.walk import budgets as world
+        faults = {name: {"loans": loans} for name, loans in world.FAULTS.items()}
+        walked = world.walk_budgets
+    else:
+        from curlewshift.emulator.lease_histories import FAULTS as faults
+        from curlewshift.walk import leases as world
+        walked = world.walk_leases
+    if fault is not None and fault not in faults:
+        click.echo(f"there is no fault {fault!r}, but {', '.join(faults)}", err=True)
         sys.exit(2)
+    units, drift = world.UNITS, world.DRIFT
     states = steps = 0
-    for rates in permutations((round(UNITS * (1 - DRIFT)), UNITS, round(UNITS * (1 + DRIFT)))):
-        done = walk_budgets(depth, rates, FAULTS[fault] if fault else Loans)
+    for rates in permutations((round(units * (1 - drift)), units, round(units * (1 + drift)))):
+        done = walked(depth, rates, **(faults[fault] if fault else {}))
         states, steps = states + done.states, steps + done.steps
         if done.breach:
-            click.echo(f"rule broken: {done.breach}; clocks at {rates} of {UNITS}", err=True)
+            click.echo(f"rule broken: {done.breach}; clocks at {rates} of {units}", err=True)
             for step in done.course:
                 click.echo("  " + " ".join(str(part) for part in step), err=True)
             sys.exit(1)
@@ -34,17 +40,17 @@
 
 @click.command()
 @click.argument("kind", type=click.Choice(list(KINDS)), required=False)
-@click.option("--of", "of", type=click.Choice(["viewings", "budgets"]), default="viewings",
-              help="Viewings at a front, or rights that fronts lend each other.")
-@click.option("--fault", help="With --of budgets: plant this fault, and see the shortest course that breaks the sum.")
+@click.option("--of", "of", type=click.Choice(["viewings", "budgets", "leases"]), default="viewings",
+              help="Viewings at a front, rights that fronts lend each other, or leases.")
+@click.option("--fault", help="With --of budgets or leases: plant this fault, and see a shortest course that breaks the promise.")
 @click.option("--depth", type=click.IntRange(0, 16), default=5, help="Steps of each course.")
 @click.option("--settle-all", is_flag=True, help="Look at what comes of each state, and not of the last ones alone.")
 @click.option("--crashes", type=click.IntRange(1, 100_000), help="Instead: so many long courses, killed at each step.")
 @click.option("--seed", type=int, default=1, help="For the long courses.")
 def walk(kind, of, fault, depth, settle_all, crashes, seed):
     """Walk all orders in which things can happen to one viewing (or two that want one seat), and check the rules."""
-    if of == "budgets":
-        _walk_budgets(depth, fault)
+    if of != "viewings":
+        _walk_between_fronts(of, depth, fault)
         return
     if kind is None:
         raise click.UsageError(f"a kind of viewing is needed: {', '.join(KINDS)}")
--- a/curlewshift/emulator/lease_histories.py
+++ b/curlewshift/emulator/lease_histories.py
@@ -15,7 +15,7 @@
 from curlewshift.leases.terms import LeaseTerms
 
 MS = 1_000_000
-TERMS = LeaseTerms(term=2000 * MS, drift=0.02, every=200 * MS)
+TERMS = LeaseTerms(term=2000 * MS, drift=0.1, every=200 * MS)
 LASTS = 60_000 * MS
 
 
@@ -27,7 +27,7 @@
     def __init__(self, history: LeaseHistory, number: int):
         self.history, self.number = history, number
         chance = history.chance
-        self.rate, self.offset = 1 + chance.uniform(-1, 1) * TERMS.drift, chance.randrange(10**12)
+        self.rate, self.offset = 1 + chance.choice((-1, 1, chance.uniform(-1, 1))) * TERMS.drift, chance.randrange(10**12)
         self.paused_until, self.life, self.alive = 0, 0, False
         self.asker: Asker | None = None
         self.keeper: Keeper | None = None
--- a/curlewshift/front/control.py
+++ b/curlewshift/front/control.py
@@ -26,7 +26,7 @@
 
 
 class Command(msgspec.Struct):
-    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, or, where the clock may be led, `clock`."""
+    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `release`, or, where the clock may be led, `clock`."""
 
     do: str
     peak: dict = {}
@@ -77,10 +77,15 @@
             if command.do == "shared":
                 shared = self.front.shared
                 return {"ok": True, "shared": shared.show() if shared is not None else None}
+            if command.do == "leases":
+                leased = self.front.leased
+                return {"ok": True, "leases": leased.show() if leased is not None else None}
             if command.do == "clock":
                 return self._lead(command)
             if not command.why.strip():
                 raise Nonsense("say why: it goes into the log with your name")
+            if command.do == "release":
+                return self._release(command, who)
             if command.do == "announce":
                 return await self._announce(command, who)
             if command.do == "cancel":
@@ -123,6 +128,14 @@
         self.front.log.info("clock-led", rate=command.rate, step_s=command.step / 1e9)
         return {"ok": True}
 
+    def _release(self, command: Command, who: str) -> dict:
+        leased = self.front.leased
+        if leased is None or command.name not in {row["lease"] for row in leased.show()["leases"]}:
+            raise Nonsense(f"there is no lease {command.name!r} here")
+        leased.tasks.release(command.name)
+        self.front.log.info("lease-released", lease=command.name, who=who, cause=command.why)
+        return {"ok": True}
+
     def _limits(self) -> dict:
         front, admission = self.front, self.front.door.admission
         gate = {"connections": len(front.gate.lines), "most_connections": front.gate.most, "dropped": front.gate.dropped,
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -30,6 +30,7 @@
 from curlewshift.limits.permits import BadKeys, Permits, read_keys
 from curlewshift.model import Server
 from curlewshift.peaks.calendar import Calendar, Nonsense
+from curlewshift.peering.leased import LeaseWire
 from curlewshift.peering.shared import SharedWire
 from curlewshift.peering.wire import PeerWire
 from curlewshift.recovery.recovery import Doubt, Found, Recovery, recovery_of
@@ -64,6 +65,7 @@
     reach_class = Reach
     peers_class = PeerWire
     shared_class = SharedWire
+    leased_class = LeaseWire
 
     def __init__(self, site: Site, number: int, seed: int, state: Path | None, log, life: str = "",
                  desk: type[Desk] = Desk, capture: Path | None = None, led: bool = False, **how):
@@ -120,6 +122,12 @@
             self.shared = self.shared_class(
                 self.peers.channel, self.desk, [door.name for door in site.doors], number, site.sharing,
                 site.duties.warm_within, self.clock.now, log, Random(self.chance.random()))
+        self.leased: LeaseWire | None = None
+        if self.peers is not None and site.leases is not None:
+            wants = site.leases
+            self.leased = self.leased_class(
+                self.peers.channel, self, [door.name for door in site.doors], number, wants.keepers, wants.terms,
+                wants.shards, wants.probe_each, log, Random(self.chance.random()))
         self.background = Background(self.clock.now(), time.monotonic_ns, self._overran)
         if self.door.admission is not None:
             self.background.add("lines", lambda: self.door.admission.tick(self.now()), self.clock.now(), priority=0,
@@ -223,6 +231,8 @@
                 tasks.start_soon(self.peers.run)
             if self.shared is not None:
                 tasks.start_soon(self.shared.run)
+            if self.leased is not None:
+                tasks.start_soon(self.leased.run)
             listener = await anyio.create_tcp_listener(local_host=self.door_at.host, local_port=self.door_at.port,
                                                        backlog=1024)
             tasks.start_soon(self._signals)
@@ -254,6 +264,8 @@
         with anyio.move_on_after(longest + 1):
             while self.desk.waiting:
                 await anyio.sleep(0.02)
+        if self.leased is not None:
+            self.leased.leave()
         if self.peers is not None:
             await self.peers.leave()
         await anyio.sleep(0.05)
--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -292,13 +292,14 @@
         answered = await self._call(ending.server, "DELETE", ending.session.path)
         self.desk.session_ended(ending, answered is not None and answered.status < 500)
 
-    def probe(self, server: Server) -> None:
-        self.tasks.start_soon(self._probe, server)
+    def probe(self, server: Server, fence: str = "") -> None:
+        """`fence` is lease and number where it is asked for all fronts; a server that knows a higher one refuses it."""
+        self.tasks.start_soon(self._probe, server, fence)
 
-    async def _probe(self, server: Server) -> None:
+    async def _probe(self, server: Server, fence: str) -> None:
+        headers = [("x-front", self.name), *([("x-fence", fence)] if fence else [])]
         try:
-            answered = await ask(*host_port(server.name), "GET", "/load", [("x-front", self.name)], within=PATIENT,
-                                 tls=self.tls)
+            answered = await ask(*host_port(server.name), "GET", "/load", headers, within=PATIENT, tls=self.tls)
         except NeverSent:
             self.desk.probed(server, Outcome.UNREACHED)
         except Broken:
@@ -306,6 +307,9 @@
         except TimeoutError:
             self.desk.probed(server, Outcome.SILENT)
         else:
+            if answered.status == 412:
+                self.log.warning("fenced", server=server.name, cause=f"a later holder than {fence} has acted there")
+                return
             well = answered.status < 300
             self.desk.probed(server, Outcome.PLAYED if well else Outcome.ERROR,
                              decode_load(answered.headers.get(HEADER, "")))
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -8,11 +8,15 @@
 from dataclasses import replace
 
 from curlewshift.desk.desk import Desk
+from curlewshift.emulator.lease_histories import FAULTS as LEASE_FAULTS
 from curlewshift.front.door import Door
 from curlewshift.front.front import Front
 from curlewshift.front.reach import Reach
+from curlewshift.leases.asker import Asker
+from curlewshift.leases.keeper import Keeper
 from curlewshift.membership.membership import Membership
 from curlewshift.model import Outcome
+from curlewshift.peering.leased import LeaseWire
 from curlewshift.peering.shared import SharedWire
 from curlewshift.peering.wire import PeerWire
 from curlewshift.rules import NEVER_RAN, Rules
@@ -204,6 +208,15 @@
     return Spoilt
 
 
+def leasing(asker: type[Asker] = Asker, keeper: type[Keeper] = Keeper) -> type[Front]:
+    class Wire(LeaseWire):
+        asker_class, keeper_class = asker, keeper
+
+    class Holder(Front):
+        leased_class = Wire
+    return Holder
+
+
 def lending(loans: type[Loans]) -> type[Front]:
     class Spoilt(Sharing):
         loans_class = loans
@@ -232,10 +245,11 @@
         "deaf-incarnation": lambda: wired(DeafIncarnation)(*args, **how),
         "old-life-taken": lambda: wired(OldLifeTaken)(*args, **how),
         **{fault: lambda loans=loans: lending(loans)(*args, **how) for fault, loans in FAULTS.items()},
+        **{fault: lambda how_so=how_so: leasing(**how_so)(*args, **how) for fault, how_so in LEASE_FAULTS.items()},
         "never-forget": lambda: wired(NeverForget)(*args, **how),
     }[name]()
 
 
 NAMES = ("lose-answer", "answer-twice", "resend-paid", "ignore-drain", "push-cold", "under-floor", "over-seats",
          "overspend-budget", "double-tune-in", "lost-teardown", "leave-orphans", "deaf-incarnation",
-         "old-life-taken", "never-forget", *FAULTS)
+         "old-life-taken", "never-forget", *FAULTS, *LEASE_FAULTS)
--- a/curlewshift/leases/asker.py
+++ b/curlewshift/leases/asker.py
@@ -34,6 +34,7 @@
     promised: dict[int, tuple[int, Ballot]] = field(default_factory=dict)
     accepted: set[int] = field(default_factory=set)
     proposing: bool = False
+    renews: bool = False
     proposed_at: int = 0
     fence: int = 0
     highest_fence: int = 0
@@ -109,8 +110,8 @@
         held.highest_fence = max(held.highest_fence, fence)
         if holder >= 0 and holder != self.me:
             held.holder = holder
-        free = [one for one, (who, by) in held.promised.items()
-                if who < 0 or who == self.me and by.life == self.life and held.until > now]
+        # what this life holds or has held is its own to take: it knows whether it acts
+        free = [one for one, (who, by) in held.promised.items() if who < 0 or who == self.me and by.life == self.life]
         if len(free) >= self.majority:
             self._propose(lease, held, now)
 
@@ -127,6 +128,9 @@
         if now >= until or not held.wanted:
             return
         begins = not held.until
+        if begins and held.renews:
+            # it was to be a renewal, and its number is that of a tenure that has ended meanwhile
+            return
         held.until, held.since, held.holder = until, held.proposed_at, self.me
         if begins:
             self.outside.begins(lease, held.fence)
@@ -152,8 +156,8 @@
             self.outside.prepare(keeper, lease, held.ballot)
 
     def _propose(self, lease: str, held: Try, now: int) -> None:
-        held.proposing, held.proposed_at = True, now
-        if not held.until:
+        held.proposing, held.proposed_at, held.renews = True, now, held.until > now
+        if not held.renews:
             # over restarts of all keepers nothing is remembered but the time of day
             held.fence = max(held.highest_fence + 1, self.outside.wall() // 1_000_000)
         for keeper in self.keepers:
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -22,6 +22,7 @@
 from curlewshift.standins.traffic import Traffic, read_traffic
 from curlewshift.standins.viewers import Viewers
 from curlewshift.verdict.bounds import judge_bounds
+from curlewshift.verdict.leases import judge_leases
 from curlewshift.verdict.members import judge_members
 from curlewshift.verdict.phases import phases
 from curlewshift.verdict.verdict import Figures, judge
@@ -334,6 +335,8 @@
             verdict["members"] = judge_members(events, manners.period, manners.forget_after)
         if self.script.site.sharing is not None:
             verdict["bounds"] = judge_bounds(events, figures_of(self.script.site))
+        if self.script.site.leases is not None:
+            verdict["leases"] = judge_leases(events)
         if self.capture:
             verdict["replays"] = self._replays()
             verdict["replay_differences"] = sum(bool(run["difference"]) for run in verdict["replays"].values())
--- a/curlewshift/rehearsal/table.py
+++ b/curlewshift/rehearsal/table.py
@@ -22,6 +22,9 @@
     for name in ("checked", "overdrawn", "used_share"):
         if "bounds" in verdict:
             counts.add_row("bounds: " + name.replace("_", " "), str(verdict["bounds"][name]))
+    for name in ("acts", "handovers", "overlaps", "refused_stale", "longest_gap_s"):
+        if "leases" in verdict:
+            counts.add_row("leases: " + name.replace("_", " "), str(verdict["leases"][name]))
     rules = Table(title="rules, from the sockets of stand-ins and viewers")
     for name in ("rule", "", "applied", "broken", "verdict"):
         rules.add_column(name)
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -6,6 +6,7 @@
 from ipaddress import ip_address
 from pathlib import Path
 
+from curlewshift.leases.terms import LeaseTerms
 from curlewshift.limits.admission import Bounds
 from curlewshift.membership.manners import Manners, usual_manners
 from curlewshift.model import Package, Terms
@@ -98,6 +99,8 @@
     peers: Peers | None = None
     # None: fronts that know each other share nothing
     sharing: SharingTerms | None = None
+    # None: nothing is done once for the whole fleet
+    leases: Leases | None = None
 
     def door(self, name: str) -> int:
         """The number of the front of that name. Raises `KeyError`."""
@@ -117,6 +120,16 @@
             further_share=duties.further_share, look_back=duties.look_back)
 
 
+@dataclass(slots=True)
+class Leases:
+    """`probe_each` (ns) is how often each media server is asked for all fronts."""
+
+    keepers: list[str]
+    terms: LeaseTerms
+    shards: int
+    probe_each: int
+
+
 def host_port(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return host.strip("[]"), int(port)
@@ -152,11 +165,12 @@
              for front in fronts.iterfind("front")]
     peers = _peers(fronts, doors, wrong)
     sharing = _sharing(fronts, duties, wrong)
+    leases = _leases(fronts, doors, wrong)
     if wrong:
         raise Mistakes(path, wrong)
     return Site(
         name=root.get("name"), list_at=host_port(root.find("list").get("address")),
-        doors=doors, peers=peers, sharing=sharing, packages=packages, machines=machines, titles=titles, duties=duties,
+        doors=doors, peers=peers, sharing=sharing, leases=leases, packages=packages, machines=machines, titles=titles, duties=duties,
         uplinks={rack.get("name"): rate(rack.get("uplink")) for rack in root.iterfind("racks/rack")},
         most_waiting=int(fronts.get("most-waiting", "2000")),
         most_connections=int(fronts.get("most-connections-to-a-server", "64")),
@@ -235,6 +249,33 @@
     return SharingTerms(term, drift, max(duties.fall_within, SECOND // 100), every)
 
 
+def _leases(fronts, doors: list[Door], wrong: list[tuple[int, str]]) -> Leases | None:
+    element = fronts.find("leases")
+    if element is None:
+        return None
+    line = element.sourceline
+    if fronts.find("peers") is None:
+        wrong.append((line, "leases: there are no peers that could hold them"))
+    keepers, names = element.get("keepers").split(), {door.name for door in doors}
+    for name in keepers:
+        if name not in names:
+            wrong.append((line, f"leases: there is no front {name!r} to be a keeper"))
+    if len(set(keepers)) < len(keepers) or len(keepers) % 2 == 0:
+        wrong.append((line, "leases: keepers should be an odd number of different fronts: an even one bears no more losses"))
+    term, every = span(element.get("term", "4s")), span(element.get("every", "250ms"))
+    drift = float(element.get("drift", "0.01"))
+    if not SHORTEST_PERIOD // 2 <= every <= SECOND:
+        wrong.append((line, "leases: every should be from 50ms to 1s"))
+    if term < 8 * every:
+        wrong.append((line, "leases: a term under eight rounds leaves no time to renew"))
+    if drift > 0.2:
+        wrong.append((line, "leases: drift is the part by which a clock may be off, 0.2 at most"))
+    shards = int(element.get("shards", "8"))
+    if shards > 64:
+        wrong.append((line, "leases: 64 shards at most"))
+    return Leases(keepers, LeaseTerms(term, drift, every), shards, span(element.get("probe-each", "1s")))
+
+
 def _files(folder: Path, fronts) -> dict:
     """Files are named from where the settings are."""
     tokens, tls, servers = (fronts.find(name) for name in ("tokens", "tls", "servers-tls"))
--- a/curlewshift/standins/server.py
+++ b/curlewshift/standins/server.py
@@ -99,6 +99,8 @@
         self.setup_work = setup_work
         self.boot = f"{chance.getrandbits(32):08x}"
         self.sessions: dict[str, Session] = {}
+        # the highest number that each fleet-wide task has come with
+        self.fences: dict[str, int] = {}
         self.media: dict[str, Session] = {}
         self.listeners: dict[str, Listener] = {}
         self.lines: set[Line] = set()
@@ -135,6 +137,16 @@
         self.link.asked = 0.0
         self.traffic.seen("dead", server=self.name, boot=self.boot, playing=len(self.sessions))
 
+    def _passes(self, fence: str, front: str) -> bool:
+        """An act on a lease comes with the number of its tenure; one that is under way from an earlier tenure is too late."""
+        lease, _, text = fence.partition(";")
+        number = int(text) if text.isdecimal() else 0
+        passes = number >= self.fences.get(lease, 0)
+        if passes:
+            self.fences[lease] = number
+        self.traffic.seen("act", server=self.name, front=front, lease=lease, number=number, accepted=passes)
+        return passes
+
     def die(self) -> None:
         """At once, with a reset to everyone."""
         for line in list(self.lines):
@@ -220,7 +232,11 @@
         elif parts == ["sessions", "adopt"] and exchange.method == "POST":
             await self._adopt(exchange)
         elif parts[0] == "load" and exchange.method == "GET":
-            await exchange.answer(204, [(HEADER, encode_load(self.report))])
+            fence = exchange.headers.get("x-fence", "")
+            if fence and not self._passes(fence, exchange.headers.get("x-front", "")):
+                await exchange.answer(412, [])
+            else:
+                await exchange.answer(204, [(HEADER, encode_load(self.report))])
         else:
             await exchange.problem(404, "there is nothing at this path")
 
--- /dev/null
+++ b/curlewshift/walk/leases.py
@@ -0,0 +1,230 @@
+"""All orders in which two askers and three keepers of one lease can hear each other, and that two never hold it at once.
+
+Askers and keepers are the program's own; the world has the true time and the words under way. A word that is never handed on
+is lost; an answer may be kept back and handed on later, or never; the last word of an earlier try may come in at any time, as
+often as it likes. Keepers are alike, so that states that differ only in which is which are one. Called by
+`curlewshift walk --of leases` and by tests.
+"""
+
+from __future__ import annotations
+
+from copy import copy
+from itertools import permutations
+from random import Random
+
+from curlewshift.leases.asker import Asker, Try
+from curlewshift.leases.ballots import NONE
+from curlewshift.leases.keeper import Keeper
+from curlewshift.leases.terms import LeaseTerms
+from curlewshift.walk.explore import Broken, Walked, explore
+
+# A tick is four units of a true clock; one at the bound shows three or five.
+UNITS, DRIFT = 4, 0.25
+TERMS = LeaseTerms(term=8, drift=DRIFT, every=4)
+LEASE, KEEPERS, ASKERS = "l", 3, 2
+# One step over as many ticks as a keeper on the slowest clock keeps what it accepted.
+LONG = -(-TERMS.kept // 3)
+# Answers that are kept back, and restarts of keepers or askers in one course.
+MOST_BACK, MOST_RESTARTS = 1, 1
+
+
+class AskerEnd:
+    def __init__(self, world: LeaseWorld, number: int):
+        self.world, self.number = world, number
+
+    def now(self) -> int:
+        return self.world.clocks[self.number]
+
+    def wall(self) -> int:
+        return 0
+
+    def prepare(self, keeper, lease, ballot) -> None:
+        self.world.asks[self.number, keeper] = ("prepare", ballot, 0)
+
+    def propose(self, keeper, lease, ballot, fence) -> None:
+        self.world.asks[self.number, keeper] = ("propose", ballot, fence)
+        self.world.stale[self.number] = ("propose", ballot, fence)
+
+    def release(self, keeper, lease, ballot) -> None:
+        self.world.asks[self.number, keeper] = ("released", ballot, 0)
+
+    def begins(self, lease, fence) -> None:
+        pass
+
+    def stops(self, lease, why) -> None:
+        pass
+
+
+class KeeperEnd:
+    def __init__(self, world: LeaseWorld, number: int):
+        self.world, self.number = world, number
+
+    def now(self) -> int:
+        return self.world.clocks[ASKERS + self.number]
+
+    def promise(self, asker, lease, ballot, holder, of, fence) -> None:
+        self.world.answer = (asker, "promise", (self.number, lease, ballot, holder, of, fence))
+
+    def accept(self, asker, lease, ballot) -> None:
+        self.world.answer = (asker, "accepted", (self.number, lease, ballot))
+
+    def outbid(self, asker, lease, ballot, by) -> None:
+        self.world.answer = (asker, "outbid", (self.number, lease, ballot, by))
+
+
+class LeaseWorld:
+    """`rates`: units of the askers' clocks a tick, then of the keepers', which run alike."""
+
+    def __init__(self, rates: tuple[int, int, int], asker: type[Asker] = Asker, keeper: type[Keeper] = Keeper):
+        self.rates = (*rates[:2], *[rates[2]] * KEEPERS)
+        self.kinds = asker, keeper
+        self.clocks = [1000] * (ASKERS + KEEPERS)
+        self.lives, self.restarts = [1] * ASKERS, 0
+        self.asks: dict[tuple[int, int], tuple] = {}
+        self.stale: dict[int, tuple] = {}
+        self.back: list[tuple] = []
+        self.answer: tuple | None = None
+        self.askers = [self._asker(number) for number in range(ASKERS)]
+        self.keepers = []
+        for number in range(KEEPERS):
+            made = keeper(KeeperEnd(self, number), TERMS)
+            # as if it had run for long
+            made.silent_until = 0
+            self.keepers.append(made)
+
+    def _asker(self, number: int) -> Asker:
+        made = self.kinds[0](AskerEnd(self, number), number, self.lives[number], list(range(KEEPERS)), TERMS, Random(1))
+        made.tries[LEASE] = Try()
+        return made
+
+    def copied(self) -> LeaseWorld:
+        other = copy(self)
+        other.clocks, other.lives, other.asks, other.stale, other.back = (
+            list(self.clocks), list(self.lives), dict(self.asks), dict(self.stale), list(self.back))
+        other.askers, other.keepers = [], []
+        for number, asker in enumerate(self.askers):
+            twin = copy(asker)
+            twin.outside = AskerEnd(other, number)
+            held = twin.tries[LEASE] = copy(asker.tries[LEASE])
+            held.promised, held.accepted = dict(held.promised), set(held.accepted)
+            twin.tries = {LEASE: held}
+            other.askers.append(twin)
+        for number, keeper in enumerate(self.keepers):
+            twin = copy(keeper)
+            twin.outside, twin.steady = KeeperEnd(other, number), copy(keeper.steady)
+            twin.leases = {lease: copy(kept) for lease, kept in keeper.leases.items()}
+            other.keepers.append(twin)
+        return other
+
+    def state(self) -> tuple:
+        ballots = {NONE}
+        for asker in self.askers:
+            held = asker.tries[LEASE]
+            ballots |= {held.ballot, *(of for _, of in held.promised.values())}
+        for keeper in self.keepers:
+            for kept in keeper.leases.values():
+                ballots |= {kept.promised, kept.accepted}
+        ballots |= {ask[1] for ask in self.asks.values()} | {ask[1] for ask in self.stale.values()}
+        ballots |= {words[2] for _, _, words in self.back}
+        rank = {ballot: (index, ballot.front) for index, ballot in enumerate(sorted(ballots))}
+
+        def seen(order: tuple[int, ...]) -> tuple:
+            place = {keeper: at for at, keeper in enumerate(order)}
+            askers = []
+            for number, asker in enumerate(self.askers):
+                held, now = asker.tries[LEASE], self.clocks[number]
+                askers.append((
+                    rank[held.ballot], held.asked_at >= 0, held.proposing, held.renews, max(0, held.until - now),
+                    held.proposed_at - now if held.proposing else 0,
+                    tuple(sorted((place[keeper], who, rank[of]) for keeper, (who, of) in held.promised.items()))
+                    if held.asked_at >= 0 and not held.proposing else (),
+                    tuple(sorted(place[keeper] for keeper in held.accepted)) if held.proposing else (),
+                    tuple(sorted((place[keeper], ask[0], rank[ask[1]]) for (who, keeper), ask in self.asks.items()
+                                 if who == number)),
+                    rank[self.stale[number][1]] if number in self.stale else ()))
+            keepers = []
+            for keeper in order:
+                one = self.keepers[keeper]
+                kept = one.leases.get(LEASE)
+                steady = one.steady.last
+                keepers.append((max(0, one.silent_until - steady),) if kept is None else (
+                    max(0, one.silent_until - steady), rank[kept.promised], rank[kept.accepted], kept.holder,
+                    max(0, kept.until - steady)))
+            back = tuple(sorted((to, what, place[words[0]], rank[words[2]], words[3:5] if what == "promise" else ())
+                                for to, what, words in self.back))
+            return tuple(askers), tuple(keepers), back, self.restarts
+        return min((seen(order) for order in permutations(range(KEEPERS))), key=repr)
+
+    # ---- what can happen
+
+    def steps(self) -> list[tuple]:
+        found: list[tuple] = [("tick",), ("long",)]
+        for number, asker in enumerate(self.askers):
+            found.append(("ask", number))
+        for number, keeper in self.asks:
+            found.append(("trip", number, keeper))
+            if len(self.back) < MOST_BACK:
+                found.append(("half", number, keeper))
+        for number in self.stale:
+            found += [("stale", number, keeper) for keeper in range(KEEPERS)]
+        found += [("answer", index) for index in range(len(self.back))]
+        if self.restarts < MOST_RESTARTS:
+            found += [("keeper", keeper) for keeper in range(KEEPERS)] + [("asker", number) for number in range(ASKERS)]
+        return found
+
+    def take(self, step: tuple) -> None:
+        kind = step[0]
+        if kind in ("tick", "long"):
+            for _ in range(LONG if kind == "long" else 1):
+                for number, rate in enumerate(self.rates):
+                    self.clocks[number] += rate
+                for keeper in self.keepers:
+                    keeper.time()
+        elif kind == "ask":
+            asker = self.askers[step[1]]
+            asker.may_act(LEASE)
+            asker._ask(LEASE, asker.tries[LEASE], asker._now())
+        elif kind in ("trip", "half"):
+            self._to_keeper(step[1], step[2], self.asks.pop(step[1:]), kept_back=kind == "half")
+        elif kind == "stale":
+            self._to_keeper(step[1], step[2], self.stale[step[1]], kept_back=False)
+        elif kind == "answer":
+            self._to_asker(self.back.pop(step[1]))
+        elif kind == "keeper":
+            self.restarts += 1
+            self.keepers[step[1]] = self.kinds[1](KeeperEnd(self, step[1]), TERMS)
+        else:
+            self.restarts += 1
+            number = step[1]
+            self.lives[number] += 1
+            self.asks = {key: ask for key, ask in self.asks.items() if key[0] != number}
+            self.askers[number] = self._asker(number)
+            # tries of the new life go on above what it may have used: its ballots bear the life
+        self._look()
+
+    def _to_keeper(self, number: int, keeper: int, ask: tuple, kept_back: bool) -> None:
+        self.answer = None
+        what, ballot, fence = ask
+        if what == "propose":
+            self.keepers[keeper].propose(number, LEASE, ballot, fence)
+        else:
+            getattr(self.keepers[keeper], what)(number, LEASE, ballot)
+        if self.answer is not None:
+            if kept_back:
+                self.back.append(self.answer)
+            else:
+                self._to_asker(self.answer)
+
+    def _to_asker(self, answer: tuple) -> None:
+        to, what, words = answer
+        getattr(self.askers[to], what)(*words)
+
+    def _look(self) -> None:
+        holders = [number for number, asker in enumerate(self.askers) if asker.may_act(LEASE)]
+        if len(holders) > 1:
+            raise Broken("two hold the lease at once")
+
+
+def walk_leases(depth: int, rates: tuple[int, int, int] = (3, 4, 5), asker: type[Asker] = Asker,
+                keeper: type[Keeper] = Keeper, most: int = 10**9) -> Walked:
+    return explore(LeaseWorld(rates, asker, keeper), depth, most)
