--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,7 +1,6 @@
 """Leases: two never hold at once, numbers only rise, and what is done once for all is done by one at a time."""
 
 import unittest
-from random import Random
 
 from curlewshift.emulator.lease_histories import FAULTS, LASTS, MS, TERMS, LeaseHistory, broken
 from curlewshift.leases.ballots import NONE, Ballot
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -57,6 +57,20 @@
             await until(lambda: known.members["g"].rank is Rank.LEFT)
 
 
+class Fenced(unittest.TestCase):
+    @story
+    async def test_a_server_refuses_an_act_of_an_earlier_tenure_and_the_front_judges_nobody_by_it(self):
+        async with SmallSite(servers=1).up() as site:
+            server = next(iter(site.front.desk.rules.servers))
+            for number, passes in ((7, True), (5, False), (7, True), (8, True)):
+                site.front.reach.probe(server, f"probe/1;{number}")
+                await until(lambda: site.traffic.all("act") and site.traffic.all("act")[-1]["number"] == number)
+                self.assertEqual(site.traffic.all("act")[-1]["accepted"], passes, number)
+            site.front.reach.probe(server, "probe/2;1")
+            await until(lambda: len(site.traffic.all("act")) == 5)
+            self.assertEqual((site.traffic.all("act")[-1]["accepted"], server.trouble), (True, 0.0))
+
+
 class Processes(unittest.TestCase):
     """`SCRIPT`: each of the troubles that a short day has room for."""
 
@@ -76,7 +90,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
-        site = (ROOT / "examples" / "fleet-site.xml").read_text()
+        site = (ROOT / "examples" / "lease-site.xml").read_text().replace("f1 f2 f3 f4 f5", "f1 f2 f3")
         for number in range(FRONTS + 1, 9):
             site = re.sub(rf' *<front name="f{number}".*\n', "", site)
         (self.folder / "site.xml").write_text(site.replace('period="500ms"', 'period="250ms"').replace('"10s" most', '"5s" most'))
@@ -99,6 +113,9 @@
         self.assertGreater(members["spoilt"], 5)
         self.assertGreater(members["detected"], 0)
         self.assertGreater(members["agreed_times"], 0)
+        # what is shared and held by leases is judged from the servers' traffic
+        self.assertEqual((verdict["bounds"]["overdrawn"], verdict["leases"]["overlaps"]), (0, 0), verdict)
+        self.assertGreater(verdict["leases"]["acts"], 10)
         verdict = json.loads((self.folder / "out-deaf-incarnation" / "verdict.json").read_text())
         self.assertEqual((spoilt.returncode, verdict["members"]["broken"]), (1, True), told)
         logged = [json.loads(line) for line in (self.folder / "out" / "f1.log").read_text().splitlines()]
