--- a/curlewshift/leases/keeper.py
+++ b/curlewshift/leases/keeper.py
@@ -53,28 +53,18 @@
     def prepare(self, asker: int, lease: str, ballot: Ballot) -> None:
         """An asker wants to know who holds, and that no lower ballot comes through here any more."""
         now = self._now()
-        if now < self.silent_until:
-            return
-        kept = self._kept(lease)
+        kept = self._heard(asker, lease, ballot, now)
         if kept is None:
             return
-        if ballot < kept.promised:
-            self.outside.outbid(asker, lease, ballot, kept.promised)
-            return
         kept.promised = ballot
         self._let_go(kept, now)
         self.outside.promise(asker, lease, ballot, kept.holder, kept.accepted, kept.fence)
 
     def propose(self, asker: int, lease: str, ballot: Ballot, fence: int) -> None:
         now = self._now()
-        if now < self.silent_until:
-            return
-        kept = self._kept(lease)
+        kept = self._heard(asker, lease, ballot, now)
         if kept is None:
             return
-        if ballot < kept.promised:
-            self.outside.outbid(asker, lease, ballot, kept.promised)
-            return
         kept.promised = kept.accepted = ballot
         kept.holder, kept.until, kept.fence = asker, now + self.terms.kept, max(kept.fence, fence)
         self.outside.accept(asker, lease, ballot)
@@ -85,10 +75,16 @@
         if kept is not None and kept.accepted == ballot and kept.holder == asker:
             kept.accepted, kept.holder, kept.until = NONE, -1, 0
 
-    def _kept(self, lease: str) -> Kept | None:
+    def _heard(self, asker: int, lease: str, ballot: Ballot, now: int) -> Kept | None:
+        """What is kept of the lease; None if this word is not to be answered, or has been: a higher ballot came before it."""
+        if now < self.silent_until:
+            return None
         kept = self.leases.get(lease)
         if kept is None and len(self.leases) < MOST:
             kept = self.leases[lease] = Kept()
+        if kept is not None and ballot < kept.promised:
+            self.outside.outbid(asker, lease, ballot, kept.promised)
+            return None
         return kept
 
     @staticmethod
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -230,6 +230,13 @@
                  usual_manners(period, most_members=int(element.get("most-members", "4096")), **more), most_bytes)
 
 
+def _rounds(what: str, every: int, drift: float, line: int, wrong: list[tuple[int, str]]) -> None:
+    if not SHORTEST_PERIOD // 2 <= every <= SECOND:
+        wrong.append((line, f"{what}: every should be from 50ms to 1s"))
+    if drift > 0.2:
+        wrong.append((line, f"{what}: drift is the part by which a clock may be off, 0.2 at most"))
+
+
 def _sharing(fronts, duties: Duties, wrong: list[tuple[int, str]]) -> SharingTerms | None:
     element = fronts.find("sharing")
     if element is None:
@@ -239,12 +246,9 @@
         wrong.append((line, "sharing: there are no peers to share with"))
     term, every = span(element.get("term", "1500ms")), span(element.get("every", "250ms"))
     drift = float(element.get("drift", "0.01"))
-    if not SHORTEST_PERIOD // 2 <= every <= SECOND:
-        wrong.append((line, "sharing: every should be from 50ms to 1s"))
+    _rounds("sharing", every, drift, line, wrong)
     if term < 2 * every:
         wrong.append((line, "sharing: a term under two rounds is over before it is used"))
-    if drift > 0.2:
-        wrong.append((line, "sharing: drift is the part by which a clock may be off, 0.2 at most"))
     # as long as set-ups at a cold server are counted together; without such a duty a moment
     return SharingTerms(term, drift, max(duties.fall_within, SECOND // 100), every)
 
@@ -264,12 +268,9 @@
         wrong.append((line, "leases: keepers should be an odd number of different fronts: an even one bears no more losses"))
     term, every = span(element.get("term", "4s")), span(element.get("every", "250ms"))
     drift = float(element.get("drift", "0.01"))
-    if not SHORTEST_PERIOD // 2 <= every <= SECOND:
-        wrong.append((line, "leases: every should be from 50ms to 1s"))
+    _rounds("leases", every, drift, line, wrong)
     if term < 8 * every:
         wrong.append((line, "leases: a term under eight rounds leaves no time to renew"))
-    if drift > 0.2:
-        wrong.append((line, "leases: drift is the part by which a clock may be off, 0.2 at most"))
     shards = int(element.get("shards", "8"))
     if shards > 64:
         wrong.append((line, "leases: 64 shards at most"))
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -74,6 +74,18 @@
                 ('most-bytes="64kB/s"', 'most-bytes="1kB/s"', "leaves no room for news")):
             self.assertIn(words, self.wrong((old, new), text=fleet))
 
+    def test_leases_are_read_and_what_cannot_be_is_told(self):
+        site = (EXAMPLES / "lease-site.xml").read_text()
+        self.path.write_text(site)
+        leases = read_site(self.path).leases
+        self.assertEqual((len(leases.keepers), leases.terms.term, leases.shards, leases.probe_each),
+                         (5, 2_000_000_000, 8, 400_000_000))
+        for old, new, words in (("f1 f2 f3 f4 f5", "f1 f2", "an odd number of different fronts"),
+                                ("f1 f2 f3 f4 f5", "f1 f2 f9", "there is no front 'f9' to be a keeper"),
+                                ('term="2s" drift', 'term="1s" drift', "under eight rounds"),
+                                ('drift="0.02"', 'drift="0.3"', "0.2 at most"), ('shards="8"', 'shards="99"', "64 shards")):
+            self.assertIn(words, self.wrong((old, new), text=site))
+
     def test_sharing_is_read_and_what_cannot_be_is_told(self):
         bounds = (EXAMPLES / "bounds-site.xml").read_text()
         self.path.write_text(bounds)
