--- a/curlewshift/commands/rehearse.py
+++ b/curlewshift/commands/rehearse.py
@@ -63,5 +63,5 @@
     for life in differ:
         click.echo(f"the replay of {life} is not the same: {verdict['replays'][life]['difference']}", err=True)
     members = verdict.get("members", {}).get("broken", False) or verdict.get("bounds", {}).get("overdrawn", 0) or (
-        verdict.get("leases", {}).get("overlaps", 0))
+        verdict.get("leases", {}).get("overlaps", 0) or verdict.get("leases", {}).get("outlived", 0))
     sys.exit(1 if broken or differ or members or verdict["left_standing"] or verdict["orphans_left"] else 0)
--- a/curlewshift/emulator/lease_histories.py
+++ b/curlewshift/emulator/lease_histories.py
@@ -238,8 +238,10 @@
 
 class FenceNotRaised(Asker):
     def _propose(self, lease, held, now):
-        super()._propose(lease, held, now)
+        held.proposing, held.proposed_at, held.renews = True, now, held.until > now
         held.fence = max(1, held.highest_fence)
+        for keeper in self.keepers:
+            self.outside.propose(keeper, lease, held.ballot, held.fence)
 
 
 class ActWithoutLook(Asker):
--- a/curlewshift/rehearsal/table.py
+++ b/curlewshift/rehearsal/table.py
@@ -22,7 +22,7 @@
     for name in ("checked", "overdrawn", "used_share"):
         if "bounds" in verdict:
             counts.add_row("bounds: " + name.replace("_", " "), str(verdict["bounds"][name]))
-    for name in ("acts", "handovers", "overlaps", "refused_stale", "longest_gap_s"):
+    for name in ("acts", "handovers", "overlaps", "outlived", "refused_stale", "longest_gap_s"):
         if "leases" in verdict:
             counts.add_row("leases: " + name.replace("_", " "), str(verdict["leases"][name]))
     rules = Table(title="rules, from the sockets of stand-ins and viewers")
--- a/curlewshift/verdict/leases.py
+++ b/curlewshift/verdict/leases.py
@@ -11,17 +11,30 @@
 from curlewshift.verdict.verdict import KEPT_EXAMPLES
 
 SECOND = 1_000_000_000
+# An act that its front began rightly may arrive so much later.
+ON_ITS_WAY = SECOND // 2
 
 
 def judge_leases(events: list[dict]) -> dict:
     """`overlaps`: an accepted act of one front between accepted acts of another with a higher number, or two numbers at once;
-    `refused_stale`: acts that came too late and came to nothing; `longest_gap_s`: no act for a task, at the longest."""
+    `outlived`: acts that were refused, but so long after a later tenure's first act, by a front that was not stopped meanwhile,
+    that it still took itself for the holder; `refused_stale`: all acts that came too late and came to nothing;
+    `longest_gap_s`: no act for a task, at the longest."""
     acts: dict[str, list[dict]] = defaultdict(list)
+    stopped: dict[str, list[tuple[int, int]]] = defaultdict(list)
+    goes_on = {event["front"]: [] for event in events if event["ev"] == "front-paused"}
+    for event in events:
+        if event["ev"] == "front-goes-on":
+            goes_on[event["front"]].append(event["at"])
+    for event in events:
+        if event["ev"] == "front-paused":
+            until = min((at for at in goes_on[event["front"]] if at >= event["at"]), default=2**63)
+            stopped[event["front"]].append((event["at"], until))
     over = max((event["at"] for event in events if event["ev"] == "day-over"), default=2**63)
     for event in sorted(events, key=lambda event: event["at"]):
         if event["ev"] == "act" and event["at"] <= over:
             acts[event["lease"]].append(event)
-    told = {"acts": 0, "handovers": 0, "overlaps": 0, "refused_stale": 0, "longest_gap_s": 0.0, "holders": 0, "examples": []}
+    told = {"acts": 0, "handovers": 0, "overlaps": 0, "outlived": 0, "refused_stale": 0, "longest_gap_s": 0.0, "holders": 0, "examples": []}
     fronts = set()
     for lease, rows in acts.items():
         accepted = [row for row in rows if row["accepted"]]
@@ -43,6 +56,15 @@
                 told["overlaps"] += 1
                 told["examples"].append(f"{lease}: {'/'.join(others)} acted by {later} {(ended - after) / 1e6:.0f} ms before "
                                         f"the last of {'/'.join(holders)} by {number}")
+        for row in rows:
+            if not row["accepted"]:
+                later = min((span[0] for span in spans if span[2] > row["number"]), default=row["at"])
+                late = row["at"] - later
+                if late > ON_ITS_WAY and not any(since <= row["at"] and until >= row["at"] - ON_ITS_WAY
+                                                 for since, until in stopped[row["front"].rpartition(".")[0]]):
+                    told["outlived"] += 1
+                    told["examples"].append(f"{lease}: {row['front']} still acted by {row['number']} {late / 1e6:.0f} ms after "
+                                            "a later one had begun")
         times = [row["at"] for row in accepted]
         told["longest_gap_s"] = max([told["longest_gap_s"], *((b - a) / SECOND for a, b in zip(times, times[1:]))])
     told["longest_gap_s"], told["holders"] = round(told["longest_gap_s"], 2), len(fronts)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -229,6 +229,14 @@
         told = self.acts((1, "a", 1, True), (2, "a", 1, True), (4, "b", 2, True), (5, "a", 1, False), (6, "b", 2, True))
         self.assertEqual((told["overlaps"], told["handovers"], told["refused_stale"], told["longest_gap_s"]), (0, 1, 1, 2.0))
 
+    def test_who_goes_on_acting_after_a_later_one_has_begun_is_told_even_if_it_is_refused(self):
+        told = self.acts((1, "a.1", 1, True), (2, "b.1", 2, True), (4, "a.1", 1, False))
+        self.assertEqual((told["overlaps"], told["outlived"]), (0, 1))
+        events = [{"ev": "front-paused", "at": SECOND, "front": "a"}, {"ev": "front-goes-on", "at": 4 * SECOND, "front": "a"}]
+        events += [{"ev": "act", "at": at * SECOND, "front": front, "lease": "l", "number": number, "accepted": well}
+                   for at, front, number, well in ((1, "a.1", 1, True), (2, "b.1", 2, True), (4, "a.1", 1, False))]
+        self.assertEqual(judge_leases(events)["outlived"], 0)
+
     def test_between_each_other_with_one_number_or_a_lower_one_after_is_not(self):
         self.assertEqual(self.acts((1, "a", 1, True), (2, "b", 2, True), (3, "a", 1, True))["overlaps"], 1)
         self.assertEqual(self.acts((1, "a", 1, True), (2, "b", 1, True))["overlaps"], 1)
