--- a/curlewshift/commands/leases.py
+++ b/curlewshift/commands/leases.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import sys
-
 import click
 
-from curlewshift.commands.common import STATE, tell_front
+from curlewshift.commands.common import STATE, shown_by_front, tell_front
 
 
 @click.group()
@@ -19,17 +17,9 @@
 @click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
 def leases_show(state, as_json):
     """What the front at the state folder holds, since and until when, and why it holds nothing where it wants to."""
-    import json
-
     from rich.console import Console
     from rich.table import Table
-    told = tell_front(state, {"do": "leases"})["leases"]
-    if told is None:
-        click.echo("curlewshift: the settings name no leases", err=True)
-        sys.exit(2)
-    if as_json:
-        click.echo(json.dumps(told, indent=1))
-        return
+    told = shown_by_front(state, "leases", "the settings name no leases", as_json)
     click.echo(f"{told['me']}" + (", a keeper" if told["keeper"] else "")
                + (", still silent after its start" if told["silent"] else ""))
     table = Table()
--- a/curlewshift/commands/peers.py
+++ b/curlewshift/commands/peers.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import sys
-
 import click
 
-from curlewshift.commands.common import STATE, tell_front
+from curlewshift.commands.common import STATE, shown_by_front
 
 
 @click.group()
@@ -19,17 +17,9 @@
 @click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a table.")
 def peers_show(state, as_json):
     """Who is in, suspected or gone, for how long and by whose word, as the front at the state folder holds it."""
-    import json
-
     from rich.console import Console
     from rich.table import Table
-    told = tell_front(state, {"do": "peers"})["peers"]
-    if told is None:
-        click.echo("curlewshift: the settings name no peers", err=True)
-        sys.exit(2)
-    if as_json:
-        click.echo(json.dumps(told, indent=1))
-        return
+    told = shown_by_front(state, "peers", "the settings name no peers", as_json)
     click.echo(f"{told['me']} (life {told['life']}, incarnation {told['incarnation']}): {told['size']} in, "
                f"{told['sent_a_second']} bytes a second out, {told['received_a_second']} in, health {told['health']}, "
                f"contradicted {told['refuted']} times, stood still {told['stalls']} times")
