Seats and further tune-ins of all fronts together; a start learns of its peers and disk

Change: StandingLoans lends what is used for as long as a viewing lasts (seats): renewed while in use, ended by its borrower before the term is over, back at its lender after what a dead front left has surely ended. A pool each for seats and free further tune-ins (together="..."). Uplinks are counted as links are. A front that starts asks three peers for all they have seen, for a second at the most, and reads counts and judgements of its earlier life from disk with their ages. Trouble bad-path, sabotage liar-believed and three of seats; the judge counts seats and further tune-ins over all fronts from the sockets.

--- a/curlewshift/commands/rehearse.py
+++ b/curlewshift/commands/rehearse.py
@@ -62,6 +62,18 @@
     differ = [life for life, run in verdict.get("replays", {}).items() if run["difference"]]
     for life in differ:
         click.echo(f"the replay of {life} is not the same: {verdict['replays'][life]['difference']}", err=True)
-    members = verdict.get("members", {}).get("broken", False) or verdict.get("bounds", {}).get("overdrawn", 0) or (
-        verdict.get("leases", {}).get("overlaps", 0) or verdict.get("leases", {}).get("outlived", 0))
-    sys.exit(1 if broken or differ or members or verdict["left_standing"] or verdict["orphans_left"] else 0)
+    fleet = _broken_over_fronts(verdict)
+    for promise in fleet:
+        click.echo(f"broken: {promise}", err=True)
+    sys.exit(1 if broken or differ or fleet or verdict["left_standing"] or verdict["orphans_left"] else 0)
+
+
+def _broken_over_fronts(verdict: dict) -> list[str]:
+    """Which promises of all fronts together the day broke."""
+    bounds, leases = verdict.get("bounds", {}), verdict.get("leases", {})
+    return [name for name, broken in (
+        ("members", verdict.get("members", {}).get("broken")), ("pace of cold servers", bounds.get("overdrawn")),
+        ("further tune-ins of all fronts", bounds.get("further", {}).get("overdrawn")),
+        ("seats over all fronts", bounds.get("seats", {}).get("overdrawn")),
+        ("service beside a front with a bad path", bounds.get("beside_bad_path", {}).get("broken")),
+        ("one at a time", leases.get("overlaps")), ("acts of who was followed", leases.get("outlived"))) if broken]
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -240,7 +240,7 @@
             raise Unknown(f"there is no package {package!r} or no title {title!r}")
         if not pack.floor <= rung <= pack.top:
             raise Misuse(f"package {package!r} is not played on rung {rung}")
-        if not self._seat_left(title, pack):
+        if not self.rules.seat_left(title, pack):
             raise Misuse(f"all seats of {title!r} are taken in package {package!r}")
         if key in self.doubts:
             course = self.found(key, server, session, rung)
@@ -272,9 +272,6 @@
         """What an earlier life of this front left at the server plays for nobody that is known of."""
         self.endings.end(server, session)
 
-    def _seat_left(self, title: str, pack: Package) -> bool:
-        return not pack.seats or self.rules.seats[title, pack] < pack.seats
-
     def _plays_already(self, course: Course, server: Server, rung: int) -> None:
         self.courses[course.vw] = course
         self.rules.handed_over(course.vw, server)
@@ -318,8 +315,28 @@
     def doubted(self, server: Server, doubted: bool) -> None:
         server.doubted = doubted
 
+    def further_held(self, rights: list) -> None:
+        """Free further tune-ins in this front's hands, as `rights_held`."""
+        self.rules.further_rights = [tuple(one) for one in rights]
+
+    def seats_held(self, package: str, title: str, rights: list) -> None:
+        """Seats of this title in this front's hands, as `rights_held`. Of titles that nothing was said of it has none."""
+        self.rules.seat_rights.setdefault(self.packages[package], {})[title] = [tuple(one) for one in rights]
+
+    def seats_over(self, package: str, title: str, count: int) -> None:
+        """So many seats are in this front's hands no more: the newest viewings on them end."""
+        pack = self.packages[package]
+        playing = [course for course in self.courses.values() if course.vw.package is pack and course.vw.title == title
+                   and course.vw.playing]
+        for course in playing[-count:]:
+            self.closed(course)
+
     def counted(self, server: Server, use: float, age: int) -> None:
-        self.rules.counted(server, use, age)
+        self.rules.counted(server.link, use, age)
+
+    def uplink_counted(self, server: Server, use: float, age: int) -> None:
+        """Of the uplink of this server's rack, as `counted`."""
+        self.rules.counted(server.rack.link, use, age)
 
     def seen_warm(self, server: Server) -> None:
         self.rules.seen_warm(server)
@@ -402,7 +419,7 @@
         if course is None:
             return None
         vw = course.vw
-        if not vw.package.floor <= rung <= vw.package.top or not self._seat_left(vw.title, vw.package):
+        if not vw.package.floor <= rung <= vw.package.top or not self.rules.seat_left(vw.title, vw.package):
             self.not_found(key)
             return None
         del self.doubts[key]
--- a/curlewshift/desk/roster.py
+++ b/curlewshift/desk/roster.py
@@ -104,7 +104,7 @@
 
     def _rack(self, name: str) -> Rack:
         if name not in self.racks:
-            self.racks[name] = Rack(len(self.racks), Link(self.uplinks.get(name, inf)))
+            self.racks[name] = Rack(len(self.racks), Link(self.uplinks.get(name, inf)), name=name)
         return self.racks[name]
 
     def _shelve(self, server: Server, shelf: str | None) -> None:
--- a/curlewshift/emulator/front.py
+++ b/curlewshift/emulator/front.py
@@ -125,7 +125,7 @@
 
     def tune_in(self, tune_in: TuneIn) -> None:
         if self.shared is not None:
-            self.shared.sharing.sent(tune_in.server)
+            self.shared.sharing.sent(tune_in.server, tune_in.number > 1)
         flight = self.flights[tune_in] = Flight()
         intent = intent_of(tune_in, tune_in.course.vw.expires)
         # the connection takes a way there and back
--- a/curlewshift/emulator/loan_histories.py
+++ b/curlewshift/emulator/loan_histories.py
@@ -28,14 +28,14 @@
     def __init__(self, history: LoanHistory, number: int):
         self.history, self.number = history, number
         chance = history.chance
-        self.rate, self.offset = 1 + chance.uniform(-1, 1) * TERMS.drift, chance.randrange(10**12)
+        self.rate, self.offset = 1 + chance.uniform(-1, 1) * history.terms.drift, chance.randrange(10**12)
         self.paused_until = 0
         self.loans: Loans | None = None
         self.sent: dict[str, deque[int]] = {}
         self.start()
 
     def start(self) -> None:
-        self.loans = self.history.kind(self, self.number, TERMS, self.history.chance.getrandbits(30))
+        self.loans = self.history.kind(self, self.number, self.history.terms, self.history.chance.getrandbits(30))
         # a life that starts has no memory of what an earlier one sent, but its silence outlasts any window
         self.sent = {key: deque() for key in self.history.rights}
 
@@ -57,7 +57,7 @@
     def tries(self, key: str) -> bool:
         """A set-up is wanted: used if a right is in hand, else wanted."""
         now, sent = self.now(), self.sent[key]
-        while sent and sent[0] <= now - TERMS.window:
+        while sent and sent[0] <= now - self.history.terms.window:
             sent.popleft()
         if len(sent) < self.loans.may_use(key):
             self.loans.uses(key)
@@ -69,6 +69,8 @@
 
 
 class LoanHistory:
+    terms, front_class = TERMS, LoanFront
+
     def __init__(self, seed: int, kind: type[Loans] = Loans, fronts: int = 0):
         self.chance, self.kind, self.now = Random(f"loans {seed}"), kind, 0
         chance = self.chance
@@ -84,11 +86,11 @@
         self.used_count = self.tried = 0
         self.fronts: list[LoanFront] = [None] * size
         for number in range(size):
-            self.fronts[number] = LoanFront(self, number)
+            self.fronts[number] = self.front_class(self, number)
         for front in self.fronts:
             # as if they had run for long
             front.loans.quiet_until = 0
-            self.at(chance.randrange(TERMS.every), self._round, front)
+            self.at(chance.randrange(self.terms.every), self._round, front)
         self.at(0, self._viewing)
         self.at(0, self._trouble)
 
@@ -119,7 +121,7 @@
             others = [number for number in range(len(self.fronts)) if number != front.number]
             self.chance.shuffle(others)
             front.loans.time(lambda key: [one for one in others if self.fronts[one].part(key)])
-        self.at(self.now + TERMS.every, self._round, front)
+        self.at(self.now + self.terms.every, self._round, front)
 
     def _viewing(self) -> None:
         self._try(self.chance.choice(self.fronts), self.chance.choice(list(self.rights)), 0)
@@ -154,12 +156,12 @@
             raise Overdrawn(f"{len(times)} uses of {key} within one window, of {self.rights[key]}")
 
 
-def overdrawn(seeds: range, kind: type[Loans] = Loans) -> list[int]:
+def overdrawn(seeds: range, kind: type[Loans] = Loans, history: type[LoanHistory] = LoanHistory) -> list[int]:
     """Seeds of histories in which a budget was passed."""
     found = []
     for seed in seeds:
         try:
-            LoanHistory(seed, kind).run()
+            history(seed, kind).run()
         except Overdrawn:
             found.append(seed)
     return found
--- a/curlewshift/emulator/shared.py
+++ b/curlewshift/emulator/shared.py
@@ -44,11 +44,14 @@
         order = [door.name for door in self.world.site.doors]
         me = order.index(front.door)
         self.life = front.now()
-        self.sharing = Sharing(self, order, me, self.life, self.shares.terms, self.world.site.duties.warm_within, self.chance)
+        self.sharing = Sharing(self, order, me, self.life, self.shares.terms, self.world.site.duties.warm_within, self.chance,
+                               self.world.site.together)
         self.world.queue.at(front.now() + self.chance.randrange(self.shares.terms.every), self._round)
 
     def _round(self) -> None:
         if self.front.alive:
+            if not self.sharing.learned():
+                self.sharing.learn()
             self.sharing.time()
             self.world.queue.at(self.now() + self.shares.terms.every, self._round)
 
@@ -81,7 +84,7 @@
 
     def ask(self, to: str, number: int, keys: list[str]) -> None:
         if self.shares.rights:
-            self._say(to, "asked", self.sharing.name, number, keys)
+            self._say(to, "asked", self.sharing.name, self.life, number, keys)
 
     def lend(self, to: str, number: int, rights: list) -> None:
         self._say(to, "lent", self.sharing.name, number, rights)
@@ -118,6 +121,32 @@
         if self.shares.seen:
             self.front.desk.seen_warm(server)
 
+    def ask_what_is_known(self, to: str) -> None:
+        self._say(to, "known_asked", self.sharing.name)
+
+    def uplink_counted(self, server: Server, use: float, age: int) -> None:
+        if self.shares.counts:
+            self.front.desk.uplink_counted(server, use, age)
+
+    def further_wanted_at(self) -> int:
+        return self.front.desk.rules.further_wanted_at
+
+    def further_held(self, rights: list) -> None:
+        self.front.desk.further_held(rights)
+
+    def seats_wanted_at(self) -> dict[tuple[str, str], int]:
+        return {(package.name, title): at for (title, package), at in self.front.desk.rules.seat_wanted_at.items()}
+
+    def seats_in_use(self, package: str, title: str) -> int:
+        desk = self.front.desk
+        return desk.rules.seats.get((title, desk.packages[package]), 0)
+
+    def seats_held(self, package: str, title: str, rights: list) -> None:
+        self.front.desk.seats_held(package, title, rights)
+
+    def seats_over(self, package: str, title: str, count: int) -> None:
+        self.front.desk.seats_over(package, title, count)
+
     def clock_off(self, by: float, out: bool) -> None:
         pass
 
--- a/curlewshift/front/control.py
+++ b/curlewshift/front/control.py
@@ -26,7 +26,7 @@
 
 
 class Command(msgspec.Struct):
-    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `release`, or, where the clock may be led, `clock`."""
+    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `release`, or, where the front may be led, `clock` or `path`."""
 
     do: str
     peak: dict = {}
@@ -34,6 +34,7 @@
     why: str = ""
     rate: float = 1.0
     step: int = 0
+    lost: bool = False
 
 
 class Control:
@@ -82,6 +83,8 @@
                 return {"ok": True, "leases": leased.show() if leased is not None else None}
             if command.do == "clock":
                 return self._lead(command)
+            if command.do == "path":
+                return self._lose_path(command)
             if not command.why.strip():
                 raise Nonsense("say why: it goes into the log with your name")
             if command.do == "release":
@@ -128,6 +131,13 @@
         self.front.log.info("clock-led", rate=command.rate, step_s=command.step / 1e9)
         return {"ok": True}
 
+    def _lose_path(self, command: Command) -> dict:
+        if not hasattr(self.front.reach, "lost"):
+            raise Nonsense("this front's path is not to be led")
+        self.front.reach.lost = command.lost
+        self.front.log.info("path-led", lost=command.lost)
+        return {"ok": True}
+
     def _release(self, command: Command, who: str) -> dict:
         leased = self.front.leased
         if leased is None or command.name not in {row["lease"] for row in leased.show()["leases"]}:
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -22,7 +22,7 @@
 from curlewshift.front.control import Control
 from curlewshift.front.door import Door
 from curlewshift.front.followers import ListFollower, NotesFollower, row_of
-from curlewshift.front.kept import KeptList
+from curlewshift.front.kept import KeptList, KeptShared
 from curlewshift.front.keeper import Keeper
 from curlewshift.front.reach import Reach, Session, doubt_mark
 from curlewshift.limits.admission import Admission
@@ -45,6 +45,8 @@
 from curlewshift.state.peaks import PeakStore
 
 NS = 1_000_000_000
+# A front that shares hears from its peers for so long at the most before its door opens (s).
+LEARN_WITHIN = 1.0
 # Between looks for sessions that have ended, and for files that have changed (s).
 SWEEP = 1.0
 # Between looks at who waits for a place at the door (s).
@@ -72,6 +74,9 @@
         self.site, self.log = site, log
         self.door_at = site.doors[number]
         self.clock = LedClock() if led else Clock()
+        if led and self.reach_class is Reach:
+            from curlewshift.front.led import LedReach
+            self.reach_class = LedReach
         self.name = life or f"{self.door_at.name}.{self.clock.now() // 1_000_000 % 10**9}"
         self.chance = Random(seed)
         self.kept = KeptList(state / "list.json", log) if state else None
@@ -121,7 +126,10 @@
         if self.peers is not None and site.sharing is not None:
             self.shared = self.shared_class(
                 self.peers.channel, self.desk, [door.name for door in site.doors], number, site.sharing,
-                site.duties.warm_within, self.clock.now, log, Random(self.chance.random()))
+                site.together, site.duties.warm_within, self.clock.now, log, Random(self.chance.random()))
+        self.kept_shared = None
+        if self.shared is not None and state is not None:
+            self.kept_shared = KeptShared(state / "shared.json", self.shared.sharing, self.wall, log)
         self.leased: LeaseWire | None = None
         if self.peers is not None and site.leases is not None:
             wants = site.leases
@@ -230,7 +238,11 @@
             if self.peers is not None:
                 tasks.start_soon(self.peers.run)
             if self.shared is not None:
+                if self.kept_shared is not None:
+                    self.log.info("shared-kept", rows=self.kept_shared.read())
+                    tasks.start_soon(self.kept_shared.run)
                 tasks.start_soon(self.shared.run)
+                await self.shared.learn(LEARN_WITHIN)
             if self.leased is not None:
                 tasks.start_soon(self.leased.run)
             listener = await anyio.create_tcp_listener(local_host=self.door_at.host, local_port=self.door_at.port,
@@ -380,7 +392,7 @@
         self.log.info("tune-in", viewing=vw.name, server=tune_in.server.name, rung=tune_in.rung,
                       number=tune_in.number, request=tune_in.course.requests[0].name if tune_in.course.requests else "")
         if self.shared is not None:
-            self.shared.sharing.sent(tune_in.server)
+            self.shared.sharing.sent(tune_in.server, tune_in.number > 1)
         self.reach.tune_in(tune_in)
 
     def withdraw(self, tune_in: TuneIn) -> bool:
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -9,6 +9,7 @@
 
 from curlewshift.desk.desk import Desk
 from curlewshift.emulator.lease_histories import FAULTS as LEASE_FAULTS
+from curlewshift.emulator.seat_histories import FAULTS as SEAT_FAULTS
 from curlewshift.front.door import Door
 from curlewshift.front.front import Front
 from curlewshift.front.reach import Reach
@@ -20,8 +21,10 @@
 from curlewshift.peering.shared import SharedWire
 from curlewshift.peering.wire import PeerWire
 from curlewshift.rules import NEVER_RAN, Rules
+from curlewshift.sharing.evidence import Evidence
 from curlewshift.sharing.loans import Loans
 from curlewshift.sharing.sharing import Sharing
+from curlewshift.sharing.standing import StandingLoans
 from curlewshift.walk.budgets import FAULTS
 
 EVERY = 8
@@ -217,9 +220,19 @@
     return Holder
 
 
-def lending(loans: type[Loans]) -> type[Front]:
+class LiarBelieved(Evidence):
+    """Takes the word of any one front against a server."""
+
+    def doubts(self, now):
+        self.doubted = {server: True for server, words in self.words.items()
+                        if any(word.bad > word.good for front, word in words.items() if front != self.me)}
+        return self.doubted
+
+
+def lending(loans: type[Loans] = Loans, seats: type[StandingLoans] = StandingLoans,
+            evidence: type[Evidence] = Evidence) -> type[Front]:
     class Spoilt(Sharing):
-        loans_class = loans
+        loans_class, seats_class, evidence_class = loans, seats, evidence
 
     class Wire(SharedWire):
         sharing_class = Spoilt
@@ -245,6 +258,8 @@
         "deaf-incarnation": lambda: wired(DeafIncarnation)(*args, **how),
         "old-life-taken": lambda: wired(OldLifeTaken)(*args, **how),
         **{fault: lambda loans=loans: lending(loans)(*args, **how) for fault, loans in FAULTS.items()},
+        **{fault: lambda seats=seats: lending(seats=seats)(*args, **how) for fault, seats in SEAT_FAULTS.items()},
+        "liar-believed": lambda: lending(evidence=LiarBelieved)(*args, **how),
         **{fault: lambda how_so=how_so: leasing(**how_so)(*args, **how) for fault, how_so in LEASE_FAULTS.items()},
         "never-forget": lambda: wired(NeverForget)(*args, **how),
     }[name]()
@@ -252,4 +267,4 @@
 
 NAMES = ("lose-answer", "answer-twice", "resend-paid", "ignore-drain", "push-cold", "under-floor", "over-seats",
          "overspend-budget", "double-tune-in", "lost-teardown", "leave-orphans", "deaf-incarnation",
-         "old-life-taken", "never-forget", *FAULTS, *LEASE_FAULTS)
+         "old-life-taken", "never-forget", "liar-believed", *FAULTS, *SEAT_FAULTS, *LEASE_FAULTS)
--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -70,6 +70,7 @@
     number: int
     link: Link
     servers: list = field(default_factory=list)
+    name: str = ""
 
 
 @dataclass(eq=False, slots=True)
--- a/curlewshift/peering/shared.py
+++ b/curlewshift/peering/shared.py
@@ -17,13 +17,15 @@
 from curlewshift.model import Server
 from curlewshift.peering.channel import Channel
 from curlewshift.sharing.sharing import Sharing
-from curlewshift.sharing.terms import SharingTerms
+from curlewshift.sharing.terms import SharingTerms, Together
 
 KIND = 16
 NS = 1_000_000_000
-ASK, LEND, GIVE_BACK, USE, SUMS, SEEN = range(1, 7)
+# Between looks whether peers have answered a front that starts (s).
+LOOK = 0.02
+ASK, LEND, GIVE_BACK, USE, SUMS, SEEN, KNOWN = range(1, 8)
 
-Word = Annotated[str, Meta(min_length=1, max_length=128)]
+Word = Annotated[str, Meta(min_length=1, max_length=192)]
 Count = Annotated[int, Meta(ge=0, lt=2**62)]
 Amount = Annotated[float, Meta(ge=0, le=1e12)]
 
@@ -31,7 +33,7 @@
 class Body(msgspec.Struct, array_like=True):
     """`reading` is the sender's clock (ns), for the watch over clocks; `number` rises within a life, or is an ask's."""
 
-    what: Annotated[int, Meta(ge=1, le=6)]
+    what: Annotated[int, Meta(ge=1, le=7)]
     number: Count
     reading: Count
     keys: Annotated[list[Word], Meta(max_length=64)] = []
@@ -50,11 +52,12 @@
 
     sharing_class = Sharing
 
-    def __init__(self, channel: Channel, desk: Desk, order: list[str], me: int, terms: SharingTerms, warm_within: int,
-                 now, log, chance: Random):
+    def __init__(self, channel: Channel, desk: Desk, order: list[str], me: int, terms: SharingTerms, together: Together,
+                 warm_within: int, now, log, chance: Random):
         self.channel, self.desk, self.log, self.now = channel, desk, log, now
         self.numbers, self.malformed = 0, 0
-        self.sharing = self.sharing_class(self, order, me, channel.membership.me.life, terms, warm_within, chance)
+        self.sharing = self.sharing_class(self, order, me, channel.membership.me.life, terms, warm_within, chance,
+                                          together)
         channel.carries(KIND, self.heard)
 
     async def run(self) -> None:
@@ -75,7 +78,7 @@
         sharing, name, life = self.sharing, sender.name, sender.life
         sharing.clock_told(name, life, body.reading)
         if body.what == ASK:
-            sharing.asked(name, body.number, body.keys)
+            sharing.asked(name, life, body.number, body.keys)
         elif body.what == LEND:
             sharing.lent(name, body.number, body.rights)
         elif body.what == GIVE_BACK:
@@ -85,8 +88,18 @@
             sharing.use_told(name, life, body.number, body.uses)
         elif body.what == SUMS:
             sharing.sums_told(name, life, body.number, body.sums)
-        else:
+        elif body.what == SEEN:
             sharing.seen_told(name, life, body.number, body.seen)
+        else:
+            sharing.known_asked(name)
+
+    async def learn(self, within: float) -> None:
+        """What peers know, before the door opens: for so long (s) at the most, and no longer than it takes them to answer."""
+        with anyio.move_on_after(within):
+            while not self.sharing.learned():
+                self.sharing.learn()
+                await anyio.sleep(LOOK)
+        self.log.info("learned", of=sorted(self.sharing.learned_of), asked=sorted(self.sharing.learning_of))
 
     def _say(self, to: str, what: int, number: int | None = None, **more) -> None:
         member = self.channel.membership.members.get(to)
@@ -141,6 +154,32 @@
         self.log.info("seen-warm", server=server.name, cause="others have used it for longer than it takes to get warm")
         self.desk.seen_warm(server)
 
+    def ask_what_is_known(self, to: str) -> None:
+        self._say(to, KNOWN)
+
+    def uplink_counted(self, server: Server, use: float, age: int) -> None:
+        self.desk.uplink_counted(server, use, age)
+
+    def further_wanted_at(self) -> int:
+        return self.desk.rules.further_wanted_at
+
+    def further_held(self, rights: list) -> None:
+        self.desk.further_held(rights)
+
+    def seats_wanted_at(self) -> dict[tuple[str, str], int]:
+        return {(package.name, title): at for (title, package), at in self.desk.rules.seat_wanted_at.items()}
+
+    def seats_in_use(self, package: str, title: str) -> int:
+        return self.desk.rules.seats.get((title, self.desk.packages[package]), 0)
+
+    def seats_held(self, package: str, title: str, rights: list) -> None:
+        self.desk.seats_held(package, title, rights)
+
+    def seats_over(self, package: str, title: str, count: int) -> None:
+        self.log.warning("seats-over", package=package, title=title, count=count,
+                         cause="they were lent, and nobody who lent them was to be heard in time")
+        self.desk.seats_over(package, title, count)
+
     def clock_off(self, by: float, out: bool) -> None:
         if out:
             self.log.error("clock-off", by=round(by, 4), cause="it runs at another pace than those of the peers: this front "
@@ -167,6 +206,9 @@
                 "told_s": round((now - told[1]) / NS, 2) if told else None, "doubted": server.doubted,
                 "evidence": [[front, round(good, 2), round(bad, 2), round(weight, 2)]
                              for front, good, bad, weight in sharing.evidence.why(server.name, now)]})
-        return {"me": sharing.name, "clock_off": round(sharing.clocks.off(), 5), "out": sharing.out,
+        pools = [{"budget": name, "given": pool.loans.given, "got": pool.loans.got, "in_hand": sum(
+            count for key in pool.told for since, until, count in pool.told[key] if since <= reading < until)}
+            for name, pool in sharing.pools.items()]
+        return {"me": sharing.name, "together": pools, "clock_off": round(sharing.clocks.off(), 5), "out": sharing.out,
                 "quiet_for_s": round(max(0, loans.quiet_until - now) / NS, 2), "given": loans.given, "got": loans.got,
                 "late": loans.late, "refused": loans.refused, "malformed": self.malformed, "servers": rows}
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -33,10 +33,12 @@
 # Fronts get so long to hear of all servers before the day begins (s).
 SETTLE = 1.5
 # What an earlier day left in the folder; a front that found it would go on from there.
-LEFT_OVER = ("*/peaks.db*", "*/intents.log*", "*/sessions.log*", "*/list.json", "captures/*/*/*.*", "*.jsonl", "*.log",
+LEFT_OVER = ("*/peaks.db*", "*/intents.log*", "*/sessions.log*", "*/list.json", "*/shared.json", "captures/*/*/*.*", "*.jsonl", "*.log",
              "verdict.json")
 # After the last arrival viewings run out, but no longer than this (s).
 RUN_OUT = 6.0
+# Troubles for which fronts are started so that they can be led astray.
+LED = ("clock-rate", "clock-step", "bad-path")
 # Fronts that know each other get so long after the day for their views to meet again (s); how often each is asked.
 VIEWS_MEET, WATCH_MEMBERS = 8.0, 0.2
 # The baseline's part of every link, kept all day: about what an announced peak holds at its height.
@@ -87,7 +89,7 @@
         if self.day.hold == "reserve":
             for announced in self.day.script.announced[:1]:
                 arguments += ["--reserve", f"{announced.package}={RESERVE}"]
-        if any(trouble.kind.startswith("clock-") for trouble in self.day.script.troubles):
+        if any(trouble.kind in LED for trouble in self.day.script.troubles):
             arguments += ["--led"]
         if self.day.sabotage:
             arguments += ["--sabotage", self.day.sabotage]
@@ -307,6 +309,13 @@
         elif trouble.kind == "clock-step":
             for front in struck:
                 await front.ask({"do": "clock", "step": int(trouble.size * NS) * chance.choice((-1, 1))})
+        elif trouble.kind == "bad-path":
+            # a front of its own event: the judge has to know whose path it was
+            self.traffic.seen("bad-path", lasts=trouble.lasts, fronts=[front.name for front in struck])
+            for lost in (True, False):
+                for front in struck:
+                    await front.ask({"do": "path", "lost": lost})
+                await anyio.sleep(trouble.lasts if lost else 0)
         else:
             for front in struck:
                 next_at = time.monotonic() + trouble.lasts / count
@@ -334,7 +343,7 @@
             manners = self.script.site.peers.manners
             verdict["members"] = judge_members(events, manners.period, manners.forget_after)
         if self.script.site.sharing is not None:
-            verdict["bounds"] = judge_bounds(events, figures_of(self.script.site))
+            verdict["bounds"] = judge_bounds(events, figures_of(self.script.site), self._together())
         if self.script.site.leases is not None:
             verdict["leases"] = judge_leases(events)
         if self.capture:
@@ -343,6 +352,10 @@
         (self.out / "verdict.json").write_text(json.dumps(verdict, indent=1) + "\n")
         return verdict
 
+    def _together(self) -> frozenset[str]:
+        together = self.script.site.together
+        return frozenset([*(["further-tune-ins"] if together.free is not None else []), *(["seats"] if together.seats else [])])
+
     def _replays(self) -> dict:
         """Each life of each front decided again; one that was killed is replayed up to where its capture ends."""
         told = {}
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from curlewshift.host import Host
-from curlewshift.model import Link, Listed, Outcome, Server, Terms, Viewing
+from curlewshift.model import Link, Listed, Outcome, Package, Server, Terms, Viewing
 
 SECOND = 1_000_000_000
 
@@ -110,6 +110,11 @@
         self.free_further = inf if terms.free_further is None else terms.free_further
         self.further_share, self.look_back = terms.further_share, terms.look_back
         self.taken, self.further = deque(), deque()
+        # free further tune-ins and, by package and title, seats in this front's hands, where all fronts have
+        # them together (None, or no such package: each front has all), and when more were last wanted
+        self.further_rights, self.further_wanted_at = None, 0
+        self.seat_rights: dict[Package, dict[str, list]] = {}
+        self.seat_wanted_at: dict[tuple[str, Package], int] = {}
         # set-ups a nanosecond to servers not proven warm, all together, and what of them is left to use
         self.unproven_pace, self.unproven_left, self.unproven_at = 0.0, self.chance.random(), terms.now
         self.seats: Counter = Counter()
@@ -226,8 +231,27 @@
         for times in (self.taken, self.further):
             while times and times[0] <= since:
                 times.popleft()
-        allowed = self.free_further + self.further_share * len(self.taken)
-        return not vw.tune_ins or len(self.further) + 1 <= allowed
+        free = self.free_further if self.further_rights is None else self._in_hand(self.further_rights)
+        left = not vw.tune_ins or len(self.further) + 1 <= free + self.further_share * len(self.taken)
+        if not left:
+            self.further_wanted_at = self.host.now()
+        return left
+
+    def seat_left(self, title: str, package: Package) -> bool:
+        if not package.seats:
+            return True
+        dealt = self.seat_rights.get(package)
+        seats = package.seats if dealt is None else self._in_hand(dealt.get(title, ()))
+        if self.seats[title, package] < seats:
+            return True
+        if dealt is not None:
+            self.seat_wanted_at[title, package] = self.host.now()
+        return False
+
+    def _in_hand(self, rights) -> int:
+        """Of what is dealt out among the fronts, and lent where it is needed."""
+        now = self.host.now()
+        return sum(count for since, until, count in rights if since <= now < until)
 
     def _block(self, vw: Viewing) -> None:
         vw.over = True
@@ -235,9 +259,8 @@
         self.host.block(vw, int(self.wait * self.chance.uniform(0.6, 1.0)))
 
     def _place(self, vw: Viewing) -> None:
-        seats_left = not vw.package.seats or self.seats[vw.title, vw.package] < vw.package.seats
         late = vw.tune_ins >= self.max_tune_ins or self.host.now() >= vw.expires
-        if late or not seats_left or not self._budget_left(vw):
+        if late or not self.seat_left(vw.title, vw.package) or not self._budget_left(vw):
             self._block(vw)
             return
         lowest = vw.package.floor
@@ -304,7 +327,8 @@
         # A front that has just started keeps to its part of the starting pace of all unproven servers at
         # once, one set-up a server: by turns, one of hundreds would have nowhere to send all its warm-up.
         # That holds the mean over fronts; a crowd for one title right after many starts could still pass it.
-        if server.sent or server.failed or now < server.cold_until:
+        # Where rights are dealt out nothing goes beside them, and others' proofs of warmth come at the start.
+        if server.rights is not None or server.sent or server.failed or now < server.cold_until:
             return False
         self.unproven_left = min(2.0, self.unproven_left + (now - self.unproven_at) * self.unproven_pace)
         self.unproven_at = now
@@ -324,8 +348,7 @@
         budget = self.cold_part * server.streams
         part = budget / self.fronts
         if server.rights is not None:
-            # dealt out among the fronts, and lent where they are needed
-            part = sum(count for since, until, count in server.rights if since <= now < until)
+            part = self._in_hand(server.rights)
             return sum(at > now - window for at in server.sent) + 1 <= part
         if part < 1:
             length = window * (TURN + 1)
@@ -488,11 +511,11 @@
             uplink.others = sum(self._others(one.link) for one in server.rack.servers)
             uplink.told = True
 
-    def counted(self, server: Server, use: float, age: int) -> None:
-        """Of this server's link the other fronts say that they use so much together (kB/s); `age` in ns."""
-        if not server.link.counted_at:
-            server.link.strange = 0.0
-        server.link.counted, server.link.counted_at = use, self.host.now() - age
+    def counted(self, link: Link, use: float, age: int) -> None:
+        """Of this link the other fronts say that they use so much together (kB/s); `age` in ns."""
+        if not link.counted_at:
+            link.strange = 0.0
+        link.counted, link.counted_at = use, self.host.now() - age
 
     def seen_warm(self, server: Server) -> None:
         """Other fronts have used it for longer than it takes to get warm, and since this one started."""
--- a/curlewshift/sharing/loans.py
+++ b/curlewshift/sharing/loans.py
@@ -42,7 +42,7 @@
         self.outside, self.me, self.terms = outside, me, terms
         now = outside.now()
         # a lender may take too much time for none, never none for some: steady time only runs short
-        self.steady = Steady(now, terms.window)
+        self.steady = Steady(now, min(terms.window, 4 * terms.every))
         self.steady.due = now + terms.every
         # a borrower may stop too soon, never too late: by the clock as it is, and a step back ends all loans
         self.latest = now
@@ -101,8 +101,9 @@
 
     # ---- what comes in
 
-    def asked(self, borrower: int, number: int, keys: list[str]) -> None:
-        """Another wants this front's part: what is not needed, not lent and not just used goes to it, whole."""
+    def asked(self, borrower: int, number: int, keys: list[str], life: int = 0) -> None:
+        """Another wants this front's part: what is not needed, not lent and not just used goes to it, whole. Which life of it
+        asks is nothing to a right whose use is over in a moment."""
         steady, now = self._read()
         if self.withdrawn or steady < self.quiet_until or borrower == self.me:
             return
--- a/curlewshift/sharing/sharing.py
+++ b/curlewshift/sharing/sharing.py
@@ -11,18 +11,23 @@
 
 from curlewshift.model import Server
 from curlewshift.schedule.steady import Steady
+from curlewshift.sharing.budgets import FURTHER, SEAT, Further, Pool, Seats
 from curlewshift.sharing.clock_watch import ClockWatch
 from curlewshift.sharing.counts import AGAIN, Counts, picked
 from curlewshift.sharing.evidence import FADES, Evidence
 from curlewshift.sharing.loans import Loans, dealt
-from curlewshift.sharing.terms import SharingTerms
+from curlewshift.sharing.standing import StandingLoans
+from curlewshift.sharing.terms import SharingTerms, Together
 
 # Rows of one message; evidence is told to so many others a round, what is worst or newest first.
 MOST_ROWS = 16
 TELL_EVIDENCE_TO = 3
+# A front that starts asks so many others for all that they have seen, each of whom tells of so many servers at the most.
+LEARN_OF, MOST_KNOWN = 3, 256
 # Links of no use to this front now whose use by others it asks for in one round.
 MOST_INTEREST = 64
 FOR_EVER = 2**63
+UPLINK = "uplink "
 
 
 class Outside(Protocol):
@@ -41,6 +46,14 @@
     def counted(self, server: Server, use: float, age: int) -> None: ...
     def seen_warm(self, server: Server) -> None: ...
     def clock_off(self, by: float, out: bool) -> None: ...
+    def uplink_counted(self, server: Server, use: float, age: int) -> None: ...
+    def further_wanted_at(self) -> int: ...
+    def further_held(self, rights: list) -> None: ...
+    def seats_wanted_at(self) -> dict[tuple[str, str], int]: ...
+    def seats_in_use(self, package: str, title: str) -> int: ...
+    def seats_held(self, package: str, title: str, rights: list) -> None: ...
+    def seats_over(self, package: str, title: str, count: int) -> None: ...
+    def ask_what_is_known(self, to: str) -> None: ...
 
 
 class Watch:
@@ -56,17 +69,23 @@
 
 class Sharing:
     """`order` are the fronts' names as in the settings, the same at every front; `me` is this one's number in it. `life` is
-    the channel's. `warm_within` (ns) is how long a server takes to get warm."""
+    the channel's. `warm_within` (ns) is how long a server takes to get warm. `together` are the budgets that all fronts have
+    together, beside those of cold servers."""
 
-    loans_class, evidence_class = Loans, Evidence
+    loans_class, seats_class, evidence_class = Loans, StandingLoans, Evidence
 
     def __init__(self, outside: Outside, order: list[str], me: int, life: int, terms: SharingTerms, warm_within: int,
-                 chance: Random):
+                 chance: Random, together: Together = Together()):
         self.outside, self.order, self.me, self.life, self.terms = outside, order, me, life, terms
         self.warm_within, self.chance = warm_within, chance
         self.number_of = {name: number for number, name in enumerate(order)}
         self.name = order[me]
         self.loans = self.loans_class(self, me, terms, chance.getrandbits(40))
+        self.pools: dict[str, Pool] = {}
+        if together.free is not None:
+            self.pools[FURTHER] = Further(self, together.further_terms(terms), together.free, self.loans_class)
+        if together.seats:
+            self.pools[SEAT] = Seats(self, together.seat_terms(terms), together.titles, together.seats, self.seats_class)
         self.counts = Counts(self.name, terms)
         self.evidence = self.evidence_class(self.name, terms)
         self.clocks = ClockWatch(terms.drift)
@@ -77,6 +96,8 @@
         self.wanted_at: dict[Server, int] = {}
         self.turn = chance.randrange(1 << 16)
         self.out = False
+        self.learning_of: set[str] = set()
+        self.learned_of: set[str] = set()
 
     # ---- each `every`
 
@@ -97,7 +118,8 @@
         self.clocks.forget(names)
         if self.clocks.past_bound() is not self.out:
             self.out = not self.out
-            self.loans.withdraw(self.out)
+            for loans in (self.loans, *(pool.loans for pool in self.pools.values())):
+                loans.withdraw(self.out)
             self.outside.clock_off(self.clocks.off(), self.out)
 
     # ---- rights
@@ -111,6 +133,8 @@
         self.turn += self.terms.most_asks
         there = {self.number_of[name] for name in names}
         self.loans.time(lambda key: self._owners(key, there))
+        for pool in self.pools.values():
+            pool.time(there, self.turn)
         self._write_rights(servers.values())
         if len(self.wanted_at) > 2 * len(servers) + 64:
             self.wanted_at = {server: at for server, at in self.wanted_at.items() if server.name in servers}
@@ -142,9 +166,15 @@
             if rights != server.rights:
                 self.outside.rights_held(server, rights)
 
-    def sent(self, server: Server) -> None:
-        """A set-up goes to this server now."""
+    def sent(self, server: Server, further: bool = False) -> None:
+        """A set-up goes to this server now; `further` if it is not the first of its viewing."""
         self.loans.uses(server.name)
+        if further and FURTHER in self.pools:
+            self.pools[FURTHER].loans.uses(FURTHER)
+
+    def _pool(self, key: str) -> Pool | None:
+        """The budget that this key is one of, where it is not a server's."""
+        return self.pools.get(SEAT if key.startswith(SEAT) else key)
 
     def ask(self, lender: int, number: int, keys: list[str]) -> None:
         self.outside.ask(self.order[lender], number, keys)
@@ -157,21 +187,35 @@
 
     def given_back(self, by: str, number: int, key: str) -> None:
         if by in self.number_of:
-            self.loans.given_back(self.number_of[by], number, key)
+            pool = self._pool(key)
+            (pool.loans if pool is not None else self.loans).given_back(self.number_of[by], number, key)
 
     def now(self) -> int:
         return self.outside.now()
 
-    def asked(self, by: str, number: int, keys: list[str]) -> None:
-        if by in self.number_of:
-            self.loans.asked(self.number_of[by], number, keys)
-            # it is lent from this moment on, not from the next round
-            self._write_rights(self.servers[key] for key in keys if key in self.servers)
+    def asked(self, by: str, life: int, number: int, keys: list[str]) -> None:
+        """The keys of one ask are all of one kind."""
+        if by not in self.number_of or not keys:
+            return
+        pool = self._pool(keys[0])
+        if pool is not None:
+            pool.loans.asked(self.number_of[by], number, [key for key in keys if self._pool(key) is pool], life)
+            pool.write([key for key in keys if key in pool.told])
+            return
+        self.loans.asked(self.number_of[by], number, keys)
+        # it is lent from this moment on, not from the next round
+        self._write_rights(self.servers[key] for key in keys if key in self.servers)
 
     def lent(self, by: str, number: int, rights: list[tuple[str, int]]) -> None:
-        if by in self.number_of:
-            self.loans.lends(self.number_of[by], number, rights)
-            self._write_rights(self.servers[key] for key, _ in rights if key in self.servers)
+        if by not in self.number_of or not rights:
+            return
+        pool = self._pool(rights[0][0])
+        if pool is not None:
+            pool.loans.lends(self.number_of[by], number, rights)
+            pool.write([key for key, _ in rights if key in pool.told])
+            return
+        self.loans.lends(self.number_of[by], number, rights)
+        self._write_rights(self.servers[key] for key, _ in rights if key in self.servers)
 
     # ---- counts
 
@@ -184,6 +228,8 @@
             start = counts.round * MOST_INTEREST // AGAIN % len(rest)
             used += (rest[start:] + rest[:start])[:MOST_INTEREST]
         interest = {server.name: server.link.own for server in used}
+        # uplinks count as links do: what several servers share is where fronts that know one server each err most
+        interest |= {UPLINK + server.rack.name: server.rack.link.own for server in used if server.rack.name}
         counts.wanted(interest)
         together: dict[str, list[tuple[str, float]]] = {}
         everyone = [*names, self.name]
@@ -232,12 +278,7 @@
                     watch.since = now
 
     def _tell_seen(self, servers: dict[str, Server], names: list[str], now: int) -> None:
-        rows = []
-        for server, watch in self.watches.items():
-            if watch.good + watch.bad > 0.2:
-                # what this front has seen itself; what the list says of its start is every front's to read
-                lasting = now - watch.since if watch.since >= 0 else 0
-                rows.append((server.name, round(watch.good, 2), round(watch.bad, 2), lasting))
+        rows = self._seen_here(now)
         self.evidence.heard(self.name, self.life, self.counts.round, rows, now)
         # the bad first, then in turn: all are told some time
         rows.sort(key=lambda row: row[2] < 0.5)
@@ -250,11 +291,22 @@
             for name in self.chance.sample(names, min(TELL_EVIDENCE_TO, len(names))):
                 self.outside.tell_seen(name, bad)
 
+    def _seen_here(self, now: int) -> list[tuple[str, float, float, int]]:
+        """What this front has seen itself; what the list says of a server's start is every front's to read."""
+        return [(server.name, round(watch.good, 2), round(watch.bad, 2), now - watch.since if watch.since >= 0 else 0)
+                for server, watch in self.watches.items() if watch.good + watch.bad > 0.2]
+
     def seen_told(self, by: str, life: int, number: int, rows: list[tuple[str, float, float, int]]) -> None:
+        self.learned_of.add(by)
         self.evidence.heard(by, life, number, rows, self._now())
 
     def _believe(self, servers: dict[str, Server], now: int) -> None:
         doubted, reading = self.evidence.doubts(now), self.outside.now()
+        racks = {server.rack.name: server for server in servers.values() if server.rack.name}
+        for name, server in racks.items():
+            told = self.counts.of_others(UPLINK + name, now)
+            if told is not None:
+                self.outside.uplink_counted(server, *told)
         for server in servers.values():
             if server.doubted is not (server.name in doubted):
                 self.outside.doubted(server, server.name in doubted)
@@ -267,6 +319,43 @@
     def clock_told(self, by: str, life: int, reading: int) -> None:
         self.clocks.heard(by, life, reading, self.outside.now())
 
+    # ---- a start
+
+    def learn(self) -> None:
+        """Asks some peers for all that they have seen themselves, as a front that starts does before its door opens."""
+        names = [name for name in self.outside.members() if name in self.number_of and name != self.name]
+        for name in self.chance.sample(names, min(LEARN_OF, len(names))):
+            if name not in self.learning_of:
+                self.learning_of.add(name)
+                self.outside.ask_what_is_known(name)
+
+    def learned(self) -> bool:
+        """Whether all that were asked have answered."""
+        return bool(self.learning_of) and self.learning_of <= self.learned_of
+
+    def known_asked(self, by: str) -> None:
+        rows = sorted(self._seen_here(self._now()), key=lambda row: row[2] < 0.5)[:MOST_KNOWN]
+        for at in range(0, max(1, len(rows)), MOST_ROWS):
+            # one that has seen nothing says so too
+            self.outside.tell_seen(by, rows[at:at + MOST_ROWS])
+
+    def snapshot(self) -> dict:
+        """What is worth knowing after a restart, as plain data with ages (ns): no rights, they are a life's own."""
+        now = self.steady.last
+        return {"counts": [[key, value, now - at] for key, (value, at) in self.counts.others.items()],
+                "seen": [[server, front, word.life, word.number, word.good, word.bad, now - word.at]
+                         for server, words in self.evidence.words.items() for front, word in words.items()]}
+
+    def restore(self, kept: dict, away: int) -> None:
+        """A snapshot of an earlier life, so long (ns) ago. It dates from before this start: it doubts, and proves nothing warm."""
+        now = self._now()
+        for key, value, age in kept["counts"]:
+            if 0 <= age + away < 4 * self.terms.ages:
+                self.counts.others[key] = (value, now - age - away)
+        for server, front, life, number, good, bad, age in kept["seen"]:
+            if front != self.name and 0 <= age + away < 4 * FADES:
+                self.evidence.heard(front, life, number, [(server, good, bad, 0)], now - age - away)
+
     # ---- time
 
     def _now(self) -> int:
--- a/curlewshift/sharing/terms.py
+++ b/curlewshift/sharing/terms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 SECOND = 1_000_000_000
 
@@ -36,3 +36,24 @@
     def quiet(self) -> int:
         """A front that starts does not know what an earlier life lent: it uses nothing of its own until all that is over."""
         return self.back_after
+
+
+@dataclass(slots=True, frozen=True)
+class Together:
+    """What all fronts have together. `free` further tune-ins within `look_back` (None: each front has its own), `seats` of each
+    of the `titles` by package; a seat is lent for `seat_term` at a time, and servers keep for `lingers` at the most what a
+    front that is gone left there (ns)."""
+
+    free: int | None = None
+    look_back: int = 0
+    seats: dict[str, int] = field(default_factory=dict)
+    titles: list[str] = field(default_factory=list)
+    seat_term: int = 6 * SECOND
+    lingers: int = 10 * SECOND
+
+    def further_terms(self, terms: SharingTerms) -> SharingTerms:
+        return replace(terms, window=self.look_back)
+
+    def seat_terms(self, terms: SharingTerms) -> SharingTerms:
+        """A lender waits for two windows past the term: so long may what stood on the loan be left standing."""
+        return replace(terms, term=self.seat_term, window=self.lingers // 2)
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -10,10 +10,12 @@
 from curlewshift.limits.admission import Bounds
 from curlewshift.membership.manners import Manners, usual_manners
 from curlewshift.model import Package, Terms
-from curlewshift.sharing.terms import SharingTerms
+from curlewshift.sharing.terms import SharingTerms, Together
 from curlewshift.site.reading import Mistakes, rate, read_xml, span
 
 SECOND = 1_000_000_000
+# Titles times packages whose seats fronts have together: each is a fact for every front, looked at each round.
+MOST_SEATED = 4096
 # Of probes between fronts (ns).
 SHORTEST_PERIOD, LONGEST_PERIOD = SECOND // 10, 60 * SECOND
 SCHEMA = Path(__file__).with_name("site.xsd")
@@ -99,6 +101,8 @@
     peers: Peers | None = None
     # None: fronts that know each other share nothing
     sharing: SharingTerms | None = None
+    # budgets that all fronts have together, where they share
+    together: Together = Together()
     # None: nothing is done once for the whole fleet
     leases: Leases | None = None
 
@@ -165,12 +169,14 @@
              for front in fronts.iterfind("front")]
     peers = _peers(fronts, doors, wrong)
     sharing = _sharing(fronts, duties, wrong)
+    together = _together(fronts, sharing, duties, packages, titles, wrong)
     leases = _leases(fronts, doors, wrong)
     if wrong:
         raise Mistakes(path, wrong)
     return Site(
         name=root.get("name"), list_at=host_port(root.find("list").get("address")),
-        doors=doors, peers=peers, sharing=sharing, leases=leases, packages=packages, machines=machines, titles=titles, duties=duties,
+        doors=doors, peers=peers, sharing=sharing, together=together, leases=leases, packages=packages,
+        machines=machines, titles=titles, duties=duties,
         uplinks={rack.get("name"): rate(rack.get("uplink")) for rack in root.iterfind("racks/rack")},
         most_waiting=int(fronts.get("most-waiting", "2000")),
         most_connections=int(fronts.get("most-connections-to-a-server", "64")),
@@ -253,6 +259,26 @@
     return SharingTerms(term, drift, max(duties.fall_within, SECOND // 100), every)
 
 
+def _together(fronts, sharing: SharingTerms | None, duties: Duties, packages: list[Package], titles: dict,
+              wrong: list[tuple[int, str]]) -> Together:
+    element = fronts.find("sharing")
+    named = set(element.get("together", "").split()) if element is not None else set()
+    if not named:
+        return Together()
+    line, seats = element.sourceline, {package.name: package.seats for package in packages if package.seats}
+    if "further-tune-ins" in named and duties.free_further is None:
+        wrong.append((line, "sharing: there is no budget of further tune-ins to have together"))
+    if "seats" in named and not seats:
+        wrong.append((line, "sharing: no package has seats to have together"))
+    if "seats" in named and len(seats) * len(titles) > MOST_SEATED:
+        wrong.append((line, f"sharing: seats of {MOST_SEATED} titles and packages at most are had together"))
+    term, lingers = span(element.get("seat-term", "6s")), span(element.get("seats-linger", "10s"))
+    if term < 8 * sharing.every:
+        wrong.append((line, "sharing: a seat-term under eight rounds leaves no time to renew"))
+    return Together(duties.free_further if "further-tune-ins" in named else None, duties.look_back,
+                    seats if "seats" in named else {}, list(titles), term, lingers)
+
+
 def _leases(fronts, doors: list[Door], wrong: list[tuple[int, str]]) -> Leases | None:
     element = fronts.find("leases")
     if element is None:
--- a/curlewshift/walk/budgets.py
+++ b/curlewshift/walk/budgets.py
@@ -181,9 +181,9 @@
 class RightGivenTwice(Loans):
     """Lends what it has lent already."""
 
-    def asked(self, borrower, number, keys):
+    def asked(self, borrower, number, keys, life=0):
         self.lent.clear()
-        super().asked(borrower, number, keys)
+        super().asked(borrower, number, keys, life)
 
 
 class NoTerm(Loans):
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -20,7 +20,7 @@
 from curlewshift.sharing.counts import Counts, picked
 from curlewshift.sharing.evidence import Evidence
 from curlewshift.sharing.loans import Loans, dealt
-from curlewshift.sharing.terms import SharingTerms
+from curlewshift.sharing.terms import SharingTerms, Together
 from curlewshift.standins.script import Trouble
 from curlewshift.verdict.bounds import judge_bounds
 from curlewshift.walk.budgets import FAULTS, walk_budgets
@@ -392,7 +392,7 @@
         ends = []
         for post in fleet.posts:
             desk = FakeOutside(servers=1, fronts=2).desk
-            ends.append(SharedWire(post.channel, desk, ["f0", "f1"], post.number, TERMS, 8 * SECOND, post.now, mock.Mock(),
+            ends.append(SharedWire(post.channel, desk, ["f0", "f1"], post.number, TERMS, Together(), 8 * SECOND, post.now, mock.Mock(),
                                    random.Random(post.number)))
         return fleet, ends
 
@@ -486,7 +486,7 @@
         self.assertTrue(story.rules._may_send(server))
 
 
-class Together(unittest.TestCase):
+class AsOne(unittest.TestCase):
     """Deployments in virtual time, with the fronts' own desks and rules; figures are simulated."""
 
     def figures(self, shared, seed=1, troubles=(), fronts=32, servers=24, lasts=30, traffic=None, **more):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -92,12 +92,22 @@
         sharing = read_site(self.path).sharing
         self.assertEqual((sharing.term, sharing.drift, sharing.window, sharing.every),
                          (1_500_000_000, 0.01, 1_000_000_000, 250_000_000))
-        line = '<sharing term="1500ms" drift="0.01" every="250ms"/>'
+        line = '<sharing term="1500ms" drift="0.01" every="250ms" '
         for new, words in ((line.replace("1500ms", "300ms"), "a term under two rounds"),
                            (line.replace("0.01", "0.5"), "0.2 at most"),
                            (line.replace("250ms", "5ms"), "every should be from 50ms to 1s")):
             self.assertIn(words, self.wrong((line, new), text=bounds))
-        self.assertIn("there are no peers to share with", self.wrong(("  </fronts>", line + "</fronts>")))
+        self.assertIn("there are no peers to share with", self.wrong(("  </fronts>", line + "/></fronts>")))
+
+    def test_budgets_that_fronts_have_together_are_read_and_what_is_not_there_cannot_be(self):
+        bounds = (EXAMPLES / "bounds-site.xml").read_text()
+        self.path.write_text(bounds)
+        together = read_site(self.path).together
+        self.assertEqual((together.free, together.look_back, together.seats, len(together.titles), together.seat_term),
+                         (6, 10_000_000_000, {"receipt": 4}, 20, 4_000_000_000))
+        for old, new, words in (('seats="4" ', "", "no package has seats"), ('seat-term="4s"', 'seat-term="1s"', "under eight rounds"),
+                                ('<further-tune-ins free="6" share="0.2" within="10s"/>', "", "no budget of further tune-ins")):
+            self.assertIn(words, self.wrong((old, new), text=bounds))
 
     def test_other_mistakes_in_plain_words(self):
         for changes, words in (
