--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -338,6 +338,15 @@
         """Of the uplink of this server's rack, as `counted`."""
         self.rules.counted(server.rack.link, use, age)
 
+    def link_reported(self, server: Server, use: float) -> None:
+        """How full another front was told that the server's link is, within a round or two."""
+        if 0 <= use < 1e6:
+            self.rules.link_reported(server, use)
+
+    def planned(self, package: str, part: float, until: int) -> None:
+        """This front's part of what is held for the package's peaks, until then (ns of this clock)."""
+        self.peaks.planned(self.packages[package], part, until)
+
     def seen_warm(self, server: Server) -> None:
         self.rules.seen_warm(server)
 
--- a/curlewshift/emulator/shared.py
+++ b/curlewshift/emulator/shared.py
@@ -101,6 +101,12 @@
         self.spoken += 1
         self._say(to, "sums_told", self.sharing.name, self.life, self.spoken, rows)
 
+    def tell_report(self, to: str, rows: list) -> None:
+        self._say(to, "report_told", self.sharing.name, rows)
+
+    def link_reported(self, server: Server, use: float) -> None:
+        self.front.desk.link_reported(server, use)
+
     def tell_seen(self, to: str, rows: list) -> None:
         if self.shares.seen:
             self.spoken += 1
--- a/curlewshift/front/control.py
+++ b/curlewshift/front/control.py
@@ -26,7 +26,8 @@
 
 
 class Command(msgspec.Struct):
-    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `release`, or, where the front may be led, `clock` or `path`."""
+    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `release`, or, where the front may be
+    led, `clock`, `path` or `stop-in-act`."""
 
     do: str
     peak: dict = {}
@@ -85,6 +86,8 @@
                 return self._lead(command)
             if command.do == "path":
                 return self._lose_path(command)
+            if command.do == "stop-in-act":
+                return self._stop_in_act()
             if not command.why.strip():
                 raise Nonsense("say why: it goes into the log with your name")
             if command.do == "release":
@@ -138,6 +141,13 @@
         self.front.log.info("path-led", lost=command.lost)
         return {"ok": True}
 
+    def _stop_in_act(self) -> dict:
+        """The process stops itself between its next look at a lease and the act that follows; who asked has to let it go on."""
+        if not hasattr(self.front.reach, "stops_in_act"):
+            raise Nonsense("this front is not to be stopped in an act")
+        self.front.reach.stops_in_act = True
+        return {"ok": True}
+
     def _release(self, command: Command, who: str) -> dict:
         leased = self.front.leased
         if leased is None or command.name not in {row["lease"] for row in leased.show()["leases"]}:
--- a/curlewshift/front/followers.py
+++ b/curlewshift/front/followers.py
@@ -86,17 +86,34 @@
 
 
 class ListFollower:
+    """`on_news(epoch, generation, news)`, if set, hears of what was read here."""
+
     def __init__(self, desk: Desk, host: str, port: int, name: str, kept: KeptList | None, chance: Random, log,
                  on_list):
         self.desk, self.kept, self.log, self.on_list = desk, kept, log, on_list
         self.stream = Stream(host, port, f"/list?front={name}", chance)
+        self.on_news = None
+        self.itself = anyio.Event()
+        self.itself.set()
+        self.reading = anyio.CancelScope()
 
     async def run(self) -> None:
-        async for event in self.stream.events():
-            if event is None:
-                self.log.info("list-broke", cause="refused" if self.stream.refused else "ended")
-                continue
-            self._take(event)
+        while True:
+            await self.itself.wait()
+            with anyio.CancelScope() as self.reading:
+                async for event in self.stream.events():
+                    if event is None:
+                        self.log.info("list-broke", cause="refused" if self.stream.refused else "ended")
+                        continue
+                    self._take(event)
+
+    def read_itself(self, itself: bool) -> None:
+        """Whether this front reads the list; if not, somebody else tells it the news. It goes on from where it was."""
+        if itself:
+            self.itself.set()
+        elif self.itself.is_set():
+            self.itself = anyio.Event()
+            self.reading.cancel()
 
     def _take(self, event: Event) -> None:
         try:
@@ -105,9 +122,15 @@
             self.log.warning("list-unreadable", cause=str(wrong))
             self.stream.afresh()
             return
-        rows = [row_of(row) for row in news.servers]
-        self.log.info("list", what=event.kind, generation=news.generation, servers=len(rows))
+        self.log.info("list", what=event.kind, generation=news.generation, servers=len(news.servers))
         full = event.kind == "full"
+        self.take_news(news, full)
+        if self.on_news is not None:
+            self.on_news(news.epoch, news.generation, None if full else news)
+
+    def take_news(self, news: ListNews, full: bool) -> None:
+        """Of the list itself, or as another front read it."""
+        rows = [row_of(row) for row in news.servers]
         if full:
             self.desk.list_full(news.epoch, news.generation, rows)
         else:
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -135,7 +135,7 @@
             wants = site.leases
             self.leased = self.leased_class(
                 self.peers.channel, self, [door.name for door in site.doors], number, wants.keepers, wants.terms,
-                wants.shards, wants.probe_each, log, Random(self.chance.random()))
+                wants.shards, wants.probe_each, log, Random(self.chance.random()), wants.tasks, wants.orphans_after)
         self.background = Background(self.clock.now(), time.monotonic_ns, self._overran)
         if self.door.admission is not None:
             self.background.add("lines", lambda: self.door.admission.tick(self.now()), self.clock.now(), priority=0,
@@ -231,6 +231,8 @@
                     self.desk.list_full("", -1, rows, stale=True)
             self.lists = ListFollower(self.desk, *self.site.list_at, self.name, self.kept, Random(self.chance.random()),
                                       self.log, self._follow_servers)
+            if self.leased is not None:
+                self.lists.on_news = self.leased.listing.read
             self._recover()
             if self.control is not None:
                 await tasks.start(self.control.run)
@@ -425,4 +427,6 @@
 
     def whole_list(self) -> None:
         self.log.info("list-gap")
+        if self.leased is not None:
+            self.leased.listing.gap()
         self.lists.stream.afresh()
--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -292,11 +292,12 @@
         answered = await self._call(ending.server, "DELETE", ending.session.path)
         self.desk.session_ended(ending, answered is not None and answered.status < 500)
 
-    def probe(self, server: Server, fence: str = "") -> None:
-        """`fence` is lease and number where it is asked for all fronts; a server that knows a higher one refuses it."""
-        self.tasks.start_soon(self._probe, server, fence)
+    def probe(self, server: Server, fence: str = "", found=None) -> None:
+        """`fence` is lease and number where it is asked for all fronts; a server that knows a higher one refuses it, and what
+        it says otherwise goes to `found(server, report)` too."""
+        self.tasks.start_soon(self._probe, server, fence, found)
 
-    async def _probe(self, server: Server, fence: str) -> None:
+    async def _probe(self, server: Server, fence: str, found=None) -> None:
         headers = [("x-front", self.name), *([("x-fence", fence)] if fence else [])]
         try:
             answered = await ask(*host_port(server.name), "GET", "/load", headers, within=PATIENT, tls=self.tls)
@@ -310,9 +311,29 @@
             if answered.status == 412:
                 self.log.warning("fenced", server=server.name, cause=f"a later holder than {fence} has acted there")
                 return
-            well = answered.status < 300
-            self.desk.probed(server, Outcome.PLAYED if well else Outcome.ERROR,
-                             decode_load(answered.headers.get(HEADER, "")))
+            well, report = answered.status < 300, decode_load(answered.headers.get(HEADER, ""))
+            self.desk.probed(server, Outcome.PLAYED if well else Outcome.ERROR, report)
+            if well and found is not None:
+                found(server, report)
+
+    def end_orphans(self, server: Server, away: int, fence: str) -> None:
+        """What plays at the server for fronts that have been away for so long (ns), and that nobody watches, is ended."""
+        self.tasks.start_soon(self._end_orphans, server, away, fence)
+
+    async def _end_orphans(self, server: Server, away: int, fence: str) -> None:
+        answered = await self._call(server, "GET", f"/sessions?away={away // 1_000_000}", [("x-fence", fence)])
+        try:
+            if answered is None or answered.status != 200:
+                return
+            rows = decode(answered.body, SessionList).sessions
+        except BadBody as wrong:
+            self.log.info("orphans-not-told", server=server.name, cause=str(wrong))
+            return
+        for row in rows:
+            # the server looks again whose it is: one that was taken up meanwhile stays
+            done = await self._call(server, "DELETE", row.session, [("x-fence", fence), ("x-was", row.front)])
+            if done is not None and done.status == 200:
+                self.log.info("orphan-ended", server=server.name, session=row.session, of=row.front)
 
     # ---- what earlier lives left there
 
--- a/curlewshift/leases/asker.py
+++ b/curlewshift/leases/asker.py
@@ -140,8 +140,13 @@
         self.count = max(self.count, by.count)
         held = self.tries.get(lease)
         if held is not None and held.ballot == ballot and held.asked_at >= 0:
+            if held.proposing and not held.until:
+                # who accepted it would keep it for a term against everyone, for a tenure that will never be: two that
+                # proposed at once left the lease without a holder for 2.7 terms
+                for one in self.keepers:
+                    self.outside.release(one, lease, ballot)
             held.asked_at, held.proposing = -1, False
-            held.next_at = self._now() + int(self.terms.every * self.chance.uniform(1, 4))
+            held.next_at = self._now() + int(self.terms.every * self.chance.uniform(0.25, 2))
 
     # ---- the course of a try
 
--- a/curlewshift/peaks/peaks.py
+++ b/curlewshift/peaks/peaks.py
@@ -58,6 +58,8 @@
         # arrivals of each package by where they could have been placed, and how many were counted in
         self.wanted: dict[Package, dict[Server, float]] = {package: {} for package in self.seen}
         self.weighed: dict[Package, float] = {package: 0.0 for package in self.seen}
+        # this front's part of a hold where one plans for all, and until when that stands (ns)
+        self.parts: dict[Package, tuple[float, int]] = {}
 
     # ---- what is seen
 
@@ -80,6 +82,20 @@
         if began is not None:
             self.seen[vw.package].lasted(now - began)
 
+    def planned(self, package: Package, part: float, until: int) -> None:
+        """Somebody divides the hold by where its peak is asked for: this is what falls to this front, for so long."""
+        self.parts[package] = min(1.0, max(part, 1e-3)), until
+
+    def asked_for(self, now: int) -> dict[str, float]:
+        """Asks a second here of late, by the packages that peaks are announced for."""
+        named = {peak.package for peak in self.calendar.peaks.values()}
+        return {name: self.seen[self.calendar.packages[name]].rate(now) for name in sorted(named)}
+
+    def one_of(self, package: Package, now: int) -> float:
+        """This front's part of a hold is one of so many: of the fronts, or of as many as the plan says."""
+        part, until = self.parts.get(package, (0.0, 0))
+        return 1 / part if now < until else self.fronts
+
     # ---- what is decided
 
     def tick(self, now: int, wall: int, servers: Collection[Server]) -> None:
@@ -105,12 +121,13 @@
         for package, (need, most) in wanted.items():
             if need > 0 and total > 0:
                 weights = self._weights(package, links, total)
-                self._hold(package, need * total / self.whole, most, {
+                one_of = self.one_of(package, now)
+                self._hold(package, need * total / self.whole, most, one_of, {
                     server.link: weight for server, weight in weights.items()})
                 above: dict[Link, float] = {}
                 for server, weight in weights.items():
                     above[server.rack.link] = above.get(server.rack.link, 0.0) + weight
-                self._hold(package, need * total / self.whole, most, above)
+                self._hold(package, need * total / self.whole, most, one_of, above)
 
     def _need(self, peak: Peak, now: int, wall: int, servers: list[Server]) -> float:
         """What the peak needs now (kB a second), at this front and all others together."""
@@ -118,7 +135,8 @@
         holding = self.holding.get(peak.name)
         if holding is None or holding.peak is not peak:
             holding = self.holding[peak.name] = Holding(peak)
-        seen, own_rate = self.seen[package], peak.rate / self.fronts
+        one_of = self.one_of(package, now)
+        seen, own_rate = self.seen[package], peak.rate / one_of
         starts_in = peak.starts - wall
         if not holding.early and began_early(own_rate, seen, now, starts_in, peak.length):
             holding.early = wall
@@ -135,7 +153,7 @@
             holding.phase = "making room" if wall < begins else "on" if wall < peak.ends else "giving back"
             rate = expected(own_rate, seen.rate(now), wall - begins, peak.length)
             left = max(0.0, min(1.0, 1 - (wall - peak.ends) / GIVEN_BACK))
-            holding.need = left * self.fronts * rate * self._lasts(peak, seen) / SECOND * self._likely_rate(
+            holding.need = left * one_of * rate * self._lasts(peak, seen) / SECOND * self._likely_rate(
                 package, servers)
         return holding.need
 
@@ -147,7 +165,8 @@
         wanted = self.wanted[package]
         return {server: wanted.get(server, 0.0) + UNLEARNED * server.link.size / total for server in servers}
 
-    def _hold(self, package: Package, need: float, most: float, weights: dict[Link, float]) -> None:
+    def _hold(self, package: Package, need: float, most: float, one_of: float,
+              weights: dict[Link, float]) -> None:
         """Shares what is needed over links by weight; what one may not hold goes to the others, once."""
         weights = {link: weight for link, weight in weights.items() if link.size < inf}
         whole = sum(weights.values())
@@ -162,8 +181,8 @@
             if room < package.rates[package.floor]:
                 continue
             used = sum(vw.held_rate for vw in link.playing if vw.package is package)
-            if room / self.fronts > used:
-                link.holds[package] = room / self.fronts - used
+            if room / one_of > used:
+                link.holds[package] = room / one_of - used
                 self.held.add(link)
 
     # ---- figures
--- a/curlewshift/peering/leased.py
+++ b/curlewshift/peering/leased.py
@@ -15,9 +15,15 @@
 from curlewshift.leases.terms import LeaseTerms
 from curlewshift.membership.member import Member
 from curlewshift.peering.channel import Channel
-from curlewshift.tasks.tasks import Probing, Tasks
-
-KIND = 17
+from curlewshift.sharing.counts import picked
+from curlewshift.signalling.bodies import ListNews
+from curlewshift.tasks.listing import ListReading
+from curlewshift.tasks.planning import LEASE as PLAN
+from curlewshift.tasks.planning import Planning
+from curlewshift.tasks.servers import Orphans, Probing
+from curlewshift.tasks.tasks import Tasks
+
+KIND, KIND_OF_TASKS = 17, 18
 NS = 1_000_000_000
 PREPARE, PROPOSE, RELEASE, PROMISE, ACCEPT, OUTBID = range(1, 7)
 
@@ -34,8 +40,25 @@
     other: WireBallot = tuple(NONE)
 
 
+class TaskWord(msgspec.Struct, array_like=True, omit_defaults=True):
+    """What tasks say to other fronts, with the number of the tenure that says it: the list as it is and news that lead there,
+    how much is asked for, or how a hold is divided."""
+
+    number: Count
+    list_at: tuple[Annotated[str, Meta(max_length=64)], Annotated[int, Meta(ge=-1, lt=2**62)]] | None = None
+    news: ListNews | None = None
+    asked: Annotated[dict[str, Annotated[float, Meta(ge=0, le=1e6)]], Meta(max_length=64)] | None = None
+    package: Annotated[str, Meta(max_length=64)] = ""
+    parts: Annotated[dict[str, Annotated[float, Meta(ge=0, le=1)]], Meta(max_length=64)] = {}
+
+
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Body)
+TASK_DECODER = msgspec.msgpack.Decoder(TaskWord)
+# Parts of a hold in one datagram; a plan for more fronts goes out in several.
+MOST_PARTS = 24
+# Bytes of a task's word that a datagram has room for.
+MOST_WORD = 850
 
 
 class LeaseWire:
@@ -44,7 +67,8 @@
     asker_class, keeper_class = Asker, Keeper
 
     def __init__(self, channel: Channel, front, order: list[str], me: int, keepers: list[str], terms: LeaseTerms,
-                 shards: int, probe_each: int, log, chance: Random):
+                 shards: int, probe_each: int, log, chance: Random, named: tuple[str, ...] = ("probe",),
+                 orphans_after: int = 15 * NS):
         self.channel, self.front, self.log, self.order, self.me = channel, front, log, order, me
         self.clock = front.clock
         self.number_of = {name: number for number, name in enumerate(order)}
@@ -53,8 +77,15 @@
         self.malformed = 0
         self.keeper = self.keeper_class(self, terms) if me in numbers else None
         self.asker = self.asker_class(self, me, channel.membership.me.life, numbers, terms, chance)
-        self.tasks = Tasks(order[me], self.asker, [Probing(self, shards, probe_each)], self.members)
+        self.listing, self.planning = ListReading(self), Planning(self, order[me])
+        tasks = {task.name: task for task in (Probing(self, shards, probe_each),
+                                              Orphans(self, shards, max(probe_each, NS), orphans_after),
+                                              self.listing, self.planning)}
+        self.named = named
+        self.tasks = Tasks(order[me], self.asker, [tasks[name] for name in named], self.members)
         channel.carries(KIND, self.heard)
+        channel.carries(KIND_OF_TASKS, self.heard_of_task)
+        self.plan_due = 0
 
     async def run(self) -> None:
         every = self.asker.terms.every / NS
@@ -64,10 +95,18 @@
                     self.keeper.time()
                 self.tasks.time()
                 self._to_itself()
+                self._as_one_of_the_others()
             except Exception as fault:
                 self.log.error("fault", what="leases", cause=repr(fault), exc_info=fault)
             await anyio.sleep(every)
 
+    def _as_one_of_the_others(self) -> None:
+        if "list" in self.named:
+            self.listing.time()
+        if "peaks" in self.named and self.now() >= self.plan_due:
+            self.plan_due = self.now() + NS
+            self.planning.tell(picked(PLAN, [*self.members(), self.order[self.me]]))
+
     def leave(self) -> None:
         self.tasks.drain()
         self._to_itself()
@@ -83,6 +122,31 @@
             self._take(number, body)
             self._to_itself()
 
+    def heard_of_task(self, sender: Member, data: bytes) -> None:
+        try:
+            word = TASK_DECODER.decode(data)
+        except msgspec.DecodeError:
+            self.malformed += 1
+            return
+        if sender.name not in self.number_of:
+            return
+        if word.list_at is not None and "list" in self.named:
+            self.listing.told(word.number, *word.list_at, word.news)
+        if word.asked is not None:
+            self.planning.asked_told(sender.name, word.asked)
+        if word.package and word.package in self.front.desk.packages:
+            self.planning.plan_told(word.number, word.package, word.parts)
+
+    def _tell_all(self, word: TaskWord) -> bool:
+        """To all that are in; False where it is too large for a datagram."""
+        raw = ENCODER.encode(word)
+        if len(raw) > MOST_WORD:
+            return False
+        for member in self.channel.membership.ring:
+            if member.name in self.number_of:
+                self.channel.say(member, KIND_OF_TASKS, raw)
+        return True
+
     def _take(self, by: int, body: Body) -> None:
         ballot, other = Ballot(*body.ballot), Ballot(*body.other)
         if body.what == PROMISE:
@@ -157,7 +221,51 @@
         return list(self.front.desk.rules.servers)
 
     def probe_for_all(self, server, lease: str, number: int) -> None:
-        self.front.reach.probe(server, f"{lease};{number}")
+        self.front.reach.probe(server, f"{lease};{number}", self._found)
+
+    def _found(self, server, report: dict[str, float]) -> None:
+        if self.front.shared is not None and "link" in report:
+            self.front.shared.sharing.found_for_all(server, report["link"])
+
+    def look_for_orphans(self, server, away: int, lease: str, number: int) -> None:
+        self.front.reach.end_orphans(server, away, f"{lease};{number}")
+
+    def list_held(self) -> tuple[str, int]:
+        roster = self.front.desk.roster
+        return roster.epoch, roster.generation
+
+    def tell_list(self, number: int, epoch: str, generation: int, news: ListNews | None) -> None:
+        if not self._tell_all(TaskWord(number, list_at=(epoch, generation), news=news)):
+            # too large: that there is something new is enough for each to read it
+            self._tell_all(TaskWord(number, list_at=(epoch, generation)))
+
+    def take_news(self, news: ListNews) -> None:
+        self.front.lists.take_news(news, full=False)
+
+    def read_list(self, itself: bool) -> None:
+        self.log.info("list-read", by="itself" if itself else "another",
+                      cause="this front reads for all, or what was told is late or does not follow" if itself else
+                      "one reads for all, and this front has what it has")
+        self.front.lists.read_itself(itself)
+
+    def front_names(self) -> list[str]:
+        return self.order
+
+    def asked_for(self) -> dict[str, float]:
+        return self.front.desk.peaks.asked_for(self.now())
+
+    def tell_asked(self, to: str, asked: dict[str, float]) -> None:
+        member = self.channel.membership.members.get(to)
+        if member is not None and member.there:
+            self.channel.say(member, KIND_OF_TASKS, ENCODER.encode(TaskWord(0, asked=asked)))
+
+    def tell_plan(self, number: int, package: str, parts: dict[str, float]) -> None:
+        names = list(parts)
+        for at in range(0, len(names), MOST_PARTS):
+            self._tell_all(TaskWord(number, package=package, parts={name: parts[name] for name in names[at:at + MOST_PARTS]}))
+
+    def planned(self, package: str, part: float, until: int) -> None:
+        self.front.desk.planned(package, part, until)
 
     # ---- for people
 
--- a/curlewshift/peering/shared.py
+++ b/curlewshift/peering/shared.py
@@ -23,23 +23,24 @@
 NS = 1_000_000_000
 # Between looks whether peers have answered a front that starts (s).
 LOOK = 0.02
-ASK, LEND, GIVE_BACK, USE, SUMS, SEEN, KNOWN = range(1, 8)
+ASK, LEND, GIVE_BACK, USE, SUMS, SEEN, KNOWN, REPORT = range(1, 9)
 
 Word = Annotated[str, Meta(min_length=1, max_length=192)]
 Count = Annotated[int, Meta(ge=0, lt=2**62)]
+Use = Annotated[float, Meta(ge=-1, le=1e6)]
 Amount = Annotated[float, Meta(ge=0, le=1e12)]
 
 
 class Body(msgspec.Struct, array_like=True):
     """`reading` is the sender's clock (ns), for the watch over clocks; `number` rises within a life, or is an ask's."""
 
-    what: Annotated[int, Meta(ge=1, le=7)]
+    what: Annotated[int, Meta(ge=1, le=8)]
     number: Count
     reading: Count
     keys: Annotated[list[Word], Meta(max_length=64)] = []
     rights: Annotated[list[tuple[Word, Count]], Meta(max_length=64)] = []
     uses: Annotated[list[tuple[Word, Amount]], Meta(max_length=64)] = []
-    sums: Annotated[list[tuple[Word, Amount, Count]], Meta(max_length=64)] = []
+    sums: Annotated[list[tuple[Word, Amount, Count, Use, Count]], Meta(max_length=64)] = []
     seen: Annotated[list[tuple[Word, Amount, Amount, Count]], Meta(max_length=64)] = []
 
 
@@ -90,8 +91,10 @@
             sharing.sums_told(name, life, body.number, body.sums)
         elif body.what == SEEN:
             sharing.seen_told(name, life, body.number, body.seen)
-        else:
+        elif body.what == KNOWN:
             sharing.known_asked(name)
+        else:
+            sharing.report_told(name, body.uses)
 
     async def learn(self, within: float) -> None:
         """What peers know, before the door opens: for so long (s) at the most, and no longer than it takes them to answer."""
@@ -132,9 +135,15 @@
     def tell_use(self, to: str, rows: list[tuple[str, float]]) -> None:
         self._say(to, USE, uses=rows)
 
-    def tell_sums(self, to: str, rows: list[tuple[str, float, int]]) -> None:
+    def tell_sums(self, to: str, rows: list[tuple[str, float, int, float, int]]) -> None:
         self._say(to, SUMS, sums=rows)
 
+    def tell_report(self, to: str, rows: list[tuple[str, float]]) -> None:
+        self._say(to, REPORT, uses=rows)
+
+    def link_reported(self, server: Server, use: float) -> None:
+        self.desk.link_reported(server, use)
+
     def tell_seen(self, to: str, rows: list[tuple[str, float, float, int]]) -> None:
         self._say(to, SEEN, seen=rows)
 
--- a/curlewshift/rehearsal/processes.py
+++ b/curlewshift/rehearsal/processes.py
@@ -59,6 +59,13 @@
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGSTOP)
 
+    def stopped(self) -> bool:
+        """Whether it is stopped, as the machine tells (proc(5)); one that has ended is not."""
+        try:
+            return Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()[0] == "T"
+        except OSError:
+            return False
+
     def go_on(self) -> None:
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -22,7 +22,7 @@
 from curlewshift.standins.traffic import Traffic, read_traffic
 from curlewshift.standins.viewers import Viewers
 from curlewshift.verdict.bounds import judge_bounds
-from curlewshift.verdict.leases import judge_leases
+from curlewshift.verdict.leases import judge_leases, judge_orphans
 from curlewshift.verdict.members import judge_members
 from curlewshift.verdict.phases import phases
 from curlewshift.verdict.verdict import Figures, judge
@@ -37,8 +37,10 @@
              "verdict.json")
 # After the last arrival viewings run out, but no longer than this (s).
 RUN_OUT = 6.0
+# A front that holds a lease acts within so long (s).
+STOPS_WITHIN = 30.0
 # Troubles for which fronts are started so that they can be led astray.
-LED = ("clock-rate", "clock-step", "bad-path")
+LED = ("clock-rate", "clock-step", "bad-path", "pause-in-act")
 # Fronts that know each other get so long after the day for their views to meet again (s); how often each is asked.
 VIEWS_MEET, WATCH_MEMBERS = 8.0, 0.2
 # The baseline's part of every link, kept all day: about what an announced peak holds at its height.
@@ -115,6 +117,16 @@
             self.day.traffic.seen("front-goes-on", front=self.name, life=self.life)
             child.go_on()
 
+    async def stop_in_act(self, lasts: float, within: float) -> None:
+        """It stops itself at its next act, if there is one within so long."""
+        child = self.child
+        await self.ask({"do": "stop-in-act"})
+        with anyio.move_on_after(within):
+            while self.child is child and not child.stopped():
+                await anyio.sleep(0.01)
+            if self.child is child:
+                await self.pause(lasts)
+
     async def ask(self, command: dict) -> dict | None:
         """What it answers on its control socket; None where it cannot."""
         try:
@@ -309,6 +321,8 @@
         elif trouble.kind == "clock-step":
             for front in struck:
                 await front.ask({"do": "clock", "step": int(trouble.size * NS) * chance.choice((-1, 1))})
+        elif trouble.kind == "pause-in-act":
+            await self._stop_in_act(trouble.lasts, count)
         elif trouble.kind == "bad-path":
             # a front of its own event: the judge has to know whose path it was
             self.traffic.seen("bad-path", lasts=trouble.lasts, fronts=[front.name for front in struck])
@@ -324,6 +338,15 @@
                 await anyio.sleep(max(0.0, next_at - time.monotonic()))
         self.traffic.seen("trouble-over", kind=trouble.kind, fronts=[front.name for front in struck])
 
+    async def _stop_in_act(self, lasts: float, count: int) -> None:
+        """Holders of leases are stopped in the very middle of an act, and go on after others have begun."""
+        told = [(front, await front.ask({"do": "leases"})) for front in self.fronts if not front.paused]
+        holders = [front for front, answer in told if answer and answer.get("leases") and any(
+            row["held_here"] and row["lease"].startswith("probe/") for row in answer["leases"]["leases"])]
+        async with anyio.create_task_group() as tasks:
+            for front in holders[:count]:
+                tasks.start_soon(front.stop_in_act, lasts, STOPS_WITHIN)
+
     # ---- the verdict
 
     def _judge(self) -> dict:
@@ -345,7 +368,7 @@
         if self.script.site.sharing is not None:
             verdict["bounds"] = judge_bounds(events, figures_of(self.script.site), self._together())
         if self.script.site.leases is not None:
-            verdict["leases"] = judge_leases(events)
+            verdict["leases"] = {**judge_leases(events), "orphans": judge_orphans(events)}
         if self.capture:
             verdict["replays"] = self._replays()
             verdict["replay_differences"] = sum(bool(run["difference"]) for run in verdict["replays"].values())
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -505,6 +505,10 @@
 
     def link_told(self, server: Server, use: float) -> None:
         self._heard(server)
+        self.link_reported(server, use)
+
+    def link_reported(self, server: Server, use: float) -> None:
+        """Another front was told so: it says how full the link is, and not that this front is answered there."""
         self._told(server.link, use)
         if not self.racks_told:
             uplink = server.rack.link
--- a/curlewshift/sharing/counts.py
+++ b/curlewshift/sharing/counts.py
@@ -17,6 +17,8 @@
 CHANGE, AGAIN = 0.02, 2
 # Keys that one front adds up, and words that it keeps for one key.
 MOST_KEYS, MOST_WORDS = 8192, 1024
+# One report comes by several words, whose ways differ by no more than this (ns).
+SAME_REPORT = 100_000_000
 
 
 def picked(key: str, names: list[str]) -> str:
@@ -42,6 +44,9 @@
         self.round = 0
         self.words: dict[str, dict[str, Word]] = {}
         self.others: dict[str, tuple[float, int]] = {}
+        # as the one that adds up: how full a prober found it, and when; as one that uses: what of that is new
+        self.reports: dict[str, tuple[float, int]] = {}
+        self.found: dict[str, tuple[float, int]] = {}
         # which life and number of who adds up spoke last
         self.heard_of: dict[str, tuple[int, int]] = {}
 
@@ -69,14 +74,18 @@
                 self.said[key] = (value, self.round)
         return rows
 
-    def told(self, adder: str, life: int, number: int, rows: list[tuple[str, float, int]], now: int) -> None:
-        """Others' use by who adds it up, each with its age (ns)."""
+    def told(self, adder: str, life: int, number: int, rows: list[tuple[str, float, int, float, int]], now: int) -> None:
+        """Others' use by who adds it up, each with its age (ns); and how full the one that asks for all found it, with the age
+        of that, a use under 0 where there is none."""
         if (life, number) <= self.heard_of.get(adder, (-1, -1)):
             return
         self.heard_of[adder] = (life, number)
-        for key, value, age in rows:
+        for key, value, age, use, use_age in rows:
             if key in self.mine:
                 self.others[key] = (value, now - max(0, age))
+                at = now - max(0, use_age)
+                if use >= 0 and at > self.found.get(key, (0.0, -1))[1] + SAME_REPORT:
+                    self.found[key] = (use, at)
 
     def of_others(self, key: str, now: int) -> tuple[float, int] | None:
         """What the others use together and how old that is; None where it is too old to say."""
@@ -101,7 +110,16 @@
             if held is not None or len(words) < MOST_WORDS:
                 words[front] = Word(life, number, value, now)
 
-    def sums(self, front: str, keys: list[str], now: int) -> list[tuple[str, float, int]]:
+    def reported(self, key: str, use: float, now: int) -> None:
+        if key in self.reports or len(self.reports) < MOST_KEYS:
+            self.reports[key] = (use, now)
+
+    def report(self, key: str, now: int) -> tuple[float, int]:
+        """What was found of late, and its age; -1 where nothing was."""
+        use, at = self.reports.get(key, (-1.0, now))
+        return (use, now - at) if now - at < self.terms.ages else (-1.0, 0)
+
+    def sums(self, front: str, keys: list[str], now: int) -> list[tuple[str, float, int, float, int]]:
         """For one that asked: what all others use of each key, and how old that is in the mean of what is used. By the oldest
         word in it, one lost word of any front had made the whole sum too old to go by (at a quarter of words lost, .126 of
         seconds short where .149 were without)."""
@@ -114,7 +132,7 @@
                     used = word.value * self.weight(age)
                     whole += used
                     aged += used * age
-            rows.append((key, whole, int(aged / whole) if whole > 0 else 0))
+            rows.append((key, whole, int(aged / whole) if whole > 0 else 0, *self.report(key, now)))
         return rows
 
     def forget(self, now: int) -> None:
@@ -125,6 +143,8 @@
                 del words[name]
             if not words:
                 del self.words[key]
+        self.reports = {key: held for key, held in self.reports.items() if now - held[1] < self.terms.ages}
+        self.found = {key: held for key, held in self.found.items() if now - held[1] < 4 * self.terms.ages}
         self.heard_of = dict(list(self.heard_of.items())[-MOST_WORDS:])
 
     def merged(self, other: Counts) -> None:
--- a/curlewshift/sharing/sharing.py
+++ b/curlewshift/sharing/sharing.py
@@ -19,8 +19,8 @@
 from curlewshift.sharing.standing import StandingLoans
 from curlewshift.sharing.terms import SharingTerms, Together
 
-# Rows of one message; evidence is told to so many others a round, what is worst or newest first.
-MOST_ROWS = 16
+# Rows of one message, of use a few less, as its answer has more to say of each; evidence is told to so many others a round, what is worst or newest first.
+MOST_ROWS, MOST_USES = 16, 12
 TELL_EVIDENCE_TO = 3
 # A front that starts asks so many others for all that they have seen, each of whom tells of so many servers at the most.
 LEARN_OF, MOST_KNOWN = 3, 256
@@ -39,7 +39,9 @@
     def lend(self, to: str, number: int, rights: list[tuple[str, int]]) -> None: ...
     def give_back_to(self, to: str, number: int, key: str) -> None: ...
     def tell_use(self, to: str, rows: list[tuple[str, float]]) -> None: ...
-    def tell_sums(self, to: str, rows: list[tuple[str, float, int]]) -> None: ...
+    def tell_sums(self, to: str, rows: list[tuple[str, float, int, float, int]]) -> None: ...
+    def tell_report(self, to: str, rows: list[tuple[str, float]]) -> None: ...
+    def link_reported(self, server: Server, use: float) -> None: ...
     def tell_seen(self, to: str, rows: list[tuple[str, float, float, int]]) -> None: ...
     def rights_held(self, server: Server, rights: list) -> None: ...
     def doubted(self, server: Server, doubted: bool) -> None: ...
@@ -96,6 +98,7 @@
         self.wanted_at: dict[Server, int] = {}
         self.turn = chance.randrange(1 << 16)
         self.out = False
+        self.reported_at: dict[str, int] = {}
         self.learning_of: set[str] = set()
         self.learned_of: set[str] = set()
 
@@ -136,6 +139,8 @@
         for pool in self.pools.values():
             pool.time(there, self.turn)
         self._write_rights(servers.values())
+        if len(self.reported_at) > 2 * len(servers) + 64:
+            self.reported_at = {key: at for key, at in self.reported_at.items() if key in servers}
         if len(self.wanted_at) > 2 * len(servers) + 64:
             self.wanted_at = {server: at for server, at in self.wanted_at.items() if server.name in servers}
 
@@ -236,8 +241,8 @@
         for key, value in counts.due():
             together.setdefault(picked(key, everyone), []).append((key, value))
         for adder, rows in together.items():
-            for at in range(0, len(rows), MOST_ROWS):
-                part = rows[at:at + MOST_ROWS]
+            for at in range(0, len(rows), MOST_USES):
+                part = rows[at:at + MOST_USES]
                 if adder == self.name:
                     counts.heard(self.name, self.life, self.counts.round, part, now)
                     counts.told(self.name, self.life, self.counts.round * 1000 + at, counts.sums(
@@ -251,9 +256,23 @@
         self.counts.heard(by, life, number, rows, now)
         self.outside.tell_sums(by, self.counts.sums(by, [key for key, _ in rows], now))
 
-    def sums_told(self, by: str, life: int, number: int, rows: list[tuple[str, float, int]]) -> None:
+    def sums_told(self, by: str, life: int, number: int, rows: list[tuple[str, float, int, float, int]]) -> None:
         self.counts.told(by, life, number, rows, self._now())
 
+    def found_for_all(self, server: Server, use: float) -> None:
+        """This front asks that server for all, and was told how full its link is: it goes on with the sums."""
+        names = [name for name in self.outside.members() if name in self.number_of]
+        adder = picked(server.name, [*{*names, self.name}])
+        if adder == self.name:
+            self.counts.reported(server.name, use, self._now())
+        else:
+            self.outside.tell_report(adder, [(server.name, use)])
+
+    def report_told(self, by: str, rows: list[tuple[str, float]]) -> None:
+        now = self._now()
+        for key, use in rows:
+            self.counts.reported(key, use, now)
+
     # ---- evidence
 
     def _look(self, servers: dict[str, Server], now: int) -> None:
@@ -307,6 +326,10 @@
             told = self.counts.of_others(UPLINK + name, now)
             if told is not None:
                 self.outside.uplink_counted(server, *told)
+        for key, (use, at) in self.counts.found.items():
+            if key in servers and at > self.reported_at.get(key, -1):
+                self.reported_at[key] = at
+                self.outside.link_reported(servers[key], use)
         for server in servers.values():
             if server.doubted is not (server.name in doubted):
                 self.outside.doubted(server, server.name in doubted)
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -126,12 +126,15 @@
 
 @dataclass(slots=True)
 class Leases:
-    """`probe_each` (ns) is how often each media server is asked for all fronts."""
+    """`probe_each` (ns) is how often each media server is asked for all fronts; `orphans_after` how long a front has to be away
+    from a server before what it left there is ended; `tasks` are those that are done once for all."""
 
     keepers: list[str]
     terms: LeaseTerms
     shards: int
     probe_each: int
+    tasks: tuple[str, ...] = ("probe",)
+    orphans_after: int = 15 * SECOND
 
 
 def host_port(text: str) -> tuple[str, int]:
@@ -300,7 +303,10 @@
     shards = int(element.get("shards", "8"))
     if shards > 64:
         wrong.append((line, "leases: 64 shards at most"))
-    return Leases(keepers, LeaseTerms(term, drift, every), shards, span(element.get("probe-each", "1s")))
+    tasks, after = tuple(dict.fromkeys(element.get("tasks", "probe").split())), span(element.get("orphans-after", "15s"))
+    if after < term:
+        wrong.append((line, "leases: orphans-after is shorter than a term, and a front that is only stopped comes back by then"))
+    return Leases(keepers, LeaseTerms(term, drift, every), shards, span(element.get("probe-each", "1s")), tasks, after)
 
 
 def _files(folder: Path, fronts) -> dict:
--- a/curlewshift/standins/fleet.py
+++ b/curlewshift/standins/fleet.py
@@ -62,9 +62,11 @@
 
 
 class Fleet:
-    def __init__(self, site: Site, seed: int, traffic: Traffic, own_ports: bool = False, setup_work: float = SETUP_WORK):
+    def __init__(self, site: Site, seed: int, traffic: Traffic, own_ports: bool = False, setup_work: float = SETUP_WORK,
+                 tidy: bool = True):
         """`own_ports`: the servers listen where the site says, and not wherever there is a port. `setup_work` (s) is
-        what one set-up takes of a core."""
+        what one set-up takes of a core. `tidy`: they end by themselves what is left to them."""
+        self.tidy = tidy
         self.setup_work = setup_work
         self.site, self.traffic, self.own_ports = site, traffic, own_ports
         # troubles draw from chance of their own: what befalls whom does not hang on what else was drawn
@@ -104,6 +106,7 @@
             port, listener = await self.ports.listener()
         server = place.server = MediaServer(place.machine, f"{host}:{port}", place.link, self.ladder, self.site.duties,
                                             born, Random(self.chance.random()), self.traffic, self.setup_work)
+        server.tidy = self.tidy
         self.tasks.start_soon(self._live, place, server, listener)
         if tell:
             self.list.knows(self._row(server, "on"))
--- a/curlewshift/standins/running.py
+++ b/curlewshift/standins/running.py
@@ -54,7 +54,7 @@
     traffic = Traffic(path)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(until_told, tasks)
-        fleet = Fleet(script.site, seed, traffic)
+        fleet = Fleet(script.site, seed, traffic, tidy=script.tidy)
         port = await fleet.start(tasks)
         print(json.dumps({"list": port}), flush=True)
         line = await anyio.to_thread.run_sync(sys.stdin.readline, abandon_on_cancel=True)
--- a/curlewshift/standins/script.py
+++ b/curlewshift/standins/script.py
@@ -17,14 +17,14 @@
     "answer-lost": (4, 0.2, 1.0), "deploy": (15, 0.6, 1.0), "preempt": (5, 0.2, 1.0), "front-crash": (2, 0.34, 1.0),
     "front-roll": (9, 1.0, 1.0), "cold-restart": (1, 0.2, 1.0), "list-stuck": (5, 1.0, 1.0), "notes-late": (6, 1.0, 3.0),
     "peak": (10, 1.0, 2.0), "pause": (3, 0.2, 1.0), "clock-rate": (8, 0.2, 1.01), "clock-step": (1, 0.2, 600.0),
-    "bad-path": (6, 0.125, 1.0),
+    "bad-path": (6, 0.125, 1.0), "pause-in-act": (5, 0.125, 1.0),
     "cut": (5, 0.5, 1.0), "one-way": (5, 0.2, 1.0), "loss": (6, 1.0, 0.15), "late": (6, 1.0, 3.0),
     "doubled": (6, 1.0, 0.3), "reordered": (6, 1.0, 0.3), "spoilt": (6, 1.0, 0.2),
 }
 # What befalls datagrams between fronts, by the relay that all of them pass.
 OF_PEERS = ("cut", "one-way", "loss", "late", "doubled", "reordered", "spoilt")
 # What befalls processes and their clocks.
-OF_FRONTS = ("front-crash", "front-roll", "pause", "clock-rate", "clock-step", "bad-path")
+OF_FRONTS = ("front-crash", "front-roll", "pause", "clock-rate", "clock-step", "bad-path", "pause-in-act")
 OF_VIEWERS = ("burst", "crowd", "peak")
 # What deployments in the emulator's world know; it has viewers, servers and fronts, but nothing between fronts.
 EMULATED = tuple(kind for kind in USUAL if kind not in (*OF_PEERS, *OF_FRONTS[2:], "peak"))
@@ -79,6 +79,8 @@
     wishes: list[Wish]
     troubles: list[Trouble]
     announced: list[Announced]
+    # whether servers end by themselves what nobody watches and what a front that is gone has left
+    tidy: bool = True
 
 
 def pressure(script: Script, now: float, titles: list[str], factor: float = 1.0) -> tuple[float, list[Part]]:
@@ -163,4 +165,5 @@
         raise Mistakes(path, wrong)
     return Script(site_path, site, lasts / NS, int(root.get("seed", "1")), each_second,
                   float(viewers.get("come-again")), float(viewers.get("hang-up-and-retry", "0")),
-                  float(viewers.get("hang-up-and-leave", "0")), wishes, troubles, announced)
+                  float(viewers.get("hang-up-and-leave", "0")), wishes, troubles, announced,
+                  root.get("servers-tidy", "true") in ("true", "1"))
--- a/curlewshift/standins/server.py
+++ b/curlewshift/standins/server.py
@@ -38,6 +38,7 @@
 # A session without a watcher for so long is over, and so are those of a front that is not heard of (s): no life of it.
 WATCHED_WITHIN = 3.0
 FRONT_WITHIN = 10.0
+JSON = [("content-type", "application/json")]
 MEDIA_EVERY = 0.5
 # Load reports are renewed so often (s), and are off by so much.
 REPORT_EVERY = 0.3
@@ -114,6 +115,8 @@
         self.loses_answers = ""
         # it points elsewhere; it goes on for those who have hung up
         self.redirects = self.stubborn = False
+        # it ends by itself what nobody watches and what fronts that are gone have left
+        self.tidy = True
         self.notes_late = 0.0
         self.thaw = anyio.Event()
         self.thaw.set()
@@ -191,7 +194,7 @@
                 self.report = {"link": self.link.use() * noise,
                                "uplink": self.link.uplink.asked() / self.link.uplink.size * noise}
             if self.thaw.is_set():
-                for session in list(self.sessions.values()):
+                for session in list(self.sessions.values()) if self.tidy else ():
                     if not session.watchers and now - session.unwatched_since > WATCHED_WITHIN * NS:
                         self._end(session, "nobody watches")
                     elif now - max(session.began, self._heard_of(session.front)) > FRONT_WITHIN * NS:
@@ -219,10 +222,7 @@
         elif parts[0] == "media" and len(parts) == 2 and exchange.method == "GET":
             await self._media(exchange, parts[1])
         elif parts[0] == "session" and len(parts) == 2 and exchange.method == "DELETE":
-            session = self.sessions.get(parts[1])
-            if session is not None:
-                self._end(session, "deleted", tell=False)
-            await exchange.answer(200 if session else 404)
+            await self._delete(exchange, self.sessions.get(parts[1]))
         elif parts[0] == "session" and len(parts) == 2 and exchange.method == "PATCH":
             await self._patch(exchange, parts[1])
         elif parts[0] == "session" and len(parts) == 3 and exchange.method == "POST":
@@ -373,12 +373,40 @@
         await exchange.answer(200, [("content-type", FRAGMENT), ("etag", session.etag)],
                               fragment_text(session.ufrag, secrets.token_hex(12)).encode())
 
+    async def _delete(self, exchange: Exchange, session: Session | None) -> None:
+        """Ended by its front, or for one that is gone by who may do so for all: then it has to be that one's still."""
+        fence, was = exchange.headers.get("x-fence", ""), exchange.headers.get("x-was", "")
+        if fence and not self._passes(fence, exchange.headers.get("x-front", "")):
+            await exchange.answer(412, [])
+        elif session is None:
+            await exchange.answer(404)
+        elif was and (session.front != was or session.watchers):
+            await exchange.answer(409, [])
+        else:
+            self._end(session, "left by a front that is gone" if was else "deleted", tell=False)
+            await exchange.answer(200)
+
+    def _left_behind(self, away: int) -> list[Session]:
+        """Sessions whose front has not been there for so long (ns), and that nobody watches."""
+        now = time.monotonic_ns()
+        return [session for session in self.sessions.values() if not session.watchers
+                and now - max(session.began, self._heard_of(session.front)) > away]
+
     async def _tell_sessions(self, exchange: Exchange) -> None:
-        """What plays here for any life of the front that asks."""
+        """What plays here for any life of the front that asks; or, to who may act for all, what fronts that are gone left."""
+        away = exchange.query.get("away", "")
+        if away.isdecimal():
+            if not self._passes(exchange.headers.get("x-fence", ""), exchange.headers.get("x-front", "")):
+                await exchange.answer(412, [])
+                return
+            left = [SessionRow(f"/session/{session.name}", session.front, session.rung)
+                    for session in self._left_behind(int(away) * 1_000_000)]
+            await exchange.answer(200, JSON, encode(SessionList(self.boot, left)))
+            return
         front = front_of(exchange.query.get("front", ""))
         rows = [SessionRow(f"/session/{session.name}", session.front, session.rung, session.viewing, session.etag,
                            session.answer) for session in self.sessions.values() if front_of(session.front) == front]
-        await exchange.answer(200, [("content-type", "application/json")], encode(SessionList(self.boot, rows)))
+        await exchange.answer(200, JSON, encode(SessionList(self.boot, rows)))
 
     async def _adopt(self, exchange: Exchange) -> None:
         """What earlier lives of a front asked for is its present life's from now on; what has ended is left out."""
@@ -396,7 +424,7 @@
                                   before=session.front, package=session.package, title=session.title)
                 session.front = life
                 taken.append(path)
-        await exchange.answer(200, [("content-type", "application/json")], encode(SessionNames(taken)))
+        await exchange.answer(200, JSON, encode(SessionNames(taken)))
 
     def _end(self, session: Session, why: str, tell: bool = True) -> None:
         if self.sessions.pop(session.name, None) is None:
--- a/curlewshift/tasks/tasks.py
+++ b/curlewshift/tasks/tasks.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from hashlib import blake2b
 from typing import Protocol
 
 from curlewshift.leases.asker import Asker
@@ -71,26 +70,16 @@
         self.tasks[name].stop(int(shard))
 
 
-class Probing:
-    """One asks each media server for all: whether it runs and how full it is. What it finds goes out as evidence."""
+class Fences:
+    """The highest number that each lease has come with: what comes with a lower one is of a tenure that is over."""
 
-    name = "probe"
+    def __init__(self):
+        self.highest: dict[str, int] = {}
+        self.refused = 0
 
-    def __init__(self, outside, shards: int, each: int):
-        self.outside, self.shards, self.each = outside, shards, each
-        self.due: dict[int, int] = {}
-
-    def begin(self, shard: int, number: int) -> None:
-        self.due[shard] = 0
-
-    def act(self, shard: int, number: int) -> None:
-        now = self.outside.now()
-        if now < self.due.get(shard, 0):
-            return
-        self.due[shard] = now + self.each
-        for server in self.outside.servers():
-            if server.open and blake2b(server.name.encode(), digest_size=2).digest()[0] % self.shards == shard:
-                self.outside.probe_for_all(server, f"{self.name}/{shard}", number)
-
-    def stop(self, shard: int) -> None:
-        self.due.pop(shard, None)
+    def passes(self, lease: str, number: int) -> bool:
+        if number < self.highest.get(lease, 0):
+            self.refused += 1
+            return False
+        self.highest[lease] = number
+        return True
--- a/curlewshift/verdict/leases.py
+++ b/curlewshift/verdict/leases.py
@@ -70,3 +70,24 @@
     told["longest_gap_s"], told["holders"] = round(told["longest_gap_s"], 2), len(fronts)
     told["examples"] = told["examples"][:KEPT_EXAMPLES]
     return told
+
+
+def judge_orphans(events: list[dict]) -> dict:
+    """Sessions that were up at a running server when the life of the front that had them was killed, and that nobody took up:
+    how long they stood on after that (s; those that stood to the end of the day count as standing until then)."""
+    killed = {event["life"]: event["at"] for event in events if event["ev"] == "front-down" and event["how"] == "killed"}
+    taken = {event["session"] for event in events if event["ev"] == "adopted"}
+    ends = {event["session"]: event["at"] for event in events if event["ev"] == "session-end"}
+    died = {(event["server"], event["boot"]): event["at"] for event in events if event["ev"] == "dead"}
+    over = max((event["at"] for event in events if event["ev"] == "day-over"), default=max(
+        (event["at"] for event in events), default=0))
+    stood = []
+    for event in events:
+        if event["ev"] == "session" and event["front"] in killed and event["session"] not in taken:
+            since = killed[event["front"]]
+            until = min(ends.get(event["session"], over), died.get((event["server"], event["boot"]), over), over)
+            if event["at"] <= since < until:
+                stood.append((until - since) / SECOND)
+    stood.sort()
+    return {"left": len(stood), "seconds": round(sum(stood), 1), "median_s": round(stood[len(stood) // 2], 2) if stood else 0.0,
+            "longest_s": round(stood[-1], 2) if stood else 0.0}
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,7 +6,8 @@
 from curlewshift.leases.ballots import NONE, Ballot
 from curlewshift.leases.keeper import Keeper
 from curlewshift.leases.terms import LeaseTerms
-from curlewshift.tasks.tasks import Probing, Tasks
+from curlewshift.tasks.servers import Probing
+from curlewshift.tasks.tasks import Tasks
 from curlewshift.verdict.leases import judge_leases
 
 SECOND = 1000 * MS
@@ -67,6 +68,21 @@
         self.assertGreater(calm.holder().asker.may_act("l0"), number)
         self.assertEqual(holder.asker.may_act("l0"), 0)
 
+    def test_what_was_accepted_for_a_tenure_that_never_was_is_let_go_of(self):
+        # two that proposed at once left the lease without a holder for 2.7 terms: some keepers had accepted each
+        calm = Calm()
+        said, asker = [], calm.fronts[4].asker
+        calm.say = lambda sender, to, part, what, words: said.append((to, what, words))
+        asker._ask("l0", asker.tries["l0"], asker._now())
+        ballot = asker.tries["l0"].ballot
+        for keeper in (0, 1):
+            asker.promise(keeper, "l0", ballot, -1, NONE, 0)
+        self.assertTrue(asker.tries["l0"].proposing)
+        said.clear()
+        asker.outbid(2, "l0", ballot, Ballot(99, 3, 1))
+        self.assertEqual([(to, what) for to, what, _ in said], [(keeper, "released") for keeper in range(3)])
+        self.assertEqual(asker.may_act("l0"), 0)
+
     def test_given_back_in_words_another_need_not_wait_for_the_term(self):
         calm, holder = self.held()
         holder.asker.leave("l0")
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -283,8 +283,8 @@
         self.assertEqual(adder.words, {})
         user = Counts("a", TERMS)
         user.wanted({"k": 100.0})
-        user.told("x", 1, 2, [("k", 40.0, 0)], SECOND)
-        user.told("x", 1, 1, [("k", 999.0, 0)], SECOND)
+        user.told("x", 1, 2, [("k", 40.0, 0, -1.0, 0)], SECOND)
+        user.told("x", 1, 1, [("k", 999.0, 0, -1.0, 0)], SECOND)
         self.assertEqual(user.of_others("k", 2 * SECOND), (40.0, SECOND))
         self.assertIsNone(user.of_others("k", 10 * SECOND))
 
@@ -456,12 +456,12 @@
         rules, link = story.rules, story.servers[0].link
         rules.link_told(story.servers[0], 0.9)
         reported = rules._use(link)
-        rules.counted(story.servers[0], 100.0, 0)
+        rules.counted(story.servers[0].link, 100.0, 0)
         self.assertAlmostEqual(rules._use(link), 100.0)
         # what reports go on to show beyond it is added
         for _ in range(20):
             story.later(SECOND)
-            rules.counted(story.servers[0], 100.0, 0)
+            rules.counted(story.servers[0].link, 100.0, 0)
             rules.link_told(story.servers[0], 0.5)
         self.assertAlmostEqual(rules._use(link), 500.0, delta=30)
         story.later(3 * SECOND)
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,283 @@
+"""Tasks that are done once for all fronts: orphans, the list, a peak's plan, and what an act of an earlier tenure comes to."""
+
+import unittest
+from types import SimpleNamespace
+
+import anyio
+
+from curlewshift.exchange.client import ask
+from curlewshift.peaks.calendar import Calendar, Peak
+from curlewshift.peaks.peaks import Peaks
+from curlewshift.signalling.bodies import ListNews, ListRow, SessionList, decode
+from curlewshift.tasks.listing import EACH, LATE, ListReading
+from curlewshift.tasks.planning import LASTS, Planning, divided
+from curlewshift.tasks.servers import Orphans, Probing, shard_of
+from curlewshift.tasks.tasks import Fences
+from curlewshift.verdict.leases import judge_orphans
+from tests.fake import package
+from tests.sockets import SmallSite, story, until
+
+MS = 1_000_000
+SECOND = 1000 * MS
+
+
+class Shards(unittest.TestCase):
+    """Tasks at servers, with what they ask for in a list."""
+
+    def now(self):
+        return self.clock
+
+    def servers(self):
+        return [SimpleNamespace(name=f"127.0.0.1:{n}", open=n != 3) for n in range(20)]
+
+    def probe_for_all(self, server, lease, number):
+        self.done.append((server.name, lease, number))
+
+    def look_for_orphans(self, server, away, lease, number):
+        self.done.append((server.name, lease, number))
+
+    def test_each_open_server_is_seen_to_by_the_holder_of_its_shard_once_a_period_and_by_nobody_else(self):
+        for task in (Probing(self, 4, SECOND), Orphans(self, 4, SECOND, 5 * SECOND)):
+            self.clock, self.done = 10 * SECOND, []
+            for shard in range(4):
+                task.begin(shard, 7)
+                task.act(shard, 7)
+                task.act(shard, 7)
+            self.assertEqual(sorted(name for name, _, _ in self.done), sorted(one.name for one in self.servers() if one.open))
+            self.assertTrue(all(lease == f"{task.name}/{shard_of(SimpleNamespace(name=name), 4)}" for name, lease, _ in self.done))
+            self.clock += SECOND
+            task.act(0, 7)
+            self.assertGreater(len(self.done), 19)
+
+    def test_a_number_of_an_earlier_tenure_does_not_pass(self):
+        fences = Fences()
+        self.assertEqual([fences.passes("a", 2), fences.passes("a", 1), fences.passes("a", 2), fences.passes("b", 1), fences.refused],
+                         [True, False, True, True, 1])
+
+
+class Reader:
+    """One front's list and what it does about it."""
+
+    def __init__(self, fleet):
+        self.fleet, self.held, self.itself, self.taken = fleet, ("e", 1), True, []
+        self.task = ListReading(self)
+
+    def now(self):
+        return self.fleet.clock
+
+    def list_held(self):
+        return self.held
+
+    def tell_list(self, number, epoch, generation, news):
+        self.fleet.said.append((number, epoch, generation, news))
+
+    def take_news(self, news):
+        self.taken.append(news)
+        if news == self.held[1]:
+            self.held = ("e", news + 1)
+        else:
+            self.task.gap()
+
+    def read_list(self, itself):
+        self.itself = itself
+
+
+class OneReader(unittest.TestCase):
+    """News here are the generation that they follow on."""
+
+    def setUp(self):
+        self.clock, self.said = 100 * SECOND, []
+        self.holder, self.other = Reader(self), Reader(self)
+        self.holder.task.begin(0, 5)
+
+    def hand_on(self):
+        said, self.said = self.said, []
+        for words in said:
+            self.other.task.told(*words)
+
+    def round(self):
+        self.holder.task.act(0, 5)
+        self.hand_on()
+
+    def test_the_others_rest_once_they_have_what_the_reader_has_and_hear_of_news(self):
+        self.round()
+        self.assertEqual((self.holder.itself, self.other.itself), (True, False))
+        self.holder.held = ("e", 2)
+        self.holder.task.read("e", 2, 1)
+        self.hand_on()
+        self.assertEqual((self.other.held, self.other.itself), (("e", 2), False))
+
+    def test_silence_of_the_reader_has_each_read_for_itself(self):
+        self.round()
+        for _ in range(LATE + 1):
+            self.clock += EACH
+            self.other.task.time()
+        self.assertTrue(self.other.itself)
+
+    def test_news_that_do_not_follow_and_another_life_of_the_list_have_it_read(self):
+        self.round()
+        self.holder.held = ("e", 4)
+        self.holder.task.read("e", 4, 3)
+        self.hand_on()
+        self.assertTrue(self.other.itself)
+        self.other.held = ("e", 4)
+        self.clock += EACH
+        self.round()
+        self.assertFalse(self.other.itself)
+        self.holder.held = ("another", 0)
+        self.clock += EACH
+        self.round()
+        self.assertTrue(self.other.itself)
+
+    def test_a_reader_of_an_earlier_tenure_is_not_listened_to(self):
+        self.round()
+        self.other.task.told(6, "e", 1, None)
+        self.other.task.told(5, "e", 1, 1)
+        self.assertEqual((self.other.held, self.other.taken), (("e", 1), []))
+
+    def test_who_becomes_the_reader_reads_itself_and_hears_no_other(self):
+        self.round()
+        self.other.task.begin(0, 9)
+        self.assertTrue(self.other.itself)
+        self.other.task.told(10, "e", 1, None)
+        self.assertTrue(self.other.itself)
+
+
+class Plans(unittest.TestCase):
+    def now(self):
+        return self.clock
+
+    def front_names(self):
+        return ["a", "b", "c"]
+
+    def asked_for(self):
+        return {"clip": 6.0}
+
+    def tell_asked(self, to, asked):
+        self.said.append((to, asked))
+
+    def tell_plan(self, number, package, parts):
+        self.said.append((number, package, parts))
+
+    def planned(self, package, part, until):
+        self.plans.append((package, part, until))
+
+    def setUp(self):
+        self.clock, self.said, self.plans = 100 * SECOND, [], []
+        self.planning = Planning(self, "a")
+
+    def test_parts_go_by_what_is_asked_for_and_add_up(self):
+        self.planning.asked_told("b", {"clip": 2.0})
+        self.planning.act(0, 3)
+        number, name, parts = self.said[0]
+        self.assertEqual((number, name), (3, "clip"))
+        self.assertAlmostEqual(sum(parts.values()), 1.0)
+        self.assertTrue(parts["a"] > 2 * parts["b"] > 0 and parts["c"] > 0)
+        self.assertEqual(self.plans, [("clip", parts["a"], self.clock + LASTS)])
+
+    def test_what_was_told_long_ago_counts_no_more_and_with_nothing_asked_parts_are_even(self):
+        self.planning.asked_told("b", {"clip": 50.0})
+        self.clock += LASTS + 1
+        self.planning.act(0, 3)
+        self.assertGreater(self.said[0][2]["a"], 0.5)
+        self.assertEqual(divided(["a", "b"], {}), {"a": 0.5, "b": 0.5})
+
+    def test_a_plan_of_an_earlier_tenure_is_not_taken(self):
+        self.planning.plan_told(4, "clip", {"a": 0.5})
+        self.planning.plan_told(3, "clip", {"a": 0.9})
+        self.assertEqual([part for _, part, _ in self.plans], [0.5])
+
+    def test_a_front_holds_its_part_while_the_plan_stands_and_an_even_one_after(self):
+        pack = package(name="clip")
+        peaks = Peaks(Calendar([pack]), 4, 0)
+        peaks.planned(pack, 0.5, 10 * SECOND)
+        self.assertEqual((peaks.one_of(pack, 9 * SECOND), peaks.one_of(pack, 10 * SECOND)), (2.0, 4))
+        peaks.calendar.announce(Peak("p", "clip", 0, SECOND, 5.0), 0)
+        peaks.came(pack, SECOND, [])
+        self.assertGreater(peaks.asked_for(SECOND)["clip"], 0)
+
+
+class AtAServer(unittest.TestCase):
+    """A stand-in server on a socket; sessions of a front that is gone stay until who may end them does."""
+
+    async def left(self, site):
+        await site.ask()
+        server = next(server for server in site.servers.values() if server.sessions)
+        server.tidy = False
+        session = next(iter(server.sessions.values()))
+        session.front = "gone.1"
+        return server, session
+
+    async def sessions(self, server, number, away=0):
+        answered = await ask("127.0.0.1", int(server.name.rpartition(":")[2]), "GET", f"/sessions?away={away}",
+                             [("x-front", "f.1"), ("x-fence", f"orphans/0;{number}")], within=2.0)
+        return answered.status, decode(answered.body, SessionList).sessions if answered.status == 200 else None
+
+    @story
+    async def test_what_a_front_that_is_gone_left_is_told_of_and_ended_by_who_may(self):
+        async with SmallSite(servers=1).up() as site:
+            server, session = await self.left(site)
+            status, rows = await self.sessions(server, 5)
+            self.assertEqual((status, [row.front for row in rows]), (200, ["gone.1"]))
+            held = next(iter(site.front.desk.roster.servers.values()))
+            site.front.reach.end_orphans(held, 0, "orphans/0;5")
+            await until(lambda: not server.sessions)
+            self.assertEqual(site.traffic.all("session-end")[-1]["why"], "left by a front that is gone")
+
+    @story
+    async def test_one_that_is_watched_or_was_taken_up_meanwhile_or_whose_front_is_there_stays(self):
+        async with SmallSite(servers=1).up() as site:
+            server, session = await self.left(site)
+            self.assertEqual((await self.sessions(server, 5, away=60_000))[1], [])
+            session.watchers = 1
+            self.assertEqual((await self.sessions(server, 5))[1], [])
+            session.watchers = 0
+            port = int(server.name.rpartition(":")[2])
+            session.front = "gone.2"
+            answered = await ask("127.0.0.1", port, "DELETE", f"/session/{session.name}",
+                                 [("x-fence", "orphans/0;5"), ("x-was", "gone.1")], within=2.0)
+            self.assertEqual((answered.status, len(server.sessions)), (409, 1))
+
+    @story
+    async def test_an_act_of_an_earlier_tenure_comes_to_nothing(self):
+        async with SmallSite(servers=1).up() as site:
+            server, session = await self.left(site)
+            self.assertEqual((await self.sessions(server, 9))[0], 200)
+            self.assertEqual((await self.sessions(server, 8))[0], 412)
+            answered = await ask("127.0.0.1", int(server.name.rpartition(":")[2]), "DELETE", f"/session/{session.name}",
+                                 [("x-fence", "orphans/0;8"), ("x-was", "gone.1")], within=2.0)
+            self.assertEqual((answered.status, len(server.sessions)), (412, 1))
+            self.assertEqual([act["accepted"] for act in site.traffic.all("act")], [True, False, False])
+
+    @story
+    async def test_a_front_that_rests_from_the_list_takes_anothers_news_and_goes_on_where_it_was(self):
+        async with SmallSite(servers=1).up() as site:
+            lists, roster = site.front.lists, site.front.desk.roster
+            lists.read_itself(False)
+            await until(lambda: lists.reading.cancel_called)
+            before = roster.generation
+            site.list.knows(site.row(site.site.machines[0], "fading"))
+            await until(lambda: site.list.generation > before, 8)
+            self.assertEqual(roster.generation, before)
+            row = ListRow(site.row(site.site.machines[0]).server, "fading", 0, "z", "r", 10.0, 5, "s0")
+            lists.take_news(ListNews(roster.epoch, before + 1, [row], before), full=False)
+            self.assertEqual([server.open for server in site.front.desk.rules.servers], [False])
+            site.list.knows(site.row(site.site.machines[0], "on"))
+            lists.read_itself(True)
+            await until(lambda: next(iter(site.front.desk.rules.servers)).open, 8)
+
+
+class Judging(unittest.TestCase):
+    def test_what_a_killed_front_left_counts_until_it_is_ended_and_not_if_it_was_taken_up(self):
+        def day(*more):
+            return judge_orphans([
+                {"ev": "session", "at": 1 * SECOND, "front": "a.1", "session": "x", "server": "s", "boot": "b"},
+                {"ev": "front-down", "at": 3 * SECOND, "front": "a", "life": "a.1", "how": "killed"},
+                *more, {"ev": "day-over", "at": 20 * SECOND}])
+        self.assertEqual(day()["seconds"], 17.0)
+        self.assertEqual(day({"ev": "session-end", "at": 7 * SECOND, "session": "x"})["seconds"], 4.0)
+        self.assertEqual(day({"ev": "adopted", "at": 7 * SECOND, "session": "x"})["left"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
