Overload as one: a level of admission over worth, told by peers, budgets for what is done again

Off without <overload>.

Change: overload/ (order, level, again, overload; free of I/O), on the channel as kind 19, in the emulator as in a process, asked at the door before the desk hears of a request. By worth for room at the floor, then a hash that changes by the hour; a floor for each package; who comes back after a break is among the first of its package; paid set-ups that are known by their key are not asked. The level follows what began, zone by zone, from the rounds of all fronts; told levels hold only where a front itself sees the zone short. Tune-ins beyond the first are paid for by successes. The judge counts shed, order, returns, starved packages.

--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -106,6 +106,10 @@
         self._open(course, request)
         return request
 
+    def knows(self, key: str | None) -> bool:
+        """Whether a request with this key would join one that is known: it costs no tune-in."""
+        return key is not None and self.keys.find(key, self.outside.now()) is not None
+
     def hung_up(self, request: Request) -> None:
         """The viewer gave up on this request before it was answered: nothing is owed to it any more."""
         if request.answer is not None or request.gone:
@@ -315,6 +319,10 @@
     def doubted(self, server: Server, doubted: bool) -> None:
         server.doubted = doubted
 
+    def again_stopped(self, stopped: bool) -> None:
+        """Whether tune-ins beyond the first have used up what successes pay for."""
+        self.rules.again_stopped = stopped
+
     def further_held(self, rights: list) -> None:
         """Free further tune-ins in this front's hands, as `rights_held`."""
         self.rules.further_rights = [tuple(one) for one in rights]
--- a/curlewshift/emulator/front.py
+++ b/curlewshift/emulator/front.py
@@ -13,6 +13,7 @@
 from curlewshift.desk.offer import Offer
 from curlewshift.desk.roster import Roster
 from curlewshift.emulator.machine import Machine, SetUp
+from curlewshift.emulator.overloaded import EmulatedOverload
 from curlewshift.emulator.shared import EmulatedSharing
 from curlewshift.model import Outcome, Server
 from curlewshift.peaks.calendar import Calendar
@@ -78,6 +79,7 @@
         self.desk = desk(self, terms, Roster(site.uplinks, site.titles), rules=rules, most_waiting=site.most_waiting,
                          calendar=self.calendar)
         self.shared = EmulatedSharing(self, seed) if world.shared is not None else None
+        self.sheds = EmulatedOverload(self, seed) if world.shedding is not None else None
         if hasattr(self.desk.rules, "sees"):
             # an oracle, for comparison alone
             self.desk.rules.sees = world
@@ -123,7 +125,21 @@
         if self.alive:
             self.desk.time()
 
+    def asked(self, name: str, package: str, title: str, top: int, patience: int, key: str, who: str) -> Request | None:
+        """A request at the door; None where it was shed there."""
+        if self.sheds is not None and not self.desk.knows(key):
+            wait = self.sheds.asked(package, title, who)
+            if wait:
+                self.world.viewers.answered(name, Answer(Kind.REFUSED, "more is asked for than there is room", wait), self)
+                return None
+        request = self.desk.asked(name, package, title, top, patience, key, Offer(key))
+        if self.sheds is not None and request.course is not None and request.answer is None:
+            self.sheds.who[request.course] = who
+        return request
+
     def tune_in(self, tune_in: TuneIn) -> None:
+        if self.sheds is not None:
+            self.sheds.tune_in(tune_in)
         if self.shared is not None:
             self.shared.sharing.sent(tune_in.server, tune_in.number > 1)
         flight = self.flights[tune_in] = Flight()
@@ -263,6 +279,8 @@
     def answer(self, request: Request, answer: Answer) -> None:
         if answer.kind is Kind.PLAYS:
             self._kept(answer.course)
+        if self.sheds is not None:
+            self.sheds.answered(request, answer)
         if self.wrong == "lose-answer" and self.number_of(request) % EVERY == 0:
             return
         self.world.viewers.answered(request.name, answer, self)
--- /dev/null
+++ b/curlewshift/emulator/overloaded.py
@@ -0,0 +1,114 @@
+"""Fronts of an emulated deployment that shed as one: the program's own overload, on links that lose."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from curlewshift.desk.course import Answer, Kind
+from curlewshift.emulator.shared import next_front
+from curlewshift.model import Server
+from curlewshift.overload.overload import Overload
+from curlewshift.overload.terms import OverloadTerms
+
+MS = 1_000_000
+WAY = (0.4 * MS, 2 * MS)
+
+
+@dataclass
+class Shedding:
+    """How fronts shed in a run. `together`: with a level for all; else each by what it sees. `overload` may be a planted
+    fault's; `further` bounds tune-ins beyond the first by successes."""
+
+    terms: OverloadTerms
+    together: bool = True
+    further: bool = True
+    loss: float = 0.0
+    overload: type[Overload] = Overload
+
+
+class EmulatedOverload:
+    """Overload's outside for one life of one emulated front."""
+
+    def __init__(self, front, seed: int):
+        self.front, self.world, self.how = front, front.world, front.world.shedding
+        self.chance, self.life, self.spoken = Random(f"{seed} sheds"), front.now(), 0
+        packages = self.world.site.packages
+        self.floor_rate = min(package.rates[package.floor] for package in packages)
+        self.who: dict[object, str] = {}
+        self.overload = self.how.overload(self, front.door, packages, self.how.terms, self.chance)
+        self.world.queue.at(front.now() + self.chance.randrange(self.how.terms.every), self._round)
+
+    def _round(self) -> None:
+        if self.front.alive:
+            self.overload.time()
+            self._budget()
+            self.world.queue.at(self.now() + self.how.terms.every, self._round)
+
+    # ---- what its front tells it
+
+    def asked(self, package: str, title: str, who: str) -> int:
+        desk = self.front.desk
+        return self.overload.asked(desk.packages[package], desk.roster.titles[title].holders, who)
+
+    def tune_in(self, tune_in) -> None:
+        if tune_in.number > 1:
+            self.overload.again.spends(self.now())
+            self._budget()
+
+    def answered(self, request, answer: Answer) -> None:
+        course = request.course
+        if course is None:
+            return
+        vw = course.vw
+        if answer.kind is Kind.PLAYS:
+            self.overload.began(vw.holders, self.who.pop(course, ""), self.now() > vw.asked_at + vw.package.join_target)
+            self._budget()
+        elif answer.kind is Kind.REFUSED:
+            self.who.pop(course, None)
+            self.overload.refused(vw.holders)
+
+    def _budget(self) -> None:
+        stopped = self.how.further and not self.overload.again.may(self.now())
+        if stopped is not self.front.desk.rules.again_stopped:
+            self.front.desk.again_stopped(stopped)
+
+    # ---- overload's outside
+
+    def now(self) -> int:
+        return self.front.now()
+
+    def wall(self) -> int:
+        return self.front.wall()
+
+    def servers(self):
+        return self.front.desk.rules.servers
+
+    def takes(self, server: Server) -> bool:
+        return self.front.desk.rules.takes(server, self.floor_rate)
+
+    def members(self) -> list[str]:
+        return [name for name in self.world.doors_up if name != self.front.door] if self.how.together else []
+
+    def turned_off(self) -> int:
+        return 0
+
+    def _say(self, to: str, what: str, *words) -> None:
+        other = next_front(self.world, to)
+        if other is not None and self.chance.random() >= self.how.loss:
+            self.world.queue.at(self.now() + int(self.chance.uniform(*WAY)), self._arrives, other, what, words)
+
+    @staticmethod
+    def _arrives(front, what: str, words: tuple) -> None:
+        if front.alive:
+            getattr(front.sheds.overload, what)(*words)
+
+    def tell_round(self, to: str, zone: str, asks: list, begun: float, short: float) -> None:
+        self.spoken += 1
+        self._say(to, "round_told", self.front.door, self.life, self.spoken, zone, asks, begun, short)
+
+    def tell_level(self, to: str, zone: str, cut: int, why: str) -> None:
+        self._say(to, "level_told", zone, cut, why)
+
+    def level_changed(self, zone: str, cut: int, before: int, why: str) -> None:
+        self.world.levels.append((self.now(), self.front.door, zone, cut))
--- /dev/null
+++ b/curlewshift/emulator/shed_wrongs.py
@@ -0,0 +1,54 @@
+"""Planted faults of shedding: each has to be caught on a day of processes, and shows in the emulator."""
+
+from __future__ import annotations
+
+from curlewshift.overload.again import Advice
+from curlewshift.overload.order import Order
+from curlewshift.overload.overload import Overload
+
+
+class ShedAtRandom(Overload):
+    """As many as ever, and whoever it hits."""
+
+    def _sheds(self, rank, cut, floored):
+        return self.advice.chance.random() < cut / self.order.top
+
+
+class OwnLevelOnly(Overload):
+    """Sheds as if it were alone, by a hash that nobody else has."""
+
+    def __init__(self, outside, me, *arguments):
+        super().__init__(outside, me, *arguments)
+        order, rank = self.order, self.order.rank
+        order.rank = lambda package, who, wall, came_back=False: rank(package, f"{me} {who}", wall, came_back)
+
+    def time(self):
+        members, self.outside.members = self.outside.members, lambda: []
+        try:
+            super().time()
+        finally:
+            self.outside.members = members
+
+
+class OneReturn(Advice):
+    def wait(self, who, now, behind=0.0):
+        super().wait(who, now, behind)
+        # all who are refused within a while are told one and the same time
+        whole = self.terms.longest_wait
+        return whole - now % (whole // 2)
+
+
+class SynchronisedReturn(Overload):
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.advice.__class__ = OneReturn
+
+
+class NoFloor(Overload):
+    class order_class(Order):
+        def floored(self, rank):
+            return False
+
+
+FAULTS = {"shed-at-random": ShedAtRandom, "own-level-only": OwnLevelOnly, "synchronised-return": SynchronisedReturn,
+          "no-floor": NoFloor}
--- a/curlewshift/emulator/viewers.py
+++ b/curlewshift/emulator/viewers.py
@@ -12,7 +12,6 @@
 from hdrh.histogram import HdrHistogram
 
 from curlewshift.desk.course import Answer, Kind
-from curlewshift.desk.offer import Offer
 from curlewshift.standins.script import Part, drawn_part, pressure
 from curlewshift.standins.viewers import (
     ASKS_ON, FOR_LINES, HANGS_UP_AFTER, LEAVES_AFTER, MEDIA_WITHIN, MOST_VISITS, PAUSE)
@@ -148,8 +147,7 @@
             return
         viewer, package = visit.viewer, visit.viewer.package
         patience = max(1, package.patience - self.world.site.duties.way_back)
-        visit.at_desk = front.desk.asked(name, package.name, viewer.title, viewer.top, patience, visit.key,
-                                         Offer(visit.key))
+        visit.at_desk = front.asked(name, package.name, viewer.title, viewer.top, patience, visit.key, viewer.name)
 
     def _hangs_up(self, visit: Visit, name: str) -> None:
         if visit.tail == "h" and visit.over:
--- a/curlewshift/emulator/world.py
+++ b/curlewshift/emulator/world.py
@@ -14,6 +14,7 @@
 from curlewshift.desk.roster import Row
 from curlewshift.emulator.front import Disk, EmulatedFront
 from curlewshift.emulator.machine import Machine, Session
+from curlewshift.emulator.overloaded import Shedding
 from curlewshift.emulator.queue import Buckets
 from curlewshift.emulator.shared import Shares
 from curlewshift.emulator.viewers import Viewers
@@ -115,8 +116,10 @@
     def __init__(self, script: Script, seed: int, traffic: list | None = None, rules: type[Rules] = Rules,
                  wrong: str = "", forget: bool = False, across: int = 0, loss: float = 0.0, skew: float = 1.0,
                  curve: Callable[[float], float] = lambda part: 1.0, queue=None, setup_work: float = SETUP_WORK,
-                 shared: Shares | None = None):
-        self.shared = shared
+                 shared: Shares | None = None, shedding: Shedding | None = None):
+        self.shared, self.shedding = shared, shedding
+        # when a level of admission changed, at which front, for which zone, to what
+        self.levels: list[tuple[int, str, str, int]] = []
         self.script, self.site, self.traffic, self.rules, self.wrong = script, script.site, traffic, rules, wrong
         self.forget, self.across, self.loss, self.skew, self.curve = forget, across, loss, skew, curve
         self.setup_work, self.seed = setup_work, seed
--- a/curlewshift/front/control.py
+++ b/curlewshift/front/control.py
@@ -26,7 +26,7 @@
 
 
 class Command(msgspec.Struct):
-    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `release`, or, where the front may be
+    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `overload`, `release`, or, where the front may be
     led, `clock`, `path` or `stop-in-act`."""
 
     do: str
@@ -82,6 +82,9 @@
             if command.do == "leases":
                 leased = self.front.leased
                 return {"ok": True, "leases": leased.show() if leased is not None else None}
+            if command.do == "overload":
+                sheds = self.front.sheds
+                return {"ok": True, "overload": sheds.show() if sheds is not None else None}
             if command.do == "clock":
                 return self._lead(command)
             if command.do == "path":
--- a/curlewshift/front/door.py
+++ b/curlewshift/front/door.py
@@ -42,6 +42,8 @@
         self.sessions = Sessions(self, log)
         self.admission: Admission | None = None
         self.admitted: dict[Ticket, anyio.Event] = {}
+        # who is let in when not all can be; None: who comes first
+        self.sheds = None
         self.names = 0
         # requests read and not yet answered
         self.busy = 0
@@ -155,12 +157,28 @@
         # keys are its own, so that nobody gets at another's session by guessing one.
         mine = f"{permit.holder if permit else ''}\n{f'key {key}' if key else f'offer {way} {offer.identity}'}"
         self.names += 1
+        who = self._shed(exchange, package, title, permit, mine)
         request = self.desk.asked(
             name or f"r{self.names}", package, title, self._ceiling(exchange), self._patience(exchange, package),
             mine, offer)
+        if who:
+            self.sheds.taken(request, who)
         await self._answered(exchange, request, permit)
         return request.answer.kind is Kind.PLAYS
 
+    def _shed(self, exchange: Exchange, package: str, title: str, permit: Permit | None, key: str) -> str:
+        """By what name the viewing is known at every front, where fronts shed: what its client calls it, or who holds the permit.
+        Raises `Wrong` with advice if it is not let in. What is known by its key is in already, and goes round no more."""
+        if self.sheds is None:
+            return ""
+        called = exchange.headers.get("x-viewing", "")[:MOST_NAME]
+        who = f"{permit.holder if permit else ''} {called or ('' if permit else key)}"
+        if not self.desk.draining and not self.desk.knows(key):
+            wait = self.sheds.asked(package, title, who)
+            if wait:
+                raise Wrong(503, "more is asked for than there is room", [("retry-after", str(-(-wait // NS)))], wait // MS)
+        return who
+
     def _offer(self, exchange: Exchange, way: str) -> Offer:
         try:
             text = exchange.body.decode("utf-8")
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -31,6 +31,7 @@
 from curlewshift.model import Server
 from curlewshift.peaks.calendar import Calendar, Nonsense
 from curlewshift.peering.leased import LeaseWire
+from curlewshift.peering.overloaded import OverloadWire
 from curlewshift.peering.shared import SharedWire
 from curlewshift.peering.wire import PeerWire
 from curlewshift.recovery.recovery import Doubt, Found, Recovery, recovery_of
@@ -68,6 +69,7 @@
     peers_class = PeerWire
     shared_class = SharedWire
     leased_class = LeaseWire
+    overload_class = OverloadWire
 
     def __init__(self, site: Site, number: int, seed: int, state: Path | None, log, life: str = "",
                  desk: type[Desk] = Desk, capture: Path | None = None, led: bool = False, **how):
@@ -136,6 +138,11 @@
             self.leased = self.leased_class(
                 self.peers.channel, self, [door.name for door in site.doors], number, wants.keepers, wants.terms,
                 wants.shards, wants.probe_each, log, Random(self.chance.random()), wants.tasks, wants.orphans_after)
+        self.sheds: OverloadWire | None = None
+        if site.overload is not None:
+            self.sheds = self.door.sheds = self.overload_class(
+                self.peers.channel if self.peers is not None else None, self, self.door_at.name,
+                frozenset(door.name for door in site.doors), site.overload, log, Random(self.chance.random()))
         self.background = Background(self.clock.now(), time.monotonic_ns, self._overran)
         if self.door.admission is not None:
             self.background.add("lines", lambda: self.door.admission.tick(self.now()), self.clock.now(), priority=0,
@@ -247,6 +254,8 @@
                 await self.shared.learn(LEARN_WITHIN)
             if self.leased is not None:
                 tasks.start_soon(self.leased.run)
+            if self.sheds is not None:
+                tasks.start_soon(self.sheds.run)
             listener = await anyio.create_tcp_listener(local_host=self.door_at.host, local_port=self.door_at.port,
                                                        backlog=1024)
             tasks.start_soon(self._signals)
@@ -395,6 +404,8 @@
                       number=tune_in.number, request=tune_in.course.requests[0].name if tune_in.course.requests else "")
         if self.shared is not None:
             self.shared.sharing.sent(tune_in.server, tune_in.number > 1)
+        if self.sheds is not None:
+            self.sheds.tune_in(tune_in)
         self.reach.tune_in(tune_in)
 
     def withdraw(self, tune_in: TuneIn) -> bool:
@@ -419,6 +430,8 @@
         self.reach.probe(server)
 
     def answer(self, request: Request, answer: Answer) -> None:
+        if self.sheds is not None:
+            self.sheds.answered(request, answer)
         viewing = request.course.vw.name if request.course is not None else 0
         more = {"server": answer.course.vw.server.name} if answer.kind is Kind.PLAYS and answer.course.vw.server else {}
         self.log.info("answer", viewing=viewing, request=request.name, answer=answer.kind.value, cause=answer.cause,
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -10,6 +10,7 @@
 from curlewshift.desk.desk import Desk
 from curlewshift.emulator.lease_histories import FAULTS as LEASE_FAULTS
 from curlewshift.emulator.seat_histories import FAULTS as SEAT_FAULTS
+from curlewshift.emulator.shed_wrongs import FAULTS as SHED_FAULTS
 from curlewshift.front.door import Door
 from curlewshift.front.front import Front
 from curlewshift.front.reach import Reach
@@ -17,7 +18,9 @@
 from curlewshift.leases.keeper import Keeper
 from curlewshift.membership.membership import Membership
 from curlewshift.model import Outcome
+from curlewshift.overload.overload import Overload
 from curlewshift.peering.leased import LeaseWire
+from curlewshift.peering.overloaded import OverloadWire
 from curlewshift.peering.shared import SharedWire
 from curlewshift.peering.wire import PeerWire
 from curlewshift.rules import NEVER_RAN, Rules
@@ -242,6 +245,15 @@
     return Lender
 
 
+def shedding(overload: type[Overload]) -> type[Front]:
+    class Wire(OverloadWire):
+        overload_class = overload
+
+    class Shedder(Front):
+        overload_class = Wire
+    return Shedder
+
+
 def spoilt(name: str, *args, **how) -> Front:
     return {
         "lose-answer": lambda: LoseAnswer(*args, **how),
@@ -259,6 +271,7 @@
         "old-life-taken": lambda: wired(OldLifeTaken)(*args, **how),
         **{fault: lambda loans=loans: lending(loans)(*args, **how) for fault, loans in FAULTS.items()},
         **{fault: lambda seats=seats: lending(seats=seats)(*args, **how) for fault, seats in SEAT_FAULTS.items()},
+        **{fault: lambda sheds=sheds: shedding(sheds)(*args, **how) for fault, sheds in SHED_FAULTS.items()},
         "liar-believed": lambda: lending(evidence=LiarBelieved)(*args, **how),
         **{fault: lambda how_so=how_so: leasing(**how_so)(*args, **how) for fault, how_so in LEASE_FAULTS.items()},
         "never-forget": lambda: wired(NeverForget)(*args, **how),
@@ -267,4 +280,4 @@
 
 NAMES = ("lose-answer", "answer-twice", "resend-paid", "ignore-drain", "push-cold", "under-floor", "over-seats",
          "overspend-budget", "double-tune-in", "lost-teardown", "leave-orphans", "deaf-incarnation",
-         "old-life-taken", "never-forget", "liar-believed", *FAULTS, *SEAT_FAULTS, *LEASE_FAULTS)
+         "old-life-taken", "never-forget", "liar-believed", *FAULTS, *SEAT_FAULTS, *SHED_FAULTS, *LEASE_FAULTS)
--- /dev/null
+++ b/curlewshift/peering/overloaded.py
@@ -0,0 +1,163 @@
+"""Shedding as one, on the channel: rounds and levels as bodies of one kind, and their time. Held by front/front.py.
+
+Without peers the same object sheds by what its front sees alone.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Annotated
+
+import anyio
+import msgspec
+from msgspec import Meta
+
+from curlewshift.desk.course import Answer, Kind, Request, TuneIn
+from curlewshift.membership.member import Member
+from curlewshift.model import Server
+from curlewshift.overload.overload import Overload
+from curlewshift.overload.terms import OverloadTerms
+
+KIND = 19
+NS = 1_000_000_000
+Count = Annotated[int, Meta(ge=0, lt=2**62)]
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Zone = Annotated[str, Meta(max_length=64)]
+
+
+class Body(msgspec.Struct, array_like=True, omit_defaults=True):
+    """A round (`cut` under 0) or a level."""
+
+    number: Count
+    zone: Zone
+    cut: Annotated[int, Meta(ge=-1, lt=2**20)] = -1
+    why: Annotated[str, Meta(max_length=120)] = ""
+    asks: Annotated[list[tuple[Annotated[int, Meta(ge=0, lt=2**20)], Amount]], Meta(max_length=128)] = []
+    begun: Amount = 0.0
+    short: Amount = 0.0
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Body)
+
+
+class OverloadWire:
+    """Overload's outside. `channel` is None where the front has no peers."""
+
+    overload_class = Overload
+
+    def __init__(self, channel, front, me: str, names: frozenset[str], terms: OverloadTerms, log, chance: Random):
+        self.channel, self.front, self.names, self.log = channel, front, names, log
+        self.life = channel.membership.me.life if channel is not None else 0
+        self.numbers = self.malformed = 0
+        self.floor_rate = min(package.rates[package.floor] for package in front.site.packages)
+        self.who: dict[object, str] = {}
+        self.overload = self.overload_class(self, me, front.site.packages, terms, chance)
+        if channel is not None:
+            channel.carries(KIND, self.heard)
+
+    async def run(self) -> None:
+        every = self.overload.terms.every / NS
+        while True:
+            try:
+                self.overload.time()
+                self._budget()
+                self.who = {course: who for course, who in self.who.items() if course.answer is None}
+            except Exception as fault:
+                self.log.error("fault", what="overload", cause=repr(fault), exc_info=fault)
+            await anyio.sleep(every)
+
+    def heard(self, sender: Member, data: bytes) -> None:
+        try:
+            body = DECODER.decode(data)
+        except msgspec.DecodeError:
+            self.malformed += 1
+            return
+        if sender.name not in self.names:
+            return
+        if body.cut < 0:
+            self.overload.round_told(sender.name, sender.life, body.number, body.zone, body.asks, body.begun, body.short)
+        else:
+            self.overload.level_told(body.zone, body.cut, body.why)
+
+    # ---- what its front tells it
+
+    def asked(self, package: str, title: str, who: str) -> int:
+        """How long it has to stay away (ns); 0: it is let in. What is not known is the desk's to refuse."""
+        desk = self.front.desk
+        pack, held = desk.packages.get(package), desk.roster.titles.get(title)
+        if pack is None or held is None:
+            return 0
+        return self.overload.asked(pack, held.holders, who)
+
+    def taken(self, request: Request, who: str) -> None:
+        if request.course is not None and request.course.answer is None:
+            self.who[request.course] = who
+
+    def tune_in(self, tune_in: TuneIn) -> None:
+        if tune_in.number > 1:
+            self.overload.again.spends(self.now())
+            self._budget()
+
+    def answered(self, request: Request, answer: Answer) -> None:
+        course = request.course
+        if course is None:
+            return
+        vw = course.vw
+        if answer.kind is Kind.PLAYS:
+            self.overload.began(vw.holders, self.who.pop(course, ""), self.now() > vw.asked_at + vw.package.join_target)
+            self._budget()
+        elif answer.kind is Kind.REFUSED and self._for_room(vw):
+            self.overload.refused(vw.holders)
+
+    def _for_room(self, vw) -> bool:
+        """A seat that is taken is no want of room."""
+        rules = self.front.desk.rules
+        return not vw.package.seats or rules.seats[vw.title, vw.package] < vw.package.seats
+
+    def _budget(self) -> None:
+        stopped = not self.overload.again.may(self.now())
+        if stopped is not self.front.desk.rules.again_stopped:
+            self.front.desk.again_stopped(stopped)
+
+    # ---- overload's outside
+
+    def now(self) -> int:
+        return self.front.now()
+
+    def wall(self) -> int:
+        return self.front.wall()
+
+    def servers(self):
+        return list(self.front.desk.rules.servers)
+
+    def takes(self, server: Server) -> bool:
+        return self.front.desk.rules.takes(server, self.floor_rate)
+
+    def members(self) -> list[str]:
+        if self.channel is None:
+            return []
+        return [member.name for member in self.channel.membership.ring if member.name in self.names]
+
+    def turned_off(self) -> int:
+        return self.front.gate.none_left + self.front.gate.dropped
+
+    def _say(self, to: str, body: Body) -> None:
+        member = self.channel.membership.members.get(to)
+        if member is not None and member.there:
+            self.channel.say(member, KIND, ENCODER.encode(body))
+
+    def tell_round(self, to: str, zone: str, asks: list[tuple[int, float]], begun: float, short: float) -> None:
+        self.numbers += 1
+        self._say(to, Body(self.numbers, zone, asks=asks, begun=begun, short=short))
+
+    def tell_level(self, to: str, zone: str, cut: int, why: str) -> None:
+        self.numbers += 1
+        self._say(to, Body(self.numbers, zone, cut, why[:120]))
+
+    def level_changed(self, zone: str, cut: int, before: int, why: str) -> None:
+        if not cut or not before:
+            self.log.info("shedding" if cut else "sheds-no-more", zone=zone, cut=cut, of=self.overload.order.top, cause=why)
+
+    def show(self) -> dict:
+        return {**self.overload.show(), "malformed": self.malformed}
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -25,6 +25,7 @@
 from curlewshift.verdict.leases import judge_leases, judge_orphans
 from curlewshift.verdict.members import judge_members
 from curlewshift.verdict.phases import phases
+from curlewshift.verdict.shed import judge_shed
 from curlewshift.verdict.verdict import Figures, judge
 
 NS = 1_000_000_000
@@ -369,12 +370,22 @@
             verdict["bounds"] = judge_bounds(events, figures_of(self.script.site), self._together())
         if self.script.site.leases is not None:
             verdict["leases"] = {**judge_leases(events), "orphans": judge_orphans(events)}
+        if self.script.site.overload is not None:
+            verdict["shed"] = self._judge_shed(events)
         if self.capture:
             verdict["replays"] = self._replays()
             verdict["replay_differences"] = sum(bool(run["difference"]) for run in verdict["replays"].values())
         (self.out / "verdict.json").write_text(json.dumps(verdict, indent=1) + "\n")
         return verdict
 
+    def _judge_shed(self, events: list[dict]) -> dict:
+        site = self.script.site
+        begins = next(event["begins"] for event in events if event["ev"] == "day")
+        worth = {package.name: package.value / package.rates[package.floor] for package in site.packages}
+        losses = [(begins + int(trouble.at * NS), begins + int((trouble.at + trouble.lasts) * NS))
+                  for trouble in self.script.troubles if trouble.kind == "crash"]
+        return judge_shed(events, figures_of(site), worth, site.overload.floor, losses)
+
     def _together(self) -> frozenset[str]:
         together = self.script.site.together
         return frozenset([*(["further-tune-ins"] if together.free is not None else []), *(["seats"] if together.seats else [])])
--- a/curlewshift/rehearsal/table.py
+++ b/curlewshift/rehearsal/table.py
@@ -25,6 +25,9 @@
     for name in ("acts", "handovers", "overlaps", "outlived", "refused_stale", "longest_gap_s"):
         if "leases" in verdict:
             counts.add_row("leases: " + name.replace("_", " "), str(verdict["leases"][name]))
+    for name in ("refused", "out_of_order", "asks_a_viewing", "storm_over_s", "came_together", "went_round"):
+        if "shed" in verdict:
+            counts.add_row("shed: " + name.replace("_", " "), str(verdict["shed"][name]))
     rules = Table(title="rules, from the sockets of stand-ins and viewers")
     for name in ("rule", "", "applied", "broken", "verdict"):
         rules.add_column(name)
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -115,6 +115,8 @@
         self.further_rights, self.further_wanted_at = None, 0
         self.seat_rights: dict[Package, dict[str, list]] = {}
         self.seat_wanted_at: dict[tuple[str, Package], int] = {}
+        # all fronts together have tried again more than their successes pay for
+        self.again_stopped = False
         # set-ups a nanosecond to servers not proven warm, all together, and what of them is left to use
         self.unproven_pace, self.unproven_left, self.unproven_at = 0.0, self.chance.random(), terms.now
         self.seats: Counter = Counter()
@@ -232,7 +234,8 @@
             while times and times[0] <= since:
                 times.popleft()
         free = self.free_further if self.further_rights is None else self._in_hand(self.further_rights)
-        left = not vw.tune_ins or len(self.further) + 1 <= free + self.further_share * len(self.taken)
+        left = not vw.tune_ins or (
+            not self.again_stopped and len(self.further) + 1 <= free + self.further_share * len(self.taken))
         if not left:
             self.further_wanted_at = self.host.now()
         return left
@@ -338,6 +341,12 @@
         """Set-ups in a window that a cold server bears from all fronts together: what may be dealt out."""
         return int(min(self.cold_part * server.streams, 10**6))
 
+    def takes(self, server: Server, rate: float) -> bool:
+        """Whether one more viewing of this rate (kB/s) would pass there; asking changes nothing."""
+        now = self.host.now()
+        guarded = server.failed or now < max(server.cold_until, server.unproven_until)
+        return server.open and now >= server.full_until and not guarded and self._room(server, rate) >= 0
+
     def _own_part_left(self, server: Server, now: int) -> bool:
         """A cold server falls if all fronts together pass its pace in any window: each keeps to its part.
 
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -10,6 +10,7 @@
 from curlewshift.limits.admission import Bounds
 from curlewshift.membership.manners import Manners, usual_manners
 from curlewshift.model import Package, Terms
+from curlewshift.overload.terms import OverloadTerms
 from curlewshift.sharing.terms import SharingTerms, Together
 from curlewshift.site.reading import Mistakes, rate, read_xml, span
 
@@ -105,6 +106,8 @@
     together: Together = Together()
     # None: nothing is done once for the whole fleet
     leases: Leases | None = None
+    # None: who comes first is let in
+    overload: OverloadTerms | None = None
 
     def door(self, name: str) -> int:
         """The number of the front of that name. Raises `KeyError`."""
@@ -174,11 +177,13 @@
     sharing = _sharing(fronts, duties, wrong)
     together = _together(fronts, sharing, duties, packages, titles, wrong)
     leases = _leases(fronts, doors, wrong)
+    overload = _overload(fronts, doors, duties, wrong)
     if wrong:
         raise Mistakes(path, wrong)
     return Site(
         name=root.get("name"), list_at=host_port(root.find("list").get("address")),
-        doors=doors, peers=peers, sharing=sharing, together=together, leases=leases, packages=packages,
+        doors=doors, peers=peers, sharing=sharing, together=together, leases=leases, overload=overload,
+        packages=packages,
         machines=machines, titles=titles, duties=duties,
         uplinks={rack.get("name"): rate(rack.get("uplink")) for rack in root.iterfind("racks/rack")},
         most_waiting=int(fronts.get("most-waiting", "2000")),
@@ -309,6 +314,20 @@
     return Leases(keepers, LeaseTerms(term, drift, every), shards, span(element.get("probe-each", "1s")), tasks, after)
 
 
+def _overload(fronts, doors: list[Door], duties: Duties, wrong: list[tuple[int, str]]) -> OverloadTerms | None:
+    element = fronts.find("overload")
+    if element is None:
+        return None
+    line, every = element.sourceline, span(element.get("every", "1s"))
+    floor, share = float(element.get("floor", "0.05")), float(element.get("again-share", "0.2"))
+    if not SHORTEST_PERIOD <= every <= 5 * SECOND:
+        wrong.append((line, "overload: every should be from 100ms to 5s"))
+    if floor > 0.5:
+        wrong.append((line, "overload: a floor over 0.5 lets in more than half of everything whatever is short"))
+    return OverloadTerms(every, floor, duties.longest_wait, share, float(element.get("again-free", "10")),
+                         duties.look_back or 10 * SECOND, len(doors), 3 * every)
+
+
 def _files(folder: Path, fronts) -> dict:
     """Files are named from where the settings are."""
     tokens, tls, servers = (fronts.find(name) for name in ("tokens", "tls", "servers-tls"))
--- a/curlewshift/standins/viewers.py
+++ b/curlewshift/standins/viewers.py
@@ -131,7 +131,7 @@
             self.traffic.seen("ask", package=package, title=title, patience=patience, **facts)
             with anyio.move_on_after(patience / NS) as waiting:
                 answered = await call.ask("POST", f"/{way}/{package}/{title}?top={top}", [
-                    ("content-type", SDP), ("x-request-id", request), ("idempotency-key", key)], offer)
+                    ("content-type", SDP), ("x-request-id", request), ("idempotency-key", key), ("x-viewing", viewing)], offer)
             if waiting.cancelled_caught:
                 self.traffic.seen("gave-up", **facts)
                 return None
--- /dev/null
+++ b/curlewshift/verdict/shed.py
@@ -0,0 +1,137 @@
+"""Judges from viewers' traffic how a day of too many asks was borne: who was refused while others were let in, how often each
+asked, and how soon the storm after a loss was over. Called by the rehearsal and by measurements; knows nothing of levels.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+
+from curlewshift.verdict.verdict import Figures
+
+SECOND = 1_000_000_000
+# Refused and let in within one of these is at the same moment (ns).
+MOMENT = SECOND
+# Of refusals, the part that may be out of order: the rounds in which a level moves, and what was let in and found no room, are in
+# there. By chance alone it is several times as much.
+MOST_OUT_OF_ORDER = 0.1
+# A storm is over once asks are back at this many times what they were before, for so many seconds together.
+BACK_AT, TOGETHER = 1.3, 2
+# What each package is served at the least of, where it was asked for so often at all.
+LEAST_SERVED, ENOUGH = 0.01, 30
+
+
+def judge_shed(events: list[dict], figures: Figures, worth: dict[str, float], floor: float,
+               returns: list[tuple[int, int]] = ()) -> dict:
+    """`worth` is each package's value for the room it takes at the least, `floor` the part of each that is let in whatever is
+    short. `returns` are when a loss of servers began and when they were back (ns)."""
+    asks = {event["request"]: event for event in events if event["ev"] == "ask"}
+    viewings = {event["viewing"] for event in events if event["ev"] == "viewing"}
+    refused, let_in = [], defaultdict(list)
+    served: set[str] = set()
+    for event in sorted((event for event in events if event["ev"] == "answer"), key=lambda event: event["at"]):
+        ask = asks.get(event["request"])
+        if ask is None:
+            continue
+        if event["status"] == 503:
+            refused.append((event["at"], ask["package"], ask["title"], ask["viewing"]))
+        elif event["status"] == 201:
+            let_in[ask["package"]].append((event["at"], ask["title"]))
+            if event["at"] <= ask["at"] + figures.join_target[ask["package"]]:
+                served.add(ask["viewing"])
+    package_of = {event["viewing"]: event["package"] for event in events if event["ev"] == "viewing"}
+    asked, got = defaultdict(int), defaultdict(int)
+    for viewing, package in package_of.items():
+        asked[package] += 1
+        got[package] += viewing in served
+    out = _out_of_order(asks, let_in, refused, worth, floor)
+    share = out / len(refused) if refused else 0.0
+    starved = [package for package, count in asked.items() if count >= ENOUGH and got[package] / count < LEAST_SERVED]
+    told = {"refused": len(refused), "out_of_order": round(share, 4), "asks_a_viewing": round(len(asks) / max(1, len(viewings)), 3),
+            "served": {package: round(got[package] / count, 3) for package, count in asked.items()},
+            "value_served": round(sum(figures.value[package] * count for package, count in got.items()), 1),
+            "value_asked": round(sum(figures.value[package] * count for package, count in asked.items()), 1),
+            "storm_over_s": [storm_over(events, began, back) for began, back in returns],
+            "came_together": round(_came_together(events, refused), 3), "starved": starved,
+            "went_round": round(_went_round(events, asks), 4)}
+    told["broken"] = (bool(starved) or share > MOST_OUT_OF_ORDER or told["came_together"] > MOST_TOGETHER
+                      or told["went_round"] > MOST_WENT_ROUND)
+    return told
+
+
+def _out_of_order(asks: dict, let_in, refused: list, worth: dict[str, float], floor: float) -> float:
+    """Refusals in each moment that could have been let in, had those of less worth been refused that were let in beyond their
+    floor. Of a package's few the floor lets in one more or less by chance."""
+    came, got, lost = defaultdict(lambda: defaultdict(int)), defaultdict(lambda: defaultdict(int)), defaultdict(lambda: defaultdict(int))
+    for ask in asks.values():
+        came[ask["at"] // MOMENT][ask["package"]] += 1
+    for package, rows in let_in.items():
+        for at, _ in rows:
+            got[at // MOMENT][package] += 1
+    for at, package, _, _ in refused:
+        lost[at // MOMENT][package] += 1
+    out = 0.0
+    for moment, packages in lost.items():
+        for package, count in packages.items():
+            instead = sum(max(0.0, got[moment][other] - 1 - floor * came[moment][other]) for other in worth
+                          if worth[other] < worth[package])
+            out += min(count, instead)
+    return out
+
+
+def storm_over(events: list[dict], began: int, back: int) -> float:
+    """Seconds from the servers' return until asks a second are back at what they were before the loss; the rest of the day, if
+    they are not."""
+    over = max(event["at"] for event in events)
+    times = sorted(event["at"] for event in events if event["ev"] == "ask")
+    usual = (bisect_left(times, began) - bisect_left(times, began - 5 * SECOND)) / 5
+    for second in range(0, max(1, (over - back) // SECOND - TOGETHER)):
+        since = back + second * SECOND
+        rate = (bisect_left(times, since + TOGETHER * SECOND) - bisect_left(times, since)) / TOGETHER
+        if rate <= BACK_AT * max(usual, 1.0):
+            return float(second)
+    return float((over - back) // SECOND)
+
+
+# Of those refused at one front who asked at another soon after (ns), the part that was let in there: more than room that came free
+# in between explains means that fronts do not shed alike.
+SOON, MOST_WENT_ROUND = 10 * SECOND, 0.5
+
+
+def _went_round(events: list[dict], asks: dict[str, dict]) -> float:
+    visits = defaultdict(list)
+    for event in events:
+        if event["ev"] == "answer" and event["request"] in asks:
+            ask = asks[event["request"]]
+            visits[ask["viewing"]].append((ask["at"], event["at"], ask["front"], event["status"]))
+    refused = round_ = 0
+    for rows in visits.values():
+        rows.sort()
+        for (_, at, front, status), (asked, _, other, then) in zip(rows, rows[1:]):
+            if status == 503 and front != other and asked - at <= SOON:
+                refused += 1
+                round_ += then == 201
+    return round_ / refused if refused >= ENOUGH else 0.0
+
+
+# Of those refused within one second, the part that comes again within the same tenth of a second.
+MOST_TOGETHER, TENTH, LEAST_CROWD = 0.5, SECOND // 10, 12
+
+
+def _came_together(events: list[dict], refused: list[tuple]) -> float:
+    """The largest part of a second's refused that came again in one and the same tenth of a second."""
+    comes = defaultdict(list)
+    for event in events:
+        if event["ev"] == "ask":
+            comes[event["viewing"]].append(event["at"])
+    crowds = defaultdict(list)
+    for at, _, _, viewing in refused:
+        again = next((time for time in sorted(comes[viewing]) if time > at), None)
+        if again is not None:
+            crowds[at // SECOND].append(again)
+    worst = 0.0
+    for times in crowds.values():
+        if len(times) >= LEAST_CROWD:
+            times.sort()
+            worst = max(worst, max(bisect_left(times, time + TENTH) - index for index, time in enumerate(times)) / len(times))
+    return worst
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -83,7 +83,8 @@
         for old, new, words in (("f1 f2 f3 f4 f5", "f1 f2", "an odd number of different fronts"),
                                 ("f1 f2 f3 f4 f5", "f1 f2 f9", "there is no front 'f9' to be a keeper"),
                                 ('term="2s" drift', 'term="1s" drift', "under eight rounds"),
-                                ('drift="0.02"', 'drift="0.3"', "0.2 at most"), ('shards="8"', 'shards="99"', "64 shards")):
+                                ('drift="0.02"', 'drift="0.3"', "0.2 at most"), ('shards="8"', 'shards="99"', "64 shards"),
+                                ('orphans-after="3s"', 'orphans-after="1s"', "shorter than a term")):
             self.assertIn(words, self.wrong((old, new), text=site))
 
     def test_sharing_is_read_and_what_cannot_be_is_told(self):
@@ -99,6 +100,14 @@
             self.assertIn(words, self.wrong((line, new), text=bounds))
         self.assertIn("there are no peers to share with", self.wrong(("  </fronts>", line + "/></fronts>")))
 
+    def test_overload_is_read_and_what_cannot_be_is_told(self):
+        text = (EXAMPLES / "overload-site.xml").read_text()
+        self.path.write_text(text)
+        terms = read_site(self.path).overload
+        self.assertEqual((terms.floor, terms.fronts, terms.longest_wait, terms.every), (0.06, 8, 30_000_000_000, 1_000_000_000))
+        for new, words in (('floor="0.6"', "more than half"), ('floor="0.1" every="9s"', "every should be from 100ms to 5s")):
+            self.assertIn(words, self.wrong(('floor="0.06"', new), text=text))
+
     def test_budgets_that_fronts_have_together_are_read_and_what_is_not_there_cannot_be(self):
         bounds = (EXAMPLES / "bounds-site.xml").read_text()
         self.path.write_text(bounds)
