Walk of leases: states no longer share tries; whole tries as steps reach all planted faults

Cause: copied() of walk/leases.py wrote a copy's try into the dict of tries that the state it was copied from still held, so that each state went on with what its last neighbour had done; seen when a world of larger steps broke at its first step.

The walk's wall clock is a millisecond a tick, and numbers are checked.

--- a/curlewshift/commands/measure.py
+++ b/curlewshift/commands/measure.py
@@ -133,3 +133,17 @@
     """How soon a lease is taken up again, what leases cost in words, and whether two ever held one (simulated)."""
     from curlewshift.emulator.lease_figures import measure_leases as measured
     keep(out, measured())
+
+
+@measure.command("goodput")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+@click.option("--chart", "chart_at", type=PATH, help="An SVG file for goodput over load.")
+@click.option("--workers", type=click.IntRange(0, 512), default=0, help="Processes; all cores but one if not said.")
+def measure_goodput(out, chart_at, workers):
+    """Value served from half to ten times the load: shed as one, by each front alone, and not at all (simulated)."""
+    from curlewshift.emulator.goodput import chart
+    from curlewshift.emulator.goodput import measure_goodput as measured
+    figures = measured(workers)
+    keep(out, figures)
+    if chart_at is not None:
+        chart_at.write_text(chart(figures))
--- a/curlewshift/commands/walk.py
+++ b/curlewshift/commands/walk.py
@@ -11,7 +11,7 @@
          "paid-seats": dict(paid=True, seats=1, clients=2)}
 
 
-def _walk_between_fronts(of: str, depth: int, fault: str | None) -> None:
+def _walk_between_fronts(of: str, depth: int, fault: str | None, rounds: bool) -> None:
     """Over the fastest, slowest and true clock at each in turn."""
     from itertools import permutations
     if of == "budgets":
@@ -21,14 +21,16 @@
     else:
         from curlewshift.emulator.lease_histories import FAULTS as faults
         from curlewshift.walk import leases as world
-        walked = world.walk_leases
+        walked = world.walk_rounds if rounds else world.walk_leases
     if fault is not None and fault not in faults:
         click.echo(f"there is no fault {fault!r}, but {', '.join(faults)}", err=True)
         sys.exit(2)
     units, drift = world.UNITS, world.DRIFT
     states = steps = 0
     for rates in permutations((round(units * (1 - drift)), units, round(units * (1 + drift)))):
-        done = walked(depth, rates, **(faults[fault] if fault else {}))
+        # two are a majority of three; of five they are the planted fault
+        more = {"keepers": 5} if rounds and fault == "majority-of-two" else {}
+        done = walked(depth, rates, **(faults[fault] if fault else {}), **more)
         states, steps = states + done.states, steps + done.steps
         if done.breach:
             click.echo(f"rule broken: {done.breach}; clocks at {rates} of {units}", err=True)
@@ -44,13 +46,14 @@
               help="Viewings at a front, rights that fronts lend each other, or leases.")
 @click.option("--fault", help="With --of budgets or leases: plant this fault, and see a shortest course that breaks the promise.")
 @click.option("--depth", type=click.IntRange(0, 16), default=5, help="Steps of each course.")
+@click.option("--rounds", is_flag=True, help="With --of leases: each step a whole try, for courses of several tenures.")
 @click.option("--settle-all", is_flag=True, help="Look at what comes of each state, and not of the last ones alone.")
 @click.option("--crashes", type=click.IntRange(1, 100_000), help="Instead: so many long courses, killed at each step.")
 @click.option("--seed", type=int, default=1, help="For the long courses.")
-def walk(kind, of, fault, depth, settle_all, crashes, seed):
+def walk(kind, of, fault, depth, rounds, settle_all, crashes, seed):
     """Walk all orders in which things can happen to one viewing (or two that want one seat), and check the rules."""
     if of != "viewings":
-        _walk_between_fronts(of, depth, fault)
+        _walk_between_fronts(of, depth, fault, rounds)
         return
     if kind is None:
         raise click.UsageError(f"a kind of viewing is needed: {', '.join(KINDS)}")
--- a/curlewshift/emulator/shed_wrongs.py
+++ b/curlewshift/emulator/shed_wrongs.py
@@ -31,10 +31,10 @@
 
 
 class OneReturn(Advice):
-    def wait(self, who, now, behind=0.0):
-        super().wait(who, now, behind)
+    def wait(self, who, now, behind=0.0, lasts=0):
+        super().wait(who, now, behind, lasts)
         # all who are refused within a while are told one and the same time
-        whole = self.terms.longest_wait
+        whole = min(self.terms.longest_wait, 8_000_000_000)
         return whole - now % (whole // 2)
 
 
--- a/curlewshift/overload/again.py
+++ b/curlewshift/overload/again.py
@@ -19,7 +19,7 @@
 from curlewshift.overload.terms import OverloadTerms
 
 SECOND = 1_000_000_000
-LEAST = SECOND // 4
+LEAST, SHORTEST_LONG = SECOND // 4, 2 * SECOND
 # The line is reckoned from what was refused and what began over about so long (ns).
 LATELY = 5 * SECOND
 # Who comes before it was told to is told to stay away for twice as long each time, up to this many times; so many are known.
@@ -78,8 +78,9 @@
         held = self.told.get(who)
         return held is not None and now < held[0]
 
-    def wait(self, who: str, now: int, behind: float = 0.0) -> int:
-        """`behind` (0 to 1) is how far below the level it is: who is far below need not ask soon."""
+    def wait(self, who: str, now: int, behind: float = 0.0, lasts: int = 1 << 62) -> int:
+        """`behind` (0 to 1) is how far below the level it is: who is far below need not ask soon. `lasts` (ns) is for how long
+        somebody has been shed: nobody is told to stay away for longer than that, as what is short may be back as soon."""
         self._age(now)
         held = self.told.pop(who, None)
         strikes = 0
@@ -87,7 +88,7 @@
             strikes = min(STRIKES, held[1] + 1) if now < held[0] else max(0, held[1] - 1)
         self.refused += 1
         line = int(self.refused / max(self.begun, 1.0) * LATELY)
-        longest = self.terms.longest_wait
+        longest = min(self.terms.longest_wait, max(SHORTEST_LONG, lasts))
         span = max(2 * LEAST, min(longest, line), int(longest * behind))
         wait = min(longest, max(LEAST, int(span * self.chance.uniform(0.4, 1.0))) << strikes)
         self.told[who] = [now + wait, strikes]
--- a/curlewshift/overload/level.py
+++ b/curlewshift/overload/level.py
@@ -20,8 +20,9 @@
 HIGH, LOW = 0.35, 0.20
 # What more than the zone has just begun is let in: without it nobody would know that there is room again.
 PROBES = 0.03
-# The part more that is let in each round while little is refused, and the least number of asks that say anything.
-EASES, ENOUGH = 0.06, 8.0
+# The part more that is let in each round while little is refused: in a zone that is full, and in one that is empty, which has no
+# time to lose. The least number of outcomes that say anything.
+EASES, EASES_EMPTY, ENOUGH = 0.06, 0.6, 8.0
 # A level rises and falls no further than these parts of all ranks in one round, towards its own aim or what others say: late
 # shedding costs everyone, and what is let in too soon has to be shed again.
 MOST_UP, MOST_DOWN = 0.5, 0.1
@@ -69,8 +70,8 @@
         self.begun = KEEPS_BEGUN * self.begun + (1 - KEEPS_BEGUN) * seen.begun
         self.filled = KEEPS_BEGUN * self.filled + 1 - KEEPS_BEGUN
 
-    def round(self, seen: Round) -> int:
-        """One round has passed; returns where the level is now, by what was seen of it."""
+    def round(self, seen: Round, full: float = 1.0) -> int:
+        """One round has passed; returns where the level is now, by what was seen of it and how much of the zone is out of room."""
         self.note(seen)
         self.young, seen = max(0, self.young - 1), self.seen
         let_in = sum(count for rank, count in seen.asks.items() if rank >= self.cut or self.floored(rank))
@@ -86,7 +87,8 @@
             return self._move(max(self.cut_for((1 + PROBES) * max(began, 1.0)), self.cut))
         if refused < LOW and self.cut:
             self.why = f"{refused:.0%} of what is let in finds no room: more may come"
-            return self._move(min(self.cut_for(max(let_in, long) * (1 + EASES) + 1.0), self.cut - 1), down=self.top)
+            more = EASES + (EASES_EMPTY - EASES) * (1 - full)
+            return self._move(min(self.cut_for(max(let_in, long) * (1 + more) + 1.0), self.cut - 1), down=self.top)
         return self.cut
 
     def cut_for(self, wanted: float) -> int:
--- a/curlewshift/overload/overload.py
+++ b/curlewshift/overload/overload.py
@@ -82,7 +82,8 @@
             self.let_in += 1
             return 0
         self.shed[package.name] = self.shed.get(package.name, 0) + 1
-        return self.advice.wait(who, now, max(0.0, (cut - rank) / self.order.top))
+        lasts = min((now - self.since[zone] for zone in zones if zone in self.since), default=0)
+        return self.advice.wait(who, now, max(0.0, (cut - rank) / self.order.top), lasts)
 
     def _sheds(self, rank: int, cut: int, floored: bool) -> bool:
         return rank < cut and not floored
@@ -147,13 +148,13 @@
         at, told, why = self.told.get(zone, (-1, 0, ""))
         heard = at >= 0 and now - at <= self.terms.told_lasts
         if not heard:
-            level.round(seen)
+            level.round(seen, self.full.get(zone, 0.0))
         elif told <= level.cut or self.full.get(zone, 0.0) >= SHORT_BY_SIGHT:
             level.note(seen)
             level.meet(told, why)
         else:
             # others are short of what this front sees plenty of
-            level.round(seen)
+            level.round(seen, self.full.get(zone, 0.0))
 
     def _look(self) -> None:
         """How much of each zone has no room left, by what this front knows of its links."""
@@ -203,7 +204,7 @@
             # whoever added up before, the fleet is where this front is
             level = self.fleet[zone] = self._level()
             level.cut = self.levels[zone].cut
-        level.round(together)
+        level.round(together, self.full.get(zone, 0.0))
         return level.cut, level.why
 
     def _level_of(self, zone: str) -> tuple[int, str]:
--- a/curlewshift/walk/leases.py
+++ b/curlewshift/walk/leases.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from copy import copy
-from itertools import permutations
 from random import Random
 
 from curlewshift.leases.asker import Asker, Try
@@ -36,7 +35,8 @@
         return self.world.clocks[self.number]
 
     def wall(self) -> int:
-        return 0
+        # a millisecond a tick: no clock of the walk is set back further than a keeper is silent for
+        return self.world.ticks * 1_000_000
 
     def prepare(self, keeper, lease, ballot) -> None:
         self.world.asks[self.number, keeper] = ("prepare", ballot, 0)
@@ -49,7 +49,7 @@
         self.world.asks[self.number, keeper] = ("released", ballot, 0)
 
     def begins(self, lease, fence) -> None:
-        pass
+        self.world.began(fence)
 
     def stops(self, lease, why) -> None:
         pass
@@ -75,10 +75,13 @@
 class LeaseWorld:
     """`rates`: units of the askers' clocks a tick, then of the keepers', which run alike."""
 
-    def __init__(self, rates: tuple[int, int, int], asker: type[Asker] = Asker, keeper: type[Keeper] = Keeper):
-        self.rates = (*rates[:2], *[rates[2]] * KEEPERS)
-        self.kinds = asker, keeper
-        self.clocks = [1000] * (ASKERS + KEEPERS)
+    def __init__(self, rates: tuple[int, int, int], asker: type[Asker] = Asker, keeper: type[Keeper] = Keeper,
+                 keepers: int = KEEPERS):
+        self.rates = (*rates[:2], *[rates[2]] * keepers)
+        self.kinds, self.size = (asker, keeper), keepers
+        self.clocks = [1000] * (ASKERS + keepers)
+        # the number of the latest tenure, and whether one came that was not higher
+        self.ticks, self.latest_fence, self.fence_fell = 0, 0, False
         self.lives, self.restarts = [1] * ASKERS, 0
         self.asks: dict[tuple[int, int], tuple] = {}
         self.stale: dict[int, tuple] = {}
@@ -86,14 +89,14 @@
         self.answer: tuple | None = None
         self.askers = [self._asker(number) for number in range(ASKERS)]
         self.keepers = []
-        for number in range(KEEPERS):
+        for number in range(keepers):
             made = keeper(KeeperEnd(self, number), TERMS)
             # as if it had run for long
             made.silent_until = 0
             self.keepers.append(made)
 
     def _asker(self, number: int) -> Asker:
-        made = self.kinds[0](AskerEnd(self, number), number, self.lives[number], list(range(KEEPERS)), TERMS, Random(1))
+        made = self.kinds[0](AskerEnd(self, number), number, self.lives[number], list(range(self.size)), TERMS, Random(1))
         made.tries[LEASE] = Try()
         return made
 
@@ -105,7 +108,8 @@
         for number, asker in enumerate(self.askers):
             twin = copy(asker)
             twin.outside = AskerEnd(other, number)
-            held = twin.tries[LEASE] = copy(asker.tries[LEASE])
+            # not into the dict that both still share: each state then went on with what its last neighbour had done
+            held = copy(asker.tries[LEASE])
             held.promised, held.accepted = dict(held.promised), set(held.accepted)
             twin.tries = {LEASE: held}
             other.askers.append(twin)
@@ -128,32 +132,30 @@
         ballots |= {words[2] for _, _, words in self.back}
         rank = {ballot: (index, ballot.front) for index, ballot in enumerate(sorted(ballots))}
 
-        def seen(order: tuple[int, ...]) -> tuple:
-            place = {keeper: at for at, keeper in enumerate(order)}
-            askers = []
+        askers = tuple((
+            rank[held.ballot], held.asked_at >= 0, held.proposing, held.renews, max(0, held.until - now),
+            held.proposed_at - now if held.proposing else 0, held.fence - self.ticks if held.until > now or held.proposing else 0,
+            rank[self.stale[number][1]] if number in self.stale else ())
+            for number, (held, now) in enumerate((asker.tries[LEASE], self.clocks[number])
+                                                 for number, asker in enumerate(self.askers)))
+
+        def of(keeper: int) -> tuple:
+            """All that is known of one keeper, by anyone: keepers with the same are the same, so that their order says nothing."""
+            one = self.keepers[keeper]
+            kept, steady = one.leases.get(LEASE), one.steady.last
+            own = (max(0, one.silent_until - steady),) if kept is None else (
+                max(0, one.silent_until - steady), rank[kept.promised], rank[kept.accepted], kept.holder,
+                max(0, kept.until - steady), kept.fence - self.ticks)
+            heard = []
             for number, asker in enumerate(self.askers):
-                held, now = asker.tries[LEASE], self.clocks[number]
-                askers.append((
-                    rank[held.ballot], held.asked_at >= 0, held.proposing, held.renews, max(0, held.until - now),
-                    held.proposed_at - now if held.proposing else 0,
-                    tuple(sorted((place[keeper], who, rank[of]) for keeper, (who, of) in held.promised.items()))
-                    if held.asked_at >= 0 and not held.proposing else (),
-                    tuple(sorted(place[keeper] for keeper in held.accepted)) if held.proposing else (),
-                    tuple(sorted((place[keeper], ask[0], rank[ask[1]]) for (who, keeper), ask in self.asks.items()
-                                 if who == number)),
-                    rank[self.stale[number][1]] if number in self.stale else ()))
-            keepers = []
-            for keeper in order:
-                one = self.keepers[keeper]
-                kept = one.leases.get(LEASE)
-                steady = one.steady.last
-                keepers.append((max(0, one.silent_until - steady),) if kept is None else (
-                    max(0, one.silent_until - steady), rank[kept.promised], rank[kept.accepted], kept.holder,
-                    max(0, kept.until - steady)))
-            back = tuple(sorted((to, what, place[words[0]], rank[words[2]], words[3:5] if what == "promise" else ())
-                                for to, what, words in self.back))
-            return tuple(askers), tuple(keepers), back, self.restarts
-        return min((seen(order) for order in permutations(range(KEEPERS))), key=repr)
+                held, ask = asker.tries[LEASE], self.asks.get((number, keeper))
+                told = held.promised.get(keeper) if held.asked_at >= 0 and not held.proposing else None
+                heard.append(((told[0], rank[told[1]]) if told else (), held.proposing and keeper in held.accepted,
+                              (ask[0], rank[ask[1]]) if ask else ()))
+            back = tuple(sorted((to, what, rank[words[2]], words[3:5] if what == "promise" else ())
+                                for to, what, words in self.back if words[0] == keeper))
+            return own, tuple(heard), back
+        return askers, tuple(sorted((of(keeper) for keeper in range(self.size)), key=repr)), self.restarts, self.latest_fence - self.ticks
 
     # ---- what can happen
 
@@ -166,16 +168,17 @@
             if len(self.back) < MOST_BACK:
                 found.append(("half", number, keeper))
         for number in self.stale:
-            found += [("stale", number, keeper) for keeper in range(KEEPERS)]
+            found += [("stale", number, keeper) for keeper in range(self.size)]
         found += [("answer", index) for index in range(len(self.back))]
         if self.restarts < MOST_RESTARTS:
-            found += [("keeper", keeper) for keeper in range(KEEPERS)] + [("asker", number) for number in range(ASKERS)]
+            found += [("keeper", keeper) for keeper in range(self.size)] + [("asker", number) for number in range(ASKERS)]
         return found
 
     def take(self, step: tuple) -> None:
         kind = step[0]
         if kind in ("tick", "long"):
             for _ in range(LONG if kind == "long" else 1):
+                self.ticks += 1
                 for number, rate in enumerate(self.rates):
                     self.clocks[number] += rate
                 for keeper in self.keepers:
@@ -219,12 +222,61 @@
         to, what, words = answer
         getattr(self.askers[to], what)(*words)
 
+    def began(self, fence: int) -> None:
+        self.fence_fell |= fence <= self.latest_fence
+        self.latest_fence = max(self.latest_fence, fence)
+
     def _look(self) -> None:
+        if self.fence_fell:
+            raise Broken("a later tenure's number is not higher")
         holders = [number for number, asker in enumerate(self.askers) if asker.may_act(LEASE)]
         if len(holders) > 1:
             raise Broken("two hold the lease at once")
 
 
+class LeaseRounds(LeaseWorld):
+    """The same world in larger steps: one step is a whole try, heard by some keepers when it prepares and by some when it
+    proposes. What this leaves out is that words of two tries cross; what it gains are courses of several tenures."""
+
+    def steps(self) -> list[tuple]:
+        found: list[tuple] = [("tick",), ("long",)]
+        most = self.size // 2 + 1
+        for number in range(ASKERS):
+            for heard in subsets(self.size):
+                if len(heard) >= min(most, 2):
+                    found += [("try", number, heard, taken) for taken in subsets(self.size)]
+            if number in self.stale:
+                found += [("stale", number, keeper) for keeper in range(self.size)]
+        if self.restarts < MOST_RESTARTS:
+            found += [("keeper", keeper) for keeper in range(self.size)] + [("asker", number) for number in range(ASKERS)]
+        return found
+
+    def take(self, step: tuple) -> None:
+        if step[0] != "try":
+            super().take(step)
+            return
+        _, number, heard, taken = step
+        asker = self.askers[number]
+        asker.may_act(LEASE)
+        asker._ask(LEASE, asker.tries[LEASE], asker._now())
+        for hears in (heard, taken):
+            for keeper in hears:
+                ask = self.asks.pop((number, keeper), None)
+                if ask is not None:
+                    self._to_keeper(number, keeper, ask, kept_back=False)
+        self.asks = {key: ask for key, ask in self.asks.items() if key[0] != number}
+        self._look()
+
+
+def subsets(size: int) -> list[tuple[int, ...]]:
+    return [tuple(one for one in range(size) if mask >> one & 1) for mask in range(1 << size)]
+
+
 def walk_leases(depth: int, rates: tuple[int, int, int] = (3, 4, 5), asker: type[Asker] = Asker,
                 keeper: type[Keeper] = Keeper, most: int = 10**9) -> Walked:
     return explore(LeaseWorld(rates, asker, keeper), depth, most)
+
+
+def walk_rounds(depth: int, rates: tuple[int, int, int] = (3, 4, 5), asker: type[Asker] = Asker,
+                keeper: type[Keeper] = Keeper, most: int = 10**9, keepers: int = KEEPERS) -> Walked:
+    return explore(LeaseRounds(rates, asker, keeper, keepers), depth, most)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -9,6 +9,7 @@
 from curlewshift.tasks.servers import Probing
 from curlewshift.tasks.tasks import Tasks
 from curlewshift.verdict.leases import judge_leases
+from curlewshift.walk.leases import LeaseRounds, walk_leases, walk_rounds
 
 SECOND = 1000 * MS
 
@@ -161,6 +162,28 @@
         self.assertEqual(self.said[-1][4:], (1, high, 8))
 
 
+class Walked(unittest.TestCase):
+    """All orders of two askers and three keepers, to a depth that takes seconds; `curlewshift walk` goes deeper."""
+
+    def test_no_order_of_words_has_two_holders(self):
+        self.assertEqual((walk_leases(5).breach, walk_rounds(3).breach), ("", ""))
+
+    def test_a_copy_of_a_world_goes_on_by_itself(self):
+        # states shared the dict of tries: the walk went over states that were partly their neighbours'
+        world = LeaseRounds((3, 4, 5))
+        before = world.state()
+        other = world.copied()
+        other.take(("try", 0, (0, 1), (0, 1)))
+        self.assertEqual(world.state(), before)
+
+    def test_each_planted_fault_has_a_shortest_course(self):
+        for name, (rates, depth, keepers) in {
+                "no-silence-after-start": ((3, 4, 5), 3, 3), "drift-ignored": ((3, 4, 5), 4, 3), "majority-of-two": ((3, 4, 5), 2, 5),
+                "renew-after-end": ((3, 4, 5), 3, 3), "fence-not-raised": ((3, 4, 5), 3, 3), "act-without-look": ((3, 4, 5), 3, 3)}.items():
+            done = walk_rounds(depth, rates, keepers=keepers, **FAULTS[name])
+            self.assertEqual((bool(done.breach), len(done.course)), (True, depth), name)
+
+
 class Histories(unittest.TestCase):
     def test_two_never_hold_at_once_nor_does_a_number_come_twice(self):
         self.assertEqual(broken(range(150)), [])
