Shedding: one piece for sockets and emulator; free further tune-ins divided by fronts truly

Need: OverloadWire and EmulatedOverload had the same calls twice; of hundreds of fronts each got one free further tune-in in ten seconds whatever their sum, and zones that peers name were kept without bound.

--- a/curlewshift/emulator/front.py
+++ b/curlewshift/emulator/front.py
@@ -133,8 +133,8 @@
                 self.world.viewers.answered(name, Answer(Kind.REFUSED, "more is asked for than there is room", wait), self)
                 return None
         request = self.desk.asked(name, package, title, top, patience, key, Offer(key))
-        if self.sheds is not None and request.course is not None and request.answer is None:
-            self.sheds.who[request.course] = who
+        if self.sheds is not None:
+            self.sheds.taken(request, who)
         return request
 
     def tune_in(self, tune_in: TuneIn) -> None:
--- a/curlewshift/emulator/overloaded.py
+++ b/curlewshift/emulator/overloaded.py
@@ -5,9 +5,8 @@
 from dataclasses import dataclass
 from random import Random
 
-from curlewshift.desk.course import Answer, Kind
+from curlewshift.desk import shedding
 from curlewshift.emulator.shared import next_front
-from curlewshift.model import Server
 from curlewshift.overload.overload import Overload
 from curlewshift.overload.terms import OverloadTerms
 
@@ -27,52 +26,23 @@
     overload: type[Overload] = Overload
 
 
-class EmulatedOverload:
+class EmulatedOverload(shedding.Shedding):
     """Overload's outside for one life of one emulated front."""
 
     def __init__(self, front, seed: int):
         self.front, self.world, self.how = front, front.world, front.world.shedding
         self.chance, self.life, self.spoken = Random(f"{seed} sheds"), front.now(), 0
         packages = self.world.site.packages
-        self.floor_rate = min(package.rates[package.floor] for package in packages)
-        self.who: dict[object, str] = {}
+        super().__init__(lambda: front.desk, packages)
+        self.bounds_further = self.how.further
         self.overload = self.how.overload(self, front.door, packages, self.how.terms, self.chance)
         self.world.queue.at(front.now() + self.chance.randrange(self.how.terms.every), self._round)
 
     def _round(self) -> None:
         if self.front.alive:
-            self.overload.time()
-            self._budget()
+            self.round()
             self.world.queue.at(self.now() + self.how.terms.every, self._round)
 
-    # ---- what its front tells it
-
-    def asked(self, package: str, title: str, who: str) -> int:
-        desk = self.front.desk
-        return self.overload.asked(desk.packages[package], desk.roster.titles[title].holders, who)
-
-    def tune_in(self, tune_in) -> None:
-        if tune_in.number > 1:
-            self.overload.again.spends(self.now())
-            self._budget()
-
-    def answered(self, request, answer: Answer) -> None:
-        course = request.course
-        if course is None:
-            return
-        vw = course.vw
-        if answer.kind is Kind.PLAYS:
-            self.overload.began(vw.holders, self.who.pop(course, ""), self.now() > vw.asked_at + vw.package.join_target)
-            self._budget()
-        elif answer.kind is Kind.REFUSED:
-            self.who.pop(course, None)
-            self.overload.refused(vw.holders)
-
-    def _budget(self) -> None:
-        stopped = self.how.further and not self.overload.again.may(self.now())
-        if stopped is not self.front.desk.rules.again_stopped:
-            self.front.desk.again_stopped(stopped)
-
     # ---- overload's outside
 
     def now(self) -> int:
@@ -81,12 +51,6 @@
     def wall(self) -> int:
         return self.front.wall()
 
-    def servers(self):
-        return self.front.desk.rules.servers
-
-    def takes(self, server: Server) -> bool:
-        return self.front.desk.rules.takes(server, self.floor_rate)
-
     def members(self) -> list[str]:
         return [name for name in self.world.doors_up if name != self.front.door] if self.how.together else []
 
--- a/curlewshift/overload/again.py
+++ b/curlewshift/overload/again.py
@@ -54,9 +54,11 @@
         return max(1.0, 5 * self.free)
 
     def _age(self, now: int) -> None:
-        # the free ones come back evenly over the time that they are counted in
-        self.left = min(self.most, self.left + max(0, now - self.at) * max(self.free, 1.0) / self.terms.look_back) \
-            if self.left < max(self.free, 1.0) else self.left
+        # the free ones come back evenly over the time that they are counted in; of many fronts each has less than one, and is
+        # one of the few that may use it now and then
+        full = max(self.free, 1.0)
+        if self.left < full:
+            self.left = min(full, self.left + max(0, now - self.at) * self.free / self.terms.look_back)
         self.at = max(now, self.at)
 
 
--- a/curlewshift/overload/overload.py
+++ b/curlewshift/overload/overload.py
@@ -169,11 +169,17 @@
         for zone in [zone for zone in self.levels if zone not in self.full and zone not in self.rounds]:
             # nothing is left there to be short of
             del self.levels[zone], self.since[zone]
+        for known in (self.words, self.fleet, self.told):
+            for zone in [zone for zone in known if zone not in self.full]:
+                del known[zone]
 
     # ---- as the one that adds up
 
     def round_told(self, by: str, life: int, number: int, zone: str, asks: list[tuple[int, float]], begun: float,
                    short: float) -> None:
+        if zone not in self.full:
+            # no server of that zone is open here: nobody who knows one would ask this front
+            return
         now = self.outside.now()
         seen = Round({rank: count for rank, count in asks if 0 <= rank < self.order.top}, begun, short)
         if self._heard(by, life, number, zone, seen, now):
@@ -181,7 +187,8 @@
             self.outside.tell_level(by, zone, cut, why)
 
     def level_told(self, zone: str, cut: int, why: str) -> None:
-        self.told[zone] = self.outside.now(), max(0, min(self.order.top, cut)), why
+        if zone in self.full:
+            self.told[zone] = self.outside.now(), max(0, min(self.order.top, cut)), why
 
     def _heard(self, by: str, life: int, number: int, zone: str, seen: Round, now: int) -> bool:
         words = self.words.setdefault(zone, {})
--- a/curlewshift/peering/overloaded.py
+++ b/curlewshift/peering/overloaded.py
@@ -12,9 +12,8 @@
 import msgspec
 from msgspec import Meta
 
-from curlewshift.desk.course import Answer, Kind, Request, TuneIn
+from curlewshift.desk.shedding import Shedding
 from curlewshift.membership.member import Member
-from curlewshift.model import Server
 from curlewshift.overload.overload import Overload
 from curlewshift.overload.terms import OverloadTerms
 
@@ -41,17 +40,16 @@
 DECODER = msgspec.msgpack.Decoder(Body)
 
 
-class OverloadWire:
+class OverloadWire(Shedding):
     """Overload's outside. `channel` is None where the front has no peers."""
 
     overload_class = Overload
 
     def __init__(self, channel, front, me: str, names: frozenset[str], terms: OverloadTerms, log, chance: Random):
+        super().__init__(lambda: front.desk, front.site.packages)
         self.channel, self.front, self.names, self.log = channel, front, names, log
         self.life = channel.membership.me.life if channel is not None else 0
         self.numbers = self.malformed = 0
-        self.floor_rate = min(package.rates[package.floor] for package in front.site.packages)
-        self.who: dict[object, str] = {}
         self.overload = self.overload_class(self, me, front.site.packages, terms, chance)
         if channel is not None:
             channel.carries(KIND, self.heard)
@@ -60,9 +58,7 @@
         every = self.overload.terms.every / NS
         while True:
             try:
-                self.overload.time()
-                self._budget()
-                self.who = {course: who for course, who in self.who.items() if course.answer is None}
+                self.round()
             except Exception as fault:
                 self.log.error("fault", what="overload", cause=repr(fault), exc_info=fault)
             await anyio.sleep(every)
@@ -80,46 +76,6 @@
         else:
             self.overload.level_told(body.zone, body.cut, body.why)
 
-    # ---- what its front tells it
-
-    def asked(self, package: str, title: str, who: str) -> int:
-        """How long it has to stay away (ns); 0: it is let in. What is not known is the desk's to refuse."""
-        desk = self.front.desk
-        pack, held = desk.packages.get(package), desk.roster.titles.get(title)
-        if pack is None or held is None:
-            return 0
-        return self.overload.asked(pack, held.holders, who)
-
-    def taken(self, request: Request, who: str) -> None:
-        if request.course is not None and request.course.answer is None:
-            self.who[request.course] = who
-
-    def tune_in(self, tune_in: TuneIn) -> None:
-        if tune_in.number > 1:
-            self.overload.again.spends(self.now())
-            self._budget()
-
-    def answered(self, request: Request, answer: Answer) -> None:
-        course = request.course
-        if course is None:
-            return
-        vw = course.vw
-        if answer.kind is Kind.PLAYS:
-            self.overload.began(vw.holders, self.who.pop(course, ""), self.now() > vw.asked_at + vw.package.join_target)
-            self._budget()
-        elif answer.kind is Kind.REFUSED and self._for_room(vw):
-            self.overload.refused(vw.holders)
-
-    def _for_room(self, vw) -> bool:
-        """A seat that is taken is no want of room."""
-        rules = self.front.desk.rules
-        return not vw.package.seats or rules.seats[vw.title, vw.package] < vw.package.seats
-
-    def _budget(self) -> None:
-        stopped = not self.overload.again.may(self.now())
-        if stopped is not self.front.desk.rules.again_stopped:
-            self.front.desk.again_stopped(stopped)
-
     # ---- overload's outside
 
     def now(self) -> int:
@@ -128,12 +84,6 @@
     def wall(self) -> int:
         return self.front.wall()
 
-    def servers(self):
-        return list(self.front.desk.rules.servers)
-
-    def takes(self, server: Server) -> bool:
-        return self.front.desk.rules.takes(server, self.floor_rate)
-
     def members(self) -> list[str]:
         if self.channel is None:
             return []
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -68,6 +68,14 @@
         for words in ("f1, a keeper, still silent after its start", "17", "in 2.0 s", "2 needed"):
             self.assertIn(words, output)
 
+    def test_overload_tells_who_is_shed_and_why(self):
+        zone = {"zone": "a", "level": 70, "of": 192, "why": "40% of what was let in found no room", "for_s": 3.0, "full": 0.9,
+                "shed": {"cheap": 0.95, "dear": 0.0}, "told": 70, "adds_up": False}
+        told = {"overload": {"me": "f1", "zones": [zone], "shed": {"cheap": 12}, "let_in": 30, "further_left": 1.5}}
+        output = " ".join(self.shown(told, "overload", "show").output.split())
+        for words in ("f1: let in 30, shed 12 of cheap", "95% of cheap", "70 of 192", "90%"):
+            self.assertIn(words, output)
+
 
 if __name__ == "__main__":
     unittest.main()
