--- a/curlewshift/commands/measure.py
+++ b/curlewshift/commands/measure.py
@@ -147,3 +147,11 @@
     keep(out, figures)
     if chart_at is not None:
         chart_at.write_text(chart(figures))
+
+
+@measure.command("shared")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures.")
+def measure_shared(out):
+    """What sharing costs a front in bytes and datagrams, by the number of fronts and servers (simulated)."""
+    from curlewshift.emulator.sharing_bytes import measure_shared as measured
+    keep(out, measured())
--- /dev/null
+++ b/curlewshift/emulator/sharing_bytes.py
@@ -0,0 +1,90 @@
+"""What one front of many sends to its peers for sharing, in bytes of real frames. Called by `measure shared`; simulated.
+
+One front's own sharing is run among peers that are only names. What it is asked as the one that adds up is what it asks of others,
+in the mean over all fronts: each word of use is one of another front's, and has one answer.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from curlewshift.model import Link, Rack, Server
+from curlewshift.peering.channel import PLAIN
+from curlewshift.peering.frames import Frame, encode
+from curlewshift.peering.shared import ENCODER, KIND, SEEN, SUMS, USE, Body
+from curlewshift.sharing.sharing import Sharing
+from curlewshift.sharing.terms import SharingTerms
+
+NS = 1_000_000_000
+TERMS = SharingTerms(term=3 * NS // 2, drift=0.01, window=NS, every=NS // 4)
+# (fronts, servers); a front plays on so many of them.
+SIZES = ((8, 24), (64, 200), (200, 2000), (1000, 2000))
+PLAYS_ON, RACK, SECONDS = 40, 20, 20
+
+
+class Among:
+    """Sharing's outside: words are counted by what they would weigh."""
+
+    def __init__(self, fronts: int, servers: int):
+        self.clock, self.names = 1000 * NS, [f"front-{n}" for n in range(fronts)]
+        chance = Random(1)
+        racks = [Rack(n, Link(1e5), name=f"rack-{n}") for n in range(-(-servers // RACK))]
+        self.fleet = [Server(f"10.0.{n // 250}.{n % 250}:8100", chance.getrandbits(32), f"z{n % 3}", 40, racks[n // RACK], Link(1e4))
+                      for n in range(servers)]
+        for server in chance.sample(self.fleet, min(PLAYS_ON, servers)):
+            server.link.own = server.rack.link.own = 700.0
+        self.bytes = self.datagrams = 0
+        self.sharing = Sharing(self, self.names, 0, 1, TERMS, 8 * NS, chance)
+        self.chance = chance
+
+    def run(self) -> Among:
+        for _ in range(SECONDS * NS // TERMS.every):
+            self.clock += TERMS.every
+            for server in self.fleet:
+                if server.link.own:
+                    # it is heard of, and what is used there moves
+                    server.heard_at = self.clock
+                    server.link.own = 700.0 * self.chance.uniform(0.9, 1.1)
+            self.sharing.time()
+        return self
+
+    def _weighs(self, what: int, **more) -> None:
+        body = ENCODER.encode(Body(what, 10_000, self.clock, **more))
+        frame = encode(Frame("site", "front-0", "10.1.0.1", 8181, 1_800_000_000_000_000, 3, 100_000, KIND, 0, "", 2**63, [], body))
+        self.bytes += len(frame)
+        self.datagrams += 1
+
+    def now(self) -> int:
+        return self.clock
+
+    def servers(self):
+        return self.fleet
+
+    def rights_of(self, server: Server) -> int:
+        return 3
+
+    def members(self) -> list[str]:
+        return self.names[1:]
+
+    def tell_use(self, to: str, rows: list) -> None:
+        self._weighs(USE, uses=rows)
+        # as many are told to it, and answered
+        self._weighs(SUMS, sums=[(key, value, 100_000_000, 0.5, 200_000_000) for key, value in rows])
+
+    def tell_seen(self, to: str, rows: list) -> None:
+        self._weighs(SEEN, seen=rows)
+
+    def nothing(self, *words, **more) -> None:
+        """Asks of rights are few: only cold servers have any."""
+
+    ask = lend = give_back_to = tell_sums = tell_report = ask_what_is_known = nothing
+    rights_held = doubted = counted = uplink_counted = link_reported = seen_warm = clock_off = nothing
+
+
+def measure_shared() -> dict:
+    rows = []
+    for fronts, servers in SIZES:
+        done = Among(fronts, servers).run()
+        rows.append({"fronts": fronts, "servers": servers, "plays_on": min(PLAYS_ON, servers),
+                     "bytes_a_second": round(done.bytes / SECONDS), "datagrams_a_second": round(done.datagrams / SECONDS)})
+    return {"simulated": True, "largest_body": 1200 - PLAIN, "sizes": rows}
