Judge of members: a datagram handed to a port that is not open yet was heard by nobody

Four fronts had been killed and started at once; the relay handed one the other's new life before its port was open, and a late datagram of the earlier life after (verdict/members.py, _taken).

--- a/curlewshift/verdict/members.py
+++ b/curlewshift/verdict/members.py
@@ -181,16 +181,20 @@
 def _taken(events: list[dict]) -> dict:
     """Probes that came spoilt, or from a life that was over as their receiver had heard, and were answered all the same."""
     lives: dict[tuple[str, str], int] = {}
+    # up, and not heard of yet: what is handed to a port that nobody has opened is heard by nobody
+    starting: set[str] = set()
     whole, earlier, answered = set(), set(), set()
     counts = {"spoilt": 0, "old_life": 0}
     for event in events:
         if event["ev"] == "front-up":
             # a front that starts has heard of no life yet
             lives = {key: life for key, life in lives.items() if key[0] != event["front"]}
+            starting.add(event["front"])
         if event["ev"] not in ("peer-heard", "peer-said"):
             continue
         frame = read_datagram(bytes.fromhex(event["data"]))
         if event["ev"] == "peer-said":
+            starting.discard(event["front"])
             if frame is not None and frame[7] == ACK:
                 answered.add((event["front"], event["to"], frame[8]))
             continue
@@ -202,7 +206,8 @@
             counts["old_life"] += 1
             earlier.add((front, name, frame[8]))
             continue
-        lives[front, name] = life
+        if front not in starting:
+            lives[front, name] = life
         if frame[7] in (PING, ASK):
             whole.add((front, name, frame[8]))
     return {**counts, "old_life_taken": len(answered & earlier - whole), "malformed_taken": len(answered - whole - earlier)}
