--- a/curlewshift/standins/viewers.py
+++ b/curlewshift/standins/viewers.py
@@ -28,6 +28,8 @@
 # Pauses before it comes again (s), unless it is told how long to wait.
 PAUSE = (0.5, 2.0)
 MOST_VISITS = 4
+# Nobody comes again later than this after the last arrival (s).
+LAST_VISIT = 2.5
 # After an answer the connection is watched for another one for so long (s).
 LISTENS_ON = 0.4
 MOST_HEARD = 20
@@ -84,9 +86,11 @@
             how, wait = await self._visit(f"{viewing}.{visit}", viewing, wish, title, top, left, chance)
             left -= time.monotonic() - began if how == "broke" else 0
             again = how in ("refused", "broke", "unreached") and left > 1 and chance.random() < self.script.come_again
-            if not again or time.monotonic() > ends:
+            pause = wait + chance.uniform(0, 0.5) if wait else chance.uniform(*PAUSE)
+            if not again or time.monotonic() > ends or time.monotonic() + pause > ends + LAST_VISIT:
+                # who came so late would still wait when the day is put away, and would be held for lost
                 return
-            await anyio.sleep(wait + chance.uniform(0, 0.5) if wait else chance.uniform(*PAUSE))
+            await anyio.sleep(pause)
 
     async def _visit(self, request: str, viewing: str, wish: Wish, title: str, top: int, lasts: float,
                      chance: Random) -> tuple[str, float]:
--- a/curlewshift/verdict/shed.py
+++ b/curlewshift/verdict/shed.py
@@ -53,8 +53,8 @@
             "value_asked": round(sum(figures.value[package] * count for package, count in asked.items()), 1),
             "storm_over_s": [storm_over(events, began, back) for began, back in returns],
             "came_together": round(_came_together(events, refused), 3), "starved": starved,
-            "went_round": round(_went_round(events, asks), 4)}
-    told["broken"] = (bool(starved) or share > MOST_OUT_OF_ORDER or told["came_together"] > MOST_TOGETHER
+            "went_round": round(_went_round(events, asks), 4), "unordered": _unordered(asked, got, worth)}
+    told["broken"] = (bool(starved) or told["unordered"] or share > MOST_OUT_OF_ORDER or told["came_together"] > MOST_TOGETHER
                       or told["went_round"] > MOST_WENT_ROUND)
     return told
 
@@ -93,6 +93,20 @@
     return float((over - back) // SECOND)
 
 
+# Where so much of what is asked for is not served, what is worth most is served at the least so many times as often as what is
+# worth least.
+SHORT, MORE_OFTEN = 0.3, 1.4
+
+
+def _unordered(asked: dict, got: dict, worth: dict[str, float]) -> bool:
+    """Whether much is refused, and the first package by worth fares hardly better than the last."""
+    many = sorted((package for package, count in asked.items() if count >= ENOUGH), key=worth.get)
+    if len(many) < 2 or sum(got.values()) > (1 - SHORT) * sum(asked.values()):
+        return False
+    last, first = many[0], many[-1]
+    return worth[first] > worth[last] and got[first] / asked[first] < MORE_OFTEN * got[last] / asked[last]
+
+
 # Of those refused at one front who asked at another soon after (ns), the part that was let in there: more than room that came free
 # in between explains means that fronts do not shed alike.
 SOON, MOST_WENT_ROUND = 10 * SECOND, 0.5
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -448,6 +448,12 @@
         right = self.day(*[(1.5, f"d{n}", "dear", 201) for n in range(10)], *[(1.5, f"c{n}", "cheap", 503) for n in range(10)])
         self.assertEqual((right["out_of_order"], right["broken"]), (0.0, False))
 
+    def test_where_much_is_refused_and_the_dear_fare_no_better_it_is_told(self):
+        def day(dear, cheap):
+            return self.day(*[(n / 3, f"d{n}", "dear", 201 if n < dear else 503) for n in range(40)],
+                            *[(n / 3, f"c{n}", "cheap", 201 if n < cheap else 503) for n in range(40)])["unordered"]
+        self.assertEqual((day(10, 10), day(20, 10), day(35, 30)), (True, False, False))
+
     def test_a_package_of_which_nobody_is_served_starves_and_who_comes_back_together_is_told(self):
         told = self.day(*[(n / 10, f"c{n}", "cheap", 503) for n in range(40)])
         self.assertEqual((told["starved"], told["broken"]), (["cheap"], True))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -421,7 +421,9 @@
 
         def answers(at, front, to, probe):
             return {"ev": "peer-said", "at": at * NS, "front": front, "to": to, "data": said(front, 1, 2, probe)}
-        clean = [answers(49, "f1", "f3", 1), heard(50, "f1", said("f2", 1, 1, 7)), answers(51, "f1", "f2", 7), heard(52, "f1", said("f2", 2, 1, 8)),
+        def speaks(at):
+            return {"ev": "peer-said", "at": at * NS, "front": "f1", "to": "f3", "data": said("f1", 1, 1, 99)}
+        clean = [speaks(49), heard(50, "f1", said("f2", 1, 1, 7)), answers(51, "f1", "f2", 7), heard(52, "f1", said("f2", 2, 1, 8)),
                  heard(53, "f1", said("f2", 1, 1, 9))]
         told = judge_members(self.day(*self.everyone(60), more=clean), NS, 60 * NS)
         self.assertEqual((told["old_life"], told["old_life_taken"], told["malformed_taken"]), (1, 0, 0))
@@ -431,7 +433,7 @@
         self.assertEqual((told["old_life_taken"], told["malformed_taken"]), (1, 1))
         # handed to the port of a front that starts, before it is open, a datagram is heard by nobody
         started = [{"ev": "front-up", "at": 49 * NS, "front": "f1", "life": "f1.2"}, heard(50, "f1", said("f2", 2, 1, 8)),
-                   answers(51, "f1", "f3", 1), heard(52, "f1", said("f2", 1, 1, 9)), answers(53, "f1", "f2", 9)]
+                   speaks(51), heard(52, "f1", said("f2", 1, 1, 9)), answers(53, "f1", "f2", 9)]
         told = judge_members(self.day(*self.everyone(60), more=started), NS, 60 * NS)
         self.assertEqual((told["old_life"], told["old_life_taken"]), (0, 0))
 
