--- a/curlewshift/verdict/shed.py
+++ b/curlewshift/verdict/shed.py
@@ -17,8 +17,8 @@
 MOST_OUT_OF_ORDER = 0.1
 # A storm is over once asks are back at this many times what they were before, for so many seconds together.
 BACK_AT, TOGETHER = 1.3, 2
-# What each package is served at the least of, where it was asked for so often at all.
-LEAST_SERVED, ENOUGH = 0.01, 30
+# Packages that were asked for so often count.
+ENOUGH = 30
 
 
 def judge_shed(events: list[dict], figures: Figures, worth: dict[str, float], floor: float,
@@ -46,13 +46,13 @@
         got[package] += viewing in served
     out = _out_of_order(asks, let_in, refused, worth, floor)
     share = out / len(refused) if refused else 0.0
-    starved = [package for package, count in asked.items() if count >= ENOUGH and got[package] / count < LEAST_SERVED]
+    starved = _starved(asks, let_in)
     told = {"refused": len(refused), "out_of_order": round(share, 4), "asks_a_viewing": round(len(asks) / max(1, len(viewings)), 3),
             "served": {package: round(got[package] / count, 3) for package, count in asked.items()},
             "value_served": round(sum(figures.value[package] * count for package, count in got.items()), 1),
             "value_asked": round(sum(figures.value[package] * count for package, count in asked.items()), 1),
             "storm_over_s": [storm_over(events, began, back) for began, back in returns],
-            "came_together": round(_came_together(events, refused), 3), "starved": starved,
+            "came_together": round(_came_together(events, refused), 2), "starved": starved,
             "went_round": round(_went_round(events, asks), 4), "unordered": _unordered(asked, got, worth)}
     told["broken"] = (bool(starved) or told["unordered"] or share > MOST_OUT_OF_ORDER or told["came_together"] > MOST_TOGETHER
                       or told["went_round"] > MOST_WENT_ROUND)
@@ -128,24 +128,37 @@
     return round_ / refused if refused >= ENOUGH else 0.0
 
 
-# Of those refused within one second, the part that comes again within the same tenth of a second.
-MOST_TOGETHER, TENTH, LEAST_CROWD = 0.5, SECOND // 10, 12
+# Asks of those who were refused before, by half seconds: how many times the mean the fullest twentieth of these is.
+HALF, MOST_TOGETHER, LEAST_RETURNS = SECOND // 2, 4.0, 200
 
 
 def _came_together(events: list[dict], refused: list[tuple]) -> float:
-    """The largest part of a second's refused that came again in one and the same tenth of a second."""
-    comes = defaultdict(list)
-    for event in events:
-        if event["ev"] == "ask":
-            comes[event["viewing"]].append(event["at"])
-    crowds = defaultdict(list)
+    """How far those who come again come together: 1 where they are spread evenly, and more where they come in crowds."""
+    first: dict[str, int] = {}
     for at, _, _, viewing in refused:
-        again = next((time for time in sorted(comes[viewing]) if time > at), None)
-        if again is not None:
-            crowds[at // SECOND].append(again)
-    worst = 0.0
-    for times in crowds.values():
-        if len(times) >= LEAST_CROWD:
-            times.sort()
-            worst = max(worst, max(bisect_left(times, time + TENTH) - index for index, time in enumerate(times)) / len(times))
-    return worst
+        first.setdefault(viewing, at)
+    slots: dict[int, int] = defaultdict(int)
+    for event in events:
+        if event["ev"] == "ask" and event["at"] > first.get(event["viewing"], 2**63):
+            slots[event["at"] // HALF] += 1
+    if sum(slots.values()) < LEAST_RETURNS:
+        return 0.0
+    whole = [slots.get(slot, 0) for slot in range(min(slots), max(slots) + 1)]
+    return sorted(whole)[int(len(whole) * 0.95)] * len(whole) / sum(whole)
+
+
+# Of so many asks of one package within this (ns), some are let in, whatever the level.
+WINDOW, MANY = 10 * SECOND, 100
+
+
+def _starved(asks: dict[str, dict], let_in) -> list[str]:
+    """Packages of which nobody was let in for a while, though many asked."""
+    found = set()
+    for package in {ask["package"] for ask in asks.values()}:
+        came = sorted(ask["at"] for ask in asks.values() if ask["package"] == package)
+        got = [at for at, _ in let_in[package]]
+        for index in range(0, len(came) - MANY, MANY // 4):
+            since = came[index]
+            if bisect_left(came, since + WINDOW) - index >= MANY and bisect_left(got, since) == bisect_left(got, since + WINDOW):
+                found.add(package)
+    return sorted(found)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -454,11 +454,18 @@
                             *[(n / 3, f"c{n}", "cheap", 201 if n < cheap else 503) for n in range(40)])["unordered"]
         self.assertEqual((day(10, 10), day(20, 10), day(35, 30)), (True, False, False))
 
-    def test_a_package_of_which_nobody_is_served_starves_and_who_comes_back_together_is_told(self):
-        told = self.day(*[(n / 10, f"c{n}", "cheap", 503) for n in range(40)])
-        self.assertEqual((told["starved"], told["broken"]), (["cheap"], True))
-        crowd = self.day(*[(1.0 + n / 100, f"c{n}", "cheap", 503) for n in range(20)], *[(5.0, f"c{n}", "cheap", 201) for n in range(20)])
-        self.assertEqual(crowd["came_together"], 1.0)
+    def test_a_package_of_which_nobody_is_let_in_for_a_while_starves(self):
+        def day(let_in):
+            return self.day(*[(n / 20, f"c{n}", "cheap", 201 if n % 50 == 7 and let_in else 503) for n in range(400)])["starved"]
+        self.assertEqual((day(False), day(True)), (["cheap"], []))
+
+    def test_who_comes_back_in_crowds_is_told(self):
+        first = [(n / 50, f"c{n}", "cheap", 503) for n in range(300)]
+        spread = self.day(*first, *[(7 + n / 20, f"c{n}", "cheap", 503) for n in range(300)])
+        crowds = self.day(*first, *[(7 + n // 100 * 5 + n % 100 / 1000, f"c{n}", "cheap", 503) for n in range(300)])
+        self.assertLess(spread["came_together"], 1.5)
+        self.assertGreater(crowds["came_together"], 4)
+        self.assertTrue(crowds["broken"])
 
     def test_a_storm_is_over_when_asks_are_what_they_were(self):
         events = [{"ev": "ask", "at": at * SECOND // 10} for at in range(100)]
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -113,8 +113,8 @@
         self.path.write_text(bounds)
         together = read_site(self.path).together
         self.assertEqual((together.free, together.look_back, together.seats, len(together.titles), together.seat_term),
-                         (6, 10_000_000_000, {"receipt": 4}, 20, 4_000_000_000))
-        for old, new, words in (('seats="4" ', "", "no package has seats"), ('seat-term="4s"', 'seat-term="1s"', "under eight rounds"),
+                         (6, 10_000_000_000, {"receipt": 1}, 20, 4_000_000_000))
+        for old, new, words in (('seats="1" ', "", "no package has seats"), ('seat-term="4s"', 'seat-term="1s"', "under eight rounds"),
                                 ('<further-tune-ins free="6" share="0.2" within="10s"/>', "", "no budget of further tune-ins")):
             self.assertIn(words, self.wrong((old, new), text=bounds))
 
