--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -192,6 +192,9 @@
     def tell_seen(self, to, rows):
         self.told(to, "seen_told", rows)
 
+    def tell_report(self, to, rows):
+        self.say(to, "report_told", rows)
+
     def ask_what_is_known(self, to):
         self.say(to, "known_asked")
 
@@ -264,6 +267,22 @@
         there = fleet.ends[1].servers()[0].rack.link
         self.assertAlmostEqual(there.counted, 700.0)
 
+    def test_what_one_finds_for_all_reaches_the_others_as_a_report_and_not_as_a_sign_of_life(self):
+        fleet = Fleet(3)
+        fleet.later(1)
+        for end in fleet.ends:
+            for server in end.servers():
+                server.link.own = 10.0
+        one = fleet.ends[0]
+        one.sharing.found_for_all(one.servers()[0], 0.75)
+        fleet.later(1.5)
+        others = [end.servers()[0] for end in fleet.ends]
+        self.assertEqual([server.link.told for server in others], [True] * 3)
+        self.assertEqual([server.heard_at for server in others], [0] * 3)
+        at = [server.link.told_at for server in others]
+        fleet.later(1)
+        self.assertEqual([server.link.told_at for server in others], at)
+
     def test_with_rights_dealt_out_nothing_goes_beside_them_to_a_server_that_may_be_cold(self):
         # two fronts that had just started sent by their ration what no right was there for: 4 set-ups where 3 were borne
         story = Story(1, fronts=40)
