--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -208,6 +208,16 @@
         verdicts = [{who: bool(end.overload.asked(CHEAP, fleet.zone("a"), f"n{who}")) for who in range(50)} for end in fleet.ends]
         self.assertTrue(all(verdict == verdicts[0] for verdict in verdicts[1:]))
 
+    def test_planted_faults_of_own_levels_and_of_no_floor_show(self):
+        def let_in(fault):
+            fleet = Fleet(overload=fault)
+            self.overloaded(fleet)
+            return [{who for who in range(300) if not end.overload.asked(CHEAP, fleet.zone("a"), f"n{who}")} for end in fleet.ends]
+        sound, own, none = (let_in(fault) for fault in (Overload, FAULTS["own-level-only"], FAULTS["no-floor"]))
+        self.assertEqual(len({frozenset(one) for one in sound}), 1)
+        self.assertEqual(len({frozenset(one) for one in own}), 4)
+        self.assertTrue(sound[0] and not none[0])
+
     def test_only_the_zone_that_is_short_sheds_and_a_viewing_that_can_go_elsewhere_is_let_in(self):
         fleet = Fleet()
         self.overloaded(fleet)
