Shared rights: a server that is new gets nothing before its rights are told

Traced: 127.0.0.1:21509 came up at 39.906, one set-up by f3.4 on its right, two by f5.3. Cause (rules.py, _own_part_left): until the first round of sharing after a server is listed its rights are None, and the front went by its turn of the clock, which is the whole budget. Ruled out: a late set-up of a stopped process (none was), loans (none of that server). The desk is told once that rights are dealt out; without rights told of a server there are none. Nothing changes where nothing is shared.

--- a/curlewshift/capture/tap.py
+++ b/curlewshift/capture/tap.py
@@ -29,7 +29,8 @@
            "notes_broke", "restarted", "handed_over", "delivered", "told", "told_server", "session_ended", "probed",
            "list_full", "list_change", "time", "announce", "cancel", "interrupted", "found", "not_found", "rung_found",
            "came_back", "orphaned", "rights_held", "doubted", "counted", "seen_warm",
-           "further_held", "seats_held", "seats_over", "uplink_counted", "link_reported", "planned", "again_stopped")
+           "further_held", "seats_held", "seats_over", "uplink_counted", "link_reported", "planned", "again_stopped",
+           "share_rights")
 # Everything that it does.
 ACTS = ("tune_in", "withdraw", "tell", "end_session", "probe", "answer", "whole_list")
 
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -312,6 +312,11 @@
 
     # ---- what other fronts share, as facts for the rules
 
+    def share_rights(self) -> None:
+        """The pace of cold servers is shared from now on: what no rights are told of gets nothing until they are. Between the
+        first word of a new server and its first rights a front went by turns, beside those who went by rights."""
+        self.rules.rights_dealt = True
+
     def rights_held(self, server: Server, rights: list) -> None:
         """Set-ups of the server's cold pace in this front's hands: from when, until when (ns of this clock), how many."""
         server.rights = [tuple(one) for one in rights]
--- a/curlewshift/emulator/shared.py
+++ b/curlewshift/emulator/shared.py
@@ -46,6 +46,7 @@
         self.life = front.now()
         self.sharing = Sharing(self, order, me, self.life, self.shares.terms, self.world.site.duties.warm_within, self.chance,
                                self.world.site.together)
+        front.desk.share_rights()
         self.world.queue.at(front.now() + self.chance.randrange(self.shares.terms.every), self._round)
 
     def _round(self) -> None:
--- a/curlewshift/peering/shared.py
+++ b/curlewshift/peering/shared.py
@@ -60,6 +60,7 @@
         self.sharing = self.sharing_class(self, order, me, channel.membership.me.life, terms, warm_within, chance,
                                           together)
         channel.carries(KIND, self.heard)
+        desk.share_rights()
 
     async def run(self) -> None:
         every = self.sharing.terms.every / NS
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -110,6 +110,8 @@
         self.free_further = inf if terms.free_further is None else terms.free_further
         self.further_share, self.look_back = terms.further_share, terms.look_back
         self.taken, self.further = deque(), deque()
+        # fronts share the pace of cold servers: a server of which no rights were told yet has none here
+        self.rights_dealt = False
         # free further tune-ins and, by package and title, seats in this front's hands, where all fronts have
         # them together (None, or no such package: each front has all), and when more were last wanted
         self.further_rights, self.further_wanted_at = None, 0
@@ -331,7 +333,7 @@
         # once, one set-up a server: by turns, one of hundreds would have nowhere to send all its warm-up.
         # That holds the mean over fronts; a crowd for one title right after many starts could still pass it.
         # Where rights are dealt out nothing goes beside them, and others' proofs of warmth come at the start.
-        if server.rights is not None or server.sent or server.failed or now < server.cold_until:
+        if self.rights_dealt or server.sent or server.failed or now < server.cold_until:
             return False
         self.unproven_left = min(2.0, self.unproven_left + (now - self.unproven_at) * self.unproven_pace)
         self.unproven_at = now
@@ -356,8 +358,8 @@
         window = self.fall_within
         budget = self.cold_part * server.streams
         part = budget / self.fronts
-        if server.rights is not None:
-            part = self._in_hand(server.rights)
+        if self.rights_dealt:
+            part = self._in_hand(server.rights or ())
             return sum(at > now - window for at in server.sent) + 1 <= part
         if part < 1:
             length = window * (TURN + 1)
@@ -517,7 +519,7 @@
         self.link_reported(server, use)
 
     def link_reported(self, server: Server, use: float) -> None:
-        """Another front was told so: it says how full the link is, and not that this front is answered there."""
+        """Another front was told so: it tells of the link, and not that this front is answered there."""
         self._told(server.link, use)
         if not self.racks_told:
             uplink = server.rack.link
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -440,6 +440,7 @@
     def test_rights_in_hand_bound_what_is_sent_in_place_of_the_even_part(self):
         story, server = self.cold()
         now = story.host.clock
+        story.rules.rights_dealt = True
         self.assertEqual(story.rules.rights_of(server), 2)
         server.rights = [(now + SECOND, 2**62, 1)]
         self.assertFalse(story.rules._may_send(server))
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -290,10 +290,24 @@
         server.unproven_until = story.host.clock + 8 * SECOND
         story.rules.unproven_left = 2.0
         self.assertTrue(story.rules._may_send(server))
+        story.rules.rights_dealt = True
+        self.assertFalse(story.rules._may_send(server))
         server.rights = [(story.host.clock + SECOND, 2**63, 1)]
         self.assertFalse(story.rules._may_send(server))
 
 
+    def test_a_server_that_is_new_gets_nothing_before_its_rights_are_told(self):
+        # of two rights three were used: one by a front that had them, two by one whose turn it was by the clock
+        story = Story(1, fronts=1)
+        server = story.servers[0]
+        story.list(server, started=story.host.clock)
+        self.assertTrue(story.rules._may_send(server))
+        story.rules.rights_dealt = True
+        self.assertFalse(story.rules._may_send(server))
+        server.rights = [(0, 2**63, 1)]
+        self.assertTrue(story.rules._may_send(server))
+
+
 class AtAStart(unittest.TestCase):
     def seen(self):
         fleet = Fleet()
