Node: a request that is past its time is answered at the next look, and told of

What would make it is a wake that does not come or a call that fails in a way on no list: looked for every 0.1 s, answered as failed, and logged as unanswered, so that the next one names itself.

--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -26,6 +26,8 @@
 SWEEP = 0.1
 # An answer is this long on its way to its viewer at the most; after that it would find nobody (ns).
 WAY_BACK = 10 * MS
+# A request that is past its time by so much has been forgotten by whoever should have answered (ns).
+OVERDUE = NS // 10
 # Releases that wait for a connection to go out on; more are dropped, oldest first.
 MOST_UNSAID = 5000
 
@@ -142,6 +144,12 @@
             silent = not line.spoke and now - line.opened_at > FIRST_WITHIN
             if silent or line.intake.stuck(now, MESSAGE_WITHIN):
                 line.wire.drop()
+            for asked in list(line.waiting.values()):
+                if asked.request is not None and now > asked.request.expires + OVERDUE:
+                    # nothing should come to this; if something does, it is told, and the viewer is not kept waiting for ever
+                    self.log.error("unanswered", session=asked.name, cause="its time is over, and nobody has said so")
+                    line.wire.send(rtsp.answer(FAILED, "1", asked.name))
+                    self._give_up(asked)
         if self.gate.crowded:
             self.gate.make_room()
         if self.unsaid:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -147,6 +147,22 @@
             self.assertEqual(len(place.node.desk.courses), 2)
 
 
+class Forgotten(unittest.TestCase):
+    @story
+    async def test_a_request_that_nobody_answered_in_its_time_is_answered_all_the_same_once_and_told_of(self):
+        async with Place().up() as place:
+            place.medias[0].does = place.medias[0].silent
+            with mock.patch.object(place.node.desk.timers, "run", lambda now: None), \
+                    mock.patch.object(place.node.door.log, "error") as told:
+                viewer = await place.viewer()
+                answer = await viewer.answer(A, package=CLIP, patience=300)
+            self.assertEqual((answer.status, told.call_args.args), (500, ("unanswered",)))
+            self.assertFalse(place.node.door.asked or any(line.waiting for line in place.node.door.lines))
+            place.node.desk.time()
+            # a second answer would come first
+            self.assertEqual((await viewer.answer(B)).fields["session"], B)
+
+
 class Servers(unittest.TestCase):
     @story
     async def test_what_played_on_a_process_that_died_is_released_to_its_viewer(self):
