--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -244,7 +244,7 @@
             raise Unknown(f"there is no package {package!r} or no title {title!r}")
         if not pack.floor <= rung <= pack.top:
             raise Misuse(f"package {package!r} is not played on rung {rung}")
-        if not self.rules.seat_left(title, pack):
+        if not self._seat_left(title, pack):
             raise Misuse(f"all seats of {title!r} are taken in package {package!r}")
         if key in self.doubts:
             course = self.found(key, server, session, rung)
@@ -276,6 +276,9 @@
         """What an earlier life of this front left at the server plays for nobody that is known of."""
         self.endings.end(server, session)
 
+    def _seat_left(self, title: str, pack: Package) -> bool:
+        return self.rules.seat_left(title, pack)
+
     def _plays_already(self, course: Course, server: Server, rung: int) -> None:
         self.courses[course.vw] = course
         self.rules.handed_over(course.vw, server)
@@ -441,7 +444,7 @@
         if course is None:
             return None
         vw = course.vw
-        if not vw.package.floor <= rung <= vw.package.top or not self.rules.seat_left(vw.title, vw.package):
+        if not vw.package.floor <= rung <= vw.package.top or not self._seat_left(vw.title, vw.package):
             self.not_found(key)
             return None
         del self.doubts[key]
