Sharing: one way to lend and one account of what is in hand, for all kinds of rights

Need: StandingLoans repeated Loans.asked around another condition, and Sharing and its pools each wrote out what is in hand. Now kinds differ in may_lend and usable_until alone.

--- a/curlewshift/sharing/budgets.py
+++ b/curlewshift/sharing/budgets.py
@@ -13,7 +13,6 @@
 from curlewshift.sharing.standing import StandingLoans
 from curlewshift.sharing.terms import SharingTerms
 
-FOR_EVER = 2**63
 FURTHER, SEAT = "further tune-ins", "seat "
 
 
@@ -58,25 +57,10 @@
         self.loans.time(lambda key: self.owners(key, there, turn))
         self.write(self.keys())
 
-    def in_hand(self, key: str) -> list[tuple[int, int, int]]:
-        """As the rules have it: from when, until when (the clock's ns), how many."""
-        loans, reading = self.loans, self.now()
-        own = loans.own_from(key)
-        since = loans.steady.reading_of(own) if own > loans.steady.last else 0
-        rights = [(since, FOR_EVER, self.part(key))]
-        for until, count, _ in loans.borrowed.get(key, {}).values():
-            usable = self.usable_until(until)
-            if usable > reading:
-                rights.append((0, usable, count))
-        return rights
-
-    def usable_until(self, until: int) -> int:
-        return until
-
     def write(self, keys: Iterable[str]) -> None:
         """What has changed, as facts for the rules."""
         for key in keys:
-            rights = self.in_hand(key)
+            rights = self.loans.in_hand(key)
             if rights != self.told.get(key):
                 self.told[key] = rights
                 self.tell(key, rights)
@@ -145,9 +129,6 @@
                 found.append(key)
         return found
 
-    def usable_until(self, until: int) -> int:
-        return self.loans.usable_until(until)
-
     def in_use(self, key: str) -> int:
         return self.sharing.outside.seats_in_use(*self.named[key])
 
--- a/curlewshift/sharing/loans.py
+++ b/curlewshift/sharing/loans.py
@@ -18,6 +18,7 @@
 
 # Keys of one message, and asks that may be out.
 MOST_KEYS, MOST_OUT = 24, 256
+FOR_EVER = 2**63
 
 
 class Outside(Protocol):
@@ -75,6 +76,18 @@
                 del self.borrowed[key]
         return count
 
+    def in_hand(self, key: str) -> list[tuple[int, int, int]]:
+        """What is in this front's hands as the rules have it: from when, until when (ns of the clock), how many."""
+        own, reading = self.own_from(key), self.outside.now()
+        since = self.steady.reading_of(own) if own > self.steady.last else 0
+        return [(since, FOR_EVER, self.outside.part(key)), *(
+            (0, self.usable_until(until), count) for until, count, _ in self.borrowed.get(key, {}).values()
+            if self.usable_until(until) > reading)]
+
+    def usable_until(self, until: int) -> int:
+        """Until when something may be begun on a loan that lasts so long."""
+        return until
+
     def own_from(self, key: str) -> int:
         """From when (steady ns) this front's own part of the budget is in its own hands."""
         return max(self.quiet_until, self.lent[key][0] if key in self.lent else 0)
@@ -102,18 +115,14 @@
     # ---- what comes in
 
     def asked(self, borrower: int, number: int, keys: list[str], life: int = 0) -> None:
-        """Another wants this front's part: what is not needed, not lent and not just used goes to it, whole. Which life of it
-        asks is nothing to a right whose use is over in a moment."""
+        """Another wants this front's part: what may be lent goes to it, whole."""
         steady, now = self._read()
         if self.withdrawn or steady < self.quiet_until or borrower == self.me:
             return
         given = []
         for key in keys[:MOST_KEYS]:
-            # who used its part of late would miss it for longer than the other has it: lent as soon as it rested, the rights
-            # of a budget that all want were used less than without loans (511 of 741 uses in twelve histories)
-            just_used = key in self.used and steady < self.used[key] + self.terms.back_after
             count = self.outside.part(key)
-            if count and steady >= self.own_from(key) and now >= self.wanted.get(key, 0) and not just_used:
+            if count and self.may_lend(key, borrower, life, steady, now):
                 # held for lent before a word of it goes out
                 self.lent[key] = (steady + self.terms.back_after, borrower, number)
                 given.append((key, count))
@@ -123,6 +132,14 @@
         else:
             self.refused += 1
 
+    def may_lend(self, key: str, borrower: int, life: int, steady: int, now: int) -> bool:
+        """What is not needed, not lent and not just used. Which life of the borrower asks is nothing to a right whose use is over
+        in a moment."""
+        # who used its part of late would miss it for longer than the other has it: lent as soon as it rested, the rights
+        # of a budget that all want were used less than without loans (511 of 741 uses in twelve histories)
+        just_used = key in self.used and steady < self.used[key] + self.terms.back_after
+        return steady >= self.own_from(key) and now >= self.wanted.get(key, 0) and not just_used
+
     def lends(self, lender: int, number: int, rights: list[tuple[str, int]]) -> None:
         """What was asked for has come; doubled, late or not asked for, it is nothing."""
         _, now = self._read()
--- a/curlewshift/sharing/sharing.py
+++ b/curlewshift/sharing/sharing.py
@@ -26,7 +26,6 @@
 LEARN_OF, MOST_KNOWN = 3, 256
 # Links of no use to this front now whose use by others it asks for in one round.
 MOST_INTEREST = 64
-FOR_EVER = 2**63
 UPLINK = "uplink "
 
 
@@ -160,14 +159,8 @@
 
     def _write_rights(self, servers: Iterable[Server]) -> None:
         """As facts for the rules: how many are in this front's hands, from when and until when."""
-        loans, reading = self.loans, self.outside.now()
         for server in servers:
-            own = loans.own_from(server.name)
-            since = loans.steady.reading_of(own) if own > loans.steady.last else 0
-            rights = [(since, FOR_EVER, self.part(server.name))]
-            for until, count, _ in loans.borrowed.get(server.name, {}).values():
-                if until > reading:
-                    rights.append((0, until, count))
+            rights = self.loans.in_hand(server.name)
             if rights != server.rights:
                 self.outside.rights_held(server, rights)
 
--- a/curlewshift/sharing/standing.py
+++ b/curlewshift/sharing/standing.py
@@ -24,28 +24,17 @@
         # which life of its borrower has a loan: what an earlier one left standing stands there still
         self.lives: dict[str, int] = {}
 
-    def asked(self, borrower: int, number: int, keys: list[str], life: int = 0) -> None:
-        """What is free here goes to the borrower whole; what it has already it keeps for another term."""
-        steady, now = self._read()
-        if self.withdrawn or steady < self.quiet_until or borrower == self.me:
-            return
-        given = []
-        for key in keys[:MOST_KEYS]:
-            count, held = self.outside.part(key), self.lent.get(key)
-            if held is not None and held[0] > steady:
-                free = held[1] == borrower and self.lives.get(key) == life
-            else:
-                # what stands here on its own part, borrowed ones set aside, keeps that part from others
-                free = not self.outside.in_use(key) and now >= self.wanted.get(key, 0)
-            if count and free:
-                self.lent[key] = (steady + self.terms.back_after, borrower, number)
-                self.lives[key] = life
-                given.append((key, count))
-        if given:
-            self.given += len(given)
-            self.outside.lend(borrower, number, given)
+    def may_lend(self, key: str, borrower: int, life: int, steady: int, now: int) -> bool:
+        """What nobody sits on here; and what this life of the borrower has already it keeps for another term."""
+        held = self.lent.get(key)
+        if held is not None and held[0] > steady:
+            free = held[1] == borrower and self.lives.get(key) == life
         else:
-            self.refused += 1
+            # what stands here on its own part, borrowed ones set aside, keeps that part from others
+            free = not self.outside.in_use(key) and now >= self.wanted.get(key, 0)
+        if free:
+            self.lives[key] = life
+        return free
 
     def uses(self, key: str) -> None:
         """It stands from now on; nothing is over by being begun."""
