Rules: fronts take turns at cold servers in groups, exact in every window where turns are few

Cause: `_may_send`, the ration beside turns, bounds the mean over fronts and no window; a front that restarts forgets what it sent; and a turn that one front alone has is hardly used. Change: as many fronts take a turn together as a window has set-ups, one each; a front's first window is held to half of chance's part; where turns are few (eight) there is no ration.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -51,8 +51,9 @@
 TUNE_IN_PART = 0.4
 SHORTEST_TUNE_IN = SECOND // 5
 COME_BACK = SECOND
-# Turns at a cold server last so many of the windows in which its set-ups are counted.
-TURN = 4
+# Turns at a cold server last so many of the windows in which its set-ups are counted, and the rest after one
+# more than a window, as clocks differ and set-ups wait for connections. In more turns most fronts have none.
+TURN, REST, MOST_TURNS = 10, 1.25, 8
 
 # What is held against a server fades; over the mark it gets viewings only where nobody else can; an answer
 # leaves this part of it.
@@ -101,7 +102,8 @@
         self.max_tune_ins, self.probes = terms.max_tune_ins, terms.probes
         self.wait = min(COME_BACK, terms.longest_wait)
         self.warm_within, self.fall_within = terms.warm_within, terms.fall_within
-        # of what plays on a link, many fronts see little each, and little of it is theirs to step
+        self.turn_length = int(terms.fall_within * (TURN + REST)) or 1
+        # of what plays on a link, many fronts see little each; little of it is theirs to step
         self.many = (1 - 1 / self.fronts) ** 4
         self.spread = SPREAD * (1 + SPREAD_OF_MANY * self.many)
         # the pace a cold server starts with and the set-ups in a window at which it falls, for each place
@@ -110,17 +112,15 @@
         self.free_further = inf if terms.free_further is None else terms.free_further
         self.further_share, self.look_back = terms.further_share, terms.look_back
         self.taken, self.further = deque(), deque()
-        # fronts share the pace of cold servers: a server of which no rights were told yet has none here
-        self.rights_dealt = False
+        # set-ups a nanosecond to servers not proven warm, all together, and what of them is left to use
+        self.unproven_pace, self.unproven_left, self.unproven_at = 0.0, self.chance.random(), terms.now
+        self.rights_dealt = False  # fronts share that pace: a server of which no rights are told has none
         # free further tune-ins and, by package and title, seats in this front's hands, where all fronts have
         # them together (None, or no such package: each front has all), and when more were last wanted
         self.further_rights, self.further_wanted_at = None, 0
         self.seat_rights: dict[Package, dict[str, list]] = {}
         self.seat_wanted_at: dict[tuple[str, Package], int] = {}
-        # all fronts together have tried again more than their successes pay for
-        self.again_stopped = False
-        # set-ups a nanosecond to servers not proven warm, all together, and what of them is left to use
-        self.unproven_pace, self.unproven_left, self.unproven_at = 0.0, self.chance.random(), terms.now
+        self.again_stopped = False  # all fronts have tried again more than their successes pay for
         self.seats: Counter = Counter()
         self.titles: dict[str, bool] = {}
         self.own = self.squares = 0.0
@@ -243,11 +243,9 @@
         return left
 
     def seat_left(self, title: str, package: Package) -> bool:
-        if not package.seats:
-            return True
         dealt = self.seat_rights.get(package)
         seats = package.seats if dealt is None else self._in_hand(dealt.get(title, ()))
-        if self.seats[title, package] < seats:
+        if not package.seats or self.seats[title, package] < seats:
             return True
         if dealt is not None:
             self.seat_wanted_at[title, package] = self.host.now()
@@ -323,17 +321,15 @@
             return False
         if now >= max(server.cold_until, server.unproven_until) and not server.failed:
             return True
-        if server.out >= server.out_cap:
-            return False
         server.sent = [at for at in server.sent if at > now - self.warm_within]
-        if self._own_part_left(server, now):
-            return True
+        if server.out >= server.out_cap or self._own_part_left(server, now):
+            return server.out < server.out_cap
         server.wanted_at = now
-        # A front that has just started keeps to its part of the starting pace of all unproven servers at
-        # once, one set-up a server: by turns, one of hundreds would have nowhere to send all its warm-up.
-        # That holds the mean over fronts; a crowd for one title right after many starts could still pass it.
-        # Where rights are dealt out nothing goes beside them, and others' proofs of warmth come at the start.
-        if self.rights_dealt or server.sent or server.failed or now < server.cold_until:
+        # Where turns are many, most fronts that have just started had nowhere to send all their warm-up: each
+        # may send one set-up to a server, all together at its part of the starting paces. That holds in the
+        # mean; a crowd on one title could bring one from each. Nothing goes beside rights that are dealt out.
+        few = self.cold_part * server.streams * MOST_TURNS >= self.fronts
+        if few or self.rights_dealt or server.sent or server.failed or now < server.cold_until:
             return False
         self.unproven_left = min(2.0, self.unproven_left + (now - self.unproven_at) * self.unproven_pace)
         self.unproven_at = now
@@ -352,22 +348,24 @@
     def _own_part_left(self, server: Server, now: int) -> bool:
         """A cold server falls if all fronts together pass its pace in any window: each keeps to its part.
 
-        Where that is less than one set-up a front and window, fronts take turns by the clock with a window's
-        rest between, so that no window holds what two of them sent. Turns differ from server to server.
+        Where that is under one set-up a front and window, as many fronts take a turn together as a window has
+        set-ups, by the clock, with a rest between: no window holds what two turns sent.
         """
-        window = self.fall_within
-        budget = self.cold_part * server.streams
-        part = budget / self.fronts
+        window, budget, length = self.fall_within, self.cold_part * server.streams, self.turn_length
         if self.rights_dealt:
-            part = self._in_hand(server.rights or ())
-            return sum(at > now - window for at in server.sent) + 1 <= part
-        if part < 1:
-            length = window * (TURN + 1)
-            turn, spent = divmod(now + server.mark % (self.fronts * length), length)
-            if turn % self.fronts != self.me or spent >= window * TURN:
+            return sum(at > now - window for at in server.sent) + 1 <= self._in_hand(server.rights or ())
+        spare = sqrt(budget) + 1  # half of what may come on top of a count before it is more than chance
+        if budget * MOST_TURNS >= self.fronts and not server.failed and now >= server.cold_until:
+            budget += spare
+        turns = -(-self.fronts // max(1, int(min(self.fronts, budget))))
+        if turns > 1:
+            turn, spent = divmod(now + server.mark % (turns * length), length)
+            if turn % turns != self.me % turns or spent >= window * TURN:
                 return False
-            part = budget
-        return sum(at > now - window for at in server.sent) + 1 <= part
+        if now < self.born + window:
+            # an earlier life may have sent its part in this window: what comes on top is chance's other half
+            budget = min(budget, spare)
+        return sum(at > now - window for at in server.sent) + 1 <= budget / -(-self.fronts // turns)
 
     # ---- health
 
