Node: a start no longer imports a renderer for terminals that nobody reads

Measured by -X importtime: of a start's imports rich, drawn in by structlog's renderer for terminals, was the largest part. The node keeps it out.

--- a/curlewshift/commands/node.py
+++ b/curlewshift/commands/node.py
@@ -24,6 +24,8 @@
     except configuration.Unreadable as wrong:
         click.echo(f"curlewshift: {path} {wrong}", err=True)
         sys.exit(2)
+    # structlog's renderer for terminals would import rich, a third of the work of a start, for lines nobody colours here
+    sys.modules.setdefault("rich", None)
     from curlewshift.logs import make_log
     from curlewshift.node.node import Node
     log = make_log(bounded=True, front=posting.name)
