--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -154,7 +154,7 @@
             return False
         if not self.writing:
             # in the next turn of the loop, with all else that this turn has to say
-            self.writing, self.written = True, anyio.Event()
+            self.writing = True
             self.tasks.start_soon(self._write)
         return True
 
@@ -164,6 +164,8 @@
         self.size = sum(len(data) for data, _, _ in self.waiting)
 
     async def _write(self) -> None:
+        # not before: a task that is cancelled before its first step would leave its owner waiting for ever
+        self.written = anyio.Event()
         try:
             while self.waiting and not self.gone:
                 self._let_go()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,9 +14,10 @@
 
 import anyio
 
-from curlewshift.node import isup
+from curlewshift.node import configuration, isup
 from curlewshift.node.door import Door
-from curlewshift.node.wire import Wire
+from curlewshift.node.node import Node
+from curlewshift.node.wire import Listener, Wire
 from tests.node_place import CLIP, Bulletin, Held, Place, Plain, set_up
 from tests.sockets import story, until
 
@@ -617,6 +618,41 @@
             viewer.close()
 
 
+    @story
+    async def test_a_signal_during_the_start_ends_it_once_it_has_started(self):
+        async with Place().around() as place:
+            node, opened = Node(configuration.read(place.path), place.path, mock.Mock()), Listener.__init__
+
+            def and_is_told_to_end(listener, *args):
+                opened(listener, *args)
+                os.kill(os.getpid(), signal.SIGTERM)
+            with mock.patch.object(Listener, "__init__", and_is_told_to_end), anyio.fail_after(8):
+                await node.run()
+            self.assertTrue(node.draining)
+
+    @story
+    async def test_cut_short_with_an_answer_queued_in_the_same_turn_it_ends_all_the_same(self):
+        async with Place().around() as place:
+            node, ended = Node(configuration.read(place.path), place.path, mock.Mock()), anyio.Event()
+
+            async def run():
+                await node.run()
+                ended.set()
+            place.tasks.start_soon(run)
+            await until(lambda: node.ready)
+            answer = node.door.answer
+
+            def and_is_cut_short(*args):
+                answer(*args)
+                node.tasks.cancel_scope.cancel()
+            node.door.answer = and_is_cut_short
+            viewer = Plain(place.port)
+            viewer.ask(A)
+            with anyio.fail_after(3):
+                await ended.wait()
+            viewer.close()
+
+
 class TheList(unittest.TestCase):
     @story
     async def test_empty_frames_whose_number_has_moved_are_asked_about_again_and_again(self):
