--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -1,6 +1,6 @@
 """The front node: the desk's outside towards viewers, media servers and the bulletin, and the life of the process.
 
-Started by `python -m curlewshift node` with NODE_CONFIG in its environment. It decides nothing about requests.
+Started by `python -m curlewshift.node` with NODE_CONFIG in its environment. It decides nothing about requests.
 """
 
 from __future__ import annotations
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -734,8 +734,8 @@
 FEW = """
 import resource, runpy, sys
 resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40))
-sys.argv = ["curlewshift", "node"]
-runpy.run_module("curlewshift", run_name="__main__")
+sys.argv = ["curlewshift.node"]
+runpy.run_module("curlewshift.node", run_name="__main__")
 """
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -313,9 +313,10 @@
 
     def test_without_a_configuration_it_exits_2_with_one_plain_line(self):
         for path in ("", "/nowhere/config.json"):
-            ran = subprocess.run([sys.executable, "-m", "curlewshift", "node"], env={**os.environ, "NODE_CONFIG": path},
-                                 capture_output=True, text=True, timeout=30)
-            self.assertEqual((ran.returncode, ran.stderr.count("\n"), ran.stdout), (2, 1, ""))
+            for start in (("curlewshift.node",), ("curlewshift", "node")):
+                ran = subprocess.run([sys.executable, "-m", *start], env={**os.environ, "NODE_CONFIG": path},
+                                     capture_output=True, text=True, timeout=30)
+                self.assertEqual((ran.returncode, ran.stderr.count("\n"), ran.stdout), (2, 1, ""))
 
 
 class FleetTroubles(unittest.TestCase):
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -52,8 +52,8 @@
         taken(self, *args)
 
     Door._set_up = used
-sys.argv = ["curlewshift", "node"]
-runpy.run_module("curlewshift", run_name="__main__")
+sys.argv = ["curlewshift.node"]
+runpy.run_module("curlewshift.node", run_name="__main__")
 """
 
 
