Settings that make no sense end the start with the field's name; one that states little serves

Seen by trying: a negative deadline, a ladder that falls, a class named twice or a number out of its list started a node that then refused or failed each viewing; and where neither pace nor places are stated inf times 0 kept a server that had failed once from ever being tried again (rules.py, `_own_part_left`). The module's story fails without its mend.

--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -351,6 +351,8 @@
         Where that is under one set-up a front and window, as many fronts take a turn together as a window has
         set-ups, by the clock, with a rest between: no window holds what two turns sent.
         """
+        if self.cold_part == inf:
+            return True  # no pace is stated
         window, budget, length = self.fall_within, self.cold_part * server.streams, self.turn_length
         if self.rights_dealt:
             return sum(at > now - window for at in server.sent) + 1 <= self._in_hand(server.rights or ())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,14 +6,16 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import unittest
+from pathlib import Path
 from unittest import mock
 
 import anyio
 
-from curlewshift.node import isup
+from curlewshift.node import configuration, isup
 from tests.fake import SECOND
-from tests.node_place import CLIP, Bulletin, Media, Place
+from tests.node_place import CLIP, Bulletin, Media, Place, set_up
 from tests.sockets import story, until
 
 A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
@@ -319,6 +321,55 @@
                 self.assertEqual((ran.returncode, ran.stderr.count("\n"), ran.stdout), (2, 1, ""))
 
 
+class Settings(unittest.TestCase):
+    def refused(self, change):
+        place = Place()
+        for one in place.medias:
+            one.port = 1
+        place.bulletin.port = place.port = 1
+        told = place.told()
+        change(told, told["settings"])
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(told))
+            with self.assertRaises(configuration.Unreadable) as caught:
+                configuration.read(path)
+        self.assertNotIn("\n", str(caught.exception))
+        return str(caught.exception)
+
+    def test_what_makes_no_sense_is_refused_in_a_line_that_names_the_field(self):
+        for field, change in {
+                "limits.sockets": lambda told, settings: told["limits"].update(sockets=3),
+                "my_number": lambda told, settings: settings.update(my_number=1),
+                "balancers": lambda told, settings: settings.update(balancers=-1),
+                "classes[1].give_up_ms": lambda told, settings: settings["classes"][1].update(give_up_ms=-5),
+                "classes[0].give_up_ms": lambda told, settings: settings["classes"][0].pop("give_up_ms"),
+                "classes[0].gain": lambda told, settings: settings["classes"][0].update(gain="much"),
+                "classes": lambda told, settings: settings["classes"].append(settings["classes"][0]),
+                "bounds.max_attempts": lambda told, settings: settings["bounds"].update(max_attempts=1.5),
+                "bounds.connect_timeout_ms": lambda told, settings: settings["bounds"].update(connect_timeout_ms=True),
+                "bounds": lambda told, settings: settings.update(bounds=7),
+                "extra.rung_kb": lambda told, settings: settings["extra"].update(rung_kb=[200, 100]),
+                "extra.rung_kb[1]": lambda told, settings: settings["extra"].update(rung_kb=[100, float("nan")]),
+                "extra.floor_by_class[0]": lambda told, settings: settings["extra"].update(floor_by_class=[2]),
+                "extra.floor_by_class[1]": lambda told, settings: settings["extra"].update(
+                    floor_by_class=[0, 1], top_by_class=[1, 0]),
+                "extra.cells": lambda told, settings: settings["extra"].update(cells=-4),
+                "obligations.fall_ms": lambda told, settings: settings.update(obligations=dict(fall_ms=-1))}.items():
+            self.assertIn(f"'{field}'", self.refused(change), field)
+
+    @story
+    async def test_one_that_names_little_more_than_its_classes_serves(self):
+        place = Place()
+        told = place.told
+        place.told = lambda: {**told(), "settings": {
+            **{key: told()["settings"][key] for key in ("classes", "areas", "flavors")}, "extra": {"cells": 4}}}
+        async with place.up():
+            viewer = await place.viewer()
+            await viewer.stream.send(set_up(A).replace(b"top:1", b"top:0"))
+            self.assertEqual((await viewer.hear()).status, 200)
+
+
 class FleetTroubles(unittest.TestCase):
     @story
     async def test_all_servers_replaced_at_once_at_each_others_addresses(self):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -308,6 +308,13 @@
         story.later(30 * SECOND)
         self.assertLessEqual(len(self.cold_sends(story, SECOND)), 2)
 
+    def test_where_no_pace_and_no_places_are_stated_a_server_that_failed_is_tried_again(self):
+        story = Story(count=1, size=1e6, warm_within=0, fall_multiple=0.0, fall_within=0, start_capacity=0.0)
+        story.servers[0].streams = 0
+        story.rules.ended(story.want(), Outcome.BROKEN, True)
+        story.later(30 * SECOND)
+        self.assertIs(story.play().server, story.servers[0])
+
     def test_no_rung_under_the_floor_at_join_step_or_when_room_is_made(self):
         story = Story(count=1, size=500.0)
         vw = story.play(pack=package(floor=1))
