--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -17,6 +17,7 @@
 from curlewshift.desk.desk import Misuse
 from curlewshift.exchange.accepting import Patient
 from curlewshift.node import rtsp
+from curlewshift.node.trail import Trail, trail_of
 from curlewshift.node.wire import Intake, Listener, Wire
 
 MS = 1_000_000
@@ -34,6 +35,8 @@
 MOST_UNSAID = 5000
 # Sessions torn down that nobody here knew: a hand-over that comes after its own end must not stand. So many are kept.
 MOST_TORN_DOWN = 2000
+# Of one connection's requests, so many of the last have a trail.
+MOST_TRODDEN = 100
 # At its end the node has so long to read what has come, answer it and see it out (s).
 FINISH_WITHIN = 1.5
 
@@ -82,6 +85,8 @@
     def __init__(self, wire: Wire, now: int):
         self.wire, self.intake = wire, Intake(rtsp.Reader(), rtsp.Malformed, now)
         self.waiting: dict[str, Asked] = {}
+        # what was asked for on it, where trails are kept
+        self.trodden: list[str] = []
         # called once what is there to be read has been read
         self.after_reading: list[Callable[[], None]] = []
         # what comes on it cannot be read any more: it goes once all that is open on it is answered
@@ -118,6 +123,7 @@
 
     def __init__(self, node, gate, log, cells: int, tops: int):
         self.node, self.gate, self.log = node, gate, log
+        self.trail = trail_of(node.now, log)
         self.cells, self.tops = cells, tops
         self.asked: dict[str, Asked] = {}
         self.lines: dict[Line, bool] = {}
@@ -160,6 +166,7 @@
                 # one viewing's, and not that of the others on its connection
                 self.log.error("fault", what="a viewer who left", session=asked.name, cause=repr(fault), exc_info=fault)
         line.after_reading.clear()
+        self.trail.ended(line.trodden, "its connection ended before its answer was out")
         for owed in self.unsaid.values():
             if owed.line is line:
                 owed.line = None
@@ -296,6 +303,9 @@
             raise Wrong("this session is open already", 455, named=False)
         asked = self.asked[name] = Asked(name, line)
         line.waiting[name] = asked
+        if isinstance(self.trail, Trail):
+            self.trail.note(name, "taken")
+            line.trodden = [*line.trodden[-MOST_TRODDEN:], name]
         try:
             asked.request = self.node.asked(
                 name, package, title[1], base, span, top, viewer, expected, "again" in legs,
@@ -325,6 +335,7 @@
         self.node.released(asked.course, cause)
 
     def _give_up(self, asked: Asked) -> None:
+        self.trail.note(asked.name, "given up")
         self._forget(asked)
         if asked.request is not None:
             self.node.gave_up(asked.request)
@@ -342,16 +353,17 @@
         if self.asked.get(asked.name) is not asked:
             return
         self._forget(asked)
+        queued = self.trail.answered(asked.name, asked.request is not None and self.node.now() > asked.request.expires + OVERDUE)
         if answer.kind is Kind.PLAYS:
             asked.course = answer.course
             self.asked[asked.name] = asked
-            line.wire.send(rtsp.answer(200, "1", asked.name, description))
+            line.wire.send(rtsp.answer(200, "1", asked.name, description), queued)
             line.good, self.last_good = True, line
         elif answer.kind is Kind.REFUSED:
             pause = f"X-Pause: {answer.wait // MS}\r\n" if answer.wait else ""
-            line.wire.send(rtsp.answer(LEAVING if self.node.draining else NO_ROOM, "1", asked.name, fields=pause))
+            line.wire.send(rtsp.answer(LEAVING if self.node.draining else NO_ROOM, "1", asked.name, fields=pause), queued)
         else:
-            line.wire.send(rtsp.answer(FAILED, "1", asked.name))
+            line.wire.send(rtsp.answer(FAILED, "1", asked.name), queued)
 
     def release(self, asked: Asked, cause: int | None) -> None:
         """The session is over; no cause for one of which its viewer is to hear nothing."""
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -234,6 +234,7 @@
         self.waking.at(at)
 
     def tune_in(self, tune_in: TuneIn) -> None:
+        self.door.trail.note(tune_in.course.offer.name, f"attempt {tune_in.number} at {tune_in.server.name}")
         self.reach.tune_in(tune_in)
 
     def withdraw(self, tune_in: TuneIn) -> bool:
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -144,7 +144,7 @@
 
     def send(self, data: bytes, errand: object = None) -> bool:
         """False if it cannot go out here. An `errand` is asked by `leaves()` as its first byte is about to go, and kept back,
-        for good, by False; its `handed` is set once the kernel has a byte of it."""
+        for good, by False; its `handed` is set once the kernel has a byte of it, and `out()` called once it has all."""
         if not self.open:
             return False
         self.waiting.append([data, errand, False])
@@ -205,6 +205,8 @@
                 break
             sent -= len(data)
             self.waiting.popleft()
+            if hasattr(errand, "out"):
+                errand.out()
         return True
 
     # ---- what comes in
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -289,6 +289,39 @@
             other.close()
 
 
+class Trails(unittest.TestCase):
+    async def told(self, place, viewer, ends):
+        """The trails that are told of a request whose connection ends by `ends` while its answer waits for the kernel."""
+        viewer.ask(A)
+        viewer.ask(B, package=CLIP)
+        for _ in range(2):
+            await viewer.hear()
+        line = next(iter(place.node.door.lines))
+        with mock.patch.object(line.wire, "_push", lambda: False):
+            viewer.ask(C)
+            await until(lambda: line.wire.waiting)
+            ends()
+            await until(lambda: not place.node.door.lines)
+        return [call.kwargs for call in place.node.log.warning.call_args_list if call.args == ("trail",)]
+
+    @story
+    async def test_of_a_request_whose_connection_ended_under_its_answer_each_step_is_told_and_of_no_other(self):
+        with mock.patch.dict(os.environ, CURLEWSHIFT_TRAIL="1"):
+            async with Place().up() as place:
+                viewer = Plain(place.port)
+                [told] = await self.told(place, viewer, viewer.close)
+                self.assertEqual(told["session"], C)
+                self.assertEqual([step.split(" ", 1)[1] for step in told["steps"]],
+                                 ["taken", f"attempt 1 at {place.medias[0].name}", "answer queued"])
+                self.assertFalse(place.node.door.trail.steps)
+
+    @story
+    async def test_without_the_environments_word_nothing_is_kept(self):
+        async with Place().up() as place:
+            viewer = Plain(place.port)
+            self.assertEqual(await self.told(place, viewer, viewer.close), [])
+
+
 class OneId(unittest.TestCase):
     @story
     async def test_the_same_id_twice_at_once_and_after_the_answer_has_one_message_that_reads_as_its_answer(self):
