--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -32,7 +32,7 @@
 # A request that is past its time by so much has been forgotten by whoever should have answered (ns).
 OVERDUE = NS // 10
 # Releases that wait for a connection to go out on; more are dropped, oldest first.
-MOST_UNSAID = 5000
+MOST_PENDING = 5000
 # Sessions torn down that nobody here knew: a hand-over that comes after its own end must not stand. So many are kept.
 MOST_TORN_DOWN = 2000
 # Of one connection's requests, so many of the last have a trail.
@@ -128,7 +128,7 @@
         self.asked: dict[str, Asked] = {}
         self.lines: dict[Line, bool] = {}
         # releases of which nothing has left yet
-        self.unsaid: dict[str, Owed] = {}
+        self.pending_releases: dict[str, Owed] = {}
         self.torn_down: OrderedDict[str, int] = OrderedDict()
         self.last_good: Line | None = None
 
@@ -167,7 +167,7 @@
                 self.log.error("fault", what="a viewer who left", session=asked.name, cause=repr(fault), exc_info=fault)
         line.after_reading.clear()
         self.trail.ended(line.trodden, "its connection ended before its answer was out")
-        for owed in self.unsaid.values():
+        for owed in self.pending_releases.values():
             if owed.line is line:
                 owed.line = None
 
@@ -206,7 +206,7 @@
         self.listener.close()
         with anyio.move_on_after(FINISH_WITHIN):
             await anyio.sleep(0)
-            while any(line.at_work for line in self.lines) or self.unsaid and self.lines:
+            while any(line.at_work for line in self.lines) or self.pending_releases and self.lines:
                 await anyio.sleep(0.005)
             for line in list(self.lines):
                 line.wire.end()
@@ -229,7 +229,7 @@
                     self._give_up(asked)
         if self.gate.crowded:
             self.gate.make_room()
-        if self.unsaid:
+        if self.pending_releases:
             self._say()
 
     # ---- messages
@@ -319,7 +319,7 @@
         found = CAUSE.fullmatch(message.fields.get("reason", ""))
         cause = min(int(found[1]), 127) if found else 0
         if asked is None:
-            owed = self.unsaid.pop(name, None)
+            owed = self.pending_releases.pop(name, None)
             if owed is not None and owed.line is not None:
                 owed.line.wire.take_back(owed)
             elif owed is None:
@@ -373,20 +373,20 @@
                 self._owe(asked.name, cause, asked.line)
 
     def _owe(self, name: str, cause: int, own: Line | None) -> None:
-        self.unsaid[name] = Owed(name, cause)
-        if len(self.unsaid) > MOST_UNSAID:
-            del self.unsaid[next(iter(self.unsaid))]
+        self.pending_releases[name] = Owed(name, cause)
+        if len(self.pending_releases) > MOST_PENDING:
+            del self.pending_releases[next(iter(self.pending_releases))]
         self._say(own)
 
     def _say(self, own: Line | None = None) -> None:
         """Releases that are owed go out: on the connection of the set-up, or else on any that has served viewers. They are
         owed until they have left: what waits on a connection that ends goes out on another."""
-        for owed in [owed for owed in self.unsaid.values() if owed.handed]:
-            del self.unsaid[owed.name]
+        for owed in [owed for owed in self.pending_releases.values() if owed.handed]:
+            del self.pending_releases[owed.name]
         line = own if own is not None and own.wire.open else self._good()
         if line is None:
             return
-        for owed in self.unsaid.values():
+        for owed in self.pending_releases.values():
             if owed.line is None or not owed.line.wire.open:
                 owed.line = line
                 line.wire.send(rtsp.release(owed.name, owed.cause), owed)
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -119,7 +119,7 @@
         self.log.info("drain", waiting=self.desk.waiting, playing=len(self.desk.courses))
         self.desk.drain()
         await anyio.sleep(STILL_COME)
-        while self.desk.courses or self.desk.waiting or self.door.unsaid:
+        while self.desk.courses or self.desk.waiting or self.door.pending_releases:
             await anyio.sleep(0.05)
         await self.door.finish()
         await self.reach.finish()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -267,7 +267,7 @@
                 own.close()
                 heard = await other.hear()
             self.assertEqual((heard.method, heard.fields["session"]), ("TEARDOWN", A))
-            await until(lambda: not place.node.door.unsaid)
+            await until(lambda: not place.node.door.pending_releases)
             with self.assertRaises(TimeoutError):
                 await other.hear(0.3)
             other.close()
@@ -285,7 +285,7 @@
             await until(lambda: len(place.node.door.lines) == 1)
             with self.assertRaises(TimeoutError):
                 await other.hear(0.4)
-            self.assertFalse(place.node.door.unsaid)
+            self.assertFalse(place.node.door.pending_releases)
             other.close()
 
 
