--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -321,7 +321,7 @@
         if asked is None:
             owed = self.pending_releases.pop(name, None)
             if owed is not None and owed.line is not None:
-                owed.line.wire.take_back(owed)
+                owed.line.wire.withdraw(owed)
             elif owed is None:
                 self.torn_down[name] = cause
                 if len(self.torn_down) > MOST_TORN_DOWN:
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -113,10 +113,10 @@
         else:
             self.wire.send(data, flight)
 
-    def take_back(self, flight: Flight) -> None:
+    def withdraw(self, flight: Flight) -> None:
         self.unsent = [entry for entry in self.unsent if entry[1] is not flight]
         if self.wire is not None:
-            self.wire.take_back(flight)
+            self.wire.withdraw(flight)
 
 
 class Post:
@@ -248,7 +248,7 @@
         if line.flights.get(flight.id) is flight:
             del line.flights[flight.id]
         if not flight.handed:
-            line.take_back(flight)
+            line.withdraw(flight)
             return False
         line.send(isup.release(flight.id, isup.OVER))
         if line.heard_at < flight.sent_at and self.now() >= tune_in.until:
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -158,7 +158,7 @@
             self.tasks.start_soon(self._write)
         return True
 
-    def take_back(self, errand: object) -> None:
+    def withdraw(self, errand: object) -> None:
         """What was to be sent for this, if nothing of it has left."""
         self.waiting = deque(entry for entry in self.waiting if entry[1] is not errand or entry[2])
         self.size = sum(len(data) for data, _, _ in self.waiting)
