--- a/curlewshift/node/configuration.py
+++ b/curlewshift/node/configuration.py
@@ -63,8 +63,8 @@
                           int(told["limits"]["sockets"]), address_of(told["bulletin"]), int(known["no"]),
                           list(known["items"]), told["settings"])
         # what is wrong shows now and not when the first viewer comes
-        if posting.descriptors < 32:
-            raise Unreadable(f"'limits.sockets' is {posting.descriptors}, 32 at the least are needed")
+        if posting.descriptors < 1:
+            raise Unreadable(f"'limits.sockets' is {posting.descriptors}, a number from 1 on is wanted")
         _check(posting.settings)
         if not terms_of(posting.settings, 0, 0).packages:
             raise Unreadable("its settings name no classes")
