Node: a class without a deadline has the viewer's own; names: a media server as the node reaches it is an endpoint

Seen: an older test starts from a class that has a name alone, and was right: absent is the viewer's own time. Before, such a class had none, and each of its viewings was over at once (desk.py, `asked`).

--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -81,7 +81,7 @@
             raise Unknown(f"there is no package {package!r}")
         if holders is None:
             holders = self._holders(title)
-        lasts = min(patience, pack.patience) if patience > 0 else pack.patience
+        lasts = min((time for time in (patience, pack.patience) if time > 0), default=0)
         request = Request(name, now, now + lasts)
         before = self.keys.find(key, now) if key is not None else None
         if before is not None:
--- a/curlewshift/node/configuration.py
+++ b/curlewshift/node/configuration.py
@@ -87,8 +87,6 @@
     for index, row in enumerate(settings.get("classes") or []):
         if not isinstance(row.get("name"), str) or not row["name"]:
             raise Unreadable(f"'classes[{index}].name' is {row.get('name')!r}, a name is wanted")
-        if row.get("give_up_ms") is None:
-            raise Unreadable(f"lacks 'classes[{index}].give_up_ms'")
     names = [row["name"] for row in settings.get("classes") or []]
     if len(set(names)) < len(names):
         raise Unreadable("'classes' has a name twice")
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -190,7 +190,7 @@
         """Of a session that is handed over: None if it stands; else the cause that its viewer is to be told, 0 for nothing.
         `torn_down` is the cause with which its viewer has ended it already."""
         server, id = self.fleet.servers.get(at), bytes.fromhex(name)
-        if server is None or server not in self.reach.posts:
+        if server is None or server not in self.reach.endpoints:
             # the list has it no more: what was there is over, and only this node is left to say so
             return isup.RESET if torn_down is None else 0
         if torn_down is not None:
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -84,8 +84,8 @@
 class Line:
     """One connection to a media server, from the first try to its end."""
 
-    def __init__(self, post: Post):
-        self.post = post
+    def __init__(self, endpoint: Endpoint):
+        self.endpoint = endpoint
         self.wire: Wire | None = None
         self.flights: dict[bytes, Flight] = {}
         self.unsent: list[tuple[bytes, Flight | None]] = []
@@ -94,7 +94,7 @@
         self.over = False
         # nothing new goes out on it
         self.doubtful = False
-        self.opened_at = self.heard_at = self.used_at = post.reach.now()
+        self.opened_at = self.heard_at = self.used_at = endpoint.reach.now()
         self.intake = Intake(isup.Reader(), isup.Malformed, self.opened_at)
 
     @property
@@ -107,7 +107,7 @@
         return self.wire is None or not self.wire.gone
 
     def send(self, data: bytes, flight: Flight | None = None) -> None:
-        self.used_at = self.post.reach.now()
+        self.used_at = self.endpoint.reach.now()
         if self.wire is None:
             self.unsent.append((data, None))
         else:
@@ -119,7 +119,7 @@
             self.wire.withdraw(flight)
 
 
-class Post:
+class Endpoint:
     """One media server as this node reaches it."""
 
     def __init__(self, reach: Reach, server: Server, address: tuple[str, int]):
@@ -146,7 +146,7 @@
         self.connect_within = connect_within / NS
         self.silent_for = max(SILENT_FOR, int(told_every * SILENT_GAPS))
         self.idle_for = int(idle_close * IDLE_PART)
-        self.posts: dict[Server, Post] = {}
+        self.endpoints: dict[Server, Endpoint] = {}
         self.flights: dict[TuneIn, Flight] = {}
         self.given_up: OrderedDict[tuple[Server, bytes], TuneIn] = OrderedDict()
         self.over: OrderedDict[tuple[Server, bytes], int] = OrderedDict()
@@ -155,17 +155,17 @@
     # ---- servers
 
     def listed(self, server: Server, address: tuple[str, int]) -> None:
-        post = self.posts.get(server)
-        for other in list(self.posts.values()):
-            if other.address == address and other is not post:
+        endpoint = self.endpoints.get(server)
+        for other in list(self.endpoints.values()):
+            if other.address == address and other is not endpoint:
                 # one that has gone: whoever answers there now knows nothing of it
                 self._lost(other, "its address is another server's")
                 other.address = None
-        if post is None:
-            self.posts[server] = Post(self, server, address)
-        elif post.address != address:
-            post.address = address
-            for line in list(post.lines):
+        if endpoint is None:
+            self.endpoints[server] = Endpoint(self, server, address)
+        elif endpoint.address != address:
+            endpoint.address = address
+            for line in list(endpoint.lines):
                 self._break(line, "it has another address now")
 
     def restarted(self, server: Server, at: int) -> None:
@@ -173,23 +173,23 @@
         self.desk.timers.at(self.now() + TOLD_WITHIN, lambda: self._over_since(server, at))
 
     def _over_since(self, server: Server, at: int) -> None:
-        post = self.posts.get(server)
-        for id, course in list(post.standing.items()) if post is not None else ():
+        endpoint = self.endpoints.get(server)
+        for id, course in list(endpoint.standing.items()) if endpoint is not None else ():
             if course.session.since < at:
-                del post.standing[id]
+                del endpoint.standing[id]
                 self.ended(course, Outcome.BROKEN, isup.RESET)
 
     def plays_at(self, course: Course) -> None:
-        post = self.posts[course.session.server]
-        post.standing[course.session.id] = course
-        self._keep_open(post)
+        endpoint = self.endpoints[course.session.server]
+        endpoint.standing[course.session.id] = course
+        self._keep_open(endpoint)
 
     def over_before(self, server: Server, id: bytes) -> int | None:
         """The cause with which its server has ended it, before it was handed over here."""
         return self.over.pop((server, id), None)
 
     def stands(self, server: Server) -> int:
-        return len(self.posts[server].standing) if server in self.posts else 0
+        return len(self.endpoints[server].standing) if server in self.endpoints else 0
 
     # ---- what goes out
 
@@ -199,8 +199,8 @@
 
     def _fly(self, flight: Flight) -> None:
         tune_in = flight.tune_in
-        post = self.posts[tune_in.server]
-        line = self._line(post, flight.id)
+        endpoint = self.endpoints[tune_in.server]
+        line = self._line(endpoint, flight.id)
         flight.line = line
         line.flights[flight.id] = flight
         self._write(line, flight)
@@ -259,25 +259,25 @@
         return True
 
     def rung(self, course: Course, rung: int) -> None:
-        self._some_line(self.posts[course.session.server]).send(isup.rung(course.session.id, rung))
+        self._some_line(self.endpoints[course.session.server]).send(isup.rung(course.session.id, rung))
 
     def end_session(self, ending: Ending) -> None:
-        post = self.posts.get(ending.server)
-        if post is None:
+        endpoint = self.endpoints.get(ending.server)
+        if endpoint is None:
             self._later(lambda: self.desk.session_ended(ending, True))
             return
-        line = self._some_line(post)
+        line = self._some_line(endpoint)
         line.ending[ending.session.id] = (ending, self.now())
         line.send(isup.release(ending.session.id, ending.session.cause))
 
     def probe(self, server: Server) -> None:
-        post = self.posts.get(server)
-        if post is not None:
-            self._probe(post, self._some_line(post))
+        endpoint = self.endpoints.get(server)
+        if endpoint is not None:
+            self._probe(endpoint, self._some_line(endpoint))
 
-    def _probe(self, post: Post, line: Line) -> None:
+    def _probe(self, endpoint: Endpoint, line: Line) -> None:
         name = os.urandom(8)
-        post.probes[name] = self.now()
+        endpoint.probes[name] = self.now()
         line.send(isup.probe(name))
 
     def _later(self, call) -> None:
@@ -286,45 +286,45 @@
 
     # ---- connections
 
-    def _line(self, post: Post, id: bytes) -> Line:
+    def _line(self, endpoint: Endpoint, id: bytes) -> Line:
         """One that is idle, else a new one while there may be more, else that with least out on it."""
-        sound = [line for line in post.lines if line.usable and not line.doubtful and id not in line.flights
+        sound = [line for line in endpoint.lines if line.usable and not line.doubtful and id not in line.flights
                  and len(line.flights) < self.streams]
         idle = next((line for line in sound if line.up and not line.flights), None)
         if idle is not None:
             return idle
-        if not sound or self.count < self.most_lines and len(post.lines) < self._share():
-            return self._open(post)
+        if not sound or self.count < self.most_lines and len(endpoint.lines) < self._share():
+            return self._open(endpoint)
         return min(sound, key=lambda line: (len(line.flights), line.wire is None))
 
     def _share(self) -> int:
-        return max(2, self.most_lines // max(1, len(self.posts)))
+        return max(2, self.most_lines // max(1, len(self.endpoints)))
 
-    def _some_line(self, post: Post) -> Line:
-        lines = [line for line in post.lines if line.usable]
+    def _some_line(self, endpoint: Endpoint) -> Line:
+        lines = [line for line in endpoint.lines if line.usable]
         if not lines:
-            return self._open(post)
+            return self._open(endpoint)
         return max(lines, key=lambda line: (not line.doubtful, line.up, line.heard_at))
 
-    def _keep_open(self, post: Post) -> None:
-        if not post.lines:
-            self._open(post)
+    def _keep_open(self, endpoint: Endpoint) -> None:
+        if not endpoint.lines:
+            self._open(endpoint)
 
-    def _open(self, post: Post) -> Line:
-        line = Line(post)
-        post.lines.append(line)
+    def _open(self, endpoint: Endpoint) -> Line:
+        line = Line(endpoint)
+        endpoint.lines.append(line)
         self.count += 1
         self.tasks.start_soon(self._run, line)
         return line
 
     async def _run(self, line: Line) -> None:
-        post = line.post
+        endpoint = line.endpoint
         try:
-            if post.address is None:
+            if endpoint.address is None:
                 self._not_up(line, ConnectionRefusedError("its address is another server's by now"))
                 return
             try:
-                sock = await dial(post.address, self.connect_within)
+                sock = await dial(endpoint.address, self.connect_within)
             except OSError as wrong:
                 self._not_up(line, wrong)
                 return
@@ -334,13 +334,13 @@
             if line.over:
                 sock.close()
                 return
-            post.never_up = 0
+            endpoint.never_up = 0
             line.wire = Wire(sock, self.tasks)
             self._take_off(line)
             while data := await line.wire.receive():
                 self._read(line, data)
         except Exception as fault:
-            self.log.error("fault", what="a connection to a media server", server=post.server.name, cause=repr(fault),
+            self.log.error("fault", what="a connection to a media server", server=endpoint.server.name, cause=repr(fault),
                            exc_info=fault)
         finally:
             self._break(line, "it has ended")
@@ -360,30 +360,30 @@
 
     def _not_up(self, line: Line, wrong: OSError | None) -> None:
         """It did not come up; of one that nobody wants any more nothing is learnt."""
-        post = line.post
+        endpoint = line.endpoint
         if line.over:
             return
         # no descriptor left is nothing that the server has done
         own = wrong is not None and wrong.errno in (23, 24)
         if not own:
-            if not post.never_up:
-                post.failing_since = line.opened_at
-            post.never_up += 1
-        self.log.info("not-up", server=post.server.name, cause=repr(wrong) if wrong is not None else "not up in time")
+            if not endpoint.never_up:
+                endpoint.failing_since = line.opened_at
+            endpoint.never_up += 1
+        self.log.info("not-up", server=endpoint.server.name, cause=repr(wrong) if wrong is not None else "not up in time")
         self._gone(line)
         for flight in list(line.flights.values()):
             self._end(flight, Outcome.UNSENT if own else Outcome.UNREACHED)
-        if post.probes and not any(other.up for other in post.lines):
-            post.probes.clear()
-            self.desk.probed(post.server, Outcome.UNREACHED)
+        if endpoint.probes and not any(other.up for other in endpoint.lines):
+            endpoint.probes.clear()
+            self.desk.probed(endpoint.server, Outcome.UNREACHED)
         self._endings_back(line)
-        if wrong is not None and not own and post.standing and not any(other.up for other in post.lines):
-            self._lost(post, "refused")
+        if wrong is not None and not own and endpoint.standing and not any(other.up for other in endpoint.lines):
+            self._lost(endpoint, "refused")
 
     def _gone(self, line: Line) -> None:
         if not line.over:
             line.over = True
-            line.post.lines.remove(line)
+            line.endpoint.lines.remove(line)
             self.count -= 1
 
     def _break(self, line: Line, why: str) -> None:
@@ -394,7 +394,7 @@
         if line.wire is not None:
             line.wire.drop()
         if line.flights:
-            self.log.info("line-broke", server=line.post.server.name, cause=why, out=len(line.flights))
+            self.log.info("line-broke", server=line.endpoint.server.name, cause=why, out=len(line.flights))
         for flight in list(line.flights.values()):
             if flight.handed:
                 self._end(flight, Outcome.BROKEN)
@@ -423,8 +423,8 @@
 
     def _read(self, line: Line, data: bytes) -> None:
         now = self.now()
-        line.heard_at = line.post.heard_at = now
-        line.post.never_up = 0
+        line.heard_at = line.endpoint.heard_at = now
+        line.endpoint.never_up = 0
         messages, wrong = line.intake.feed(data, now)
         try:
             for kind, id, parameters in messages:
@@ -434,11 +434,11 @@
         except isup.Malformed as caught:
             wrong = caught
         if wrong is not None:
-            self.log.info("malformed", what="media server", server=line.post.server.name, cause=str(wrong))
+            self.log.info("malformed", what="media server", server=line.endpoint.server.name, cause=str(wrong))
             self._break(line, str(wrong))
 
     def _take(self, line: Line, kind: int, id: bytes, parameters: dict[int, bytes]) -> None:
-        post = line.post
+        endpoint = line.endpoint
         if kind == isup.ANSWER:
             self._answered(line, id, parameters)
         elif kind == isup.RELEASE:
@@ -446,11 +446,11 @@
         elif kind == isup.RELEASED:
             self._ending_heard(line, id)
         elif kind == isup.NOTE:
-            self._note(post, id, isup.text_of(parameters, isup.KIND), isup.text_of(parameters, isup.FIGURE))
+            self._note(endpoint, id, isup.text_of(parameters, isup.KIND), isup.text_of(parameters, isup.FIGURE))
         elif kind == isup.PROBED:
-            if post.probes.pop(id, None) is not None:
+            if endpoint.probes.pop(id, None) is not None:
                 passed = isup.cause_of(parameters) == 1
-                self.desk.probed(post.server, Outcome.PLAYED if passed else Outcome.ERROR, self._report(parameters))
+                self.desk.probed(endpoint.server, Outcome.PLAYED if passed else Outcome.ERROR, self._report(parameters))
         elif kind == isup.PROBE:
             line.send(isup.probed(id, True))
         elif kind in (isup.SET_UP, isup.RUNG):
@@ -462,15 +462,15 @@
         return {name: use for name, use in (("link", link), ("uplink", uplink)) if use is not None}
 
     def _answered(self, line: Line, id: bytes, parameters: dict[int, bytes]) -> None:
-        post = line.post
+        endpoint = line.endpoint
         description = parameters.get(isup.DESCRIPTION)
         if description is None:
             raise isup.Malformed("an answer without a description")
-        session = Session(id, post.server, description, since=self.now())
+        session = Session(id, endpoint.server, description, since=self.now())
         flight = line.flights.get(id)
         if flight is None:
-            late = self.given_up.pop((post.server, id), None)
-            if late is not None and id not in post.standing:
+            late = self.given_up.pop((endpoint.server, id), None)
+            if late is not None and id not in endpoint.standing:
                 # it crossed its giving up
                 self.desk.played(late, session)
             return
@@ -482,22 +482,22 @@
         course = flight.tune_in.course
         self.desk.played(flight.tune_in, session, self._report(parameters))
         if course.session is session and course.vw.playing:
-            post.standing[id] = course
+            endpoint.standing[id] = course
 
     def _released(self, line: Line, id: bytes, cause: int, report: dict[str, float]) -> None:
-        post = line.post
+        endpoint = line.endpoint
         flight = line.flights.get(id)
         if flight is not None:
             self._end(flight, BEFORE.get(cause, Outcome.BROKEN), report)
             return
-        given_up = self.given_up.pop((post.server, id), None)
+        given_up = self.given_up.pop((endpoint.server, id), None)
         self._ending_heard(line, id)
         if report:
-            self.desk.told(post.server, report)
-        course = post.standing.pop(id, None)
+            self.desk.told(endpoint.server, report)
+        course = endpoint.standing.pop(id, None)
         if course is None and given_up is None:
             # it may be handed over only after its end
-            self.over[post.server, id] = cause
+            self.over[endpoint.server, id] = cause
             if len(self.over) > MOST_OVER:
                 self.over.popitem(last=False)
         if course is not None:
@@ -505,43 +505,43 @@
             self.ended(course, AFTER.get(cause, Outcome.BROKEN), None if cause == isup.CANCELLED else cause)
 
     def _ending_heard(self, line: Line, id: bytes) -> None:
-        for other in line.post.lines:
+        for other in line.endpoint.lines:
             held = other.ending.pop(id, None)
             if held is not None:
                 self._later(lambda: self.desk.session_ended(held[0], True))
 
-    def _note(self, post: Post, id: bytes, name: str, figure: str) -> None:
+    def _note(self, endpoint: Endpoint, id: bytes, name: str, figure: str) -> None:
         try:
             figure = float(figure)
         except ValueError:
             raise isup.Malformed(f"a note with the figure {figure!r}") from None
-        course = post.standing.get(id)
+        course = endpoint.standing.get(id)
         if name == "kept_up" and 0 <= figure < 1e6:
-            self.desk.delivered(post.server, figure)
+            self.desk.delivered(endpoint.server, figure)
         elif name == "tier" and course is not None and 0 <= figure < 1e3:
             self.desk.rung_found(course, int(figure))
         elif name == "wire":
-            self.desk.told(post.server, {"link": figure})
+            self.desk.told(endpoint.server, {"link": figure})
         elif name == "trunk":
-            self.desk.told(post.server, {"uplink": figure})
+            self.desk.told(endpoint.server, {"uplink": figure})
 
     # ---- endings that this side has made
 
     def closed(self, course: Course) -> None:
         """Ended by its viewer: the server is told by the desk's endings."""
-        self.posts[course.session.server].standing.pop(course.session.id, None)
+        self.endpoints[course.session.server].standing.pop(course.session.id, None)
 
-    def _lost(self, post: Post, why: str, cut_off: bool = False) -> None:
+    def _lost(self, endpoint: Endpoint, why: str, cut_off: bool = False) -> None:
         """The server is not there any more; what played on it is over. One that may only be `cut_off` plays on, for
         nobody, and has to be told."""
-        if post.standing:
-            self.log.warning("server-lost", server=post.server.name, cause=why, standing=len(post.standing))
-        standing, post.standing = post.standing, {}
+        if endpoint.standing:
+            self.log.warning("server-lost", server=endpoint.server.name, cause=why, standing=len(endpoint.standing))
+        standing, endpoint.standing = endpoint.standing, {}
         for course in standing.values():
             self.ended(course, Outcome.BROKEN, isup.RESET)
             if cut_off:
-                self.desk.orphaned(post.server, course.session)
-        for line in list(post.lines):
+                self.desk.orphaned(endpoint.server, course.session)
+        for line in list(endpoint.lines):
             self._break(line, why)
 
     # ---- looked after
@@ -550,23 +550,23 @@
         """The node's end: what servers are to be told goes out, so far as their connections take it."""
         with anyio.move_on_after(FINISH_WITHIN):
             while any(line.wire is None and line.unsent or line.up and line.wire.waiting
-                      for post in self.posts.values() for line in post.lines):
+                      for endpoint in self.endpoints.values() for line in endpoint.lines):
                 await anyio.sleep(0.005)
 
     def sweep(self) -> None:
         now = self.now()
         while self.given_up and next(iter(self.given_up.values())).until < now - GIVEN_UP_FOR:
             self.given_up.popitem(last=False)
-        for post in list(self.posts.values()):
-            for line in list(post.lines):
+        for endpoint in list(self.endpoints.values()):
+            for line in list(endpoint.lines):
                 self._look_after(line, now)
-            for name in [name for name, at in post.probes.items() if now - at > GIVEN_UP_FOR]:
-                del post.probes[name]
-            if post.standing:
-                self._keep_open(post)
-                self._ask_for_sign(post, now)
-            elif not post.lines and self.desk.roster.servers.get(post.server.name) is not post.server:
-                del self.posts[post.server]
+            for name in [name for name, at in endpoint.probes.items() if now - at > GIVEN_UP_FOR]:
+                del endpoint.probes[name]
+            if endpoint.standing:
+                self._keep_open(endpoint)
+                self._ask_for_sign(endpoint, now)
+            elif not endpoint.lines and self.desk.roster.servers.get(endpoint.server.name) is not endpoint.server:
+                del self.endpoints[endpoint.server]
 
     def _look_after(self, line: Line, now: int) -> None:
         if line.intake.stuck(now, WHOLE_WITHIN):
@@ -576,27 +576,27 @@
             if line.up and now - at > HEARD_AFTER:
                 del line.ending[id]
                 self.desk.session_ended(ending, True)
-        spare = len(line.post.lines) > 1 or not line.post.standing
+        spare = len(line.endpoint.lines) > 1 or not line.endpoint.standing
         idle_for = self.idle_for if self.count < self.most_lines else min(IDLE_FOR, self.idle_for)
         if spare and line.up and not line.flights and not line.ending and (line.doubtful or now - line.used_at > idle_for):
             self._break(line, "idle")
 
-    def _ask_for_sign(self, post: Post, now: int) -> None:
+    def _ask_for_sign(self, endpoint: Endpoint, now: int) -> None:
         """A machine that has vanished says nothing, and its connections stay open: only a new one tells."""
-        if post.never_up >= NEVER_UP and now - post.failing_since >= FAILING_FOR:
+        if endpoint.never_up >= NEVER_UP and now - endpoint.failing_since >= FAILING_FOR:
             # refused or not: an old connection may look open long after its process has died
-            self._lost(post, "silent, and no connection comes up", cut_off=True)
-            post.never_up = 0
+            self._lost(endpoint, "silent, and no connection comes up", cut_off=True)
+            endpoint.never_up = 0
             return
-        if post.never_up and all(line.up for line in post.lines):
-            self._open(post)
-        if now - post.heard_at <= self.silent_for:
-            post.asked_at = 0
+        if endpoint.never_up and all(line.up for line in endpoint.lines):
+            self._open(endpoint)
+        if now - endpoint.heard_at <= self.silent_for:
+            endpoint.asked_at = 0
             return
-        if not post.asked_at:
-            post.asked_at = now
-            self._probe(post, self._some_line(post))
-        elif now - post.asked_at > SIGN_WITHIN:
-            if all(line.up and now - line.opened_at > self.silent_for for line in post.lines):
-                post.asked_at = now
-                self._probe(post, self._open(post))
+        if not endpoint.asked_at:
+            endpoint.asked_at = now
+            self._probe(endpoint, self._some_line(endpoint))
+        elif now - endpoint.asked_at > SIGN_WITHIN:
+            if all(line.up and now - line.opened_at > self.silent_for for line in endpoint.lines):
+                endpoint.asked_at = now
+                self._probe(endpoint, self._open(endpoint))
