--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -1,6 +1,6 @@
 """The front node: the desk's outside towards viewers, media servers and the bulletin, and the life of the process.
 
-Started by `python -m curlewshift node` with NODE_CONFIG in its environment. It decides nothing about requests.
+Started by `python -m curlewshift.node` with NODE_CONFIG in its environment. It decides nothing about requests.
 """
 
 from __future__ import annotations
@@ -234,6 +234,7 @@
         self.waking.at(at)
 
     def tune_in(self, tune_in: TuneIn) -> None:
+        self.door.trail.note(tune_in.course.offer.name, f"attempt {tune_in.number} at {tune_in.server.name}")
         self.reach.tune_in(tune_in)
 
     def withdraw(self, tune_in: TuneIn) -> bool:
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -144,7 +144,7 @@
 
     def send(self, data: bytes, errand: object = None) -> bool:
         """False if it cannot go out here. An `errand` is asked by `leaves()` as its first byte is about to go, and kept back,
-        for good, by False; its `handed` is set once the kernel has a byte of it."""
+        for good, by False; its `handed` is set once the kernel has a byte of it, and `out()` called once it has all."""
         if not self.open:
             return False
         self.waiting.append([data, errand, False])
@@ -154,7 +154,7 @@
             return False
         if not self.writing:
             # in the next turn of the loop, with all else that this turn has to say
-            self.writing, self.written = True, anyio.Event()
+            self.writing = True
             self.tasks.start_soon(self._write)
         return True
 
@@ -164,6 +164,8 @@
         self.size = sum(len(data) for data, _, _ in self.waiting)
 
     async def _write(self) -> None:
+        # not before: a task that is cancelled before its first step would leave its owner waiting for ever
+        self.written = anyio.Event()
         try:
             while self.waiting and not self.gone:
                 self._let_go()
@@ -203,6 +205,8 @@
                 break
             sent -= len(data)
             self.waiting.popleft()
+            if hasattr(errand, "out"):
+                errand.out()
         return True
 
     # ---- what comes in
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,9 +14,10 @@
 
 import anyio
 
-from curlewshift.node import isup
+from curlewshift.node import configuration, isup
 from curlewshift.node.door import Door
-from curlewshift.node.wire import Wire
+from curlewshift.node.node import Node
+from curlewshift.node.wire import Listener, Wire
 from tests.node_place import CLIP, Bulletin, Held, Place, Plain, set_up
 from tests.sockets import story, until
 
@@ -288,6 +289,39 @@
             other.close()
 
 
+class Trails(unittest.TestCase):
+    async def told(self, place, viewer, ends):
+        """The trails that are told of a request whose connection ends by `ends` while its answer waits for the kernel."""
+        viewer.ask(A)
+        viewer.ask(B, package=CLIP)
+        for _ in range(2):
+            await viewer.hear()
+        line = next(iter(place.node.door.lines))
+        with mock.patch.object(line.wire, "_push", lambda: False):
+            viewer.ask(C)
+            await until(lambda: line.wire.waiting)
+            ends()
+            await until(lambda: not place.node.door.lines)
+        return [call.kwargs for call in place.node.log.warning.call_args_list if call.args == ("trail",)]
+
+    @story
+    async def test_of_a_request_whose_connection_ended_under_its_answer_each_step_is_told_and_of_no_other(self):
+        with mock.patch.dict(os.environ, CURLEWSHIFT_TRAIL="1"):
+            async with Place().up() as place:
+                viewer = Plain(place.port)
+                [told] = await self.told(place, viewer, viewer.close)
+                self.assertEqual(told["session"], C)
+                self.assertEqual([step.split(" ", 1)[1] for step in told["steps"]],
+                                 ["taken", f"attempt 1 at {place.medias[0].name}", "answer queued"])
+                self.assertFalse(place.node.door.trail.steps)
+
+    @story
+    async def test_without_the_environments_word_nothing_is_kept(self):
+        async with Place().up() as place:
+            viewer = Plain(place.port)
+            self.assertEqual(await self.told(place, viewer, viewer.close), [])
+
+
 class OneId(unittest.TestCase):
     @story
     async def test_the_same_id_twice_at_once_and_after_the_answer_has_one_message_that_reads_as_its_answer(self):
@@ -617,6 +651,41 @@
             viewer.close()
 
 
+    @story
+    async def test_a_signal_during_the_start_ends_it_once_it_has_started(self):
+        async with Place().around() as place:
+            node, opened = Node(configuration.read(place.path), place.path, mock.Mock()), Listener.__init__
+
+            def and_is_told_to_end(listener, *args):
+                opened(listener, *args)
+                os.kill(os.getpid(), signal.SIGTERM)
+            with mock.patch.object(Listener, "__init__", and_is_told_to_end), anyio.fail_after(8):
+                await node.run()
+            self.assertTrue(node.draining)
+
+    @story
+    async def test_cut_short_with_an_answer_queued_in_the_same_turn_it_ends_all_the_same(self):
+        async with Place().around() as place:
+            node, ended = Node(configuration.read(place.path), place.path, mock.Mock()), anyio.Event()
+
+            async def run():
+                await node.run()
+                ended.set()
+            place.tasks.start_soon(run)
+            await until(lambda: node.ready)
+            answer = node.door.answer
+
+            def and_is_cut_short(*args):
+                answer(*args)
+                node.tasks.cancel_scope.cancel()
+            node.door.answer = and_is_cut_short
+            viewer = Plain(place.port)
+            viewer.ask(A)
+            with anyio.fail_after(3):
+                await ended.wait()
+            viewer.close()
+
+
 class TheList(unittest.TestCase):
     @story
     async def test_empty_frames_whose_number_has_moved_are_asked_about_again_and_again(self):
@@ -698,8 +767,8 @@
 FEW = """
 import resource, runpy, sys
 resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40))
-sys.argv = ["curlewshift", "node"]
-runpy.run_module("curlewshift", run_name="__main__")
+sys.argv = ["curlewshift.node"]
+runpy.run_module("curlewshift.node", run_name="__main__")
 """
 
 
