One way to run a program's main task, for commands and the node's own start

The node's start had written again what commands/common.py does with interrupts and refusals of the machine; both call curlewshift/running.py now, which needs no click.

--- a/curlewshift/commands/common.py
+++ b/curlewshift/commands/common.py
@@ -7,6 +7,8 @@
 
 import click
 
+from curlewshift.running import run
+
 PATH = click.Path(path_type=Path)
 STATE = click.option("--state", type=PATH, required=True, help="The front's state folder.")
 
@@ -36,24 +38,6 @@
         sys.exit(2)
 
 
-def run(task, *arguments):
-    import anyio
-    try:
-        return anyio.run(task, *arguments)
-    except KeyboardInterrupt:
-        sys.exit(1)
-    except OSError as wrong:
-        click.echo(f"curlewshift: {wrong}", err=True)
-        sys.exit(1)
-    except ExceptionGroup as group:
-        known, rest = group.split(OSError)
-        if rest is not None:
-            raise
-        for wrong in known.exceptions:
-            click.echo(f"curlewshift: {wrong}", err=True)
-        sys.exit(1)
-
-
 def shown_by_front(state: Path, what: str, missing: str, as_json: bool, part=lambda told: told) -> dict:
     """What the front at the state folder shows of `what`; exit 2 where its settings have none of it. `part` leaves out what
     was not asked for. As JSON it is printed
--- a/curlewshift/node/__main__.py
+++ b/curlewshift/node/__main__.py
@@ -7,38 +7,24 @@
 import sys
 
 
+from curlewshift.node import configuration
+from curlewshift.running import refuse, run
+
+
 def main() -> None:
-    from curlewshift.node import configuration
     path = os.environ.get("NODE_CONFIG")
     if not path:
-        _refuse("NODE_CONFIG names no configuration")
+        refuse("NODE_CONFIG names no configuration", 2)
     try:
         posting = configuration.read(path)
     except configuration.Unreadable as wrong:
-        _refuse(f"{path} {wrong}")
+        refuse(f"{path} {wrong}", 2)
     # structlog's renderer for terminals would import rich, a third of the work of a start, for lines nobody colours here
     sys.modules.setdefault("rich", None)
-    import anyio
-
     from curlewshift.logs import make_log
     from curlewshift.node.node import Node
     log = make_log(bounded=True, front=posting.name)
-    try:
-        anyio.run(Node(posting, path, log).run)
-    except KeyboardInterrupt:
-        sys.exit(1)
-    except OSError as wrong:
-        _refuse(str(wrong), 1)
-    except ExceptionGroup as group:
-        known, rest = group.split(OSError)
-        if rest is not None:
-            raise
-        _refuse("; ".join(map(str, known.exceptions)), 1)
-
-
-def _refuse(why: str, code: int = 2) -> None:
-    print(f"curlewshift: {why}", file=sys.stderr)
-    sys.exit(code)
+    run(lambda: Node(posting, path, log).run())
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/curlewshift/running.py
@@ -0,0 +1,28 @@
+"""Runs a program's main task to its end, and makes one plain line and exit 1 of what the machine refuses it. Called by commands
+and by the front node's own start; it imports nothing that either can do without."""
+
+from __future__ import annotations
+
+import sys
+
+
+def run(task, *arguments):
+    import anyio
+    try:
+        return anyio.run(task, *arguments)
+    except KeyboardInterrupt:
+        sys.exit(1)
+    except OSError as wrong:
+        refuse(wrong, 1)
+    except ExceptionGroup as group:
+        known, rest = group.split(OSError)
+        if rest is not None:
+            raise
+        refuse(known.exceptions, 1)
+
+
+def refuse(why, code: int) -> None:
+    """Each of `why` in a line of its own on standard error, and the end."""
+    for one in why if isinstance(why, tuple) else (why,):
+        print(f"curlewshift: {one}", file=sys.stderr)
+    sys.exit(code)
