Node: what waits on a wire has one interface, and a trail keeps its own connections

wire.py asked by hasattr what an errand can do, and the door kept, for the trail, a list and a check of its kind: an Errand has leaves() and out(), and a trail knows which connection each request came on. What waited for a dial is asked once before it leaves and not twice (reach.py, _take_off). The listener is closed by who serves it, however that ends. Tests of node, crossings, calls, codecs and commands pass; one assertion names the trail's map anew.

--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -17,8 +17,8 @@
 from curlewshift.desk.desk import Misuse
 from curlewshift.exchange.accepting import Patient
 from curlewshift.node import rtsp
-from curlewshift.node.trail import Trail, trail_of
-from curlewshift.node.wire import Intake, Listener, Wire
+from curlewshift.node.trail import trail_of
+from curlewshift.node.wire import Errand, Intake, Listener, Wire
 
 MS = 1_000_000
 NS = 1_000_000_000
@@ -35,8 +35,6 @@
 MOST_PENDING = 5000
 # Sessions torn down that nobody here knew: a hand-over that comes after its own end must not stand. So many are kept.
 MOST_TORN_DOWN = 2000
-# Of one connection's requests, so many of the last have a trail.
-MOST_TRODDEN = 100
 # At its end the node has so long to read what has come, answer it and see it out (s).
 FINISH_WITHIN = 1.5
 
@@ -70,7 +68,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Owed:
+class Owed(Errand):
     """A release that its viewer has yet to be told; `handed` once its first byte has left."""
 
     name: str
@@ -85,8 +83,6 @@
     def __init__(self, wire: Wire, now: int):
         self.wire, self.intake = wire, Intake(rtsp.Reader(), rtsp.Malformed, now)
         self.waiting: dict[str, Asked] = {}
-        # what was asked for on it, where trails are kept
-        self.trodden: list[str] = []
         # called once what is there to be read has been read
         self.after_reading: list[Callable[[], None]] = []
         # what comes on it cannot be read any more: it goes once all that is open on it is answered
@@ -136,7 +132,10 @@
 
     async def serve(self, listener: Listener, tasks) -> None:
         self.tasks, self.listener = tasks, listener
-        await Patient(listener, self.gate).serve(self._run, task_group=tasks)
+        try:
+            await Patient(listener, self.gate).serve(self._run, task_group=tasks)
+        finally:
+            listener.close()
 
     async def _run(self, sock) -> None:
         wire = Wire(sock, self.tasks)
@@ -166,7 +165,7 @@
                 # one viewing's, and not that of the others on its connection
                 self.log.error("fault", what="a viewer who left", session=asked.name, cause=repr(fault), exc_info=fault)
         line.after_reading.clear()
-        self.trail.ended(line.trodden, "its connection ended before its answer was out")
+        self.trail.ended(line)
         for owed in self.pending_releases.values():
             if owed.line is line:
                 owed.line = None
@@ -303,9 +302,7 @@
             raise Wrong("this session is open already", 455, named=False)
         asked = self.asked[name] = Asked(name, line)
         line.waiting[name] = asked
-        if isinstance(self.trail, Trail):
-            self.trail.note(name, "taken")
-            line.trodden = [*line.trodden[-MOST_TRODDEN:], name]
+        self.trail.taken(name, line)
         try:
             asked.request = self.node.asked(
                 name, package, title[1], base, span, top, viewer, expected, "again" in legs,
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -17,7 +17,7 @@
 from curlewshift.deployment import use_of
 from curlewshift.model import Outcome, Server
 from curlewshift.node import isup
-from curlewshift.node.wire import Intake, Wire, dial
+from curlewshift.node.wire import Errand, Intake, Wire, dial
 from curlewshift.retries.endings import Ending
 
 MS = 1_000_000
@@ -63,7 +63,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Flight:
+class Flight(Errand):
     """One set-up on its way. `queued` while a connection has it to write, `handed` once the kernel has a byte of it."""
 
     tune_in: TuneIn
@@ -348,15 +348,13 @@
                 await line.wire.close()
 
     def _take_off(self, line: Line) -> None:
-        """What waited for the connection goes out on it, unless the list or the time has overtaken it."""
+        """What waited for the connection goes out on it."""
         unsent, line.unsent = line.unsent, []
         for data, flight in unsent:
             if flight is None:
                 line.send(data)
-            elif self.desk.stands(flight.tune_in):
-                self._write(line, flight)
             else:
-                self._end(flight, Outcome.UNSENT)
+                self._write(line, flight)
 
     def _not_up(self, line: Line, wrong: OSError | None) -> None:
         """It did not come up; of one that nobody wants any more nothing is learnt."""
--- a/curlewshift/node/trail.py
+++ b/curlewshift/node/trail.py
@@ -9,6 +9,8 @@
 import os
 from collections import OrderedDict
 
+from curlewshift.node.wire import Errand
+
 MS = 1_000_000
 MOST = 2000
 
@@ -16,18 +18,21 @@
 class Untrodden:
     """The trail when it is off."""
 
+    def taken(self, name: str, line: object) -> None:
+        pass
+
     def note(self, name: str, step: str) -> None:
         pass
 
-    def answered(self, name: str, late: bool) -> None:
-        """What goes with the answer on its wire; nothing."""
+    def answered(self, name: str, late: bool) -> Errand | None:
+        """What goes with the answer on its wire."""
 
-    def ended(self, names: list[str], why: str) -> None:
+    def ended(self, line: object) -> None:
         pass
 
 
-class Queued:
-    """An answer on a wire; see curlewshift/node/wire.py."""
+class Queued(Errand):
+    """An answer on a wire."""
 
     __slots__ = ("trail", "name", "handed")
 
@@ -35,39 +40,40 @@
         self.trail, self.name, self.handed = trail, name, False
 
     def out(self) -> None:
-        """The kernel has its last byte."""
-        self.trail.note(self.name, "out")
-        self.trail.steps.pop(self.name, None)
+        self.trail.trodden.pop(self.name, None)
 
 
 class Trail(Untrodden):
     def __init__(self, now, log):
         self.now, self.log = now, log
-        self.steps: OrderedDict[str, list[str]] = OrderedDict()
+        # by session, the connection it was asked for on, and its steps
+        self.trodden: OrderedDict[str, tuple[object, list[str]]] = OrderedDict()
+
+    def taken(self, name: str, line: object) -> None:
+        if len(self.trodden) >= MOST:
+            self.trodden.popitem(last=False)
+        self.trodden[name] = (line, [])
+        self.note(name, "taken")
 
     def note(self, name: str, step: str) -> None:
-        if name not in self.steps:
-            if step != "taken":
-                return
-            if len(self.steps) >= MOST:
-                self.steps.popitem(last=False)
-            self.steps[name] = []
-        self.steps[name].append(f"{self.now() // MS} {step}")
-
-    def answered(self, name: str, late: bool) -> Queued:
+        if name in self.trodden:
+            self.trodden[name][1].append(f"{self.now() // MS} {step}")
+
+    def answered(self, name: str, late: bool) -> Errand | None:
+        if name not in self.trodden:
+            return None
         self.note(name, "answer queued")
         if late:
             self._tell(name, "answered past its time")
         return Queued(self, name)
 
-    def ended(self, names: list[str], why: str) -> None:
-        for name in names:
-            if name in self.steps:
-                self._tell(name, why)
-                del self.steps[name]
+    def ended(self, line: object) -> None:
+        for name in [name for name, (its, _) in self.trodden.items() if its is line]:
+            self._tell(name, "its connection ended before its answer was out")
+            del self.trodden[name]
 
     def _tell(self, name: str, why: str) -> None:
-        self.log.warning("trail", session=name, cause=why, steps=list(self.steps.get(name, ())))
+        self.log.warning("trail", session=name, cause=why, steps=list(self.trodden[name][1]))
 
 
 def trail_of(now, log) -> Untrodden:
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -119,6 +119,19 @@
     OVER = "over"
 
 
+class Errand:
+    """What some bytes on a wire are for. `handed` is set once the kernel has a byte of them."""
+
+    __slots__ = ()
+
+    def leaves(self) -> bool:
+        """Asked as the first byte is about to go; False keeps it back, for good."""
+        return True
+
+    def out(self) -> None:
+        """The kernel has the last byte."""
+
+
 class Wire:
     """`tasks` is the group in which it writes. Its owner reads from it until it has ended, and then closes it."""
 
@@ -142,9 +155,8 @@
 
     # ---- what goes out
 
-    def send(self, data: bytes, errand: object = None) -> bool:
-        """False if it cannot go out here. An `errand` is asked by `leaves()` as its first byte is about to go, and kept back,
-        for good, by False; its `handed` is set once the kernel has a byte of it, and `out()` called once it has all."""
+    def send(self, data: bytes, errand: Errand | None = None) -> bool:
+        """False if it cannot go out here."""
         if not self.open:
             return False
         self.waiting.append([data, errand, False])
@@ -158,7 +170,7 @@
             self.tasks.start_soon(self._write)
         return True
 
-    def withdraw(self, errand: object) -> None:
+    def withdraw(self, errand: Errand) -> None:
         """What was to be sent for this, if nothing of it has left."""
         self.waiting = deque(entry for entry in self.waiting if entry[1] is not errand or entry[2])
         self.size = sum(len(data) for data, _, _ in self.waiting)
@@ -184,7 +196,7 @@
         asked, self.waiting = self.waiting, deque()
         for entry in asked:
             errand = entry[1]
-            if entry[2] or errand is None or not hasattr(errand, "leaves") or errand.leaves():
+            if entry[2] or errand is None or errand.leaves():
                 self.waiting.append(entry)
         self.size = sum(len(data) for data, _, _ in self.waiting)
 
@@ -205,7 +217,7 @@
                 break
             sent -= len(data)
             self.waiting.popleft()
-            if hasattr(errand, "out"):
+            if errand is not None:
                 errand.out()
         return True
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -313,7 +313,7 @@
                 self.assertEqual(told["session"], C)
                 self.assertEqual([step.split(" ", 1)[1] for step in told["steps"]],
                                  ["taken", f"attempt 1 at {place.medias[0].name}", "answer queued"])
-                self.assertFalse(place.node.door.trail.steps)
+                self.assertFalse(place.node.door.trail.trodden)
 
     @story
     async def test_without_the_environments_word_nothing_is_kept(self):
