Slopes of a real node: memory and idle processor time by connection and viewing, with a fit

It refuses in one line what the descriptors or half of the memory do not hold, and ends its node when broken off. The fit is held to Anscombe's first two sets; a planted cost that grows by the square is called not straight.

--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,165 @@
+"""Slopes of a real node: the fit, the bounds, and one tiny slope end to end, with a planted one that is not straight."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from random import Random
+from unittest import mock
+
+from click.testing import CliRunner
+
+from curlewshift.commands.main import main
+from curlewshift.rehearsal.processes import ROOT
+from curlewshift.scale import fits, slopes, slopes_idle
+from curlewshift.scale.fits import TooFew, fit
+
+SIZES = (1000, 2000, 4000, 6000, 8000)
+
+
+def noisy(of, noise, seed, repeats=3):
+    chance = Random(seed)
+    return [(x, of(x) + chance.gauss(0, noise)) for x in SIZES for _ in range(repeats)]
+
+
+class Fits(unittest.TestCase):
+    def test_known_data_have_the_figures_of_the_textbook(self):
+        # Anscombe's first set (1973): 3.0001 + .5001 x, standard error .1179
+        told = fit([(10, 8.04), (8, 6.95), (13, 7.58), (9, 8.81), (11, 8.33), (14, 9.96), (6, 7.24), (4, 4.26), (12, 10.84),
+                    (7, 4.82), (5, 5.68)])
+        self.assertAlmostEqual(told.intercept, 3.0001, 4)
+        self.assertAlmostEqual(told.slope, 0.5001, 4)
+        self.assertAlmostEqual(told.slope_error, 0.1179, 4)
+        self.assertAlmostEqual(told.worst_residual, 1.9213, 4)
+        self.assertTrue(told.straight)
+
+    def test_anscombes_bent_set_has_the_same_line_and_is_not_straight(self):
+        told = fit([(10, 9.14), (8, 8.14), (13, 8.74), (9, 8.77), (11, 9.26), (14, 8.10), (6, 6.13), (4, 3.10), (12, 9.13),
+                    (7, 7.26), (5, 4.74)])
+        self.assertAlmostEqual(told.slope, 0.5000, 3)
+        self.assertFalse(told.straight)
+
+    def test_straight_and_bent_are_told_apart_under_noise(self):
+        right = {"straight": 0, "square": 0, "kink": 0}
+        for seed in range(200):
+            right["straight"] += fit(noisy(lambda x: 5e7 + 9000 * x, 2e6, seed)).straight
+            right["square"] += not fit(noisy(lambda x: 0.01 + 2e-6 * x + 4e-9 * x * x, 0.01, seed)).straight
+            right["kink"] += not fit(noisy(lambda x: 0.01 + 1e-5 * x + 3e-5 * max(0, x - 5000), 0.01, seed)).straight
+        # a test at 95% is wrong about straight ones in one of twenty
+        self.assertGreaterEqual(right["straight"], 180)
+        self.assertGreaterEqual(right["square"], 199)
+        self.assertGreaterEqual(right["kink"], 199)
+
+    def test_the_error_is_that_of_the_slopes_which_repeated_runs_give(self):
+        told = [fit(noisy(lambda x: 100 + 3 * x, 500, seed)) for seed in range(400)]
+        spread = (sum((one.slope - 3) ** 2 for one in told) / len(told)) ** 0.5
+        mean = sum(one.slope_error for one in told) / len(told)
+        self.assertAlmostEqual(mean / spread, 1.0, delta=0.1)
+
+    def test_without_noise_a_line_is_straight_and_a_square_is_not(self):
+        self.assertTrue(fit([(x, 0.1 + 0.3 * x) for x in SIZES]).straight)
+        self.assertTrue(fit([(x, 7.0) for x in SIZES]).straight)
+        self.assertFalse(fit([(x, 1e-9 * x * x) for x in SIZES]).straight)
+
+    def test_a_bend_that_is_proven_and_too_small_to_matter_is_straight_and_said(self):
+        told = fit([(x, 3 * x + 1e-6 * x * x) for x in SIZES])
+        self.assertTrue(told.straight)
+        self.assertIn("bend 0.1%", told.by)
+
+    def test_three_sizes_are_too_few_however_often_repeated(self):
+        with self.assertRaisesRegex(TooFew, "3 different sizes"):
+            fit([(x, x) for x in (1, 2, 3) * 4])
+
+    def test_the_bound_of_t_is_never_under_the_tables(self):
+        for free, bound in ((1, 12.706), (10, 2.228), (13, 2.160), (17, 2.110), (40, 2.021)):
+            self.assertGreaterEqual(fits.student(free), bound)
+
+
+class Bounds(unittest.TestCase):
+    KIND = slopes.KINDS["idle"]
+
+    def test_what_does_not_fit_is_refused_in_one_line_with_what_is_wanted(self):
+        for sizes, limits, words in (((1000, 2000, 4000), {}, "3 sizes"),
+                                     ((1000, 2000, 4000, 20_000), dict(descriptors=20_000), "than the 20000 there are"),
+                                     (SIZES, dict(memory=2**29), "half of the machine's memory")):
+            with self.assertRaises(slopes.NoRoom) as caught:
+                slopes.check_room(self.KIND, sizes, **limits)
+            self.assertIn(words, str(caught.exception))
+            self.assertNotIn("\n", str(caught.exception))
+        slopes.check_room(self.KIND, SIZES, descriptors=20_000, memory=24 * 2**30)
+
+    def test_a_command_that_does_not_fit_starts_nothing(self):
+        with tempfile.TemporaryDirectory() as out, mock.patch("subprocess.Popen", side_effect=AssertionError("started")):
+            told = CliRunner().invoke(main, ["slopes", "idle", "--out", out, "--sizes", "1,2,3,10000000"])
+            self.assertEqual((told.exit_code, os.listdir(out)), (2, []))
+            self.assertIn("descriptors", told.output)
+            self.assertEqual(CliRunner().invoke(main, ["slopes", "nothing", "--out", out]).exit_code, 2)
+
+    def test_connections_that_may_rest_are_those_that_the_nodes_own_gate_lets_rest(self):
+        from curlewshift.limits.descriptors import CROWDED_PART, Gate
+        from curlewshift.node.node import OTHERS, SERVERS_PART
+        for limit in (500, 20_000):
+            gate = Gate(limit, lambda: 0.0, int(limit * SERVERS_PART) + OTHERS)
+            self.assertEqual(slopes_idle.resting_most(limit), int(gate.most * CROWDED_PART))
+
+
+def growing_by_the_square(run):
+    """The planted wrong: what a size costs is that many steps for each of it."""
+    one = slopes.Slope("planted", ("size", "count"), ("processor time", "seconds"))
+    for size in run.sizes * 3:
+        began = time.process_time()
+        sum(range(size * size))
+        one.points.append((size, time.process_time() - began))
+    return [one]
+
+
+class EndToEnd(unittest.TestCase):
+    def test_a_tiny_slope_of_a_node_in_service_and_nothing_left_of_it(self):
+        by = {"connection": slopes_idle.BY["connection"]}
+        with tempfile.TemporaryDirectory() as out, mock.patch.object(slopes_idle, "BY", by):
+            told = CliRunner().invoke(main, ["slopes", "idle", "--out", out, "--sizes", "20,120,220,320", "--rounds", "1",
+                                             "--seconds", "0.2"])
+            self.assertEqual(told.exit_code, 0, told.output)
+            kept = {one["name"]: one for one in json.loads((Path(out) / "slope-idle.json").read_text())["slopes"]}
+            self.assertEqual(os.listdir(out), ["slope-idle.json"])
+            for one in kept.values():
+                self.assertEqual([x for x, _ in one["points"]], [20, 120, 220, 320])
+                self.assertEqual((one["of"], one["measured_to"]), ("front node", 320))
+                self.assertLessEqual({"cores", "memory_GiB", "load_before", "load_after"}, set(one["machine"]))
+                self.assertLessEqual({"intercept", "slope", "slope_error", "worst_residual", "straight", "by"}, set(one["fit"]))
+            memory = kept["memory-by-connection"]["fit"]
+            # a node is tens of megabytes, and a connection some kilobytes of it
+            self.assertTrue(10e6 < memory["intercept"] < 100e6 and 1e3 < memory["slope"] < 3e4, memory)
+            self.assertTrue(any("node/door.py" in note for note in kept["idle-time-by-connection"]["notes"]))
+
+    def test_broken_off_it_ends_its_node(self):
+        with tempfile.TemporaryDirectory() as out:
+            command = subprocess.Popen([sys.executable, "-m", "curlewshift", "slopes", "idle", "--out", out], cwd=ROOT,
+                                       stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+            try:
+                children = Path(f"/proc/{command.pid}/task/{command.pid}/children")
+                ends = time.monotonic() + 10
+                while not children.read_text() and time.monotonic() < ends:
+                    time.sleep(0.02)
+                node = int(children.read_text())
+                command.terminate()
+                self.assertEqual(command.wait(10), 143)
+            finally:
+                command.kill()
+            self.assertFalse(Path(f"/proc/{node}").exists())
+            self.assertEqual(os.listdir(out), [])
+
+    def test_one_whose_cost_grows_by_the_square_is_called_not_straight(self):
+        kind = slopes.Kind("planted", "", (300, 600, 900, 1200), "slopes_planted.measure", lambda size: 0, "")
+        with mock.patch.dict("sys.modules", {"curlewshift.scale.slopes_planted": mock.Mock(measure=growing_by_the_square)}), \
+                tempfile.TemporaryDirectory() as folder:
+            told = slopes.measured(kind, slopes.Run(kind.sizes, 1, Path(folder), lambda text: None), "none")
+        self.assertFalse(told["slopes"][0]["fit"]["straight"], told)
+
+
+if __name__ == "__main__":
+    unittest.main()
