Capacity: tables worked out of a size file and docs/measured, the page, and a test between them

The users plan for 630 nodes and 43 million connections, and nothing told which part of the design bears that. `curlewshift capacity` reads deploy/sizes/two-years.xml and docs/measured and works out a row for each role's state, messages, processor time and memory, the failures, and the order of what follows; docs/CAPACITY.md has the tables between markers and a test holds the two together. What no file gives is «not measured»: today sharing at 40 servers played on is over by 21.6 (simulated), words at a leases' keeper by 2.88, and nothing carries configuration, workers of a node and sums by zone.

--- /dev/null
+++ b/curlewshift/capacity/at_control.py
@@ -0,0 +1,112 @@
+"""What control needs at a size: the machines set aside, who adds up for a zone, who follows the list, who holds a lease."""
+
+from __future__ import annotations
+
+from curlewshift.capacity.at_node import DISTRIBUTION, LEASES, OVERLOAD, SHARING, carried
+from curlewshift.capacity.figures import Figure, assumed, worked_out
+from curlewshift.capacity.measured import Measured
+from curlewshift.capacity.rows import (AGGREGATOR, CONTROL, FOLLOWER, LED, MEMORY, MESSAGES, PROCESSOR, STATE, Mechanism, Row)
+from curlewshift.capacity.size import DAY, Size
+
+LIST_TIME, LIST_MEMORY = "processor-time-by-listed-server", "memory-by-listed-server"
+LISTS = Mechanism("curlewshift/node/follower.py", "class Follower")
+TASKS = Mechanism("curlewshift/tasks/tasks.py", "class Tasks")
+PROBES = Mechanism("curlewshift/tasks/servers.py", "class Probing")
+KEEPERS, LED_SHARDS, LED_TASKS = 5, 8, 4
+
+
+def scale_control(size: Size, measured: Measured, *way: str, unit: str, by: float = 1.0) -> Figure | None:
+    file = measured.scale(size.nodes)
+    return file and measured.figure(file, "a_control_machine", *way, unit=unit, by=by)
+
+
+def rows(size: Size, measured: Measured) -> list[Row]:
+    return control_machine(size, measured) + aggregator(size, measured) + follower(size, measured) + led(size, measured)
+
+
+def control_machine(size: Size, measured: Measured) -> list[Row]:
+    whole = assumed(size.guess("configuration-kB"), "kB")
+    return [
+        Row("configuration", CONTROL, MESSAGES, "time until in force everywhere (p99)", in_force(size, measured),
+            size.in_force_within, DISTRIBUTION),
+        Row("configuration", CONTROL, STATE, "the newest version accepted and the newest chosen, whole", whole.times(2, "kB"),
+            None, DISTRIBUTION),
+        Row("configuration", CONTROL, STATE, "versions made a day, each with a majority before anyone is told",
+            Figure(size.changes_a_day, "versions", "wanted"), None, DISTRIBUTION),
+        Row("configuration", CONTROL, MESSAGES, "contents given, were each node given all by the control machines",
+            whole.times(size.nodes * size.changes_a_day / DAY / size.control_machines * 1000, "bytes/s"), None, DISTRIBUTION),
+        Row("configuration", CONTROL, MESSAGES, "out, as a scale run counted", scale_control(
+            size, measured, "bytes_a_second", "mean", unit="bytes/s"), None, DISTRIBUTION),
+        Row("configuration", CONTROL, PROCESSOR, "as a scale run counted", scale_control(
+            size, measured, "core", unit="cores"), 1.0, DISTRIBUTION),
+        Row("configuration", CONTROL, MEMORY, "as a scale run counted", scale_control(
+            size, measured, "memory_kB", unit="MB", by=0.001), size.guess("memory-a-node-GB") * 1000, DISTRIBUTION),
+    ]
+
+
+def in_force(size: Size, measured: Measured) -> Figure | None:
+    """Seconds, of a run of the size's nodes on sockets, else of the simulation nearest above."""
+    file = measured.scale(size.nodes)
+    told = file and measured.figure(file, "configuration", "in_force_p99_s", unit="s")
+    return told or simulated_in_force(size, measured)
+
+
+def simulated_in_force(size: Size, measured: Measured) -> Figure | None:
+    sizes = measured.get("versions.json", "sizes") or []
+    fits = [(one.get("nodes", 0), place) for place, one in enumerate(sizes) if isinstance(one, dict)]
+    fits = [one for one in fits if one[0] >= size.nodes] or fits[-1:]
+    return measured.figure("versions.json", "sizes", min(fits)[1], "in_force_p99_s", unit="s") if fits else None
+
+
+def aggregator(size: Size, measured: Measured) -> list[Row]:
+    keys = size.guess("servers") / size.nodes
+    users = size.nodes * size.guess("servers-played-on") / size.guess("servers")
+    return [
+        Row("configuration", AGGREGATOR, STATE, "version in force and refusals of each node of a zone",
+            worked_out(size.nodes_a_zone, "nodes"), None, DISTRIBUTION),
+        Row("configuration", AGGREGATOR, MESSAGES, "reports in, each node on each change", worked_out(
+            size.nodes_a_zone * size.changes_a_day / DAY, "reports/s"), None, DISTRIBUTION),
+        Row("sharing", AGGREGATOR, STATE, "links that one node adds up, by link and not by zone", worked_out(keys, "links"), None,
+            SHARING),
+        Row("sharing", AGGREGATOR, MESSAGES, "words of use in, four rounds a second, were each node to tell its links apart",
+            worked_out(keys * users * 4, "rows/s"), None, SHARING),
+        Row("overload", AGGREGATOR, MESSAGES, "rounds in, one a second a node, for the zone that one node adds up",
+            worked_out(size.nodes, "datagrams/s"), None, OVERLOAD),
+        Row("sharing", AGGREGATOR, PROCESSOR, "adding up by zone and region", None, size.control_core, None),
+        Row("sharing", AGGREGATOR, MEMORY, "adding up by zone and region", None, size.control_memory, None),
+    ]
+
+
+def follower(size: Size, measured: Measured) -> list[Row]:
+    servers = size.guess("servers")
+    old = measured.figure("fleet.json", "sizes", 3, "list_ms", unit="ms")
+    return [
+        Row("list", FOLLOWER, STATE, "servers of the whole list", assumed(servers, "servers"), None, LISTS),
+        Row("list", FOLLOWER, MESSAGES, "connections at whoever tells the list, one a node", worked_out(size.nodes, "connections"),
+            None, LISTS),
+        Row("list", FOLLOWER, PROCESSOR, f"one whole list of {servers:,.0f} servers, nothing else is answered meanwhile",
+            carried(measured, LIST_TIME, servers, "ms"), size.p99 * 1000, LISTS),
+        Row("list", FOLLOWER, PROCESSOR, "one whole list of 6,400 servers", old, size.p99 * 1000, LISTS),
+        Row("list", FOLLOWER, MEMORY, f"a list of {servers:,.0f} servers", carried(measured, LIST_MEMORY, servers, "MB"),
+            size.control_memory, LISTS),
+    ]
+
+
+def leases_a_shard(size: Size, measured: Measured) -> Figure | None:
+    """What each node would send for leases, were each shard of topics to have one and all nodes to be keepers by turns."""
+    words = measured.figure("leases.json", "sizes", 4, "words_a_second_a_lease", unit="words/s")
+    return words and words.times(size.shards / size.nodes * size.guess("lease-word-bytes"), "bytes/s")
+
+
+def led(size: Size, measured: Measured) -> list[Row]:
+    leases = LED_SHARDS * LED_TASKS
+    words = measured.figure("leases.json", "sizes", 4, "words_a_second_a_lease", unit="words/s")
+    at_keeper = words and words.times(leases / KEEPERS * size.guess("lease-word-bytes"), "bytes/s")
+    return [
+        Row("leases", LED, STATE, f"leases of {LED_TASKS} tasks in {LED_SHARDS} shards", worked_out(leases, "leases"), None, TASKS),
+        Row("leases", LED, MESSAGES, "words in and out at each of five keepers", at_keeper, size.control_bytes, LEASES),
+        Row("probes", LED, MESSAGES, "probes a second by all holders, each server each second",
+            worked_out(size.guess("servers"), "probes/s"), None, PROBES),
+        Row("probes", LED, PROCESSOR, "probing a shard of servers", None, None, PROBES),
+        Row("probes", LED, MEMORY, "what a shard of servers keeps", None, None, PROBES),
+    ]
--- /dev/null
+++ b/curlewshift/capacity/failures.py
@@ -0,0 +1,203 @@
+"""The failures of an ordinary day, month and year at a size: who notices, how soon, what moves, what it costs, what waits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from curlewshift.capacity.at_node import BY_NOTICE, BY_REQUEST, carried
+from curlewshift.capacity.figures import NOT_MEASURED, Figure, short, worked_out
+from curlewshift.capacity.measured import Measured
+from curlewshift.capacity.size import DAY, Size
+
+RESTART, STORM = "restart-time-by-viewing", "storm-time-by-client"
+
+
+@dataclass(frozen=True)
+class Failure:
+    """Each cell in words, with the figures in them; `of` are those figures, for their files and commands."""
+
+    what: str
+    often: str
+    notices: str
+    moves: str
+    costs: str
+    waits: str
+    of: tuple[Figure | None, ...]
+
+
+def said(figure: Figure | None) -> str:
+    return figure.text() if figure else NOT_MEASURED
+
+
+class Failures:
+    def __init__(self, size: Size, measured: Measured):
+        self.size, self.measured = size, measured
+        last = len(measured.get("peers.json", "emulated", "sizes") or ()) - 1
+        self.detected = measured.figure("peers.json", "emulated", "sizes", last, "detected_p99_periods", unit="s",
+                                        by=(measured.get("peers.json", "emulated", "period_ms") or 0) / 1000)
+        self.lease_gap = measured.figure("leases.json", "without_holder_after_kill_terms", "p99", unit="s",
+                                         by=(measured.get("leases.json", "term_ms") or 0) / 1000)
+
+    def all(self) -> list[Failure]:
+        return [self.machine(), self.restart(), self.rack(), self.zone(), self.zone_returns(), self.apart(), self.control_gone(),
+                self.one_control_machine(), self.largest_topic(), self.list_gone()]
+
+    def machine(self) -> Failure:
+        size = self.size
+        return Failure(
+            "a machine fails", f"{short(size.machines_a_day)} a day",
+            f"its clients at once, by their connections; peers within {said(self.detected)} p99 at 1,000 nodes; servers by "
+            "their connections",
+            f"{self.connections(1)} come again at others; its rights come back after their term; its leases are held again "
+            f"after {said(self.lease_gap)} p99; list and configuration: nothing moves", self.come_again(1),
+            "seats and rights that it had lent or borrowed, until their terms are over",
+            (self.detected, self.lease_gap, *self._set_up()))
+
+    def restart(self) -> Failure:
+        size = self.size
+        slope = carried(self.measured, RESTART, size.viewings_a_node, "s")
+        old = self.measured.figure("recovery.json", "rows", 3, "all_adopted_after_ms", unit="s", by=0.001)
+        each = worked_out(DAY / size.restarts_a_day, "s")
+        return Failure(
+            "a restart or replacement", f"{short(size.restarts_a_day)} a day, one each {said(each)}",
+            "peers by its word that it leaves, else as above",
+            f"as above: {self.connections(1)}; viewings are taken up from its state folder where it has one; configuration "
+            "from its disk, else from peers, else from the file it was given",
+            f"{self.come_again(1)}; up again: {said(slope)} (10,000 viewings {said(old)}; "
+            f"wanted ×{size.viewings_a_node / 10_000:.1f})",
+            "its own rights, for as long as an earlier life may have lent them; servers of a stale list, for a warm-up",
+            (each, slope, old, *self._set_up()))
+
+    def rack(self) -> Failure:
+        size, nodes = self.size, self.size.guess("nodes-a-rack")
+        return Failure(
+            "a rack or switch", f"each {short(size.rack_each_days)} days",
+            f"as a machine; {short(nodes)} at once (assumed)", f"{self.connections(nodes)} come again",
+            self.come_again(nodes), "as a machine", (self.detected, *self._set_up()))
+
+    def zone(self) -> Failure:
+        size, nodes = self.size, self.size.nodes_a_zone
+        converged, worst = self.fault("zone-lost", "converged_s"), self.fault("zone-lost", "bytes_a_second", "worst")
+        return Failure(
+            f"a zone lost: {short(nodes)} nodes", f"each {short(size.zone_each_days)} days",
+            f"peers; until all agree: {said(converged)}",
+            f"{self.connections(nodes)} come again elsewhere; rights and leases as above, all at once; the zone's aggregator is "
+            "another node's work at once; control machines of the zone are missed by the majority",
+            f"{self.come_again(nodes)}; control out at worst {said(worst)}, the users grant "
+            f"{short(size.control_bytes)} bytes/s",
+            "nothing that serves; changes only if a majority of the control machines was there",
+            (converged, worst, *self._set_up()))
+
+    def zone_returns(self) -> Failure:
+        size, nodes = self.size, self.size.nodes_a_zone
+        whole = size.guess("configuration-kB")
+        all_ = worked_out(whole * nodes, "kB")
+        again = self.fault("restart-some", "configuration_s") or self.figure_of_versions("empty_nodes_s")
+        return Failure(
+            f"a zone returns: {short(nodes)} empty nodes at once", f"each {short(size.zone_each_days)} days", "peers at once",
+            f"the configuration {short(nodes)} times, {said(all_)} together, from each other and from who is near",
+            f"a giver of the other zones: bounded, apart from its channel; until all have it: {said(again)}",
+            "their own rights, and cold servers' paces", (all_, again))
+
+    def apart(self) -> Failure:
+        size = self.size
+        changes = worked_out(size.changes_a_day * size.regions_apart / DAY, "changes")
+        converged = self.fault("regions-apart", "converged_s")
+        worst = self.fault("regions-apart", "bytes_a_second", "worst")
+        held = size.control_machines - size.control_machines // size.regions - (
+            1 if size.control_machines % size.regions else 0)
+        majority = size.control_machines // 2 + 1
+        able = "no side has it where they lie" if held < majority else "two regions together have it where they lie"
+        return Failure(
+            f"regions apart for {short(size.regions_apart / 60)} minutes, changes made meanwhile", "several times a year",
+            f"peers, as a machine; until all agree after they meet: {said(converged)}",
+            f"no connection; {said(changes)} are made meanwhile, by whoever has {majority} of {size.control_machines} control "
+            f"machines; all {size.regions} regions apart: no side has a majority, and no change is made",
+            f"control out at worst {said(worst)}",
+            f"a region without a majority goes on with what it has, up to {short(size.regions_apart)} s old (the largest region "
+            f"holding {size.control_machines - held} of {size.control_machines} cut off: {able}); leases of a minority's "
+            "holders end with their term", (changes, converged, worst))
+
+    def control_gone(self) -> Failure:
+        size = self.size
+        serving = self.fault("kill-control", "joins_lost")
+        return Failure(
+            f"all {size.control_machines} control machines gone", "no number is stated",
+            "nobody who serves; who asks for a change is told at once that there is no majority",
+            "no connection, viewing or right; leases kept by them end with their terms, and their tasks fall back to what each "
+            "node does alone", f"joins lost meanwhile: {said(serving)}",
+            f"changes ({short(size.changes_a_day)} a day wait); nodes say how old theirs is; a node that starts takes it from "
+            "its disk or a peer", (serving,))
+
+    def one_control_machine(self) -> Failure:
+        size = self.size
+        left = size.control_machines - 1
+        majority = size.control_machines // 2 + 1
+        return Failure(
+            "one control machine lost, another restarts meanwhile", f"{size.machines_a_day / size.nodes * 365:.2g} a year each",
+            "the writer, at its next change",
+            f"nothing; {left} of {size.control_machines} are left and {majority} make a majority, with one more away "
+            f"{left - 1} are left: {'still a majority' if left - 1 >= majority else 'no change can be made'}",
+            "nothing", "changes, while fewer than a majority are up", ())
+
+    def largest_topic(self) -> Failure:
+        size = self.size
+        a_node = worked_out(size.largest / size.nodes, "notices")
+        slope = self.measured.slope(*BY_NOTICE)
+        each = slope and slope.at(slope.measured_to, "s") if slope and _of_time(slope.y_unit) else None
+        lasts = each and each.times(a_node.value, "s")
+        words = f"×{lasts.value / size.p99:.3g} of the {short(size.p99 * 1000)} ms" if lasts else \
+            f"against {short(size.p99 * 1000)} ms"
+        return Failure(
+            f"the largest topic's {short(size.largest / 1e6)} million listeners are told at once", "no number is stated",
+            "each node by the media servers that it plays on",
+            f"{said(a_node)} a node, if its listeners are spread evenly; nothing else moves",
+            f"one process tells its listeners one after another and answers nobody else meanwhile: {said(lasts)}, {words}",
+            "other answers of that node, for as long", (a_node, lasts))
+
+    def list_gone(self) -> Failure:
+        return Failure(
+            "who tells the list is silent", "no number is stated", "each follower for itself, after 2.2 s without a frame "
+            "(`SILENT_FOR` in `node/follower.py`)", "nothing; the last list stands", "a follower dials again, at most each second, all "
+            f"{self.size.nodes:,} of them", "news of servers: a start, a drain", ())
+
+    # ---- figures that several have
+
+    def connections(self, nodes: float) -> str:
+        many = self.size.connections_a_node * nodes
+        return f"{short(many / 1e6) + ' million' if many >= 1e6 else short(many)} connections"
+
+    def come_again(self, nodes: float) -> str:
+        """What those who come again are for each node that is left, if they come spread over the time assumed."""
+        size, within = self.size, self.size.guess("come-again-within-s")
+        if nodes >= size.nodes:
+            return "nobody is left"
+        each = size.connections_a_node * nodes / (size.nodes - nodes)
+        a_second = each / within
+        setting_up = self._set_up()[0]
+        cores = setting_up and setting_up.times(a_second, "cores")
+        return (f"{short(each)} for each of the others, {short(a_second)} a second over {short(within)} s (assumed), "
+                f"set-ups alone {said(cores)}")
+
+    def _set_up(self) -> tuple[Figure | None, ...]:
+        slope = self.measured.slope(*BY_REQUEST)
+        if slope is None or not _of_time(slope.y_unit):
+            return (None,)
+        return (slope.at(self.size.connections_a_node, "s"),)
+
+    def fault(self, kind: str, *way: str) -> Figure | None:
+        """Of a scale run's faults, by kind."""
+        file = self.measured.scale(self.size.nodes)
+        for place, one in enumerate(self.measured.get(file, "faults") or () if file else ()):
+            if isinstance(one, dict) and one.get("kind") == kind:
+                return self.measured.figure(file, "faults", place, *way,
+                                            unit="bytes/s" if "bytes_a_second" in way else "joins" if "joins" in way[0] else "s")
+        return None
+
+    def figure_of_versions(self, *way: str) -> Figure | None:
+        return self.measured.figure("versions.json", *way, unit="s")
+
+
+def _of_time(unit: str) -> bool:
+    from curlewshift.capacity.slopes import UNITS
+    return UNITS.get(unit, ("",))[0] == "s"
--- /dev/null
+++ b/curlewshift/capacity/slopes.py
@@ -0,0 +1,151 @@
+"""What one thing costs by another, from points measured in one run, carried to where a size wants it.
+
+Points and not the file's own fit are what counts here: the line is laid through them anew, and a file whose fit says something
+else is refused. A slope that is not straight is carried within its run between its points, and beyond it not at all: its last
+point is then the least that it can be, as it rises.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from curlewshift.capacity.figures import WORKED_OUT, Figure
+
+FEWEST_POINTS = 4
+# How far the fit that a file states may lie from the line through its points, as a part: it is told with five digits.
+SAME_FIT = 0.001
+# What a unit is in the first of its kind.
+UNITS = {"bytes": ("bytes", 1.0), "B": ("bytes", 1.0), "kB": ("bytes", 1e3), "MB": ("bytes", 1e6), "GB": ("bytes", 1e9),
+         "KiB": ("bytes", 1024.0), "s": ("s", 1.0), "seconds": ("s", 1.0), "ms": ("s", 1e-3), "us": ("s", 1e-6), "core": ("core", 1.0),
+         "cores": ("core", 1.0), "% of a core": ("core", 0.01), "part of a core": ("core", 1.0),
+         "bytes/s": ("bytes/s", 1.0), "bytes a second": ("bytes/s", 1.0), "kB/s": ("bytes/s", 1e3)}
+
+
+class Spoilt(Exception):
+    """A file of measurements that cannot be used: which, and what is wrong with it."""
+
+
+def in_unit(value: float, came: str, wanted: str) -> float:
+    """Raises `Spoilt` where the two are not of one kind."""
+    if came == wanted:
+        return value
+    kinds = UNITS.get(came), UNITS.get(wanted)
+    if None in kinds or kinds[0][0] != kinds[1][0]:
+        raise Spoilt(f"the unit should be {wanted} or one that becomes it, but is {came!r}")
+    return value * kinds[0][1] / kinds[1][1]
+
+
+@dataclass(frozen=True)
+class Line:
+    """The least squares line through points; `worst` is the largest distance of one from it, in y's unit."""
+
+    intercept: float
+    slope: float
+    slope_error: float
+    worst: float
+
+
+def line_through(points: list[tuple[float, float]]) -> Line:
+    count = len(points)
+    mean_x, mean_y = sum(x for x, _ in points) / count, sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    intercept = mean_y - slope * mean_x
+    off = [y - intercept - slope * x for x, y in points]
+    error = (sum(one * one for one in off) / max(1, count - 2) / spread) ** 0.5
+    return Line(intercept, slope, error, max(abs(one) for one in off))
+
+
+@dataclass(frozen=True)
+class Slope:
+    name: str
+    file: str
+    of: str
+    x_unit: str
+    y_unit: str
+    points: tuple[tuple[float, float], ...]
+    line: Line
+    straight: bool
+    command: str
+    notes: str
+
+    @property
+    def measured_to(self) -> float:
+        return self.points[-1][0]
+
+    def each(self, unit: str, carried_to: float) -> Figure:
+        """What one more of x costs, by the line; where that is not straight, what the last stretch between points costs."""
+        if self.straight:
+            value, error = self.line.slope, self.line.slope_error
+        else:
+            (x0, y0), (x1, y1) = self.curve[-2:]
+            value, error = (y1 - y0) / (x1 - x0), 0.0
+        return self._figure(value, error, unit, carried_to, not self.straight and carried_to > self.measured_to)
+
+    def at(self, x: float, unit: str) -> Figure:
+        """What x of them cost."""
+        if self.straight:
+            return self._figure(self.line.intercept + self.line.slope * x,
+                                self.line.slope_error * abs(x) + self.line.worst, unit, x, False)
+        if x > self.measured_to:
+            return self._figure(self.curve[-1][1], 0.0, unit, x, True)
+        return self._figure(self._between(x), 0.0, unit, x, False)
+
+    def _figure(self, value: float, error: float, unit: str, x: float, least: bool) -> Figure:
+        by = "by its line" if self.straight else "not straight: by its last point" if least else \
+            "not straight: between its points"
+        return Figure(in_unit(value, self.y_unit, unit), unit, WORKED_OUT, in_unit(error, self.y_unit, unit), (self.file,),
+                      self.command, self.measured_to, x, self.x_unit, least, by)
+
+    @property
+    def curve(self) -> list[tuple[float, float]]:
+        """Repeats of a size as their mean."""
+        repeats: dict[float, list[float]] = {}
+        for x, y in self.points:
+            repeats.setdefault(x, []).append(y)
+        return [(x, sum(ys) / len(ys)) for x, ys in sorted(repeats.items())]
+
+    def _between(self, x: float) -> float:
+        curve = self.curve
+        if x <= curve[0][0]:
+            return curve[0][1]
+        return next(y0 + (y1 - y0) * (x - x0) / (x1 - x0) for (x0, y0), (x1, y1) in zip(curve, curve[1:]) if x <= x1)
+
+    def fit(self) -> str:
+        """In words, for the table of slopes."""
+        if not self.straight:
+            return "not straight"
+        return f"{_four(self.line.slope)} ± {_four(self.line.slope_error)} {self.y_unit} by {self.x_unit}"
+
+
+def _four(value: float) -> str:
+    return f"{value:.4g}"
+
+
+def slope_of(told: dict, file: str) -> Slope:
+    """From one entry of a file. Raises `Spoilt` with the file's name and what is wrong."""
+    name = told.get("name", "?")
+
+    def no(words: str) -> Spoilt:
+        return Spoilt(f"{file}: slope {name}: {words}")
+    for key in ("name", "x", "y", "points", "fit", "command"):
+        if not told.get(key):
+            raise no(f"{key} is missing")
+    points = tuple(sorted((float(point[0]), float(point[1])) for point in told["points"]))
+    sizes = len({x for x, _ in points})
+    if sizes < FEWEST_POINTS:
+        raise no(f"{FEWEST_POINTS} sizes are needed, but {sizes} are there")
+    line, fit = line_through(list(points)), told["fit"]
+    for key in ("intercept", "slope", "straight"):
+        if key not in fit:
+            raise no(f"its fit has no {key}")
+    # at the far end both parts of the line count, and that is where it is carried from
+    reach = points[-1][0]
+    here, says = line.intercept + line.slope * reach, fit["intercept"] + fit["slope"] * reach
+    if abs(here - says) > SAME_FIT * (abs(line.intercept) + abs(line.slope * reach)):
+        raise no(f"its fit says {says:.5g} at {reach:g}, the line through its points {here:.5g}")
+    x, notes = told["x"], told.get("notes") or ""
+    unit = x.get("unit", "")
+    return Slope(name, file, told.get("of", ""), x["name"] + "s" if unit in ("", "count") else unit,
+                 told["y"].get("unit", ""), points, line, bool(fit["straight"]), told["command"],
+                 notes if isinstance(notes, str) else "; ".join(notes))
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,271 @@
+"""The page of capacity and the command that works it out: they agree, and what is planted wrong in either is caught."""
+
+import json
+import re
+import shutil
+import tempfile
+import unittest
+from pathlib import Path
+from statistics import linear_regression
+
+from click.testing import CliRunner
+
+from curlewshift.capacity.at_node import DISTRIBUTION
+from curlewshift.capacity.figures import Figure, short
+from curlewshift.capacity.measured import Measured
+from curlewshift.capacity.options import RESTS, shortfalls
+from curlewshift.capacity.page import BLOCK, NoPlace, differences, written
+from curlewshift.capacity.rows import FRONT, MEMORY, Mechanism, Row
+from curlewshift.capacity.slopes import Spoilt, slope_of
+from curlewshift.capacity.tables import all_rows, tables
+from curlewshift.commands.capacity import MEASURED, PAGE, ROOT, USUAL, read_size
+from curlewshift.commands.main import NOUNS, main
+from curlewshift.site.reading import Mistakes
+
+TEXT = USUAL.read_text()
+
+
+def run(*words):
+    return CliRunner().invoke(main, ["capacity", *map(str, words)])
+
+
+def line_file(name, intercept, slope, xs=(100, 200, 300, 400), unit="bytes", x="connection", bend=0.0):
+    points = [[one, intercept + slope * one + bend * one * one] for one in xs]
+    # the library's line, not that of the code under test
+    line = linear_regression(*zip(*points))
+    fit = {"intercept": line.intercept, "slope": line.slope, "slope_error": 0.0, "straight": not bend}
+    return {"slopes": [{"name": name, "of": "front node", "x": {"name": x, "unit": "count"}, "y": {"name": "y", "unit": unit},
+                        "command": f"bin/curlewshift slopes {name}", "points": points, "fit": fit, "notes": []}]}
+
+
+class InAFolder(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.measured = self.folder / "measured"
+
+    def size(self, *changes, text=TEXT):
+        for old, new in changes:
+            self.assertIn(old, text)
+            text = text.replace(old, new, 1)
+        path = self.folder / "size.xml"
+        path.write_text(text)
+        return path
+
+    def files(self, **held):
+        shutil.rmtree(self.measured, ignore_errors=True)
+        self.measured.mkdir()
+        for name, told in held.items():
+            (self.measured / f"{name.replace('_', '-')}.json").write_text(json.dumps(told))
+        return Measured(self.measured)
+
+
+class PageAndCommand(InAFolder):
+    def test_the_page_has_what_the_command_works_out(self):
+        told = run("--check")
+        self.assertEqual((told.exit_code, told.stderr), (0, ""), "bin/curlewshift capacity --write puts it there")
+
+    def test_each_table_row_that_is_changed_on_the_page_is_caught_at_its_line(self):
+        page, made = PAGE.read_text(), tables(read_size(USUAL), Measured(MEASURED), ROOT)
+        lines, tried = page.split("\n"), 0
+        for block in BLOCK.finditer(page):
+            first = page.count("\n", 0, block.start(3))
+            for place, line in enumerate(block[3].rstrip("\n").split("\n"), first):
+                spoilt = re.sub(r"\d", lambda digit: str((int(digit[0]) + 1) % 10), line, count=1)
+                if spoilt != line:
+                    wrong = differences("\n".join([*lines[:place], spoilt, *lines[place + 1:]]), made)
+                    self.assertEqual([(at, stands) for at, stands, _ in wrong], [(place + 1, spoilt)])
+                    tried += 1
+        self.assertGreater(tried, 60)
+
+    def test_a_row_taken_out_and_a_table_without_a_place_are_caught(self):
+        page, made = PAGE.read_text(), tables(read_size(USUAL), Measured(MEASURED), ROOT)
+        row = next(line for line in page.split("\n") if line.startswith("| front nodes"))
+        self.assertTrue(differences(page.replace(row + "\n", ""), made))
+        for spoilt in (page.replace("<!-- capacity: order -->", ""), page + "\n<!-- capacity: more -->\n<!-- /capacity -->\n"):
+            with self.assertRaises(NoPlace):
+                differences(spoilt, made)
+
+    def test_a_measurement_that_is_changed_is_caught_by_the_check(self):
+        shutil.copytree(MEASURED, self.measured)
+        self.assertEqual(run("--check", "--measured", self.measured).exit_code, 0)
+        path = self.measured / "shared.json"
+        told = json.loads(path.read_text())
+        told["sizes"][-1]["bytes_a_second"] += 10
+        path.write_text(json.dumps(told))
+        wrong = run("--check", "--measured", self.measured)
+        self.assertEqual(wrong.exit_code, 1)
+        self.assertIn("86,386 bytes/s (simulated)", wrong.stderr)
+
+    def test_write_puts_in_what_check_wants_and_nothing_else(self):
+        page = self.folder / "page.md"
+        spoilt = PAGE.read_text().replace("×21.6", "×2.16")
+        page.write_text(spoilt)
+        self.assertEqual(run("--check", "--page", page).exit_code, 1)
+        self.assertEqual(run("--write", "--page", page).exit_code, 0)
+        self.assertEqual(page.read_text(), PAGE.read_text())
+        self.assertEqual(BLOCK.sub("", spoilt), BLOCK.sub("", written(spoilt, tables(read_size(USUAL), Measured(MEASURED), ROOT))))
+
+    def test_commands_beside_the_rows_are_there(self):
+        commands = set(re.findall(r"`bin/curlewshift ([^`]+)`", PAGE.read_text()))
+        self.assertTrue(commands)
+        for command in commands:
+            noun, *rest = command.split()
+            self.assertIn(noun, NOUNS, command)
+            if rest and hasattr(main.get_command(None, noun), "commands"):
+                self.assertIn(rest[0], main.get_command(None, noun).commands, command)
+
+    def test_a_mechanism_is_in_the_tree_or_its_file_is_not_yet(self):
+        for row in all_rows(read_size(USUAL), Measured(MEASURED)):
+            if row.by is not None and (row.by != DISTRIBUTION or (ROOT / row.by.file).exists()):
+                self.assertTrue(row.by.there(ROOT), row.by)
+        self.assertFalse(Mechanism("curlewshift/node/wire.py", "class Wirre").there(ROOT))
+
+
+class SizeFiles(InAFolder):
+    def wrong(self, *changes):
+        path = self.size(*changes)
+        told = run(path)
+        self.assertEqual(told.exit_code, 2)
+        with self.assertRaises(Mistakes):
+            read_size(path)
+        return told.stderr.replace(str(path), "F")
+
+    def line(self, what):
+        return next(number for number, line in enumerate(TEXT.splitlines(), 1) if what in line)
+
+    def test_both_files_are_read(self):
+        size = read_size(USUAL)
+        self.assertEqual((size.nodes, size.zones, size.p99, size.in_force_within, size.control_bytes, size.regions_apart),
+                         (630, 9, 0.18, 18.0, 4000.0, 600.0))
+        self.assertEqual(read_size(USUAL.with_name("two-hundred.xml")).nodes, 200)
+
+    def test_a_spoilt_one_is_refused_in_words_with_file_and_line(self):
+        for change, at, words in (
+                (('nodes="630"', 'nodes="many"'), "<fleet", "fleet: nodes should be a whole number above 0, but is 'many'"),
+                (('zones="9"', 'zones="2"'), "<fleet", "2 zones cannot make 3 regions"),
+                (('nodes="630"', 'nodes="8"'), "<fleet", "8 nodes cannot fill 9 zones"),
+                (('p99="180ms"', 'p99="180"'), "<deliveries", "p99 should be a time with its unit"),
+                (('core="0.034"', 'core="3.4"'), "<control", "core should be a number from 0 to 1"),
+                (('core="0.034"', 'core="0"'), "<control", "core should be above 0"),
+                (('bytes="4kB/s"', ""), "<control", "control: bytes is missing"),
+                (('largest-listeners="2700000"', 'largest-listeners="44000000"'), "<topics", "more than all viewings"),
+                (('name="servers" value="2000"', 'name="servers" value="200"'), 'name="servers-played-on"', "more servers than"),
+                (('name="servers" ', 'name="cores-a-node" '), 'name="cores-a-node"', "cores-a-node"),
+                (('name="nodes-a-rack" value="10"', 'name="nodes-a-rack" value="71"'), 'name="nodes-a-rack"', "more than a zone"),
+                (('name="lease-word-bytes"', 'name="lease-bytes"'), 'name="lease-word-bytes"', "lease-bytes")):
+            with self.subTest(change=change):
+                told = self.wrong(change)
+                self.assertIn(words, told)
+                self.assertIn(f"F:{self.line(at)}: ", told)
+
+    def test_an_assumption_left_out_and_a_file_that_is_none_are_told(self):
+        left_out = next(line for line in TEXT.splitlines() if 'name="servers"' in line)
+        self.assertIn(f"F:{self.line('<size')}: size: the assumption servers is missing", self.wrong((left_out, "")))
+        self.assertIn("this is not XML", self.wrong(("</size>", "")))
+        self.assertEqual(run(self.folder / "none.xml").exit_code, 2)
+
+
+class Figures(InAFolder):
+    """A small size whose figures can be had by head: 10 nodes, 1,000 connections each, in 2 zones and 2 regions."""
+
+    def small(self):
+        return read_size(self.size(
+            ('nodes="630" connections="43000000" regions="3" zones="9"', 'nodes="10" connections="10000" regions="2" zones="2"'),
+            ('largest-listeners="2700000"', 'largest-listeners="5000"'), ('a-second="8200000"', 'a-second="20000"'),
+            ('"nodes-a-rack" value="10"', '"nodes-a-rack" value="2"'), ('"memory-a-node-GB" value="16"', '"memory-a-node-GB" value="0.005"')))
+
+    def row(self, measured, says, what=None):
+        return next(row for row in all_rows(self.small(), measured) if says in row.says and what in (None, row.what))
+
+    def test_a_straight_slope_is_carried_with_its_factor_error_and_unit(self):
+        told = line_file("memory-by-connection-with-viewing", 1_000_000, 9_000)
+        told["slopes"][0]["points"][0][1] += 30_000
+        told["slopes"][0]["fit"] = {"intercept": 1_030_000, "slope": 8_910, "slope_error": 52, "straight": True}
+        row = self.row(self.files(slope_memory=told), "all connections with their viewings")
+        figure = row.figure
+        self.assertEqual((figure.unit, figure.how, figure.carried, figure.measured_to), ("MB", "worked out", "connections", 400))
+        self.assertAlmostEqual(figure.value, 1.03 + 8.91)
+        # the slope's standard error over the distance, and the worst point
+        self.assertAlmostEqual(figure.error, 0.05196 + 0.012, places=4)
+        self.assertEqual(figure.limit(), "measured to 400 connections, wanted 1,000: ×2.5, carried")
+        self.assertEqual(row.verdict(ROOT), "over: ×1.99 of 5 MB")
+
+    def test_one_that_is_not_straight_is_read_between_its_points_and_not_carried_beyond(self):
+        measured = self.files(slope_idle=line_file("idle-time-by-connection-with-viewing", 0, 0, unit="seconds", bend=1e-6))
+        figure = self.row(measured, "all viewings playing").figure
+        self.assertAlmostEqual(figure.value, 0.16)
+        self.assertEqual((figure.at_least, figure.unit), (True, "cores"))
+        self.assertIn("not carried", figure.limit())
+        self.assertIn("not known: at least", self.row(measured, "all viewings playing").verdict(ROOT))
+        self.assertAlmostEqual(measured.slopes["idle-time-by-connection-with-viewing"].at(250, "s").value, (0.04 + 0.09) / 2)
+
+    def test_a_slope_whose_fit_is_not_that_of_its_points_is_refused(self):
+        for spoil in (lambda one: one["points"][2].__setitem__(1, 9e6), lambda one: one["fit"].update(slope=9_100),
+                      lambda one: one["fit"].update(intercept=0), lambda one: one["points"].pop(),
+                      lambda one: one.pop("command"), lambda one: one["fit"].pop("straight")):
+            told = line_file("memory-by-connection", 1_000_000, 9_000)
+            slope_of(told["slopes"][0], "slope-memory.json")
+            spoil(told["slopes"][0])
+            with self.assertRaises(Spoilt) as wrong:
+                self.files(slope_memory=told)
+            self.assertIn("slope-memory.json: slope memory-by-connection: ", str(wrong.exception))
+        self.assertEqual(run("--measured", self.measured).exit_code, 2)
+
+    def test_a_unit_that_cannot_become_the_one_wanted_is_refused(self):
+        with self.assertRaises(Spoilt):
+            all_rows(self.small(), self.files(slope_memory=line_file("memory-by-connection", 1, 1, unit="seconds")))
+
+    def test_without_files_no_row_has_a_measured_figure(self):
+        rows = all_rows(self.small(), self.files())
+        self.assertEqual([row.says for row in rows if row.figure and row.figure.how in ("measured", "simulated")], [])
+        self.assertEqual([row.says for row in rows if row.figure and row.figure.files], [])
+        self.assertIn("not measured", {row.verdict(ROOT) for row in rows})
+
+    def test_a_scale_run_fills_the_rows_of_control_and_all_parts_have_to_be_there_for_the_sum(self):
+        part = {"bytes_a_second": {"mean": 1500.0, "worst": 3000.0}, "core": 0.01, "memory_kB": 2000}
+        told = {"command": "bin/curlewshift scale", "a_node": {name: part for name in ("membership", "sharing", "leases")}}
+        measured = self.files(scale_630=told, scale_24=told, scale_8=told)
+        self.assertEqual((measured.scale(10), measured.scale(630), measured.scale(1000)),
+                         ("scale-24.json", "scale-630.json", "scale-630.json"))
+        self.assertEqual(self.row(measured, "control: membership", MEMORY).figure.value, 2.0)
+        self.assertIsNone(self.row(measured, "control: together out").figure)
+        told["a_node"]["distribution"] = part
+        row = self.row(self.files(scale_24=told), "control: together out")
+        self.assertEqual((row.figure.value, row.verdict(ROOT)), (6000.0, "over: ×1.5 of 4,000 bytes/s"))
+
+    def test_what_comes_again_is_shared_by_those_that_are_left(self):
+        made = tables(self.small(), self.files(), ROOT)["failures"]
+        zone = next(line for line in made.split("\n") if line.startswith("| a zone lost: 5 nodes"))
+        self.assertIn("5,000 connections come again", zone)
+        self.assertIn("1,000 for each of the others, 16.7 a second over 60 s", zone)
+        alone = self.size(('regions="3" zones="9"', 'regions="1" zones="1"'))
+        self.assertIn("nobody is left", tables(read_size(alone), self.files(), ROOT)["failures"])
+
+    def test_verdicts(self):
+        def verdict(value, error=0.0, bound=100.0, by=Mechanism("curlewshift/node/wire.py", "class Wire"), least=False):
+            figure = None if value is None else Figure(value, "MB", "worked out", error, at_least=least)
+            return Row("memory", FRONT, MEMORY, "x", figure, bound, by).verdict(ROOT)
+        self.assertEqual(verdict(50), "within: ×0.5 of 100 MB")
+        self.assertEqual(verdict(95, 10), "within, but not by its error: ×0.95 of 100 MB")
+        self.assertEqual(verdict(250, least=True), "over: at least ×2.5 of 100 MB")
+        self.assertEqual(verdict(None), "not measured")
+        self.assertEqual(verdict(50, bound=None), "no bound stated")
+        self.assertEqual(verdict(50, by=None), "carried by nothing")
+        self.assertEqual(verdict(50, by=Mechanism("curlewshift/none.py", "x")), "carried by nothing")
+
+    def test_the_order_has_first_what_nothing_carries_and_most_rests_on_then_the_largest_factor(self):
+        wire = Mechanism("curlewshift/node/wire.py", "class Wire")
+
+        def row(key, value, by):
+            return Row(key, FRONT, MEMORY, key, Figure(value, "MB", "measured"), 10.0, by)
+        rows = [row("idle", 20, wire), row("list", 500, wire), row("memory", 5, wire), row("sharing", 900, wire),
+                row("workers", 1, None), row("configuration", 1, None), row("sharing", 90, None)]
+        self.assertEqual([one.key for one in shortfalls(rows, ROOT)], ["configuration", "sharing", "workers", "list", "idle"])
+        self.assertEqual(shortfalls(rows, ROOT)[1].over.figure.value, 900)
+        self.assertIn("configuration", RESTS["workers"])
+
+    def test_figures_are_told_in_as_many_places_as_count(self):
+        self.assertEqual([short(one) for one in (0, 0.03412, 1.5, 21.64, 142.2, 68253.97, 43e6, 3.8e-6)],
+                         ["0", "0.0341", "1.5", "21.6", "142", "68,254", "43,000,000", "3.8e-06"])
