Capacity: a node's control by subsystem and after faults, questions in a file of their own

Rows follow what a scale run and the slopes of a real node tell; a wait is not carried beyond its run, as it rises without end once a process is full, and sharing of a run in which some nodes share is no figure of one that does.

--- a/curlewshift/capacity/at_control.py
+++ b/curlewshift/capacity/at_control.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from curlewshift.capacity.at_node import DISTRIBUTION, LEASES, OVERLOAD, SHARING, carried
 from curlewshift.capacity.figures import Figure, assumed, worked_out
-from curlewshift.capacity.measured import Measured
+from curlewshift.capacity.given import DISTRIBUTION, LEASES, OVERLOAD, SHARING
+from curlewshift.capacity.measured import Measured, carried
 from curlewshift.capacity.rows import (AGGREGATOR, CONTROL, FOLLOWER, LED, MEMORY, MESSAGES, PROCESSOR, STATE, Mechanism, Row)
 from curlewshift.capacity.size import DAY, Size
 
@@ -16,8 +16,9 @@
 
 
 def scale_control(size: Size, measured: Measured, *way: str, unit: str, by: float = 1.0) -> Figure | None:
+    """What a scale run counted for a control machine, its parts together."""
     file = measured.scale(size.nodes)
-    return file and measured.figure(file, "a_control_machine", *way, unit=unit, by=by)
+    return file and measured.figure(file, "control", "all", *way, unit=unit, by=by)
 
 
 def rows(size: Size, measured: Measured) -> list[Row]:
@@ -38,7 +39,7 @@
         Row("configuration", CONTROL, MESSAGES, "out, as a scale run counted", scale_control(
             size, measured, "bytes_a_second", "mean", unit="bytes/s"), None, DISTRIBUTION),
         Row("configuration", CONTROL, PROCESSOR, "as a scale run counted", scale_control(
-            size, measured, "core", unit="cores"), 1.0, DISTRIBUTION),
+            size, measured, "core", "mean", unit="cores"), 1.0, DISTRIBUTION),
         Row("configuration", CONTROL, MEMORY, "as a scale run counted", scale_control(
             size, measured, "memory_kB", unit="MB", by=0.001), size.guess("memory-a-node-GB") * 1000, DISTRIBUTION),
     ]
@@ -79,14 +80,12 @@
 
 def follower(size: Size, measured: Measured) -> list[Row]:
     servers = size.guess("servers")
-    old = measured.figure("fleet.json", "sizes", 3, "list_ms", unit="ms")
     return [
         Row("list", FOLLOWER, STATE, "servers of the whole list", assumed(servers, "servers"), None, LISTS),
-        Row("list", FOLLOWER, MESSAGES, "connections at whoever tells the list, one a node", worked_out(size.nodes, "connections"),
-            None, LISTS),
+        Row("list", FOLLOWER, MESSAGES, "connections at whoever tells the list, one a node",
+            worked_out(size.nodes, "connections"), None, LISTS),
         Row("list", FOLLOWER, PROCESSOR, f"one whole list of {servers:,.0f} servers, nothing else is answered meanwhile",
             carried(measured, LIST_TIME, servers, "ms"), size.p99 * 1000, LISTS),
-        Row("list", FOLLOWER, PROCESSOR, "one whole list of 6,400 servers", old, size.p99 * 1000, LISTS),
         Row("list", FOLLOWER, MEMORY, f"a list of {servers:,.0f} servers", carried(measured, LIST_MEMORY, servers, "MB"),
             size.control_memory, LISTS),
     ]
@@ -103,7 +102,8 @@
     words = measured.figure("leases.json", "sizes", 4, "words_a_second_a_lease", unit="words/s")
     at_keeper = words and words.times(leases / KEEPERS * size.guess("lease-word-bytes"), "bytes/s")
     return [
-        Row("leases", LED, STATE, f"leases of {LED_TASKS} tasks in {LED_SHARDS} shards", worked_out(leases, "leases"), None, TASKS),
+        Row("leases", LED, STATE, f"leases of {LED_TASKS} tasks in {LED_SHARDS} shards", worked_out(leases, "leases"), None,
+            TASKS),
         Row("leases", LED, MESSAGES, "words in and out at each of five keepers", at_keeper, size.control_bytes, LEASES),
         Row("probes", LED, MESSAGES, "probes a second by all holders, each server each second",
             worked_out(size.guess("servers"), "probes/s"), None, PROBES),
--- a/curlewshift/capacity/failures.py
+++ b/curlewshift/capacity/failures.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from curlewshift.capacity.at_node import BY_NOTICE, BY_REQUEST, carried
+from curlewshift.capacity.at_node import BY_NOTICE, BY_REQUEST
 from curlewshift.capacity.figures import NOT_MEASURED, Figure, short, worked_out
-from curlewshift.capacity.measured import Measured
+from curlewshift.capacity.measured import Measured, a_second, carried
 from curlewshift.capacity.size import DAY, Size
 
 RESTART, STORM = "restart-time-by-viewing", "storm-time-by-client"
@@ -143,9 +143,8 @@
     def largest_topic(self) -> Failure:
         size = self.size
         a_node = worked_out(size.largest / size.nodes, "notices")
-        slope = self.measured.slope(*BY_NOTICE)
-        each = slope and slope.at(slope.measured_to, "s") if slope and _of_time(slope.y_unit) else None
-        lasts = each and each.times(a_node.value, "s")
+        slope = self.measured.slopes.get(BY_NOTICE)
+        lasts = slope and slope.each("s", a_node.value).times(a_node.value, "s")
         words = f"×{lasts.value / size.p99:.3g} of the {short(size.p99 * 1000)} ms" if lasts else \
             f"against {short(size.p99 * 1000)} ms"
         return Failure(
@@ -157,9 +156,10 @@
 
     def list_gone(self) -> Failure:
         return Failure(
-            "who tells the list is silent", "no number is stated", "each follower for itself, after 2.2 s without a frame "
-            "(`SILENT_FOR` in `node/follower.py`)", "nothing; the last list stands", "a follower dials again, at most each second, all "
-            f"{self.size.nodes:,} of them", "news of servers: a start, a drain", ())
+            "who tells the list is silent", "no number is stated",
+            "each follower for itself, after 2.2 s without a frame (`SILENT_FOR` in `node/follower.py`)",
+            "nothing; the last list stands", f"a follower dials again, at most each second, all {self.size.nodes:,} of them",
+            "news of servers: a start, a drain", ())
 
     # ---- figures that several have
 
@@ -173,17 +173,12 @@
         if nodes >= size.nodes:
             return "nobody is left"
         each = size.connections_a_node * nodes / (size.nodes - nodes)
-        a_second = each / within
-        setting_up = self._set_up()[0]
-        cores = setting_up and setting_up.times(a_second, "cores")
-        return (f"{short(each)} for each of the others, {short(a_second)} a second over {short(within)} s (assumed), "
-                f"set-ups alone {said(cores)}")
+        rate = each / within
+        return (f"{short(each)} for each of the others, {short(rate)} a second over {short(within)} s (assumed), "
+                f"set-ups alone {said(a_second(self.measured, BY_REQUEST, rate))}")
 
     def _set_up(self) -> tuple[Figure | None, ...]:
-        slope = self.measured.slope(*BY_REQUEST)
-        if slope is None or not _of_time(slope.y_unit):
-            return (None,)
-        return (slope.at(self.size.connections_a_node, "s"),)
+        return (a_second(self.measured, BY_REQUEST, self.size.deliveries_a_node),)
 
     def fault(self, kind: str, *way: str) -> Figure | None:
         """Of a scale run's faults, by kind."""
@@ -196,8 +191,3 @@
 
     def figure_of_versions(self, *way: str) -> Figure | None:
         return self.measured.figure("versions.json", *way, unit="s")
-
-
-def _of_time(unit: str) -> bool:
-    from curlewshift.capacity.slopes import UNITS
-    return UNITS.get(unit, ("",))[0] == "s"
--- a/curlewshift/capacity/measured.py
+++ b/curlewshift/capacity/measured.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from pathlib import Path
 
 from curlewshift.capacity.figures import MEASURED, SIMULATED, Figure
@@ -32,10 +33,6 @@
                     told = {"command": held.get("command"), **told}
                     self.slopes[told["name"]] = slope_of(told, name)
 
-    def slope(self, *names: str) -> Slope | None:
-        """The first of the names that was measured."""
-        return next((self.slopes[name] for name in names if name in self.slopes), None)
-
     def get(self, file: str, *way: str | int):
         """What stands in a file at the end of a way of keys, or None."""
         held = self.files.get(file)
@@ -54,12 +51,36 @@
         simulated = file in WHOLE_FILE_SIMULATED or "emulated" in way
         return Figure(found * by, unit, SIMULATED if simulated else MEASURED, files=(file,), command=self.command(file))
 
+    def machine(self, file: str) -> str:
+        """What measured, in words: cores, memory, and what else ran."""
+        told = self.get(file, "machine") or self.get(file, "slopes", 0, "machine") or {}
+        if not isinstance(told, dict):
+            return str(told)
+        words = [f"{told[key]} {unit}" for key, unit in (("cores", "cores"), ("memory_GiB", "GiB")) if key in told]
+        loads = [told[key] for key in ("load_before", "load_after") if key in told]
+        loads = [one[0] if isinstance(one, list) else one for one in loads]
+        return ", ".join(words + ([f"load {' to '.join(map(str, loads))}"] if loads else []))
+
     def command(self, file: str) -> str:
         said = self.get(file, "command")
-        return said if isinstance(said, str) else COMMANDS.get(file.removesuffix(".json"), "")
+        if not isinstance(said, str):
+            return COMMANDS.get(file.removesuffix(".json"), "")
+        return said if said.startswith("bin/") else f"bin/curlewshift {said}"
 
     def scale(self, nodes: int) -> str | None:
         """The name of the file of a run of that many nodes: its own, else the nearest that was run, larger ones first."""
         runs = sorted(int(name[6:-5]) for name in self.files if name.startswith("scale-") and name[6:-5].isdigit())
         nearest = next((one for one in runs if one >= nodes), runs[-1] if runs else None)
         return None if nearest is None else f"scale-{nearest}.json"
+
+
+def carried(measured: Measured, name: str, x: float, unit: str, beyond: bool = True) -> Figure | None:
+    """A slope's figure at x; None where there is no such slope. `beyond`: whether it may be carried beyond its run."""
+    slope = measured.slopes.get(name)
+    return slope and slope.at(x, unit, beyond)
+
+
+def a_second(measured: Measured, name: str, x: float) -> Figure | None:
+    """Cores, by a slope of processor time within a second."""
+    found = carried(measured, name, x, "s")
+    return found and replace(found, unit="cores")
--- a/curlewshift/capacity/options.py
+++ b/curlewshift/capacity/options.py
@@ -8,9 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from curlewshift.capacity.at_control import leases_a_shard
 from curlewshift.capacity.figures import worked_out
-from curlewshift.capacity.measured import Measured
 from curlewshift.capacity.rows import NOT_MEASURED, NOTHING, OVER, Row
 from curlewshift.capacity.size import Size
 
@@ -21,8 +19,8 @@
     "configuration": (
         ("epidemic push and pull of one order of versions, kept by a majority of the control machines",
          "a new kind on the channel; some 50 bytes on each probe; stores on four machines"),
-        ("one tree from the control machines down", "fewer bytes; a broken inner node leaves all below it waiting, and is repaired "
-         "just when zones are lost"),
+        ("one tree from the control machines down",
+         "fewer bytes; a broken inner node leaves all below it waiting, and is repaired just when zones are lost"),
         ("each node asks the control machines", "simple; four machines answer all, and a cut leaves a region with nobody")),
     "workers": (
         ("one process for control (channel, list, configuration), several that serve, one port shared by the kernel",
@@ -46,17 +44,20 @@
     "membership": (
         ("news of a zone as one claim (all of z3), and fewer copies where many are lost at once",
          "a form for claims about many; a wrong one takes in 70 nodes"),
-        ("membership by zone, with a few of each zone in a fleet-wide one", "others' nodes are known by their zone's word alone")),
+        ("membership by zone, with a few of each zone in a fleet-wide one",
+         "others' nodes are known by their zone's word alone")),
     "list": (
-        ("take a list in slices between requests", "a list that is half in force for some milliseconds, unless it is swapped at once"),
+        ("take a list in slices between requests",
+         "a list that is half in force for some milliseconds, unless it is swapped at once"),
         ("changes alone (there), and whole lists compared by digest first", "a start takes the whole list all the same")),
     "memory": (
-        ("less by connection: buffers made when something is half read, one object for connection and session", "a rewrite of wire "
-         "and door"),
+        ("less by connection: buffers made when something is half read, one object for connection and session",
+         "a rewrite of wire and door"),
         ("larger machines", "money")),
     "control-together": (("each part above", "as above"),),
     "largest-topic": (
-        ("notices in slices, those who pay first; the rest within a stated second", "a listener may play a second on a rung that is gone"),
+        ("notices in slices, those who pay first; the rest within a stated second",
+         "a listener may play a second on a rung that is gone"),
         ("workers (above): each tells its part", "as above")),
     "overload": (("rounds up by zone and region, as sums of use", "as there"),),
     "leases": (("a longer term for tasks that may wait", "a task stands still for as long when its holder is lost"),),
@@ -107,36 +108,3 @@
 
 def not_measured(rows: list[Row], root: Path) -> list[Row]:
     return [row for row in rows if row.verdict(root) == NOT_MEASURED]
-
-
-def questions(size: Size, measured: Measured, rows: list[Row]) -> list[tuple[str, str, str, str]]:
-    """(word, as read, the other way, what changes then)."""
-    by_kind = {row.says.rpartition(" ")[2]: row.figure for row in rows if row.says.endswith(("requests", "notices", "rung"))}
-    dear, cheap = by_kind.get("requests"), by_kind.get("notices")
-    between = (f"{dear.text()} if all are requests, {cheap.text()} if all are notices" if dear and cheap else
-               "the processor rows above, by kind")
-    shards = leases_a_shard(size, measured)
-    majority = size.control_machines // 2 + 1
-    return [
-        ("connection", "a viewer's connection at a node, a viewing on it for as long as it is open",
-         "most connections rest, with nothing played", "memory and idle time by connection alone; fewer viewings a node"),
-        ("topic, shard, listener", "a title; the titles of one hash range; a viewing that plays",
-         "a shard is a unit that one node owns", "each needs an owner at each moment: as many leases as shards, "
-         f"{shards.text() if shards else NOT_MEASURED} a node for their words"),
-        ("delivery", "a message that a node passes to a viewer or on its behalf: answer, notice, change of rung, release",
-         "the parts of each kind are not said", between),
-        ("p99 within the bound", "from a message read to its answer written, without the media server's own time",
-         "with the server's set-up and the way", "what is left for the node is the bound less a server's p99"),
-        ("p99 and the largest topic", "over a day's deliveries: "
-         f"{size.largest:,} are {size.largest / size.deliveries / 86_400:.1e} of them, fewer than one in a hundred",
-         "of each telling alone", "the row of the largest topic below: notices in slices do not do, workers do"),
-        (f"{size.control_bytes / 1000:g} kB a second", "of 1,000 bytes, sent, of a node in all its processes, in any 15 s",
-         "sent and received together", "half as much of each: the rows of messages twice as far over"),
-        (f"{size.control_core:.1%} of a core, {size.control_memory:g} MB", "of a node's control in all its processes; not what serves viewers",
-         "of each process", "as many times as there are workers"),
-        ("in force everywhere", "at all nodes that are up and reach a majority's side; who was cut off, within as long of meeting",
-         "cut-off nodes too", "nothing can: a node that hears nobody knows of no change"),
-        (f"{size.control_machines} machines set aside", f"each keeps versions and votes: {majority} make a majority, one may be lost",
-         "three vote, one a region, and the fourth is a spare", "any one of three may be lost as now, and any region with it; "
-         "with four in three regions one region has two, and with it gone no change is made"),
-    ]
--- a/curlewshift/capacity/rows.py
+++ b/curlewshift/capacity/rows.py
@@ -56,8 +56,8 @@
         if factor > 1:
             least = "at least " if figure.at_least else ""
             return f"{OVER}: {least}×{factor:.3g} of {_bound(self)}"
-        if figure.at_least:
-            return f"not known: at least ×{factor:.2g} of {_bound(self)}, and its slope is not straight"
+        if figure.at_least and figure.factor > 1:
+            return f"not known: at least ×{factor:.2g} of {_bound(self)}, and not carried beyond its run"
         if figure.value + figure.error > self.bound:
             return f"{WITHIN}, but not by its error: ×{factor:.2g} of {_bound(self)}"
         return f"{WITHIN}: ×{factor:.2g} of {_bound(self)}"
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -15,9 +15,9 @@
 # How far the fit that a file states may lie from the line through its points, as a part: it is told with five digits.
 SAME_FIT = 0.001
 # What a unit is in the first of its kind.
-UNITS = {"bytes": ("bytes", 1.0), "B": ("bytes", 1.0), "kB": ("bytes", 1e3), "MB": ("bytes", 1e6), "GB": ("bytes", 1e9),
-         "KiB": ("bytes", 1024.0), "s": ("s", 1.0), "seconds": ("s", 1.0), "ms": ("s", 1e-3), "us": ("s", 1e-6), "core": ("core", 1.0),
-         "cores": ("core", 1.0), "% of a core": ("core", 0.01), "part of a core": ("core", 1.0),
+UNITS = {"bytes": ("bytes", 1.0), "kB": ("bytes", 1e3), "MB": ("bytes", 1e6), "GB": ("bytes", 1e9),
+         "s": ("s", 1.0), "seconds": ("s", 1.0), "ms": ("s", 1e-3), "us": ("s", 1e-6),
+         "core": ("core", 1.0), "cores": ("core", 1.0),
          "bytes/s": ("bytes/s", 1.0), "bytes a second": ("bytes/s", 1.0), "kB/s": ("bytes/s", 1e3)}
 
 
@@ -82,9 +82,10 @@
             value, error = (y1 - y0) / (x1 - x0), 0.0
         return self._figure(value, error, unit, carried_to, not self.straight and carried_to > self.measured_to)
 
-    def at(self, x: float, unit: str) -> Figure:
-        """What x of them cost."""
-        if self.straight:
+    def at(self, x: float, unit: str, beyond: bool = True) -> Figure:
+        """What x of them cost. Without `beyond` nothing past the run is worked out, as of waits, which rise without end once a
+        process is full."""
+        if self.straight and (beyond or x <= self.measured_to):
             return self._figure(self.line.intercept + self.line.slope * x,
                                 self.line.slope_error * abs(x) + self.line.worst, unit, x, False)
         if x > self.measured_to:
@@ -92,8 +93,8 @@
         return self._figure(self._between(x), 0.0, unit, x, False)
 
     def _figure(self, value: float, error: float, unit: str, x: float, least: bool) -> Figure:
-        by = "by its line" if self.straight else "not straight: by its last point" if least else \
-            "not straight: between its points"
+        bent = "" if self.straight else "not straight: "
+        by = f"{bent}by its last point" if least else "by its line" if self.straight else f"{bent}between its points"
         return Figure(in_unit(value, self.y_unit, unit), unit, WORKED_OUT, in_unit(error, self.y_unit, unit), (self.file,),
                       self.command, self.measured_to, x, self.x_unit, least, by)
 
@@ -146,6 +147,6 @@
         raise no(f"its fit says {says:.5g} at {reach:g}, the line through its points {here:.5g}")
     x, notes = told["x"], told.get("notes") or ""
     unit = x.get("unit", "")
-    return Slope(name, file, told.get("of", ""), x["name"] + "s" if unit in ("", "count") else unit,
+    return Slope(name, file, told.get("of", ""), x["name"] + "s" if unit in ("", "count") else x["name"],
                  told["y"].get("unit", ""), points, line, bool(fit["straight"]), told["command"],
                  notes if isinstance(notes, str) else "; ".join(notes))
--- a/curlewshift/capacity/tables.py
+++ b/curlewshift/capacity/tables.py
@@ -6,11 +6,12 @@
 from pathlib import Path
 
 from curlewshift.capacity import at_control, at_node
-from curlewshift.capacity.at_node import DISTRIBUTION
 from curlewshift.capacity.failures import Failures
 from curlewshift.capacity.figures import NOT_MEASURED, Figure, short
+from curlewshift.capacity.given import DISTRIBUTION
 from curlewshift.capacity.measured import Measured
-from curlewshift.capacity.options import not_measured, questions, shortfalls
+from curlewshift.capacity.options import not_measured, shortfalls
+from curlewshift.capacity.questions import questions
 from curlewshift.capacity.rows import NOTHING, ROLES, Row
 from curlewshift.capacity.size import Size
 
@@ -111,5 +112,6 @@
 
 def slopes_table(measured: Measured) -> str:
     rows = [(one.name, one.of, one.fit(), f"{short(one.points[0][0])} to {short(one.measured_to)} {one.x_unit}", f"`{one.file}`",
-             f"`{one.command}`") for one in measured.slopes.values()]
-    return table(("slope", "of", "fit", "measured", "file", "command"), rows) if rows else "No slope is measured yet."
+             measured.machine(one.file), f"`{one.command}`") for one in measured.slopes.values()]
+    heads = ("slope", "of", "fit", "measured", "file", "machine, and its load", "command")
+    return table(heads, rows) if rows else "No slope is measured yet."
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -10,12 +10,12 @@
 
 from click.testing import CliRunner
 
-from curlewshift.capacity.at_node import DISTRIBUTION
 from curlewshift.capacity.figures import Figure, short
+from curlewshift.capacity.given import DISTRIBUTION
 from curlewshift.capacity.measured import Measured
 from curlewshift.capacity.options import RESTS, shortfalls
 from curlewshift.capacity.page import BLOCK, NoPlace, differences, written
-from curlewshift.capacity.rows import FRONT, MEMORY, Mechanism, Row
+from curlewshift.capacity.rows import FRONT, MEMORY, MESSAGES, PROCESSOR, ROLES, STATE, Mechanism, Row
 from curlewshift.capacity.slopes import Spoilt, slope_of
 from curlewshift.capacity.tables import all_rows, tables
 from curlewshift.commands.capacity import MEASURED, PAGE, ROOT, USUAL, read_size
@@ -105,7 +105,8 @@
         self.assertEqual(run("--check", "--page", page).exit_code, 1)
         self.assertEqual(run("--write", "--page", page).exit_code, 0)
         self.assertEqual(page.read_text(), PAGE.read_text())
-        self.assertEqual(BLOCK.sub("", spoilt), BLOCK.sub("", written(spoilt, tables(read_size(USUAL), Measured(MEASURED), ROOT))))
+        made = tables(read_size(USUAL), Measured(MEASURED), ROOT)
+        self.assertEqual(BLOCK.sub("", spoilt), BLOCK.sub("", written(spoilt, made)))
 
     def test_commands_beside_the_rows_are_there(self):
         commands = set(re.findall(r"`bin/curlewshift ([^`]+)`", PAGE.read_text()))
@@ -116,6 +117,10 @@
             if rest and hasattr(main.get_command(None, noun), "commands"):
                 self.assertIn(rest[0], main.get_command(None, noun).commands, command)
 
+    def test_each_role_has_a_row_for_each_of_the_four_kinds(self):
+        there = {(row.role, row.what) for row in all_rows(read_size(USUAL), Measured(MEASURED))}
+        self.assertEqual({(role, what) for role in ROLES for what in (STATE, MESSAGES, PROCESSOR, MEMORY)} - there, set())
+
     def test_a_mechanism_is_in_the_tree_or_its_file_is_not_yet(self):
         for row in all_rows(read_size(USUAL), Measured(MEASURED)):
             if row.by is not None and (row.by != DISTRIBUTION or (ROOT / row.by.file).exists()):
@@ -174,7 +179,8 @@
         return read_size(self.size(
             ('nodes="630" connections="43000000" regions="3" zones="9"', 'nodes="10" connections="10000" regions="2" zones="2"'),
             ('largest-listeners="2700000"', 'largest-listeners="5000"'), ('a-second="8200000"', 'a-second="20000"'),
-            ('"nodes-a-rack" value="10"', '"nodes-a-rack" value="2"'), ('"memory-a-node-GB" value="16"', '"memory-a-node-GB" value="0.005"')))
+            ('"nodes-a-rack" value="10"', '"nodes-a-rack" value="2"'),
+            ('"memory-a-node-GB" value="16"', '"memory-a-node-GB" value="0.005"')))
 
     def row(self, measured, says, what=None):
         return next(row for row in all_rows(self.small(), measured) if says in row.says and what in (None, row.what))
@@ -199,6 +205,10 @@
         self.assertEqual((figure.at_least, figure.unit), (True, "cores"))
         self.assertIn("not carried", figure.limit())
         self.assertIn("not known: at least", self.row(measured, "all viewings playing").verdict(ROOT))
+        waits = slope_of(line_file("p99-by-request", 0.01, 0.0001, unit="seconds")["slopes"][0], "F")
+        self.assertAlmostEqual(waits.at(1000, "ms", beyond=False).value, 50)
+        self.assertTrue(waits.at(1000, "ms", beyond=False).at_least)
+        self.assertAlmostEqual(waits.at(250, "ms", beyond=False).value, 35)
         self.assertAlmostEqual(measured.slopes["idle-time-by-connection-with-viewing"].at(250, "s").value, (0.04 + 0.09) / 2)
 
     def test_a_slope_whose_fit_is_not_that_of_its_points_is_refused(self):
@@ -224,16 +234,28 @@
         self.assertIn("not measured", {row.verdict(ROOT) for row in rows})
 
     def test_a_scale_run_fills_the_rows_of_control_and_all_parts_have_to_be_there_for_the_sum(self):
-        part = {"bytes_a_second": {"mean": 1500.0, "worst": 3000.0}, "core": 0.01, "memory_kB": 2000}
-        told = {"command": "bin/curlewshift scale", "a_node": {name: part for name in ("membership", "sharing", "leases")}}
+        part = {"bytes_a_second": {"mean": 1500.0, "worst": 3000.0}, "core": {"mean": 0.01, "worst": 0.02}, "memory_kB": 2000}
+        told = {"command": "bin/curlewshift scale", "nodes": 24, "a_node": {
+            name: part for name in ("membership", "sharing", "leases")}}
         measured = self.files(scale_630=told, scale_24=told, scale_8=told)
         self.assertEqual((measured.scale(10), measured.scale(630), measured.scale(1000)),
                          ("scale-24.json", "scale-630.json", "scale-630.json"))
         self.assertEqual(self.row(measured, "control: membership", MEMORY).figure.value, 2.0)
-        self.assertIsNone(self.row(measured, "control: together out").figure)
+        self.assertIsNone(self.row(measured, "control: all four together out").figure)
         told["a_node"]["distribution"] = part
-        row = self.row(self.files(scale_24=told), "control: together out")
+        row = self.row(self.files(scale_24=told), "control: all four together out")
         self.assertEqual((row.figure.value, row.verdict(ROOT)), (6000.0, "over: ×1.5 of 4,000 bytes/s"))
+        # a mean over nodes of which half do not share is no figure of one that does
+        told["model"] = {"sharing": {"nodes": 12}}
+        self.assertIsNone(self.row(self.files(scale_24=told), "control: sharing out").figure)
+
+    def test_bytes_after_faults_are_rows_of_their_own(self):
+        part = {"membership": {"bytes_a_second": {"mean": 4900.0, "worst": 6000.0}}}
+        told = {"nodes": 630, "faults": [{"kind": "zone-lost", "converged_s": 7.5, "while": {"lasted_s": 15.1, **part}}]}
+        measured = self.files(scale_630=told)
+        row = self.row(measured, "membership out, while zone-lost, over 15 s")
+        self.assertEqual(row.verdict(ROOT), "over: ×1.23 of 4,000 bytes/s")
+        self.assertIn("until all agree: 7.5 s (measured)", tables(self.small(), measured, ROOT)["failures"])
 
     def test_what_comes_again_is_shared_by_those_that_are_left(self):
         made = tables(self.small(), self.files(), ROOT)["failures"]
@@ -245,11 +267,13 @@
 
     def test_verdicts(self):
         def verdict(value, error=0.0, bound=100.0, by=Mechanism("curlewshift/node/wire.py", "class Wire"), least=False):
-            figure = None if value is None else Figure(value, "MB", "worked out", error, at_least=least)
+            figure = None if value is None else Figure(
+                value, "MB", "worked out", error, measured_to=1, wanted_at=2, at_least=least)
             return Row("memory", FRONT, MEMORY, "x", figure, bound, by).verdict(ROOT)
         self.assertEqual(verdict(50), "within: ×0.5 of 100 MB")
         self.assertEqual(verdict(95, 10), "within, but not by its error: ×0.95 of 100 MB")
         self.assertEqual(verdict(250, least=True), "over: at least ×2.5 of 100 MB")
+        self.assertEqual(verdict(50, least=True), "not known: at least ×0.5 of 100 MB, and not carried beyond its run")
         self.assertEqual(verdict(None), "not measured")
         self.assertEqual(verdict(50, bound=None), "no bound stated")
         self.assertEqual(verdict(50, by=None), "carried by nothing")
