--- /dev/null
+++ b/curlewshift/distribution/giving.py
@@ -0,0 +1,80 @@
+"""What a node gives of contents, within bounds: so many bytes a second to so many askers; the rest is told when to come again.
+
+Seventy empty nodes that start at once would otherwise take all from the few that they hear of first.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from curlewshift.distribution.library import Library
+from curlewshift.distribution.pieces import name_of, packed_difference, packed_whole, piece, pieces_of
+from curlewshift.distribution.terms import DistributionTerms
+from curlewshift.distribution.versions import Version
+
+NS = 1_000_000_000
+# A piece's datagram beyond the piece itself.
+FRAME = 200
+
+
+class Outside(Protocol):
+    def now(self) -> int: ...
+    def give(self, to: str, version: Version, base: bytes, packing: bytes, total: int, index: int, data: bytes) -> bool: ...
+    def busy(self, to: str, version: Version, after: int) -> None: ...
+    def have_not(self, to: str, version: Version) -> None: ...
+
+
+class Giver:
+    def __init__(self, outside: Outside, library: Library, terms: DistributionTerms):
+        self.outside, self.library, self.terms = outside, library, terms
+        self.left, self.at = float(terms.give_bytes), outside.now()
+        self.askers: dict[str, int] = {}
+        self.given_bytes = self.times_busy = 0
+
+    def asked(self, asker: str, version: Version, base: bytes, packing: bytes, missing: list[int]) -> None:
+        """`base` is the digest of what the asker has, `packing` the name of what it has begun to collect."""
+        content = self.library.get(version.digest)
+        if content is None:
+            self.outside.have_not(asker, version)
+            return
+        now = self.outside.now()
+        self._refill(now)
+        wait = self._wait(asker, now)
+        if wait:
+            self.times_busy += 1
+            self.outside.busy(asker, version, wait)
+            return
+        self.askers[asker] = now
+        base, packed = self._packing(content, base, packing)
+        name, total = name_of(packed), pieces_of(packed)
+        wanted = missing if name == packing else list(range(total))
+        for index in wanted[:self.terms.window]:
+            if index >= total:
+                break
+            data = piece(packed, index)
+            if self.left <= 0 or not self.outside.give(asker, version, base, name, total, index, data):
+                # the rest is for another to give
+                self.outside.busy(asker, version, max(self._wait(asker, now), NS // 10))
+                break
+            self.left -= len(data) + FRAME
+            self.given_bytes += len(data) + FRAME
+
+    def _packing(self, content: bytes, base: bytes, packing: bytes) -> tuple[bytes, bytes]:
+        whole, held = packed_whole(content), self.library.get(base)
+        if held is None or name_of(whole) == packing:
+            return b"", whole
+        difference = packed_difference(content, held)
+        return (base, difference) if len(difference) < len(whole) else (b"", whole)
+
+    def _refill(self, now: int) -> None:
+        self.left = min(self.terms.give_bytes, self.left + max(0, now - self.at) * self.terms.give_bytes / NS)
+        self.at = max(now, self.at)
+
+    def _wait(self, asker: str, now: int) -> int:
+        """0: it may be given something now."""
+        self.askers = {name: at for name, at in self.askers.items() if now - at < NS}
+        if self.left <= 0:
+            return int((FRAME - self.left) * NS / self.terms.give_bytes)
+        if asker not in self.askers and len(self.askers) >= self.terms.most_askers:
+            return NS - (now - min(self.askers.values()))
+        return 0
--- a/curlewshift/peering/channel.py
+++ b/curlewshift/peering/channel.py
@@ -47,6 +47,8 @@
         self.numbers = count(1)
         self.windows: dict[str, Window] = {}
         self.carried: dict[int, Callable[[Member, bytes], None]] = {}
+        # what rides on probes and their answers, and who hears it: with nothing registered they are what they were
+        self.riding: tuple[Callable[[], bytes], Callable[[Member, bytes], None]] | None = None
         self.membership = membership(self, name, address, life, seeds, manners, chance)
 
     # ---- what happens
@@ -66,6 +68,13 @@
             raise ValueError(f"kind {kind} is taken")
         self.carried[kind] = heard
 
+    def rides(self, rider: Callable[[], bytes], heard: Callable[[Member, bytes], None]) -> None:
+        """`rider` is asked with each probe and answer that goes out, for some 60 bytes at the most; `heard` has what came on
+        others'. It goes where probes go and costs no datagram, and the allowance does not hold it back."""
+        if self.riding is not None:
+            raise ValueError("something rides already")
+        self.riding = rider, heard
+
     def received(self, data: bytes) -> None:
         """A datagram came; whatever is in it, nothing is raised and no other is worse off."""
         now = self.host.now()
@@ -106,7 +115,7 @@
             # it listens for the end of the process that has its name, and answers nobody
             return
         if frame.kind == PING:
-            self._send(sender.address, ACK, probe=frame.probe)
+            self._send(sender.address, ACK, probe=frame.probe, body=self._rider())
             known.digest_seen(sender, frame.view)
         elif frame.kind == ACK:
             known.acked(frame.probe, sender)
@@ -119,6 +128,11 @@
             known.compared(sender, frame.body)
         elif frame.kind in self.carried:
             self.carried[frame.kind](sender, frame.body)
+        if frame.body and frame.kind in (PING, ACK) and self.riding is not None:
+            self.riding[1](sender, frame.body)
+
+    def _rider(self) -> bytes:
+        return self.riding[0]() if self.riding is not None else b""
 
     def say(self, to: Member, kind: int, body: bytes) -> bool:
         """False where the allowance is used up, or it is too large: it is not sent, and not owed."""
@@ -135,7 +149,7 @@
     def ping(self, to: Member, number: int) -> None:
         # a suspect hears of it in the very probe that could clear it
         first = [to.claim()] if to.rank is Rank.SUSPECT else []
-        self._send(to.address, PING, probe=number, claims=first)
+        self._send(to.address, PING, probe=number, claims=first, body=self._rider())
 
     def ask(self, to: Member, number: int, target: Member) -> None:
         self._send(to.address, ASK, probe=number, target=target.name)
@@ -144,7 +158,7 @@
         self._send(to.address, NACK, probe=number)
 
     def ack_for(self, to: Member, number: int) -> None:
-        self._send(to.address, ACK, probe=number)
+        self._send(to.address, ACK, probe=number, body=self._rider())
 
     def tell(self, address: tuple[str, int], claims: list[Claim]) -> None:
         self._send(address, NEWS, claims=claims, bound=True, news=False)
