--- a/curlewshift/capacity/at_control.py
+++ b/curlewshift/capacity/at_control.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from curlewshift.capacity.figures import Figure, assumed, worked_out
+from curlewshift.capacity.figures import Figure, assumed, supposed, worked_out
 from curlewshift.capacity.given import DISTRIBUTION, LEASES, OVERLOAD, SHARING
 from curlewshift.capacity.measured import Measured, carried
 from curlewshift.capacity.rows import (AGGREGATOR, CONTROL, FOLLOWER, LED, MEMORY, MESSAGES, PROCESSOR, STATE, Mechanism, Row)
@@ -26,16 +26,17 @@
 
 
 def control_machine(size: Size, measured: Measured) -> list[Row]:
-    whole = assumed(size.guess("configuration-kB"), "kB")
+    whole = size.guess("configuration-kB")
     return [
         Row("configuration", CONTROL, MESSAGES, "time until in force everywhere (p99)", in_force(size, measured),
             size.in_force_within, DISTRIBUTION),
-        Row("configuration", CONTROL, STATE, "the newest version accepted and the newest chosen, whole", whole.times(2, "kB"),
+        Row("configuration", CONTROL, STATE, "the newest version accepted and the newest chosen, whole", supposed(whole * 2, "kB"),
             None, DISTRIBUTION),
         Row("configuration", CONTROL, STATE, "versions made a day, each with a majority before anyone is told",
             Figure(size.changes_a_day, "versions", "wanted"), None, DISTRIBUTION),
         Row("configuration", CONTROL, MESSAGES, "contents given, were each node given all by the control machines",
-            whole.times(size.nodes * size.changes_a_day / DAY / size.control_machines * 1000, "bytes/s"), None, DISTRIBUTION),
+            supposed(whole * 1000 * size.nodes * size.changes_a_day / DAY / size.control_machines, "bytes/s"), None,
+            DISTRIBUTION),
         Row("configuration", CONTROL, MESSAGES, "out, as a scale run counted", scale_control(
             size, measured, "bytes_a_second", "mean", unit="bytes/s"), None, DISTRIBUTION),
         Row("configuration", CONTROL, PROCESSOR, "as a scale run counted", scale_control(
@@ -67,12 +68,14 @@
             worked_out(size.nodes_a_zone, "nodes"), None, DISTRIBUTION),
         Row("configuration", AGGREGATOR, MESSAGES, "reports in, each node on each change", worked_out(
             size.nodes_a_zone * size.changes_a_day / DAY, "reports/s"), None, DISTRIBUTION),
-        Row("sharing", AGGREGATOR, STATE, "links that one node adds up, by link and not by zone", worked_out(keys, "links"), None,
+        Row("sharing", AGGREGATOR, STATE, "links that one node adds up, by link and not by zone", supposed(keys, "links"), None,
             SHARING),
         Row("sharing", AGGREGATOR, MESSAGES, "words of use in, four rounds a second, were each node to tell its links apart",
-            worked_out(keys * users * 4, "rows/s"), None, SHARING),
-        Row("overload", AGGREGATOR, MESSAGES, "rounds in, one a second a node, for the zone that one node adds up",
-            worked_out(size.nodes, "datagrams/s"), None, OVERLOAD),
+            supposed(keys * users * 4, "rows/s"), None, SHARING),
+        Row("overload", AGGREGATOR, MESSAGES, "rounds in, one a second of each node, at who adds up one zone of servers",
+            supposed((size.nodes - 1) * size.guess("round-word-bytes"), "bytes/s"), None, OVERLOAD),
+        Row("overload", AGGREGATOR, MESSAGES, "levels out, one a second to each node, of who adds up one zone of servers",
+            supposed((size.nodes - 1) * size.guess("level-word-bytes"), "bytes/s"), size.control_bytes, OVERLOAD),
         Row("sharing", AGGREGATOR, PROCESSOR, "adding up by zone and region", None, size.control_core, None),
         Row("sharing", AGGREGATOR, MEMORY, "adding up by zone and region", None, size.control_memory, None),
     ]
@@ -106,7 +109,7 @@
             TASKS),
         Row("leases", LED, MESSAGES, "words in and out at each of five keepers", at_keeper, size.control_bytes, LEASES),
         Row("probes", LED, MESSAGES, "probes a second by all holders, each server each second",
-            worked_out(size.guess("servers"), "probes/s"), None, PROBES),
+            supposed(size.guess("servers"), "probes/s"), None, PROBES),
         Row("probes", LED, PROCESSOR, "probing a shard of servers", None, None, PROBES),
         Row("probes", LED, MEMORY, "what a shard of servers keeps", None, None, PROBES),
     ]
--- a/curlewshift/capacity/failures.py
+++ b/curlewshift/capacity/failures.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from curlewshift.capacity.at_node import BY_NOTICE, BY_REQUEST
-from curlewshift.capacity.figures import NOT_MEASURED, Figure, short, worked_out
+from curlewshift.capacity.figures import NOT_MEASURED, Figure, short, supposed, worked_out
 from curlewshift.capacity.measured import Measured, a_second, carried
 from curlewshift.capacity.size import DAY, Size
 
@@ -91,7 +91,7 @@
     def zone_returns(self) -> Failure:
         size, nodes = self.size, self.size.nodes_a_zone
         whole = size.guess("configuration-kB")
-        all_ = worked_out(whole * nodes, "kB")
+        all_ = supposed(whole * nodes, "kB")
         again = self.fault("restart-some", "configuration_s") or self.figure_of_versions("empty_nodes_s")
         return Failure(
             f"a zone returns: {short(nodes)} empty nodes at once", f"each {short(size.zone_each_days)} days", "peers at once",
--- a/curlewshift/capacity/figures.py
+++ b/curlewshift/capacity/figures.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 
 MEASURED, SIMULATED, WORKED_OUT, ASSUMED, WANTED = "measured", "simulated", "worked out", "assumed", "wanted"
+SUPPOSED = "worked out of what is assumed"
 NOT_MEASURED = "not measured"
 
 
@@ -69,11 +70,14 @@
     return Figure(value, unit, WANTED)
 
 
-def worked_out(value: float, unit: str, *of: Figure) -> Figure:
-    """From the size alone, or from other figures whose files and commands it names."""
-    files = tuple(dict.fromkeys(file for one in of for file in one.files))
-    return Figure(value, unit, WORKED_OUT, files=files,
-                  command=" ; ".join(dict.fromkeys(one.command for one in of if one.command)))
+def worked_out(value: float, unit: str) -> Figure:
+    """From the users' numbers alone."""
+    return Figure(value, unit, WORKED_OUT)
+
+
+def supposed(value: float, unit: str) -> Figure:
+    """From what is assumed, and the users' numbers."""
+    return Figure(value, unit, SUPPOSED)
 
 
 def short(value: float) -> str:
--- a/curlewshift/capacity/given.py
+++ b/curlewshift/capacity/given.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from curlewshift.capacity.figures import Figure, together
+from curlewshift.capacity.figures import Figure, supposed, together
 from curlewshift.capacity.measured import Measured, a_second, carried
 from curlewshift.capacity.rows import FRONT, MEMORY, MESSAGES, PROCESSOR, Mechanism, Row
 from curlewshift.capacity.size import Size
@@ -52,6 +52,8 @@
                              getattr(size, bound), mechanism))
         found.append(Row("control-together", FRONT, what, f"control: all four together{out}", whole(size, measured, what),
                          getattr(size, bound), MEMBERSHIP))
+    found.append(Row("overload", FRONT, MESSAGES, "control: overload out, a round each second for each zone of servers", supposed(
+        size.zones * size.guess("round-word-bytes"), "bytes/s"), size.control_bytes, OVERLOAD))
     return found + after_faults(size, measured) + sharing(size, measured)
 
 
--- a/curlewshift/capacity/options.py
+++ b/curlewshift/capacity/options.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from curlewshift.capacity.figures import worked_out
+from curlewshift.capacity.figures import supposed
 from curlewshift.capacity.rows import NOT_MEASURED, NOTHING, OVER, Row
 from curlewshift.capacity.size import Size
 
@@ -59,7 +59,9 @@
         ("notices in slices, those who pay first; the rest within a stated second",
          "a listener may play a second on a rung that is gone"),
         ("workers (above): each tells its part", "as above")),
-    "overload": (("rounds up by zone and region, as sums of use", "as there"),),
+    "overload": (
+        ("rounds up by the zone and region of nodes, the level down the same way", "one more second until a level is followed"),
+        ("a level only where it has changed, and with what goes anyway", "a lost word is told again only with the next change")),
     "leases": (("a longer term for tasks that may wait", "a task stands still for as long when its holder is lost"),),
 }
 
@@ -85,7 +87,7 @@
 
     def options(self, size: Size) -> list[tuple[str, str]]:
         links = size.guess("servers-played-on")
-        each = worked_out(links * ROW_BYTES / size.control_bytes, "s")
+        each = supposed(links * ROW_BYTES / size.control_bytes, "s")
         told_each = (f"with all that is granted and rows of {ROW_BYTES} bytes (assumed) each of {links:,.0f} links can be told "
                      f"each {each.text()}")
         return [(option, cost.format(told_each=told_each)) for option, cost in OPTIONS.get(self.key, ())]
--- a/curlewshift/capacity/size.py
+++ b/curlewshift/capacity/size.py
@@ -15,7 +15,7 @@
 SECONDS = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
 BYTES = {"kB/s": 1000.0, "MB/s": 1e6, "kbit/s": 125.0, "Mbit/s": 125_000.0}
 ASSUMED = ("servers", "servers-played-on", "viewings-a-connection", "cores-a-node", "memory-a-node-GB", "nodes-a-rack",
-           "configuration-kB", "come-again-within-s", "lease-word-bytes")
+           "configuration-kB", "come-again-within-s", "lease-word-bytes", "round-word-bytes", "level-word-bytes")
 DAY = 86_400.0
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from statistics import linear_regression
 
+import msgspec
 from click.testing import CliRunner
 
 from curlewshift.capacity.figures import Figure, short
@@ -20,6 +21,8 @@
 from curlewshift.capacity.tables import all_rows, tables
 from curlewshift.commands.capacity import MEASURED, PAGE, ROOT, USUAL, read_size
 from curlewshift.commands.main import NOUNS, main
+from curlewshift.peering import leased, overloaded
+from curlewshift.peering.frames import Frame, encode
 from curlewshift.site.reading import Mistakes
 
 TEXT = USUAL.read_text()
@@ -223,6 +226,24 @@
             self.assertIn("slope-memory.json: slope memory-by-connection: ", str(wrong.exception))
         self.assertEqual(run("--measured", self.measured).exit_code, 2)
 
+    def test_the_words_whose_bytes_are_assumed_have_them(self):
+        size = read_size(USUAL)
+
+        def weighs(kind, body):
+            return len(encode(Frame("site", "front-000", "10.1.0.1", 8181, 1_800_000_000_000_000, 3, 100_000, kind, 0, "", 2**63,
+                                    [], msgspec.msgpack.encode(body))))
+        ballot = (1_800_000_000_000_000, 100, 3)
+        words = [weighs(leased.KIND, leased.Body(1, "probe/3", ballot)),
+                 weighs(leased.KIND, leased.Body(4, "probe/3", ballot, 1_800_000_000_000, 3, ballot))]
+        self.assertLessEqual(words[0], size.guess("lease-word-bytes"))
+        self.assertLessEqual(size.guess("lease-word-bytes"), words[1])
+        rounds = [weighs(overloaded.KIND, overloaded.Body(100_000, "zone-3", -1, "", [(n * 50, 3.5) for n in range(many)], 30.5, 2.5))
+                  for many in (3, 20)]
+        self.assertLess(rounds[0], size.guess("round-word-bytes"))
+        self.assertLess(size.guess("round-word-bytes"), rounds[1])
+        self.assertEqual(weighs(overloaded.KIND, overloaded.Body(100_000, "zone-3", 512, "served of what was let in")),
+                         size.guess("level-word-bytes"))
+
     def test_a_unit_that_cannot_become_the_one_wanted_is_refused(self):
         with self.assertRaises(Spoilt):
             all_rows(self.small(), self.files(slope_memory=line_file("memory-by-connection", 1, 1, unit="seconds")))
