Scale run: hollow nodes on real sockets beside real fronts, judged from the relays

The size that is coming (630 nodes in 9 zones) could be played in virtual time only, and nothing told what control costs a node on sockets, by subsystem. `scale run` starts hollow nodes (wire, channel, membership, sharing, leases as they serve, many to a process), real fronts with stand-in servers beside them, and relays of the rehearsal's kind between zones and regions that cut, lose and delay. The verdict rests on what the relays saw; a deaf node and counters that lie are planted and seen. It does not begin where processes, descriptors, ports or half of the memory would not do.

--- a/curlewshift/commands/main.py
+++ b/curlewshift/commands/main.py
@@ -8,7 +8,7 @@
 
 # Each lies in the file of its name, under its name.
 NOUNS = ("authority", "capacity", "capture", "check", "experiment", "front", "leases", "limits", "measure", "node", "overload",
-         "peak", "peers", "rehearse", "replay", "search", "shared", "slopes", "standin", "walk")
+         "peak", "peers", "rehearse", "replay", "scale", "search", "shared", "slopes", "standin", "walk")
 
 
 class Nouns(click.Group):
--- /dev/null
+++ b/curlewshift/scale/fleet.py
@@ -0,0 +1,218 @@
+"""The processes of a scale run: relays, hollow nodes, real fronts with their stand-in servers; and that none outlives it."""
+
+from __future__ import annotations
+
+import os
+import shutil
+from functools import partial
+from pathlib import Path
+from random import Random
+
+import anyio
+
+from curlewshift.front.control import tell
+from curlewshift.rehearsal.joins import all_listen, cpu_of, memory_of
+from curlewshift.rehearsal.processes import Child, free_ports, listens
+from curlewshift.scale.plan import CONTROL, KEEPERS, Plan, write_plan
+from curlewshift.scale.talk import Spoken
+
+SERVERS = 4
+START_WITHIN = 60.0
+SITE = """<site name="scale">
+  <fronts most-waiting="1000">{fronts}
+    <peers seeds="{seeds}" period="{period}"/>{more}
+  </fronts>
+  <list address="127.0.0.1:{list}"/>
+  <ladder><rung rate="100kB/s"/><rung rate="200kB/s"/></ladder>
+  <packages><package name="p" value="1" join-target="1s" patience="4s"/></packages>
+  <racks><rack name="r" uplink="9000MB/s">{servers}</rack></racks>
+  <catalogue><title name="t" shelves="{shelves}"/></catalogue>
+  <obligations>
+    <answers way-back="100ms" longest-wait="2s" most-tune-ins="3"/><drains grace="2s"/>
+    <cold-servers warm-within="5s" start-capacity="0.5" fall-multiple="2" fall-within="1s"/>
+    <news told-late="500ms" told-every="3s" probes="true" uplinks="true"/>
+  </obligations>
+</site>
+"""
+
+
+class RunFailed(Exception):
+    """Something of the run did not come up, or ended by itself; its log says why."""
+
+
+class RealFront:
+    """A front as it serves, over its lives."""
+
+    def __init__(self, fleet: Fleet, site: str, name: str, port: int):
+        self.fleet, self.site, self.name, self.port = fleet, site, name, port
+        self.state = fleet.out / site / name
+        self.child: Child | None = None
+        self.core_before = 0.0
+
+    async def start(self) -> None:
+        if self.child is not None:
+            shutil.rmtree(self.state, ignore_errors=True)
+        self.state.mkdir(parents=True, exist_ok=True)
+        self.child = self.fleet.child(
+            ["front", str(self.fleet.out / f"{self.site}.xml"), "--name", self.name, "--seed", "1", "--state", str(self.state)],
+            f"{self.site}-{self.name}")
+        if not await listens(self.port, START_WITHIN):
+            raise RunFailed(f"front {self.name} does not listen; see {self.fleet.out / f'{self.site}-{self.name}.log'}")
+
+    def kill(self) -> None:
+        self.core_before += cpu_of(self.child.process.pid)
+        self.fleet.ends(self.child)
+
+    def core(self) -> float:
+        """Seconds of processor time over all its lives."""
+        return self.core_before + (cpu_of(self.child.process.pid) if self.child.process.poll() is None else 0.0)
+
+    def memory(self) -> float:
+        return memory_of(self.child.process.pid)
+
+    async def peers(self) -> dict | None:
+        try:
+            return (await tell(self.state, {"do": "peers"}))["peers"]
+        except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
+            return None
+
+
+class Fleet:
+    """`heard` is told which relay says what unasked; `apart`: whether fronts are wanted that know no hollow node. Use within `run`, which ends every process by its id."""
+
+    def __init__(self, plan: Plan, out: Path, heard, apart: bool = True):
+        self.plan, self.out, self.heard, self.wants_apart = plan, out, heard, apart
+        for left_over in out.glob("*.log"):
+            left_over.unlink()
+        for name in ("site", "apart"):
+            shutil.rmtree(out / name, ignore_errors=True)
+        self.children: dict[Child, str] = {}
+        self.relays: list[Spoken] = []
+        self.hollow: dict[int, Spoken] = {}
+        self.real: dict[str, RealFront] = {}
+        self.apart: list[RealFront] = []
+
+    # ---- processes
+
+    def child(self, arguments: list[str], log: str, talks: bool = False) -> Child:
+        child = Child(arguments, self.out / f"{log}.log", talks)
+        self.children[child] = log
+        return child
+
+    def ends(self, child: Child) -> None:
+        self.children.pop(child, None)
+        child.kill()
+
+    def end_all(self) -> None:
+        for child in list(self.children):
+            self.ends(child)
+
+    def fallen(self) -> list[str]:
+        """Who ended though nobody ended it."""
+        return [log for child, log in self.children.items() if child.process.poll() is not None]
+
+    def memory(self) -> float:
+        """kB of all its processes now."""
+        total = 0.0
+        for child in self.children:
+            try:
+                total += memory_of(child.process.pid)
+            except OSError:
+                pass
+        return total
+
+    # ---- the start
+
+    async def start(self, tasks) -> None:
+        """Raises `RunFailed`. Hollow nodes are there and silent until `play` starts them; real fronts run."""
+        self.plan.lay_out()
+        write_plan(self.out, self.plan)
+        for part in range(self.plan.relays):
+            self.relays.append(self._spoken(["scale", "relay", str(self.out), str(part)], f"relay-{part}", tasks,
+                                             partial(self.heard, part)))
+        reach: dict[str, int] = {}
+        for relay in self.relays:
+            reach |= (await self._told(relay))["reach"]
+        for place in self.plan.places:
+            place.reach = reach[place.name]
+        await self._start_service()
+        write_plan(self.out, self.plan)
+        for process in sorted({place.process for place in self.plan.named("hollow", "control")}):
+            self.hollow[process] = self._spoken(["scale", "hollow", str(self.out), str(process)], f"hollow-{process}", tasks)
+        for spoken in self.hollow.values():
+            await self._told(spoken)
+
+    def _spoken(self, arguments: list[str], log: str, tasks, heard=lambda told: None) -> Spoken:
+        spoken = Spoken(self.child(arguments, log, talks=True), heard)
+        tasks.start_soon(spoken.read)
+        return spoken
+
+    async def _told(self, spoken: Spoken) -> dict:
+        try:
+            return await spoken.told(START_WITHIN)
+        except TimeoutError:
+            log = self.children[spoken.child]
+            raise RunFailed(f"{log} does not start; see {self.out / log}.log") from None
+
+    async def _start_service(self) -> None:
+        """Servers and list, fronts of the fleet, and as many that know each other alone, to be compared with."""
+        real = self.plan.named("real")
+        ports = free_ports(2 * len(real) + SERVERS + 1, Random(os.getpid()))
+        doors, apart, (list_port, *servers) = ports[:len(real)], ports[len(real):2 * len(real)], ports[2 * len(real):]
+        door_of = {place.name: port for place, port in zip(real, doors)}
+        self._write_site("site", [(place.name, door_of.get(place.name, 9), place.listen, place.reach)
+                                  for place in self.plan.places], list_port, servers)
+        self.real = {place.name: RealFront(self, "site", place.name, door_of[place.name]) for place in real}
+        if not real:
+            return
+        if self.wants_apart:
+            self.apart = [RealFront(self, "apart", place.name, port) for place, port in zip(real, apart)]
+        self._write_site("apart", [(place.name, port, udp, udp) for place, port, udp in zip(
+            real, apart, self.plan.apart)], list_port, servers)
+        self.child(["standin", "server", str(self.out / "site.xml"), "--setup-work", "0"], "servers")
+        await all_listen([list_port], self.out / "servers.log")
+        async with anyio.create_task_group() as tasks:
+            for front in [*self.real.values(), *self.apart]:
+                tasks.start_soon(front.start)
+
+    def _write_site(self, name: str, rows: list[tuple], list_port: int, servers: list[int]) -> None:
+        fronts = "".join(f'\n    <front name="{front}" listen="127.0.0.1:{port}" peers-listen="127.0.0.1:{listen}" '
+                         f'peers-reach="127.0.0.1:{reach}"/>' for front, port, listen, reach in rows)
+        machines = "".join(f'<server shelf="s{n}" listen="127.0.0.1:{port}" link="9000MB/s" streams="100000"/>'
+                           for n, port in enumerate(servers))
+        more = "<sharing/>" if "sharing" in self.plan.parts else ""
+        if "leases" in self.plan.parts and name == "site":
+            more += f'<leases keepers="{" ".join(f"c{n}" for n in range(KEEPERS))}" tasks="probe"/>'
+        seeds = [f"c{n}" for n in range(CONTROL)] if name == "site" else [row[0] for row in rows[:2]]
+        (self.out / f"{name}.xml").write_text(SITE.format(
+            fronts=fronts, seeds=" ".join(seeds), period=f"{self.plan.period * 1000:g}ms", more=more, list=list_port,
+            servers=machines, shelves=" ".join(f"s{n}" for n in range(len(servers)))))
+
+    # ---- what is done to nodes
+
+    def process_of(self) -> dict[int, list[str]]:
+        told: dict[int, list[str]] = {}
+        for place in self.plan.named("hollow", "control"):
+            told.setdefault(place.process, []).append(place.name)
+        return told
+
+    async def hollow_do(self, do: str, names: set[str] | None = None) -> None:
+        """`start` or `stop`; all of them where no names are said."""
+        for process, here in self.process_of().items():
+            struck = here if names is None else [name for name in here if name in names]
+            if struck:
+                await self.hollow[process].ask({"do": do, "names": struck})
+
+    async def ways(self, **how) -> None:
+        for relay in self.relays:
+            await relay.ask({"do": "ways", **how})
+
+    async def asked_of_all(self, spoken: list[Spoken], do: str) -> list[dict]:
+        answers: list[dict | None] = [None] * len(spoken)
+
+        async def one(at: int) -> None:
+            answers[at] = await spoken[at].ask({"do": do})
+        async with anyio.create_task_group() as tasks:
+            for at in range(len(spoken)):
+                tasks.start_soon(one, at)
+        return answers
--- /dev/null
+++ b/curlewshift/scale/hollow.py
@@ -0,0 +1,89 @@
+"""A process of hollow nodes: makes them, stops and starts them, and tells what each spent. Started by scale/fleet.py."""
+
+from __future__ import annotations
+
+import gc
+import os
+import sys
+import time
+from pathlib import Path
+from types import BuiltinFunctionType, FunctionType, ModuleType
+
+import anyio
+
+from curlewshift.rehearsal.joins import memory_of
+from curlewshift.scale.node import HollowNode
+from curlewshift.scale.plan import read_plan
+from curlewshift.scale.talk import obey, say
+from curlewshift.site.site import read_site
+from curlewshift.standins.running import until_told
+
+# What belongs to nobody: a walk over a node's objects does not go through it.
+NOT_WALKED = (type, ModuleType, FunctionType, BuiltinFunctionType)
+
+
+class Hollow:
+    def __init__(self, folder: Path, process: int, tasks):
+        self.tasks = tasks
+        plan, site = read_plan(folder), read_site(folder / "site.xml")
+        # read once for all of this process, as its nodes would be if each were alone
+        self.shared = {id(plan), id(site)}
+        self.empty = memory_of(os.getpid())
+        self.nodes = {place.name: HollowNode(plan, site, place) for place in plan.places if place.process == process}
+
+    def carry_out(self, command: dict) -> dict:
+        do, names = command["do"], command.get("names") or list(self.nodes)
+        if do == "start":
+            for name in names:
+                self.tasks.start_soon(self.nodes[name].run)
+        elif do == "stop":
+            for name in names:
+                self.nodes[name].stop()
+        elif do == "mark":
+            return self.mark()
+        elif do == "weigh":
+            return {"memory_kB": self.weigh()}
+        return {}
+
+    def mark(self) -> dict:
+        return {"at": time.monotonic(), "core": time.process_time_ns(), "memory_kB": memory_of(os.getpid()),
+                "empty_kB": self.empty, "nodes": {name: node.meter.read() for name, node in self.nodes.items()},
+                "errors": [error for node in self.nodes.values() for error in node.log.errors],
+                "lines": sum(node.log.lines for node in self.nodes.values()),
+                "stalls": sum(node.wire.channel.membership.steady.stalls for node in self.nodes.values()),
+                "unsent": sum(node.wire.unsent for node in self.nodes.values())}
+
+    def weigh(self) -> dict[str, float]:
+        """kB of one node's own objects by subsystem: what hangs on each and on none before it."""
+        node = next(iter(self.nodes.values()))
+        known = {id(node), id(node.site), id(node.plan), id(node.wire), id(node.log), id(node.clock), id(node.meter)}
+        for part in node.parts.values():
+            known.add(id(part))
+        told = {}
+        for name, part in [*node.parts.items(), ("model", node.desk)]:
+            told[name] = round(weight(part, known) / 1024, 1)
+        return told
+
+
+def weight(root, known: set[int]) -> int:
+    """Bytes of all that hangs on an object, as the interpreter counts them, beyond what is known already."""
+    known.add(id(root))
+    waiting, total = [root], 0
+    while waiting:
+        one = waiting.pop()
+        total += sys.getsizeof(one)
+        for held in gc.get_referents(one):
+            if id(held) not in known and not isinstance(held, NOT_WALKED):
+                known.add(id(held))
+                waiting.append(held)
+    return total
+
+
+async def run_hollow(folder: Path, process: int) -> None:
+    """Tells once its sockets are open, then obeys."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(until_told, tasks)
+        hollow = Hollow(folder, process, tasks)
+        say({"ready": len(hollow.nodes)})
+        await obey(hollow.carry_out)
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/curlewshift/scale/node.py
@@ -0,0 +1,192 @@
+"""One hollow node: the objects that serve, on a socket of their own, without door and desk. Held by scale/hollow.py.
+
+What the desk would tell them comes from the load model; what they tell the desk is written into the model's own servers.
+Logs are counted and not written.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from types import SimpleNamespace
+
+import anyio
+
+from curlewshift.model import Link, Rack, Server
+from curlewshift.peering.leased import KIND as LEASES
+from curlewshift.peering.leased import KIND_OF_TASKS, LeaseWire
+from curlewshift.peering.shared import KIND as SHARING
+from curlewshift.peering.shared import SharedWire
+from curlewshift.peering.wire import PeerWire
+from curlewshift.scale.meter import Meter
+from curlewshift.scale.plan import Load, Place, Plan
+from curlewshift.schedule.clock import Clock
+from curlewshift.site.site import Site
+
+NS = 1_000_000_000
+# How much what a node uses of a link goes up and down from round to round.
+WANDERS = 0.1
+
+
+class CountedLog:
+    """Lines are counted by event; errors are kept, as nothing else would tell of them."""
+
+    def __init__(self):
+        self.lines, self.errors = 0, []
+
+    def info(self, event: str, **facts) -> None:
+        self.lines += 1
+
+    warning = info
+
+    def error(self, event: str, **facts) -> None:
+        self.lines += 1
+        if len(self.errors) < 5:
+            self.errors.append(f"{event}: {facts.get('what', '')} {facts.get('cause', '')}")
+
+
+class CountedWire(PeerWire):
+    """A wire whose datagrams its node's meter counts."""
+
+    meter: Meter
+
+    def post(self, address: tuple[str, int], data: bytes) -> None:
+        self.meter.sent(len(data))
+        super().post(address, data)
+
+
+class DeafWire(CountedWire):
+    """Planted: it goes on asking, and reads nothing."""
+
+    async def _read(self) -> None:
+        await anyio.sleep_forever()
+
+
+class LyingMeter(Meter):
+    """Planted: it tells of half of what it sent."""
+
+    def sent(self, size: int) -> None:
+        super().sent(size // 2)
+
+
+class HollowDesk:
+    """What sharing and leases read of a desk, and write to it. Servers lie in racks; a node plays on some of their links."""
+
+    def __init__(self, load: Load, chance: Random, now):
+        self.load, self.chance, self.now = load, chance, now
+        marks = Random("marks")
+        racks = [Rack(number, Link(1e6), name=f"rack-{number}") for number in range(-(-load.servers // load.rack))]
+        self.servers = [Server(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:8100", marks.getrandbits(32), "", 40,
+                               racks[n // load.rack], Link(1e5)) for n in range(load.servers)]
+        self.played = chance.sample(self.servers, load.links)
+        self.usual = load.viewings * load.rate / max(1, load.links)
+        self.rules = SimpleNamespace(servers=self.servers, rights_of=lambda server: 3, further_wanted_at=0, seat_wanted_at={},
+                                     seats={})
+        self.packages: dict = {}
+        self.told = 0
+
+    def live(self) -> None:
+        """A round of the load: links that are played on are heard of, and their use moves."""
+        for server in self.played:
+            server.rack.link.own -= server.link.own
+            server.link.own = self.usual * self.chance.uniform(1 - WANDERS, 1 + WANDERS)
+            server.rack.link.own += server.link.own
+            server.heard_at = self.now()
+
+    def share_rights(self) -> None:
+        pass
+
+    def rights_held(self, server: Server, rights: list) -> None:
+        server.rights = rights
+
+    def doubted(self, server: Server, doubted: bool) -> None:
+        server.doubted = doubted
+
+    def counted(self, server: Server, use: float, age: int) -> None:
+        server.link.counted = use
+
+    def uplink_counted(self, server: Server, use: float, age: int) -> None:
+        server.rack.link.counted = use
+
+    def nothing(self, *words) -> None:
+        self.told += 1
+
+    link_reported = seen_warm = further_held = seats_held = seats_over = planned = nothing
+
+
+class HollowNode:
+    """Over its lives. Raises `OSError` where its socket cannot be had."""
+
+    def __init__(self, plan: Plan, site: Site, place: Place):
+        self.plan, self.site, self.place = plan, site, place
+        self.number = site.door(place.name)
+        self.clock, self.log = Clock(), CountedLog()
+        self.chance = Random(f"{plan.seed} {place.name}")
+        self.meter = LyingMeter() if f"lies={place.name}" in plan.spoil.split() else Meter()
+        self.scope: anyio.CancelScope | None = None
+        self.lives = 0
+        self._make()
+
+    def _make(self) -> None:
+        wire = DeafWire if f"deaf={self.place.name}" in self.plan.spoil.split() else CountedWire
+        self.wire = wire(self.site.name, self.site.doors[self.number], self.site.peers, self.clock, self.log,
+                         Random(self.chance.random()))
+        channel, metered = self.wire.channel, self.meter.metered
+        self.wire.meter = self.meter
+        self.parts: dict[str, object] = {"membership": channel}
+        order = [door.name for door in self.site.doors]
+        self.desk = HollowDesk(self.plan.load if self.place.shares else Load(0, 0, 0), Random(self.chance.random()),
+                               self.clock.now)
+        self.shared = self.leased = None
+        if self.place.shares:
+            self.shared = SharedWire(channel, self.desk, order, self.number, self.site.sharing, self.site.together,
+                                     self.site.duties.warm_within, self.clock.now, self.log, Random(self.chance.random()))
+            self.parts["sharing"] = self.shared
+            channel.carried[SHARING] = metered("sharing", channel.carried[SHARING])
+            self.share = metered("sharing", self.shared.sharing.time)
+            self.shared.sharing.time = self._round
+        if "leases" in self.plan.parts:
+            wants = self.site.leases
+            self.leased = LeaseWire(channel, self, order, self.number, wants.keepers, wants.terms, wants.shards,
+                                    wants.probe_each, self.log, Random(self.chance.random()), wants.tasks, wants.orphans_after)
+            self.parts["leases"] = self.leased
+            for kind in (LEASES, KIND_OF_TASKS):
+                channel.carried[kind] = metered("leases", channel.carried[kind])
+            for owner, name in ((self.leased.tasks, "time"), (self.leased.keeper, "time"), (self.leased, "_to_itself")):
+                if owner is not None:
+                    setattr(owner, name, metered("leases", getattr(owner, name)))
+        channel.received = metered("membership", channel.received)
+        channel.time = metered("membership", channel.time)
+        channel.start = metered("membership", channel.start)
+
+    def _round(self) -> None:
+        self.desk.live()
+        self.share()
+
+    async def run(self) -> None:
+        """One life, until `stop` ends it without a word, as a kill does."""
+        if self.lives:
+            self._make()
+        self.lives += 1
+        with anyio.CancelScope() as self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.wire.run)
+                for part in (self.shared, self.leased):
+                    if part is not None:
+                        tasks.start_soon(part.run)
+        self.scope = None
+
+    def stop(self) -> None:
+        if self.scope is not None:
+            self.scope.cancel()
+
+    # ---- what leases' tasks ask of a front beside its desk: reaching servers is not control, and is left out
+
+    @property
+    def reach(self) -> HollowNode:
+        return self
+
+    def probe(self, server, mark: str, found) -> None:
+        pass
+
+    def end_orphans(self, server, away: int, mark: str) -> None:
+        pass
--- /dev/null
+++ b/curlewshift/scale/report.py
@@ -0,0 +1,63 @@
+"""A scale run as tables and as a chart, for people."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from rich.table import Table
+
+
+def tables(figures: dict) -> list[Table]:
+    spent = Table(title=f"a node of {figures['nodes']}, quiet")
+    for column in ("part", "bytes/s mean", "worst", "datagrams/s", "core mean", "worst", "memory kB"):
+        spent.add_column(column, justify="left" if column == "part" else "right")
+    for part, row in figures["a_node"].items():
+        size, count, core = (row.get(name, {}) for name in ("bytes_a_second", "datagrams_a_second", "core"))
+        spent.add_row(part, *(_told(one) for one in (size.get("mean"), size.get("worst"), count.get("mean"))),
+                      *(_share(one) for one in (core.get("mean"), core.get("worst"))), _told(row.get("memory_kB")))
+    befell = Table(title="faults")
+    for column in ("fault", "struck", "known after s", "agreed after s", "bytes/s while", "after", "worst", "core after"):
+        befell.add_column(column, justify="left" if column == "fault" else "right")
+    for fault in figures["faults"]:
+        during, after = fault["while"]["all"], fault["after"]["all"]
+        befell.add_row(fault["kind"], str(fault["struck"]), _told(fault["known_s"]), _told(fault["converged_s"]),
+                       _told(during["bytes_a_second"]["mean"]), _told(after["bytes_a_second"]["mean"]),
+                       _told(after["bytes_a_second"]["worst"]), _share(after.get("core", {}).get("mean")))
+    verdict = Table(title="verdict, from the relays and the real nodes' doors")
+    verdict.add_column("")
+    verdict.add_column("", justify="right")
+    for name, value in figures["verdict"].items():
+        verdict.add_row(name.replace("_", " "), str(value))
+    return [spent, befell, verdict]
+
+
+def _told(value) -> str:
+    return "" if value is None else f"{value:,.1f}" if isinstance(value, float) else f"{value:,}"
+
+
+def _share(value) -> str:
+    return "" if value is None else f"{100 * value:.3f}%"
+
+
+def draw(seen: dict[int, int], stretches: list[tuple[str, float, float]], nodes: int, path: Path) -> None:
+    """Writes an SVG: bytes a second a node over the run, as the relays saw them, with the stretches. `seen` is what they had
+    carried in all at each second."""
+    import matplotlib
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+    figure, panel = pyplot.subplots(figsize=(11, 4))
+    seconds = sorted(seen)
+    if seconds:
+        begins = seconds[0]
+        rates = [max(0.0, (seen[later] - seen[earlier]) / (later - earlier) / nodes)
+                 for earlier, later in zip(seconds, seconds[1:])]
+        panel.plot([second - begins for second in seconds[1:]], rates, color="#2b5c8a")
+        for number, (name, begun, ended) in enumerate(stretches):
+            panel.axvspan(begun - begins, ended - begins, color="#b0655a" if number % 2 else "#3a7d44", alpha=0.12)
+            panel.text(begun - begins, panel.get_ylim()[1], " " + name, fontsize=7, rotation=90, va="top")
+    panel.axhline(4000, color="#888", linewidth=0.6)
+    panel.set_ylabel("bytes a second a node")
+    panel.set_xlabel("seconds of the run")
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+    pyplot.close(figure)
--- /dev/null
+++ b/curlewshift/scale/run.py
@@ -0,0 +1,273 @@
+"""One scale run from its first process to its verdict. Called by commands/scale.py."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from pathlib import Path
+from typing import Callable
+
+import anyio
+
+from curlewshift.scale.faults import Fault
+from curlewshift.scale.figures import Mark, Stretch, a_node, off, spread
+from curlewshift.scale.fleet import Fleet, RunFailed
+from curlewshift.scale.judge import Judge
+from curlewshift.scale.plan import CONTROL, Plan, machine_memory
+from curlewshift.scale.viewers import Viewers, compare_joins
+
+# Views get so long to agree, at first and after a fault (s).
+AGREE_WITHIN = 120.0
+LOOK = 0.1
+# A node's own count may be off by so much of what the relays saw of it; and what it sent in the last moment (datagrams).
+MAY_BE_OFF, LAST_MOMENT = 0.01, 2
+# What is on its way when nodes have been stopped arrives within this (s).
+ARRIVES = 1.0
+
+
+class ScaleRun:
+    """`progress(words)` is told what is being done. `joins`: how many each way are compared, 0 for none."""
+
+    def __init__(self, plan: Plan, out: Path, progress: Callable[[str], None], joins: int = 400,
+                 agree_within: float = AGREE_WITHIN):
+        self.plan, self.out, self.progress, self.joins, self.agree_within = plan, out, progress, joins, agree_within
+        self.judge = Judge(plan.period)
+        self.fleet = Fleet(plan, out, self._heard, apart=joins > 0)
+        # bytes by relay so far, and of all of them at each second
+        self.carried: dict[int, int] = {}
+        self.seen: dict[int, int] = {}
+        self.stretches: list[tuple[str, float, float]] = []
+        self.most_memory = 0.0
+        self.figures: dict = {}
+
+    async def run(self) -> dict:
+        """The figures. Raises `RunFailed`; every process has ended then too."""
+        load_before = os.getloadavg()
+        try:
+            async with anyio.create_task_group() as tasks:
+                try:
+                    await self.fleet.start(tasks)
+                    tasks.start_soon(self._watch)
+                    await self._play(tasks)
+                finally:
+                    # reading of what children say ends with them
+                    self.fleet.end_all()
+                    tasks.cancel_scope.cancel()
+        except* (RunFailed, TimeoutError, OSError) as wrong:
+            raise RunFailed("; ".join(str(one) or repr(one) for one in wrong.exceptions)) from None
+        plan, memory = self.plan, machine_memory()
+        return {
+            "command": "scale run", "machine": {
+                "cores": os.cpu_count(), "memory_GiB": round(2 * memory[0] / 2**20, 1),
+                "load_before": [round(one, 1) for one in load_before],
+                "load_after": [round(one, 1) for one in os.getloadavg()]},
+            "nodes": plan.nodes, "seed": plan.seed, "seconds": plan.seconds, "model": self._model(), **self.figures}
+
+    def _model(self) -> dict:
+        plan, load = self.plan, self.plan.load
+        return {"real": plan.real, "control": CONTROL, "processes": plan.processes, "relays": plan.relays,
+                "regions": plan.regions, "zones": plan.zones, "period_s": plan.period, "loss": plan.loss,
+                "ways": "all datagrams of peers pass relays, within a zone at once",
+                "between_zones_s": plan.late[0], "between_regions_s": plan.late[1], "parts": plan.parts,
+                "sharing": {"nodes": load.sharing, "servers": load.servers, "links_played_on": load.links,
+                            "viewings_a_node": load.viewings, "kB_a_viewing": load.rate} if load.sharing else None,
+                "left_out": "door, desk and logs of hollow nodes; tasks' own work at servers", "spoil": plan.spoil}
+
+    # ---- what is watched throughout
+
+    def _heard(self, relay: int, tick: dict) -> None:
+        self.judge.saw(tick)
+        self.carried[relay] = tick["bytes"]
+        self.seen[int(tick["tick"])] = sum(self.carried.values())
+
+    async def _watch(self) -> None:
+        most, _ = machine_memory()
+        while True:
+            await anyio.sleep(1.0)
+            fallen = self.fleet.fallen()
+            if fallen:
+                raise RunFailed(f"{', '.join(fallen)} ended by itself; see its log in {self.out}")
+            self.most_memory = max(self.most_memory, self.fleet.memory())
+            if self.most_memory > most:
+                raise RunFailed(f"the run takes {self.most_memory / 2**20:.1f} GiB, over half of this machine's memory")
+
+    async def _agree(self, groups: list[set[str]], within: float, since: float) -> float | None:
+        """Seconds from `since` until all views agreed and were right; None if they did not within so long."""
+        told = 0.0
+        while True:
+            astray = self.judge.astray(groups)
+            now = time.monotonic()
+            if not astray:
+                return round(now - since, 2)
+            if now - since > within:
+                return None
+            if now - told > 2:
+                told = now
+                self.progress(f"{now - since:5.1f} s: {astray} views are not yet as they should be")
+            await anyio.sleep(LOOK)
+
+    async def _mark(self) -> Mark:
+        fleet = self.fleet
+        relays = await fleet.asked_of_all(fleet.relays, "mark")
+        hollow = await fleet.asked_of_all(list(fleet.hollow.values()), "mark")
+        return Mark(time.monotonic(), relays, dict(zip(fleet.hollow, hollow)),
+                    {name: front.core() for name, front in fleet.real.items()})
+
+    # ---- the parts of a run
+
+    async def _play(self, tasks) -> None:
+        fleet, plan, judge = self.fleet, self.plan, self.judge
+        everyone = {place.name for place in plan.places}
+        self.progress(f"{plan.nodes} nodes and {CONTROL} control machines in {len(fleet.children)} processes")
+        began = time.monotonic()
+        await fleet.hollow_do("start")
+        judge.running = set(everyone)
+        joined = await self._agree([everyone], self.agree_within, began)
+        if joined is None:
+            self.progress("views did not agree at first")
+        viewers = Viewers(fleet)
+        quiet = await self._stretch("quiet", plan.seconds)
+        memory = await self._memory(quiet)
+        self.figures = {
+            "joined_s": joined, "a_node": a_node(quiet, self._front_names(), self._shared_processes(), memory["by_part"]),
+            "control": a_node(quiet, [place.name for place in plan.named("control")], [0]),
+            "memory": memory, "alone": self._alone(quiet), "relay_core": spread(
+                [(after - before) / 1e9 / quiet.lasted for before, after in zip(quiet.begun.relay_core, quiet.ended.relay_core)], 3)}
+        if fleet.real:
+            self.figures["real_node"] = {
+                "core": spread(list(quiet.real_core().values()), 5), "bytes_a_second": spread(
+                    [sum(quiet.bytes_of(name, part) for part in quiet.parts()) for name in fleet.real], 1),
+                "memory_kB": spread([front.memory() for front in fleet.real.values()], 0),
+                "own_count": await self._real_counts(quiet)}
+            if self.joins:
+                self.progress("joins at a real node, and at one apart")
+                self.figures["joins"] = await compare_joins(fleet, self.joins)
+        for front in fleet.real.values():
+            tasks.start_soon(viewers.come, front)
+        self.figures["faults"] = [await self._befall(Fault(kind, fleet, judge)) for kind in plan.faults]
+        self.figures["verdict"] = await self._judge(joined, viewers)
+        self.figures["memory"]["most_GiB"] = round(self.most_memory / 2**20, 2)
+
+    async def _stretch(self, name: str, lasts: float) -> Stretch:
+        self.progress(f"{name}: {lasts:g} s")
+        begun = await self._mark()
+        await anyio.sleep(lasts)
+        ended = await self._mark()
+        self.stretches.append((name, begun.at, ended.at))
+        return Stretch(begun, ended)
+
+    async def _befall(self, fault: Fault) -> dict:
+        plan = self.plan
+        self.progress(f"{fault.kind}: {len(fault.struck)} nodes")
+        begun = await self._mark()
+        since = time.monotonic()
+        await fault.begin(plan.seconds)
+        known = None
+        if fault.kind != "restart-some":
+            known = await self._agree(fault.groups, self.agree_within, since)
+            await anyio.sleep(max(0.0, since + plan.seconds - time.monotonic()))
+        middle = await self._mark()
+        over = time.monotonic()
+        await fault.end()
+        # views that agreed are looked at once more: those who came back are heard of a moment later
+        converged = await self._agree([{place.name for place in plan.places}], self.agree_within, over)
+        await anyio.sleep(max(0.0, over + plan.seconds - time.monotonic()))
+        ended = await self._mark()
+        self.stretches += [(fault.kind, begun.at, middle.at), (f"after {fault.kind}", middle.at, ended.at)]
+        sound = [name for name in self._front_names() if name not in fault.struck or fault.kind == "regions-apart"]
+        told = {"kind": fault.kind, "struck": len(fault.struck), "known_s": known, "converged_s": converged}
+        for key, stretch in (("while", Stretch(begun, middle)), ("after", Stretch(middle, ended))):
+            told[key] = {"lasted_s": round(stretch.lasted, 2), "most_bytes_in_a_second": self._most(stretch), **a_node(stretch, sound, self._shared_processes())}
+        return {**told, "bytes_a_second": told["after"]["all"]["bytes_a_second"]}
+
+    def _most(self, stretch: Stretch) -> int:
+        """Bytes a node, all nodes together, in the fullest second of a stretch."""
+        seconds = [second for second in sorted(self.seen) if stretch.begun.at <= second <= stretch.ended.at]
+        rates = [(self.seen[later] - self.seen[earlier]) / (later - earlier) for earlier, later in zip(seconds, seconds[1:])]
+        return round(max(rates, default=0) / len(self.plan.places))
+
+    def _front_names(self) -> list[str]:
+        """Front nodes, real ones too: what they say is seen all the same."""
+        return [place.name for place in self.plan.named("hollow", "real")]
+
+    def _shared_processes(self) -> list[int]:
+        return [process for process in self.fleet.hollow if process > 1]
+
+    async def _memory(self, quiet: Stretch) -> dict:
+        """kB a node: the processes' own over their nodes, and one node's objects walked through, by subsystem."""
+        grown = []
+        for process in self._shared_processes():
+            mark = quiet.ended.hollow[process]
+            grown.append((mark["memory_kB"] - mark["empty_kB"]) / len(mark["nodes"]))
+        weighed = await self.fleet.hollow[1].ask({"do": "weigh"})
+        return {"a_node_kB": spread(grown, 1), "a_process_empty_kB": round(quiet.ended.hollow[1]["empty_kB"]),
+                "by_part": weighed["memory_kB"]}
+
+    def _alone(self, quiet: Stretch) -> dict:
+        """Processor time of a node that has its interpreter for itself, beside the mean of those that share one."""
+        alone = next(iter(quiet.core(1).values()))
+        shared = [parts for process in self._shared_processes() for parts in quiet.core(process).values()]
+        if not shared:
+            return {}
+        told = {}
+        for part in alone:
+            mean = sum(parts.get(part, 0.0) for parts in shared) / len(shared)
+            told[part] = {"alone": round(alone[part], 6), "shared": round(mean, 6)}
+        whole = sum(alone.values()), sum(sum(parts.values()) for parts in shared) / len(shared)
+        return {"by_part": told, "alone": round(whole[0], 6), "shared": round(whole[1], 6),
+                "alone_over_shared": round(whole[0] / max(1e-9, whole[1]), 3),
+                "nodes_a_process": round(len(shared) / len(self._shared_processes()), 1)}
+
+    async def _real_counts(self, quiet: Stretch) -> dict:
+        """What a real node says it sends, fading over ten seconds, beside what was seen of it in the stretch."""
+        told = {}
+        for name, front in self.fleet.real.items():
+            peers = await front.peers()
+            if peers is not None:
+                told[name] = {"says": peers["sent_a_second"], "members": peers["size"], "seen": round(
+                    sum(quiet.bytes_of(name, part) for part in quiet.parts()))}
+        return told
+
+    # ---- the end
+
+    async def _judge(self, joined: float | None, viewers: Viewers) -> dict:
+        """From the sockets: all nodes are stopped, what is on its way arrives, and counters are held to what was seen."""
+        fleet, judge = self.fleet, self.judge
+        dropped = dropped_at({port for place in self.plan.places for port in (place.listen, place.reach)})
+        await fleet.hollow_do("stop")
+        await anyio.sleep(ARRIVES)
+        end = await self._mark()
+        liars, seen_all, own_all = {}, 0, 0
+        for mark in end.hollow.values():
+            for name, parts in mark["nodes"].items():
+                own = [sum(row[at] for row in parts.values()) for at in (1, 2)]
+                seen = [sum(row[at] for row in end.said.get(name, {}).values()) for at in (0, 1)]
+                own_all, seen_all = own_all + own[1], seen_all + seen[1]
+                if any(off(one, other) > MAY_BE_OFF for one, other in zip(own, seen)) and (
+                        abs(own[0] - seen[0]) > LAST_MOMENT or abs(own[1] - seen[1]) > LAST_MOMENT * 1200):
+                    liars[name] = {"own": own, "seen": seen}
+        errors = [error for mark in end.hollow.values() for error in mark["errors"]]
+        false_gone = judge.false_gone()
+        faults = self.figures["faults"]
+        verdict = {
+            "agreed": joined is not None and all(fault["converged_s"] is not None for fault in faults),
+            "known_while_they_lasted": all(fault["known_s"] is not None for fault in faults if fault["kind"] != "restart-some"),
+            "false_gone": len(false_gone), "false_gone_examples": false_gone[:5],
+            "counters_off": len(liars), "counters_off_examples": dict(list(liars.items())[:5]),
+            "own_bytes_over_seen": round(own_all / max(1, seen_all), 4), "dropped_at_sockets": dropped, "not_sent": sum(
+                mark["unsent"] for mark in end.hollow.values()),
+            "errors": errors[:5], "stalls": sum(mark["stalls"] for mark in end.hollow.values()), "served": viewers.told()}
+        verdict["ok"] = (verdict["agreed"] and verdict["known_while_they_lasted"] and not false_gone and not liars
+                         and not errors and viewers.played == viewers.asked)
+        return verdict
+
+
+def dropped_at(ports: set[int]) -> int:
+    """Datagrams that the kernel dropped at these UDP ports for want of room (proc_net_udp; `drops` is the last column)."""
+    rows = [line.split() for line in Path("/proc/net/udp").read_text().splitlines()[1:]]
+    return sum(int(row[12]) for row in rows if int(row[1].rpartition(":")[2], 16) in ports)
+
+
+def write_figures(figures: dict, path: Path) -> None:
+    path.write_text(json.dumps(figures, indent=1) + "\n")
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,241 @@
+"""The scale run: its judge, its accounts, its bounds, and a small one on real sockets, also with planted wrongs."""
+
+import os
+import resource
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import anyio
+
+from curlewshift.membership.views import Views
+from curlewshift.scale import plan as plans
+from curlewshift.scale.figures import Mark, Stretch, a_node, off
+from curlewshift.scale.hollow import weight
+from curlewshift.scale.judge import Judge
+from curlewshift.scale.meter import Meter
+from curlewshift.scale.plan import Load, Plan, Unfit
+from curlewshift.scale.run import ScaleRun
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+def made(nodes=24, real=2, **more):
+    usual = dict(processes=1, relays=1, regions=2, zones=4, seconds=1.0, seed=1, loss=0.0, parts=["membership"], faults=[],
+                 load=Load(0, 0, 0), period=0.25)
+    return Plan(nodes, real, **{**usual, **more})
+
+
+def children_of(folder):
+    """Processes that have this folder in their command line."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit() and int(entry.name) != os.getpid():
+            try:
+                line = (entry / "cmdline").read_bytes()
+            except OSError:
+                continue
+            if str(folder).encode() in line and b"run" not in line.split(b"\0"):
+                found.append(int(entry.name))
+    return found
+
+
+class Judged(unittest.TestCase):
+    def setUp(self):
+        self.judge = Judge(period=1.0)
+        self.judge.running = {"a", "b", "c"}
+        self.views = Views()
+        for name in "abc":
+            self.views.flip(name, 7, 0)
+
+    def shows(self, name, view, life=7, incarnation=0, number=1, gone=()):
+        self.judge.saw({"shown": {name: [life, incarnation, view, number, 0.0]}, "gone": list(gone)})
+
+    def test_views_are_right_when_each_shows_exactly_who_runs(self):
+        everyone = [{"a", "b", "c"}]
+        self.shows("a", self.views.whole)
+        self.shows("b", self.views.whole)
+        self.assertEqual(self.judge.astray(everyone), 3, "one has shown nothing")
+        self.shows("c", self.views.whole ^ 1)
+        self.assertEqual(self.judge.astray(everyone), 1)
+        self.shows("c", self.views.whole, number=2)
+        self.assertEqual(self.judge.astray(everyone), 0)
+        self.shows("c", self.views.whole ^ 1, number=1)
+        self.assertEqual(self.judge.astray(everyone), 0, "an earlier datagram that came by another relay changes nothing")
+
+    def test_views_that_agree_on_something_else_are_astray(self):
+        self.views.flip("c", 7, 0)
+        for name in "abc":
+            self.shows(name, self.views.whole)
+        self.assertEqual(self.judge.astray([{"a", "b", "c"}]), 3)
+        self.judge.strikes(["c"], 5.0, down=True)
+        self.assertEqual(self.judge.astray([{"a", "b", "c"}]), 0)
+
+    def test_each_side_of_a_cut_is_to_know_its_own(self):
+        side = Views()
+        side.flip("a", 7, 0)
+        side.flip("b", 7, 0)
+        other = Views()
+        other.flip("c", 7, 0)
+        self.judge.strikes("abc", 5.0, down=False)
+        self.shows("a", side.whole)
+        self.shows("b", side.whole)
+        self.shows("c", self.views.whole)
+        self.assertEqual(self.judge.astray([{"a", "b"}, {"c"}]), 1)
+        self.shows("c", other.whole, number=2)
+        self.assertEqual(self.judge.astray([{"a", "b"}, {"c"}]), 0)
+
+    def test_a_sound_one_that_is_called_gone_is_told(self):
+        self.shows("a", 0, gone=[["b", 7, "a", 10.0]])
+        self.assertEqual(self.judge.false_gone(), ["a calls b gone"])
+
+    def test_what_befell_one_excuses_the_word_for_a_while_only(self):
+        self.judge.strikes(["b"], 9.0, down=True)
+        self.judge.over(["b"], 12.0)
+        self.shows("a", 0, gone=[["b", 7, "a", 20.0]])
+        self.assertEqual(self.judge.false_gone(), [])
+        self.shows("a", 0, gone=[["b", 8, "c", 12.0 + self.judge.shows_on + 1]])
+        self.assertEqual(self.judge.false_gone(), ["c calls b gone"])
+
+
+class Accounts(unittest.TestCase):
+    def test_sections_nest_and_are_exclusive(self):
+        clock = iter([100, 130, 170, 200]).__next__
+        meter = Meter(clock)
+
+        def inner():
+            meter.sent(50)
+
+        def outer():
+            meter.sent(7)
+            meter.metered("sharing", inner)()
+        meter.metered("membership", outer)()
+        self.assertEqual(meter.read(), {"membership": [60, 1, 7], "sharing": [40, 1, 50]})
+
+    def test_what_raises_is_counted_and_closed(self):
+        meter = Meter(iter([0, 5]).__next__)
+        with self.assertRaises(ValueError):
+            meter.metered("membership", lambda: int("no"))()
+        self.assertEqual((meter.read()["membership"][0], meter.open), (5, []))
+
+    def test_a_stretch_is_the_difference_of_two_marks(self):
+        def mark(at, kinds, core, whole):
+            return Mark(at, [{"said": {"a": kinds}, "handed": {"a": [0, 0], "b": [0, 0]}, "core": 0}],
+                        {2: {"core": whole, "nodes": {"a": {"membership": [core, 0, 0]}, "b": {}}}}, {})
+        stretch = Stretch(mark(10.0, {"1": [4, 400], "16": [1, 900]}, 1_000_000_000, 4_000_000_000),
+                          mark(12.0, {"1": [8, 800], "2": [2, 100], "16": [3, 1900]}, 2_000_000_000, 8_000_000_000))
+        told = a_node(stretch, ["a", "b"], [2])
+        self.assertEqual(told["membership"]["bytes_a_second"], {"mean": 125.0, "worst": 250.0})
+        self.assertEqual(told["sharing"]["datagrams_a_second"], {"mean": 0.5, "worst": 1.0})
+        self.assertEqual(told["membership"]["core"], {"mean": 0.25, "worst": 0.5})
+        # four seconds in the process, one of them named, the rest by halves
+        self.assertEqual(told["loop"]["core"], {"mean": 0.75, "worst": 0.75})
+        self.assertEqual(told["all"]["bytes_a_second"]["worst"], 750.0)
+
+    def test_by_how_much_a_count_is_off(self):
+        self.assertEqual((off(50, 100), off(100, 100), off(3, 0)), (0.5, 0.0, 3.0))
+
+    def test_weight_counts_what_is_shared_once(self):
+        known, shared = set(), [bytes(10_000)]
+        first, second = weight({"a": shared}, known), weight({"a": shared}, known)
+        self.assertGreater(first, 10_000)
+        self.assertLess(second, 1_000)
+
+
+class Bounds(unittest.TestCase):
+    def refuses(self, what, plan):
+        with self.assertRaises(Unfit) as told:
+            plan.check()
+        self.assertIn(what, str(told.exception))
+        self.assertNotIn("\n", str(told.exception))
+
+    def test_what_does_not_fit_does_not_begin(self):
+        made().check()
+        self.refuses("processes are needed", made(nodes=1000, processes=197, zones=9, relays=2))
+        self.refuses("more processes would do", made(nodes=resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
+        self.refuses("each region has a zone", made(regions=5))
+        self.refuses("less than one hollow node", made(nodes=4, real=4))
+        self.refuses("links played on", made(load=Load(servers=10, links=11, sharing=4)))
+        with mock.patch.object(resource, "getrlimit", lambda what: (1 << 20, 1 << 20)):
+            self.refuses("more ports", made(nodes=6000, processes=100, relays=10))
+
+    def test_memory_is_held_to_half_of_the_machine_and_to_what_is_free(self):
+        need = made().memory()
+        for have, what in (((need - 1, need + 1), "half of this machine's"), ((need + 1, need - 1), "free now")):
+            with mock.patch.object(plans, "machine_memory", lambda have=have: have):
+                self.refuses(what, made())
+
+    def test_each_zone_has_its_nodes_and_real_ones_stand_in_several(self):
+        plan = made(nodes=30, real=3, zones=9, regions=3, load=Load(10, 2, sharing=5))
+        plan.lay_out()
+        fronts = plan.named("hollow", "real")
+        self.assertEqual(len({place.zone for place in fronts}), 9)
+        self.assertEqual(len({place.zone for place in plan.named("real")}), 3)
+        self.assertEqual({place.region for place in plan.named("control")}, {"r0", "r1", "r2"})
+        self.assertEqual(len({place.listen for place in plan.places}), 34)
+        self.assertEqual(sum(place.shares for place in fronts), 5)
+        self.assertEqual([place.process for place in plan.named("hollow")].count(1), 1)
+
+    def test_the_command_says_so_in_a_line(self):
+        with tempfile.TemporaryDirectory() as name:
+            told = subprocess.run([sys.executable, "-m", "curlewshift", "scale", "run", "--nodes", "5000", "--processes", "180",
+                                   "--real", "20", "--out", f"{name}/out"], cwd=ROOT, capture_output=True, text=True)
+            self.assertEqual((told.returncode, told.stderr.count("\n")), (2, 1), told.stderr)
+            self.assertIn("does not begin", told.stderr)
+            self.assertFalse(Path(name, "out").exists())
+
+
+class OnSockets(unittest.TestCase):
+    def play(self, plan, **more):
+        with tempfile.TemporaryDirectory() as name:
+            figures = anyio.run(ScaleRun(plan, Path(name), lambda words: None, joins=0, **more).run)
+            self.assertEqual(children_of(name), [])
+            return figures
+
+    def test_a_cut_of_24_hollow_and_2_real_is_known_and_healed(self):
+        told = self.play(made(nodes=26, faults=["regions-apart"]), agree_within=30.0)
+        verdict, (fault,) = told["verdict"], told["faults"]
+        self.assertTrue(verdict["ok"], verdict)
+        self.assertGreater(verdict["served"]["played"], 0)
+        self.assertLess(fault["converged_s"], 30)
+        self.assertGreater(fault["known_s"], 0)
+        # frames of both: those of hollow ones and those of the fronts as in service
+        self.assertGreater(told["real_node"]["bytes_a_second"]["mean"], 0)
+        self.assertGreater(told["a_node"]["membership"]["bytes_a_second"]["mean"], 0)
+        self.assertGreater(told["a_node"]["membership"]["core"]["mean"], 0)
+
+    def test_one_that_does_not_hear_and_counters_that_lie_are_seen(self):
+        verdict = self.play(made(nodes=8, real=0, spoil="deaf=n0005 lies=n0007"), agree_within=6.0)["verdict"]
+        self.assertEqual((verdict["ok"], verdict["agreed"]), (False, False))
+        self.assertTrue(all("n0005" in words for words in verdict["false_gone_examples"]), verdict)
+        self.assertGreater(verdict["false_gone"], 0)
+        self.assertEqual(list(verdict["counters_off_examples"]), ["n0007"])
+
+    def test_broken_off_it_ends_its_own(self):
+        with tempfile.TemporaryDirectory() as name:
+            run = subprocess.Popen([sys.executable, "-m", "curlewshift", "scale", "run", "--nodes", "12", "--real", "0",
+                                    "--processes", "1", "--relays", "1", "--out", name, "--seconds", "60"], cwd=ROOT,
+                                   stderr=subprocess.PIPE, text=True)
+            try:
+                line = run.stderr.readline()
+                self.assertIn("processes", line)
+                self.assertGreater(len(children_of(name)), 2)
+                run.send_signal(signal.SIGTERM)
+                self.assertEqual(run.wait(10), 1)
+                ends = time.monotonic() + 5
+                while children_of(name) and time.monotonic() < ends:
+                    time.sleep(0.05)
+                self.assertEqual(children_of(name), [])
+            finally:
+                run.kill()
+                run.stderr.close()
+                run.wait()
+
+
+if __name__ == "__main__":
+    unittest.main()
