--- a/curlewshift/scale/slopes.py
+++ b/curlewshift/scale/slopes.py
@@ -126,7 +126,17 @@
     return size
 
 
+def _few(size: int) -> int:
+    return 500
+
+
 KINDS = {kind.name: kind for kind in (
     Kind("idle", "memory and idle processor time, by connection and by viewing", (1000, 2000, 4000, 6000, 8000),
          "slopes_idle.measure_idle", _itself, "connections"),
+    Kind("requests", "processor time and p99 by set-ups a second", (25, 50, 100, 200, 400), "slopes_asked.measure_requests", _few,
+         "set-ups a second"),
+    Kind("notices", "processor time and p99 by ends passed on to viewers a second", (25, 50, 100, 200, 400),
+         "slopes_asked.measure_notices", _few, "notices a second"),
+    Kind("rungs", "processor time by changes of rung a second", (50, 100, 200, 400, 800), "slopes_asked.measure_rungs", _few,
+         "changes a second"),
 )}
--- a/curlewshift/scale/slopes_stands.py
+++ b/curlewshift/scale/slopes_stands.py
@@ -197,7 +197,6 @@
         self.playing: dict[str, Viewer] = {}
         self.answers: list[tuple[int, int]] = []
         self.greeted = self.released = self.dropped = self.torn_down = 0
-        self.told_at: list[int] = []
 
     def connect(self) -> Viewer:
         """Blocks until it is up: the kernel's queue is the node's, and what does not fit in it waits here."""
@@ -230,8 +229,8 @@
         id = message.fields.get("session", "")
         if message.method == "TEARDOWN":
             self.released += 1
-            self.told_at.append(time.monotonic_ns())
             self.playing.pop(id, None)
+            self.ended(id)
         elif id in self.asked:
             viewer, since = self.asked.pop(id)
             self.answers.append((time.monotonic_ns() - since, message.status))
@@ -246,6 +245,9 @@
     def answered(self, id: str, viewer: Viewer, message: rtsp.Message) -> None:
         """For those who do more."""
 
+    def ended(self, id: str) -> None:
+        """For those who do more."""
+
     def left(self, viewer: Viewer) -> None:
         self.dropped += 1
         self.viewers.pop(viewer, None)
