--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -87,6 +87,8 @@
         page, made = PAGE.read_text(), tables(read_size(USUAL), Measured(MEASURED), ROOT)
         row = next(line for line in page.split("\n") if line.startswith("| front nodes"))
         self.assertTrue(differences(page.replace(row + "\n", ""), made))
+        last = page.split("\n<!-- /capacity -->")[1].split("\n")[-1]
+        self.assertEqual(len(differences(page.replace(last + "\n", "", 1), made)), 1)
         for spoilt in (page.replace("<!-- capacity: order -->", ""), page + "\n<!-- capacity: more -->\n<!-- /capacity -->\n"):
             with self.assertRaises(NoPlace):
                 differences(spoilt, made)
@@ -215,6 +217,42 @@
         self.assertAlmostEqual(waits.at(250, "ms", beyond=False).value, 35)
         self.assertAlmostEqual(measured.slopes["idle-time-by-connection-with-viewing"].at(250, "s").value, (0.04 + 0.09) / 2)
 
+    def test_errors_go_with_what_is_added_and_multiplied(self):
+        one, other = Figure(10, "MB", "measured", 1), Figure(20, "MB", "measured", 2)
+        both = one.plus(other)
+        self.assertEqual((both.value, both.error, both.how), (30, 3, "worked out"))
+        self.assertEqual((one.times(5, "MB").value, one.times(5, "MB").error), (50, 5))
+        with self.assertRaises(ValueError):
+            one.plus(Figure(1, "bytes/s", "measured"))
+
+    def test_a_size_that_was_measured_twice_counts_by_its_mean(self):
+        told = line_file("idle-time-by-connection", 0, 0, unit="seconds", bend=1e-6, xs=(100, 200, 300, 400, 400))["slopes"][0]
+        told["points"][-1][1] = 0.18
+        line = linear_regression(*zip(*told["points"]))
+        told["fit"].update(intercept=line.intercept, slope=line.slope)
+        self.assertAlmostEqual(slope_of(told, "F").at(400, "s").value, 0.17)
+
+    def test_connections_without_a_viewing_count_by_their_own_slope(self):
+        size = read_size(self.size(('"viewings-a-connection" value="1"', '"viewings-a-connection" value="0.5"')))
+        measured = self.files(slope_a=line_file("memory-by-connection-with-viewing", 1_000_000, 9_000),
+                              slope_b=line_file("memory-by-connection", 1_000_000, 2_000))
+        row = next(row for row in all_rows(size, measured) if "all connections with their viewings" in row.says)
+        self.assertAlmostEqual(row.figure.value, 1 + (43e6 / 630 / 2) * 0.011, places=3)
+
+    def test_a_keeper_has_its_part_of_all_leases_words(self):
+        told = {"sizes": [{}, {}, {}, {}, {"words_a_second_a_lease": 10.0}]}
+        row = self.row(self.files(leases=told), "at each of five keepers")
+        self.assertAlmostEqual(row.figure.value, 32 * 10.0 / 5 * 100)
+        self.assertEqual(self.small().deliveries_a_node, 2000)
+
+    def test_time_until_in_force_is_of_the_run_else_of_the_nearest_simulation_above(self):
+        sizes = [{"nodes": 4, "in_force_p99_s": 1.0}, {"nodes": 24, "in_force_p99_s": 2.0}, {"nodes": 630, "in_force_p99_s": 3.0}]
+        figure = self.row(self.files(versions={"sizes": sizes}), "in force everywhere (p99)").figure
+        self.assertEqual((figure.value, figure.how), (2.0, "simulated"))
+        run = {"nodes": 630, "configuration": {"in_force_p99_s": 20.0}}
+        row = self.row(self.files(versions={"sizes": sizes}, scale_630=run), "in force everywhere (p99)")
+        self.assertEqual((row.figure.how, row.verdict(ROOT)), ("measured", "over: ×1.11 of 18 s"))
+
     def test_a_slope_whose_fit_is_not_that_of_its_points_is_refused(self):
         for spoil in (lambda one: one["points"][2].__setitem__(1, 9e6), lambda one: one["fit"].update(slope=9_100),
                       lambda one: one["fit"].update(intercept=0), lambda one: one["points"].pop(),
@@ -310,7 +348,7 @@
         def row(key, value, by):
             return Row(key, FRONT, MEMORY, key, Figure(value, "MB", "measured"), 10.0, by)
         rows = [row("idle", 20, wire), row("list", 500, wire), row("memory", 5, wire), row("sharing", 900, wire),
-                row("workers", 1, None), row("configuration", 1, None), row("sharing", 90, None)]
+                row("sharing", 800, wire), row("workers", 1, None), row("configuration", 1, None), row("sharing", 90, None)]
         self.assertEqual([one.key for one in shortfalls(rows, ROOT)], ["configuration", "sharing", "workers", "list", "idle"])
         self.assertEqual(shortfalls(rows, ROOT)[1].over.figure.value, 900)
         self.assertIn("configuration", RESTS["workers"])
