Capacity: a line too scattered to show that it is straight is not carried beyond its run

With four sizes on a busy machine the idle time of connections with a viewing each has a bend of a fifth of its rise that its fit cannot exclude; carried 17 times it said 2.5 cores.

--- a/curlewshift/capacity/figures.py
+++ b/curlewshift/capacity/figures.py
@@ -43,9 +43,8 @@
         """The limit of the machine that measured, beside a figure carried beyond it."""
         if self.factor <= 1.0:
             return ""
-        words = "not carried" if self.at_least else "carried"
-        return (f"measured to {short(self.measured_to)} {self.carried}, wanted {short(self.wanted_at)}: "
-                f"×{self.factor:.1f}, {words}")
+        words = "" if self.how == WANTED else ", not carried" if self.at_least else ", carried"
+        return f"measured to {short(self.measured_to)} {self.carried}, wanted {short(self.wanted_at)}: ×{self.factor:.1f}{words}"
 
     def times(self, by: float, unit: str, carried: str = "") -> Figure:
         """So many times this, worked out."""
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -9,11 +9,14 @@
 
 from dataclasses import dataclass
 
-from curlewshift.capacity.figures import WORKED_OUT, Figure
+from curlewshift.capacity.figures import WORKED_OUT, Figure, short
 
 FEWEST_POINTS = 4
 # How far the fit that a file states may lie from the line through its points, as a part: it is told with five digits.
 SAME_FIT = 0.001
+# A line whose worst point lies further off than this part of its rise is too scattered to be carried beyond its run: so few
+# points do not show that it is straight.
+SCATTERED = 0.10
 # What a unit is in the first of its kind.
 UNITS = {"bytes": ("bytes", 1.0), "kB": ("bytes", 1e3), "MB": ("bytes", 1e6), "GB": ("bytes", 1e9),
          "s": ("s", 1.0), "seconds": ("s", 1.0), "ms": ("s", 1e-3), "us": ("s", 1e-6),
@@ -69,31 +72,36 @@
     command: str
     notes: str
 
+    @property
+    def bears_carrying(self) -> bool:
+        return self.straight and self.line.worst <= SCATTERED * abs(self.line.slope) * (self.points[-1][0] - self.points[0][0])
+
     @property
     def measured_to(self) -> float:
         return self.points[-1][0]
 
     def each(self, unit: str, carried_to: float) -> Figure:
-        """What one more of x costs, by the line; where that is not straight, what the last stretch between points costs."""
-        if self.straight:
+        """What one more of x costs, by the line; where it does not bear that, what the last stretch between points costs."""
+        if self.bears_carrying:
             value, error = self.line.slope, self.line.slope_error
         else:
             (x0, y0), (x1, y1) = self.curve[-2:]
             value, error = (y1 - y0) / (x1 - x0), 0.0
-        return self._figure(value, error, unit, carried_to, not self.straight and carried_to > self.measured_to)
+        return self._figure(value, error, unit, carried_to, not self.bears_carrying and carried_to > self.measured_to)
 
     def at(self, x: float, unit: str, beyond: bool = True) -> Figure:
         """What x of them cost. Without `beyond` nothing past the run is worked out, as of waits, which rise without end once a
         process is full."""
-        if self.straight and (beyond or x <= self.measured_to):
+        within = x <= self.measured_to
+        if self.bears_carrying and beyond or self.straight and within:
             return self._figure(self.line.intercept + self.line.slope * x,
                                 self.line.slope_error * abs(x) + self.line.worst, unit, x, False)
-        if x > self.measured_to:
+        if not within:
             return self._figure(self.curve[-1][1], 0.0, unit, x, True)
         return self._figure(self._between(x), 0.0, unit, x, False)
 
     def _figure(self, value: float, error: float, unit: str, x: float, least: bool) -> Figure:
-        bent = "" if self.straight else "not straight: "
+        bent = "" if self.bears_carrying else "too scattered to carry: " if self.straight else "not straight: "
         by = f"{bent}by its last point" if least else "by its line" if self.straight else f"{bent}between its points"
         return Figure(in_unit(value, self.y_unit, unit), unit, WORKED_OUT, in_unit(error, self.y_unit, unit), (self.file,),
                       self.command, self.measured_to, x, self.x_unit, least, by)
@@ -116,11 +124,11 @@
         """In words, for the table of slopes."""
         if not self.straight:
             return "not straight"
-        return f"{_four(self.line.slope)} ± {_four(self.line.slope_error)} {self.y_unit} by {self.x_unit}"
-
-
-def _four(value: float) -> str:
-    return f"{value:.4g}"
+        unit, by = ("us", 1e6) if UNITS.get(self.y_unit, ("",))[0] == "s" else (self.y_unit, 1.0)
+        value, error = (in_unit(one, self.y_unit, "s") * by if unit == "us" else one
+                        for one in (self.line.slope, self.line.slope_error))
+        scattered = "" if self.bears_carrying else "; too scattered to carry"
+        return f"{short(value)} ± {short(error)} {unit} each{scattered}"
 
 
 def slope_of(told: dict, file: str) -> Slope:
@@ -147,6 +155,11 @@
         raise no(f"its fit says {says:.5g} at {reach:g}, the line through its points {here:.5g}")
     x, notes = told["x"], told.get("notes") or ""
     unit = x.get("unit", "")
-    return Slope(name, file, told.get("of", ""), x["name"] + "s" if unit in ("", "count") else x["name"],
+    return Slope(name, file, told.get("of", ""), _plural(x["name"]) if unit in ("", "count") else x["name"],
                  told["y"].get("unit", ""), points, line, bool(fit["straight"]), told["command"],
                  notes if isinstance(notes, str) else "; ".join(notes))
+
+
+def _plural(name: str) -> str:
+    first, *more = name.replace("-", " ").split()
+    return " ".join([first + "s", *more])
