Site: control machines, places of fronts, and what of a new file may change in service

The settings were those of a file until the process ended; a version in service needs to say where its members stand, who makes it, and which parts a running front may take.

--- a/curlewshift/peering/leased.py
+++ b/curlewshift/peering/leased.py
@@ -1,4 +1,4 @@
-"""Leases on the channel: words of leases/ as bodies of one kind, their time, and the tasks over them. Held by front/front.py."""
+"""Tasks of fronts over leases on the channel: their time, and their own words. Held by front/front.py."""
 
 from __future__ import annotations
 
@@ -9,12 +9,10 @@
 import msgspec
 from msgspec import Meta
 
-from curlewshift.leases.asker import Asker
-from curlewshift.leases.ballots import NONE, Ballot
-from curlewshift.leases.keeper import Keeper
 from curlewshift.leases.terms import LeaseTerms
 from curlewshift.membership.member import Member
 from curlewshift.peering.channel import Channel
+from curlewshift.peering.leasing import ENCODER, Count, LeaseWords
 from curlewshift.sharing.counts import picked
 from curlewshift.signalling.bodies import ListNews
 from curlewshift.tasks.listing import ListReading
@@ -23,21 +21,8 @@
 from curlewshift.tasks.servers import Orphans, Probing
 from curlewshift.tasks.tasks import Tasks
 
-KIND, KIND_OF_TASKS = 17, 18
+KIND_OF_TASKS = 18
 NS = 1_000_000_000
-PREPARE, PROPOSE, RELEASE, PROMISE, ACCEPT, OUTBID = range(1, 7)
-
-Count = Annotated[int, Meta(ge=0, lt=2**62)]
-WireBallot = tuple[Count, Annotated[int, Meta(ge=-1, lt=2**31)], Count]
-
-
-class Body(msgspec.Struct, array_like=True):
-    what: Annotated[int, Meta(ge=1, le=6)]
-    lease: Annotated[str, Meta(min_length=1, max_length=64)]
-    ballot: WireBallot
-    fence: Count = 0
-    holder: Annotated[int, Meta(ge=-1, lt=2**31)] = -1
-    other: WireBallot = tuple(NONE)
 
 
 class TaskWord(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -52,8 +37,6 @@
     parts: Annotated[dict[str, Annotated[float, Meta(ge=0, le=1)]], Meta(max_length=64)] = {}
 
 
-ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Body)
 TASK_DECODER = msgspec.msgpack.Decoder(TaskWord)
 # Parts of a hold in one datagram; a plan for more fronts goes out in several.
 MOST_PARTS = 24
@@ -61,29 +44,20 @@
 MOST_WORD = 850
 
 
-class LeaseWire:
-    """Outside of the asker, the keeper and the tasks. `order` are the fronts' names as in the settings."""
-
-    asker_class, keeper_class = Asker, Keeper
+class LeaseWire(LeaseWords):
+    """Outside of the tasks. `order` are the fronts' names as in the settings."""
 
     def __init__(self, channel: Channel, front, order: list[str], me: int, keepers: list[str], terms: LeaseTerms,
                  shards: int, probe_each: int, log, chance: Random, named: tuple[str, ...] = ("probe",),
                  orphans_after: int = 15 * NS):
-        self.channel, self.front, self.log, self.order, self.me = channel, front, log, order, me
-        self.clock = front.clock
-        self.number_of = {name: number for number, name in enumerate(order)}
-        numbers = [self.number_of[name] for name in keepers]
-        self.own: list[Body] = []
-        self.malformed = 0
-        self.keeper = self.keeper_class(self, terms) if me in numbers else None
-        self.asker = self.asker_class(self, me, channel.membership.me.life, numbers, terms, chance)
+        super().__init__(channel, front.clock, order, me, keepers, terms, log, chance)
+        self.front = front
         self.listing, self.planning = ListReading(self), Planning(self, order[me])
         tasks = {task.name: task for task in (Probing(self, shards, probe_each),
                                               Orphans(self, shards, max(probe_each, NS), orphans_after),
                                               self.listing, self.planning)}
         self.named = named
         self.tasks = Tasks(order[me], self.asker, [tasks[name] for name in named], self.members)
-        channel.carries(KIND, self.heard)
         channel.carries(KIND_OF_TASKS, self.heard_of_task)
         self.plan_due = 0
 
@@ -111,17 +85,6 @@
         self.tasks.drain()
         self._to_itself()
 
-    def heard(self, sender: Member, data: bytes) -> None:
-        number = self.number_of.get(sender.name)
-        try:
-            body = DECODER.decode(data)
-        except msgspec.DecodeError:
-            self.malformed += 1
-            return
-        if number is not None:
-            self._take(number, body)
-            self._to_itself()
-
     def heard_of_task(self, sender: Member, data: bytes) -> None:
         try:
             word = TASK_DECODER.decode(data)
@@ -147,71 +110,14 @@
                 self.channel.say(member, KIND_OF_TASKS, raw)
         return True
 
-    def _take(self, by: int, body: Body) -> None:
-        ballot, other = Ballot(*body.ballot), Ballot(*body.other)
-        if body.what == PROMISE:
-            self.asker.promise(by, body.lease, ballot, body.holder, other, body.fence)
-        elif body.what == ACCEPT:
-            self.asker.accepted(by, body.lease, ballot)
-        elif body.what == OUTBID:
-            self.asker.outbid(by, body.lease, ballot, other)
-        elif self.keeper is None:
-            return
-        elif body.what == PREPARE:
-            self.keeper.prepare(by, body.lease, ballot)
-        elif body.what == PROPOSE:
-            self.keeper.propose(by, body.lease, ballot, body.fence)
-        else:
-            self.keeper.released(by, body.lease, ballot)
-
-    def _to_itself(self) -> None:
-        while self.own:
-            self._take(self.me, self.own.pop(0))
-
-    def _say(self, to: int, body: Body) -> None:
-        if to == self.me:
-            self.own.append(body)
-            return
-        member = self.channel.membership.members.get(self.order[to]) if to < len(self.order) else None
-        if member is not None and member.there:
-            self.channel.say(member, KIND, ENCODER.encode(body))
-
-    # ---- the asker's outside
-
-    def now(self) -> int:
-        return self.clock.now()
-
-    def wall(self) -> int:
-        return self.clock.wall()
-
-    def prepare(self, keeper: int, lease: str, ballot: Ballot) -> None:
-        self._say(keeper, Body(PREPARE, lease, tuple(ballot)))
-
-    def propose(self, keeper: int, lease: str, ballot: Ballot, fence: int) -> None:
-        self._say(keeper, Body(PROPOSE, lease, tuple(ballot), fence))
-
-    def release(self, keeper: int, lease: str, ballot: Ballot) -> None:
-        self._say(keeper, Body(RELEASE, lease, tuple(ballot)))
-
     def begins(self, lease: str, fence: int) -> None:
-        self.log.info("lease-begins", lease=lease, number=fence)
+        super().begins(lease, fence)
         self.tasks.begins(lease, fence)
 
     def stops(self, lease: str, why: str) -> None:
-        self.log.info("lease-stops", lease=lease, cause=why)
+        super().stops(lease, why)
         self.tasks.stops(lease)
 
-    # ---- the keeper's outside
-
-    def promise(self, asker: int, lease: str, ballot: Ballot, holder: int, of: Ballot, fence: int) -> None:
-        self._say(asker, Body(PROMISE, lease, tuple(ballot), fence, holder, tuple(of)))
-
-    def accept(self, asker: int, lease: str, ballot: Ballot) -> None:
-        self._say(asker, Body(ACCEPT, lease, tuple(ballot)))
-
-    def outbid(self, asker: int, lease: str, ballot: Ballot, by: Ballot) -> None:
-        self._say(asker, Body(OUTBID, lease, tuple(ballot), other=tuple(by)))
-
     # ---- the tasks' outside
 
     def members(self) -> list[str]:
--- /dev/null
+++ b/curlewshift/peering/leasing.py
@@ -0,0 +1,130 @@
+"""Words of leases on the channel: asker and keeper as bodies of one kind, whoever works by what they hold.
+
+Under the tasks of fronts (leased.py beside this file) and under a control machine, which has no front (curlewshift/control).
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from curlewshift.leases.asker import Asker
+from curlewshift.leases.ballots import NONE, Ballot
+from curlewshift.leases.keeper import Keeper
+from curlewshift.leases.terms import LeaseTerms
+from curlewshift.membership.member import Member
+from curlewshift.peering.channel import Channel
+
+KIND = 17
+PREPARE, PROPOSE, RELEASE, PROMISE, ACCEPT, OUTBID = range(1, 7)
+
+Count = Annotated[int, Meta(ge=0, lt=2**62)]
+WireBallot = tuple[Count, Annotated[int, Meta(ge=-1, lt=2**31)], Count]
+
+
+class Body(msgspec.Struct, array_like=True):
+    what: Annotated[int, Meta(ge=1, le=6)]
+    lease: Annotated[str, Meta(min_length=1, max_length=64)]
+    ballot: WireBallot
+    fence: Count = 0
+    holder: Annotated[int, Meta(ge=-1, lt=2**31)] = -1
+    other: WireBallot = tuple(NONE)
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Body)
+
+
+class LeaseWords:
+    """Outside of the asker and the keeper. `order` are the names of all who ask or keep, as in the settings, and `keepers` those
+    that keep."""
+
+    asker_class, keeper_class = Asker, Keeper
+
+    def __init__(self, channel: Channel, clock, order: list[str], me: int, keepers: list[str], terms: LeaseTerms, log,
+                 chance: Random):
+        self.channel, self.clock, self.log, self.order, self.me = channel, clock, log, order, me
+        self.number_of = {name: number for number, name in enumerate(order)}
+        numbers = [self.number_of[name] for name in keepers]
+        self.own: list[Body] = []
+        self.malformed = 0
+        self.keeper = self.keeper_class(self, terms) if me in numbers else None
+        self.asker = self.asker_class(self, me, channel.membership.me.life, numbers, terms, chance)
+        channel.carries(KIND, self.heard)
+
+    def heard(self, sender: Member, data: bytes) -> None:
+        number = self.number_of.get(sender.name)
+        try:
+            body = DECODER.decode(data)
+        except msgspec.DecodeError:
+            self.malformed += 1
+            return
+        if number is not None:
+            self._take(number, body)
+            self._to_itself()
+
+    def _take(self, by: int, body: Body) -> None:
+        ballot, other = Ballot(*body.ballot), Ballot(*body.other)
+        if body.what == PROMISE:
+            self.asker.promise(by, body.lease, ballot, body.holder, other, body.fence)
+        elif body.what == ACCEPT:
+            self.asker.accepted(by, body.lease, ballot)
+        elif body.what == OUTBID:
+            self.asker.outbid(by, body.lease, ballot, other)
+        elif self.keeper is None:
+            return
+        elif body.what == PREPARE:
+            self.keeper.prepare(by, body.lease, ballot)
+        elif body.what == PROPOSE:
+            self.keeper.propose(by, body.lease, ballot, body.fence)
+        else:
+            self.keeper.released(by, body.lease, ballot)
+
+    def _to_itself(self) -> None:
+        while self.own:
+            self._take(self.me, self.own.pop(0))
+
+    def _say(self, to: int, body: Body) -> None:
+        if to == self.me:
+            self.own.append(body)
+            return
+        member = self.channel.membership.members.get(self.order[to]) if to < len(self.order) else None
+        if member is not None and member.there:
+            self.channel.say(member, KIND, ENCODER.encode(body))
+
+    # ---- the asker's outside
+
+    def now(self) -> int:
+        return self.clock.now()
+
+    def wall(self) -> int:
+        return self.clock.wall()
+
+    def prepare(self, keeper: int, lease: str, ballot: Ballot) -> None:
+        self._say(keeper, Body(PREPARE, lease, tuple(ballot)))
+
+    def propose(self, keeper: int, lease: str, ballot: Ballot, fence: int) -> None:
+        self._say(keeper, Body(PROPOSE, lease, tuple(ballot), fence))
+
+    def release(self, keeper: int, lease: str, ballot: Ballot) -> None:
+        self._say(keeper, Body(RELEASE, lease, tuple(ballot)))
+
+    def begins(self, lease: str, fence: int) -> None:
+        self.log.info("lease-begins", lease=lease, number=fence)
+
+    def stops(self, lease: str, why: str) -> None:
+        self.log.info("lease-stops", lease=lease, cause=why)
+
+    # ---- the keeper's outside
+
+    def promise(self, asker: int, lease: str, ballot: Ballot, holder: int, of: Ballot, fence: int) -> None:
+        self._say(asker, Body(PROMISE, lease, tuple(ballot), fence, holder, tuple(of)))
+
+    def accept(self, asker: int, lease: str, ballot: Ballot) -> None:
+        self._say(asker, Body(ACCEPT, lease, tuple(ballot)))
+
+    def outbid(self, asker: int, lease: str, ballot: Ballot, by: Ballot) -> None:
+        self._say(asker, Body(OUTBID, lease, tuple(ballot), other=tuple(by)))
--- a/curlewshift/peering/shared.py
+++ b/curlewshift/peering/shared.py
@@ -57,6 +57,8 @@
                  warm_within: int, now, log, chance: Random):
         self.channel, self.desk, self.log, self.now = channel, desk, log, now
         self.numbers, self.malformed = 0, 0
+        # control machines are in as well, and share nothing
+        self.names = frozenset(order)
         self.sharing = self.sharing_class(self, order, me, channel.membership.me.life, terms, warm_within, chance,
                                           together)
         channel.carries(KIND, self.heard)
@@ -122,7 +124,7 @@
         return self.desk.rules.rights_of(server)
 
     def members(self) -> list[str]:
-        return [member.name for member in self.channel.membership.ring]
+        return [member.name for member in self.channel.membership.ring if member.name in self.names]
 
     def ask(self, to: str, number: int, keys: list[str]) -> None:
         self._say(to, ASK, number, keys=keys)
--- a/curlewshift/site/reading.py
+++ b/curlewshift/site/reading.py
@@ -51,10 +51,10 @@
     return float(number) * RATES[unit]
 
 
-def read_xml(path: Path | str, schema: Path) -> etree._Element:
-    """The root element of a file that fits the schema. Raises `Mistakes`."""
+def read_xml(path: Path | str, schema: Path, raw: bytes | None = None) -> etree._Element:
+    """The root element of a file that fits the schema; of `raw` where its bytes are at hand. Raises `Mistakes`."""
     try:
-        raw = Path(path).read_bytes()
+        raw = Path(path).read_bytes() if raw is None else raw
     except OSError as wrong:
         raise Mistakes(path, [(0, f"the file cannot be read: {wrong.strerror}")]) from None
     # no entities and no network: a settings file is text and nothing else
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -30,6 +30,34 @@
     # where its peers' datagrams come in, and where they reach it
     peers_listen: tuple[str, int] | None = None
     peers_reach: tuple[str, int] | None = None
+    region: str = ""
+    zone: str = ""
+
+
+@dataclass(slots=True)
+class ControlMachine:
+    """One that keeps the lease `configuration/0` and stores versions of the settings; it has no door."""
+
+    name: str
+    peers_listen: tuple[str, int]
+    peers_reach: tuple[str, int]
+    region: str = ""
+    zone: str = ""
+
+
+@dataclass(slots=True)
+class Control:
+    machines: list[ControlMachine]
+    terms: LeaseTerms
+
+
+@dataclass(slots=True)
+class Distributed:
+    """The settings are changed in service. `give_bytes` a second are given at most to those that lack a version; a front
+    without a disk that can be read waits for its peers `start_within` (ns)."""
+
+    give_bytes: int
+    start_within: int
 
 
 @dataclass(slots=True)
@@ -108,6 +136,10 @@
     leases: Leases | None = None
     # None: who comes first is let in
     overload: OverloadTerms | None = None
+    # None: there are none
+    control: Control | None = None
+    # None: the settings are those of the file until the process ends
+    configuration: Distributed | None = None
 
     def door(self, name: str) -> int:
         """The number of the front of that name. Raises `KeyError`."""
@@ -145,9 +177,13 @@
     return host.strip("[]"), int(port)
 
 
-def read_site(path: Path | str) -> Site:
-    """Raises `Mistakes` with all that is wrong."""
-    root = read_xml(path, SCHEMA)
+def read_site(path: Path | str, raw: bytes | None = None) -> Site:
+    """From the file, or from `raw`, which stands in for its bytes. Raises `Mistakes` with all that is wrong."""
+    return site_of(path, read_xml(path, SCHEMA, raw))
+
+
+def site_of(path: Path | str, root) -> Site:
+    """From the root element of a file that fits the schema; what it names lies beside `path`. Raises `Mistakes`."""
     wrong: list[tuple[int, str]] = []
     ladder = [rate(rung.get("rate")) for rung in root.iterfind("ladder/rung")]
     for rung, lower, higher in zip(root.findall("ladder/rung")[1:], ladder, ladder[1:]):
@@ -171,18 +207,22 @@
             wrong.append((element.sourceline, f"{element.tag}: port {port} is not from 1 to 65535"))
     duties = _duties(root.find("obligations"), wrong)
     fronts = root.find("fronts")
-    doors = [Door(front.get("name"), *host_port(front.get("listen")), *_peer_places(front, wrong))
+    doors = [Door(front.get("name"), *host_port(front.get("listen")), *_peer_places(front, wrong),
+                  front.get("region", ""), front.get("zone", ""))
              for front in fronts.iterfind("front")]
-    peers = _peers(fronts, doors, wrong)
+    control = _control(root, doors, wrong)
+    peers = _peers(fronts, doors, control, wrong)
     sharing = _sharing(fronts, duties, wrong)
     together = _together(fronts, sharing, duties, packages, titles, wrong)
     leases = _leases(fronts, doors, wrong)
     overload = _overload(fronts, doors, duties, wrong)
+    configuration = _configuration(fronts, control, wrong)
     if wrong:
         raise Mistakes(path, wrong)
     return Site(
         name=root.get("name"), list_at=host_port(root.find("list").get("address")),
         doors=doors, peers=peers, sharing=sharing, together=together, leases=leases, overload=overload,
+        control=control, configuration=configuration,
         packages=packages,
         machines=machines, titles=titles, duties=duties,
         uplinks={rack.get("name"): rate(rack.get("uplink")) for rack in root.iterfind("racks/rack")},
@@ -196,7 +236,7 @@
 
 def _peer_places(front, wrong: list[tuple[int, str]]) -> tuple:
     """Addresses as numbers: a datagram does not wait for a name to be looked up."""
-    places = []
+    places, what = [], front.tag
     for name in ("peers-listen", "peers-reach"):
         text = front.get(name)
         place = host_port(text) if text else None
@@ -204,21 +244,60 @@
             try:
                 ip_address(place[0])
             except ValueError:
-                wrong.append((front.sourceline, f"front: {name} should be an address in numbers, but is {text!r}"))
+                wrong.append((front.sourceline, f"{what}: {name} should be an address in numbers, but is {text!r}"))
             if not 0 < place[1] < 65536:
-                wrong.append((front.sourceline, f"front: {name}: port {place[1]} is not from 1 to 65535"))
+                wrong.append((front.sourceline, f"{what}: {name}: port {place[1]} is not from 1 to 65535"))
         places.append(place)
     listen, reach = places
     if reach is not None and listen is None:
-        wrong.append((front.sourceline, "front: peers-reach without peers-listen reaches nothing"))
+        wrong.append((front.sourceline, f"{what}: peers-reach without peers-listen reaches nothing"))
     return listen, reach or listen
 
 
-def _peers(fronts, doors: list[Door], wrong: list[tuple[int, str]]) -> Peers | None:
+def _control(root, doors: list[Door], wrong: list[tuple[int, str]]) -> Control | None:
+    element = root.find("control")
+    if element is None:
+        return None
+    line, names = element.sourceline, {door.name for door in doors}
+    machines = []
+    for one in element.iterfind("machine"):
+        if one.get("name") in names:
+            wrong.append((one.sourceline, f"machine: a front has the name {one.get('name')!r} already"))
+        machines.append(ControlMachine(one.get("name"), *_peer_places(one, wrong), one.get("region", ""), one.get("zone", "")))
+    if root.find("fronts/peers") is None:
+        wrong.append((line, "control: there are no peers that its machines could speak with"))
+    region_of: dict[str, str] = {}
+    for one in root.iter("front", "machine"):
+        zone, region = one.get("zone"), one.get("region", "")
+        if zone and region_of.setdefault(zone, region) != region:
+            wrong.append((one.sourceline, f"{one.tag}: zone {zone!r} lies in region {region_of[zone]!r} by another line, and in "
+                                          f"{region!r} by this one"))
+    return Control(machines, _lease_terms("control", element, wrong))
+
+
+def _configuration(fronts, control: Control | None, wrong: list[tuple[int, str]]) -> Distributed | None:
+    element = fronts.find("configuration")
+    if element is None:
+        return None
+    line = element.sourceline
+    if fronts.find("peers") is None:
+        wrong.append((line, "configuration: there are no peers to have versions from"))
+    if control is None:
+        wrong.append((line, "configuration: there is no <control> with the machines that make and keep versions"))
+    give, within = int(rate(element.get("give-bytes", "32kB/s")) * 1000), span(element.get("start-within", "3s"))
+    if give < 4000:
+        wrong.append((line, "configuration: give-bytes under 4kB/s takes minutes for one file"))
+    if within > 60 * SECOND:
+        wrong.append((line, "configuration: start-within is how long a front waits before it serves, 1min at most"))
+    return Distributed(give, within)
+
+
+def _peers(fronts, doors: list[Door], control: Control | None, wrong: list[tuple[int, str]]) -> Peers | None:
     element = fronts.find("peers")
     if element is None:
         return None
-    line, at = element.sourceline, {door.name: door.peers_reach for door in doors}
+    machines = control.machines if control is not None else []
+    line, at = element.sourceline, {one.name: one.peers_reach for one in (*doors, *machines)}
     for door in doors:
         if door.peers_listen is None:
             wrong.append((line, f"peers: front {door.name} says no peers-listen"))
@@ -300,18 +379,23 @@
             wrong.append((line, f"leases: there is no front {name!r} to be a keeper"))
     if len(set(keepers)) < len(keepers) or len(keepers) % 2 == 0:
         wrong.append((line, "leases: keepers should be an odd number of different fronts: an even one bears no more losses"))
-    term, every = span(element.get("term", "4s")), span(element.get("every", "250ms"))
-    drift = float(element.get("drift", "0.01"))
-    _rounds("leases", every, drift, line, wrong)
-    if term < 8 * every:
-        wrong.append((line, "leases: a term under eight rounds leaves no time to renew"))
+    terms = _lease_terms("leases", element, wrong)
     shards = int(element.get("shards", "8"))
     if shards > 64:
         wrong.append((line, "leases: 64 shards at most"))
     tasks, after = tuple(dict.fromkeys(element.get("tasks", "probe").split())), span(element.get("orphans-after", "15s"))
-    if after < term:
+    if after < terms.term:
         wrong.append((line, "leases: orphans-after is shorter than a term, and a front that is only stopped comes back by then"))
-    return Leases(keepers, LeaseTerms(term, drift, every), shards, span(element.get("probe-each", "1s")), tasks, after)
+    return Leases(keepers, terms, shards, span(element.get("probe-each", "1s")), tasks, after)
+
+
+def _lease_terms(what: str, element, wrong: list[tuple[int, str]]) -> LeaseTerms:
+    line, term, every = element.sourceline, span(element.get("term", "4s")), span(element.get("every", "250ms"))
+    drift = float(element.get("drift", "0.01"))
+    _rounds(what, every, drift, line, wrong)
+    if term < 8 * every:
+        wrong.append((line, f"{what}: a term under eight rounds leaves no time to renew"))
+    return LeaseTerms(term, drift, every)
 
 
 def _overload(fronts, doors: list[Door], duties: Duties, wrong: list[tuple[int, str]]) -> OverloadTerms | None:
