--- a/curlewshift/scale/fleet.py
+++ b/curlewshift/scale/fleet.py
@@ -47,7 +47,7 @@
         self.fleet, self.site, self.name, self.port = fleet, site, name, port
         self.state = fleet.out / site / name
         self.child: Child | None = None
-        self.core_before = 0.0
+        self.core_before, self.open = 0.0, False
 
     async def start(self) -> None:
         if self.child is not None:
@@ -58,8 +58,10 @@
             f"{self.site}-{self.name}")
         if not await listens(self.port, START_WITHIN):
             raise RunFailed(f"front {self.name} does not listen; see {self.fleet.out / f'{self.site}-{self.name}.log'}")
+        self.open = True
 
     def kill(self) -> None:
+        self.open = False
         self.core_before += cpu_of(self.child.process.pid)
         self.fleet.ends(self.child)
 
--- a/curlewshift/scale/node.py
+++ b/curlewshift/scale/node.py
@@ -134,11 +134,12 @@
         self.wire.meter = self.meter
         self.parts: dict[str, object] = {"membership": channel}
         order = [door.name for door in self.site.doors]
+        fronts = [place.name for place in self.plan.named("hollow", "real")]
         self.desk = HollowDesk(self.plan.load if self.place.shares else Load(0, 0, 0), Random(self.chance.random()),
                                self.clock.now)
         self.shared = self.leased = None
         if self.place.shares:
-            self.shared = SharedWire(channel, self.desk, order, self.number, self.site.sharing, self.site.together,
+            self.shared = SharedWire(channel, self.desk, fronts, self.number, self.site.sharing, self.site.together,
                                      self.site.duties.warm_within, self.clock.now, self.log, Random(self.chance.random()))
             self.parts["sharing"] = self.shared
             channel.carried[SHARING] = metered("sharing", channel.carried[SHARING])
--- a/curlewshift/scale/plan.py
+++ b/curlewshift/scale/plan.py
@@ -120,10 +120,11 @@
         for turn in range(self.real):
             of_zone = [number for number in range(self.nodes) if zone_of[number] == turn % self.zones and number not in real]
             real.add(of_zone[0] if of_zone else next(number for number in range(self.nodes) if number not in real))
-        self.places = [Place(f"c{number}", "control", *self._labels(number * self.zones // CONTROL), ports.pop(), 0)
-                       for number in range(CONTROL)]
-        self.places += [Place(f"n{number:04}", "real" if number in real else "hollow", *self._labels(zone_of[number]),
-                              ports.pop()) for number in range(self.nodes)]
+        self.places = [Place(f"n{number:04}", "real" if number in real else "hollow", *self._labels(zone_of[number]),
+                             ports.pop()) for number in range(self.nodes)]
+        # last: fronts that share are numbered without them
+        self.places += [Place(f"c{number}", "control", *self._labels(number * self.zones // CONTROL), ports.pop(), 0)
+                        for number in range(CONTROL)]
         hollow = [place for place in self.places if place.kind == "hollow"]
         # control machines in a process of their own (0), one node alone (1), the others in turn
         for number, place in enumerate(hollow):
--- a/curlewshift/scale/run.py
+++ b/curlewshift/scale/run.py
@@ -127,10 +127,12 @@
         if joined is None:
             self.progress("views did not agree at first")
         viewers = Viewers(fleet)
+        # what was told of those who came in goes round for a while after views agree
+        settling = await self._stretch("settling", plan.seconds)
         quiet = await self._stretch("quiet", plan.seconds)
         memory = await self._memory(quiet)
         self.figures = {
-            "joined_s": joined, "a_node": a_node(quiet, self._front_names(), self._shared_processes(), memory["by_part"]),
+            "joined_s": joined, "settling": a_node(settling, self._front_names(), self._shared_processes()), "a_node": a_node(quiet, self._front_names(), self._shared_processes(), memory["by_part"]),
             "control": a_node(quiet, [place.name for place in plan.named("control")], [0]),
             "memory": memory, "alone": self._alone(quiet), "relay_core": spread(
                 [(after - before) / 1e9 / quiet.lasted for before, after in zip(quiet.begun.relay_core, quiet.ended.relay_core)], 3)}
--- a/curlewshift/scale/viewers.py
+++ b/curlewshift/scale/viewers.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from curlewshift.exchange.client import connect
+from curlewshift.exchange.client import Broken, NeverSent, connect
 from curlewshift.rehearsal.joins import FINGERPRINT, SDP, one_way
 from curlewshift.scale.fleet import Fleet, RealFront
 from curlewshift.signalling.sdp import offer_text
@@ -29,10 +29,10 @@
     async def come(self, front: RealFront) -> None:
         while True:
             await anyio.sleep(PACE)
-            child = front.child
+            child, was_open = front.child, front.open
             began = time.monotonic()
             status = await self._one(front)
-            if child is not front.child or child not in self.fleet.children or child.process.poll() is not None:
+            if not was_open or not front.open or child is not front.child:
                 self.down += 1
                 continue
             self.asked += 1
@@ -55,7 +55,7 @@
                     return answered.status
                 finally:
                     await call.close()
-        except (OSError, TimeoutError, ConnectionError, EOFError, anyio.EndOfStream, anyio.BrokenResourceError):
+        except (OSError, TimeoutError, NeverSent, Broken, anyio.EndOfStream, anyio.BrokenResourceError):
             return 0
 
     def told(self) -> dict:
