Front: another version of the settings in force at one instant, and control machines that make it

A version is checked whole against schema, cross-rules and what runs, everything new is built, and then all of it is set in one call; a step that faults takes back those before it. A front starts from its disk (digest checked), else from peers, else from the file, and says which. A control machine keeps the lease configuration/0 and its vote on a disk that has it before an answer goes out.

--- a/curlewshift/commands/common.py
+++ b/curlewshift/commands/common.py
@@ -54,13 +54,14 @@
     return told
 
 
-def tell_front(state: Path, command: dict) -> dict:
-    """The front's answer; or its no, in words, and exit 2; exit 1 if none listens."""
-    from curlewshift.front.control import tell
+def tell_front(state: Path, command: dict, within: float | None = None) -> dict:
+    """What the front, or control machine, answers; or its no, in words, and exit 2; exit 1 if none listens or answers within so
+    long (s)."""
+    from curlewshift.front.control import WITHIN, tell
     try:
-        answer = run(tell, state, command)
+        answer = run(tell, state, command, within or WITHIN)
     except TimeoutError:
-        click.echo(f"curlewshift: the front at {state} does not answer", err=True)
+        click.echo(f"curlewshift: the process at {state} does not answer", err=True)
         sys.exit(1)
     if not answer.get("ok"):
         click.echo(f"curlewshift: {answer.get('wrong')}", err=True)
--- a/curlewshift/commands/front.py
+++ b/curlewshift/commands/front.py
@@ -25,6 +25,7 @@
     import secrets
 
     from curlewshift.exchange.tls import BadCertificate
+    from curlewshift.front.configured import begin
     from curlewshift.front.front import Front
     from curlewshift.limits.permits import BadKeys
     from curlewshift.logs import make_log
@@ -38,14 +39,22 @@
     check_sabotage(sabotage)
     if state is not None:
         state.mkdir(parents=True, exist_ok=True)
+    how = {}
+    if held.configuration is not None:
+        if sabotage is not None:
+            from curlewshift.front.spoilt_configured import spoilt_begin
+            how["begun"] = spoilt_begin(sabotage, site, held, state)
+        else:
+            how["begun"] = begin(site, held, state)
+        held = how["begun"].site
     arguments = (held, number, secrets.randbits(32) if seed is None else seed, state,
                  make_log(front=held.doors[number].name), life)
     try:
         if sabotage is not None:
             from curlewshift.front.spoilt import spoilt
-            made = spoilt(sabotage, *arguments, led=led)
+            made = spoilt(sabotage, *arguments, led=led, **how)
         else:
-            made = Front(*arguments, capture=capture, led=led)
+            made = Front(*arguments, capture=capture, led=led, **how)
     except (BadKeys, BadCertificate, Taken, OSError) as wrong:
         click.echo(f"{site}: {wrong}", err=True)
         sys.exit(2)
--- a/curlewshift/commands/rehearse.py
+++ b/curlewshift/commands/rehearse.py
@@ -77,4 +77,5 @@
         ("seats over all fronts", bounds.get("seats", {}).get("overdrawn")),
         ("service beside a front with a bad path", bounds.get("beside_bad_path", {}).get("broken")),
         ("one at a time", leases.get("overlaps")), ("acts of who was followed", leases.get("outlived")),
+        ("versions of the configuration", verdict.get("configuration", {}).get("broken")),
         ("shedding as one", verdict.get("shed", {}).get("broken"))) if broken]
--- /dev/null
+++ b/curlewshift/control/machine.py
@@ -0,0 +1,162 @@
+"""One control machine: a member of the fronts' channel that keeps the lease `configuration/0` and stores versions of the settings.
+
+It has no door and no desk. Whichever of them holds the lease makes versions, told to by a command on its socket. Any may be killed,
+stopped or started again, with its disk or without: what it must not forget is on the disk before it answers.
+"""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+from random import Random
+
+import anyio
+
+from curlewshift.control.commands import Commands
+from curlewshift.front.configured import checked, told
+from curlewshift.peering.distributed import DistributionWire
+from curlewshift.peering.leasing import LeaseWords
+from curlewshift.peering.wire import PeerWire
+from curlewshift.schedule.clock import Clock
+from curlewshift.site.places import distribution_of, places_of
+from curlewshift.site.reading import Mistakes
+from curlewshift.site.site import Site, read_site
+from curlewshift.state.configured import Record
+from curlewshift.state.journal import Lock
+from curlewshift.tasks.tasks import Tasks
+
+NS = 1_000_000_000
+TASK, LEASE = "configuration", "configuration/0"
+
+
+class Writing:
+    """The task whose lease lets one machine make versions; it acts when it is told to, and not by itself."""
+
+    name, shards = TASK, 1
+
+    def begin(self, shard: int, number: int) -> None:
+        pass
+
+    def act(self, shard: int, number: int) -> None:
+        pass
+
+    def stop(self, shard: int) -> None:
+        pass
+
+
+class MachineLeases(LeaseWords):
+    """The one lease, asked for by the machine that all pick, so that they do not outbid each other."""
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.tasks = Tasks(self.order[self.me], self.asker, [Writing()], self.members)
+
+    async def run(self) -> None:
+        every = self.asker.terms.every / NS
+        while True:
+            try:
+                self.keeper.time()
+                self.tasks.time()
+                self._to_itself()
+            except Exception as fault:
+                self.log.error("fault", what="leases", cause=repr(fault), exc_info=fault)
+            await anyio.sleep(every)
+
+    def leave(self) -> None:
+        self.tasks.drain()
+        self._to_itself()
+
+    def members(self) -> list[str]:
+        return [member.name for member in self.channel.membership.ring if member.name in self.number_of]
+
+    def fence(self) -> int:
+        """The number to make a version with at this moment; 0 where this machine may not."""
+        return self.asker.may_act(LEASE)
+
+    def writer(self) -> str:
+        """Who holds the lease as far as this machine knows; empty if nobody does."""
+        if self.fence():
+            return self.order[self.me]
+        kept = self.keeper.leases.get(LEASE)
+        holds = kept is not None and kept.holder >= 0 and kept.until > self.now()
+        return self.order[kept.holder] if holds else ""
+
+    def show(self) -> dict:
+        held = self.asker.tries.get(LEASE)
+        return {"me": self.order[self.me], "writer": self.writer(), "number": self.fence(), "silent": self.keeper.silent(),
+                "promised_by": len(held.promised) if held is not None else 0, "needed": self.asker.majority}
+
+
+class Machine:
+    """Raises `Taken` where another process has the folder, `OSError` where the socket cannot be had."""
+
+    leases_class, distribution_class = MachineLeases, DistributionWire
+
+    def __init__(self, path: Path, site: Site, name: str, state: Path, seed: int, log):
+        self.path, self.site, self.name, self.log = path, site, name, log
+        names = [machine.name for machine in site.control.machines]
+        me, chance = names.index(name), Random(seed)
+        self.lock = Lock(state)
+        self.clock = Clock()
+        self.copy, self.vote = Record(state / "configuration"), Record(state / "vote")
+        copy, vote = self.copy.read(), self.vote.read()
+        for record in (self.copy, self.vote):
+            if record.damage:
+                log.error("record-damaged", cause=record.damage)
+        self.peers = PeerWire(site.name, site.control.machines[me], site.peers, self.clock, log, Random(chance.random()))
+        self.leases = self.leases_class(self.peers.channel, self.clock, names, me, names, site.control.terms, log,
+                                        Random(chance.random()))
+        self.wire = self.distribution_class(
+            self.peers.channel, self, name, places_of(site), distribution_of(site), self.leases.fence, self.clock, log,
+            Random(chance.random()), copy, vote)
+        self.commands = Commands(self, state / "control")
+
+    async def run(self, ready=None) -> None:
+        """Until told to end; gives its lease back before that."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(self.commands.run)
+                for work in (self.peers.run, self.leases.run, self.wire.run):
+                    tasks.start_soon(work)
+                self.log.info("open", machine=self.name, version=self.wire.version)
+                if ready is not None:
+                    ready()
+                with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                    async for which in signals:
+                        self.log.info("ended", cause=signal.Signals(which).name)
+                        break
+                self.leases.leave()
+                await self.peers.leave()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.lock.release()
+
+    def mistakes(self, content: bytes, called: str) -> str | None:
+        """What is wrong with a file that somebody wants in force, compared with what is; None: nothing. In the words it is
+        `called` what the operator calls it."""
+        held = self.wire.content
+        try:
+            running = self.site if held is None else read_site(self.path, held)
+            checked(self.path, running, content)
+        except Mistakes as wrong:
+            return told(Path(called or self.path.name), wrong)
+        return None
+
+    # ---- the wire's host. A machine applies nothing: what it stores is for the fronts
+
+    def check_configuration(self, content: bytes) -> str | None:
+        try:
+            read_site(self.path, content)
+        except Mistakes as wrong:
+            return told(self.path, wrong)
+        return None
+
+    def take_configuration(self, version: str, content: bytes) -> str | None:
+        self.log.info("configuration-held", version=version)
+        return None
+
+    def keep_configuration(self, data: bytes) -> None:
+        self.copy.write_durable(data)
+
+    def keep_vote(self, data: bytes) -> None:
+        self.vote.write_durable(data)
--- a/curlewshift/front/control.py
+++ b/curlewshift/front/control.py
@@ -26,8 +26,8 @@
 
 
 class Command(msgspec.Struct):
-    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `overload`, `release`, or, where the front may be
-    led, `clock`, `path` or `stop-in-act`."""
+    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `overload`, `configuration`, `live`, `release`, or,
+    where the front may be led, `clock`, `path` or `stop-in-act`."""
 
     do: str
     peak: dict = {}
@@ -38,9 +38,13 @@
     lost: bool = False
 
 
-class Control:
-    def __init__(self, front, path: Path, store):
-        self.front, self.path, self.store = front, path, store
+class Socket:
+    """Listens at `path`, reads one command a connection, and tells what `_carry_out` makes of it."""
+
+    most_bytes, within = MOST_BYTES, WITHIN
+
+    def __init__(self, path: Path):
+        self.path = path
 
     async def run(self, *, task_status=TASK_STATUS_IGNORED) -> None:
         """Tells once it listens: a front that answers at its door takes commands too."""
@@ -57,15 +61,24 @@
     async def _one(self, stream) -> None:
         async with stream:
             try:
-                with anyio.fail_after(WITHIN):
-                    raw = b""
-                    while not raw.endswith(b"\n") and len(raw) < MOST_BYTES:
+                with anyio.fail_after(self.within):
+                    raw = bytearray()
+                    while not raw.endswith(b"\n") and len(raw) < self.most_bytes:
                         raw += await stream.receive()
-                    answer = await self._carry_out(raw, _who(stream))
+                    answer = await self._carry_out(bytes(raw), _who(stream))
                     await stream.send(msgspec.json.encode(answer) + b"\n")
             except (TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
                 return
 
+    async def _carry_out(self, raw: bytes, who: str) -> dict:
+        raise NotImplementedError
+
+
+class Control(Socket):
+    def __init__(self, front, path: Path, store):
+        super().__init__(path)
+        self.front, self.store = front, store
+
     async def _carry_out(self, raw: bytes, who: str) -> dict:
         try:
             command = msgspec.json.decode(raw, type=Command)
@@ -85,6 +98,12 @@
             if command.do == "overload":
                 sheds = self.front.sheds
                 return {"ok": True, "overload": sheds.show() if sheds is not None else None}
+            if command.do == "configuration":
+                configured = self.front.configured
+                return {"ok": True, "configuration": configured.show() if configured is not None else None}
+            if command.do == "live":
+                configured = self.front.configured
+                return {"ok": True, "live": configured.live() if configured is not None else None}
             if command.do == "clock":
                 return self._lead(command)
             if command.do == "path":
@@ -187,12 +206,12 @@
         return str(uid)
 
 
-async def tell(state: Path, command: dict) -> dict:
-    """A front's answer to one command. Raises `OSError` if none listens there."""
-    with anyio.fail_after(WITHIN):
+async def tell(state: Path, command: dict, within: float = WITHIN) -> dict:
+    """A front's or control machine's answer to one command. Raises `OSError` if none listens there."""
+    with anyio.fail_after(within):
         async with await anyio.connect_unix(state / "control") as stream:
             await stream.send(msgspec.json.encode(command) + b"\n")
-            raw = b""
+            raw = bytearray()
             while not raw.endswith(b"\n"):
                 raw += await stream.receive()
-            return msgspec.json.decode(raw)
+            return msgspec.json.decode(bytes(raw))
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -19,6 +19,7 @@
 from curlewshift.desk.roster import Roster
 from curlewshift.exchange.server import serve
 from curlewshift.exchange.tls import BadCertificate, ServerTls, client_context
+from curlewshift.front.configured import Begun, Configured
 from curlewshift.front.control import Control
 from curlewshift.front.door import Door
 from curlewshift.front.followers import ListFollower, NotesFollower, row_of
@@ -30,6 +31,7 @@
 from curlewshift.limits.permits import BadKeys, Permits, read_keys
 from curlewshift.model import Server
 from curlewshift.peaks.calendar import Calendar, Nonsense
+from curlewshift.peering.distributed import DistributionWire
 from curlewshift.peering.leased import LeaseWire
 from curlewshift.peering.overloaded import OverloadWire
 from curlewshift.peering.shared import SharedWire
@@ -39,6 +41,7 @@
 from curlewshift.schedule.background import Background, Job
 from curlewshift.schedule.clock import Clock, LedClock
 from curlewshift.schedule.waking import Waking
+from curlewshift.site.places import distribution_of, places_of
 from curlewshift.site.site import Site
 from curlewshift.state.book import Book, Remembered
 from curlewshift.state.intents import Intents
@@ -70,9 +73,12 @@
     shared_class = SharedWire
     leased_class = LeaseWire
     overload_class = OverloadWire
+    configured_class = Configured
+    distribution_class = DistributionWire
 
     def __init__(self, site: Site, number: int, seed: int, state: Path | None, log, life: str = "",
-                 desk: type[Desk] = Desk, capture: Path | None = None, led: bool = False, **how):
+                 desk: type[Desk] = Desk, capture: Path | None = None, led: bool = False, begun: Begun | None = None,
+                 **how):
         self.site, self.log = site, log
         self.door_at = site.doors[number]
         self.clock = LedClock() if led else Clock()
@@ -143,6 +149,12 @@
             self.sheds = self.door.sheds = self.overload_class(
                 self.peers.channel if self.peers is not None else None, self, self.door_at.name,
                 frozenset(door.name for door in site.doors), site.overload, log, Random(self.chance.random()))
+        self.configured: Configured | None = None
+        if self.peers is not None and site.configuration is not None:
+            self.configured = self.configured_class(self, begun or Begun(Path("site.xml"), site), state)
+            self.configured.wire = self.distribution_class(
+                self.peers.channel, self.configured, self.door_at.name, places_of(site), distribution_of(site), lambda: 0,
+                self.clock, log, Random(self.chance.random()), self.configured.begun.copy, None)
         self.background = Background(self.clock.now(), time.monotonic_ns, self._overran)
         if self.door.admission is not None:
             self.background.add("lines", lambda: self.door.admission.tick(self.now()), self.clock.now(), priority=0,
@@ -246,6 +258,10 @@
             self._follow_servers()
             if self.peers is not None:
                 tasks.start_soon(self.peers.run)
+            if self.configured is not None:
+                tasks.start_soon(self.configured.wire.run)
+                tasks.start_soon(self.configured.run)
+                await self.configured.start()
             if self.shared is not None:
                 if self.kept_shared is not None:
                     self.log.info("shared-kept", rows=self.kept_shared.read())
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -14,6 +14,8 @@
 from curlewshift.front.door import Door
 from curlewshift.front.front import Front
 from curlewshift.front.reach import Reach
+from curlewshift.front.spoilt_configured import FRONTS as CONFIGURATION_FAULTS
+from curlewshift.front.spoilt_configured import MACHINES as MACHINE_FAULTS
 from curlewshift.leases.asker import Asker
 from curlewshift.leases.keeper import Keeper
 from curlewshift.membership.membership import Membership
@@ -275,9 +277,11 @@
         "liar-believed": lambda: lending(evidence=LiarBelieved)(*args, **how),
         **{fault: lambda how_so=how_so: leasing(**how_so)(*args, **how) for fault, how_so in LEASE_FAULTS.items()},
         "never-forget": lambda: wired(NeverForget)(*args, **how),
+        **{fault: lambda front=front: front(*args, **how) for fault, front in CONFIGURATION_FAULTS.items()},
     }[name]()
 
 
 NAMES = ("lose-answer", "answer-twice", "resend-paid", "ignore-drain", "push-cold", "under-floor", "over-seats",
          "overspend-budget", "double-tune-in", "lost-teardown", "leave-orphans", "deaf-incarnation",
-         "old-life-taken", "never-forget", "liar-believed", *FAULTS, *SEAT_FAULTS, *SHED_FAULTS, *LEASE_FAULTS)
+         "old-life-taken", "never-forget", "liar-believed", *FAULTS, *SEAT_FAULTS, *SHED_FAULTS, *LEASE_FAULTS,
+         *CONFIGURATION_FAULTS, *MACHINE_FAULTS)
--- a/curlewshift/rehearsal/table.py
+++ b/curlewshift/rehearsal/table.py
@@ -25,6 +25,9 @@
     for name in ("acts", "handovers", "overlaps", "outlived", "refused_stale", "longest_gap_s"):
         if "leases" in verdict:
             counts.add_row("leases: " + name.replace("_", " "), str(verdict["leases"][name]))
+    for name in ("versions", "in_force_p99_s", "regressions", "forks", "half", "early", "unfounded", "bad_taken"):
+        if "configuration" in verdict:
+            counts.add_row("configuration: " + name.replace("_", " "), str(verdict["configuration"][name]))
     for name in ("refused", "out_of_order", "asks_a_viewing", "storm_over_s", "came_together", "went_round"):
         if "shed" in verdict:
             counts.add_row("shed: " + name.replace("_", " "), str(verdict["shed"][name]))
--- a/curlewshift/standins/relay.py
+++ b/curlewshift/standins/relay.py
@@ -55,12 +55,15 @@
     async def play(self, script: Script, begins: float) -> None:
         for trouble in script.troubles:
             if trouble.kind in OF_PEERS:
-                self.tasks.start_soon(self._befall, trouble, begins)
+                self.tasks.start_soon(self._befall, trouble, begins, [machine.name for machine in
+                                                                          script.site.control.machines] if script.site.control else [])
 
-    async def _befall(self, trouble: Trouble, begins: float) -> None:
+    async def _befall(self, trouble: Trouble, begins: float, machines: list[str]) -> None:
         await anyio.sleep(max(0.0, begins + trouble.at - time.monotonic()))
         chance = Random(f"{self.seed} {trouble.kind} {trouble.at}")
         struck = set(chance.sample(self.names, max(1, round(trouble.part * len(self.names)))))
+        if trouble.kind == "control-cut":
+            struck = set(machines)
         self.traffic.seen("trouble", kind=trouble.kind, lasts=trouble.lasts, size=trouble.size, fronts=sorted(struck))
         one = trouble, struck
         self.troubles.append(one)
@@ -92,6 +95,8 @@
             between = sender in struck or to in struck
             if kind == "cut" and (sender in struck) != (to in struck) or kind == "one-way" and sender in struck:
                 return
+            if kind == "control-cut" and sender in struck and to in struck:
+                return
             if kind == "loss" and between and drawn < trouble.size:
                 return
             if kind == "late" and between and drawn < 0.3:
