Slopes: restart, list, storm, sharing and membership by size

A stand-in that closes and refuses shows that a storm loses nobody and that one that never ends is not measured.

--- a/curlewshift/scale/slopes.py
+++ b/curlewshift/scale/slopes.py
@@ -130,6 +130,10 @@
     return 500
 
 
+def _none(size: int) -> int:
+    return 0
+
+
 KINDS = {kind.name: kind for kind in (
     Kind("idle", "memory and idle processor time, by connection and by viewing", (1000, 2000, 4000, 6000, 8000),
          "slopes_idle.measure_idle", _itself, "connections"),
@@ -139,4 +143,13 @@
          "slopes_asked.measure_notices", _few, "notices a second"),
     Kind("rungs", "processor time by changes of rung a second", (50, 100, 200, 400, 800), "slopes_asked.measure_rungs", _few,
          "changes a second"),
+    Kind("restart", "a start until ready, by servers on the list and by classes", (100, 500, 1000, 2000, 4000),
+         "slopes_list.measure_restart", _none, "servers, and classes"),
+    Kind("list", "memory and idle processor time by servers on the list", (100, 500, 1000, 2000, 4000),
+         "slopes_list.measure_list", _few, "servers"),
+    Kind("storm", "clients that come again at once", (500, 1000, 2000, 4000, 8000), "slopes_storm.measure_storm", _itself, "clients"),
+    Kind("sharing", "bytes and processor time of sharing by links played on, simulated", (20, 40, 80, 160, 320, 640),
+         "slopes_control.measure_sharing", _none, "links"),
+    Kind("membership", "bytes of membership by nodes, at rest and after losses, simulated", (70, 210, 420, 630),
+         "slopes_control.measure_membership", _none, "nodes"),
 )}
--- a/curlewshift/scale/slopes_stands.py
+++ b/curlewshift/scale/slopes_stands.py
@@ -36,6 +36,14 @@
         sock.setblocking(False)
         self.selector.register(sock, selectors.EVENT_READ, call)
 
+    def when_up(self, sock: socket.socket, call: Callable[[], None]) -> None:
+        """Called once it can be written to: it is up, or will not come up."""
+        self.selector.register(sock, selectors.EVENT_WRITE, call)
+
+    def reads(self, sock: socket.socket, call: Callable[[], None]) -> None:
+        """From now on, one that was waited for."""
+        self.selector.modify(sock, selectors.EVENT_READ, call)
+
     def remove(self, sock: socket.socket) -> None:
         self.selector.unregister(sock)
         sock.close()
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -15,9 +16,13 @@
 from click.testing import CliRunner
 
 from curlewshift.commands.main import main
+from curlewshift.node import rtsp
 from curlewshift.rehearsal.processes import ROOT
-from curlewshift.scale import fits, slopes, slopes_idle
+from curlewshift.scale import fits, slopes, slopes_control, slopes_idle
 from curlewshift.scale.fits import TooFew, fit
+from curlewshift.scale.slopes_asked import Pace, p99
+from curlewshift.scale.slopes_stands import Listening, Loop
+from curlewshift.scale.slopes_storm import PAUSE, Storm
 
 SIZES = (1000, 2000, 4000, 6000, 8000)
 
@@ -108,6 +113,79 @@
             self.assertEqual(slopes_idle.resting_most(limit), int(gate.most * CROWDED_PART))
 
 
+class Spoilt(Listening):
+    """A node that closes the first connections under their request, refuses the next ones with a pause, and then plays."""
+
+    def __init__(self, loop, closes, refuses):
+        super().__init__(loop)
+        self.closes, self.refuses = closes, refuses
+
+    def taker(self, sock):
+        reader = rtsp.Reader()
+
+        def take(data):
+            for message in reader.feed(data):
+                if self.closes:
+                    self.closes -= 1
+                    sock.shutdown(socket.SHUT_RDWR)
+                    return
+                refused = self.refuses > 0
+                self.refuses -= refused
+                sock.sendall(rtsp.answer(453 if refused else 200, "1", message.fields["session"],
+                                         fields="X-Pause: 30\r\n" if refused else ""))
+        return take
+
+
+class Stand(unittest.TestCase):
+    def setUp(self):
+        self.loop = Loop()
+        self.addCleanup(self.loop.close)
+
+    def storm(self, closes=0, refuses=0, clients=40):
+        node = Spoilt(self.loop, closes, refuses)
+        storm = Storm(self.loop, node.port, Random(1))
+        storm.begin(clients)
+        return storm
+
+    def test_who_is_closed_or_refused_in_a_storm_comes_again_until_all_play(self):
+        storm = self.storm(closes=7, refuses=11)
+        self.loop.until(lambda: len(storm.waits) >= 40, 5, "all play")
+        self.loop.run(0.1)
+        self.assertEqual((len(storm.waits), storm.dropped, storm.refused, len(storm.viewers)), (40, 7, 11, 40))
+        # the refused have waited as long as they were told, the closed their own pause
+        self.assertGreaterEqual(sum(wait >= 30e6 for wait in storm.waits), 18)
+        self.assertGreaterEqual(max(storm.waits), PAUSE)
+
+    def test_a_storm_of_which_one_is_refused_for_ever_is_not_measured(self):
+        storm = self.storm(refuses=10**9, clients=1)
+        with self.assertRaisesRegex(TimeoutError, "a storm: not within"):
+            self.loop.until(lambda: storm.waits, 0.3, "a storm")
+        self.assertGreater(storm.refused, 2)
+
+    def test_a_pace_leaves_nothing_out_when_the_loop_comes_late(self):
+        stands, calls = mock.Mock(loop=self.loop, chance=Random(3)), []
+        pace = Pace(stands, 1000, lambda: calls.append(1))
+        began = pace.next
+        pace.turn(began + 10**9)
+        self.assertTrue(900 < len(calls) < 1100, len(calls))
+        pace.stop()
+        self.assertEqual(self.loop.each_turn, [])
+
+    def test_p99_is_what_one_in_a_hundred_passes(self):
+        self.assertEqual(p99([n * 10**9 for n in range(200)]), 198.0)
+
+
+class Control(unittest.TestCase):
+    def test_a_lost_zone_costs_membership_more_than_rest_does(self):
+        told = slopes_control.measure_membership(slopes.Run((9, 18), 1, Path("."), lambda text: None, rounds=1))
+        quiet, lost = ([y for _, y in one.points] for one in told[:2])
+        self.assertTrue(all(50 < a < 500 for a in quiet), quiet)
+        self.assertTrue(all(a < b for a, b in zip(quiet, lost)), (quiet, lost))
+
+    def test_so_many_links_as_said_are_played_on(self):
+        self.assertEqual(sum(server.link.own > 0 for server in slopes_control.playing_on(160).fleet), 160)
+
+
 def growing_by_the_square(run):
     """The planted wrong: each of a size holds as much as the size is. Bytes are measured, as time here is anybody's."""
     one = slopes.Slope("planted", ("size", "count"), ("memory", "bytes"))
