Node: requests that come in pieces are waited for, and seldom speakers asked in time

Requests in pieces. Now a message may take 2.5 s while pieces come, and is given up 1 s after its last one; half a request counts as work. Bad clients are still told within three seconds of connecting.

Late silences.

--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -22,10 +22,12 @@
 
 MS = 1_000_000
 NS = 1_000_000_000
-# A viewer has sent its first message this long after it has connected, and any message this long after its first byte
-# (ns): the page gives bad clients three seconds to be told off in.
-FIRST_WITHIN = 3 * NS // 2
-MESSAGE_WITHIN = NS
+# A viewer has begun its first message this long after it has connected, and goes on with one that it has begun after this
+# at the latest (ns). One that comes in pieces is whole after the longest of the three, and the first of a connection so
+# long after that was made: the page gives bad clients three seconds to be told off in.
+BEGUN_WITHIN = 3 * NS // 2
+PAUSE_WITHIN = NS
+WHOLE_WITHIN = 5 * NS // 2
 SWEEP = 0.1
 # An answer is this long on its way to its viewer at the most; after that it would find nobody (ns).
 WAY_BACK = 10 * MS
@@ -98,8 +100,9 @@
 
     @property
     def at_work(self) -> bool:
-        """Asked for something, or with an answer on its way, or with something to be read first."""
-        return bool(self.waiting) or bool(self.wire.waiting) or self.wire.unread()
+        """Asked for something, or in the middle of asking, or with an answer on its way, or with something to be read first."""
+        asking = self.intake.partial and not self.spoilt
+        return asking or bool(self.waiting) or bool(self.wire.waiting) or self.wire.unread()
 
     def drop(self) -> None:
         self.wire.drop()
@@ -216,8 +219,10 @@
         """Connections that say nothing, or half of something, are closed in time."""
         now = self.node.now()
         for line in list(self.lines):
-            silent = not line.spoke and now - line.opened_at > FIRST_WITHIN
-            if (silent or line.intake.stuck(now, MESSAGE_WITHIN)) and not line.spoilt and not line.wire.unread():
+            since = now - line.opened_at
+            silent = not line.spoke and since > (WHOLE_WITHIN if line.intake.partial else BEGUN_WITHIN)
+            stuck = line.intake.stuck(now, WHOLE_WITHIN, PAUSE_WITHIN)
+            if (silent or stuck) and not line.spoilt and not line.wire.unread():
                 line.spoil()
             line.end_if_done()
             for asked in list(line.waiting.values()):
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -27,8 +27,9 @@
 # Unused connections are kept, as a new one costs the server work, but for this part of its own time to close: one that
 # it closes under a set-up would leave in doubt what ran. While all that may be open are, they go after the shorter time.
 IDLE_PART, IDLE_FOR = 0.8, 5 * NS
-# A server with sessions is asked for a sign once it has been silent for so long, or for this many of its usual gaps.
-SILENT_FOR, SILENT_GAPS = 2 * NS, 1.5
+# A server with sessions is asked for a sign once it has been silent for so long, or for this many of its usual gaps, and
+# after the longest of them however seldom it speaks: what follows until it counts as gone takes two seconds more.
+SILENT_FOR, SILENT_GAPS, LONGEST_SILENT = 2 * NS, 1.5, 5 * NS
 # Not answered within this, a connection of its own is tried; this many in a row that never come up prove it gone. The
 # page wants viewers released 8 s after the end of a session of which nobody could tell.
 SIGN_WITHIN = NS // 2
@@ -144,7 +145,7 @@
         self.read_first = read_first
         self.most_lines, self.streams = most_lines, streams
         self.connect_within = connect_within / NS
-        self.silent_for = max(SILENT_FOR, int(told_every * SILENT_GAPS))
+        self.silent_for = min(max(SILENT_FOR, int(told_every * SILENT_GAPS)), LONGEST_SILENT)
         self.idle_for = int(idle_close * IDLE_PART)
         self.endpoints: dict[Server, Endpoint] = {}
         self.flights: dict[TuneIn, Flight] = {}
@@ -567,7 +568,7 @@
                 del self.endpoints[endpoint.server]
 
     def _look_after(self, line: Line, now: int) -> None:
-        if line.intake.stuck(now, WHOLE_WITHIN):
+        if line.intake.stuck(now, WHOLE_WITHIN, WHOLE_WITHIN):
             self._break(line, "half a message and no more")
             return
         for id, (ending, at) in list(line.ending.items()):
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -88,15 +88,17 @@
 
 
 class Intake:
-    """What comes in on one connection: a codec's `reader`, and since when the message that is not whole yet has come."""
+    """What comes in on one connection: a codec's `reader`, since when the message that is not whole yet has come, and when
+    its last bytes did."""
 
     def __init__(self, reader, malformed: type[Exception], now: int):
-        self.reader, self.malformed, self.began_at = reader, malformed, now
+        self.reader, self.malformed, self.began_at, self.fed_at = reader, malformed, now, now
 
     def feed(self, data: bytes, now: int) -> tuple[list, Exception | None]:
         """The messages that are whole, and what is wrong with what follows on them, if it is."""
         if not self.reader.partial:
             self.began_at = now
+        self.fed_at = now
         wrong = None
         try:
             messages = self.reader.feed(data)
@@ -106,9 +108,14 @@
             self.began_at = now
         return messages, wrong
 
-    def stuck(self, now: int, within: int) -> bool:
-        """A message has begun and is not whole in time."""
-        return self.reader.partial and now - self.began_at > within
+    @property
+    def partial(self) -> bool:
+        """A message has begun and is not whole."""
+        return self.reader.partial
+
+    def stuck(self, now: int, within: int, pause: int) -> bool:
+        """A message has begun and is not whole in time, or nothing more of it has come for `pause` (ns)."""
+        return self.reader.partial and (now - self.began_at > within or now - self.fed_at > pause)
 
 
 class State(Enum):
