Seats: nothing is taken up or kept standing without a right; histories that found it

And what stood on a loan was looked at only while that loan was held: a doubted clock, a step back or a set-up that was out at its end left it standing for as long as its viewer liked.

Histories of seats use the program's own pool and a look at facts, with stops between look and bytes, set-ups that last, late rounds and endings, doubted clocks, steps back and lives that take up what they remember.

--- a/curlewshift/emulator/loan_histories.py
+++ b/curlewshift/emulator/loan_histories.py
@@ -69,13 +69,16 @@
 
 
 class LoanHistory:
-    terms, front_class = TERMS, LoanFront
+    terms, front_class, key_form, lasts = TERMS, LoanFront, "s{}", LASTS
+    sizes = (3, 3, 4, 5, 8, 12, 20, 50)
+    # from one trouble to the next (ns), at the most, and what part of them kills a front
+    calm, killed = 4000 * MS, 0.4
 
     def __init__(self, seed: int, kind: type[Loans] = Loans, fronts: int = 0):
         self.chance, self.kind, self.now = Random(f"loans {seed}"), kind, 0
         chance = self.chance
-        size = fronts or chance.choice((3, 3, 4, 5, 8, 12, 20, 50))
-        keys = [f"s{n}" for n in range(chance.randint(1, 3))]
+        size = fronts or chance.choice(self.sizes)
+        keys = [self.key_form.format(n) for n in range(chance.randint(1, 3))]
         self.rights = {key: chance.choice((1, 2, 3, size // 2 + 1, size, 2 * size + 1)) for key in keys}
         self.marks = {key: chance.randrange(1000) for key in keys}
         self.loss, self.doubled = chance.choice((0, 0.1, 0.5)), chance.choice((0, 0.3))
@@ -99,7 +102,7 @@
 
     def run(self) -> LoanHistory:
         """Raises `Overdrawn`."""
-        while self.queue and self.queue[0][0] < LASTS:
+        while self.queue and self.queue[0][0] < self.lasts:
             self.now, _, call, arguments = heapq.heappop(self.queue)
             call(*arguments)
         return self
@@ -139,13 +142,13 @@
 
     def _trouble(self) -> None:
         front, kind = self.chance.choice(self.fronts), self.chance.random()
-        if kind < 0.4:
+        if kind < self.killed:
             front.start()
         elif kind < 0.8:
             front.paused_until = self.now + self.chance.randrange(6000 * MS)
         else:
             self.loss = self.chance.choice((0, 0.3, 1.0))
-        self.at(self.now + self.chance.randrange(4000 * MS), self._trouble)
+        self.at(self.now + self.chance.randrange(self.calm), self._trouble)
 
     def used(self, key: str) -> None:
         times = self.uses[key]
--- a/curlewshift/emulator/shared.py
+++ b/curlewshift/emulator/shared.py
@@ -45,7 +45,7 @@
         me = order.index(front.door)
         self.life = front.now()
         self.sharing = Sharing(self, order, me, self.life, self.shares.terms, self.world.site.duties.warm_within, self.chance,
-                               self.world.site.together)
+                               self.world.site.together.patient(lambda name: front.desk.packages[name].patience))
         front.desk.share_rights()
         self.world.queue.at(front.now() + self.chance.randrange(self.shares.terms.every), self._round)
 
@@ -148,6 +148,11 @@
         desk = self.front.desk
         return desk.rules.seats.get((title, desk.packages[package]), 0)
 
+    def seats_ending(self, package: str, title: str) -> bool:
+        desk = self.front.desk
+        held = desk.roster.titles.get(title)
+        return held is not None and any(server in desk.endings.servers for server in held.holders)
+
     def seats_held(self, package: str, title: str, rights: list) -> None:
         self.front.desk.seats_held(package, title, rights)
 
--- a/curlewshift/peering/shared.py
+++ b/curlewshift/peering/shared.py
@@ -60,7 +60,7 @@
         # control machines are in as well, and share nothing
         self.names = frozenset(order)
         self.sharing = self.sharing_class(self, order, me, channel.membership.me.life, terms, warm_within, chance,
-                                          together)
+                                          together.patient(lambda name: desk.packages[name].patience))
         channel.carries(KIND, self.heard)
         desk.share_rights()
 
@@ -184,12 +184,18 @@
     def seats_in_use(self, package: str, title: str) -> int:
         return self.desk.rules.seats.get((title, self.desk.packages[package]), 0)
 
+    def seats_ending(self, package: str, title: str) -> bool:
+        """Whether a server of this title may not have heard yet that something there is over."""
+        held = self.desk.roster.titles.get(title)
+        return held is not None and any(server in self.desk.endings.servers for server in held.holders)
+
     def seats_held(self, package: str, title: str, rights: list) -> None:
         self.desk.seats_held(package, title, rights)
 
     def seats_over(self, package: str, title: str, count: int) -> None:
         self.log.warning("seats-over", package=package, title=title, count=count,
-                         cause="they were lent, and nobody who lent them was to be heard in time")
+                         cause="they were lent, and are no longer: nobody who lent them was to be heard in time, or this "
+                               "front's clock is doubted or was set back")
         self.desk.seats_over(package, title, count)
 
     def clock_off(self, by: float, out: bool) -> None:
--- a/curlewshift/sharing/budgets.py
+++ b/curlewshift/sharing/budgets.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from hashlib import blake2b
 from typing import Iterable
 
@@ -25,6 +26,9 @@
         self.sharing, self.me, self.order = sharing, sharing.me, sharing.order
         self.loans = (loans_class or self.loans_class)(self, self.me, terms, sharing.chance.getrandbits(40))
         self.told: dict[str, list] = {}
+        # Before anything can be begun or taken up: what nobody told the rules of they hold for this front's own, all of it. A
+        # front that started took up what it found remembered, without a right and for as long as its viewers liked.
+        self.write(self.keys())
 
     # ---- the loans' outside
 
@@ -47,8 +51,9 @@
 
     def owners(self, key: str, there: set[int], turn: int) -> list[int]:
         """Fronts that are in and have a part of this budget, each round from another on."""
-        owners = [number for number in there if dealt(self.rights(key), number, len(self.order), _mark(key))]
-        start = (turn + _mark(key)) % len(owners) if owners else 0
+        rights, fronts, mark = self.rights(key), len(self.order), _mark(key)
+        owners = [number for number in there if dealt(rights, number, fronts, mark)]
+        start = (turn + mark) % len(owners) if owners else 0
         return owners[start:] + owners[:start]
 
     def time(self, there: set[int], turn: int) -> None:
@@ -132,6 +137,9 @@
     def in_use(self, key: str) -> int:
         return self.sharing.outside.seats_in_use(*self.named[key])
 
+    def ending(self, key: str) -> bool:
+        return self.sharing.outside.seats_ending(*self.named[key])
+
     def end_some(self, key: str, count: int) -> None:
         self.sharing.outside.seats_over(*self.named[key], count)
 
@@ -139,5 +147,6 @@
         self.sharing.outside.seats_held(*self.named[key], rights)
 
 
+@lru_cache(maxsize=1 << 16)
 def _mark(key: str) -> int:
     return int.from_bytes(blake2b(key.encode(), digest_size=2).digest())
--- a/curlewshift/sharing/loans.py
+++ b/curlewshift/sharing/loans.py
@@ -122,7 +122,7 @@
         given = []
         for key in keys[:MOST_KEYS]:
             count = self.outside.part(key)
-            if count and self.may_lend(key, borrower, life, steady, now):
+            if count and self.may_lend(key, borrower, number, life, steady, now):
                 # held for lent before a word of it goes out
                 self.lent[key] = (steady + self.terms.back_after, borrower, number)
                 given.append((key, count))
@@ -132,9 +132,9 @@
         else:
             self.refused += 1
 
-    def may_lend(self, key: str, borrower: int, life: int, steady: int, now: int) -> bool:
-        """What is not needed, not lent and not just used. Which life of the borrower asks is nothing to a right whose use is over
-        in a moment."""
+    def may_lend(self, key: str, borrower: int, number: int, life: int, steady: int, now: int) -> bool:
+        """What is not needed, not lent and not just used. Which life of the borrower asks, and by which ask, is nothing to a
+        right whose use is over in a moment."""
         # who used its part of late would miss it for longer than the other has it: lent as soon as it rested, the rights
         # of a budget that all want were used less than without loans (511 of 741 uses in twelve histories)
         just_used = key in self.used and steady < self.used[key] + self.terms.back_after
--- a/curlewshift/sharing/standing.py
+++ b/curlewshift/sharing/standing.py
@@ -1,6 +1,7 @@
 """Rights that are used for as long as a viewing lasts, such as seats: lent for a term, renewed while they are in use.
 
-A right in use that is not renewed has to be given up by its borrower before the term is over: whatever stands on it ends.
+A right in use that is not renewed has to be given up by its borrower before the term is over: whatever stands on it ends, and
+so it does when the loan is lost otherwise, by a clock that is doubted or was set back.
 The lender takes it back only when that is surely done, and when what a borrower that died left standing has ended by itself
 (`SharingTerms.window` is how long that takes at the most). One `StandingLoans` a life of a front.
 """
@@ -15,6 +16,7 @@
 
 class Outside(LoansOutside, Protocol):
     def in_use(self, key: str) -> int: ...
+    def ending(self, key: str) -> bool: ...
     def end_some(self, key: str, count: int) -> None: ...
 
 
@@ -23,15 +25,20 @@
         super().__init__(*arguments, **more)
         # which life of its borrower has a loan: what an earlier one left standing stands there still
         self.lives: dict[str, int] = {}
+        # borrowed in this life, and not seen since to have nothing standing on it that has no right. Looked at until then,
+        # whatever became of the loan: a set-up that is out when it ends can be ended only once it plays.
+        self.stood_on: set[str] = set()
 
-    def may_lend(self, key: str, borrower: int, life: int, steady: int, now: int) -> bool:
+    def may_lend(self, key: str, borrower: int, number: int, life: int, steady: int, now: int) -> bool:
         """What nobody sits on here; and what this life of the borrower has already it keeps for another term."""
         held = self.lent.get(key)
         if held is not None and held[0] > steady:
-            free = held[1] == borrower and self.lives.get(key) == life
+            # an ask that is older than the one it has it by has been on its way since: it is named by the later one
+            free = held[1] == borrower and self.lives.get(key) == life and number >= held[2]
         else:
-            # what stands here on its own part, borrowed ones set aside, keeps that part from others
-            free = not self.outside.in_use(key) and now >= self.wanted.get(key, 0)
+            # what stands here on its own part, borrowed ones set aside, keeps that part from others; so does what servers
+            # may not have heard the end of
+            free = not self.outside.in_use(key) and not self.outside.ending(key) and now >= self.wanted.get(key, 0)
         if free:
             self.lives[key] = life
         return free
@@ -49,19 +56,30 @@
         count = 0 if steady < self.own_from(key) else self.outside.part(key)
         return count + sum(lent for until, lent, _ in self.borrowed.get(key, {}).values() if now < self.usable_until(until))
 
+    def lends(self, lender: int, number: int, rights: list[tuple[str, int]]) -> None:
+        super().lends(lender, number, rights)
+        self.stood_on.update(key for key, _ in rights if key in self.borrowed)
+
     def time(self, owners: Callable[[str], list[int]]) -> None:
+        self.end_overdue()
         self._renew()
         super().time(owners)
         self.lives = {key: life for key, life in self.lives.items() if key in self.lent}
+
+    def end_overdue(self) -> None:
+        """What stands on rights that are no longer in this front's hands ends. Call it before anything that may go wrong."""
         _, now = self._read()
         for key, held in list(self.borrowed.items()):
-            over = self.outside.in_use(key) - self.may_use(key)
-            if over > 0:
-                self.outside.end_some(key, over)
             for lender in [lender for lender, (until, _, _) in held.items() if now >= until]:
                 del held[lender]
             if not held:
                 del self.borrowed[key]
+        for key in list(self.stood_on):
+            over = self.outside.in_use(key) - self.may_use(key)
+            if over > 0:
+                self.outside.end_some(key, over)
+            elif key not in self.borrowed:
+                self.stood_on.remove(key)
 
     def _renew(self) -> None:
         """Asks again for what stands on a loan, from a third of its term on, each round until it is heard; gives back what
--- a/curlewshift/sharing/terms.py
+++ b/curlewshift/sharing/terms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
+from typing import Callable
 
 SECOND = 1_000_000_000
 
@@ -42,7 +43,8 @@
 class Together:
     """What all fronts have together. `free` further tune-ins within `look_back` (None: each front has its own), `seats` of each
     of the `titles` by package; a seat is lent for `seat_term` at a time, and servers keep for `lingers` at the most what a
-    front that is gone left there (ns)."""
+    front that is gone or stopped left there (ns). `longest_setup` (ns) is the longest patience of those packages: a set-up
+    that is out when its loan ends plays before it can be ended."""
 
     free: int | None = None
     look_back: int = 0
@@ -50,10 +52,15 @@
     titles: list[str] = field(default_factory=list)
     seat_term: int = 6 * SECOND
     lingers: int = 10 * SECOND
+    longest_setup: int = 0
+
+    def patient(self, patience: Callable[[str], int]) -> Together:
+        """With the longest set-up as the packages' patience (ns) has it."""
+        return replace(self, longest_setup=max(map(patience, self.seats), default=0))
 
     def further_terms(self, terms: SharingTerms) -> SharingTerms:
         return replace(terms, window=self.look_back)
 
     def seat_terms(self, terms: SharingTerms) -> SharingTerms:
         """A lender waits for two windows past the term: so long may what stood on the loan be left standing."""
-        return replace(terms, term=self.seat_term, window=self.lingers // 2)
+        return replace(terms, term=self.seat_term, window=(self.lingers + self.longest_setup) // 2)
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -4,8 +4,9 @@
 import unittest
 from types import SimpleNamespace
 
+from curlewshift.desk.desk import Misuse
 from curlewshift.emulator.loan_histories import overdrawn
-from curlewshift.emulator.seat_histories import FAULTS, SeatHistory
+from curlewshift.emulator.seat_histories import FAULTS, SeatHistory, UntoldHistory
 from curlewshift.sharing.budgets import FURTHER, SEAT
 from curlewshift.sharing.sharing import Sharing
 from curlewshift.sharing.standing import StandingLoans
@@ -27,6 +28,7 @@
 
     def __init__(self):
         self.clock, self.words, self.stands, self.ended = 100 * SECOND, [], [0, 0], []
+        self.ending, self.out = False, [False, False]
         self.fronts = [StandingLoans(SeatEnd(self, number), number, TOGETHER.seat_terms(TERMS), 1000 * number)
                        for number in range(2)]
         for front in self.fronts:
@@ -67,7 +69,12 @@
     def in_use(self, key):
         return self.net.stands[self.number]
 
+    def ending(self, key):
+        return self.net.ending
+
     def end_some(self, key, count):
+        if self.net.out[self.number]:
+            return
         self.net.ended.append((self.net.clock, self.number, count))
         self.net.stands[self.number] -= count
 
@@ -118,12 +125,54 @@
         net.later(2)
         self.assertEqual([front.may_use("k") for front in net.fronts], [1, 0])
 
+    def test_what_stands_on_a_loan_ends_when_the_loan_is_lost_by_a_doubted_clock_or_a_step_back(self):
+        net = SeatNet().seat_at_the_other()
+        net.fronts[1].withdraw(True)
+        net.later(0.25)
+        self.assertEqual((len(net.ended), net.stands), (1, [0, 0]))
+        net = SeatNet().seat_at_the_other()
+        net.clock -= SECOND
+        net.later(0.25)
+        self.assertEqual((len(net.ended), net.stands), (1, [0, 0]))
+
+    def test_a_set_up_that_is_out_when_its_loan_ends_is_ended_once_it_plays(self):
+        net = SeatNet().seat_at_the_other()
+        net.out[1] = True
+        net.later(TOGETHER.seat_term // SECOND + 1, heard=False)
+        self.assertEqual((net.ended, net.stands), ([], [0, 1]))
+        net.out[1] = False
+        net.later(0.25, heard=False)
+        self.assertEqual((len(net.ended), net.stands), (1, [0, 0]))
+
+    def test_the_lender_waits_for_a_set_up_that_was_out_when_the_loan_ended(self):
+        patient = TOGETHER.patient(lambda package: 3 * SECOND)
+        self.assertGreater(patient.seat_terms(TERMS).back_after, TOGETHER.seat_terms(TERMS).back_after + 3 * SECOND)
+
+    def test_an_ask_that_is_older_than_the_loan_does_not_name_it(self):
+        net = SeatNet().seat_at_the_other()
+        lender, (_, borrower, number) = net.fronts[0], net.fronts[0].lent["k"]
+        lender.asked(borrower, number - 1, ["k"], 1)
+        lender.given_back(borrower, number - 1, "k")
+        until, *named = lender.lent["k"]
+        self.assertEqual((named, until > lender.steady.last + lender.terms.rest), ([borrower, number], True))
+
+    def test_a_seat_whose_end_its_server_may_not_have_heard_of_is_lent_to_nobody(self):
+        net = SeatNet()
+        net.ending = True
+        net.fronts[1].wants("k")
+        net.later(1)
+        self.assertEqual([front.may_use("k") for front in net.fronts], [1, 0])
+        net.ending = False
+        net.later(0.5)
+        self.assertEqual([front.may_use("k") for front in net.fronts], [0, 1])
+
     def test_no_more_ever_sit_than_there_are_seats(self):
         self.assertEqual(overdrawn(range(40), StandingLoans, SeatHistory), [])
 
     def test_each_planted_fault_is_found(self):
         for name, fault in FAULTS.items():
             self.assertTrue(any(overdrawn(range(seed, seed + 1), fault, SeatHistory) for seed in range(60)), name)
+        self.assertTrue(any(overdrawn(range(seed, seed + 1), StandingLoans, UntoldHistory) for seed in range(60)))
 
 
 class Fleet:
@@ -207,6 +256,9 @@
     def seats_in_use(self, package, title):
         return self.desk.rules.seats.get((title, self.desk.packages[package]), 0)
 
+    def seats_ending(self, package, title):
+        return bool(self.desk.endings.servers)
+
     def clock_off(self, by, out):
         pass
 
@@ -229,6 +281,12 @@
         self.assertEqual([self.plays(end, f"b{n}") for n, end in enumerate(fleet.ends)].count(True), 0)
         self.assertEqual(sum(end.seats_in_use("clip", "t1") for end in fleet.ends), 1)
 
+    def test_a_front_that_starts_takes_nothing_up_that_it_has_no_right_for(self):
+        fleet = Fleet()
+        for end in fleet.ends:
+            with self.assertRaises(Misuse):
+                end.desk.handed_over("clip", "t1", 1, end.servers()[0], "remembered", 1)
+
     def test_what_sits_on_a_lent_seat_ends_when_its_front_hears_nobody(self):
         fleet = Fleet()
         fleet.later(12)
