Scale run: changes of the configuration, timed until every node shows them on its probes

Distribution had no figure at 630 nodes on sockets. Hollow nodes and control machines play it as it serves; a change counts as in force when the relays saw it ride on every node's probes, without loss, with 5%, in and after each fault, and over a stretch with restarts. Regressions, forks and what is made without a majority spoil the verdict (planted in tests).

--- a/curlewshift/commands/scale.py
+++ b/curlewshift/commands/scale.py
@@ -33,11 +33,13 @@
 @click.option("--servers", type=click.IntRange(1, 100_000), default=2000, help="Servers that are shared.")
 @click.option("--links", type=click.IntRange(0, 10_000), default=40, help="Of them, those that a node plays on.")
 @click.option("--viewings", type=click.IntRange(0, 1_000_000), default=400, help="A node has on them.")
+@click.option("--changes", type=click.IntRange(0, 1000), default=0, help="Of the configuration, in a stretch at the end.")
+@click.option("--change-every", type=click.FloatRange(0.5, 600), default=3.0, help="Seconds from one change to the next.")
 @click.option("--joins", type=click.IntRange(0, 100_000), default=400, help="Compared each way; 0: none.")
 @click.option("--out", type=PATH, required=True, help="A folder for figures.json, chart.svg and logs.")
 @click.option("--spoil", default="", hidden=True)
 def scale_run(nodes, real, processes, relays, regions, zones, seconds, seed, loss, faults, parts, sharing, servers, links,
-              viewings, joins, out, spoil):
+              viewings, changes, change_every, joins, out, spoil):
     """Play hollow nodes beside real ones and tell what each spent, by subsystem, and how soon they agreed.
 
     Exit 0: it played to its end and the verdict is good; 1: it is not, or something fell; 2: it does not fit this machine."""
@@ -50,7 +52,7 @@
     all_parts = [part for part in PARTS if part == "membership" or part in parts]
     shares = (nodes - real if sharing is None else min(sharing, nodes - real)) if "sharing" in parts else 0
     plan = Plan(nodes, real, processes, relays, regions, zones, seconds, seed, loss, all_parts, list(faults),
-                Load(servers, links, viewings, sharing=shares), spoil=spoil)
+                Load(servers, links, viewings, sharing=shares), changes=changes, change_every=change_every, spoil=spoil)
     try:
         plan.check()
     except Unfit as why:
--- a/curlewshift/scale/faults.py
+++ b/curlewshift/scale/faults.py
@@ -19,17 +19,16 @@
 
     def __init__(self, kind: str, fleet: Fleet, judge: Judge):
         self.kind, self.fleet, self.judge = kind, fleet, judge
-        plan = fleet.plan
+        plan, self.everyone = fleet.plan, {place.name for place in fleet.plan.places}
         chance = Random(f"{plan.seed} {kind}")
         self.struck: set[str] = set()
-        everyone = {place.name for place in plan.places}
-        self.groups: list[set[str]] = [everyone]
+        self.groups: list[set[str]] = [self.everyone]
         if kind == "zone-lost":
             # control machines are not in it: what their loss does is a fault of its own
             zone = chance.choice(sorted({place.zone for place in plan.places}))
             self.struck = {place.name for place in plan.places if place.zone == zone and place.kind != "control"}
         elif kind == "regions-apart":
-            self.struck = everyone
+            self.struck = self.everyone
             self.groups = [{place.name for place in plan.places if place.region == region}
                            for region in sorted({place.region for place in plan.places})]
         elif kind == "restart-some":
@@ -57,7 +56,8 @@
             await self.fleet.ways(apart=False)
             self.judge.over(self.struck, time.monotonic())
         elif self.kind != "restart-some":
-            await self._up(self.struck)
+            # a zone that comes back finds its disks empty: the harder case, as when its machines were replaced
+            await self._up(self.struck, empty=self.kind == "zone-lost")
 
     async def _down(self, names: set[str]) -> None:
         for name in names & self.fleet.real.keys():
@@ -65,8 +65,11 @@
         await self.fleet.hollow_do("stop", names)
         self.judge.strikes(names, time.monotonic(), down=True)
 
-    async def _up(self, names: set[str]) -> None:
-        await self.fleet.hollow_do("start", names)
+    async def _up(self, names: set[str], empty: bool = False) -> None:
+        if empty:
+            for name in names:
+                self.judge.versions.emptied(name)
+        await self.fleet.hollow_do("start", names, empty)
         self.judge.over(names - self.fleet.real.keys(), time.monotonic())
         async with anyio.create_task_group() as tasks:
             for name in sorted(names & self.fleet.real.keys()):
--- a/curlewshift/scale/fleet.py
+++ b/curlewshift/scale/fleet.py
@@ -13,7 +13,7 @@
 from curlewshift.front.control import tell
 from curlewshift.rehearsal.joins import all_listen, cpu_of, memory_of
 from curlewshift.rehearsal.processes import Child, free_ports, listens
-from curlewshift.scale.plan import CONTROL, KEEPERS, Plan, write_plan
+from curlewshift.scale.plan import CONTROL, KEEPERS, Place, Plan, write_plan
 from curlewshift.scale.talk import Spoken
 
 SERVERS = 4
@@ -21,8 +21,7 @@
 SITE = """<site name="scale">
   <fronts most-waiting="1000">{fronts}
     <peers seeds="{seeds}" period="{period}"/>{more}
-  </fronts>
-  <list address="127.0.0.1:{list}"/>
+  </fronts>  <list address="127.0.0.1:{list}"/>
   <ladder><rung rate="100kB/s"/><rung rate="200kB/s"/></ladder>
   <packages><package name="p" value="1" join-target="1s" patience="4s"/></packages>
   <racks><rack name="r" uplink="9000MB/s">{servers}</rack></racks>
@@ -31,7 +30,7 @@
     <answers way-back="100ms" longest-wait="2s" most-tune-ins="3"/><drains grace="2s"/>
     <cold-servers warm-within="5s" start-capacity="0.5" fall-multiple="2" fall-within="1s"/>
     <news told-late="500ms" told-every="3s" probes="true" uplinks="true"/>
-  </obligations>
+  </obligations>{control}
 </site>
 """
 
@@ -162,14 +161,14 @@
         ports = free_ports(2 * len(real) + SERVERS + 1, Random(os.getpid()))
         doors, apart, (list_port, *servers) = ports[:len(real)], ports[len(real):2 * len(real)], ports[2 * len(real):]
         door_of = {place.name: port for place, port in zip(real, doors)}
-        self._write_site("site", [(place.name, door_of.get(place.name, 9), place.listen, place.reach)
+        self._write_site("site", [(place, door_of.get(place.name, 9), place.listen, place.reach)
                                   for place in self.plan.places], list_port, servers)
         self.real = {place.name: RealFront(self, "site", place.name, door_of[place.name]) for place in real}
         if not real:
             return
         if self.wants_apart:
             self.apart = [RealFront(self, "apart", place.name, port) for place, port in zip(real, apart)]
-        self._write_site("apart", [(place.name, port, udp, udp) for place, port, udp in zip(
+        self._write_site("apart", [(place, port, udp, udp) for place, port, udp in zip(
             real, apart, self.plan.apart)], list_port, servers)
         self.child(["standin", "server", str(self.out / "site.xml"), "--setup-work", "0"], "servers")
         await all_listen([list_port], self.out / "servers.log")
@@ -178,17 +177,26 @@
                 tasks.start_soon(front.start)
 
     def _write_site(self, name: str, rows: list[tuple], list_port: int, servers: list[int]) -> None:
-        fronts = "".join(f'\n    <front name="{front}" listen="127.0.0.1:{port}" peers-listen="127.0.0.1:{listen}" '
-                         f'peers-reach="127.0.0.1:{reach}"/>' for front, port, listen, reach in rows)
+        def peer(place: Place, listen: int, reach: int) -> str:
+            return (f'name="{place.name}" peers-listen="127.0.0.1:{listen}" peers-reach="127.0.0.1:{reach}" '
+                    f'region="{place.region}" zone="{place.zone}"')
+        fronts = "".join(f'\n    <front listen="127.0.0.1:{port}" {peer(place, listen, reach)}/>'
+                         for place, port, listen, reach in rows if place.kind != "control")
+        control = "".join(f"\n    <machine {peer(place, listen, reach)}/>"
+                          for place, _, listen, reach in rows if place.kind == "control")
         machines = "".join(f'<server shelf="s{n}" listen="127.0.0.1:{port}" link="9000MB/s" streams="100000"/>'
                            for n, port in enumerate(servers))
         more = "<sharing/>" if "sharing" in self.plan.parts else ""
         if "leases" in self.plan.parts and name == "site":
-            more += f'<leases keepers="{" ".join(f"c{n}" for n in range(KEEPERS))}" tasks="probe"/>'
-        seeds = [f"c{n}" for n in range(CONTROL)] if name == "site" else [row[0] for row in rows[:2]]
+            hollow = [place.name for place in self.plan.named("hollow") if place.process != 1]
+            more += f'<leases keepers="{" ".join(hollow[::max(1, len(hollow) // KEEPERS)][:KEEPERS])}" tasks="probe"/>'
+        if "distribution" in self.plan.parts and control:
+            more += "<configuration/>"
+        seeds = [f"c{n}" for n in range(CONTROL)] if name == "site" else [row[0].name for row in rows[:2]]
         (self.out / f"{name}.xml").write_text(SITE.format(
             fronts=fronts, seeds=" ".join(seeds), period=f"{self.plan.period * 1000:g}ms", more=more, list=list_port,
-            servers=machines, shelves=" ".join(f"s{n}" for n in range(len(servers)))))
+            control=f"\n  <control>{control}\n  </control>" if control else "", servers=machines,
+            shelves=" ".join(f"s{n}" for n in range(len(servers)))))
 
     # ---- what is done to nodes
 
@@ -198,12 +206,12 @@
             told.setdefault(place.process, []).append(place.name)
         return told
 
-    async def hollow_do(self, do: str, names: set[str] | None = None) -> None:
-        """`start` or `stop`; all of them where no names are said."""
+    async def hollow_do(self, do: str, names: set[str] | None = None, empty: bool = False) -> None:
+        """`start` or `stop`; all of them where no names are said. `empty`: their disks are lost."""
         for process, here in self.process_of().items():
             struck = here if names is None else [name for name in here if name in names]
             if struck:
-                await self.hollow[process].ask({"do": do, "names": struck})
+                await self.hollow[process].ask({"do": do, "names": struck, "empty": empty})
 
     async def ways(self, **how) -> None:
         for relay in self.relays:
--- a/curlewshift/scale/hollow.py
+++ b/curlewshift/scale/hollow.py
@@ -31,20 +31,38 @@
         self.empty = memory_of(os.getpid())
         self.nodes = {place.name: HollowNode(plan, site, place) for place in plan.places if place.process == process}
 
-    def carry_out(self, command: dict) -> dict:
+    async def carry_out(self, command: dict) -> dict:
         do, names = command["do"], command.get("names") or list(self.nodes)
         if do == "start":
             for name in names:
+                if command.get("empty"):
+                    self.nodes[name].disk.clear()
                 self.tasks.start_soon(self.nodes[name].run)
         elif do == "stop":
             for name in names:
                 self.nodes[name].stop()
         elif do == "mark":
             return self.mark()
+        elif do == "put":
+            return await self.put(Path(command["path"]).read_bytes(), command["within"])
+        elif do == "took":
+            return {name: node.took for name, node in self.nodes.items()}
         elif do == "weigh":
             return {"memory_kB": self.weigh()}
         return {}
 
+    async def put(self, content: bytes, within: float) -> dict:
+        """By the control machine that holds the lease, as soon as one does."""
+        began = time.monotonic()
+        while time.monotonic() < began + within:
+            for node in self.nodes.values():
+                if node.scope is not None and node.distributed is not None and node.fence():
+                    wire = node.distributed
+                    told = await wire.put(content, wire.version, began + within - time.monotonic())
+                    return {**told, "by": node.place.name, "took_s": time.monotonic() - began}
+            await anyio.sleep(0.05)
+        return {"ok": False, "wrong": "no control machine held the lease", "took_s": within}
+
     def mark(self) -> dict:
         return {"at": time.monotonic(), "core": time.process_time_ns(), "memory_kB": memory_of(os.getpid()),
                 "empty_kB": self.empty, "nodes": {name: node.meter.read() for name, node in self.nodes.items()},
@@ -56,7 +74,7 @@
     def weigh(self) -> dict[str, float]:
         """kB of one node's own objects by subsystem: what hangs on each and on none before it."""
         node = next(iter(self.nodes.values()))
-        known = {id(node), id(node.site), id(node.plan), id(node.wire), id(node.log), id(node.clock), id(node.meter)}
+        known = {id(node), id(node.disk), id(node.places), id(node.site), id(node.plan), id(node.wire), id(node.log), id(node.clock), id(node.meter)}
         for part in node.parts.values():
             known.add(id(part))
         told = {}
--- a/curlewshift/scale/judge.py
+++ b/curlewshift/scale/judge.py
@@ -20,6 +20,50 @@
     return int.from_bytes(blake2b(f"{name} {life} {incarnation}".encode(), digest_size=8).digest(), "big") >> 2
 
 
+class VersionsSeen:
+    """Which version of the configuration each showed when, by what rides on its probes: up to a period after it held it."""
+
+    def __init__(self):
+        # of the life that runs: version, since when, rising
+        self.course: dict[str, list[tuple[tuple[int, int], float]]] = {}
+        # over all lives of a name; a node that came back empty may hold nothing for a while, and never less than it held
+        self.highest: dict[str, tuple[int, int]] = {}
+        self.digests: dict[tuple[int, int], str] = {}
+        self.regressions: list[str] = []
+        self.forks: list[str] = []
+
+    def saw(self, name: str, life: int, version: list, at: float) -> None:
+        number, digest = (version[0], version[1]), version[2]
+        if number == (0, 0):
+            return
+        if self.digests.setdefault(number, digest) != digest and len(self.forks) < 5:
+            self.forks.append(f"{name} shows {digest} as {number}, and another showed {self.digests[number]}")
+        course = self.course.setdefault(name, [])
+        if number < self.highest.get(name, number):
+            self.regressions.append(f"{name} shows {number} after {self.highest[name]}")
+        if not course or number > course[-1][0]:
+            course.append((number, at))
+        self.highest[name] = max(number, self.highest.get(name, number))
+
+    def down(self, name: str) -> None:
+        self.course.pop(name, None)
+
+    def emptied(self, name: str) -> None:
+        """Its disk is lost: it may begin anew from what it is given."""
+        self.highest.pop(name, None)
+
+    def reached(self, number: tuple[int, int], names: Iterable[str]) -> tuple[list[float], list[str]]:
+        """When each of the names first showed this version or a newer one, and who has not yet."""
+        times, missing = [], []
+        for name in names:
+            at = next((at for held, at in self.course.get(name, ()) if held >= number), None)
+            if at is None:
+                missing.append(name)
+            else:
+                times.append(at)
+        return times, missing
+
+
 class Judge:
     """Times are seconds of the machine's monotonic clock."""
 
@@ -30,6 +74,7 @@
         # when each was struck: from, until
         self.struck: dict[str, list[list[float]]] = {}
         self.called_gone: dict[tuple[str, int], tuple[str, float]] = {}
+        self.versions = VersionsSeen()
 
     # ---- what the run does
 
@@ -40,6 +85,7 @@
             if down:
                 self.running.discard(name)
                 self.shown.pop(name, None)
+                self.versions.down(name)
 
     def over(self, names: Iterable[str], at: float) -> None:
         for name in names:
@@ -54,6 +100,8 @@
             held = self.shown.get(name)
             if name in self.running and (held is None or (row[0], row[3]) > (held[0], held[3])):
                 self.shown[name] = row
+                if len(row) > 5:
+                    self.versions.saw(name, row[0], row[5], row[6])
         for name, life, by, at in tick["gone"]:
             self.called_gone.setdefault((name, life), (by, at))
 
--- a/curlewshift/scale/node.py
+++ b/curlewshift/scale/node.py
@@ -6,25 +6,31 @@
 
 from __future__ import annotations
 
+import time
 from random import Random
 from types import SimpleNamespace
 
 import anyio
 
+from curlewshift.distribution.terms import DistributionTerms
 from curlewshift.model import Link, Rack, Server
-from curlewshift.peering.leased import KIND as LEASES
-from curlewshift.peering.leased import KIND_OF_TASKS, LeaseWire
-from curlewshift.peering.shared import KIND as SHARING
+from curlewshift.peering.distributed import DistributionWire
+from curlewshift.peering.leased import LeaseWire
+from curlewshift.peering.leasing import LeaseWords
 from curlewshift.peering.shared import SharedWire
 from curlewshift.peering.wire import PeerWire
+from curlewshift.scale.figures import part_of
 from curlewshift.scale.meter import Meter
 from curlewshift.scale.plan import Load, Place, Plan
 from curlewshift.schedule.clock import Clock
-from curlewshift.site.site import Site
+from curlewshift.sharing.counts import picked
+from curlewshift.site.site import Door, Site
 
 NS = 1_000_000_000
 # How much what a node uses of a link goes up and down from round to round.
 WANDERS = 0.1
+LEASE = "configuration/0"
+PARTS = {"shared": "sharing", "leased": "leases", "distributed": "distribution"}
 
 
 class CountedLog:
@@ -113,13 +119,44 @@
     link_reported = seen_warm = further_held = seats_held = seats_over = planned = nothing
 
 
+class WriterLease(LeaseWords):
+    """The lease of the one that makes versions, among control machines: wanted by the one that rendezvous picks of those in."""
+
+    def fence(self) -> int:
+        return self.asker.may_act(LEASE)
+
+    def round(self) -> None:
+        members = self.channel.membership.members
+        there = [name for name in self.order if name == self.order[self.me] or name in members and members[name].there]
+        if picked(LEASE, there) == self.order[self.me]:
+            self.asker.want(LEASE)
+        elif LEASE in self.asker.tries:
+            self.asker.leave(LEASE)
+        self.keeper.time()
+        self.asker.time()
+        self._to_itself()
+
+    async def run(self) -> None:
+        while True:
+            self.round()
+            await anyio.sleep(self.asker.terms.every / NS)
+
+
 class HollowNode:
     """Over its lives. Raises `OSError` where its socket cannot be had."""
 
     def __init__(self, plan: Plan, site: Site, place: Place):
         self.plan, self.site, self.place = plan, site, place
-        self.number = site.door(place.name)
+        machines = {machine.name: machine for machine in site.control.machines}
+        machine = machines.get(place.name)
+        self.door = site.doors[site.door(place.name)] if machine is None else Door(
+            machine.name, "", 0, machine.peers_listen, machine.peers_reach)
+        self.stores = list(machines)
+        self.places = {one.name: (one.region, one.zone) for one in plan.places}
         self.clock, self.log = Clock(), CountedLog()
+        # what a disk would keep over its lives, and when each version came into force here
+        self.disk: dict[str, bytes] = {}
+        self.took: list[tuple[str, float]] = []
         self.chance = Random(f"{plan.seed} {place.name}")
         self.meter = LyingMeter() if f"lies={place.name}" in plan.spoil.split() else Meter()
         self.scope: anyio.CancelScope | None = None
@@ -128,33 +165,42 @@
 
     def _make(self) -> None:
         wire = DeafWire if f"deaf={self.place.name}" in self.plan.spoil.split() else CountedWire
-        self.wire = wire(self.site.name, self.site.doors[self.number], self.site.peers, self.clock, self.log,
+        self.wire = wire(self.site.name, self.door, self.site.peers, self.clock, self.log,
                          Random(self.chance.random()))
         channel, metered = self.wire.channel, self.meter.metered
         self.wire.meter = self.meter
         self.parts: dict[str, object] = {"membership": channel}
-        order = [door.name for door in self.site.doors]
-        fronts = [place.name for place in self.plan.named("hollow", "real")]
         self.desk = HollowDesk(self.plan.load if self.place.shares else Load(0, 0, 0), Random(self.chance.random()),
                                self.clock.now)
-        self.shared = self.leased = None
+        self.shared = self.leased = self.distributed = None
+        order, chance = [door.name for door in self.site.doors], Random(self.chance.random())
         if self.place.shares:
-            self.shared = SharedWire(channel, self.desk, fronts, self.number, self.site.sharing, self.site.together,
-                                     self.site.duties.warm_within, self.clock.now, self.log, Random(self.chance.random()))
-            self.parts["sharing"] = self.shared
-            channel.carried[SHARING] = metered("sharing", channel.carried[SHARING])
+            self.shared = SharedWire(channel, self.desk, order, order.index(self.place.name), self.site.sharing,
+                                     self.site.together, self.site.duties.warm_within, self.clock.now, self.log, chance)
             self.share = metered("sharing", self.shared.sharing.time)
             self.shared.sharing.time = self._round
-        if "leases" in self.plan.parts:
+        if self.place.kind == "control":
+            self.leased = WriterLease(channel, self.clock, self.stores, self.stores.index(self.place.name), self.stores,
+                                      self.site.control.terms, self.log, chance)
+            self.fence = self.leased.fence
+            self.leased.round = metered("leases", self.leased.round)
+        elif "leases" in self.plan.parts:
             wants = self.site.leases
-            self.leased = LeaseWire(channel, self, order, self.number, wants.keepers, wants.terms, wants.shards,
-                                    wants.probe_each, self.log, Random(self.chance.random()), wants.tasks, wants.orphans_after)
-            self.parts["leases"] = self.leased
-            for kind in (LEASES, KIND_OF_TASKS):
-                channel.carried[kind] = metered("leases", channel.carried[kind])
+            self.leased = LeaseWire(channel, self, order, order.index(self.place.name), wants.keepers, wants.terms,
+                                    wants.shards, wants.probe_each, self.log, chance, wants.tasks, wants.orphans_after)
             for owner, name in ((self.leased.tasks, "time"), (self.leased.keeper, "time"), (self.leased, "_to_itself")):
                 if owner is not None:
                     setattr(owner, name, metered("leases", getattr(owner, name)))
+        if "distribution" in self.plan.parts:
+            terms = DistributionTerms(tuple(self.stores), self.site.configuration.give_bytes)
+            self.distributed = DistributionWire(channel, self, self.place.name, self.places, terms, self.fence, self.clock,
+                                                self.log, chance, self.disk.get("copy"), self.disk.get("vote"))
+            self.distributed.time = metered("distribution", self.distributed.time)
+        for name in ("shared", "leased", "distributed"):
+            if getattr(self, name) is not None:
+                self.parts[PARTS[name]] = getattr(self, name)
+        for kind, heard in channel.carried.items():
+            channel.carried[kind] = metered(part_of(kind), heard)
         channel.received = metered("membership", channel.received)
         channel.time = metered("membership", channel.time)
         channel.start = metered("membership", channel.start)
@@ -171,11 +217,32 @@
         with anyio.CancelScope() as self.scope:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.wire.run)
-                for part in (self.shared, self.leased):
+                for part in (self.shared, self.leased, self.distributed):
                     if part is not None:
                         tasks.start_soon(part.run)
+                if self.distributed is not None and not self.disk.get("copy") and self.lives > 1:
+                    tasks.start_soon(self.distributed.start_from_peers, self.site.configuration.start_within / NS)
         self.scope = None
 
+    def fence(self) -> int:
+        """No lease of its own: a control machine has one."""
+        return 0
+
+    # ---- the host of distribution: it takes at once
+
+    def check_configuration(self, content: bytes) -> str | None:
+        return None
+
+    def take_configuration(self, version: str, content: bytes) -> str | None:
+        self.took.append((version, time.monotonic()))
+        return None
+
+    def keep_configuration(self, data: bytes) -> None:
+        self.disk["copy"] = data
+
+    def keep_vote(self, data: bytes) -> None:
+        self.disk["vote"] = data
+
     def stop(self) -> None:
         if self.scope is not None:
             self.scope.cancel()
--- a/curlewshift/scale/plan.py
+++ b/curlewshift/scale/plan.py
@@ -15,7 +15,7 @@
 
 FAULTS = ("zone-lost", "regions-apart", "restart-some", "kill-control")
 PARTS = ("membership", "sharing", "leases", "distribution")
-# Machines set aside for control, and how many of them keep leases (an odd number).
+# Machines set aside for control, and how many fronts keep the fronts' own leases (an odd number).
 CONTROL, KEEPERS = 4, 3
 MOST_PROCESSES = 200
 # UDP ports of nodes: beside those of rehearsals (12,000 to 20,000), below those that outgoing connections are given.
@@ -76,6 +76,8 @@
     apart: list[int] = []
     late: tuple[float, float] = (0.001, 0.03)
     period: float = 1.0
+    changes: int = 0
+    change_every: float = 3.0
     spoil: str = ""
 
     def check(self) -> None:
--- a/curlewshift/scale/relay.py
+++ b/curlewshift/scale/relay.py
@@ -13,6 +13,7 @@
 from random import Random
 
 import anyio
+import msgspec
 
 from curlewshift.scale.plan import read_plan
 from curlewshift.scale.talk import obey, say
@@ -24,6 +25,16 @@
 # Datagrams read in one go from one node's port, and between what it tells unasked (s).
 AT_ONCE, TELLS_EVERY = 64, 0.5
 GONE = 2
+PROBES = (1, 2)
+
+
+def version_ridden(body: bytes) -> list | None:
+    """[fence, count, digest's beginning] of a probe's rider (docs/distribution.md: version and age)."""
+    try:
+        fence, count, digest = msgspec.msgpack.decode(body)[0]
+        return [fence, count, digest.hex()[:12]]
+    except (msgspec.DecodeError, TypeError, ValueError, IndexError, AttributeError):
+        return None
 
 
 class ScaleRelay(Relay):
@@ -41,8 +52,9 @@
         self.said: dict[tuple[str, int], list[int]] = {}
         self.handed_to: dict[str, list[int]] = {name: [0, 0] for name in self.names}
         self.lost = self.cut = self.spoilt = 0
-        # what senders show: life, incarnation, view, number of the datagram, when
+        # what senders show: life, incarnation, view, number of the datagram, when; and what rode last: version, since when
         self.shown: dict[str, list] = {}
+        self.rode: dict[str, tuple[int, list, float]] = {}
         self.news: set[str] = set()
         self.gone: dict[tuple[str, int], list] = {}
 
@@ -89,7 +101,13 @@
         held = self.shown.get(sender)
         if held is None or (life, number) > (held[0], held[3]):
             self.news.add(sender)
-            self.shown[sender] = [life, incarnation, view, number, time.monotonic()]
+            now = time.monotonic()
+            if frame[7] in PROBES and frame[12]:
+                version = version_ridden(frame[12])
+                if version is not None and self.rode.get(sender, (0, None))[:2] != (life, version):
+                    self.rode[sender] = life, version, now
+            rode = self.rode.get(sender)
+            self.shown[sender] = [life, incarnation, view, number, now, *(rode[1:] if rode and rode[0] == life else ())]
         for claim in frame[11]:
             if claim[5] == GONE and (claim[0], claim[3]) not in self.gone:
                 self.gone[claim[0], claim[3]] = [claim[0], claim[3], sender, time.monotonic()]
@@ -110,7 +128,7 @@
             self.news.clear()
             told = len(gone)
 
-    def carry_out(self, command: dict) -> dict:
+    async def carry_out(self, command: dict) -> dict:
         if command["do"] == "ways":
             self.regions_apart, self.loss = command.get("apart", self.regions_apart), command.get("loss", self.loss)
             return {}
--- a/curlewshift/scale/run.py
+++ b/curlewshift/scale/run.py
@@ -6,6 +6,7 @@
 import os
 import time
 from pathlib import Path
+from random import Random
 from typing import Callable
 
 import anyio
@@ -15,11 +16,14 @@
 from curlewshift.scale.fleet import Fleet, RunFailed
 from curlewshift.scale.judge import Judge
 from curlewshift.scale.plan import CONTROL, Plan, machine_memory
+from curlewshift.scale.versions import Versions
 from curlewshift.scale.viewers import Viewers, compare_joins
 
 # Views get so long to agree, at first and after a fault (s).
 AGREE_WITHIN = 120.0
 LOOK = 0.1
+# Changes of the configuration made one after the other with nothing lost, and with this part of all datagrams lost.
+CHANGES, LOST = 3, 0.05
 # A node's own count may be off by so much of what the relays saw of it; and what it sent in the last moment (datagrams).
 MAY_BE_OFF, LAST_MOMENT = 0.01, 2
 # What is on its way when nodes have been stopped arrives within this (s).
@@ -40,6 +44,7 @@
         self.stretches: list[tuple[str, float, float]] = []
         self.most_memory = 0.0
         self.figures: dict = {}
+        self.versions: Versions | None = None
 
     async def run(self) -> dict:
         """The figures. Raises `RunFailed`; every process has ended then too."""
@@ -147,7 +152,14 @@
                 self.figures["joins"] = await compare_joins(fleet, self.joins)
         for front in fleet.real.values():
             tasks.start_soon(viewers.come, front)
+        if "distribution" in plan.parts:
+            self.versions = Versions(fleet, judge)
+            self.figures["versions"] = await self._changes(everyone)
         self.figures["faults"] = [await self._befall(Fault(kind, fleet, judge)) for kind in plan.faults]
+        if self.versions is not None:
+            self.figures["stretch"] = await self._stretch_of_changes(everyone)
+            await self.versions.own_words()
+            self.figures["changes"] = self.versions.made
         self.figures["verdict"] = await self._judge(joined, viewers)
         self.figures["memory"]["most_GiB"] = round(self.most_memory / 2**20, 2)
 
@@ -159,30 +171,84 @@
         self.stretches.append((name, begun.at, ended.at))
         return Stretch(begun, ended)
 
+    async def _changes(self, everyone: set[str]) -> dict:
+        """One after the other while nothing befalls them, then with a twentieth of all datagrams lost."""
+        self.progress("changes of the configuration, without loss and with 5%")
+        told = {"first": await self.versions.change("first", everyone),
+                "no_loss": await self.versions.several("no loss", CHANGES, everyone)}
+        await self.fleet.ways(loss=LOST)
+        told["loss"] = await self.versions.several("5% lost", CHANGES, everyone)
+        await self.fleet.ways(loss=self.plan.loss)
+        return told
+
+    async def _stretch_of_changes(self, everyone: set[str]) -> dict | None:
+        """As many changes as the plan says, in turn with restarts of a fifth as many; bytes and processor time over it all."""
+        plan = self.plan
+        if not plan.changes:
+            return None
+        self.progress(f"{plan.changes} changes, each {plan.change_every:g} s, and {plan.changes // 5} restarts")
+        chance = Random(f"{plan.seed} changes")
+        fit = [place.name for place in plan.named("hollow") if place.process != 1]
+        begun = await self._mark()
+        for number in range(plan.changes):
+            ends = time.monotonic() + plan.change_every
+            if number % 5 == 4:
+                await self._restart(chance.choice(fit))
+            await self.versions.change("stretch", everyone)
+            await anyio.sleep(max(0.0, ends - time.monotonic()))
+        stretch = Stretch(begun, await self._mark())
+        self.stretches.append(("changes", stretch.begun.at, stretch.ended.at))
+        rows = [row for row in self.versions.made if row["when"] == "stretch"]
+        waits = sorted(row["everywhere_s"] for row in rows if row.get("everywhere_s") is not None)
+        return {"changes": len(rows), "restarts": plan.changes // 5, "lasted_s": round(stretch.lasted, 1),
+                "everywhere_median_s": waits[len(waits) // 2] if waits else None, "everywhere_worst_s": waits[-1] if waits else None,
+                "not_everywhere": len(rows) - len(waits), "a_node": a_node(stretch, self._front_names(), self._shared_processes()),
+                "control": a_node(stretch, [place.name for place in plan.named("control")], [0]),
+                "real_core": spread(list(stretch.real_core().values()), 5)}
+
+    async def _restart(self, name: str) -> None:
+        await self.fleet.hollow_do("stop", {name})
+        self.judge.strikes([name], time.monotonic(), down=True)
+        await self.fleet.hollow_do("start", {name})
+        self.judge.over([name], time.monotonic())
+
     async def _befall(self, fault: Fault) -> dict:
         plan = self.plan
         self.progress(f"{fault.kind}: {len(fault.struck)} nodes")
         begun = await self._mark()
         since = time.monotonic()
         await fault.begin(plan.seconds)
-        known = None
+        known, told = None, {}
         if fault.kind != "restart-some":
             known = await self._agree(fault.groups, self.agree_within, since)
+            if self.versions is not None:
+                told["change_while"] = await self._change_in(fault)
             await anyio.sleep(max(0.0, since + plan.seconds - time.monotonic()))
         middle = await self._mark()
         over = time.monotonic()
         await fault.end()
+        if self.versions is not None:
+            told["change_after"] = await self.versions.change(f"after {fault.kind}", fault.everyone, over)
         # views that agreed are looked at once more: those who came back are heard of a moment later
         converged = await self._agree([{place.name for place in plan.places}], self.agree_within, over)
         await anyio.sleep(max(0.0, over + plan.seconds - time.monotonic()))
         ended = await self._mark()
         self.stretches += [(fault.kind, begun.at, middle.at), (f"after {fault.kind}", middle.at, ended.at)]
         sound = [name for name in self._front_names() if name not in fault.struck or fault.kind == "regions-apart"]
-        told = {"kind": fault.kind, "struck": len(fault.struck), "known_s": known, "converged_s": converged}
+        told = {"kind": fault.kind, "struck": len(fault.struck), "known_s": known, "converged_s": converged, **told}
         for key, stretch in (("while", Stretch(begun, middle)), ("after", Stretch(middle, ended))):
             told[key] = {"lasted_s": round(stretch.lasted, 2), "most_bytes_in_a_second": self._most(stretch), **a_node(stretch, sound, self._shared_processes())}
         return {**told, "bytes_a_second": told["after"]["all"]["bytes_a_second"]}
 
+    async def _change_in(self, fault: Fault) -> dict:
+        """While a fault lasts: made by a majority of the control machines that hear each other, or refused in words."""
+        control = {place.name for place in self.plan.named("control")} & self.judge.running
+        whole = CONTROL // 2 + 1
+        if any(len(control & group) >= whole for group in fault.groups):
+            return await self.versions.change(f"while {fault.kind}", max(fault.groups, key=lambda group: len(control & group)))
+        told = await self.versions.put(min(4.0, self.plan.seconds))
+        return {"when": f"while {fault.kind}", "ok": told["ok"], "refused": [told.get("wrong", "")], "no_majority": True}
+
     def _most(self, stretch: Stretch) -> int:
         """Bytes a node, all nodes together, in the fullest second of a stretch."""
         seconds = [second for second in sorted(self.seen) if stretch.begun.at <= second <= stretch.ended.at]
@@ -260,8 +326,17 @@
             "own_bytes_over_seen": round(own_all / max(1, seen_all), 4), "dropped_at_sockets": dropped, "not_sent": sum(
                 mark["unsent"] for mark in end.hollow.values()),
             "errors": errors[:5], "stalls": sum(mark["stalls"] for mark in end.hollow.values()), "served": viewers.told()}
+        if self.versions is not None:
+            verdict["versions"] = self.versions.verdict()
+            # nothing is made where no majority is
+            made = [fault["change_while"] for fault in faults if fault.get("change_while", {}).get("no_majority")]
+            verdict["versions"]["made_without_majority"] = sum(row["ok"] for row in made)
         verdict["ok"] = (verdict["agreed"] and verdict["known_while_they_lasted"] and not false_gone and not liars
                          and not errors and viewers.played == viewers.asked)
+        if self.versions is not None:
+            told = verdict["versions"]
+            verdict["ok"] = verdict["ok"] and not any(told[name] for name in (
+                "not_made", "not_everywhere", "regressions", "forks", "made_without_majority"))
         return verdict
 
 
--- a/curlewshift/scale/talk.py
+++ b/curlewshift/scale/talk.py
@@ -4,20 +4,20 @@
 
 import json
 import sys
-from typing import Callable
+from typing import Awaitable, Callable
 
 import anyio
 
 from curlewshift.rehearsal.processes import Child
 
 
-async def obey(carry_out: Callable[[dict], dict | None]) -> None:
+async def obey(carry_out: Callable[[dict], Awaitable[dict | None]]) -> None:
     """Commands from standard input until its end; whoever started this has gone if nothing more can come."""
     while True:
         line = await anyio.to_thread.run_sync(sys.stdin.readline, abandon_on_cancel=True)
         if not line.strip():
             return
-        say(carry_out(json.loads(line)) or {})
+        say(await carry_out(json.loads(line)) or {})
 
 
 def say(told: dict) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,14 +13,18 @@
 
 import anyio
 
+from curlewshift.distribution.versions import Version
 from curlewshift.membership.views import Views
+from curlewshift.peering.distributed import ENCODER, Ride
 from curlewshift.scale import plan as plans
 from curlewshift.scale.figures import Mark, Stretch, a_node, off
 from curlewshift.scale.hollow import weight
-from curlewshift.scale.judge import Judge
+from curlewshift.scale.judge import Judge, VersionsSeen
 from curlewshift.scale.meter import Meter
 from curlewshift.scale.plan import Load, Plan, Unfit
+from curlewshift.scale.relay import version_ridden
 from curlewshift.scale.run import ScaleRun
+from curlewshift.scale.versions import number_in
 
 ROOT = Path(__file__).resolve().parents[1]
 
@@ -103,6 +107,46 @@
         self.assertEqual(self.judge.false_gone(), ["c calls b gone"])
 
 
+class VersionsShown(unittest.TestCase):
+    def setUp(self):
+        self.seen = VersionsSeen()
+
+    def test_each_is_timed_by_the_first_that_is_as_new(self):
+        self.seen.saw("a", 7, [5, 1, "aa"], 1.0)
+        self.seen.saw("a", 7, [5, 3, "cc"], 4.0)
+        self.seen.saw("b", 7, [5, 2, "bb"], 3.0)
+        self.assertEqual(self.seen.reached((5, 2), ["a", "b"]), ([4.0, 3.0], []))
+        self.assertEqual(self.seen.reached((6, 1), ["a", "c"]), ([], ["a", "c"]))
+        self.assertEqual((self.seen.regressions, self.seen.forks), ([], []))
+
+    def test_an_older_one_over_a_newer_one_is_told_also_over_a_restart(self):
+        self.seen.saw("a", 7, [5, 3, "cc"], 1.0)
+        self.seen.saw("a", 7, [5, 2, "bb"], 2.0)
+        self.assertEqual(len(self.seen.regressions), 1)
+        self.seen.down("a")
+        self.seen.saw("a", 8, [4, 9, "xx"], 3.0)
+        self.assertEqual(len(self.seen.regressions), 2)
+        self.seen.down("a")
+        self.seen.emptied("a")
+        self.seen.saw("a", 9, [0, 0, ""], 4.0)
+        self.seen.saw("a", 9, [5, 1, "aa"], 5.0)
+        self.assertEqual(len(self.seen.regressions), 2, "whose disk was lost may begin anew")
+
+    def test_two_contents_under_one_number_are_told(self):
+        self.seen.saw("a", 7, [5, 3, "cc"], 1.0)
+        self.seen.saw("b", 7, [5, 3, "dd"], 1.0)
+        self.assertEqual(len(self.seen.forks), 1)
+
+    def test_what_rides_is_read_without_the_program(self):
+        version = Version(5, 3, bytes(range(32)))
+        body = ENCODER.encode(Ride(tuple(version), 7))
+        self.assertEqual(version_ridden(body), [5, 3, "000102030405"])
+        self.assertEqual(version.text, "5.3-000102030405")
+        self.assertEqual(number_in(version.text), (5, 3))
+        for spoilt in (b"", b"\xff", b"\x91\x01", b"\x92\x93\x01\x02\x03\x01"):
+            self.assertIsNone(version_ridden(spoilt))
+
+
 class Accounts(unittest.TestCase):
     def test_sections_nest_and_are_exclusive(self):
         clock = iter([100, 130, 170, 200]).__next__
@@ -198,12 +242,15 @@
             return figures
 
     def test_a_cut_of_24_hollow_and_2_real_is_known_and_healed(self):
-        told = self.play(made(nodes=26, faults=["regions-apart"]), agree_within=30.0)
+        told = self.play(made(nodes=26, faults=["regions-apart"], parts=["membership", "leases", "distribution"]),
+                         agree_within=30.0)
         verdict, (fault,) = told["verdict"], told["faults"]
         self.assertTrue(verdict["ok"], verdict)
         self.assertGreater(verdict["served"]["played"], 0)
         self.assertLess(fault["converged_s"], 30)
         self.assertGreater(fault["known_s"], 0)
+        self.assertEqual(verdict["versions"]["made_without_majority"], 0)
+        self.assertLess(verdict["versions"]["in_force_worst_s"], 18)
         # frames of both: those of hollow ones and those of the fronts as in service
         self.assertGreater(told["real_node"]["bytes_a_second"]["mean"], 0)
         self.assertGreater(told["a_node"]["membership"]["bytes_a_second"]["mean"], 0)
