Node: a crowd that asks once leaves the connections on which viewings stand

Looked at: n26 answered no viewing from 9.17 to 11.26 s while events of the list came to it in time. Ruled out: the node's lateness, the list, what servers say. At fault: Gate.make_room drops whoever has been idle the longest, and those are the viewers whose viewings play; then Door._good finds nobody to tell (limits/descriptors.py, node/door.py).

Now a connection on which a viewing stands is spared while anyone else can go, and goes only where someone waits for a place and nobody else has been idle for half a second. And a release looks at its socket before its first byte: one that its viewer has closed, though nobody has read that, is left for another (its story fails without).

test_crossings.NoDescriptors: its story took for granted that the first viewer's connection goes, though its viewing stands; now the end is wanted on that connection, and after its viewer has closed it that of a second viewing on the other one.

--- a/curlewshift/limits/descriptors.py
+++ b/curlewshift/limits/descriptors.py
@@ -12,6 +12,8 @@
 # A connection has to be idle for so long (s) to be dropped for another; so many are dropped at once.
 IDLE_FOR = 0.5
 DROPPED_AT_ONCE = 8
+# Who is spared goes where there has been nobody else for so many times as long: who has just come is not idle yet.
+SPARED_PART = 2
 # Of all places, so many may be in use before it is crowded.
 CROWDED_PART = 0.75
 # After an accept found none left, so many fewer are open at once, down to half.
@@ -23,9 +25,12 @@
     `rested_at` (s) and `drop()`."""
 
     def __init__(self, limit: int, clock, kept: int | None = None, idle_for: float = IDLE_FOR,
-                 at_once: int = DROPPED_AT_ONCE):
-        """`kept` where it is known how many others need; the rest where crowds come that ask once and stay."""
-        self.idle_for, self.at_once = idle_for, at_once
+                 at_once: int = DROPPED_AT_ONCE, spared=lambda line: False):
+        """`kept` where it is known how many others need; the rest where crowds come that ask once and stay. Connections
+        that are `spared` go only where there is no place left, and nobody else has been idle for some time."""
+        self.idle_for, self.at_once, self.spared = idle_for, at_once, spared
+        # since when someone has waited for a place, with nobody to go but those
+        self.none_since: float | None = None
         if kept is None:
             kept = int(min(KEPT_MOST, max(KEPT_LEAST, limit * KEPT_PART)))
         self.most = self.first_most = max(4, limit - kept)
@@ -43,6 +48,7 @@
 
     def opened(self, line: object) -> None:
         self.lines[line] = True
+        self.none_since = None
 
     def closed(self, line: object) -> None:
         self.lines.pop(line, None)
@@ -52,10 +58,21 @@
         self.none_left += 1
         self.most = max(self.first_most // 2, min(self.most, len(self.lines)) - FEWER, 4)
 
-    def make_room(self) -> None:
+    def make_room(self, needed: bool = True) -> None:
+        """`needed` if someone waits for a place: then who is spared goes too, once there is nobody else."""
         now = self.clock()
-        idle = [line for line in self.lines if now - line.rested_at >= self.idle_for and not line.at_work]
+        idle = self._idle(now, False)
+        if idle:
+            self.none_since = None
+        elif needed and self.none_since is None:
+            self.none_since = now
+        elif needed and now - self.none_since >= SPARED_PART * self.idle_for:
+            idle = self._idle(now, True)
         idle.sort(key=lambda line: line.rested_at)
         for line in idle[:self.at_once]:
             self.dropped += 1
             line.drop()
+
+    def _idle(self, now: float, spared: bool) -> list:
+        return [line for line in self.lines if now - line.rested_at >= self.idle_for and self.spared(line) is spared
+                and not line.at_work]
--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -78,6 +78,13 @@
     line: Line | None = None
     handed: bool = False
 
+    def leaves(self) -> bool:
+        """Not on a connection that its viewer has closed, though nobody has read that yet: then it goes out on another."""
+        if self.line is not None and self.line.wire.peer_closed():
+            self.line = None
+            return False
+        return True
+
 
 class Line:
     """One connection from viewers."""
@@ -85,6 +92,8 @@
     def __init__(self, wire: Wire, now: int):
         self.wire, self.intake = wire, Intake(rtsp.Reader(), rtsp.Malformed, now)
         self.waiting: dict[str, Asked] = {}
+        # viewings asked for here that stand: their ends are told here, and their viewers' next requests come here
+        self.standing = 0
         # called once what is there to be read has been read
         self.after_reading: list[Callable[[], None]] = []
         # what comes on it cannot be read any more: it goes once all that is open on it is answered
@@ -104,6 +113,11 @@
         asking = self.intake.partial and not self.spoilt
         return asking or bool(self.waiting) or bool(self.wire.waiting) or self.wire.unread()
 
+    @property
+    def spared(self) -> bool:
+        """What stands here is told of here: after a crowd that asks once and stays nobody else may be left to tell it to."""
+        return self.standing > 0
+
     def drop(self) -> None:
         self.wire.drop()
 
@@ -232,7 +246,7 @@
                     line.wire.send(rtsp.answer(FAILED, "1", asked.name))
                     self._give_up(asked)
         if self.gate.crowded:
-            self.gate.make_room()
+            self.gate.make_room(needed=False)
         if self.pending_releases:
             self._say()
 
@@ -299,7 +313,7 @@
             over = self.node.over_at(name, legs["at"], self.torn_down.pop(name, None))
             if over is None:
                 course = self.node.plays_at(name, package, title[1], base, span, top, viewer, expected, legs["at"])
-                self.asked[name] = Asked(name, line, course=course)
+                self._stands(Asked(name, line, course=course))
             elif over:
                 self._owe(name, over, line)
             return
@@ -347,6 +361,12 @@
         if asked.line is not None:
             if asked.line.waiting.pop(asked.name, None) is not None:
                 asked.line.rested_at = self.node.now() / NS
+            elif asked.course is not None:
+                asked.line.standing -= 1
+
+    def _stands(self, asked: Asked) -> None:
+        self.asked[asked.name] = asked
+        asked.line.standing += 1
 
     # ---- what goes back
 
@@ -358,7 +378,7 @@
         queued = self.trail.answered(asked.name, asked.request is not None and self.node.now() > asked.request.expires + OVERDUE)
         if answer.kind is Kind.PLAYS:
             asked.course = answer.course
-            self.asked[asked.name] = asked
+            self._stands(asked)
             line.wire.send(rtsp.answer(200, "1", asked.name, description), queued)
             line.good, self.last_good = True, line
         elif answer.kind is Kind.REFUSED:
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -57,8 +57,8 @@
         self.desk = Desk(self, terms_of(settings, self.clock.now(), posting.seed), self.fleet)
         extra = settings.get("extra") or {}
         for_servers = int(posting.descriptors * SERVERS_PART)
-        self.door = Door(self, Gate(posting.descriptors, lambda: self.now() / NS, for_servers + OTHERS, IDLE_FOR, AT_ONCE), log,
-                         len(self.fleet.cells), len(extra.get("rung_kb") or [0]) - 1)
+        gate = Gate(posting.descriptors, lambda: self.now() / NS, for_servers + OTHERS, IDLE_FOR, AT_ONCE, lambda line: line.spared)
+        self.door = Door(self, gate, log, len(self.fleet.cells), len(extra.get("rung_kb") or [0]) - 1)
         self.for_servers = for_servers
 
     async def run(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -828,11 +828,20 @@
                 clean.ask(B, package=CLIP)
                 self.assertEqual((await clean.hear(5)).status, 200)
                 self.assertEqual(told, 1)
-                # the first viewer's connection rested and went; the end of its session is told on the other
+                # the first viewer's connection rested among those that went, and was spared, as its viewing stands: its end is
+                # told there; and where it has gone itself, on the other
                 played = next(media for media in place.medias if bytes.fromhex(A) in dict(media.had(isup.SET_UP)))
                 await played.lines[-1].send(isup.release(bytes.fromhex(A), isup.OVER))
-                heard = await clean.hear()
+                heard = await first.hear()
                 self.assertEqual((heard.method, heard.fields["session"]), ("TEARDOWN", A))
+                first.ask(C, package=CLIP)
+                self.assertEqual((await first.hear(5)).status, 200)
+                first.close()
+                played = next(media for media in place.medias if bytes.fromhex(C) in dict(media.had(isup.SET_UP)))
+                await until(lambda: played.lines)
+                await played.lines[-1].send(isup.release(bytes.fromhex(C), isup.OVER))
+                heard = await clean.hear()
+                self.assertEqual((heard.method, heard.fields["session"]), ("TEARDOWN", C))
                 self.assertNotIn(b'"event":"fault"', b"".join(logged))
                 self.assertIsNone(process.returncode)
             finally:
--- a/tests/test_node_crowds.py
+++ b/tests/test_node_crowds.py
@@ -26,6 +26,76 @@
 TEST = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n"
 
 
+class Crowds(unittest.TestCase):
+    """Connections that ask once and stay, more of them than there are places."""
+
+    async def crowd(self, place, count):
+        """Each has its answer, and rests."""
+        held = []
+        for _ in range(count):
+            held.append(Plain(place.port))
+            held[-1].say(TEST)
+            self.assertEqual((await held[-1].hear()).status, 200)
+        return held
+
+    @story
+    async def test_it_is_they_who_go_and_not_those_whose_viewings_stand_and_ends_are_told_at_once(self):
+        async with Place(sockets=120).up() as place:
+            media, viewers, most = place.medias[0], [Plain(place.port) for _ in range(3)], place.node.door.gate.most
+            for viewer, id in zip(viewers, (A, B, C)):
+                viewer.ask(id)
+                await viewer.hear()
+            held = await self.crowd(place, 3 * most)
+            self.assertGreater(place.node.door.gate.dropped, most)
+            for viewer, id in zip(viewers, (A, B, C)):
+                await media.lines[0].send(isup.release(bytes.fromhex(id), isup.OVER))
+                heard = await viewer.hear(0.5)
+                self.assertEqual((heard.method, heard.fields["session"]), ("TEARDOWN", id))
+            # nothing stands there any more: they are as others now
+            self.assertEqual([line.standing for line in place.node.door.lines if line.standing], [])
+            held += await self.crowd(place, 2 * most)
+            for viewer in viewers:
+                self.assertIsNone(await viewer.hear(0.5))
+            for viewer in (*viewers, *held):
+                viewer.close()
+
+    @story
+    async def test_where_viewings_stand_on_all_of_them_the_longest_idle_goes_and_who_comes_is_taken(self):
+        async with Place(sockets=60).up() as place:
+            media, most, held = place.medias[0], place.node.door.gate.most, []
+            with anyio.fail_after(8):
+                for number in range(1, 2 * most):
+                    held.append(Plain(place.port))
+                    held[-1].ask(f"{number:016x}")
+                    self.assertEqual((await held[-1].hear(2)).status, 200)
+            self.assertIsNone(await held[0].hear())
+            await media.lines[0].send(isup.release(bytes.fromhex(f"{1:016x}"), isup.OVER))
+            heard = await held[-1].hear()
+            self.assertEqual((heard.method, heard.fields["session"]), ("TEARDOWN", f"{1:016x}"))
+            for viewer in held:
+                viewer.close()
+
+    @story
+    async def test_an_end_is_not_told_on_a_connection_whose_viewer_has_closed_it_unread_but_on_another(self):
+        held = Held()
+        async with Place().up() as place:
+            with held.all():
+                media, own, other = place.medias[0], Plain(place.port), Plain(place.port)
+                for viewer, id in ((own, A), (other, B)):
+                    viewer.ask(id)
+                    await viewer.hear()
+                held.sockets.add(place.node.door.asked[A].line.wire.socket)
+                own.close()
+                await media.lines[0].send(isup.release(bytes.fromhex(A), isup.RESET))
+                await until(lambda: place.node.door.pending_releases)
+                await quiet(lambda: len(other.got))
+                held.go.set()
+                heard = await other.hear(0.5)
+            self.assertEqual((heard.method, heard.fields["session"]), ("TEARDOWN", A))
+            await until(lambda: not place.node.door.pending_releases)
+            other.close()
+
+
 class Pieces(unittest.TestCase):
     """A request that comes byte by byte, over the boundaries of reads."""
 
