Slopes: a node that is being started when the run is broken off is ended too

Cause: SIGTERM between the fork and the moment the run held the process left it to itself; the test that breaks a run off met it once in a dozen runs. The signal is held back until the object that ends the process knows of it, and a second one is ignored while the ends are gone through. The command puts back the handler that it found.

--- a/curlewshift/commands/slopes.py
+++ b/curlewshift/commands/slopes.py
@@ -33,8 +33,12 @@
         sys.exit(2)
     wanted = list(KINDS.values()) if name == "all" else [KINDS[name]]
     out.mkdir(parents=True, exist_ok=True)
-    # broken off, it still goes through the ends of its processes
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+
+    def broken_off(*_):
+        # once: it still has to go through the ends of its processes
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        sys.exit(143)
+    before = signal.signal(signal.SIGTERM, broken_off)
     try:
         for kind in wanted:
             check_room(kind, sizes or kind.sizes)
@@ -55,3 +59,5 @@
     except (TimeoutError, OSError) as wrong:
         click.echo(f"curlewshift: not measured: {wrong}", err=True)
         sys.exit(1)
+    finally:
+        signal.signal(signal.SIGTERM, before)
--- a/curlewshift/scale/slopes_node.py
+++ b/curlewshift/scale/slopes_node.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -62,18 +63,29 @@
         self.path.write_text(json.dumps(told))
         self.log = folder / "node.log"
         program = ["-m", "curlewshift.node"] if profile is None else ["-m", "curlewshift.scale.slopes_profiled", str(profile)]
+        self.program, self.process = program, None
+
+    def start(self) -> None:
+        """Whoever has this object ends the process; so nothing breaks in before the object knows of it."""
+        ends = {signal.SIGTERM, signal.SIGINT}
         self.began = time.monotonic()
-        with open(self.log, "wb") as log:
-            self.process = subprocess.Popen([sys.executable, *program], cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(self.path)},
-                                            stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True)
+        before = signal.pthread_sigmask(signal.SIG_BLOCK, ends)
+        try:
+            with open(self.log, "wb") as log:
+                self.process = subprocess.Popen(
+                    [sys.executable, *self.program], cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(self.path)},
+                    stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True,
+                    preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_UNBLOCK, ends))
+        finally:
+            signal.pthread_sigmask(signal.SIG_SETMASK, before)
 
     @property
     def pid(self) -> int:
         return self.process.pid
 
     def ready(self) -> float:
-        """Seconds from its start until it answered OPTIONS with 200. Raises `TimeoutError`."""
-        import socket
+        """Starts it; seconds until it answered OPTIONS with 200. Raises `TimeoutError`."""
+        self.start()
         while time.monotonic() - self.began < READY_WITHIN:
             if self.process.poll() is not None:
                 raise TimeoutError(f"the node ended with {self.process.returncode}: {self.log.read_text()[-300:]}")
@@ -107,6 +119,6 @@
         return (self.processor_ns() - before) / (time.monotonic_ns() - began)
 
     def kill(self) -> None:
-        if self.process.poll() is None:
+        if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
