--- a/curlewshift/capacity/at_control.py
+++ b/curlewshift/capacity/at_control.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+from curlewshift.capacity import in_force
 from curlewshift.capacity.figures import Figure, assumed, supposed, worked_out
 from curlewshift.capacity.given import DISTRIBUTION, GIVER, LEASES, OVERLOAD, REPORTS, SHARING, STORE, WRITER
-from curlewshift.capacity.measured import Measured, carried
+from curlewshift.capacity.measured import Measured
 from curlewshift.capacity.rows import (AGGREGATOR, CONTROL, FOLLOWER, LED, MEMORY, MESSAGES, PROCESSOR, STATE, Mechanism, Row)
 from curlewshift.capacity.size import DAY, Size
 
-LIST_TIME, LIST_MEMORY = "processor-time-by-listed-server", "memory-by-listed-server"
+LIST_MEMORY, LIST_IDLE, LIST_START = "memory-by-servers", "idle-time-by-servers", "restart-time-by-servers"
+# Servers in one whole list: the bulletin's records of 27 bytes in a frame of 16 KiB; a test holds it to `node/bulletin.py`.
+MOST_LISTED = 606
 LISTS = Mechanism("curlewshift/node/follower.py", "class Follower")
+MACHINE = Mechanism("curlewshift/control/machine.py", "class Machine")
 TASKS = Mechanism("curlewshift/tasks/tasks.py", "class Tasks")
 PROBES = Mechanism("curlewshift/tasks/servers.py", "class Probing")
 KEEPERS, LED_SHARDS, LED_TASKS = 5, 8, 4
@@ -17,21 +23,13 @@
 REPORT_EACH = 30
 
 
-def scale_control(size: Size, measured: Measured, *way: str, unit: str, by: float = 1.0) -> Figure | None:
-    """What a scale run counted for a control machine, its parts together."""
-    file = measured.scale(size.nodes)
-    return file and measured.figure(file, "control", "all", *way, unit=unit, by=by)
-
-
 def rows(size: Size, measured: Measured) -> list[Row]:
-    return control_machine(size, measured) + aggregator(size, measured) + follower(size, measured) + led(size, measured)
+    return in_force.rows(size, measured) + control_machine(size, measured) + aggregator(size, measured) + follower(size, measured) + led(size, measured)
 
 
 def control_machine(size: Size, measured: Measured) -> list[Row]:
     whole = size.guess("configuration-kB")
     return [
-        Row("configuration", CONTROL, MESSAGES, "time until in force everywhere (p99)", in_force(size, measured),
-            size.in_force_within, DISTRIBUTION),
         Row("configuration", CONTROL, STATE, "the newest version accepted and the newest chosen, whole", supposed(whole * 2, "kB"),
             None, STORE),
         Row("configuration", CONTROL, STATE, "versions made a day, each with a majority before anyone is told",
@@ -39,27 +37,19 @@
         Row("configuration", CONTROL, MESSAGES, "contents given, were each node given all by the control machines",
             supposed(whole * 1000 * size.nodes * size.changes_a_day / DAY / size.control_machines, "bytes/s"), None,
             GIVER),
-        Row("configuration", CONTROL, MESSAGES, "out, as a scale run counted", scale_control(
-            size, measured, "bytes_a_second", "mean", unit="bytes/s"), None, DISTRIBUTION),
-        Row("configuration", CONTROL, PROCESSOR, "as a scale run counted", scale_control(
-            size, measured, "core", "mean", unit="cores"), 1.0, DISTRIBUTION),
-        Row("configuration", CONTROL, MEMORY, "as a scale run counted", scale_control(
-            size, measured, "memory_kB", unit="MB", by=0.001), size.guess("memory-a-node-GB") * 1000, DISTRIBUTION),
-    ]
+    ] + of_a_run(size, measured)
 
 
-def in_force(size: Size, measured: Measured) -> Figure | None:
-    """Seconds, of a run of the size's nodes on sockets, else of the simulation nearest above."""
-    file = measured.scale(size.nodes)
-    told = file and measured.figure(file, "configuration", "in_force_p99_s", unit="s")
-    return told or simulated_in_force(size, measured)
-
-
-def simulated_in_force(size: Size, measured: Measured) -> Figure | None:
-    sizes = measured.get("versions.json", "sizes") or []
-    fits = [(one.get("nodes", 0), place) for place, one in enumerate(sizes) if isinstance(one, dict)]
-    fits = [one for one in fits if one[0] >= size.nodes] or fits[-1:]
-    return measured.figure("versions.json", "sizes", min(fits)[1], "in_force_p99_s", unit="s") if fits else None
+def of_a_run(size: Size, measured: Measured) -> list[Row]:
+    """What a scale run counted for a control machine, all its parts together: with nothing to do, and over a stretch of changes."""
+    file, found = measured.scale(size.nodes), []
+    for words, way in (("at rest", ()), ("over a stretch of changes and restarts", ("stretch",))):
+        for what, key, unit, bound in ((MESSAGES, "bytes_a_second", "bytes/s", None), (PROCESSOR, "core", "cores", 1.0)):
+            found.append(Row("configuration", CONTROL, what, f"{words}, out" if what == MESSAGES else words, file and measured.figure(
+                file, *way, "control", "all", key, "mean", unit=unit), bound, MACHINE))
+    found.append(Row("configuration", CONTROL, MEMORY, "its process, as a scale run counted", file and measured.figure(
+        file, "control", "memory_kB", unit="MB", by=0.001), size.guess("memory-a-node-GB") * 1000, MACHINE))
+    return found
 
 
 def aggregator(size: Size, measured: Measured) -> list[Row]:
@@ -87,17 +77,25 @@
 
 def follower(size: Size, measured: Measured) -> list[Row]:
     servers = size.guess("servers")
+    idle, taken = of_servers(measured, LIST_IDLE, servers, "s"), of_servers(measured, LIST_START, servers, "ms")
     return [
-        Row("list", FOLLOWER, STATE, "servers of the whole list", assumed(servers, "servers"), None, LISTS),
+        Row("list", FOLLOWER, STATE, "servers that a whole list has to hold", assumed(servers, "servers"), MOST_LISTED, LISTS),
         Row("list", FOLLOWER, MESSAGES, "connections at whoever tells the list, one a node",
             worked_out(size.nodes, "connections"), None, LISTS),
-        Row("list", FOLLOWER, PROCESSOR, f"one whole list of {servers:,.0f} servers, nothing else is answered meanwhile",
-            carried(measured, LIST_TIME, servers, "ms"), size.p99 * 1000, LISTS),
-        Row("list", FOLLOWER, MEMORY, f"a list of {servers:,.0f} servers", carried(measured, LIST_MEMORY, servers, "MB"),
+        Row("list", FOLLOWER, PROCESSOR, f"{servers:,.0f} servers at rest", idle and replace(idle, unit="cores"),
+            size.control_core, LISTS),
+        Row("list", FOLLOWER, PROCESSOR, f"{servers:,.0f} servers taken at a start, at once", taken, size.p99 * 1000, LISTS),
+        Row("list", FOLLOWER, MEMORY, f"a list of {servers:,.0f} servers", of_servers(measured, LIST_MEMORY, servers, "MB"),
             size.control_memory, LISTS),
     ]
 
 
+def of_servers(measured: Measured, name: str, servers: float, unit: str) -> Figure | None:
+    """What so many servers add to a node that has none."""
+    slope = measured.slopes.get(name)
+    return slope and slope.each(unit, servers).times(servers, unit)
+
+
 def leases_a_shard(size: Size, measured: Measured) -> Figure | None:
     """What each node would send for leases, were each shard of topics to have one and all nodes to be keepers by turns."""
     words = measured.figure("leases.json", "sizes", 4, "words_a_second_a_lease", unit="words/s")
--- a/curlewshift/capacity/failures.py
+++ b/curlewshift/capacity/failures.py
@@ -6,10 +6,11 @@
 
 from curlewshift.capacity.at_node import BY_NOTICE, BY_REQUEST
 from curlewshift.capacity.figures import NOT_MEASURED, Figure, short, supposed, worked_out
+from curlewshift.capacity.in_force import longest
 from curlewshift.capacity.measured import Measured, a_second, carried
 from curlewshift.capacity.size import DAY, Size
 
-RESTART, STORM = "restart-time-by-viewing", "storm-time-by-client"
+RESTART, STORM, STORM_LASTS = "restart-by-servers", "storm-time", "storm-until-all-play"
 
 
 @dataclass(frozen=True)
@@ -29,6 +30,21 @@
     return figure.text() if figure else NOT_MEASURED
 
 
+def _many(count: float) -> str:
+    return f"{short(count / 1e6)} million" if count >= 1e6 else short(count)
+
+
+def _viewers(told: dict | None) -> str:
+    """What viewers at the real nodes of the run got."""
+    if not told:
+        return ""
+    return f" (of {told['asked']} asked at real nodes of the run, through all its faults, {told['played']} played)"
+
+
+def _limit(figure: Figure | None) -> str:
+    return f" ({figure.limit()})" if figure and figure.limit() else ""
+
+
 class Failures:
     def __init__(self, size: Size, measured: Measured):
         self.size, self.measured = size, measured
@@ -55,7 +71,9 @@
 
     def restart(self) -> Failure:
         size = self.size
-        slope = carried(self.measured, RESTART, size.viewings_a_node, "s")
+        ready = carried(self.measured, RESTART, size.guess("servers"), "s")
+        storm = carried(self.measured, STORM, size.connections_a_node, "s")
+        lasts = carried(self.measured, STORM_LASTS, size.connections_a_node, "s", beyond=False)
         old = self.measured.figure("recovery.json", "rows", 3, "all_adopted_after_ms", unit="s", by=0.001)
         each = worked_out(DAY / size.restarts_a_day, "s")
         return Failure(
@@ -63,10 +81,11 @@
             "peers by its word that it leaves, else as above",
             f"as above: {self.connections(1)}; viewings are taken up from its state folder where it has one; configuration "
             "from its disk, else from peers, else from the file it was given",
-            f"{self.come_again(1)}; up again: {said(slope)} (10,000 viewings {said(old)}; "
-            f"wanted ×{size.viewings_a_node / 10_000:.1f})",
+            f"{self.come_again(1)}. Ready after {said(ready)} with a list of {short(size.guess('servers'))} servers; if all its "
+            f"own come again at once, {said(storm)} of processor time and {said(lasts)} until all play"
+            f"{_limit(storm)}; 10,000 viewings taken up from its folder after {said(old)}",
             "its own rights, for as long as an earlier life may have lent them; servers of a stale list, for a warm-up",
-            (each, slope, old, *self._set_up()))
+            (each, ready, storm, lasts, old, *self._set_up()))
 
     def rack(self) -> Failure:
         size, nodes = self.size, self.size.guess("nodes-a-rack")
@@ -77,13 +96,13 @@
 
     def zone(self) -> Failure:
         size, nodes = self.size, self.size.nodes_a_zone
-        converged, worst = self.fault("zone-lost", "converged_s"), self.fault("zone-lost", "bytes_a_second", "worst")
+        converged, worst = self.fault("zone-lost", "known_s"), self.fault("zone-lost", "while", "all", "bytes_a_second", "mean")
         return Failure(
             f"a zone lost: {short(nodes)} nodes", f"each {short(size.zone_each_days)} days",
             f"peers; until all agree: {said(converged)}",
             f"{self.connections(nodes)} come again elsewhere; rights and leases as above, all at once; the zone's aggregator is "
             "another node's work at once; control machines of the zone are missed by the majority",
-            f"{self.come_again(nodes)}; control out at worst {said(worst)}, the users grant "
+            f"{self.come_again(nodes)}; control out meanwhile {said(worst)}, the users grant "
             f"{short(size.control_bytes)} bytes/s",
             "nothing that serves; changes only if a majority of the control machines was there",
             (converged, worst, *self._set_up()))
@@ -92,18 +111,20 @@
         size, nodes = self.size, self.size.nodes_a_zone
         whole = size.guess("configuration-kB")
         all_ = supposed(whole * nodes, "kB")
-        again = self.fault("restart-some", "configuration_s") or self.figure_of_versions("empty_nodes_s")
+        again = self.change_after("zone-lost")
         return Failure(
             f"a zone returns: {short(nodes)} empty nodes at once", f"each {short(size.zone_each_days)} days", "peers at once",
             f"the configuration {short(nodes)} times, {said(all_)} together, from each other and from who is near",
-            f"a giver of the other zones: bounded, apart from its channel; until all have it: {said(again)}",
+            f"a giver of the other zones: bounded, apart from its channel; a change is in force everywhere after they are back: {said(again)}",
             "their own rights, and cold servers' paces", (all_, again))
 
     def apart(self) -> Failure:
         size = self.size
         changes = worked_out(size.changes_a_day * size.regions_apart / DAY, "changes")
         converged = self.fault("regions-apart", "converged_s")
-        worst = self.fault("regions-apart", "bytes_a_second", "worst")
+        worst = self.fault("regions-apart", "while", "all", "bytes_a_second", "mean")
+        after = self.fault("regions-apart", "after", "all", "bytes_a_second", "mean")
+        change = self.change_after("regions-apart")
         held = size.control_machines - size.control_machines // size.regions - (
             1 if size.control_machines % size.regions else 0)
         majority = size.control_machines // 2 + 1
@@ -113,28 +134,29 @@
             f"peers, as a machine; until all agree after they meet: {said(converged)}",
             f"no connection; {said(changes)} are made meanwhile, by whoever has {majority} of {size.control_machines} control "
             f"machines; all {size.regions} regions apart: no side has a majority, and no change is made",
-            f"control out at worst {said(worst)}",
+            f"control out {said(worst)} meanwhile, {said(after)} after; a change in force everywhere after they meet: {said(change)}",
             f"a region without a majority goes on with what it has, up to {short(size.regions_apart)} s old (the largest region "
             f"holding {size.control_machines - held} of {size.control_machines} cut off: {able}); leases of a minority's "
-            "holders end with their term", (changes, converged, worst))
+            "holders end with their term", (changes, converged, worst, after, change))
 
     def control_gone(self) -> Failure:
         size = self.size
-        serving = self.fault("kill-control", "joins_lost")
+        refused = self.measured.get(self.measured.scale(size.nodes) or "", "verdict", "served")
+        after = self.change_after("kill-control")
         return Failure(
             f"all {size.control_machines} control machines gone", "no number is stated",
             "nobody who serves; who asks for a change is told at once that there is no majority",
             "no connection, viewing or right; leases kept by them end with their terms, and their tasks fall back to what each "
-            "node does alone", f"joins lost meanwhile: {said(serving)}",
+            "node does alone", f"nothing{_viewers(refused)}; a change is in force everywhere after they are back: {said(after)}",
             f"changes ({short(size.changes_a_day)} a day wait); nodes say how old theirs is; a node that starts takes it from "
-            "its disk or a peer", (serving,))
+            "its disk or a peer", (after,))
 
     def one_control_machine(self) -> Failure:
         size = self.size
         left = size.control_machines - 1
         majority = size.control_machines // 2 + 1
         return Failure(
-            "one control machine lost, another restarts meanwhile", f"{size.machines_a_day / size.nodes * 365:.2g} a year each",
+            "one control machine lost, another restarts meanwhile", f"{short(size.machines_a_day / size.nodes * 365)} a year each",
             "the writer, at its next change",
             f"nothing; {left} of {size.control_machines} are left and {majority} make a majority, with one more away "
             f"{left - 1} are left: {'still a majority' if left - 1 >= majority else 'no change can be made'}",
@@ -148,7 +170,7 @@
         words = f"×{lasts.value / size.p99:.3g} of the {short(size.p99 * 1000)} ms" if lasts else \
             f"against {short(size.p99 * 1000)} ms"
         return Failure(
-            f"the largest topic's {short(size.largest / 1e6)} million listeners are told at once", "no number is stated",
+            f"the largest topic's {_many(size.largest)} listeners are told at once", "no number is stated",
             "each node by the media servers that it plays on",
             f"{said(a_node)} a node, if its listeners are spread evenly; nothing else moves",
             f"one process tells its listeners one after another and answers nobody else meanwhile: {said(lasts)}, {words}",
@@ -164,8 +186,7 @@
     # ---- figures that several have
 
     def connections(self, nodes: float) -> str:
-        many = self.size.connections_a_node * nodes
-        return f"{short(many / 1e6) + ' million' if many >= 1e6 else short(many)} connections"
+        return f"{_many(self.size.connections_a_node * nodes)} connections"
 
     def come_again(self, nodes: float) -> str:
         """What those who come again are for each node that is left, if they come spread over the time assumed."""
@@ -186,8 +207,13 @@
         for place, one in enumerate(self.measured.get(file, "faults") or () if file else ()):
             if isinstance(one, dict) and one.get("kind") == kind:
                 return self.measured.figure(file, "faults", place, *way,
-                                            unit="bytes/s" if "bytes_a_second" in way else "joins" if "joins" in way[0] else "s")
+                                            unit="bytes/s" if "bytes_a_second" in way else "s")
         return None
 
-    def figure_of_versions(self, *way: str) -> Figure | None:
-        return self.measured.figure("versions.json", *way, unit="s")
+    def change_after(self, kind: str) -> Figure | None:
+        """Seconds from the end of a fault until a change was in force everywhere."""
+        file = self.measured.scale(self.size.nodes)
+        for one in (self.measured.get(file, "faults") or ()) if file else ():
+            if one.get("kind") == kind:
+                return longest(self.measured, file, one.get("change_after"))
+        return None
--- a/curlewshift/capacity/figures.py
+++ b/curlewshift/capacity/figures.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, replace
 
 MEASURED, SIMULATED, WORKED_OUT, ASSUMED, WANTED = "measured", "simulated", "worked out", "assumed", "wanted"
-SUPPOSED = "worked out of what is assumed"
+SUPPOSED, FROM_SIMULATED = "worked out of what is assumed", "worked out of what is simulated"
 NOT_MEASURED = "not measured"
 
 
@@ -48,15 +48,16 @@
 
     def times(self, by: float, unit: str, carried: str = "") -> Figure:
         """So many times this, worked out."""
-        return replace(self, value=self.value * by, error=self.error * by, unit=unit, how=WORKED_OUT,
-                       carried=carried or self.carried)
+        how = FROM_SIMULATED if self.how in (SIMULATED, FROM_SIMULATED) else WORKED_OUT
+        return replace(self, value=self.value * by, error=self.error * by, unit=unit, how=how, carried=carried or self.carried)
 
     def plus(self, other: Figure) -> Figure:
         """Both together, in one unit; the errors add up, and the one that was carried further keeps its limit."""
         if other.unit != self.unit:
             raise ValueError(f"{self.unit} and {other.unit} do not add up")
         further = max(self, other, key=lambda one: one.factor)
-        return replace(further, value=self.value + other.value, error=self.error + other.error, how=WORKED_OUT,
+        how = FROM_SIMULATED if {self.how, other.how} & {SIMULATED, FROM_SIMULATED} else WORKED_OUT
+        return replace(further, value=self.value + other.value, error=self.error + other.error, how=how,
                        files=tuple(dict.fromkeys(self.files + other.files)), at_least=self.at_least or other.at_least,
                        command=" ; ".join(dict.fromkeys(one for one in (self.command, other.command) if one)))
 
--- a/curlewshift/capacity/given.py
+++ b/curlewshift/capacity/given.py
@@ -28,7 +28,10 @@
 KINDS = {MESSAGES: (("bytes_a_second", "mean"), "bytes/s", 1.0, "control_bytes"),
          PROCESSOR: (("core", "mean"), "cores", 1.0, "control_core"),
          MEMORY: (("memory_kB",), "MB", 0.001, "control_memory")}
-BYTES_BY_LINKS, CORE_BY_LINKS = "sharing-bytes-by-link", "sharing-time-by-link"
+BYTES_BY_LINKS, CORE_BY_LINKS = "sharing-bytes-by-links", "sharing-time-by-links"
+# Membership by the number of nodes, in virtual time: slope and when.
+MEMBERSHIP_BY = (("quiet", "at rest"), ("zone-lost", "after a zone was lost"), ("regions-apart", "while regions are apart"),
+                 ("agreed-again", "just after they have agreed again"))
 
 
 def subsystem(size: Size, measured: Measured, name: str, what: str, *way: str | int) -> Figure | None:
@@ -60,7 +63,21 @@
                          getattr(size, bound), MEMBERSHIP))
     found.append(Row("overload", FRONT, MESSAGES, "control: overload out, a round each second for each zone of servers", supposed(
         size.zones * size.guess("round-word-bytes"), "bytes/s"), size.control_bytes, OVERLOAD))
-    return found + after_faults(size, measured) + sharing(size, measured)
+    return found + of_changes(size, measured) + after_faults(size, measured) + simulated(size, measured) + sharing(size, measured)
+
+
+def of_changes(size: Size, measured: Measured) -> list[Row]:
+    """Over a stretch with changes and restarts: what distribution takes, and what all parts that ran took together."""
+    file = measured.scale(size.nodes)
+    if file is None or not measured.get(file, "stretch"):
+        return []
+    found, parts = [], ", ".join(name for name, *_ in SUBSYSTEMS if measured.get(file, "stretch", "a_node", name))
+    words = f"over {measured.get(file, 'stretch', 'changes')} changes and {measured.get(file, 'stretch', 'restarts')} restarts"
+    for what, (_, _, _, bound) in list(KINDS.items())[:2]:
+        for name, key, says in (("distribution", "configuration", "distribution"), ("all", "control-together", f"all that ran ({parts})")):
+            found.append(Row(key, FRONT, what, f"control: {says}, {words}", subsystem(
+                size, measured, name, what, "stretch", "a_node"), getattr(size, bound), DISTRIBUTION))
+    return found
 
 
 def after_faults(size: Size, measured: Measured) -> list[Row]:
@@ -77,6 +94,12 @@
     return found
 
 
+def simulated(size: Size, measured: Measured) -> list[Row]:
+    return [Row("membership", FRONT, MESSAGES, f"control: membership out, {when}", carried(
+        measured, f"membership-bytes-{name}", size.nodes, "bytes/s"), size.control_bytes, MEMBERSHIP)
+            for name, when in MEMBERSHIP_BY]
+
+
 def sharing(size: Size, measured: Measured) -> list[Row]:
     """By the links that a node plays on, which is what sharing grows with."""
     found, sizes = [], measured.get("shared.json", "sizes") or []
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -9,13 +9,13 @@
 
 from dataclasses import dataclass
 
-from curlewshift.capacity.figures import WORKED_OUT, Figure, short
+from curlewshift.capacity.figures import FROM_SIMULATED, WORKED_OUT, Figure, short
 
 FEWEST_POINTS = 4
 # How far the fit that a file states may lie from the line through its points, as a part: it is told with five digits.
 SAME_FIT = 0.001
-# A line whose worst point lies further off than this part of its rise is too scattered to be carried beyond its run: so few
-# points do not show that it is straight.
+# A line from which the mean of a size lies further off than this part of its rise is too scattered to be carried beyond its run:
+# so few points do not show that it is straight.
 SCATTERED = 0.10
 # What a unit is in the first of its kind.
 UNITS = {"bytes": ("bytes", 1.0), "kB": ("bytes", 1e3), "MB": ("bytes", 1e6), "GB": ("bytes", 1e9),
@@ -72,9 +72,14 @@
     command: str
     notes: str
 
+    @property
+    def simulated(self) -> bool:
+        return "simulated" in self.notes
+
     @property
     def bears_carrying(self) -> bool:
-        return self.straight and self.line.worst <= SCATTERED * abs(self.line.slope) * (self.points[-1][0] - self.points[0][0])
+        off = max(abs(y - self.line.intercept - self.line.slope * x) for x, y in self.curve)
+        return self.straight and off <= SCATTERED * abs(self.line.slope) * (self.points[-1][0] - self.points[0][0])
 
     @property
     def measured_to(self) -> float:
@@ -103,7 +108,8 @@
     def _figure(self, value: float, error: float, unit: str, x: float, least: bool) -> Figure:
         bent = "" if self.bears_carrying else "too scattered to carry: " if self.straight else "not straight: "
         by = f"{bent}by its last point" if least else "by its line" if self.straight else f"{bent}between its points"
-        return Figure(in_unit(value, self.y_unit, unit), unit, WORKED_OUT, in_unit(error, self.y_unit, unit), (self.file,),
+        how = FROM_SIMULATED if self.simulated else WORKED_OUT
+        return Figure(in_unit(value, self.y_unit, unit), unit, how, in_unit(error, self.y_unit, unit), (self.file,),
                       self.command, self.measured_to, x, self.x_unit, least, by)
 
     @property
