--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -271,6 +271,16 @@
         self.assertAlmostEqual(self.row(measured, "a list of 2,000 servers").figure.value, 8.0)
         self.assertEqual(self.row(measured, "servers that a whole list has to hold").verdict(ROOT), "over: ×3.3 of 606 servers")
 
+    def test_a_line_that_is_too_scattered_to_show_it_straight_is_not_carried(self):
+        told = line_file("idle-time-by-connection", 0.0, 1e-4, unit="seconds")["slopes"][0]
+        for off, carried in ((0.0004, True), (0.008, False)):
+            told["points"][1][1] = 0.02 + off
+            line = linear_regression(*zip(*told["points"]))
+            told["fit"].update(intercept=line.intercept, slope=line.slope)
+            figure = slope_of(told, "F").at(4000, "s")
+            self.assertEqual(figure.at_least, not carried)
+        self.assertEqual((figure.value, figure.by), (0.04, "too scattered to carry: by its last point"))
+
     def test_a_slope_whose_fit_is_not_that_of_its_points_is_refused(self):
         for spoil in (lambda one: one["points"][2].__setitem__(1, 9e6), lambda one: one["fit"].update(slope=9_100),
                       lambda one: one["fit"].update(intercept=0), lambda one: one["points"].pop(),
