--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -381,6 +381,30 @@
         self.assertFalse(self.watch(1.0, (1.0, 1.0, 1.3)).past_bound())
         self.assertFalse(self.watch(1.5, (1.0,)).past_bound())
 
+    def out(self, pace, late, seed=1):
+        """For how many of 240 quarters of a second it holds itself for off, where a third of all words are so late (ns) at most."""
+        watch, chance, out = ClockWatch(0.01), random.Random(seed), 0
+        words = []
+        for step in range(240):
+            true = step * SECOND // 4
+            for peer in range(7):
+                if chance.random() < 0.4:
+                    way = chance.randrange(late) if late and chance.random() < 0.3 else chance.randrange(2_000_000)
+                    words.append((true + way, f"f{peer}", true))
+            words.sort()
+            while words and words[0][0] <= true:
+                at, peer, reading = words.pop(0)
+                watch.heard(peer, 1, reading, int(at * pace))
+            out += watch.past_bound()
+        return out
+
+    def test_late_words_do_not_take_a_right_clock_for_a_wrong_one_nor_a_wrong_one_for_right(self):
+        for seed in range(4):
+            self.assertEqual([self.out(pace, 3 * SECOND, seed) for pace in (0.99, 1.0, 1.01)], [0, 0, 0])
+            for pace in (0.95, 1.05):
+                # all but the first APART, and a moment
+                self.assertGreater(self.out(pace, 3 * SECOND, seed), 240 - 4 * (APART // SECOND) - 20)
+
 
 class OnTheChannel(unittest.TestCase):
     """Words as bytes between two fronts, on the channel that serves."""
