Slopes: a yardstick of fixed work beside the load, as processor time grows too where cores are shared

Processor time was taken for quiet where wall time is not. Each run now keeps what a fixed piece of work took before and after it.

--- a/curlewshift/scale/fits.py
+++ b/curlewshift/scale/fits.py
@@ -1,8 +1,8 @@
 """Straight lines through measured points, with their errors, and whether the points are straight at all. No I/O.
 
-Called by the slopes of a real node; its figures go into docs/measured/ as they are. Points are called not straight by either of two
-tests (any textbook of regression has them): a quadratic term beyond its error, and, where sizes were repeated, means of sizes that lie
-off the line by more than their repeats differ (lack of fit), as a step does that no parabola follows.
+Called by the slopes of a real node; its figures go into docs/measured/ as they are. Points are called not straight by either of
+two tests (any textbook of regression has them): a quadratic term beyond its error, and, where sizes were repeated, means of
+sizes that lie off the line by more than their repeats differ (lack of fit), as a step does that no parabola follows.
 """
 
 from __future__ import annotations
@@ -24,8 +24,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Fit:
-    """y = intercept + slope * x by least squares. `slope_error` is the standard error, `worst_residual` the largest distance of a
-    point in units of y; `by` says what the tests found."""
+    """y = intercept + slope * x by least squares. `slope_error` is the standard error, `worst_residual` the largest distance
+    of a point in units of y; `by` says what the tests found."""
 
     intercept: float
     slope: float
@@ -57,8 +57,8 @@
     bent, bend = _bent(us, rests, uu, left, floor, abs(slope))
     off, step = _off(us, rests, floor, abs(slope))
     return Fit(mean - slope * middle / span, slope / span, sqrt(left / (count - 2) / uu) / span, max(map(abs, rests)),
-               not (bent or off), f"{bend}; {step}; not straight where one of them is under {100 * CHANCE:g}% and over {100 * BEND:g}% "
-               "of the rise")
+               not (bent or off), f"{bend}; {step}; not straight where one of them is under {100 * CHANCE:g}% and over "
+               f"{100 * BEND:g}% of the rise")
 
 
 def _bent(us: list[float], rests: list[float], uu: float, left: float, floor: float, rise: float) -> tuple[bool, str]:
@@ -83,17 +83,20 @@
     means = {u: sum(same) / len(same) for u, same in by_size.items()}
     lack = sum(len(same) * means[u] ** 2 for u, same in by_size.items())
     pure = sum((rest - means[u]) ** 2 for u, same in by_size.items() for rest in same)
-    return _judged("lack of fit", lack, len(by_size) - 2, pure, len(us) - len(by_size), max(map(abs, means.values())), floor, rise)
+    most = max(map(abs, means.values()))
+    return _judged("lack of fit", lack, len(by_size) - 2, pure, len(us) - len(by_size), most, floor, rise)
 
 
-def _judged(name: str, found: float, of: int, noise: float, free: int, size: float, floor: float, rise: float) -> tuple[bool, str]:
+def _judged(name: str, found: float, of: int, noise: float, free: int, size: float, floor: float,
+            rise: float) -> tuple[bool, str]:
     noise = max(0.0, noise)
     if size <= floor:
         ratio = 0.0
     else:
         ratio = found / of / (noise / free) if noise > free * floor * floor else inf
     chance, part = f_tail(ratio, of, free), size / max(rise, floor, 1e-300)
-    return chance < CHANCE and part > BEND, f"{name}: F({of}, {free}) {ratio:.3g}, chance {100 * chance:.2g}%, {100 * part:.1f}% of the rise"
+    return (chance < CHANCE and part > BEND,
+            f"{name}: F({of}, {free}) {ratio:.3g}, chance {100 * chance:.2g}%, {100 * part:.1f}% of the rise")
 
 
 def f_tail(ratio: float, of: int, free: int) -> float:
--- a/curlewshift/scale/slopes.py
+++ b/curlewshift/scale/slopes.py
@@ -10,6 +10,7 @@
 import os
 import resource
 import tempfile
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Callable
@@ -19,11 +20,13 @@
 GIB = 2**30
 # Of the machine's memory a run may want so much; it is others' too.
 MEMORY_PART = 0.5
-# Bytes a run is counted with, as measured once and rounded up: a node and the measuring side when empty, and each connection with a
-# viewing at the node, at the measuring side and in the kernel for both.
+# Bytes a run is counted with, as measured once and rounded up: a node and the measuring side when empty, and each
+# connection with a viewing at the node, at the measuring side and in the kernel for both.
 EMPTY, A_CONNECTION = 256 * 2**20, 40 * 1024
 # Descriptors of either side beside the viewers' connections, with those to media servers.
 OTHERS = 600
+# Steps of the fixed work with which processor times are compared.
+YARD = 100_000
 
 
 class NoRoom(Exception):
@@ -43,9 +46,10 @@
 
     def told(self, command: str, machine: dict) -> dict:
         """As docs/measured/ keeps it. Raises `fits.TooFew`."""
-        return {"name": self.name, "of": self.of, "x": dict(zip(("name", "unit"), self.x)), "y": dict(zip(("name", "unit"), self.y)),
-                "command": command, "machine": machine, "points": [[x, rounded(y, 6)] for x, y in self.points],
-                "fit": fit(self.points).told(), "measured_to": max(x for x, _ in self.points), "notes": self.notes}
+        x, y = ({"name": name, "unit": unit} for name, unit in (self.x, self.y))
+        points = [[size, rounded(figure, 6)] for size, figure in self.points]
+        return {"name": self.name, "of": self.of, "x": x, "y": y, "command": command, "machine": machine, "points": points,
+                "fit": fit(self.points).told(), "measured_to": max(size for size, _ in self.points), "notes": self.notes}
 
 
 @dataclass
@@ -57,8 +61,8 @@
     folder: Path
     say: Callable[[str], None]
     rounds: int = 2
-    # how long one size is left to come to rest, and measured (s); the time of the last who asked is over meanwhile, and with it what
-    # the node had to do about that
+    # how long one size is left to come to rest, and measured (s); the time of the last who asked is over meanwhile, and with
+    # it what the node had to do about that
     rest: float = 4.0
     lasts: float = 5.0
 
@@ -96,24 +100,35 @@
     if len(set(sizes)) < 4:
         raise NoRoom(f"{kind.name}: {len(set(sizes))} sizes, four at the least tell a slope from a bend")
     if most + OTHERS > descriptors:
-        raise NoRoom(f"{kind.name}: {most} connections and {OTHERS} others want more descriptors than the {descriptors} there are")
+        raise NoRoom(f"{kind.name}: {most} connections and {OTHERS} others want more descriptors than the {descriptors} "
+                     "there are")
     wanted = EMPTY + most * A_CONNECTION
     if wanted > memory * MEMORY_PART:
         raise NoRoom(f"{kind.name}: some {wanted / GIB:.1f} GiB are wanted, half of the machine's memory is "
                      f"{memory * MEMORY_PART / GIB:.1f}")
 
 
+def yardstick() -> float:
+    """Processor time of the same work each time, of Python's usual kind: where it is longer, others share the cores' caches
+    and threads, and all processor times of the run are longer with it (s)."""
+    began = time.process_time()
+    rows = {number: [number] for number in range(YARD)}
+    for number in range(YARD):
+        rows[number].append(rows[YARD - 1 - number][0])
+    return time.process_time() - began
+
+
 def measured(kind: Kind, run: Run, command: str) -> dict:
     """Raises `NoRoom` before anything is started."""
     from importlib import import_module
     check_room(kind, run.sizes)
     place, _, name = kind.measure.rpartition(".")
-    before = os.getloadavg()[0]
+    before, yard = os.getloadavg()[0], yardstick()
     with tempfile.TemporaryDirectory(dir=run.folder) as folder:
         slopes = getattr(import_module(f"curlewshift.scale.{place}"), name)(
             Run(run.sizes, run.seed, Path(folder), run.say, run.rounds, run.rest, run.lasts))
     machine = {"cores": os.cpu_count(), "memory_GiB": round(machine_memory() / GIB, 1), "load_before": round(before, 2),
-               "load_after": round(os.getloadavg()[0], 2)}
+               "load_after": round(os.getloadavg()[0], 2), "yardstick_s": [round(yard, 3), round(yardstick(), 3)]}
     return {"slopes": [slope.told(command, machine) for slope in slopes]}
 
 
@@ -140,8 +155,8 @@
          "slopes_idle.measure_idle", _itself, "connections"),
     Kind("crowded", "idle processor time past the mark from which resting connections are dropped",
          (6000, 8000, 9500, 10_500, 11_500), "slopes_idle.measure_crowded", _itself, "connections"),
-    Kind("requests", "processor time and p99 by set-ups a second", (25, 50, 100, 200, 400), "slopes_asked.measure_requests", _few,
-         "set-ups a second"),
+    Kind("requests", "processor time and p99 by set-ups a second", (25, 50, 100, 200, 400), "slopes_asked.measure_requests",
+         _few, "set-ups a second"),
     Kind("notices", "processor time and p99 by ends passed on to viewers a second", (25, 50, 100, 200, 400),
          "slopes_asked.measure_notices", _few, "notices a second"),
     Kind("rungs", "processor time by changes of rung a second", (50, 100, 200, 400, 800), "slopes_asked.measure_rungs", _few,
@@ -150,7 +165,8 @@
          "slopes_list.measure_restart", _none, "servers, and classes"),
     Kind("list", "memory and idle processor time by servers on the list", (100, 500, 1000, 2000, 4000),
          "slopes_list.measure_list", _few, "servers"),
-    Kind("storm", "clients that come again at once", (500, 1000, 2000, 4000, 8000), "slopes_storm.measure_storm", _itself, "clients"),
+    Kind("storm", "clients that come again at once", (500, 1000, 2000, 4000, 8000), "slopes_storm.measure_storm", _itself,
+         "clients"),
     Kind("sharing", "bytes and processor time of sharing by links played on, simulated", (20, 40, 80, 160, 320, 640),
          "slopes_control.measure_sharing", _none, "links"),
     Kind("membership", "bytes of membership by nodes, at rest and after losses, simulated", (70, 210, 420, 630),
--- a/curlewshift/scale/slopes_asked.py
+++ b/curlewshift/scale/slopes_asked.py
@@ -1,8 +1,8 @@
-"""What a node uses by what is asked of it a second: set-ups, ends told on to viewers, and changes of rung, each at a steady pace.
+"""What a node uses by what is asked of it a second: set-ups, ends told on to viewers, and changes of rung, at steady paces.
 
-Paces are open: what is asked does not wait for what was asked before, so that a node that cannot keep up shows it in its p99 and
-does not slow its askers down. Processor time is the node's own; waits are seen from the viewers' sockets, on a machine that others
-may use, and say so.
+Paces are open: what is asked does not wait for what was asked before, so that a node that cannot keep up shows it in its
+p99 and does not slow its askers down. Processor time is the node's own; waits are seen from the viewers' sockets, on a machine
+that others may use, and say so.
 """
 
 from __future__ import annotations
@@ -22,8 +22,8 @@
 CONNECTIONS = 500
 # A viewing that was asked for ends after this (ns), and media servers keep so many of their connections.
 LASTS, MEDIAS = NS // 2, 8
-# Viewings whose rungs are changed, on so many media servers; in a round each viewing of one goes down by a rung at the most, so that
-# one of them is told short of so many changes.
+# Viewings whose rungs are changed, on so many media servers; in a round each viewing of one goes down by a rung at the most,
+# so that one of them is told short of so many changes.
 CHANGED, CHANGED_ON, A_ROUND = 2000, 16, 60
 # More than this part of a pace not done within its time is said.
 LATE = 0.05
@@ -31,8 +31,8 @@
 
 
 class Pace:
-    """`call()` so often in each second, at times drawn over it: as Poisson's where the count is given. Called from the stand-ins' loop;
-    what comes late is called late, and none is left out."""
+    """`call()` so often in each second, at times drawn over it: as Poisson's where the count is given. Called from the
+    stand-ins' loop; what comes late is called late, and none is left out."""
 
     def __init__(self, stands: Stands, often: int, call: Callable[[], None]):
         self.stands, self.often, self.call = stands, often, call
@@ -83,8 +83,8 @@
 def measure_requests(run: Run) -> list[Slope]:
     """Set-ups that play, each torn down half a second later."""
     used = Slope("processor-time-by-request", ("set-ups a second", "1/s"), ("processor time a second", "seconds"),
-                 notes=[f"{CONNECTIONS} connections; each set-up plays and is torn down {LASTS / NS:g} s later, so that one end is in it",
-                        "every answer was 200 unless told otherwise"])
+                 notes=[f"{CONNECTIONS} connections; each set-up plays and is torn down {LASTS / NS:g} s later, so that one "
+                        "end is in it", "every answer was 200 unless told otherwise"])
     late = Slope("p99-by-request", used.x, ("from set-up to its answer, p99", "seconds"), notes=[WAITS])
     for number in range(run.rounds):
         with place(run, MEDIAS) as (stands, node, crowd):
@@ -107,21 +107,23 @@
                 if abs(done - size) > LATE * size:
                     used.notes.append(f"round {number + 1}: at {size} a second asked, {done:.0f} were answered")
                 if refused:
-                    used.notes.append(f"round {number + 1}: at {size} a second {refused} of {len(answers)} were refused or failed")
+                    used.notes.append(f"round {number + 1}: at {size} a second {refused} of {len(answers)} were refused "
+                                      "or failed")
                 wait = p99([waited for waited, _ in answers])
                 used.points.append((size, share))
                 late.points.append((size, wait))
-                run.say(f"requests, round {number + 1}: {size} a second asked, {done:.0f} answered: {100 * share:.1f}% of a core, "
-                        f"p99 {1000 * wait:.1f} ms, {refused} not 200")
+                run.say(f"requests, round {number + 1}: {size} a second asked, {done:.0f} answered: {100 * share:.1f}% of a "
+                        f"core, p99 {1000 * wait:.1f} ms, {refused} not 200")
     return [used, late]
 
 
 def measure_notices(run: Run) -> list[Slope]:
     """Ends that media servers tell, each passed on to its viewer: the notices that a node passes on."""
     used = Slope("processor-time-by-notice", ("notices passed on a second", "1/s"), ("processor time a second", "seconds"),
-                 notes=[f"{CONNECTIONS} connections; a notice is a media server's release that goes to the viewer as a TEARDOWN, and is "
-                        "confirmed to the server; the viewings that end were set up before"])
-    late = Slope("p99-by-notice", used.x, ("from a media server's release to its viewer's TEARDOWN, p99", "seconds"), notes=[WAITS])
+                 notes=[f"{CONNECTIONS} connections; a notice is a media server's release that goes to the viewer as a "
+                        "TEARDOWN, and is confirmed to the server; the viewings that end were set up before"])
+    late = Slope("p99-by-notice", used.x, ("from a media server's release to its viewer's TEARDOWN, p99", "seconds"),
+                 notes=[WAITS])
     for number in range(run.rounds):
         for size in run.sizes:
             with place(run, MEDIAS) as (stands, node, crowd):
@@ -149,11 +151,12 @@
 
 
 def measure_rungs(run: Run) -> list[Slope]:
-    """Changes of rung: a media server says that it delivers too little, and the rules step viewings down in their next round."""
+    """Changes of rung: a media server says that it delivers too little, and the rules step viewings down a round later."""
     used = Slope("processor-time-by-change-of-rung", ("changes of rung told to media servers a second", "1/s"),
                  ("processor time a second", "seconds"),
-                 notes=[f"{CHANGED} viewings; a media server tells once a second of short delivery, and the round of the rules answers it",
-                        "the node alone passes changes to media servers; viewers see them in the media and are told nothing"])
+                 notes=[f"{CHANGED} viewings; media servers tell once a second of short delivery, and the round of the rules "
+                        "answers it", "the node passes changes to media servers; viewers see them in the media and are told "
+                        "nothing"])
     for number in range(run.rounds):
         for size in run.sizes:
             with place(run, CHANGED_ON) as (stands, node, crowd):
--- a/curlewshift/scale/slopes_control.py
+++ b/curlewshift/scale/slopes_control.py
@@ -1,5 +1,5 @@
-"""What control costs a node by size: sharing by the links it plays on, membership by the nodes there are. Both in virtual time, with
-the objects that serve and frames as they are encoded, without sockets.
+"""What control costs a node by size: sharing by the links it plays on, membership by the nodes there are. Both in virtual
+time, with the objects that serve and frames as they are encoded, without sockets.
 """
 
 from __future__ import annotations
@@ -22,8 +22,8 @@
 
 def measure_sharing(run: Run) -> list[Slope]:
     by = ("links played on", "count")
-    notes = [f"simulated: {FRONTS} fronts, {SERVERS} servers, {SECONDS} s of virtual time; what one front sends, and its answers as the one "
-             "that adds up"]
+    notes = [f"simulated: {FRONTS} fronts, {SERVERS} servers, {SECONDS} s of virtual time; what one front sends, and its "
+             "answers as the one that adds up"]
     bytes_ = Slope("sharing-bytes-by-links", by, ("bytes a second sent", "bytes/s"), notes=notes)
     time_ = Slope("sharing-time-by-links", by, ("processor time a second", "seconds"),
                   notes=[*notes, "decisions and encoding; without sockets, and without reading what others send"])
@@ -53,7 +53,8 @@
     by, y = ("nodes", "count"), ("bytes a second a node, sent", "bytes/s")
     why = f"simulated, period 1 s; {ZONES} zones, {REGIONS} regions"
     slopes = {name: Slope(f"membership-bytes-{name}", by, y, notes=[f"{why}; {what}"]) for name, what in (
-        ("quiet", f"over {QUIET} s of nothing"), ("zone-lost", f"over the {AFTER_LOSS} s after a zone was lost, a node that is left"),
+        ("quiet", f"over {QUIET} s of nothing"),
+        ("zone-lost", f"over the {AFTER_LOSS} s after a zone was lost, a node that is left"),
         ("regions-apart", f"over {APART} s of regions apart, after all were there again"),
         ("agreed-again", f"over the {AFTER} s after the regions had agreed again"))}
     took = Slope("membership-agreed-after-apart", by, ("from the regions' meeting until all agree", "seconds"), notes=[why])
@@ -63,7 +64,8 @@
             for name, slope in slopes.items():
                 slope.points.append((size, rows[name]))
             took.points.append((size, rows["took"]))
-            run.say(f"membership, round {number + 1}: {size} nodes: " + ", ".join(f"{name} {row:.0f}" for name, row in rows.items()))
+            run.say(f"membership, round {number + 1}: {size} nodes: "
+                    + ", ".join(f"{name} {row:.0f}" for name, row in rows.items()))
     return [*slopes.values(), took]
 
 
--- a/curlewshift/scale/slopes_idle.py
+++ b/curlewshift/scale/slopes_idle.py
@@ -19,8 +19,8 @@
 MEDIAS = 8
 # Viewings alone are spread over so many connections.
 FEW = 100
-# As the node has it (node/node.py, limits/descriptors.py): of what it is told, two fifths and 16 are not for viewers, and over three
-# quarters of the rest connections that rest are dropped.
+# As the node has it (node/node.py, limits/descriptors.py): of what it is told, two fifths and 16 are not for viewers, and over
+# three quarters of the rest connections that rest are dropped.
 FOR_SERVERS, FOR_OTHERS, CROWDED = 0.4, 16, 0.75
 MOST_LINES = 8
 BY = {"connection": "connections, each greeted once, nothing played", "viewing": f"viewings that play, on {FEW} connections",
@@ -65,8 +65,8 @@
                     run.say(f"idle by {by}, round {number + 1}: {size}: {rss / 1e6:.1f} MB, {100 * share:.2f}% of a core, "
                             f"{node.descriptors()} descriptors, {crowd.dropped} dropped")
                 if crowd.dropped:
-                    idle.notes.append(f"round {number + 1}: {crowd.dropped} connections were dropped by the node, which lets {most} "
-                                      f"rest with {run.descriptors} descriptors")
+                    idle.notes.append(f"round {number + 1}: {crowd.dropped} connections were dropped by the node, which lets "
+                                      f"{most} rest with {run.descriptors} descriptors")
         slopes += [memory, idle]
     said = _profiled(run, min(max(run.sizes), most))
     for slope in slopes:
@@ -84,10 +84,10 @@
 
 
 def measure_crowded(run: Run) -> list[Slope]:
-    """Idle processor time past the mark from which a node drops connections that rest, while those that were dropped come again."""
+    """Idle processor time past the mark from which a node drops connections that rest, while those dropped come again."""
     most = resting_most(run.descriptors)
     idle = Slope("idle-time-crowded", ("connections that want to rest", "count"), ("processor time a second", "seconds"),
-                 notes=[f"the node is told of {run.descriptors} descriptors, and drops those that rest while over {most} are open",
+                 notes=[f"the node is told of {run.descriptors} descriptors, and drops who rests while over {most} are open",
                         "who is dropped connects again at once: the accepts are in the figure"])
     for number in range(run.rounds):
         with place(run) as (stands, node, _):
--- a/curlewshift/scale/slopes_profiled.py
+++ b/curlewshift/scale/slopes_profiled.py
@@ -1,4 +1,4 @@
-"""The node in service under a profile that is switched on and off from outside: `python -m curlewshift.scale.slopes_profiled OUT`.
+"""The node in service under a profile switched on and off from outside: `python -m curlewshift.scale.slopes_profiled OUT`.
 
 SIGUSR1 begins it, SIGUSR2 ends it and writes OUT. It says where time goes; no figure of a slope is taken under it.
 """
--- a/curlewshift/scale/slopes_stands.py
+++ b/curlewshift/scale/slopes_stands.py
@@ -22,7 +22,7 @@
 NOTHING_NEW = 0
 # So long a viewer waits for its answer (ms).
 PATIENCE = 2000
-# So many connect, or ask, at a time while a place is filled: more would have the node open connections to media servers for them.
+# So many connect, or ask, at a time while a place is filled: more would have the node open connections to media servers.
 CONNECTING, ASKING = 64, 16
 OPTIONS = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n"
 
--- a/curlewshift/scale/slopes_storm.py
+++ b/curlewshift/scale/slopes_storm.py
@@ -78,7 +78,8 @@
 def measure_storm(run: Run) -> list[Slope]:
     by = ("clients that come again at once", "count")
     over = Slope("storm-until-all-play", by, ("from the storm's begin until the last plays", "seconds"), notes=[
-        "on a node that has just become ready; each client comes on a connection of its own, after a pause where it is refused", WAITS])
+        "on a node that has just become ready; each client comes on a connection of its own, after a pause where it is refused",
+        WAITS])
     late = Slope("storm-p99", by, ("from the storm's begin until a client plays, p99", "seconds"), notes=[WAITS])
     used = Slope("storm-time", by, ("processor time of the node for the whole storm", "seconds"))
     for number in range(run.rounds):
@@ -92,8 +93,9 @@
             over.points.append((size, took))
             late.points.append((size, p99(storm.waits)))
             used.points.append((size, spent))
-            used.notes.append(f"round {number + 1}, {size}: {size / took:.0f} a second, {storm.refused} refusals, {storm.dropped} dropped")
+            used.notes.append(f"round {number + 1}, {size}: {size / took:.0f} a second, {storm.refused} refusals, "
+                              f"{storm.dropped} dropped")
             run.say(f"storm, round {number + 1}: {size} clients: all play after {took:.2f} s ({size / took:.0f} a second), p99 "
-                    f"{p99(storm.waits):.2f} s, {spent:.2f} s of processor time, {storm.refused} refusals, {storm.dropped} dropped; "
-                    f"{resting_most(run.descriptors)} may rest")
+                    f"{p99(storm.waits):.2f} s, {spent:.2f} s of processor time, {storm.refused} refusals, {storm.dropped} "
+                    f"dropped; {resting_most(run.descriptors)} may rest")
     return [over, late, used]
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -221,7 +221,7 @@
             for one in kept.values():
                 self.assertEqual([x for x, _ in one["points"]], [20, 120, 220, 320])
                 self.assertEqual((one["of"], one["measured_to"]), ("front node", 320))
-                self.assertLessEqual({"cores", "memory_GiB", "load_before", "load_after"}, set(one["machine"]))
+                self.assertLessEqual({"cores", "memory_GiB", "load_before", "load_after", "yardstick_s"}, set(one["machine"]))
                 self.assertLessEqual({"intercept", "slope", "slope_error", "worst_residual", "straight", "by"}, set(one["fit"]))
             memory = kept["memory-by-connection"]["fit"]
             # a node is tens of megabytes, and a connection some kilobytes of it
