--- a/curlewshift/scale/fleet.py
+++ b/curlewshift/scale/fleet.py
@@ -11,7 +11,7 @@
 import anyio
 
 from curlewshift.front.control import tell
-from curlewshift.rehearsal.joins import all_listen, cpu_of, memory_of
+from curlewshift.rehearsal.joins import cpu_of, memory_of
 from curlewshift.rehearsal.processes import Child, free_ports, listens
 from curlewshift.scale.plan import CONTROL, KEEPERS, Place, Plan, write_plan
 from curlewshift.scale.talk import Spoken
@@ -136,10 +136,11 @@
             reach |= (await self._told(relay))["reach"]
         for place in self.plan.places:
             place.reach = reach[place.name]
-        await self._start_service()
+        servers = self._write_sites()
         write_plan(self.out, self.plan)
         for process in sorted({place.process for place in self.plan.named("hollow", "control")}):
             self.hollow[process] = self._spoken(["scale", "hollow", str(self.out), str(process)], f"hollow-{process}", tasks)
+        await self._start_service(servers)
         for spoken in self.hollow.values():
             await self._told(spoken)
 
@@ -155,28 +156,34 @@
             log = self.children[spoken.child]
             raise RunFailed(f"{log} does not start; see {self.out / log}.log") from None
 
-    async def _start_service(self) -> None:
-        """Servers and list, fronts of the fleet, and as many that know each other alone, to be compared with."""
+    def _write_sites(self) -> list[int]:
+        """Of the fleet, and of as many fronts that know each other alone, to be compared with; the ports of list and servers."""
         real = self.plan.named("real")
         ports = free_ports(2 * len(real) + SERVERS + 1, Random(os.getpid()))
-        doors, apart, (list_port, *servers) = ports[:len(real)], ports[len(real):2 * len(real)], ports[2 * len(real):]
+        doors, apart, service = ports[:len(real)], ports[len(real):2 * len(real)], ports[2 * len(real):]
         door_of = {place.name: port for place, port in zip(real, doors)}
         self._write_site("site", [(place, door_of.get(place.name, 9), place.listen, place.reach)
-                                  for place in self.plan.places], list_port, servers)
+                                  for place in self.plan.places], *service)
         self.real = {place.name: RealFront(self, "site", place.name, door_of[place.name]) for place in real}
-        if not real:
-            return
-        if self.wants_apart:
+        if self.wants_apart and real:
             self.apart = [RealFront(self, "apart", place.name, port) for place, port in zip(real, apart)]
-        self._write_site("apart", [(place, port, udp, udp) for place, port, udp in zip(
-            real, apart, self.plan.apart)], list_port, servers)
+            self._write_site("apart", [(place, port, udp, udp) for place, port, udp in zip(real, apart, self.plan.apart)],
+                             *service)
+        return service
+
+    async def _start_service(self, ports: list[int]) -> None:
+        """Servers with their list, and the fronts."""
+        if not self.real:
+            return
         self.child(["standin", "server", str(self.out / "site.xml"), "--setup-work", "0"], "servers")
-        await all_listen([list_port], self.out / "servers.log")
+        for port in ports:
+            if not await listens(port, START_WITHIN):
+                raise RunFailed(f"nothing listens at port {port}; see {self.out / 'servers.log'}")
         async with anyio.create_task_group() as tasks:
             for front in [*self.real.values(), *self.apart]:
                 tasks.start_soon(front.start)
 
-    def _write_site(self, name: str, rows: list[tuple], list_port: int, servers: list[int]) -> None:
+    def _write_site(self, name: str, rows: list[tuple], list_port: int, *servers: int) -> None:
         def peer(place: Place, listen: int, reach: int) -> str:
             return (f'name="{place.name}" peers-listen="127.0.0.1:{listen}" peers-reach="127.0.0.1:{reach}" '
                     f'region="{place.region}" zone="{place.zone}"')
--- a/curlewshift/scale/plan.py
+++ b/curlewshift/scale/plan.py
@@ -76,6 +76,8 @@
     apart: list[int] = []
     late: tuple[float, float] = (0.001, 0.03)
     period: float = 1.0
+    # changes of the configuration: without loss and with it, and in the stretch at the end
+    in_a_row: int = 3
     changes: int = 0
     change_every: float = 3.0
     spoil: str = ""
--- a/curlewshift/scale/run.py
+++ b/curlewshift/scale/run.py
@@ -22,8 +22,8 @@
 # Views get so long to agree, at first and after a fault (s).
 AGREE_WITHIN = 120.0
 LOOK = 0.1
-# Changes of the configuration made one after the other with nothing lost, and with this part of all datagrams lost.
-CHANGES, LOST = 3, 0.05
+# The part of all datagrams that is lost in the second row of changes.
+LOST = 0.05
 # A node's own count may be off by so much of what the relays saw of it; and what it sent in the last moment (datagrams).
 MAY_BE_OFF, LAST_MOMENT = 0.01, 2
 # What is on its way when nodes have been stopped arrives within this (s).
@@ -175,9 +175,9 @@
         """One after the other while nothing befalls them, then with a twentieth of all datagrams lost."""
         self.progress("changes of the configuration, without loss and with 5%")
         told = {"first": await self.versions.change("first", everyone),
-                "no_loss": await self.versions.several("no loss", CHANGES, everyone)}
+                "no_loss": await self.versions.several("no loss", self.plan.in_a_row, everyone)}
         await self.fleet.ways(loss=LOST)
-        told["loss"] = await self.versions.several("5% lost", CHANGES, everyone)
+        told["loss"] = await self.versions.several("5% lost", self.plan.in_a_row, everyone)
         await self.fleet.ways(loss=self.plan.loss)
         return told
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -31,7 +31,7 @@
 
 def made(nodes=24, real=2, **more):
     usual = dict(processes=1, relays=1, regions=2, zones=4, seconds=1.0, seed=1, loss=0.0, parts=["membership"], faults=[],
-                 load=Load(0, 0, 0), period=0.25)
+                 load=Load(0, 0, 0), period=0.25, in_a_row=0)
     return Plan(nodes, real, **{**usual, **more})
 
 
