--- a/curlewshift/scale/node.py
+++ b/curlewshift/scale/node.py
@@ -12,24 +12,22 @@
 
 import anyio
 
+from curlewshift.control.machine import MachineLeases
 from curlewshift.distribution.terms import DistributionTerms
 from curlewshift.model import Link, Rack, Server
 from curlewshift.peering.distributed import DistributionWire
 from curlewshift.peering.leased import LeaseWire
-from curlewshift.peering.leasing import LeaseWords
 from curlewshift.peering.shared import SharedWire
 from curlewshift.peering.wire import PeerWire
 from curlewshift.scale.figures import part_of
 from curlewshift.scale.meter import Meter
 from curlewshift.scale.plan import Load, Place, Plan
 from curlewshift.schedule.clock import Clock
-from curlewshift.sharing.counts import picked
 from curlewshift.site.site import Door, Site
 
 NS = 1_000_000_000
 # How much what a node uses of a link goes up and down from round to round.
 WANDERS = 0.1
-LEASE = "configuration/0"
 PARTS = {"shared": "sharing", "leased": "leases", "distributed": "distribution"}
 
 
@@ -119,29 +117,6 @@
     link_reported = seen_warm = further_held = seats_held = seats_over = planned = nothing
 
 
-class WriterLease(LeaseWords):
-    """The lease of the one that makes versions, among control machines: wanted by the one that rendezvous picks of those in."""
-
-    def fence(self) -> int:
-        return self.asker.may_act(LEASE)
-
-    def round(self) -> None:
-        members = self.channel.membership.members
-        there = [name for name in self.order if name == self.order[self.me] or name in members and members[name].there]
-        if picked(LEASE, there) == self.order[self.me]:
-            self.asker.want(LEASE)
-        elif LEASE in self.asker.tries:
-            self.asker.leave(LEASE)
-        self.keeper.time()
-        self.asker.time()
-        self._to_itself()
-
-    async def run(self) -> None:
-        while True:
-            self.round()
-            await anyio.sleep(self.asker.terms.every / NS)
-
-
 class HollowNode:
     """Over its lives. Raises `OSError` where its socket cannot be had."""
 
@@ -180,14 +155,14 @@
             self.share = metered("sharing", self.shared.sharing.time)
             self.shared.sharing.time = self._round
         if self.place.kind == "control":
-            self.leased = WriterLease(channel, self.clock, self.stores, self.stores.index(self.place.name), self.stores,
+            self.leased = MachineLeases(channel, self.clock, self.stores, self.stores.index(self.place.name), self.stores,
                                       self.site.control.terms, self.log, chance)
             self.fence = self.leased.fence
-            self.leased.round = metered("leases", self.leased.round)
         elif "leases" in self.plan.parts:
             wants = self.site.leases
             self.leased = LeaseWire(channel, self, order, order.index(self.place.name), wants.keepers, wants.terms,
                                     wants.shards, wants.probe_each, self.log, chance, wants.tasks, wants.orphans_after)
+        if self.leased is not None:
             for owner, name in ((self.leased.tasks, "time"), (self.leased.keeper, "time"), (self.leased, "_to_itself")):
                 if owner is not None:
                     setattr(owner, name, metered("leases", getattr(owner, name)))
--- a/curlewshift/scale/run.py
+++ b/curlewshift/scale/run.py
@@ -138,9 +138,12 @@
         memory = await self._memory(quiet)
         self.figures = {
             "joined_s": joined, "settling": a_node(settling, self._front_names(), self._shared_processes()), "a_node": a_node(quiet, self._front_names(), self._shared_processes(), memory["by_part"]),
-            "control": a_node(quiet, [place.name for place in plan.named("control")], [0]),
+            "control": {**a_node(quiet, [place.name for place in plan.named("control")], [0]), "memory_kB": memory["control_kB"]},
             "memory": memory, "alone": self._alone(quiet), "relay_core": spread(
                 [(after - before) / 1e9 / quiet.lasted for before, after in zip(quiet.begun.relay_core, quiet.ended.relay_core)], 3)}
+        sharers = [place.name for place in plan.places if place.shares]
+        if sharers and len(sharers) < len(self._front_names()):
+            self.figures["a_sharing_node"] = a_node(quiet, sharers, [1, *self._shared_processes()])
         if fleet.real:
             self.figures["real_node"] = {
                 "core": spread(list(quiet.real_core().values()), 5), "bytes_a_second": spread(
@@ -268,8 +271,11 @@
         for process in self._shared_processes():
             mark = quiet.ended.hollow[process]
             grown.append((mark["memory_kB"] - mark["empty_kB"]) / len(mark["nodes"]))
+        mine = quiet.ended.hollow[0]
         weighed = await self.fleet.hollow[1].ask({"do": "weigh"})
         return {"a_node_kB": spread(grown, 1), "a_process_empty_kB": round(quiet.ended.hollow[1]["empty_kB"]),
+                # one control machine, were it alone in its process
+                "control_kB": round(mine["empty_kB"] + (mine["memory_kB"] - mine["empty_kB"]) / CONTROL),
                 "by_part": weighed["memory_kB"]}
 
     def _alone(self, quiet: Stretch) -> dict:
