Slopes: titles have homes and four copies; a profile of set-ups

All titles had their home in the first of 64 cells and copies in all of them: counting a span of 64 cells was 9% of a set-up's profile, which no platform asks for. Now homes are drawn and copies are four; the profile is flat, its largest part 6% (send).

--- a/curlewshift/scale/slopes_asked.py
+++ b/curlewshift/scale/slopes_asked.py
@@ -13,7 +13,7 @@
 
 from curlewshift.node import isup
 from curlewshift.scale.slopes import Run, Slope
-from curlewshift.scale.slopes_idle import place
+from curlewshift.scale.slopes_idle import place, profile_of
 from curlewshift.scale.slopes_node import RUNGS
 from curlewshift.scale.slopes_stands import Crowd, Stands
 
@@ -114,9 +114,23 @@
                 late.points.append((size, wait))
                 run.say(f"requests, round {number + 1}: {size} a second asked, {done:.0f} answered: {100 * share:.1f}% of a "
                         f"core, p99 {1000 * wait:.1f} ms, {refused} not 200")
+    used.notes += _profiled(run, sorted(run.sizes)[len(run.sizes) // 2])
     return [used, late]
 
 
+def _profiled(run: Run, often: int) -> list[str]:
+    """Where a set-up's time goes."""
+    out = run.folder / "profile"
+    with place(run, MEDIAS, profile=out) as (stands, node, crowd):
+        crowd.connected(CONNECTIONS)
+        viewers = list(crowd.viewers)
+        pace = Pace(stands, often, lambda: crowd.ask(stands.chance.choice(viewers)))
+        _turns(stands, 1.0)
+        told = profile_of(run, stands, node, out, f"{often} set-ups a second")
+        pace.stop()
+    return told
+
+
 def measure_notices(run: Run) -> list[Slope]:
     """Ends that media servers tell, each passed on to its viewer: the notices that a node passes on."""
     used = Slope("processor-time-by-notice", ("notices passed on a second", "1/s"), ("processor time a second", "seconds"),
--- a/curlewshift/scale/slopes_idle.py
+++ b/curlewshift/scale/slopes_idle.py
@@ -112,20 +112,25 @@
 
 
 def _profiled(run: Run, size: int, by: str = "connection-with-viewing", kind: type[Crowd] = Crowd) -> list[str]:
-    """Where the idle time goes at this size, in words; taken under a profile that makes everything slower, for shares alone."""
+    """Where the idle time goes at this size, in words."""
     out = run.folder / "profile"
     with place(run, profile=out) as (stands, node, _):
         crowd = kind(stands.loop, node.port, stands.chance)
         run.say(f"profiled at {size}: {BY[by]}")
         _fill(crowd, by, size)
         stands.loop.run(run.rest)
-        node.process.send_signal(signal.SIGUSR1)
-        stands.loop.run(run.lasts)
-        node.process.send_signal(signal.SIGUSR2)
-        stands.loop.until(lambda: out.exists() and out.stat().st_size > 0, 5, "the profile")
-        time.sleep(0.2)
-    return [f"profile at {size} ({BY[by]}), {run.lasts:g} s, share of the processor time under the profile:",
-            *lines_of(out, MOST_LINES)]
+        return profile_of(run, stands, node, out, f"{size} ({BY[by]})")
+
+
+def profile_of(run: Run, stands: Stands, node: RealNode, out: Path, at: str) -> list[str]:
+    """What a node that was started for it does in a while; everything is slower under a profile, so it tells shares alone.
+    Raises `TimeoutError`."""
+    node.process.send_signal(signal.SIGUSR1)
+    stands.loop.run(run.lasts)
+    node.process.send_signal(signal.SIGUSR2)
+    stands.loop.until(lambda: out.exists() and out.stat().st_size > 0, 5, "the profile")
+    time.sleep(0.2)
+    return [f"profile at {at}, {run.lasts:g} s, share of the processor time under the profile:", *lines_of(out, MOST_LINES)]
 
 
 def lines_of(profile: Path, most: int) -> list[str]:
--- a/curlewshift/scale/slopes_list.py
+++ b/curlewshift/scale/slopes_list.py
@@ -5,7 +5,7 @@
 from curlewshift.scale.slopes import Run, Slope
 from curlewshift.scale.slopes_idle import MEDIAS, place
 from curlewshift.scale.slopes_node import RealNode
-from curlewshift.scale.slopes_stands import Stands
+from curlewshift.scale.slopes_stands import COPIES, Stands
 
 # Servers and classes where the other is what grows.
 SERVERS, CLASSES, CELLS = 100, 2, 64
@@ -53,6 +53,8 @@
     for number in range(run.rounds):
         for size in run.sizes:
             with place(run, servers=size, cells=CELLS) as (stands, node, crowd):
+                # all of a title's cells have one that stands
+                crowd.homes = MEDIAS - COPIES + 1
                 crowd.connected(WATCHING)
                 crowd.play(WATCHING, list(crowd.viewers))
                 stands.loop.run(run.rest)
--- a/curlewshift/scale/slopes_node.py
+++ b/curlewshift/scale/slopes_node.py
@@ -24,7 +24,7 @@
 RUNGS = [100.0 * number for number in range(1, 11)]
 
 
-def settings(classes: int = 2, cells: int = 64) -> dict:
+def settings(classes: int = 2, cells: int = 8) -> dict:
     """Links and places so large that nothing is refused for want of room: what a request costs is asked, not where it goes."""
     rows = [dict(name="lesson", effect="safe", gain=1.0, goal_time_ms=800, give_up_ms=PATIENCE)]
     rows += [dict(name=f"clip{number}", effect="unsafe", gain=2.0, goal_time_ms=800, give_up_ms=PATIENCE)
@@ -49,11 +49,13 @@
 
 
 class RealNode:
-    """`python -m curlewshift.node` with NODE_CONFIG. `descriptors` is what it is told that it may have open."""
+    """`python -m curlewshift.node` with NODE_CONFIG. `descriptors` is what it is told that it may have open; there are as
+    many cells as media servers unless said."""
 
-    def __init__(self, folder: Path, stands: Stands, descriptors: int, servers: int = 0, classes: int = 2, cells: int = 64,
+    def __init__(self, folder: Path, stands: Stands, descriptors: int, servers: int = 0, classes: int = 2, cells: int = 0,
                  profile: Path | None = None):
         self.folder, self.stands = folder, stands
+        cells = cells or len(stands.medias)
         self.port = free_ports(1, Random(os.getpid() * 1000 + time.monotonic_ns() % 1000))[0]
         told = dict(name="n0", listen=f"127.0.0.1:{self.port}", seed="0f", limits=dict(sockets=descriptors),
                     bulletin=f"127.0.0.1:{stands.bulletin.port}", settings=settings(classes, cells),
--- a/curlewshift/scale/slopes_stands.py
+++ b/curlewshift/scale/slopes_stands.py
@@ -22,6 +22,8 @@
 NOTHING_NEW = 0
 # So long a viewer waits for its answer (ms).
 PATIENCE = 2000
+# A title is held in so many cells from its home on.
+COPIES = 4
 # So many connect, or ask, at a time while a place is filled: more would have the node open connections to media servers.
 CONNECTING, ASKING = 64, 16
 OPTIONS = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n"
@@ -198,10 +200,10 @@
 
 class Crowd:
     """Viewers of the node at `port`. `answers` has (ns waited, status) of each set-up, `released` counts what the node told of
-    ends that were not asked for, `dropped` the connections that it closed."""
+    ends that were not asked for, `dropped` the connections that it closed. Titles have their homes in the first `homes` cells."""
 
-    def __init__(self, loop: Loop, port: int, chance: Random):
-        self.loop, self.port, self.chance = loop, port, chance
+    def __init__(self, loop: Loop, port: int, chance: Random, homes: int = 1):
+        self.loop, self.port, self.chance, self.homes = loop, port, chance, homes
         self.viewers: dict[Viewer, bool] = {}
         self.asked: dict[str, tuple[Viewer, int]] = {}
         self.playing: dict[str, Viewer] = {}
@@ -226,7 +228,8 @@
         self.asked[id] = viewer, time.monotonic_ns()
         viewer.sock.sendall(
             f"SETUP rtsp://media/{self.chance.randrange(1000):016x} RTSP/1.0\r\nCSeq: 1\r\nSession: {id}\r\nX-Cos: lesson\r\n"
-            f"X-Timer-Ms: {PATIENCE}\r\nX-Legs: home:0;copies:64;top:9;viewer:{self.chance.getrandbits(64):016x}"
+            f"X-Timer-Ms: {PATIENCE}\r\nX-Legs: home:{self.chance.randrange(self.homes)};copies:{COPIES};top:9;"
+            f"viewer:{self.chance.getrandbits(64):016x}"
             f"{';again:1' if again else ''}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
         return id
 
@@ -292,7 +295,7 @@
         self.bulletin = Bulletin(self.loop)
 
     def crowd(self, port: int) -> Crowd:
-        return Crowd(self.loop, port, self.chance)
+        return Crowd(self.loop, port, self.chance, len(self.medias))
 
     @property
     def rungs(self) -> int:
--- a/curlewshift/scale/slopes_storm.py
+++ b/curlewshift/scale/slopes_storm.py
@@ -85,7 +85,7 @@
     for number in range(run.rounds):
         for size in run.sizes:
             with place(run, MEDIAS) as (stands, node, _):
-                storm = Storm(stands.loop, node.port, stands.chance)
+                storm = Storm(stands.loop, node.port, stands.chance, MEDIAS)
                 before = node.processor_ns()
                 storm.begin(size)
                 stands.loop.until(lambda: len(storm.waits) >= size, STORM_WITHIN, f"a storm of {size}")
