--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -22,10 +22,12 @@
 
 MS = 1_000_000
 NS = 1_000_000_000
-# A viewer has sent its first message this long after it has connected, and any message this long after its first byte
-# (ns): the page gives bad clients three seconds to be told off in.
-FIRST_WITHIN = 3 * NS // 2
-MESSAGE_WITHIN = NS
+# A viewer has begun its first message this long after it has connected, and goes on with one that it has begun after this
+# at the latest (ns). One that comes in pieces is whole after the longest of the three, and the first of a connection so
+# long after that was made: the page gives bad clients three seconds to be told off in.
+BEGUN_WITHIN = 3 * NS // 2
+PAUSE_WITHIN = NS
+WHOLE_WITHIN = 5 * NS // 2
 SWEEP = 0.1
 # An answer is this long on its way to its viewer at the most; after that it would find nobody (ns).
 WAY_BACK = 10 * MS
@@ -76,6 +78,13 @@
     line: Line | None = None
     handed: bool = False
 
+    def leaves(self) -> bool:
+        """Not on a connection that its viewer has closed, though nobody has read that yet: then it goes out on another."""
+        if self.line is not None and self.line.wire.peer_closed():
+            self.line = None
+            return False
+        return True
+
 
 class Line:
     """One connection from viewers."""
@@ -83,6 +92,8 @@
     def __init__(self, wire: Wire, now: int):
         self.wire, self.intake = wire, Intake(rtsp.Reader(), rtsp.Malformed, now)
         self.waiting: dict[str, Asked] = {}
+        # viewings asked for here that stand: their ends are told here, and their viewers' next requests come here
+        self.standing = 0
         # called once what is there to be read has been read
         self.after_reading: list[Callable[[], None]] = []
         # what comes on it cannot be read any more: it goes once all that is open on it is answered
@@ -98,8 +109,14 @@
 
     @property
     def at_work(self) -> bool:
-        """Asked for something, or with an answer on its way, or with something to be read first."""
-        return bool(self.waiting) or bool(self.wire.waiting) or self.wire.unread()
+        """Asked for something, or in the middle of asking, or with an answer on its way, or with something to be read first."""
+        asking = self.intake.partial and not self.spoilt
+        return asking or bool(self.waiting) or bool(self.wire.waiting) or self.wire.unread()
+
+    @property
+    def spared(self) -> bool:
+        """What stands here is told of here: after a crowd that asks once and stays nobody else may be left to tell it to."""
+        return self.standing > 0
 
     def drop(self) -> None:
         self.wire.drop()
@@ -216,8 +233,10 @@
         """Connections that say nothing, or half of something, are closed in time."""
         now = self.node.now()
         for line in list(self.lines):
-            silent = not line.spoke and now - line.opened_at > FIRST_WITHIN
-            if (silent or line.intake.stuck(now, MESSAGE_WITHIN)) and not line.spoilt and not line.wire.unread():
+            since = now - line.opened_at
+            silent = not line.spoke and since > (WHOLE_WITHIN if line.intake.partial else BEGUN_WITHIN)
+            stuck = line.intake.stuck(now, WHOLE_WITHIN, PAUSE_WITHIN)
+            if (silent or stuck) and not line.spoilt and not line.wire.unread():
                 line.spoil()
             line.end_if_done()
             for asked in list(line.waiting.values()):
@@ -227,7 +246,7 @@
                     line.wire.send(rtsp.answer(FAILED, "1", asked.name))
                     self._give_up(asked)
         if self.gate.crowded:
-            self.gate.make_room()
+            self.gate.make_room(needed=False)
         if self.pending_releases:
             self._say()
 
@@ -294,7 +313,7 @@
             over = self.node.over_at(name, legs["at"], self.torn_down.pop(name, None))
             if over is None:
                 course = self.node.plays_at(name, package, title[1], base, span, top, viewer, expected, legs["at"])
-                self.asked[name] = Asked(name, line, course=course)
+                self._stands(Asked(name, line, course=course))
             elif over:
                 self._owe(name, over, line)
             return
@@ -342,6 +361,12 @@
         if asked.line is not None:
             if asked.line.waiting.pop(asked.name, None) is not None:
                 asked.line.rested_at = self.node.now() / NS
+            elif asked.course is not None:
+                asked.line.standing -= 1
+
+    def _stands(self, asked: Asked) -> None:
+        self.asked[asked.name] = asked
+        asked.line.standing += 1
 
     # ---- what goes back
 
@@ -353,7 +378,7 @@
         queued = self.trail.answered(asked.name, asked.request is not None and self.node.now() > asked.request.expires + OVERDUE)
         if answer.kind is Kind.PLAYS:
             asked.course = answer.course
-            self.asked[asked.name] = asked
+            self._stands(asked)
             line.wire.send(rtsp.answer(200, "1", asked.name, description), queued)
             line.good, self.last_good = True, line
         elif answer.kind is Kind.REFUSED:
