--- a/curlewshift/capacity/measured.py
+++ b/curlewshift/capacity/measured.py
@@ -59,6 +59,8 @@
         words = [f"{told[key]} {unit}" for key, unit in (("cores", "cores"), ("memory_GiB", "GiB")) if key in told]
         loads = [told[key] for key in ("load_before", "load_after") if key in told]
         loads = [one[0] if isinstance(one, list) else one for one in loads]
+        if told.get("yardstick_s"):
+            words.append(f"yardstick {' to '.join(map(str, told['yardstick_s']))} s")
         return ", ".join(words + ([f"load {' to '.join(map(str, loads))}"] if loads else []))
 
     def command(self, file: str) -> str:
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from curlewshift.capacity.figures import FROM_SIMULATED, WORKED_OUT, Figure, short
+from curlewshift.capacity.figures import FROM_SIMULATED, MEASURED, SIMULATED, WORKED_OUT, Figure, short
 
 FEWEST_POINTS = 4
 # How far the fit that a file states may lie from the line through its points, as a part: it is told with five digits.
@@ -98,13 +98,22 @@
         """What x of them cost. Without `beyond` nothing past the run is worked out, as of waits, which rise without end once a
         process is full."""
         within = x <= self.measured_to
-        if self.bears_carrying and beyond or self.straight and within:
+        repeats = [y for size, y in self.points if size == x]
+        if repeats:
+            return self._run(repeats, unit, x)
+        if self.bears_carrying and (beyond or within):
             return self._figure(self.line.intercept + self.line.slope * x,
                                 self.line.slope_error * abs(x) + self.line.worst, unit, x, False)
         if not within:
             return self._figure(self.curve[-1][1], 0.0, unit, x, True)
         return self._figure(self._between(x), 0.0, unit, x, False)
 
+    def _run(self, repeats: list[float], unit: str, x: float) -> Figure:
+        """A size that was run itself: the mean of its repeats, and how far one lies from it."""
+        mean = sum(repeats) / len(repeats)
+        found = self._figure(mean, max(abs(one - mean) for one in repeats), unit, x, False)
+        return replace(found, how=SIMULATED if self.simulated else MEASURED, by=f"run at {short(x)} {self.x_unit}")
+
     def _figure(self, value: float, error: float, unit: str, x: float, least: bool) -> Figure:
         bent = "" if self.bears_carrying else "too scattered to carry: " if self.straight else "not straight: "
         by = f"{bent}by its last point" if least else "by its line" if self.straight else f"{bent}between its points"
@@ -168,4 +177,4 @@
 
 def _plural(name: str) -> str:
     first, *more = name.replace("-", " ").split()
-    return " ".join([first + "s", *more])
+    return " ".join([first if first.endswith("s") else first + "s", *more])
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -231,7 +231,12 @@
         told["points"][-1][1] = 0.18
         line = linear_regression(*zip(*told["points"]))
         told["fit"].update(intercept=line.intercept, slope=line.slope)
-        self.assertAlmostEqual(slope_of(told, "F").at(400, "s").value, 0.17)
+        figure = slope_of(told, "F").at(400, "s")
+        self.assertAlmostEqual(figure.value, 0.17)
+        self.assertAlmostEqual(figure.error, 0.01)
+        self.assertEqual((figure.how, figure.by), ("measured", "run at 400 connections"))
+        # beside a size that was run, the points on both sides
+        self.assertAlmostEqual(slope_of(told, "F").at(350, "s").value, (0.09 + 0.17) / 2)
 
     def test_connections_without_a_viewing_count_by_their_own_slope(self):
         size = read_size(self.size(('"viewings-a-connection" value="1"', '"viewings-a-connection" value="0.5"')))
