--- a/curlewshift/commands/walk.py
+++ b/curlewshift/commands/walk.py
@@ -40,18 +40,50 @@
     click.echo(f"{states} states to a depth of {depth} at each of six sets of clocks, {steps} steps")
 
 
+def _walk_versions(depth: int, fault: str | None, rounds: bool, courses: int | None, length: int, seed: int) -> None:
+    from curlewshift.emulator.version_histories import FAULTS
+    from curlewshift.walk.versions import long_courses, walk_versions
+    if fault is not None and fault not in FAULTS:
+        click.echo(f"there is no fault {fault!r}, but {', '.join(FAULTS)}", err=True)
+        sys.exit(2)
+    # how contents travel is not in this world
+    planted = {part: kind for part, kind in FAULTS.get(fault, {}).items() if part != "fetch"}
+    states = steps = 0
+    if courses is not None:
+        done = long_courses(courses, length, seed, **planted)
+        states, steps = done.states, done.steps
+    else:
+        for blank in (False, True):
+            done = walk_versions(depth, rounds, blank, **planted)
+            states, steps = states + done.states, steps + done.steps
+            if done.breach:
+                break
+    if done.breach:
+        click.echo(f"rule broken: {done.breach}", err=True)
+        for step in done.course:
+            click.echo("  " + " ".join(str(part) for part in step), err=True)
+        sys.exit(1)
+    click.echo(f"{states} courses by chance, each of {length} steps, {steps} steps" if courses is not None else
+               f"{states} states to a depth of {depth}, from stores that vote and from blank ones, {steps} steps")
+
+
 @click.command()
 @click.argument("kind", type=click.Choice(list(KINDS)), required=False)
-@click.option("--of", "of", type=click.Choice(["viewings", "budgets", "leases"]), default="viewings",
-              help="Viewings at a front, rights that fronts lend each other, or leases.")
-@click.option("--fault", help="With --of budgets or leases: plant this fault, and see a shortest course that breaks the promise.")
+@click.option("--of", "of", type=click.Choice(["viewings", "budgets", "leases", "versions"]), default="viewings",
+              help="Viewings at a front, rights that fronts lend each other, leases, or versions of the configuration.")
+@click.option("--fault", help="With --of budgets, leases or versions: plant this fault, and see a shortest course that breaks the promise.")
 @click.option("--depth", type=click.IntRange(0, 16), default=5, help="Steps of each course.")
-@click.option("--rounds", is_flag=True, help="With --of leases: each step a whole try, for courses of several tenures.")
+@click.option("--rounds", is_flag=True, help="With --of leases or versions: each step a whole try, for courses of several tenures.")
+@click.option("--courses", type=click.IntRange(1, 1_000_000), help="With --of versions, instead: so many long courses by chance.")
+@click.option("--length", type=click.IntRange(1, 1000), default=60, help="Steps of each long course.")
 @click.option("--settle-all", is_flag=True, help="Look at what comes of each state, and not of the last ones alone.")
 @click.option("--crashes", type=click.IntRange(1, 100_000), help="Instead: so many long courses, killed at each step.")
 @click.option("--seed", type=int, default=1, help="For the long courses.")
-def walk(kind, of, fault, depth, rounds, settle_all, crashes, seed):
+def walk(kind, of, fault, depth, rounds, courses, length, settle_all, crashes, seed):
     """Walk all orders in which things can happen to one viewing (or two that want one seat), and check the rules."""
+    if of == "versions":
+        _walk_versions(depth, fault, rounds, courses, length, seed)
+        return
     if of != "viewings":
         _walk_between_fronts(of, depth, fault, rounds)
         return
--- a/curlewshift/distribution/copy.py
+++ b/curlewshift/distribution/copy.py
@@ -84,13 +84,16 @@
         self.newest = version
         return True
 
+    def newer(self, version: Version) -> bool:
+        return version.over(self.held)
+
     @property
     def wants(self) -> Version | None:
-        return self.newest if self.newest.over(self.held) else None
+        return self.newest if self.newer(self.newest) else None
 
     def got(self, version: Version, content: bytes) -> bool:
         """The content of one that was heard of. False where it is not newer, or is not what it says."""
-        if not version.over(self.held) or not self._fits(version, content):
+        if not self.newer(version) or not self._fits(version, content):
             return False
         return self._take(version, content)
 
--- a/curlewshift/distribution/fetching.py
+++ b/curlewshift/distribution/fetching.py
@@ -52,7 +52,10 @@
         held = self.library.get(version.digest)
         if held is not None:
             self.outside.came(version, held)
-        elif version.digest not in self.wanted:
+        elif version.digest in self.wanted:
+            # who has it is known better now than when it was first wanted (history 49: for ever asked of one that had lost it)
+            self.wanted[version.digest].givers = givers
+        else:
             wanted = self.wanted[version.digest] = Wanted(version, givers)
             self._ask(wanted)
 
--- a/curlewshift/emulator/version_histories.py
+++ b/curlewshift/emulator/version_histories.py
@@ -11,9 +11,12 @@
 from itertools import count
 from random import Random
 
-from curlewshift.distribution.store import read_record
+from curlewshift.distribution.copy import Copy
+from curlewshift.distribution.fetching import Fetch
+from curlewshift.distribution.store import Store, read_record
 from curlewshift.distribution.terms import DistributionTerms
-from curlewshift.distribution.versions import Version, digest_of
+from curlewshift.distribution.versions import NO_BALLOT, Version, digest_of
+from curlewshift.distribution.writer import Writer
 from curlewshift.peering.distributed import DECODER, ENCODER, DistributionWire, Piece
 
 MS = 1_000_000
@@ -123,7 +126,7 @@
 
     def error(self, event: str, **more) -> None:
         if event in ("fault", "configuration-forked"):
-            self.faults.append({"event": event, **more})
+            self.faults.append(f"{event}: {more}")
 
 
 class VersionHistory:
@@ -173,7 +176,7 @@
             self.now, _, call, arguments = heapq.heappop(self.queue)
             call(*arguments)
             if self.log.faults:
-                raise Wrong(str(self.log.faults[0]))
+                raise Wrong(self.log.faults[0])
         self.now = max(self.now, until)
 
     def run(self) -> float | None:
@@ -379,15 +382,19 @@
             if told["ok"]:
                 self.ok_versions.append(told["version"])
                 if told["version"] not in [version.text for version in self.chosen.values()]:
-                    raise Wrong(f"put answered ok, and no majority has {told['version']}")
+                    self._wrong(f"put answered ok, and no majority has {told['version']}")
         wire.begin_put(content, base, 4 * NS, done)
 
     # ---- the judge
 
+    def _wrong(self, words: str) -> None:
+        """Told by the next event: what is raised within a wire's call is its own to catch."""
+        self.log.faults.append(words)
+
     def _known(self, version: Version) -> None:
         other = self.numbers.setdefault(version.number, version)
         if other != version:
-            raise Wrong(f"two contents under one number: {other.text} and {version.text}")
+            self._wrong(f"two contents under one number: {other.text} and {version.text}")
 
     def voted(self, store: Process, data: bytes) -> None:
         record = read_record(data)
@@ -409,18 +416,19 @@
             version = self.chosen[number]
             base = self.bases[self.contents[version.digest]]
             if base != before:
-                raise Wrong(f"{version.text} was made upon {base}, and {before} came before it")
+                self._wrong(f"{version.text} was made upon {base}, and {before} came before it")
             before = version.text
 
     def taken(self, process: Process, text: str, content: bytes) -> None:
         self.takes += 1
         version = next((version for version in self.numbers.values() if version.text == text), None)
         if version is None or digest_of(content) != version.digest:
-            raise Wrong(f"{process.name} has in force under {text} what that is not")
+            self._wrong(f"{process.name} has in force under {text} what that is not")
+            return
         if len(self.holding.get(version, ())) < self.terms.majority:
-            raise Wrong(f"{process.name} was told of {text} before a majority had it")
+            self._wrong(f"{process.name} was told of {text} before a majority had it")
         if version.number < process.number:
-            raise Wrong(f"{process.name} went back to {text} from {process.number}")
+            self._wrong(f"{process.name} went back to {text} from {process.number}")
         if not process.disk_full:
             process.number = version.number
 
@@ -434,3 +442,97 @@
         except Wrong as wrong:
             ended.append((seed, None, str(wrong)))
     return ended
+
+
+# ---- planted faults
+
+class NoMajority(Writer):
+    """Tells as soon as one store has it."""
+
+    def _enough(self):
+        return 1
+
+
+class OldOverNew(Copy):
+    """Takes whatever it hears last."""
+
+    def heard(self, version):
+        news, self.newest = version != self.newest, version
+        return news
+
+    def newer(self, version):
+        return version != self.held
+
+
+class HalfInForce(Copy):
+    """Takes the first half before the rest."""
+
+    def _take(self, version, content, kept_already=False):
+        if self.content:
+            half = len(content) // 2
+            self.outside.take_configuration(version.text, content[:half] + self.content[half:])
+        return super()._take(version, content, kept_already)
+
+
+class DigestUncheckedFetch(Fetch):
+    def _fits(self, content, version):
+        return True
+
+
+class DigestUncheckedCopy(Copy):
+    def _fits(self, version, content):
+        return True
+
+
+class BlankVotes(Store):
+    """Takes its memory being empty for knowing that there is nothing."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.blank = False
+
+
+class UnnotedLetIn(Writer):
+    """Lets a store in without telling the others that its old record is void."""
+
+    def _let_in(self, voters, again):
+        tenure = self.tenure
+        for store, stand in list(tenure.stands.items()):
+            if stand.blank and again and len(voters) >= self.majority:
+                known = {**self._noted(), store: (tenure.ballot.fence, 1, stand.record)}
+                self.outside.enter(store, tenure.ballot, stand.record, known, tenure.value, False)
+
+    def _voters(self):
+        return [store for store, stand in self.tenure.stands.items() if not stand.blank]
+
+
+class ByNumber(Writer):
+    """Takes the version with the highest number for the newest, whoever outweighed it since."""
+
+    def _decide(self, voters):
+        tenure = self.tenure
+        for store in voters:
+            stand = tenure.stands[store]
+            tenure.stands[store] = stand._replace(taken_at=NO_BALLOT)
+        super()._decide(voters)
+
+
+class BaseUnchecked(Writer):
+    def _make(self):
+        if self.wanted is not None and self.wanted.version is None:
+            self.wanted.base = self.tenure.value.text
+        super()._make()
+
+
+def wire_of(**classes) -> type[DistributionWire]:
+    return type("Planted", (DistributionWire,), classes)
+
+
+FAULTS = {"no-majority": dict(writer=NoMajority), "old-over-new": dict(copy=OldOverNew), "half-in-force": dict(copy=HalfInForce),
+          "digest-unchecked": dict(copy=DigestUncheckedCopy, fetch=DigestUncheckedFetch),
+          "blank-votes": dict(store=BlankVotes), "unnoted-let-in": dict(writer=UnnotedLetIn), "by-number": dict(writer=ByNumber),
+          "base-unchecked": dict(writer=BaseUnchecked)}
+
+
+def planted(fault: str) -> type[DistributionWire]:
+    return wire_of(**{f"{part}_class": kind for part, kind in FAULTS[fault].items()})
--- a/curlewshift/peering/distributed.py
+++ b/curlewshift/peering/distributed.py
@@ -385,7 +385,7 @@
             return
         members = self.channel.membership.members
         there = [version for name, version in self.holders.items()
-                 if version.over(self.copy.held) and name in members and members[name].there]
+                 if self.copy.newer(version) and name in members and members[name].there]
         target = max(there, key=lambda version: version.number, default=None)
         if target is None:
             return
@@ -408,7 +408,7 @@
     def came(self, version: Version, content: bytes) -> None:
         self.library.hold(content)
         content = self.library.get(version.digest) or content
-        if version in (self.target, self.copy.newest) and version.over(self.copy.held):
+        if version in (self.target, self.copy.newest) and self.copy.newer(version):
             before = self.copy.held
             self.copy.got(version, content)
             if self.copy.held != before:
@@ -464,7 +464,7 @@
         """A majority of the stores has it: from here on everybody may know."""
         self.copy.heard(version)
         content = self.library.get(version.digest)
-        if content is not None and version.over(self.copy.held):
+        if content is not None and self.copy.newer(version):
             self.copy.got(version, content)
             if self.copy.held == version:
                 self._holds_newer(content)
