--- a/curlewshift/scale/slopes_asked.py
+++ b/curlewshift/scale/slopes_asked.py
@@ -11,11 +11,10 @@
 from collections import deque
 from typing import Callable
 
-from curlewshift.node import isup
 from curlewshift.scale.slopes import Run, Slope
 from curlewshift.scale.slopes_idle import place, profile_of
 from curlewshift.scale.slopes_node import RUNGS
-from curlewshift.scale.slopes_stands import Crowd, Stands
+from curlewshift.scale.slopes_stands import Stands
 
 NS = 1_000_000_000
 MS = 1_000_000
--- /dev/null
+++ b/curlewshift/scale/slopes_crowd.py
@@ -0,0 +1,130 @@
+"""Viewers of a node whose slopes are measured: thousands of connections on one epoll, each asking and hearing. Called by the
+slopes of a real node. It counts and times, and decides nothing.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from random import Random
+
+from curlewshift.node import rtsp
+from curlewshift.scale.slopes_loop import Loop
+
+# So long a viewer waits for its answer (ms).
+PATIENCE = 2000
+# A title is held in so many cells from its home on.
+COPIES = 4
+# So many connect, or ask, at a time while a place is filled: more would have the node open connections to media servers.
+CONNECTING, ASKING = 64, 16
+OPTIONS = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n"
+
+
+class Viewer:
+    """One connection to the node."""
+
+    __slots__ = ("crowd", "sock", "reader")
+
+    def __init__(self, crowd: Crowd, sock: socket.socket):
+        self.crowd, self.sock, self.reader = crowd, sock, rtsp.Reader()
+
+    def read(self) -> None:
+        try:
+            data = self.sock.recv(65536)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self.crowd.left(self)
+            return
+        for message in self.reader.feed(data):
+            self.crowd.heard(self, message)
+
+
+class Crowd:
+    """Viewers of the node at `port`. `answers` has (ns waited, status) of each set-up, `released` counts what the node told of
+    ends that were not asked for, `dropped` the connections that it closed. Titles have their homes in the first `homes` cells."""
+
+    def __init__(self, loop: Loop, port: int, chance: Random, homes: int = 1):
+        self.loop, self.port, self.chance, self.homes = loop, port, chance, homes
+        self.viewers: dict[Viewer, bool] = {}
+        self.asked: dict[str, tuple[Viewer, int]] = {}
+        self.playing: dict[str, Viewer] = {}
+        self.answers: list[tuple[int, int]] = []
+        self.greeted = self.released = self.dropped = self.torn_down = 0
+
+    def connect(self) -> Viewer:
+        """Blocks until it is up: the kernel's queue is the node's, and what does not fit in it waits here."""
+        sock = socket.create_connection(("127.0.0.1", self.port), 10)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        viewer = Viewer(self, sock)
+        self.viewers[viewer] = True
+        self.loop.add(sock, viewer.read)
+        return viewer
+
+    def greet(self, viewer: Viewer) -> None:
+        viewer.sock.sendall(OPTIONS)
+
+    def ask(self, viewer: Viewer, again: bool = False) -> str:
+        id = f"{self.chance.getrandbits(64):016x}"
+        body = b"v=0 offer"
+        self.asked[id] = viewer, time.monotonic_ns()
+        viewer.sock.sendall(
+            f"SETUP rtsp://media/{self.chance.randrange(1000):016x} RTSP/1.0\r\nCSeq: 1\r\nSession: {id}\r\nX-Cos: lesson\r\n"
+            f"X-Timer-Ms: {PATIENCE}\r\nX-Legs: home:{self.chance.randrange(self.homes)};copies:{COPIES};top:9;"
+            f"viewer:{self.chance.getrandbits(64):016x}"
+            f"{';again:1' if again else ''}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        return id
+
+    def tear_down(self, id: str) -> None:
+        viewer = self.playing.pop(id)
+        viewer.sock.sendall(f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\n"
+                            "Content-Length: 0\r\n\r\n".encode())
+
+    def heard(self, viewer: Viewer, message: rtsp.Message) -> None:
+        id = message.fields.get("session", "")
+        if message.method == "TEARDOWN":
+            self.released += 1
+            self.playing.pop(id, None)
+            self.ended(id)
+        elif id in self.asked:
+            viewer, since = self.asked.pop(id)
+            self.answers.append((time.monotonic_ns() - since, message.status))
+            if message.status == 200:
+                self.playing[id] = viewer
+            self.answered(id, viewer, message)
+        elif not id:
+            self.greeted += 1
+        else:
+            self.torn_down += 1
+
+    def answered(self, id: str, viewer: Viewer, message: rtsp.Message) -> None:
+        """For those who do more."""
+
+    def ended(self, id: str) -> None:
+        """For those who do more."""
+
+    def left(self, viewer: Viewer) -> None:
+        self.dropped += 1
+        self.viewers.pop(viewer, None)
+        self.loop.remove(viewer.sock)
+
+    # ---- a place that is filled
+
+    def connected(self, count: int) -> None:
+        """As many connections as that, each greeted and answered. Raises `TimeoutError`."""
+        while len(self.viewers) < count:
+            for _ in range(min(CONNECTING, count - len(self.viewers))):
+                self.greet(self.connect())
+            before, want = self.greeted, len(self.viewers)
+            self.loop.until(lambda: self.greeted >= want, 10, f"{want} connections, {before} answered before")
+
+    def play(self, count: int, viewers: list[Viewer]) -> None:
+        """So many play, spread over these connections, a few asked for at a time. Raises `TimeoutError`."""
+        turn = len(self.playing)
+        while (left := count - len(self.playing)) > 0:
+            for _ in range(min(ASKING, left)):
+                self.ask(viewers[turn % len(viewers)])
+                turn += 1
+            self.loop.until(lambda: not self.asked, 20, f"{count} viewings")
--- a/curlewshift/scale/slopes_idle.py
+++ b/curlewshift/scale/slopes_idle.py
@@ -13,8 +13,9 @@
 from typing import Iterator
 
 from curlewshift.scale.slopes import Run, Slope
+from curlewshift.scale.slopes_crowd import Crowd, Viewer
 from curlewshift.scale.slopes_node import RealNode
-from curlewshift.scale.slopes_stands import Crowd, Stands, Viewer
+from curlewshift.scale.slopes_stands import Stands
 
 MEDIAS = 8
 # Viewings alone are spread over so many connections.
--- a/curlewshift/scale/slopes_list.py
+++ b/curlewshift/scale/slopes_list.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from curlewshift.scale.slopes import Run, Slope
+from curlewshift.scale.slopes_crowd import COPIES
 from curlewshift.scale.slopes_idle import MEDIAS, place
 from curlewshift.scale.slopes_node import RealNode
-from curlewshift.scale.slopes_stands import COPIES, Stands
+from curlewshift.scale.slopes_stands import Stands
 
 # Servers and classes where the other is what grows.
 SERVERS, CLASSES, CELLS = 100, 2, 64
--- a/curlewshift/scale/slopes_node.py
+++ b/curlewshift/scale/slopes_node.py
@@ -15,7 +15,8 @@
 from random import Random
 
 from curlewshift.rehearsal.processes import ROOT, free_ports
-from curlewshift.scale.slopes_stands import OPTIONS, PATIENCE, Stands
+from curlewshift.scale.slopes_crowd import OPTIONS, PATIENCE
+from curlewshift.scale.slopes_stands import Stands
 
 NS = 1_000_000_000
 READY_WITHIN, END_WITHIN = 60.0, 3.0
--- a/curlewshift/scale/slopes_storm.py
+++ b/curlewshift/scale/slopes_storm.py
@@ -13,8 +13,8 @@
 from curlewshift.node import rtsp
 from curlewshift.scale.slopes import Run, Slope
 from curlewshift.scale.slopes_asked import WAITS, p99
+from curlewshift.scale.slopes_crowd import Crowd, Viewer
 from curlewshift.scale.slopes_idle import place, resting_most
-from curlewshift.scale.slopes_stands import Crowd, Viewer
 
 NS = 1_000_000_000
 MEDIAS = 16
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -21,7 +21,8 @@
 from curlewshift.scale import fits, slopes, slopes_control, slopes_idle
 from curlewshift.scale.fits import TooFew, fit
 from curlewshift.scale.slopes_asked import Pace, p99
-from curlewshift.scale.slopes_stands import Listening, Loop
+from curlewshift.scale.slopes_loop import Loop
+from curlewshift.scale.slopes_stands import Listening
 from curlewshift.scale.slopes_storm import PAUSE, Storm
 
 SIZES = (1000, 2000, 4000, 6000, 8000)
