--- a/curlewshift/commands/slopes.py
+++ b/curlewshift/commands/slopes.py
@@ -25,7 +25,8 @@
 @click.option("--rounds", type=click.IntRange(1, 10), default=2, help="So often each size is measured.")
 @click.option("--seconds", type=click.FloatRange(0.2, 60), default=5.0, help="How long each size is measured.")
 def slopes(name, out, sizes, seed, rounds, seconds):
-    """Measures NAME (or all, the largest part of an hour) at one front node in a process of its own, by size."""
+    """Measures NAME at one front node in a process of its own, by size: idle, crowded, requests, notices, rungs, restart, list,
+    storm, sharing, membership, or all of them, which takes most of an hour."""
     from curlewshift.scale.fits import TooFew
     from curlewshift.scale.slopes import KINDS, NoRoom, Run, check_room, kept, measured
     if name != "all" and name not in KINDS:
@@ -43,6 +44,7 @@
         for kind in wanted:
             check_room(kind, sizes or kind.sizes)
         for kind in wanted:
+            click.echo(f"{kind.name}: {kind.what}", err=True)
             run = Run(sizes or kind.sizes, seed, out, lambda text: click.echo(text, err=True), rounds, min(4.0, 2 * seconds),
                       seconds)
             said = f"--sizes {','.join(map(str, run.sizes))} --seed {seed} --rounds {rounds} --seconds {seconds:g}"
--- a/curlewshift/scale/slopes.py
+++ b/curlewshift/scale/slopes.py
@@ -73,15 +73,14 @@
 
 @dataclass(frozen=True)
 class Kind:
-    """One measurement: `sizes` if none are said, and `connections` that it has open at a size. `measure` is a function's place,
-    imported when it is called."""
+    """One measurement: `sizes` if none are said, and how many `connections` it has open at a size. `measure` is a function's
+    place, imported when it is called."""
 
     name: str
     what: str
     sizes: tuple[int, ...]
     measure: str
     connections: Callable[[int], int]
-    unit: str
 
 
 def soft_limit() -> int:
@@ -152,23 +151,21 @@
 
 KINDS = {kind.name: kind for kind in (
     Kind("idle", "memory and idle processor time, by connection and by viewing", (1000, 2000, 4000, 6000, 8000),
-         "slopes_idle.measure_idle", _itself, "connections"),
+         "slopes_idle.measure_idle", _itself),
     Kind("crowded", "idle processor time past the mark from which resting connections are dropped",
-         (6000, 8000, 9500, 10_500, 11_500), "slopes_idle.measure_crowded", _itself, "connections"),
+         (6000, 8000, 9500, 10_500, 11_500), "slopes_idle.measure_crowded", _itself),
     Kind("requests", "processor time and p99 by set-ups a second", (25, 50, 100, 200, 400), "slopes_asked.measure_requests",
-         _few, "set-ups a second"),
+         _few),
     Kind("notices", "processor time and p99 by ends passed on to viewers a second", (25, 50, 100, 200, 400),
-         "slopes_asked.measure_notices", _few, "notices a second"),
-    Kind("rungs", "processor time by changes of rung a second", (50, 100, 200, 400, 800), "slopes_asked.measure_rungs", _few,
-         "changes a second"),
+         "slopes_asked.measure_notices", _few),
+    Kind("rungs", "processor time by changes of rung a second", (50, 100, 200, 400, 800), "slopes_asked.measure_rungs", _few),
     Kind("restart", "a start until ready, by servers on the list and by classes", (100, 500, 1000, 2000, 4000),
-         "slopes_list.measure_restart", _none, "servers, and classes"),
+         "slopes_list.measure_restart", _none),
     Kind("list", "memory and idle processor time by servers on the list", (100, 500, 1000, 2000, 4000),
-         "slopes_list.measure_list", _few, "servers"),
-    Kind("storm", "clients that come again at once", (500, 1000, 2000, 4000, 8000), "slopes_storm.measure_storm", _itself,
-         "clients"),
+         "slopes_list.measure_list", _few),
+    Kind("storm", "clients that come again at once", (500, 1000, 2000, 4000, 8000), "slopes_storm.measure_storm", _itself),
     Kind("sharing", "bytes and processor time of sharing by links played on, simulated", (20, 40, 80, 160, 320, 640),
-         "slopes_control.measure_sharing", _none, "links"),
+         "slopes_control.measure_sharing", _none),
     Kind("membership", "bytes of membership by nodes, at rest and after losses, simulated", (70, 210, 420, 630),
-         "slopes_control.measure_membership", _none, "nodes"),
+         "slopes_control.measure_membership", _none),
 )}
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -119,6 +119,11 @@
             self.assertIn("descriptors", told.output)
             self.assertEqual(CliRunner().invoke(main, ["slopes", "nothing", "--out", out]).exit_code, 2)
 
+    def test_help_names_each_there_is(self):
+        told = " ".join(CliRunner().invoke(main, ["slopes", "--help"]).output.split())
+        for name in slopes.KINDS:
+            self.assertRegex(told, rf"[ :]{name},")
+
     def test_connections_that_may_rest_are_those_that_the_nodes_own_gate_lets_rest(self):
         from curlewshift.limits.descriptors import CROWDED_PART, Gate
         from curlewshift.node.node import OTHERS, SERVERS_PART
@@ -247,7 +252,7 @@
             self.assertEqual(os.listdir(out), [])
 
     def test_one_whose_cost_grows_by_the_square_is_called_not_straight(self):
-        kind = slopes.Kind("planted", "", (100, 200, 300, 400), "slopes_planted.measure", lambda size: 0, "")
+        kind = slopes.Kind("planted", "", (100, 200, 300, 400), "slopes_planted.measure", lambda size: 0)
         with mock.patch.dict("sys.modules", {"curlewshift.scale.slopes_planted": mock.Mock(measure=growing_by_the_square)}), \
                 tempfile.TemporaryDirectory() as folder:
             told = slopes.measured(kind, slopes.Run(kind.sizes, 1, Path(folder), lambda text: None), "none")
