Verdict: attempts that begin over 0.1 s after their client left, joined from both sockets

Viewers note when the end of a connection, of its sending half, or a DELETE was in the kernel; media servers when their kernel took the first byte of a set-up (TCP_INFO), however late they read. verdict/attempts.py joins both by the id on the wire; only time in which the front itself was stopped does not run. Half of the viewers who leave now shut down their sending half alone.

--- a/curlewshift/commands/rehearse.py
+++ b/curlewshift/commands/rehearse.py
@@ -71,7 +71,9 @@
 def _broken_over_fronts(verdict: dict) -> list[str]:
     """Which promises of all fronts together the day broke."""
     bounds, leases = verdict.get("bounds", {}), verdict.get("leases", {})
+    attempts = verdict["attempts_after_leaving"]
     return [name for name, broken in (
+        ("nothing begun for who has left", attempts["late"] or attempts["unjoined"]),
         ("members", verdict.get("members", {}).get("broken")), ("pace of cold servers", bounds.get("overdrawn")),
         ("further tune-ins of all fronts", bounds.get("further", {}).get("overdrawn")),
         ("seats over all fronts", bounds.get("seats", {}).get("overdrawn")),
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -90,6 +90,13 @@
         return tune_in.outcome is None
 
 
+class DeafDesk(Desk):
+    """Does not hear that a viewer has left."""
+
+    def hung_up(self, request):
+        pass
+
+
 class PushCold(Rules):
     """Likes cold servers best and keeps no pace there."""
 
@@ -262,6 +269,7 @@
         "answer-twice": lambda: AnswerTwice(*args, **how),
         "resend-paid": lambda: Front(*args, **how, rules=ResendPaid),
         "ignore-drain": lambda: Front(*args, **how, desk=StubbornDesk, rules=IgnoreDrain),
+        "deaf-to-leaving": lambda: Front(*args, **how, desk=DeafDesk),
         "push-cold": lambda: Front(*args, **how, rules=PushCold),
         "under-floor": lambda: UnderFloor(*args, **how),
         "over-seats": lambda: OverSeats(*args, **how),
@@ -282,6 +290,6 @@
 
 
 NAMES = ("lose-answer", "answer-twice", "resend-paid", "ignore-drain", "push-cold", "under-floor", "over-seats",
-         "overspend-budget", "double-tune-in", "lost-teardown", "leave-orphans", "deaf-incarnation",
+         "deaf-to-leaving", "overspend-budget", "double-tune-in", "lost-teardown", "leave-orphans", "deaf-incarnation",
          "old-life-taken", "never-forget", "liar-believed", *FAULTS, *SEAT_FAULTS, *SHED_FAULTS, *LEASE_FAULTS,
          *CONFIGURATION_FAULTS, *MACHINE_FAULTS)
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -22,6 +22,7 @@
 from curlewshift.standins.script import OF_FRONTS, Announced, Script, Trouble
 from curlewshift.standins.traffic import Traffic, read_traffic
 from curlewshift.standins.viewers import Viewers
+from curlewshift.verdict.attempts import judge_attempts
 from curlewshift.verdict.bounds import judge_bounds
 from curlewshift.verdict.configuration import judge_configuration
 from curlewshift.verdict.leases import judge_leases, judge_orphans
@@ -378,6 +379,7 @@
             for event in events:
                 whole.write(json.dumps(event) + "\n")
         verdict = judge(events, figures_of(self.script.site))
+        verdict["attempts_after_leaving"] = judge_attempts(events)
         verdict["seed"], verdict["sabotage"], verdict["hold"] = self.seed, self.sabotage, self.hold
         peaks = [trouble for trouble in self.script.troubles if trouble.kind == "peak"]
         if peaks:
--- a/curlewshift/rehearsal/table.py
+++ b/curlewshift/rehearsal/table.py
@@ -15,6 +15,8 @@
     for name in ("requests", "answers", "duplicates", "unanswered", "late", "tune_ins_per_request_max", "torn_down",
                  "left_standing", "recovered", "orphans_left", "service"):
         counts.add_row(name.replace("_", " "), str(verdict[name]))
+    for name in ("left", "looked_at", "late", "latest_ms", "says"):
+        counts.add_row("attempts after leaving: " + name.replace("_", " "), str(verdict["attempts_after_leaving"][name]))
     for name in ("false_gone", "not_forgotten", "old_life_taken", "malformed_taken", "agreed_after_s",
                  "detected_periods_p99"):
         if "members" in verdict:
--- a/curlewshift/standins/server.py
+++ b/curlewshift/standins/server.py
@@ -26,7 +26,7 @@
 from curlewshift.signalling.sdp import PLAYS, PUBLISHES, BadDescription, answer_text, checked_offer
 from curlewshift.site.site import Duties, Machine
 from curlewshift.standins.physics import LinkModel, as_of, falls_over, warmth
-from curlewshift.standins.traffic import Traffic
+from curlewshift.standins.traffic import Arrivals, Traffic
 
 NS = 1_000_000_000
 MS = 1_000_000
@@ -171,7 +171,7 @@
         self.die()
 
     async def _connection(self, stream) -> None:
-        line = Line(stream, self._serve)
+        line = Line(Arrivals(stream), self._serve)
         self.lines.add(line)
         try:
             await line.run()
@@ -212,9 +212,10 @@
     # ---- requests
 
     async def _serve(self, exchange: Exchange) -> None:
+        first_byte = exchange.line.stream.first_byte()
         parts = exchange.path.strip("/").split("/")
         if parts[0] in (PLAYS, PUBLISHES) and len(parts) == 3 and exchange.method == "POST":
-            await self._setup(exchange, *parts)
+            await self._setup(exchange, *parts, first_byte)
             return
         await self.thaw.wait()
         if parts[0] == "notes" and exchange.method == "GET":
@@ -240,12 +241,12 @@
         else:
             await exchange.problem(404, "there is nothing at this path")
 
-    async def _setup(self, exchange: Exchange, way: str, package: str, title: str) -> None:
+    async def _setup(self, exchange: Exchange, way: str, package: str, title: str, first_byte: int) -> None:
         headers = exchange.headers
         facts = dict(server=self.name, boot=self.boot, front=headers.get("x-front", ""),
                      request=headers.get("x-request-id", ""), number=int(headers.get("x-tune-in", "0")))
         layer = int(exchange.query.get("layer", "0"))
-        self.traffic.seen("setup", package=package, title=title, rung=layer, **facts)
+        self.traffic.seen("setup", package=package, title=title, rung=layer, first_byte=first_byte, **facts)
         closed = False
 
         def over(how: str) -> None:
--- a/curlewshift/standins/viewers.py
+++ b/curlewshift/standins/viewers.py
@@ -1,6 +1,7 @@
 """Viewers: they arrive, ask a front, watch the media, leave early where it is short, and come again when turned away.
 
-What each sees on its own sockets goes into the traffic: every request, every answer to it, and every answer too many.
+What each sees on its own sockets goes into the traffic: every request, every answer to it, every answer too many, and when it
+left: the moment at which the end of its connection, of its sending half, or its DELETE was in the kernel.
 """
 
 from __future__ import annotations
@@ -36,6 +37,8 @@
 # Viewers who hang up on a slow answer do so after this (s), and ask again with the same key.
 HANGS_UP_AFTER = 0.25
 LEAVES_AFTER = (0.01, 0.3)
+# Half of those who leave close; the others end what they send and keep the connection for so long (s).
+LINGERS = 0.5
 MEDIA_WITHIN = 2.0
 # Times that a paid request which broke off is sent again.
 ASKS_ON = 3
@@ -101,8 +104,9 @@
         offer = offer_text(ufrag, pwd, FINGERPRINT, way).encode()
         key = f"{request}-{ufrag}"
         if chance.random() < self.script.leave:
+            lingers = LINGERS if chance.random() < 0.5 else 0.0
             with anyio.move_on_after(chance.uniform(*LEAVES_AFTER)):
-                await self._ask(request, viewing, door, wish.package, title, top, key, offer, hangs_up=True)
+                await self._ask(request, viewing, door, wish.package, title, top, key, offer, True, lingers)
             return "left", 0.0
         if chance.random() < self.script.hang_up:
             with anyio.move_on_after(HANGS_UP_AFTER):
@@ -125,11 +129,12 @@
                 return "refused", 0.0
         return "failed", 0.0
 
-    async def _ask(self, request, viewing, door, package, title, top, key, offer, hangs_up=False) -> Answered | None:
+    async def _ask(self, request, viewing, door, package, title, top, key, offer, hangs_up=False,
+                   lingers=0.0) -> Answered | None:
         patience = self.packages[package].patience
         facts = dict(request=request, viewing=viewing, front=self.site.doors[door].name)
         way = PUBLISHES if package in self.site.published else PLAYS
-        call = None
+        call = answered = None
         try:
             call = await connect(*self.doors[door], 1.0)
             self.traffic.seen("ask", package=package, title=title, patience=patience, **facts)
@@ -152,6 +157,10 @@
             raise
         finally:
             if call is not None:
+                call.say_no_more()
+                self.traffic.seen("left", how="shut-down" if lingers else "closed", answered=answered is not None, **facts)
+                with anyio.CancelScope(shield=True):
+                    await anyio.sleep(lingers)
                 await call.close()
         return None
 
@@ -172,6 +181,7 @@
                     return "broke"
         finally:
             self.watching -= 1
+        self.traffic.seen("left", how="cancelled", answered=True, request=request, front=self.site.doors[door].name)
         try:
             gone = await ask(*self.doors[door], "DELETE", answered.headers.get("location", "/"), within=2.0)
             if gone.status == 200:
