--- a/tests/test_configured.py
+++ b/tests/test_configured.py
@@ -1,13 +1,33 @@
 """How a running front takes another version of its settings, and how a control machine makes and keeps one."""
 
+import random
+import socket
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
+import anyio
+import msgspec
+import structlog
+import zstandard
+
+from curlewshift.control.machine import Machine
+from curlewshift.desk.roster import Row
+from curlewshift.distribution.copy import ENCODER, Kept
+from curlewshift.distribution.versions import Version, digest_of
+from curlewshift.front.configured import Begun, Configured, Swap, begin, in_service
+from curlewshift.front.control import tell
+from curlewshift.front.front import Front
+from curlewshift.front.spoilt_configured import HalfSwap, spoilt_begin
+from curlewshift.peering.frames import Frame, encode
+from curlewshift.rehearsal.processes import free_ports
 from curlewshift.site.changes import refusals
 from curlewshift.site.reading import Mistakes, read_xml
 from curlewshift.site.site import SCHEMA, read_site, site_of
 from curlewshift.state.configured import Record
+from curlewshift.verdict.configuration import judge_configuration
+from tests.sockets import story, until
 
 EXAMPLES = Path(__file__).resolve().parents[1] / "examples"
 CONTROL = """  <control term="2s" every="200ms">
@@ -142,6 +162,361 @@
             record.path.write_bytes(whole[:length])
             self.assertIsNone(record.read(), length)
 
+    def test_what_was_not_written_is_not_there(self):
+        record = Record(self.folder / "vote")
+        record.write_durable(b"one")
+        with mock.patch("os.fsync", side_effect=OSError(28, "No space left on device")), self.assertRaises(OSError):
+            record.write_durable(b"two")
+        self.assertEqual(record.read(), b"one")
+
+
+SMALL = (EXAMPLES / "small-site.xml").read_text().replace(
+    "  </fronts>", '    <limits from-source="100/s" burst="2s"/>\n  </fronts>')
+QUIET = structlog.wrap_logger(structlog.ReturnLogger())
+SECOND = 1_000_000_000
+
+
+def kept(content, number=7, of=None):
+    """What a wire keeps of this content, under the digest `of` another."""
+    return ENCODER.encode(Kept(1, tuple(Version(number, 1, digest_of(of or content))),
+                               zstandard.ZstdCompressor().compress(content)))
+
+
+class Stumbles(Swap):
+    """Its step of that number goes wrong; those back do not."""
+
+    at = 0
+
+    def _step(self, held, name, value):
+        self.done = getattr(self, "done", -1) + 1
+        if self.done == self.at:
+            raise RuntimeError("stumbled")
+        super()._step(held, name, value)
+
+
+class AtARunningFront(InAFolder):
+    def setUp(self):
+        super().setUp()
+        self.path.write_text(SMALL)
+        self.front = Front(read_site(self.path), 0, 1, None, mock.Mock())
+        self.front.reach = mock.Mock()
+        self.configured = self.front.configured = Configured(self.front, Begun(self.path, self.front.site), None)
+        now = self.front.now()
+        self.front.desk.list_full("e", 1, [Row(f"h{n}", "on", now - 3600 * SECOND, "z", "r1", 4200.0, 24, f"s{n}")
+                                           for n in range(1, 13)])
+
+    def take(self, *changes, version="7.1-abc", text=SMALL):
+        return self.configured.take_configuration(version, self.site(*changes, text=text))
+
+    def state(self):
+        desk = self.front.desk
+        return (self.configured.live(), {name: ([server.name for server in title.holders], title.shelves)
+                                         for name, title in desk.roster.titles.items()},
+                {shelf: [title.name for title in titles] for shelf, titles in desk.roster.on_shelf.items()},
+                [rack.link.size for rack in desk.roster.racks.values()], desk.rules.wait, desk.rules.free_further,
+                self.front.door.admission.bounds, self.front.site.duties, self.front.site.titles)
+
+    def test_what_decides_has_the_new_values_and_the_same_objects(self):
+        front = self.front
+        packages, holders = list(front.desk.packages.values()), front.desk.roster.titles["t01"].holders
+        # t01 goes to one shelf that it had, t02 away, t99 comes
+        shelves = front.site.titles["t01"]
+        self.assertIsNone(self.take(
+            ('name="receipt" value="3" join-target="1s" patience="4s"', 'name="receipt" value="5" join-target="2s" patience="6s"'),
+            ('longest-wait="2s" most-tune-ins="3"', 'longest-wait="500ms" most-tune-ins="7"'), ('free="6"', 'free="9"'),
+            ('from-source="100/s" burst="2s"', 'from-source="10/s" for-package="40/s" burst="3s"'),
+            ('uplink="13MB/s"', 'uplink="11MB/s"'), ('<title name="t02"', '<title name="t99"'),
+            (f'<title name="t01" shelves="{" ".join(shelves)}"', f'<title name="t01" shelves="{shelves[0]}"')))
+        live = self.configured.live()
+        self.assertEqual(live["packages"]["receipt"]["patience"], 6 * SECOND)
+        self.assertEqual((live["longest_wait"], live["most_tune_ins"], live["version"]), (SECOND // 2, 7, "7.1-abc"))
+        self.assertEqual(live["limits"], {"source": [10.0, 30.0], "package": [40.0, 120.0]})
+        self.assertEqual((front.desk.rules.wait, front.desk.rules.free_further), (SECOND // 2, 9))
+        self.assertEqual(front.desk.roster.racks["r1"].link.size, 11_000.0)
+        # seats are counted by the package, and who waits has the list of holders in hand
+        self.assertEqual([id(package) for package in front.desk.packages.values()], [id(package) for package in packages])
+        self.assertIs(front.desk.roster.titles["t01"].holders, holders)
+        self.assertEqual([server.name for server in holders], [f"h{shelves[0][1:]}"])
+        self.assertNotIn("t02", front.desk.roster.titles)
+        self.assertEqual({server.name for server in front.desk.roster.titles["t99"].holders},
+                         {f"h{shelf[1:]}" for shelf in front.site.titles["t99"]})
+        # and the list goes on telling of both
+        front.desk.list_change("e", 1, 2, [Row(f"h{shelves[0][1:]}", "off")])
+        self.assertEqual(holders, [])
+
+    def test_who_is_under_way_has_the_patience_and_ceiling_it_came_with(self):
+        desk = self.front.desk
+        title = next(iter(desk.roster.titles))
+        before = desk.asked("a", "receipt", title, patience=0)
+        self.assertIsNone(self.take(('patience="4s" floor="1"', 'patience="9s" floor="0" top="1"')))
+        after = desk.asked("b", "receipt", title, patience=0)
+        self.assertEqual((before.expires - before.arrived, after.expires - after.arrived), (4 * SECOND, 9 * SECOND))
+        self.assertEqual((before.course.vw.ceiling, after.course.vw.ceiling), (3, 1))
+
+    def test_who_waits_for_a_title_that_goes_keeps_its_holders_up_to_date(self):
+        desk = self.front.desk
+        waits = desk.asked("a", "receipt", "t02", patience=0)
+        self.assertFalse(waits.course.vw.playing)
+        self.assertIsNone(self.take(('<title name="t02"', '<title name="t99"')))
+        holders = waits.course.vw.holders
+        gone = holders[0]
+        desk.list_change("e", 1, 2, [Row(gone.name, "off")])
+        self.assertNotIn(gone, holders)
+        self.assertTrue(holders)
+        # nobody waits for it any more: the next version lets go of it
+        desk.hung_up(waits)
+        desk.courses.clear()
+        self.assertIsNone(self.take(('<title name="t02"', '<title name="t98"'), version="7.2-abc"))
+        self.assertEqual(sum(title.name == "t02" for titles in desk.roster.on_shelf.values() for title in titles), 0)
+
+    def test_a_refused_one_changes_nothing_and_is_told_with_file_and_line(self):
+        before = self.state()
+        for changes, words in (
+                ([('patience="4s"', 'patience="9s"'), ('floor="1"', 'floor="2"')], r"site\.xml:\d+: package receipt: a higher floor"),
+                ([('patience="4s"', 'patience="4"')], r"site\.xml:\d+: package: patience should be a time"),
+                ([("</site>", "")], r"site\.xml:\d+: this is not XML")):
+            self.assertRegex(self.take(*changes), words)
+        self.assertEqual(self.state(), before)
+
+    def test_a_fault_at_any_step_takes_all_back(self):
+        before, changes = self.state(), [
+            ('patience="4s"', 'patience="9s"'), ('longest-wait="2s"', 'longest-wait="1s"'), ('uplink="13MB/s"', 'uplink="11MB/s"'),
+            ('from-source="100/s"', 'from-source="10/s" for-package="40/s"'), ('<title name="t02"', '<title name="t99"'),
+            ('<title name="t01" shelves="', '<title name="t01" shelves="s12 ')]
+        steps = Swap()
+        in_service(self.front, read_site(self.path, self.site(*changes, text=SMALL)), steps)
+        self.assertEqual(self.state(), before, "planning changes nothing")
+        for at in range(len(steps.steps)):
+            self.configured.swap_class = type("At", (Stumbles,), {"at": at})
+            self.assertIn("what was in force before is again", self.take(*changes) or "", at)
+            self.assertEqual(self.state(), before, at)
+        self.configured.swap_class = Swap
+        self.assertIsNone(self.take(*changes))
+        self.assertNotEqual(self.state(), before)
+        # the planted half does leave another state than either
+        whole = self.state()
+        self.configured.swap_class = HalfSwap
+        self.assertIsNone(self.configured.take_configuration("7.2-abc", SMALL.encode()))
+        self.assertNotIn(self.state()[1:], (whole[1:], before[1:]))
+
+
+class TheStart(InAFolder):
+    def begun(self, data, begin=begin):
+        self.path.write_bytes(self.site())
+        record = Record(self.folder / "configuration")
+        if data is not None:
+            record.write(data)
+        return begin(self.path, read_site(self.path), self.folder)
+
+    def test_from_the_disk_where_that_is_whole(self):
+        newer = self.site(('patience="4s"', 'patience="4.5s"'))
+        begun = self.begun(kept(newer))
+        self.assertEqual((begun.how, begun.version[:4], begun.site.packages[0].patience), ("disk", "7.1-", 4_500_000_000))
+
+    def test_from_the_file_and_why_where_it_is_not(self):
+        newer = self.site(('patience="4s"', 'patience="4.5s"'))
+        for data, words in ((None, "nothing is on the disk"), (b"rubbish", "cannot be used"), (kept(newer, of=b"other"), "digest"),
+                            (kept(newer.replace(b'value="3"', b'value="x"')), "site.xml:")):
+            begun = self.begun(data)
+            self.assertEqual((begun.how, begun.version, begun.copy, begun.site.packages[0].patience), ("file", "file", None, 4 * SECOND))
+            self.assertIn(words, begun.cause)
+        path = self.folder / "configuration"
+        self.begun(kept(newer))
+        path.write_bytes(path.read_bytes()[:-1] + b"?")
+        self.assertIn("spoilt", begin(self.path, read_site(self.path), self.folder).cause)
+        # a front spoilt to believe anything begins with what no version ever was
+        self.assertEqual(self.begun(kept(newer, of=b"other"), lambda *args: spoilt_begin("digest-unchecked", *args)).how, "disk")
+
+
+class OverTheChannel(InAFolder):
+    """Three control machines and a front, on loopback."""
+
+    def setUp(self):
+        super().setUp()
+        chance = random.Random()
+        tcp, udp = free_ports(2, chance), free_ports(4, chance, socket.SOCK_DGRAM)
+        text = FLEET
+        for name in range(3, 9):
+            text = "\n".join(line for line in text.splitlines() if f'<front name="f{name}"' not in line)
+        text = text.replace('seeds="f1 f2 f3" period="500ms" forget-after="10s"', 'seeds="c1 c2" period="200ms" forget-after="10s"')
+        text = "\n".join(line for line in text.splitlines() if '<front name="f2"' not in line)
+        for old, new in (("127.0.0.1:8081", tcp[0]), ("127.0.0.1:8090", tcp[1]), ("127.0.0.1:8181", udp[0]),
+                         *((f"127.0.0.1:819{n}", udp[n]) for n in (1, 2, 3))):
+            text = text.replace(old, f"127.0.0.1:{new}")
+        self.text = text.replace('start-within="2s"', 'start-within="300ms"')
+        self.path.write_text(self.text)
+
+    def machine(self, name):
+        state = self.folder / name
+        state.mkdir(exist_ok=True)
+        return Machine(self.path, read_site(self.path), name, state, 1, QUIET)
+
+    async def alone(self, machine, tasks):
+        scope = anyio.CancelScope()
+
+        async def run():
+            with scope:
+                await machine.run()
+        tasks.start_soon(run)
+        return scope
+
+    @story
+    async def test_a_put_reaches_the_front_and_a_wrong_one_reaches_nobody(self):
+        with anyio.fail_after(25):
+            async with anyio.create_task_group() as tasks:
+                machines = {name: self.machine(name) for name in ("c1", "c2", "c3")}
+                scopes = {name: await self.alone(machine, tasks) for name, machine in machines.items()}
+                state = self.folder / "f1"
+                state.mkdir()
+                begun = begin(self.path, read_site(self.path), state)
+                front = Front(begun.site, 0, 1, state, QUIET, begun=begun)
+                tasks.start_soon(front.run)
+                await until(lambda: any(machine.leases.fence() for machine in machines.values()), 10)
+                writer = next(name for name, machine in machines.items() if machine.leases.fence())
+                others = [name for name in machines if name != writer]
+
+                async def put(text, at=writer, base="file"):
+                    return await tell(self.folder / at, {"do": "put", "content": text, "base": base, "name": "new.xml",
+                                                         "why": "a test"}, 12)
+                newer = self.text.replace('patience="4s"', 'patience="4700ms"', 1)
+                await until(lambda: machines[others[0]].leases.writer() == writer)
+                told = await put(newer, at=others[0])
+                self.assertEqual((told["ok"], told["wrong"]), (False, f"versions are made at {writer} now"))
+                for text, words in ((newer.replace('value="3"', 'value="x"', 1), "new.xml:"), ("<site", "this is not XML"),
+                                    (newer.replace('floor="1"', 'floor="2"', 1), "a higher floor needs a restart")):
+                    told = await put(text)
+                    self.assertFalse(told["ok"])
+                    self.assertIn(words, told["wrong"])
+                self.assertEqual(front.configured.version, "file")
+                told = await put(newer)
+                self.assertTrue(told["ok"], told)
+                await until(lambda: front.configured.version == told["version"])
+                self.assertEqual(front.desk.packages["receipt"].patience, 4_700_000_000)
+                again = await put(self.text)
+                self.assertIn("somebody was quicker", again["wrong"])
+                # the disk has it: a front begins with it, and goes on without any control machine
+                self.assertEqual(begin(self.path, read_site(self.path), state).version, told["version"])
+                shown = (await tell(state, {"do": "configuration"}))["configuration"]
+                self.assertEqual((shown["in_force"], shown["began_with"]), (told["version"], "file"))
+                for scope in scopes.values():
+                    scope.cancel()
+                await anyio.sleep(0.3)
+                self.assertEqual((await tell(state, {"do": "live"}))["live"]["version"], told["version"])
+                # all of them come again with what they had
+                machines = {name: self.machine(name) for name in machines}
+                self.assertEqual({machine.wire.version for machine in machines.values()}, {told["version"]})
+                for machine in machines.values():
+                    await self.alone(machine, tasks)
+                await until(lambda: any(machine.leases.fence() for machine in machines.values()), 10)
+                writer = next(name for name, machine in machines.items() if machine.leases.fence())
+                second = await put(self.text, at=writer, base=told["version"])
+                self.assertTrue(second["ok"], second)
+                await until(lambda: front.desk.packages["receipt"].patience == 4 * SECOND)
+                tasks.cancel_scope.cancel()
+
+
+class TheJudge(unittest.TestCase):
+    """Each wrong that it is there for is seen, and a day without any is not called broken."""
+
+    D1, D2 = b"1" * 32, b"2" * 32
+
+    def setUp(self):
+        self.events = []
+        for front in ("f1", "f2", "c1", "c2", "c3"):
+            self.seen(0, "front-up", front=front, life=f"{front}.1")
+        for machine in ("c1", "c2", "c3"):
+            self.seen(6, "machine", front=machine, version="file", zones=[], forks=0)
+        for front in ("f1", "f2"):
+            self.live(6, front, "file", 0)
+        self.v1, self.v2 = f"5.1-{self.D1.hex()[:12]}", f"5.2-{self.D2.hex()[:12]}"
+
+    def seen(self, at, ev, **facts):
+        self.events.append({"at": int(at * SECOND), "ev": ev, **facts})
+
+    def live(self, at, front, version, *marks, life=1):
+        self.seen(at, "live", front=front, life=f"{front}.{life}", asked=int(at * SECOND) - 1000, version=version,
+                  marks=list(marks) * (1 if len(marks) > 1 else 3))
+
+    def said(self, at, front, body, kind=20):
+        frame = Frame("s", front, "127.0.0.1", 1, 1, 1, 1, kind, body=msgspec.msgpack.encode(body))
+        self.seen(at, "peer-said", front=front, to="f1", data=encode(frame).hex())
+
+    def put(self, at, mark, version="", ok=True, unknown=False):
+        self.seen(at + 0.2, "put", mark=mark, asked=int(at * SECOND), ok=ok, version=version, unknown=unknown, wrong="")
+
+    def made(self, at, version, digest, count):
+        """As it is to be: the writer offers, a store says that it has it, then it is told."""
+        number = [5, count, digest]
+        self.said(at, "c1", [4, [5, "c1", 1], 9, number])
+        self.said(at + 0.01, "c2", [2, [5, "c1", 1], 9, False, [5, "c1", 1], number, number, {}])
+        self.said(at + 0.02, "c1", [7, number, False])
+
+    def day(self):
+        self.put(8, 1, self.v1)
+        self.made(8.1, self.v1, self.D1, 1)
+        self.live(9, "f1", self.v1, 1)
+        self.live(9.5, "f2", self.v1, 1)
+        self.seen(40, "day-over")
+
+    def judged(self):
+        return judge_configuration(self.events)
+
+    def test_a_good_day(self):
+        self.day()
+        told = self.judged()
+        self.assertEqual((told["broken"], told["versions"], told["in_force_p99_s"], told["in_force_counted"]), (False, 1, 1.5, 2), told)
+
+    def test_each_wrong(self):
+        def fork():
+            self.said(12, "c3", [7, [5, 1, self.D2], False])
+
+        def early():
+            self.said(8.05, "c1", [[5, 1, self.D1], 3], kind=1)
+
+        def refused_and_yet():
+            self.put(20, 2, ok=False)
+            self.live(21, "f1", self.v2, 2)
+
+        def late():
+            self.events = [event for event in self.events if not (event["ev"] == "live" and event["at"] == int(9.5 * SECOND))]
+            self.live(28, "f2", self.v1, 1)
+
+        def never():
+            self.events = [event for event in self.events if not (event["ev"] == "live" and event["at"] == int(9.5 * SECOND))]
+
+        def door():
+            self.seen(9.7, "door", front="f1", life="f1.1", asked=int(9.6 * SECOND), marks=[0, 0])
+            self.live(10, "f1", self.v1, 1)
+
+        for name, plant, many in (
+                ("regressions", lambda: self.live(12, "f1", "file", 0), 1),
+                ("regressions", lambda: self.live(12, "f1", "file", 0, life=2), 1),
+                ("half", lambda: self.live(12, "f1", self.v1, 1, 0, 1), 1), ("half", door, 1),
+                ("forks", fork, 1), ("forks", lambda: self.live(12, "f1", f"5.1-{self.D2.hex()[:12]}", 1), 1),
+                ("forks", lambda: self.live(12, "f2", self.v1, 300), 1), ("early", early, 1), ("unfounded", refused_and_yet, 1),
+                ("late", late, 1), ("missing", never, 1),
+                ("bad_taken", lambda: self.seen(12, "bad-put", what="rule", ok=True, wrong=""), 1),
+                ("bad_taken", lambda: self.seen(12, "bad-put", what="rule", ok=False, wrong="it is wrong"), 1)):
+            self.events = []
+            self.setUp()
+            self.day()
+            plant()
+            told = self.judged()
+            self.assertEqual((told[name], told["broken"]), (many, True), (name, told))
+
+    def test_who_was_struck_counts_from_when_that_was_over_and_a_lost_disk_is_no_step_back(self):
+        self.day()
+        self.events = [event for event in self.events if not (event["ev"] == "live" and event["at"] == int(9.5 * SECOND))]
+        self.seen(8.05, "front-paused", front="f2", life="f2.1")
+        self.seen(26, "front-goes-on", front="f2", life="f2.1")
+        self.live(27, "f2", self.v1, 1)
+        self.seen(28, "front-down", front="f1", life="f1.1", how="killed")
+        self.seen(28, "disk", front="f1", life="f1.1", what="front-lost")
+        self.seen(29, "front-up", front="f1", life="f1.2")
+        self.live(30, "f1", "file", 0, life=2)
+        told = self.judged()
+        self.assertEqual((told["broken"], told["in_force_max_s"]), (False, 1.0), told)
+
 
 if __name__ == "__main__":
     unittest.main()
