Front: no attempt begins for who left while a connection was made or an intent was written

Cause: Reach._tune_in looked before the first byte whether list and time still let the attempt go (desk.stands), and not whether anybody still waited for it; the desk withdraws nothing when a viewer hangs up, as it may come again with its key. A dial that came up, or a disk that was done, after the viewer had left sent its set-up all the same. It looks for that now, and ends as never sent.

--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -189,7 +189,8 @@
         self._end(tune_in, Outcome.FULL if full else Outcome.ERROR, report)
 
     async def _ready(self, tune_in: TuneIn) -> Outcome | None:
-        """Takes the steps before the first byte; how the tune-in ended, if it does not go out."""
+        """Takes the steps before the first byte, with nothing awaited after the last look; how the tune-in ended, if it does not
+        go out."""
         until = self.wall() + max(0, tune_in.course.vw.expires - self.desk.now())
         intent = intent_of(tune_in, until) if self.journal is not None else None
         steps = self.steps(self.desk, tune_in, self.intents, intent)
@@ -205,7 +206,9 @@
                 what, record = steps.send(kept)
         except StopIteration as ended:
             return ended.value
-        return None
+        # All who asked may have left while a connection was made or the disk was slow. It is not withdrawn when they leave, as
+        # one who comes again with its key finds it on its way; but nothing begins for nobody.
+        return None if tune_in.course.waiting else Outcome.UNSENT
 
     def _end(self, tune_in: TuneIn, outcome: Outcome, report: dict[str, float] | None = None) -> None:
         """Not flushed: a lost end makes the answer after a kill more careful than it need be, and no more."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,11 +1,22 @@
 """The judge of attempts that begin for clients that have left: by days made up for it, and by real sockets."""
 
+import contextlib
 import socket
+import tempfile
 import time
 import unittest
+from pathlib import Path
+from unittest import mock
 
+import anyio
+
+from curlewshift.exchange.client import connect
+from curlewshift.front import reach
+from curlewshift.front.spoilt import DeafDesk
 from curlewshift.standins.traffic import TICK, arrived_at
+from curlewshift.state.journal import Journal
 from curlewshift.verdict.attempts import judge_attempts
+from tests.sockets import SDP, SmallSite, an_offer, story, until
 
 MS = 1_000_000
 
@@ -102,5 +113,81 @@
                 self.assertGreater(arrived_at(accepted), after + 150 * MS)
 
 
+class AtAFront(unittest.TestCase):
+    """Viewers leave while the first byte of their attempt waits for something; it is let go 0.15 s later."""
+
+    async def begun(self, hold, package, leaves, desk=None, state=None):
+        """What the judge says, and how many sessions stand afterwards."""
+        go, waits = anyio.Event(), []
+        async with SmallSite(servers=2).up(state) as site:
+            if desk is not None:
+                site.front.desk.__class__ = desk
+            with hold(go, waits):
+                call = await site.call()
+                site.traffic.seen("ask", request="q", front="f")
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.asks, call, package)
+                    await until(lambda: waits)
+                    leaves(call)
+                    site.traffic.seen("left", request="q", front="f", how="closed", answered=False)
+                    await anyio.sleep(0.15)
+                    go.set()
+                    # what went out would be seen well before its time is over
+                    await until(lambda: not site.front.reach.out)
+                    await anyio.sleep(0.05)
+                    tasks.cancel_scope.cancel()
+                await call.close()
+            return judge_attempts(site.traffic.events), len(site.front.desk.courses)
+
+    @staticmethod
+    async def asks(call, package):
+        with contextlib.suppress(Exception):
+            await call.ask("POST", f"/whep/{package}/t", [SDP, ("x-request-id", "q")], an_offer())
+
+    @staticmethod
+    @contextlib.contextmanager
+    def dials(go, waits):
+        async def held(*args):
+            call = await connect(*args)
+            waits.append(call)
+            await go.wait()
+            return call
+        with mock.patch.object(reach, "connect", held):
+            yield
+
+    @staticmethod
+    @contextlib.contextmanager
+    def disk(go, waits):
+        add = Journal.add
+
+        def held(*args):
+            waits.append(args)
+            ends = time.monotonic() + 5
+            while not go.is_set() and time.monotonic() < ends:
+                time.sleep(0.005)
+            return add(*args)
+        with mock.patch.object(Journal, "add", held):
+            yield
+
+    @story
+    async def test_no_attempt_begins_for_who_closed_or_shut_down_while_its_connection_was_being_made(self):
+        for leaves in (lambda call: call.cut(), lambda call: call.say_no_more()):
+            for package in ("clip", "paid"):
+                told, standing = await self.begun(self.dials, package, leaves)
+                self.assertEqual((told["left"], told["attempts"], standing), (1, 0, 0))
+
+    @story
+    async def test_nor_while_its_intent_was_being_written(self):
+        with tempfile.TemporaryDirectory() as folder:
+            told, standing = await self.begun(self.disk, "paid", lambda call: call.say_no_more(), state=Path(folder))
+        self.assertEqual((told["left"], told["attempts"], standing), (1, 0, 0))
+
+    @story
+    async def test_a_front_that_does_not_hear_of_it_is_caught(self):
+        told, _ = await self.begun(self.dials, "clip", lambda call: call.say_no_more(), desk=DeafDesk)
+        self.assertEqual((told["late"], told["clean"]), (1, False), told)
+        self.assertGreater(told["latest_ms"], 140)
+
+
 if __name__ == "__main__":
     unittest.main()
