Scale run: what one relay saw earlier of a version is no step back of its node

A trial at 70 nodes over two relays told 896 steps back and had none: a relay went on showing the version that rode last by it with the number of a later datagram. A version is now told with the datagram that it rode on.

--- a/curlewshift/scale/faults.py
+++ b/curlewshift/scale/faults.py
@@ -62,6 +62,8 @@
     async def _down(self, names: set[str]) -> None:
         for name in names & self.fleet.real.keys():
             self.fleet.real[name].kill()
+            # it starts anew without its folder
+            self.judge.versions.emptied(name)
         await self.fleet.hollow_do("stop", names)
         self.judge.strikes(names, time.monotonic(), down=True)
 
--- a/curlewshift/scale/judge.py
+++ b/curlewshift/scale/judge.py
@@ -28,19 +28,24 @@
         self.course: dict[str, list[tuple[tuple[int, int], float]]] = {}
         # over all lives of a name; a node that came back empty may hold nothing for a while, and never less than it held
         self.highest: dict[str, tuple[int, int]] = {}
+        self.last: dict[str, tuple[int, int]] = {}
         self.digests: dict[tuple[int, int], str] = {}
         self.regressions: list[str] = []
         self.forks: list[str] = []
 
-    def saw(self, name: str, life: int, version: list, at: float) -> None:
+    def saw(self, name: str, life: int, version: list, at: float, datagram: int) -> None:
+        """What rode on a datagram of that number; one relay may tell of it after another told of a later one."""
         number, digest = (version[0], version[1]), version[2]
         if number == (0, 0):
             return
         if self.digests.setdefault(number, digest) != digest and len(self.forks) < 5:
             self.forks.append(f"{name} shows {digest} as {number}, and another showed {self.digests[number]}")
+        later = (life, datagram) > self.last.get(name, (0, 0))
+        if later:
+            self.last[name] = life, datagram
+            if number < self.highest.get(name, number):
+                self.regressions.append(f"{name} shows {number} after {self.highest[name]}")
         course = self.course.setdefault(name, [])
-        if number < self.highest.get(name, number):
-            self.regressions.append(f"{name} shows {number} after {self.highest[name]}")
         if not course or number > course[-1][0]:
             course.append((number, at))
         self.highest[name] = max(number, self.highest.get(name, number))
@@ -100,8 +105,8 @@
             held = self.shown.get(name)
             if name in self.running and (held is None or (row[0], row[3]) > (held[0], held[3])):
                 self.shown[name] = row
-                if len(row) > 5:
-                    self.versions.saw(name, row[0], row[5], row[6])
+            if name in self.running and len(row) > 5:
+                self.versions.saw(name, row[0], *row[5:])
         for name, life, by, at in tick["gone"]:
             self.called_gone.setdefault((name, life), (by, at))
 
--- a/curlewshift/scale/relay.py
+++ b/curlewshift/scale/relay.py
@@ -52,9 +52,10 @@
         self.said: dict[tuple[str, int], list[int]] = {}
         self.handed_to: dict[str, list[int]] = {name: [0, 0] for name in self.names}
         self.lost = self.cut = self.spoilt = 0
-        # what senders show: life, incarnation, view, number of the datagram, when; and what rode last: version, since when
+        # what senders show: life, incarnation, view, number of the datagram, when; and what rode last: version, first seen here
+        # when, number of the last datagram that it rode on
         self.shown: dict[str, list] = {}
-        self.rode: dict[str, tuple[int, list, float]] = {}
+        self.rode: dict[str, tuple[int, list, float, int]] = {}
         self.news: set[str] = set()
         self.gone: dict[tuple[str, int], list] = {}
 
@@ -104,8 +105,10 @@
             now = time.monotonic()
             if frame[7] in PROBES and frame[12]:
                 version = version_ridden(frame[12])
-                if version is not None and self.rode.get(sender, (0, None))[:2] != (life, version):
-                    self.rode[sender] = life, version, now
+                rode = self.rode.get(sender)
+                if version is not None and (rode is None or (life, number) > (rode[0], rode[3])):
+                    same = rode is not None and rode[:2] == (life, version)
+                    self.rode[sender] = life, version, rode[2] if same else now, number
             rode = self.rode.get(sender)
             self.shown[sender] = [life, incarnation, view, number, now, *(rode[1:] if rode and rode[0] == life else ())]
         for claim in frame[11]:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -112,29 +112,36 @@
         self.seen = VersionsSeen()
 
     def test_each_is_timed_by_the_first_that_is_as_new(self):
-        self.seen.saw("a", 7, [5, 1, "aa"], 1.0)
-        self.seen.saw("a", 7, [5, 3, "cc"], 4.0)
-        self.seen.saw("b", 7, [5, 2, "bb"], 3.0)
+        self.seen.saw("a", 7, [5, 1, "aa"], 1.0, 10)
+        self.seen.saw("a", 7, [5, 3, "cc"], 4.0, 11)
+        self.seen.saw("b", 7, [5, 2, "bb"], 3.0, 10)
         self.assertEqual(self.seen.reached((5, 2), ["a", "b"]), ([4.0, 3.0], []))
         self.assertEqual(self.seen.reached((6, 1), ["a", "c"]), ([], ["a", "c"]))
         self.assertEqual((self.seen.regressions, self.seen.forks), ([], []))
 
     def test_an_older_one_over_a_newer_one_is_told_also_over_a_restart(self):
-        self.seen.saw("a", 7, [5, 3, "cc"], 1.0)
-        self.seen.saw("a", 7, [5, 2, "bb"], 2.0)
+        self.seen.saw("a", 7, [5, 3, "cc"], 1.0, 10)
+        self.seen.saw("a", 7, [5, 2, "bb"], 2.0, 11)
         self.assertEqual(len(self.seen.regressions), 1)
         self.seen.down("a")
-        self.seen.saw("a", 8, [4, 9, "xx"], 3.0)
+        self.seen.saw("a", 8, [4, 9, "xx"], 3.0, 1)
         self.assertEqual(len(self.seen.regressions), 2)
         self.seen.down("a")
         self.seen.emptied("a")
-        self.seen.saw("a", 9, [0, 0, ""], 4.0)
-        self.seen.saw("a", 9, [5, 1, "aa"], 5.0)
+        self.seen.saw("a", 9, [0, 0, ""], 4.0, 1)
+        self.seen.saw("a", 9, [5, 1, "aa"], 5.0, 2)
         self.assertEqual(len(self.seen.regressions), 2, "whose disk was lost may begin anew")
 
+    def test_what_another_relay_saw_earlier_is_no_step_back(self):
+        self.seen.saw("a", 7, [5, 3, "cc"], 2.0, 20)
+        self.seen.saw("a", 7, [5, 2, "bb"], 1.0, 15)
+        self.assertEqual(self.seen.regressions, [])
+        self.seen.saw("a", 7, [5, 2, "bb"], 1.0, 21)
+        self.assertEqual(len(self.seen.regressions), 1)
+
     def test_two_contents_under_one_number_are_told(self):
-        self.seen.saw("a", 7, [5, 3, "cc"], 1.0)
-        self.seen.saw("b", 7, [5, 3, "dd"], 1.0)
+        self.seen.saw("a", 7, [5, 3, "cc"], 1.0, 1)
+        self.seen.saw("b", 7, [5, 3, "dd"], 1.0, 1)
         self.assertEqual(len(self.seen.forks), 1)
 
     def test_what_rides_is_read_without_the_program(self):
