--- a/curlewshift/control/machine.py
+++ b/curlewshift/control/machine.py
@@ -18,52 +18,44 @@
 from curlewshift.peering.leasing import LeaseWords
 from curlewshift.peering.wire import PeerWire
 from curlewshift.schedule.clock import Clock
+from curlewshift.sharing.counts import picked
 from curlewshift.site.places import distribution_of, places_of
 from curlewshift.site.reading import Mistakes
 from curlewshift.site.site import Site, read_site
 from curlewshift.state.configured import Record
 from curlewshift.state.journal import Lock
-from curlewshift.tasks.tasks import Tasks
 
 NS = 1_000_000_000
-TASK, LEASE = "configuration", "configuration/0"
-
-
-class Writing:
-    """The task whose lease lets one machine make versions; it acts when it is told to, and not by itself."""
-
-    name, shards = TASK, 1
-
-    def begin(self, shard: int, number: int) -> None:
-        pass
-
-    def act(self, shard: int, number: int) -> None:
-        pass
-
-    def stop(self, shard: int) -> None:
-        pass
+LEASE = "configuration/0"
 
 
 class MachineLeases(LeaseWords):
-    """The one lease, asked for by the machine that all pick, so that they do not outbid each other."""
-
-    def __init__(self, *args):
-        super().__init__(*args)
-        self.tasks = Tasks(self.order[self.me], self.asker, [Writing()], self.members)
+    """The one lease. Who holds it keeps it as long as it is there: a writer that gives way in the middle of a version leaves its
+    operator without an answer. Where nobody does, the machine that all pick asks, so that they do not outbid each other."""
 
     async def run(self) -> None:
         every = self.asker.terms.every / NS
         while True:
             try:
                 self.keeper.time()
-                self.tasks.time()
+                self.time()
                 self._to_itself()
             except Exception as fault:
                 self.log.error("fault", what="leases", cause=repr(fault), exc_info=fault)
             await anyio.sleep(every)
 
+    def time(self) -> None:
+        me = self.order[self.me]
+        # one that has just started knows of no holder yet, and does not outbid one
+        free = not self.keeper.silent() and self.writer() in ("", me)
+        if self.fence() or free and picked(LEASE, [*self.members(), me]) == me:
+            self.asker.want(LEASE)
+        elif LEASE in self.asker.tries:
+            self.asker.leave(LEASE)
+        self.asker.time()
+
     def leave(self) -> None:
-        self.tasks.drain()
+        self.asker.leave(LEASE)
         self._to_itself()
 
     def members(self) -> list[str]:
--- a/curlewshift/front/spoilt_configured.py
+++ b/curlewshift/front/spoilt_configured.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 from curlewshift.control.machine import Machine
-from curlewshift.distribution.copy import Copy
-from curlewshift.distribution.fetching import Fetch
-from curlewshift.distribution.writer import Writer
+from curlewshift.emulator.version_histories import DigestUncheckedCopy, planted
 from curlewshift.front.configured import Configured, Swap, begin
 from curlewshift.front.front import Front
-from curlewshift.peering.distributed import DistributionWire
 from curlewshift.state.configured import Record
 
 
@@ -33,48 +30,27 @@
         return True
 
 
-class BelievingCopy(Copy):
-    """Takes any content for that of the version that it comes with."""
-
-    def _fits(self, version, content):
-        return True
-
-
-class BelievingFetch(Fetch):
-    def _fits(self, version, content):
-        return True
-
-
-class BelievingWire(DistributionWire):
-    copy_class, fetch_class = BelievingCopy, BelievingFetch
-
-
 class DigestUnchecked(Front):
-    distribution_class = BelievingWire
-
-
-class LonelyWriter(Writer):
-    """Takes its own store for a majority."""
+    """Takes any content for that of the version that it comes with."""
 
-    def _enough(self):
-        return 1
+    distribution_class = planted("digest-unchecked")
 
 
-class LonelyWire(DistributionWire):
-    writer_class = LonelyWriter
+class OldOverNew(Front):
+    distribution_class = planted("old-over-new")
 
 
 class NoMajority(Machine):
-    distribution_class = LonelyWire
+    distribution_class = planted("no-majority")
 
 
 # Of fronts, and of control machines.
-FRONTS = {"half-in-force": HalfInForce, "digest-unchecked": DigestUnchecked}
+FRONTS = {"half-in-force": HalfInForce, "digest-unchecked": DigestUnchecked, "old-over-new": OldOverNew}
 MACHINES = {"no-majority": NoMajority}
 
 
 def spoilt_begin(name: str, *args):
     """How a front that is spoilt so begins."""
     if name == "digest-unchecked":
-        return begin(*args, record_class=BelievingRecord, copy_class=BelievingCopy)
+        return begin(*args, record_class=BelievingRecord, copy_class=DigestUncheckedCopy)
     return begin(*args)
--- a/curlewshift/rehearsal/configuring.py
+++ b/curlewshift/rehearsal/configuring.py
@@ -25,8 +25,8 @@
 # A writer is struck so long after it was told to make a version, at the most (s): before, between and after its words.
 STRUCK_WITHIN = 0.03
 MARKS = {"patience": 5000, "longest_wait": 1900, "most_waiting": 500}
-# The mark of a content that no version has, under the name of one, on a spoilt disk.
-SPOILT = 300
+# The mark of a content that no version has, under the name of one, on a spoilt disk; and that of files that nobody may take.
+SPOILT, BAD = 300, 700
 # Sabotages of control machines; the others are those of fronts.
 OF_MACHINES = ("no-majority",)
 
@@ -214,10 +214,10 @@
             machine = await self.writer()
             if machine is None:
                 continue
-            content = marked(self.base, 90_000).replace(old, new, 1).decode()
+            content = marked(self.base, BAD).replace(old, new, 1).decode()
             answer = await self._tell(machine, {"do": "put", "content": content, "base": "", "name": "bad.xml",
                                                 "why": "the rehearsal's bad file"})
-            self.day.traffic.seen("bad-put", what=what, ok=answer["ok"], wrong=answer.get("wrong", ""))
+            self.day.traffic.seen("bad-put", mark=BAD, what=what, ok=answer["ok"], wrong=answer.get("wrong", ""))
 
     async def _strike_writer(self, kind: str, lasts: float) -> None:
         """In the middle of a version that it was told to make."""
--- a/curlewshift/verdict/configuration.py
+++ b/curlewshift/verdict/configuration.py
@@ -55,7 +55,9 @@
     bad = [event for event in events if event["ev"] == "bad-put"]
     wrong = [event for event in bad if event["ok"] or ".xml:" not in event["wrong"]]
     told += [f"the bad file ({event['what']}) was answered: {event['wrong'] or 'taken'}" for event in wrong]
-    result["bad_puts"], result["bad_taken"] = len(bad), len(wrong)
+    showed = {event["front"] for event in lives if {bad_one["mark"] for bad_one in bad} & set(event["marks"])}
+    told += [f"{front} has a bad file in force" for front in sorted(showed)]
+    result["bad_puts"], result["bad_taken"] = len(bad), len(wrong) + len(showed)
     result["known"] = _known(events, lives)
     result["broken"] = bool(result["versions"] == 0 or result["late"] or result["missing"] or any(result[name] for name in (
         "regressions", "forks", "half", "early", "unfounded", "bad_taken")))
--- a/tests/test_configured.py
+++ b/tests/test_configured.py
@@ -495,8 +495,9 @@
                 ("forks", fork, 1), ("forks", lambda: self.live(12, "f1", f"5.1-{self.D2.hex()[:12]}", 1), 1),
                 ("forks", lambda: self.live(12, "f2", self.v1, 300), 1), ("early", early, 1), ("unfounded", refused_and_yet, 1),
                 ("late", late, 1), ("missing", never, 1),
-                ("bad_taken", lambda: self.seen(12, "bad-put", what="rule", ok=True, wrong=""), 1),
-                ("bad_taken", lambda: self.seen(12, "bad-put", what="rule", ok=False, wrong="it is wrong"), 1)):
+                ("bad_taken", lambda: self.seen(12, "bad-put", mark=700, what="rule", ok=True, wrong=""), 1),
+                ("bad_taken", lambda: self.seen(12, "bad-put", mark=700, what="rule", ok=False, wrong="it is wrong"), 1),
+                ("bad_taken", lambda: self.seen(8, "bad-put", mark=1, what="rule", ok=False, wrong="a.xml:7: wrong"), 2)):
             self.events = []
             self.setUp()
             self.day()
