Configuration: what needs a restart is kept for the next start where its operator says so

A part that cannot change in service could not be changed at all once there was a version: a front that started again took its newest from the disk.

--- a/curlewshift/commands/configuration.py
+++ b/curlewshift/commands/configuration.py
@@ -45,7 +45,7 @@
     for column in columns:
         table.add_column(column.replace("_", " "))
     for row in rows:
-        table.add_row(*("" if row.get(column) is None else str(row[column]) for column in columns))
+        table.add_row(*("" if row.get(column) in (None, []) else str(row[column]) for column in columns))
     return table
 
 
@@ -54,7 +54,8 @@
 @FOLDER
 @click.option("--why", required=True, help="Goes into the log with your name.")
 @click.option("--base", help="The version that FILE was made from; the one that is the newest now if not said.")
-def configuration_put(file, state, why, base):
+@click.option("--restarts", is_flag=True, help="Take what needs a restart too: each front has it from its next start on.")
+def configuration_put(file, state, why, base, restarts):
     """Have FILE in force everywhere. It is checked first; what is wrong with it is told before anybody hears of it."""
     from curlewshift.control.commands import PUT_WITHIN
     try:
@@ -64,8 +65,11 @@
         sys.exit(2)
     if base is None:
         base = tell_front(state, {"do": "content"})["content"]["version"]
-    answer = tell_front(state, {"do": "put", "content": content, "base": base, "name": str(file), "why": why}, PUT_WITHIN + 10)
+    answer = tell_front(state, {"do": "put", "content": content, "base": base, "name": str(file), "why": why,
+                               "restarts": restarts}, PUT_WITHIN + 10)
     click.echo(f"{answer['version']} is with a majority of the control machines, and is on its way to all")
+    if answer["needs_restart"]:
+        click.echo(f"in force at each front from its next start on: {answer['needs_restart']}")
 
 
 @configuration.command("diff")
--- a/curlewshift/control/commands.py
+++ b/curlewshift/control/commands.py
@@ -15,7 +15,7 @@
 
 class MachineCommand(msgspec.Struct):
     """`do` is `configuration`, `put`, `leases`, `peers` or `content`. `base` is the version that `content` was made from,
-    `name` what its file is called where the operator is."""
+    `name` what its file is called where the operator is; `restarts` says that fronts may take it when they start again."""
 
     do: str
     content: str = ""
@@ -23,6 +23,7 @@
     name: str = ""
     why: str = ""
     within: float = PUT_WITHIN
+    restarts: bool = False
 
 
 class Commands(Socket):
@@ -65,8 +66,8 @@
         if not command.why.strip():
             return _no("say why: it goes into the log with your name")
         content = command.content.encode()
-        wrong = machine.mistakes(content, command.name)
-        if wrong is not None:
+        wrong, by_restart = machine.mistakes(content, command.name)
+        if wrong and not (by_restart and command.restarts):
             return _no(wrong)
         if not machine.leases.fence():
             writer = machine.leases.writer()
@@ -74,7 +75,7 @@
                    if not writer else f"versions are made at {writer} now" if writer != machine.name else
                    "the lease under which this machine made versions is over, and its next is on its way")
             return {**_no(why), "writer": writer}
-        return await machine.wire.put(content, command.base, min(command.within, PUT_WITHIN))
+        return {**await machine.wire.put(content, command.base, min(command.within, PUT_WITHIN)), "needs_restart": wrong}
 
 
 def _no(wrong: str) -> dict:
--- a/curlewshift/control/machine.py
+++ b/curlewshift/control/machine.py
@@ -19,6 +19,7 @@
 from curlewshift.peering.wire import PeerWire
 from curlewshift.schedule.clock import Clock
 from curlewshift.sharing.counts import picked
+from curlewshift.site.changes import NeedsRestart
 from curlewshift.site.places import distribution_of, places_of
 from curlewshift.site.reading import Mistakes
 from curlewshift.site.site import Site, read_site
@@ -123,16 +124,16 @@
         finally:
             self.lock.release()
 
-    def mistakes(self, content: bytes, called: str) -> str | None:
-        """What is wrong with a file that somebody wants in force, compared with what is; None: nothing. In the words it is
-        `called` what the operator calls it."""
+    def mistakes(self, content: bytes, called: str) -> tuple[str, bool]:
+        """What is wrong with a file that somebody wants in force, compared with what is (empty: nothing), and whether that is only
+        that it needs restarts. In the words it is `called` what the operator calls it."""
         held = self.wire.content
         try:
             running = self.site if held is None else read_site(self.path, held)
             checked(self.path, running, content)
         except Mistakes as wrong:
-            return told(Path(called or self.path.name), wrong)
-        return None
+            return told(Path(called or self.path.name), wrong), isinstance(wrong, NeedsRestart)
+        return "", False
 
     # ---- the wire's host. A machine applies nothing: what it stores is for the fronts
 
--- a/curlewshift/front/configured.py
+++ b/curlewshift/front/configured.py
@@ -12,13 +12,14 @@
 from pathlib import Path
 
 import anyio
+import zstandard
 
 from curlewshift.desk.roster import Roster, Title
-from curlewshift.distribution.copy import Copy
+from curlewshift.distribution.copy import ENCODER, FORM, Copy, Kept
 from curlewshift.distribution.versions import NONE, Version
 from curlewshift.limits.buckets import Buckets
 from curlewshift.rules import COME_BACK
-from curlewshift.site.changes import OF_PACKAGES, refusals
+from curlewshift.site.changes import OF_PACKAGES, NeedsRestart, refusals, unalike
 from curlewshift.site.reading import Mistakes, read_xml
 from curlewshift.site.site import SCHEMA, Site, read_site, site_of
 from curlewshift.state.configured import Record
@@ -26,6 +27,8 @@
 NS = 1_000_000_000
 # A refusal is told over the channel and in tables: of more mistakes the first, and how many there are.
 MOST_TOLD = 5
+# Records in the state folder: what is in force, and what was refused as it needs a restart, for the next start.
+NOW, NEXT = "configuration", "configuration-next"
 # Fields of Site that stand for what is in force where nothing else holds them; the packages' objects stay what they are.
 STANDS = ("duties", "most_waiting", "ice_servers", "limits", "machines", "titles", "uplinks", "overload")
 
@@ -38,9 +41,13 @@
     site: Site
     how: str = "file"
     cause: str = ""
-    version: str = NONE.text
+    held: Version | None = None
     copy: bytes | None = None
 
+    @property
+    def version(self) -> str:
+        return (self.held or NONE).text
+
 
 class Reading:
     """Outside of a copy that is only read: what the disk has, before there is a front."""
@@ -76,7 +83,14 @@
     """From the disk where what is there is whole, and from the file (`site`, as read) otherwise."""
     if state is None or site.configuration is None:
         return Begun(path, site)
-    record = record_class(state / "configuration")
+    begun = [_from_record(path, site, record_class(state / name), copy_class) for name in (NOW, NEXT)]
+    held, after = begun
+    if after.held is not None and (held.held is None or after.held.over(held.held)):
+        return after
+    return held
+
+
+def _from_record(path: Path, site: Site, record: Record, copy_class: type[Copy]) -> Begun:
     raw = record.read()
     if raw is None:
         return Begun(path, site, cause=record.damage or "nothing is on the disk")
@@ -84,7 +98,7 @@
     copy = copy_class(reading)
     if not copy.start(raw):
         return Begun(path, site, cause=reading.cause)
-    return Begun(path, reading.site, "disk", "", copy.version.text, raw)
+    return Begun(path, reading.site, "disk", "", copy.version, raw)
 
 
 def told(path: Path, mistakes: Mistakes) -> str:
@@ -99,7 +113,7 @@
     site = site_of(path, root)
     wrong = refusals(running, site, root)
     if wrong:
-        raise Mistakes(path, wrong)
+        raise (Mistakes if unalike(running, site, root) else NeedsRestart)(path, wrong)
     return site
 
 
@@ -145,7 +159,8 @@
     def __init__(self, front, begun: Begun, state: Path | None):
         self.front, self.begun, self.log = front, begun, front.log
         self.version = begun.version
-        self.record = self.record_class(state / "configuration") if state is not None else None
+        self.record = self.record_class(state / NOW) if state is not None else None
+        self.next_start = self.record_class(state / NEXT) if state is not None else None
         self.written = anyio.Event()
         self.wire = None
         self.last_checked: tuple[bytes, Site] | None = None
@@ -178,10 +193,21 @@
     def check_configuration(self, content: bytes) -> str | None:
         try:
             self.last_checked = content, self.checked(self.begun.path, self.front.site, content)
+        except NeedsRestart as wrong:
+            self._keep_for_next_start(content)
+            return told(self.begun.path, wrong)
         except Mistakes as wrong:
             return told(self.begun.path, wrong)
         return None
 
+    def _keep_for_next_start(self, content: bytes) -> None:
+        if self.next_start is None or self.wire is None:
+            return
+        try:
+            self.next_start.write(ENCODER.encode(Kept(FORM, tuple(self.wire.copy.held), zstandard.ZstdCompressor().compress(content))))
+        except OSError as wrong:
+            self.log.warning("configuration-not-kept", cause=str(wrong))
+
     def take_configuration(self, version: str, content: bytes) -> str | None:
         if version == self.version:
             # what the disk had, with which this front began
--- a/curlewshift/site/changes.py
+++ b/curlewshift/site/changes.py
@@ -11,6 +11,7 @@
 from typing import Iterator
 
 from curlewshift.model import Package
+from curlewshift.site.reading import Mistakes
 from curlewshift.site.site import Duties, Site
 
 # Lines and words, as in reading.Mistakes.
@@ -19,6 +20,8 @@
 TAKEN = ("packages", "uplinks", "titles", "duties", "most_waiting", "ice_servers", "limits", "machines")
 OF_PACKAGES = ("value", "join_target", "patience", "floor", "top", "seats")
 OF_DUTIES = ("way_back", "longest_wait", "most_tune_ins", "free_further", "further_share", "look_back", "grace")
+# What all members have to have alike, or sums and majorities are no sums and majorities: one after another is not enough.
+ALIKE = ("name", "doors", "peers", "sharing", "together", "leases", "control", "configuration")
 # Where a field is in the file, and what it is called there.
 PLACES = {
     "name": ".", "doors": "fronts/front", "list_at": "list", "most_connections": "fronts", "published": "packages",
@@ -28,6 +31,10 @@
 }
 
 
+class NeedsRestart(Mistakes):
+    """There is nothing wrong with the file but that it cannot be in force before a restart."""
+
+
 def refusals(running: Site, new: Site, root) -> Refusals:
     """What of `new` cannot be in force before a restart; `root` is its file's root element, for the lines."""
     wrong: Refusals = []
@@ -56,6 +63,13 @@
     return sorted(set(wrong))
 
 
+def unalike(running: Site, new: Site, root) -> Refusals:
+    """Of the same, what cannot be in force even by one restart after another: all have to be stopped."""
+    wrong = {(_line(root, PLACES[name]), f"{PLACES[name].rpartition('/')[2].replace('.', 'site')}: needs all members stopped at once")
+             for name in ALIKE if getattr(running, name) != getattr(new, name)}
+    return sorted(wrong)
+
+
 def _line(root, place: str) -> int:
     found = root if place == "." else root.find(place)
     while found is None and "/" in place:
