--- a/curlewshift/front/configured.py
+++ b/curlewshift/front/configured.py
@@ -212,7 +212,12 @@
         if version == self.version:
             # what the disk had, with which this front began
             return None
-        wrong = self.check_configuration(content)
+        if self.last_checked is None or self.last_checked[0] is not content:
+            self.last_checked = None
+            wrong = self.check_configuration(content)
+        else:
+            # the wire has had it checked in this very instant, and to read a large file twice would hold up viewers twice
+            wrong = None
         if wrong is None:
             try:
                 swap = self.swap_class()
@@ -221,8 +226,9 @@
             except Exception as fault:
                 self.log.error("fault", what="a new configuration", version=version, cause=repr(fault), exc_info=fault)
                 wrong = f"a fault while it was taken, and what was in force before is again: {fault!r}"
+        self.last_checked = None
         if wrong is None:
-            self.version, self.last_checked = version, None
+            self.version = version
         return wrong
 
     def keep_configuration(self, data: bytes) -> None:
--- a/curlewshift/site/changes.py
+++ b/curlewshift/site/changes.py
@@ -59,7 +59,8 @@
                 wrong.append((_line(root, PLACES[name]), "overload: needs a restart"))
         elif before != after and name not in TAKEN:
             place = PLACES[name]
-            wrong.append((_line(root, place), f"{place.rpartition('/')[2].replace('.', 'site')}: needs a restart"))
+            what = "needs all members stopped at once" if name in ALIKE else "needs a restart"
+            wrong.append((_line(root, place), f"{place.rpartition('/')[2].replace('.', 'site')}: {what}"))
     return sorted(set(wrong))
 
 
