Distribution at 630 nodes in virtual time: givers serve few whole contents at once

At 630 nodes the first version did not spread: one that gives 2 KB a second shared it among all who asked, so that nobody had a whole one to give on (4 of 634 nodes after 20 s). A giver that has rested may now give one whole content at once, serves two (control machines six) at a time, and says so to others a bounded number of times; who is turned away asks two givers a round.

--- a/curlewshift/commands/measure.py
+++ b/curlewshift/commands/measure.py
@@ -155,3 +155,20 @@
     """What sharing costs a front in bytes and datagrams, by the number of fronts and servers (simulated)."""
     from curlewshift.emulator.sharing_bytes import measure_shared as measured
     keep(out, measured())
+
+
+@measure.command("versions")
+@click.option("--out", type=PATH, required=True, help="A JSON file for the figures; what it has of others is kept.")
+@click.option("--only", "names", multiple=True, help="One of no_loss, loss_of_5_percent, zone_returns_empty, regions_apart, "
+                                                     "stretch, histories; may be given more than once.")
+@click.option("--histories", "many", type=click.IntRange(1, 1_000_000), default=10_000, help="Random histories.")
+@click.option("--workers", type=click.IntRange(0, 512), default=0, help="Processes; all cores but one if not said.")
+def measure_versions(out, names, many, workers):
+    """How soon a change of configuration is in force at 630 nodes, its bytes, and random histories of versions (simulated)."""
+    import json
+    import os
+    from curlewshift.emulator.version_figures import measure_versions as measured
+    began = [round(load, 1) for load in os.getloadavg()]
+    told = measured(workers, names, many)
+    told["load"] = {"before": began, "after": [round(load, 1) for load in os.getloadavg()]}
+    keep(out, {**(json.loads(out.read_text()) if out.exists() else {}), **told})
--- a/curlewshift/distribution/fetching.py
+++ b/curlewshift/distribution/fetching.py
@@ -29,14 +29,14 @@
 class Wanted:
     """`givers` tells who has it, as far as is known."""
 
-    __slots__ = ("version", "givers", "parts", "asked", "asked_at", "heard_at", "due", "whole_only")
+    __slots__ = ("version", "givers", "parts", "asked", "asked_at", "heard_at", "due", "whole_only", "tries")
 
     def __init__(self, version: Version, givers: Callable[[], list[str]]):
         self.version, self.givers = version, givers
         self.parts: dict[bytes, Parts] = {}
         self.asked, self.asked_at, self.heard_at, self.whole_only = "", 0, 0, False
         # pieces that the one asked may still send; none told of how many there are before the first came
-        self.due = 0
+        self.due = self.tries = 0
 
 
 class Fetch:
@@ -66,6 +66,7 @@
         now = self.outside.now()
         self.resting = {name: until for name, until in self.resting.items() if until > now}
         for wanted in list(self.wanted.values()):
+            wanted.tries = 0
             if wanted.asked and now - max(wanted.asked_at, wanted.heard_at) > self.terms.ask_within:
                 # silent, or its last pieces were lost: after some that came, it is asked for the rest
                 if wanted.heard_at <= wanted.asked_at:
@@ -104,11 +105,14 @@
         self._not_now(giver, version, self.terms.rest // 4)
 
     def _not_now(self, giver: str, version: Version, after: int) -> None:
-        self.resting[giver] = self.outside.now() + min(after, self.terms.rest)
+        # not all at the same moment again
+        self.resting[giver] = self.outside.now() + int(min(after, self.terms.rest) * self.chance.uniform(1, 2))
         wanted = self.wanted.get(version.digest)
         if wanted is not None and wanted.asked == giver:
             wanted.asked = ""
-            self._ask(wanted)
+            wanted.tries += 1
+            if wanted.tries < self.terms.tries_a_round:
+                self._ask(wanted)
 
     # ---- the course of one
 
--- a/curlewshift/distribution/giving.py
+++ b/curlewshift/distribution/giving.py
@@ -25,9 +25,13 @@
 
 
 class Giver:
-    def __init__(self, outside: Outside, library: Library, terms: DistributionTerms):
+    def __init__(self, outside: Outside, library: Library, terms: DistributionTerms, is_store: bool = False):
         self.outside, self.library, self.terms = outside, library, terms
-        self.left, self.at = float(terms.give_bytes), outside.now()
+        self.rate = terms.store_give_bytes if is_store else terms.give_bytes
+        self.burst = max(self.rate, terms.give_burst)
+        self.most_askers = terms.store_most_askers if is_store else terms.most_askers
+        self.left, self.at = float(self.burst), outside.now()
+        self.busy_left = float(terms.most_busy)
         self.askers: dict[str, int] = {}
         self.given_bytes = self.times_busy = 0
 
@@ -39,14 +43,14 @@
             return
         now = self.outside.now()
         self._refill(now)
-        wait = self._wait(asker, now)
-        if wait:
-            self.times_busy += 1
-            self.outside.busy(asker, version, wait)
-            return
-        self.askers[asker] = now
         base, packed = self._packing(content, base, packing)
         name, total = name_of(packed), pieces_of(packed)
+        wait = self._wait(asker, now, total)
+        if wait:
+            self._busy(asker, version, wait)
+            return
+        if total > 1:
+            self.askers[asker] = now
         wanted = missing if name == packing else list(range(total))
         for index in wanted[:self.terms.window]:
             if index >= total:
@@ -54,11 +58,17 @@
             data = piece(packed, index)
             if self.left <= 0 or not self.outside.give(asker, version, base, name, total, index, data):
                 # the rest is for another to give
-                self.outside.busy(asker, version, max(self._wait(asker, now), NS // 10))
+                self._busy(asker, version, max(self._wait(asker, now, total), NS // 2))
                 break
             self.left -= len(data) + FRAME
             self.given_bytes += len(data) + FRAME
 
+    def _busy(self, asker: str, version: Version, after: int) -> None:
+        self.times_busy += 1
+        if self.busy_left >= 1:
+            self.busy_left -= 1
+            self.outside.busy(asker, version, after)
+
     def _packing(self, content: bytes, base: bytes, packing: bytes) -> tuple[bytes, bytes]:
         whole, held = packed_whole(content), self.library.get(base)
         if held is None or name_of(whole) == packing:
@@ -67,14 +77,17 @@
         return (base, difference) if len(difference) < len(whole) else (b"", whole)
 
     def _refill(self, now: int) -> None:
-        self.left = min(self.terms.give_bytes, self.left + max(0, now - self.at) * self.terms.give_bytes / NS)
+        passed = max(0, now - self.at) / NS
+        self.left = min(self.burst, self.left + passed * self.rate)
+        self.busy_left = min(self.terms.most_busy, self.busy_left + passed * self.terms.most_busy)
         self.at = max(now, self.at)
 
-    def _wait(self, asker: str, now: int) -> int:
-        """0: it may be given something now."""
+    def _wait(self, asker: str, now: int, total: int) -> int:
+        """0: it may be given something now. A single piece is given to anyone; of a whole content to few at once, or all would
+        have theirs late."""
         self.askers = {name: at for name, at in self.askers.items() if now - at < NS}
         if self.left <= 0:
-            return int((FRAME - self.left) * NS / self.terms.give_bytes)
-        if asker not in self.askers and len(self.askers) >= self.terms.most_askers:
-            return NS - (now - min(self.askers.values()))
+            return int((FRAME - self.left) * NS / self.rate)
+        if total > 1 and asker not in self.askers and len(self.askers) >= self.most_askers:
+            return NS
         return 0
--- a/curlewshift/distribution/terms.py
+++ b/curlewshift/distribution/terms.py
@@ -15,8 +15,17 @@
 
     stores: tuple[str, ...]
     give_bytes: int = 2048
-    # who had pieces of this giver within the last second; one more is told to come again
-    most_askers: int = 8
+    # what a giver that has rested may give at once: a whole content, so that one who has it makes two within a moment
+    give_burst: int = 16 * 1024
+    # the machines set aside for it give more, and to more at once
+    store_give_bytes: int = 32 * 1024
+    # who had pieces of a whole content within the last second, here and at a store; one more is told to come again
+    most_askers: int = 2
+    store_most_askers: int = 6
+    # words that say so, a second: who hears none is silent to its asker, and is left alone for longer
+    most_busy: int = 20
+    # givers that are asked in one round by one who is turned away
+    tries_a_round: int = 2
     # the wire's own round
     every: int = NS // 5
     # what is news is told to so many others, so many rounds long
--- /dev/null
+++ b/curlewshift/emulator/versions.py
@@ -0,0 +1,166 @@
+"""Nodes that take versions of the configuration, over the channels that serve, in virtual time. Called by `measure versions`.
+
+630 nodes in nine zones of three regions and the control machines, whose lease the fleet gives to one of them. Frames, words and
+their bytes are the program's own; figures from here are simulated.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from curlewshift.distribution.library import Library
+from curlewshift.distribution.terms import DistributionTerms
+from curlewshift.distribution.versions import digest_of
+from curlewshift.emulator.peers import MS, NS, Links, PeerFleet, Post
+from curlewshift.membership.manners import usual_manners
+from curlewshift.peering.distributed import DistributionWire
+
+EVERY = 200 * MS
+
+
+def site_file(fronts: int, changed: int = 0) -> bytes:
+    """Settings with so many fronts named; with another `changed` one attribute differs."""
+    chance = Random(1)
+    rows = [f'    <front name="{chance.choice("abcdefgh")}{chance.randrange(10**5)}-{n}" listen="10.{chance.randrange(256)}.'
+            f'{chance.randrange(256)}.{chance.randrange(256)}:8443" peers-listen="10.{chance.randrange(256)}.'
+            f'{chance.randrange(256)}.{chance.randrange(256)}:8181" zone="z{n % 9}"/>' for n in range(fronts)]
+    packages = [f'    <package name="p{n}" value="{n % 3 + 1}" join-target="{800 + 100 * n}ms" patience="4s"/>' for n in range(12)]
+    packages[0] = f'    <package name="p0" value="3" join-target="{800 + changed}ms" patience="4s"/>'
+    return "\n".join(['<?xml version="1.0" encoding="UTF-8"?>', '<site name="large">', '  <fronts most-waiting="500">', *rows,
+                      '  </fronts>', '  <packages>', *packages, '  </packages>', '</site>', '']).encode()
+
+
+class OneMemory(Library):
+    """All nodes of an emulated fleet share what is the same: a content each would be gigabytes."""
+
+    same: dict[bytes, bytes] = {}
+
+    def hold(self, content: bytes) -> None:
+        super().hold(self.same.setdefault(digest_of(content), content))
+
+
+class EmulatedWire(DistributionWire):
+    library_class = OneMemory
+
+
+class NoLog:
+    def info(self, *_, **__) -> None:
+        pass
+
+    warning = info
+
+    def error(self, event: str, **more) -> None:
+        if event == "fault":
+            raise RuntimeError(str(more))
+
+
+class VersionPost(Post):
+    """A node with its disk."""
+
+    wire: DistributionWire | None = None
+    copy: bytes | None = None
+    vote: bytes | None = None
+    fence = sent = received = 0
+
+    def start(self) -> None:
+        super().start()
+        fleet, life = self.fleet, self.lives
+        self.wire = EmulatedWire(self.channel, self, self.name, fleet.places, fleet.terms, lambda: self.fence, self, fleet.log,
+                                 Random(f"{fleet.seed} {self.name} {life}"), self.copy, self.vote)
+        fleet.queue.at(fleet.queue.now + fleet.chance.randrange(EVERY), self._round, life)
+
+    def _round(self, life: int) -> None:
+        if self.channel is not None and self.lives == life:
+            self.wire.time()
+            if self.wire.copy.newest.fence == 0 and not self.wire.nothing_at:
+                self.wire.ask_around()
+            self.fleet.queue.at(self.fleet.queue.now + EVERY, self._round, life)
+
+    def post(self, address: tuple[str, int], data: bytes) -> None:
+        self.sent += len(data)
+        super().post(address, data)
+
+    def arrive(self, data: bytes) -> None:
+        if self.channel is not None:
+            self.received += len(data)
+        super().arrive(data)
+
+    def check_configuration(self, content: bytes) -> str | None:
+        return None
+
+    def take_configuration(self, version: str, content: bytes) -> str | None:
+        self.fleet.taken(self, version)
+        return None
+
+    def keep_configuration(self, data: bytes) -> None:
+        # as equal as contents are
+        self.copy = self.fleet.disks.setdefault(data, data)
+
+    def keep_vote(self, data: bytes) -> None:
+        self.vote = data
+
+
+class VersionFleet(PeerFleet):
+    def __init__(self, size: int, seed: int = 1, zones: int = 9, regions: int = 3, stores: int = 4, loss: float = 0.0):
+        super().__init__(0, seed, usual_manners(NS), most_bytes=64 * 1024, links=Links(loss=loss))
+        self.fronts, self.log, self.disks = size, NoLog(), {}
+        self.posts = [VersionPost(self, number) for number in range(size + stores)]
+        for number, post in enumerate(self.posts[size:]):
+            post.name = f"c{number}"
+        self.nodes, self.stores = self.posts[:size], self.posts[size:]
+        self.at = {post.address: post for post in self.posts}
+        self.seeds = [post.address for post in self.posts[:3]]
+        self.zone_of = [number % zones for number in range(size + stores)]
+        self.region_of = [zone * regions // zones for zone in self.zone_of]
+        self.places = {post.name: (f"r{region}", f"z{zone}") for post, region, zone in
+                       zip(self.posts, self.region_of, self.zone_of)}
+        self.terms = DistributionTerms(tuple(post.name for post in self.stores))
+        self.fences = self.changes = 0
+        # version -> when each node took it; when it was asked for, and when it was answered
+        self.took: dict[str, dict[str, int]] = {}
+        self.asked: dict[str, int] = {}
+        self.answered: dict[str, int] = {}
+        self.last = "file"
+
+    def begin(self) -> VersionFleet:
+        """Settled, with a first version in force everywhere."""
+        self.start_settled()
+        self.run(2)
+        self.grant(self.stores[0])
+        self.change()
+        self.run(20)
+        return self
+
+    def grant(self, store: VersionPost) -> None:
+        self.fences += 1
+        for other in self.stores:
+            other.fence = 0
+        store.fence = self.fences
+
+    def holder(self) -> VersionPost:
+        return next(store for store in self.stores if store.fence)
+
+    def taken(self, post: VersionPost, version: str) -> None:
+        self.took.setdefault(version, {})[post.name] = self.queue.now
+
+    def change(self, within: float = 15) -> None:
+        """One attribute of one package."""
+        self.changes += 1
+        asked, wire = self.queue.now, self.holder().wire
+
+        def done(told: dict) -> None:
+            if not told["ok"]:
+                raise RuntimeError(f"a change was not made: {told['wrong']}")
+            self.last = told["version"]
+            self.asked[self.last], self.answered[self.last] = asked, self.queue.now
+        wire.begin_put(site_file(self.fronts, self.changes), wire.version, int(within * NS), done)
+
+    def everywhere(self) -> bool:
+        return all(post.wire.version == self.last for post in self.alive())
+
+    def times(self, version: str) -> list[float]:
+        """Seconds from the operator's word until in force, by node, rising."""
+        return sorted((at - self.asked[version]) / NS for at in self.took.get(version, {}).values())
+
+    def spent(self) -> dict[str, tuple[int, int]]:
+        return {post.name: (post.sent, post.received) for post in self.posts}
--- a/curlewshift/peering/distributed.py
+++ b/curlewshift/peering/distributed.py
@@ -179,7 +179,7 @@
         self.library = self.library_class()
         self.store = self.store_class(self, vote, chance) if me in terms.stores else None
         self.writer = self.writer_class(self, me, channel.membership.me.life, terms) if me in terms.stores else None
-        self.giver = self.giver_class(self, self.library, terms)
+        self.giver = self.giver_class(self, self.library, terms, me in terms.stores)
         self.fetch = self.fetch_class(self, self.library, terms, chance)
         self.reporter = self.reporter_class(self, me, self.zone, terms)
         self.fleet = Fleet(self)
