--- a/curlewshift/capture/store.py
+++ b/curlewshift/capture/store.py
@@ -58,6 +58,10 @@
             self.held += len(raw)
             self.behind.put(raw)
 
+    def stop(self, why: str) -> None:
+        """Nothing is written from here on: what follows could not be played again."""
+        self._end(why)
+
     def close(self) -> None:
         """What was noted is on the disk when this returns."""
         self.behind.close()
--- a/curlewshift/front/configured.py
+++ b/curlewshift/front/configured.py
@@ -203,8 +203,9 @@
     def _keep_for_next_start(self, content: bytes) -> None:
         if self.next_start is None or self.wire is None:
             return
+        kept = Kept(FORM, tuple(self.wire.copy.held), zstandard.ZstdCompressor().compress(content))
         try:
-            self.next_start.write(ENCODER.encode(Kept(FORM, tuple(self.wire.copy.held), zstandard.ZstdCompressor().compress(content))))
+            self.next_start.write(ENCODER.encode(kept))
         except OSError as wrong:
             self.log.warning("configuration-not-kept", cause=str(wrong))
 
@@ -229,6 +230,8 @@
         self.last_checked = None
         if wrong is None:
             self.version = version
+            if self.front.capture is not None:
+                self.front.capture.stop(f"the settings changed to {version}, and a replay decides by those of the start")
         return wrong
 
     def keep_configuration(self, data: bytes) -> None:
--- a/tests/test_configured.py
+++ b/tests/test_configured.py
@@ -269,6 +269,13 @@
         self.assertIsNone(self.take(('<title name="t02"', '<title name="t98"'), version="7.2-abc"))
         self.assertEqual(sum(title.name == "t02" for titles in desk.roster.on_shelf.values() for title in titles), 0)
 
+    def test_a_capture_ends_where_a_version_comes_into_force(self):
+        capture = self.front.capture = mock.Mock()
+        self.assertIsNotNone(self.take(('patience="4s"', 'patience="4"')))
+        capture.stop.assert_not_called()
+        self.assertIsNone(self.take(('patience="4s"', 'patience="5s"')))
+        self.assertIn("7.1-abc", capture.stop.call_args.args[0])
+
     def test_a_refused_one_changes_nothing_and_is_told_with_file_and_line(self):
         before = self.state()
         for changes, words in (
