--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -181,6 +181,15 @@
             self.loop.until(lambda: storm.waits, 0.3, "a storm")
         self.assertGreater(storm.refused, 2)
 
+    def test_who_is_dropped_before_it_says_anything_comes_again(self):
+        node = Spoilt(self.loop, 0, 0)
+        crowd = slopes_idle.Returning(self.loop, node.port, Random(1))
+        gone = crowd.connect()
+        gone.sock.shutdown(socket.SHUT_WR)
+        crowd.greet(gone)
+        self.loop.until(lambda: crowd.dropped, 2, "its end is read")
+        self.assertEqual((crowd.dropped, len(crowd.viewers), gone in crowd.viewers), (1, 1, False))
+
     def test_a_pace_leaves_nothing_out_when_the_loop_comes_late(self):
         stands, calls = mock.Mock(loop=self.loop, chance=Random(3)), []
         pace = Pace(stands, 1000, lambda: calls.append(1))
