--- a/curlewshift/commands/main.py
+++ b/curlewshift/commands/main.py
@@ -7,7 +7,7 @@
 import click
 
 # Each lies in the file of its name, under its name.
-NOUNS = ("authority", "capacity", "capture", "check", "configuration", "control", "experiment", "front", "leases", "limits",
+NOUNS = ("authority", "capacity", "capture", "check", "configuration", "control", "experiment", "front", "leases", "leavers", "limits",
          "measure", "node", "overload", "peak", "peers", "rehearse", "replay", "scale", "search", "shared", "slopes", "standin", "walk")
 
 
--- /dev/null
+++ b/curlewshift/rehearsal/node_day.py
@@ -0,0 +1,132 @@
+"""Some seconds of the front node in service, as a process of its own, between viewers that leave and media servers that do badly;
+judged from both sockets by verdict/attempts.py. Bounded in time and count; called by `curlewshift leavers` and by tests.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import anyio
+
+from curlewshift.rehearsal.node_sides import FAILED, PATIENCE_MS, PLAYS, REFUSED, Server, Viewer
+from curlewshift.rehearsal.processes import ROOT, free_ports, listens
+from curlewshift.standins.traffic import Traffic, read_traffic
+from curlewshift.verdict.attempts import judge_attempts
+
+FRONT = "n0"
+SERVERS, DESCRIPTORS = 24, 900
+MOST_SECONDS, MOST_VIEWERS = 60.0, 5000
+START_WITHIN = 30.0
+# The node is stopped (SIGSTOP) this often in a day, for between so long (s).
+STOPS, STOPPED = 2, (0.15, 0.4)
+# After the last viewer the servers go on for so long (s): who was begun late would be seen.
+RUN_OUT = 1.0
+
+
+class NodeDay:
+    """`sabotage` is a name of node_spoilt.py. Raises `OSError` if the node does not start."""
+
+    def __init__(self, out: Path, seed: int, seconds: float, viewers: int, sabotage: str = "", stops: int = STOPS):
+        self.out, self.seed, self.sabotage, self.stops = out, seed, sabotage, stops
+        self.seconds, self.viewers = min(seconds, MOST_SECONDS), min(viewers, MOST_VIEWERS)
+        self.chance = Random(seed)
+        out.mkdir(parents=True, exist_ok=True)
+        for name in ("traffic.jsonl", "node.log", "verdict.json"):
+            (out / name).unlink(missing_ok=True)
+        self.traffic = Traffic(out / "traffic.jsonl")
+
+    async def run(self) -> dict:
+        """The verdict, which is written to the folder too."""
+        self.servers = [Server(number, Random(self.chance.random()), self.traffic) for number in range(SERVERS)]
+        bulletin = socket.create_server(("127.0.0.1", 0))
+        [self.port] = free_ports(1, Random(os.getpid()))
+        self._write_configuration(bulletin.getsockname()[1])
+        try:
+            await self._day()
+        finally:
+            for one in (bulletin, *(server.listener for server in self.servers)):
+                one.close()
+            self.traffic.close()
+        events = read_traffic(self.out / "traffic.jsonl")
+        statuses = [event["status"] for event in events if event["ev"] == "answer"]
+        verdict = {"seed": self.seed, "sabotage": self.sabotage, "asked": sum(event["ev"] == "ask" for event in events),
+                   "played": statuses.count(PLAYS), "refused": statuses.count(REFUSED), "failed": statuses.count(FAILED),
+                   "unanswered": self.unanswered, "faults": self._faults(),
+                   "attempts_after_leaving": judge_attempts(events, known_as=str)}
+        (self.out / "verdict.json").write_text(json.dumps(verdict, indent=1) + "\n")
+        return verdict
+
+    async def _day(self) -> None:
+        start = ["curlewshift.rehearsal.node_spoilt", self.sabotage] if self.sabotage else ["curlewshift.node"]
+        with open(self.out / "node.log", "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", *start], cwd=ROOT, stdout=log, stderr=log,
+                env={**os.environ, "NODE_CONFIG": str(self.out / "config.json")}, start_new_session=True)
+        try:
+            if not await listens(self.port, START_WITHIN):
+                raise OSError(f"the node does not listen; see {self.out / 'node.log'}")
+            async with anyio.create_task_group() as tasks:
+                for server in self.servers:
+                    tasks.start_soon(server.run, tasks)
+                    tasks.start_soon(server.befall, self.seconds)
+                tasks.start_soon(self._stop_now_and_then)
+                viewers = await self._viewers()
+                await anyio.sleep(RUN_OUT)
+                tasks.cancel_scope.cancel()
+            self.unanswered = sum(viewer.unanswered for viewer in viewers)
+            if self.process.poll() is not None:
+                raise OSError(f"the node has ended with {self.process.returncode}; see {self.out / 'node.log'}")
+        finally:
+            # what plays for viewers that left as it was answered would keep it; its end is judged elsewhere
+            self.process.kill()
+            self.process.wait()
+
+    def _faults(self) -> dict[str, int]:
+        """What the node's log calls a fault, and how often: nothing that a viewer or a server does should be one."""
+        lines = [json.loads(line) for line in (self.out / "node.log").read_text().splitlines() if line.startswith("{")]
+        return dict(Counter(line.get("cause", "") for line in lines if line.get("event") == "fault"))
+
+    async def _viewers(self) -> list[Viewer]:
+        """All who come in the day, over when the last has gone."""
+        begins, chance = time.monotonic(), Random(self.chance.random())
+        viewers = [Viewer(number, Random(chance.random()), self.traffic, FRONT) for number in range(1, self.viewers + 1)]
+        async with anyio.create_task_group() as tasks:
+            for viewer, at in zip(viewers, sorted(chance.uniform(0, self.seconds) for _ in viewers)):
+                await anyio.sleep(max(0.0, begins + at - time.monotonic()))
+                tasks.start_soon(viewer.come, self.port)
+        return viewers
+
+    async def _stop_now_and_then(self) -> None:
+        chance = Random(self.chance.random())
+        for _ in range(self.stops):
+            await anyio.sleep(chance.uniform(0.3, 0.8) * self.seconds / max(1, self.stops))
+            self.process.send_signal(signal.SIGSTOP)
+            self.traffic.seen("front-paused", front=FRONT)
+            await anyio.sleep(chance.uniform(*STOPPED))
+            self.traffic.seen("front-goes-on", front=FRONT)
+            self.process.send_signal(signal.SIGCONT)
+
+    def _write_configuration(self, bulletin: int) -> None:
+        rows = [dict(id=one.name, addr=f"127.0.0.1:{one.port}", zone="a", kind="box", cell=one.number % 4, state="active",
+                     weight=1.0, started_ms=0) for one in self.servers]
+        classes = [dict(name="lesson", effect="safe", gain=1.0, goal_time_ms=800, give_up_ms=PATIENCE_MS),
+                   dict(name="clip", effect="unsafe", gain=2.0, goal_time_ms=800, give_up_ms=PATIENCE_MS)]
+        settings = dict(
+            balancers=1, my_number=0, areas=["a"], flavors=["box"], classes=classes,
+            # a dial that is lost once comes up after a second: it has to be waited for
+            bounds=dict(connect_timeout_ms=1500, idle_close_ms=30000, max_attempts=4, retry_after=True,
+                        max_retry_after_ms=2000, streams_per_conn=8, probes=True),
+            extra=dict(cells=4, cabinets=1, kb_per_weight=1e6, rack_kb=1e9, rung_kb=[100, 200], told_every_ms=1000))
+        told = dict(name=FRONT, listen=f"127.0.0.1:{self.port}", seed=f"{self.seed:x}", limits=dict(sockets=DESCRIPTORS),
+                    bulletin=f"127.0.0.1:{bulletin}", settings=settings,
+                    known=dict(no=1, items=[dict(no=1, roster=dict(version=0, full=True, servers=rows))]))
+        (self.out / "config.json").write_text(json.dumps(told))
--- /dev/null
+++ b/curlewshift/rehearsal/node_spoilt.py
@@ -0,0 +1,50 @@
+"""`python -m curlewshift.rehearsal.node_spoilt NAME`: a front node that does not see one way in which viewers leave. Started by
+node_day.py alone, to see that its judge catches each; no node that serves anyone is made from it."""
+
+from __future__ import annotations
+
+import sys
+
+from curlewshift.node import __main__ as start
+from curlewshift.node import node
+from curlewshift.node.door import Door, rtsp
+
+
+class DeafToEnds(Door):
+    """Takes the end of a connection for nothing that its requests have to do with."""
+
+    def _left(self, line):
+        line.waiting.clear()
+        super()._left(line)
+
+    def read_first(self, name, then):
+        asked = self.asked.get(name)
+        return asked is not None and not asked.line.wire.gone and super().read_first(name, then)
+
+
+class DeafToCancels(Door):
+    """Takes a cancel, and forgets it."""
+
+    def _torn_down(self, line, name, number, message):
+        asked = self.asked.get(name)
+        if asked is None or asked.course is not None:
+            super()._torn_down(line, name, number, message)
+        else:
+            line.wire.send(rtsp.answer(200, number, name))
+
+
+class DeafNode(node.Node):
+    """Does not tell the desk that a viewer has left."""
+
+    def gave_up(self, request):
+        pass
+
+
+FAULTS = {"deaf-to-ends": lambda: setattr(node, "Door", DeafToEnds),
+          "deaf-to-cancels": lambda: setattr(node, "Door", DeafToCancels),
+          "deaf-to-leaving": lambda: setattr(node, "Node", DeafNode)}
+
+
+if __name__ == "__main__":
+    FAULTS[sys.argv[1]]()
+    start.main()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,7 +1,10 @@
 """The judge of attempts that begin for clients that have left: by days made up for it, and by real sockets."""
 
 import contextlib
+import json
 import socket
+import subprocess
+import sys
 import tempfile
 import time
 import unittest
@@ -19,6 +22,7 @@
 from tests.sockets import SDP, SmallSite, an_offer, story, until
 
 MS = 1_000_000
+ROOT = Path(__file__).resolve().parents[1]
 
 
 class Day:
@@ -189,5 +193,37 @@
         self.assertGreater(told["latest_ms"], 140)
 
 
+class AtTheNodeInService(unittest.TestCase):
+    """`curlewshift leavers`, as users start it: the node is a process of its own, sound or deaf to a way to leave."""
+
+    FAULTS = {"deaf-to-ends": ("closed", "reset", "shut-down"), "deaf-to-cancels": ("cancelled",),
+              "deaf-to-leaving": ("closed", "reset", "shut-down", "cancelled")}
+
+    def test_a_sound_one_begins_nothing_late_and_one_deaf_to_a_way_to_leave_is_caught_by_that_way(self):
+        with tempfile.TemporaryDirectory() as folder:
+            runs = {sabotage: subprocess.Popen(
+                [sys.executable, "-m", "curlewshift", "leavers", "--seconds", "1.5", "--viewers", "200", "--out",
+                 str(Path(folder) / (sabotage or "sound")), "--sabotage", sabotage], cwd=ROOT, stdout=subprocess.PIPE,
+                stderr=subprocess.PIPE, text=True) for sabotage in ("", *self.FAULTS)}
+            told = {sabotage: run.communicate(timeout=60) for sabotage, run in runs.items()}
+            verdicts = {sabotage: json.loads((Path(folder) / (sabotage or "sound") / "verdict.json").read_text())
+                        for sabotage in runs}
+        sound = verdicts.pop("")
+        judged = sound["attempts_after_leaving"]
+        self.assertEqual((judged["late"], judged["unjoined"], judged["clean"], sound["unanswered"]), (0, 0, True, 0), told[""])
+        self.assertGreater(min(judged["left"], sound["played"], sound["refused"]), 5, sound)
+        for sabotage, verdict in verdicts.items():
+            judged = verdict["attempts_after_leaving"]
+            self.assertEqual((judged["clean"], runs[sabotage].returncode), (False, 1), told[sabotage])
+            self.assertGreater(judged["late"], 0, judged)
+            for how in self.FAULTS[sabotage]:
+                self.assertGreater(judged["ways"].get(how, 0), 0, (sabotage, judged))
+
+    def test_a_sabotage_that_nobody_knows_ends_with_2(self):
+        run = subprocess.run([sys.executable, "-m", "curlewshift", "leavers", "--out", "/dev/null", "--sabotage", "sleepy"],
+                             cwd=ROOT, capture_output=True, text=True, timeout=60)
+        self.assertEqual((run.returncode, "deaf-to-ends" in run.stderr), (2, True))
+
+
 if __name__ == "__main__":
     unittest.main()
