--- a/curlewshift/distribution/copy.py
+++ b/curlewshift/distribution/copy.py
@@ -77,8 +77,10 @@
 
     def heard(self, version: Version) -> bool:
         """True if it is news."""
-        self._same(version, self.newest)
-        self._same(version, self.held)
+        for other in {self.newest, self.held}:
+            if version.number == other.number and version.digest != other.digest:
+                self.forks += 1
+                self.outside.forked(version, other)
         if not version.over(self.newest):
             return False
         self.newest = version
@@ -126,11 +128,6 @@
         except OSError as wrong:
             self.outside.not_kept(str(wrong))
 
-    def _same(self, one: Version, other: Version) -> None:
-        if one.number == other.number and one.digest != other.digest:
-            self.forks += 1
-            self.outside.forked(one, other)
-
     # ---- how old it is
 
     def vouched(self, version: Version, age: int) -> None:
--- a/curlewshift/distribution/writer.py
+++ b/curlewshift/distribution/writer.py
@@ -234,7 +234,7 @@
 
     def _make(self) -> None:
         tenure, put = self.tenure, self.wanted
-        if put is None or put.version is not None or not self._may_act():
+        if put is None or put.version is not None or tenure.outbid_by is not None or not self._may_act():
             return
         if (put.base or NONE.text) != tenure.value.text:
             self.wanted = None
--- a/curlewshift/emulator/versions.py
+++ b/curlewshift/emulator/versions.py
@@ -72,8 +72,6 @@
     def _round(self, life: int) -> None:
         if self.channel is not None and self.lives == life:
             self.wire.time()
-            if self.wire.copy.newest.fence == 0 and not self.wire.nothing_at:
-                self.wire.ask_around()
             self.fleet.queue.at(self.fleet.queue.now + EVERY, self._round, life)
 
     def post(self, address: tuple[str, int], data: bytes) -> None:
--- a/curlewshift/peering/distributed.py
+++ b/curlewshift/peering/distributed.py
@@ -31,6 +31,8 @@
 NS = 1_000_000_000
 # Between looks at whether a start has found something (s), and peers that say they have nothing before it is believed.
 LOOK, NOTHING_FROM = 0.05, 3
+# Rounds in which one that starts empty asks its own zone, before it takes from anybody.
+ASK_AROUND = 3
 # Words of a writer that wait for the content they name.
 MOST_WAITING = 4
 # How old, in tenths of a second, a ride says at the most.
@@ -173,6 +175,7 @@
         # what each peer told last that it holds, and those of them that said it holds nothing
         self.holders: dict[str, Version] = {}
         self.nothing_at: set[str] = set()
+        self.asked_around = 0
         self.target = NONE
         self.tellings_left = 0
         self.waiting: dict[Version, tuple[str, object]] = {}
@@ -209,6 +212,9 @@
                 self.writer.time()
                 if self.writer.vouches():
                     self.copy.vouched(self.writer.tenure.value, 0)
+            if self.copy.held == NONE and self.asked_around < ASK_AROUND and self.channel.membership.ring:
+                self.asked_around += 1
+                self.ask_around()
             self._want_newest()
             self.fetch.time()
             self._tell_news()
@@ -246,17 +252,18 @@
         """For so long at the most (s), and no longer than until something is held or some peers say that there is nothing."""
         with anyio.move_on_after(within):
             while self.copy.held == NONE and len(self.nothing_at) < NOTHING_FROM:
-                self.ask_around()
+                if self.asked_around >= ASK_AROUND:
+                    self.ask_around()
                 self.time()
                 await anyio.sleep(LOOK)
         self.log.info("started-from-peers", version=self.copy.version.text, nothing_at=len(self.nothing_at))
 
     def ask_around(self) -> None:
-        if self.copy.newest == NONE:
-            near = self.near([member.name for member in self.channel.membership.ring
-                              if member.name not in self.nothing_at])
-            if near:
-                self._say(self.chance.choice(near), Tell(tuple(NONE), True))
+        """What one near holds, of whom nothing is known."""
+        near = self.near([member.name for member in self.channel.membership.ring
+                          if member.name not in self.nothing_at and member.name not in self.holders])
+        if near:
+            self._say(self.chance.choice(near), Tell(tuple(NONE), True))
 
     # ---- words
 
@@ -389,6 +396,9 @@
         target = max(there, key=lambda version: version.number, default=None)
         if target is None:
             return
+        if self.copy.held == NONE and self.asked_around < ASK_AROUND and not any(
+                name in self.holders for name in self.neighbours):
+            return
         if target != self.target:
             if self.target not in self.waiting:
                 self.fetch.drop(self.target)
