--- a/curlewshift/commands/front.py
+++ b/curlewshift/commands/front.py
@@ -30,16 +30,10 @@
     from curlewshift.limits.permits import BadKeys
     from curlewshift.logs import make_log
     from curlewshift.state.journal import Taken
-    held = site_of(site)
-    try:
-        number = held.door(name) if name else 0
-    except KeyError:
-        click.echo(f"{site}: there is no front {name!r}, but {', '.join(door.name for door in held.doors)}", err=True)
-        sys.exit(2)
+    held, how = site_of(site), {}
     check_sabotage(sabotage)
     if state is not None:
         state.mkdir(parents=True, exist_ok=True)
-    how = {}
     if held.configuration is not None:
         if sabotage is not None:
             from curlewshift.front.spoilt_configured import spoilt_begin
@@ -47,6 +41,12 @@
         else:
             how["begun"] = begin(site, held, state)
         held = how["begun"].site
+    try:
+        number = held.door(name) if name else 0
+    except KeyError:
+        where = f"{site}, as version {how['begun'].version} of it" if how and how["begun"].how == "disk" else site
+        click.echo(f"{where}: there is no front {name!r}, but {', '.join(door.name for door in held.doors)}", err=True)
+        sys.exit(2)
     arguments = (held, number, secrets.randbits(32) if seed is None else seed, state,
                  make_log(front=held.doors[number].name), life)
     try:
--- a/curlewshift/state/configured.py
+++ b/curlewshift/state/configured.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from hashlib import sha256
 from pathlib import Path
@@ -31,7 +32,8 @@
         head, _, data = raw.partition(b"\n")
         if not self.holds(head, data):
             self.damage = f"{self.path.name} is spoilt: its digest does not fit what is in it"
-            os.replace(self.path, self.path.with_name(self.path.name + ".damaged"))
+            with contextlib.suppress(OSError):
+                os.replace(self.path, self.path.with_name(self.path.name + ".damaged"))
             return None
         return data
 
--- a/curlewshift/verdict/configuration.py
+++ b/curlewshift/verdict/configuration.py
@@ -34,7 +34,7 @@
 def judge_configuration(events: list[dict]) -> dict:
     """`versions`: those that came into force at a front. `in_force_p99_s`, `in_force_max_s`: from when the operator asked to when a
     front is seen with it or a newer one, over versions and fronts; for fronts that were down, stopped or cut off meanwhile from when
-    that was over. `regressions`: a front went to an older one, within a life or over a restart with its disk. `forks`: two contents
+    that was over; `after_made_p99_s` from when a majority had it, as the operator was told. `regressions`: a front went to an older one, within a life or over a restart with its disk. `forks`: two contents
     under one number. `half`: a front whose parts are not of one version. `early`: told before a majority had it. `unfounded`: in
     force though its operator was told that nothing came of it. `bad_taken`: a wrong file was taken, or refused without a line."""
     events = sorted(events, key=lambda event: event["at"])
@@ -79,7 +79,7 @@
     seen: dict[str, list[tuple[int, Number]]] = defaultdict(list)
     for event in lives:
         seen[event["front"]].append((event["at"], number_of(event["version"])))
-    waits, late, missing = [], 0, 0
+    waits, made, late, missing = [], [], 0, 0
     for put in puts:
         if not put["ok"]:
             continue
@@ -100,14 +100,17 @@
                 continue
             wait = max(0, at - since)
             waits.append(wait / SECOND)
+            made.append(max(0, at - max(since, put["at"])) / SECOND)
             if wait > IN_FORCE_WITHIN:
                 late += 1
                 told.append(f"{front} had {put['version']} in force {wait / SECOND:.1f} s after it could")
     waits.sort()
+    made.sort()
     return {"in_force_counted": len(waits), "late": late, "missing": missing,
             "in_force_median_s": round(waits[len(waits) // 2], 2) if waits else None,
             "in_force_p99_s": round(waits[min(len(waits) - 1, int(len(waits) * 0.99))], 2) if waits else None,
-            "in_force_max_s": round(waits[-1], 2) if waits else None}
+            "in_force_max_s": round(waits[-1], 2) if waits else None,
+            "after_made_p99_s": round(made[min(len(made) - 1, int(len(made) * 0.99))], 2) if made else None}
 
 
 def _regressions(events, lives, told: list[str]) -> int:
