--- a/curlewshift/scale/slopes_crowd.py
+++ b/curlewshift/scale/slopes_crowd.py
@@ -28,6 +28,13 @@
     def __init__(self, crowd: Crowd, sock: socket.socket):
         self.crowd, self.sock, self.reader = crowd, sock, rtsp.Reader()
 
+    def say(self, data: bytes) -> None:
+        try:
+            self.sock.sendall(data)
+        except ConnectionError:
+            # the node has closed it, as it may; its end is there to be read
+            pass
+
     def read(self) -> None:
         try:
             data = self.sock.recv(65536)
@@ -64,13 +71,13 @@
         return viewer
 
     def greet(self, viewer: Viewer) -> None:
-        viewer.sock.sendall(OPTIONS)
+        viewer.say(OPTIONS)
 
     def ask(self, viewer: Viewer, again: bool = False) -> str:
         id = f"{self.chance.getrandbits(64):016x}"
         body = b"v=0 offer"
         self.asked[id] = viewer, time.monotonic_ns()
-        viewer.sock.sendall(
+        viewer.say(
             f"SETUP rtsp://media/{self.chance.randrange(1000):016x} RTSP/1.0\r\nCSeq: 1\r\nSession: {id}\r\nX-Cos: lesson\r\n"
             f"X-Timer-Ms: {PATIENCE}\r\nX-Legs: home:{self.chance.randrange(self.homes)};copies:{COPIES};top:9;"
             f"viewer:{self.chance.getrandbits(64):016x}"
@@ -79,7 +86,7 @@
 
     def tear_down(self, id: str) -> None:
         viewer = self.playing.pop(id)
-        viewer.sock.sendall(f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\n"
+        viewer.say(f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\n"
                             "Content-Length: 0\r\n\r\n".encode())
 
     def heard(self, viewer: Viewer, message: rtsp.Message) -> None:
--- a/curlewshift/scale/slopes_idle.py
+++ b/curlewshift/scale/slopes_idle.py
@@ -83,13 +83,6 @@
         super().left(viewer)
         self.greet(self.connect())
 
-    def greet(self, viewer: Viewer) -> None:
-        try:
-            super().greet(viewer)
-        except OSError:
-            # dropped before it could say anything: its end is there to be read, and it comes again by that
-            pass
-
 
 def measure_crowded(run: Run) -> list[Slope]:
     """Idle processor time past the mark from which a node drops connections that rest, while those dropped come again."""
--- a/curlewshift/scale/slopes_stands.py
+++ b/curlewshift/scale/slopes_stands.py
@@ -54,6 +54,13 @@
             self.lines.remove(sock)
             self.loop.remove(sock)
 
+    def say(self, sock: socket.socket, data: bytes) -> None:
+        try:
+            sock.sendall(data)
+        except ConnectionError:
+            # the node has closed it, as it may; its end is there to be read
+            pass
+
     def taker(self, sock: socket.socket) -> Callable[[bytes], None]:
         raise NotImplementedError
 
@@ -83,7 +90,7 @@
                 elif kind == isup.RUNG:
                     self.rungs += 1
             if out:
-                sock.sendall(out)
+                self.say(sock, out)
         return take
 
     def _tell(self, now: int) -> None:
@@ -92,10 +99,10 @@
             self.note(b"wire", b"0.5")
 
     def note(self, kind: bytes, figure: bytes) -> None:
-        self.lines[-1].sendall(isup.encode(isup.NOTE, bytes(8), (isup.KIND, kind), (isup.FIGURE, figure)))
+        self.say(self.lines[-1], isup.encode(isup.NOTE, bytes(8), (isup.KIND, kind), (isup.FIGURE, figure)))
 
     def release(self, id: bytes) -> None:
-        self.sessions.pop(id).sendall(isup.release(id, isup.OVER))
+        self.say(self.sessions.pop(id), isup.release(id, isup.OVER))
 
 
 class Bulletin(Listening):
@@ -107,13 +114,13 @@
         loop.each_turn.append(self._tell)
 
     def taker(self, sock: socket.socket) -> Callable[[bytes], None]:
-        return lambda data: sock.sendall(struct.pack(">IQB", 9, self.last, NOTHING_NEW))
+        return lambda data: self.say(sock, struct.pack(">IQB", 9, self.last, NOTHING_NEW))
 
     def _tell(self, now: int) -> None:
         if now - self.told_at >= TOLD_EVERY:
             self.told_at = now
             for sock in self.lines:
-                sock.sendall(struct.pack(">IQB", 9, self.last, NOTHING_NEW))
+                self.say(sock, struct.pack(">IQB", 9, self.last, NOTHING_NEW))
 
 
 class Stands:
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -22,7 +22,7 @@
 from curlewshift.scale.fits import TooFew, fit
 from curlewshift.scale.slopes_asked import Pace, p99
 from curlewshift.scale.slopes_loop import Loop
-from curlewshift.scale.slopes_stands import Listening
+from curlewshift.scale.slopes_stands import Bulletin, Listening
 from curlewshift.scale.slopes_storm import PAUSE, Storm
 
 SIZES = (1000, 2000, 4000, 6000, 8000)
@@ -190,6 +190,17 @@
         self.loop.until(lambda: crowd.dropped, 2, "its end is read")
         self.assertEqual((crowd.dropped, len(crowd.viewers), gone in crowd.viewers), (1, 1, False))
 
+    def test_a_bulletin_whose_follower_has_closed_tells_the_others(self):
+        bulletin = Bulletin(self.loop)
+        socks = [socket.create_connection(("127.0.0.1", bulletin.port)) for _ in range(2)]
+        self.loop.until(lambda: len(bulletin.lines) == 2, 2, "both are there")
+        bulletin.lines[0].shutdown(socket.SHUT_WR)
+        bulletin.told_at = 0
+        self.loop.until(lambda: bulletin.told_at, 2, "it has told")
+        self.assertEqual(len(socks[1].recv(100)), 13)
+        for sock in socks:
+            sock.close()
+
     def test_a_pace_leaves_nothing_out_when_the_loop_comes_late(self):
         stands, calls = mock.Mock(loop=self.loop, chance=Random(3)), []
         pace = Pace(stands, 1000, lambda: calls.append(1))
