Leavers: no listener is closed under who waits on it, and servers come back to ports of their own

The harness ended now and then with an error of its own on a busy machine: anyio knows waits by a descriptor's number, and a listener closed under its waiter left the next socket with that number without its own.

--- a/curlewshift/rehearsal/node_day.py
+++ b/curlewshift/rehearsal/node_day.py
@@ -46,9 +46,10 @@
 
     async def run(self) -> dict:
         """The verdict, which is written to the folder too."""
-        self.servers = [Server(number, Random(self.chance.random()), self.traffic) for number in range(SERVERS)]
+        # a server comes back to its port: not one that an outgoing connection may have been given meanwhile
+        self.port, *ports = free_ports(SERVERS + 1, Random(os.getpid()))
+        self.servers = [Server(number, port, Random(self.chance.random()), self.traffic) for number, port in enumerate(ports)]
         bulletin = socket.create_server(("127.0.0.1", 0))
-        [self.port] = free_ports(1, Random(os.getpid()))
         self._write_configuration(bulletin.getsockname()[1])
         try:
             await self._day()
--- a/curlewshift/rehearsal/node_sides.py
+++ b/curlewshift/rehearsal/node_sides.py
@@ -18,6 +18,7 @@
 SET_UP, ANSWER, RELEASE, RELEASED, PROBE, PROBED = 1, 9, 12, 16, 52, 53
 CAUSE, DESCRIPTION = 47, 48
 FULL, ERROR = 34, 47
+BACKLOG = 256
 # What a set-up meets, and how often.
 DEALS = {"plays": 8, "refuses": 8, "fails": 1, "breaks": 1, "hangs": 1}
 # It is dealt with after so long at the most (s); every other one at once.
@@ -45,23 +46,24 @@
     """One media server. Listening on a queue that is full it cannot be dialled: the kernel drops who comes, and who comes again
     a second later gets in, if it has made room by then."""
 
-    def __init__(self, number: int, chance: Random, traffic: Traffic):
+    def __init__(self, number: int, port: int, chance: Random, traffic: Traffic):
+        self.port = port
         self.name, self.number, self.chance, self.traffic = f"s-{number + 1:08x}", number, chance, traffic
         self.given_up: set[bytes] = set()
-        self.accepts = anyio.Event()
+        self.accepts, self.parked, self.turn = anyio.Event(), anyio.Event(), anyio.CancelScope()
         self.accepts.set()
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.listener.setblocking(False)
-        self.port = self.listener.getsockname()[1]
+        self._listen()
 
     async def run(self, tasks) -> None:
         while True:
-            await self.accepts.wait()
-            try:
+            if not self.accepts.is_set():
+                self.parked.set()
+                await self.accepts.wait()
+            with anyio.CancelScope() as self.turn:
                 await anyio.wait_readable(self.listener)
+            try:
                 sock = self.listener.accept()[0] if self.accepts.is_set() else None
-            except (OSError, ValueError, anyio.ClosedResourceError):
-                # it is away
+            except OSError:
                 continue
             if sock is not None:
                 sock.setblocking(False)
@@ -72,29 +74,35 @@
         ends = anyio.current_time() + lasts
         while anyio.current_time() < ends:
             await anyio.sleep(self.chance.uniform(*WELL))
-            self.accepts = anyio.Event()
-            fillers = []
-            if self.chance.random() < 0.75:
-                self.listener.listen(0)
-                for _ in range(2):
-                    fillers.append(socket.socket())
-                    fillers[-1].setblocking(False)
-                    fillers[-1].connect_ex(("127.0.0.1", self.port))
-            else:
-                anyio.notify_closing(self.listener)
-                # not in the same turn: whoever waits is known by the descriptor's number alone, and another may get it
-                await anyio.sleep(0.005)
+            # nobody may wait on a listener that is closed: waits are known by a descriptor's number, and the next socket gets it
+            self.accepts, self.parked = anyio.Event(), anyio.Event()
+            self.turn.cancel()
+            await self.parked.wait()
+            late = self.chance.random() < 0.75
+            fillers = [self._filler()] if late else []
+            if not late:
                 self.listener.close()
             await anyio.sleep(self.chance.uniform(*AWAY))
             for filler in fillers:
                 filler.close()
-            if fillers:
-                self.listener.listen(256)
+            if late:
+                self.listener.listen(BACKLOG)
             else:
-                self.listener = socket.create_server(("127.0.0.1", self.port), backlog=256)
-                self.listener.setblocking(False)
+                self._listen()
             self.accepts.set()
 
+    def _filler(self) -> socket.socket:
+        """Takes a place of the queue, which has one."""
+        self.listener.listen(0)
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(("127.0.0.1", self.port))
+        return filler
+
+    def _listen(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", self.port), backlog=BACKLOG)
+        self.listener.setblocking(False)
+
     async def _line(self, sock: socket.socket, tasks) -> None:
         held, first = b"", 0
         try:
@@ -170,7 +178,11 @@
 
     async def come(self, port: int) -> None:
         # the whole way by system calls: what is noted is what the kernel has
-        self.sock = socket.create_connection(("127.0.0.1", port), 2.0)
+        try:
+            self.sock = socket.create_connection(("127.0.0.1", port), 2.0)
+        except OSError:
+            # it has asked for nothing
+            return
         self.sock.setblocking(False)
         try:
             for id in self.ids:
