--- a/curlewshift/commands/front.py
+++ b/curlewshift/commands/front.py
@@ -25,7 +25,7 @@
     import secrets
 
     from curlewshift.exchange.tls import BadCertificate
-    from curlewshift.front.configured import begin
+    from curlewshift.front.begun import begin
     from curlewshift.front.front import Front
     from curlewshift.limits.permits import BadKeys
     from curlewshift.logs import make_log
--- a/curlewshift/control/machine.py
+++ b/curlewshift/control/machine.py
@@ -13,7 +13,7 @@
 import anyio
 
 from curlewshift.control.commands import Commands
-from curlewshift.front.configured import checked, told
+from curlewshift.front.begun import checked, told
 from curlewshift.peering.distributed import DistributionWire
 from curlewshift.peering.leasing import LeaseWords
 from curlewshift.peering.wire import PeerWire
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -19,7 +19,8 @@
 from curlewshift.desk.roster import Roster
 from curlewshift.exchange.server import serve
 from curlewshift.exchange.tls import BadCertificate, ServerTls, client_context
-from curlewshift.front.configured import Begun, Configured
+from curlewshift.front.begun import Begun
+from curlewshift.front.configured import Configured
 from curlewshift.front.control import Control
 from curlewshift.front.door import Door
 from curlewshift.front.followers import ListFollower, NotesFollower, row_of
--- a/curlewshift/front/spoilt_configured.py
+++ b/curlewshift/front/spoilt_configured.py
@@ -4,8 +4,10 @@
 
 from curlewshift.control.machine import Machine
 from curlewshift.emulator.version_histories import DigestUncheckedCopy, planted
-from curlewshift.front.configured import Configured, Swap, begin
+from curlewshift.front.begun import begin
+from curlewshift.front.configured import Configured
 from curlewshift.front.front import Front
+from curlewshift.front.in_service import Swap
 from curlewshift.state.configured import Record
 
 
--- a/tests/test_configured.py
+++ b/tests/test_configured.py
@@ -16,9 +16,11 @@
 from curlewshift.desk.roster import Row
 from curlewshift.distribution.copy import ENCODER, Kept
 from curlewshift.distribution.versions import Version, digest_of
-from curlewshift.front.configured import Begun, Configured, Swap, begin, in_service
+from curlewshift.front.begun import Begun, begin
+from curlewshift.front.configured import Configured
 from curlewshift.front.control import tell
 from curlewshift.front.front import Front
+from curlewshift.front.in_service import Swap, in_service
 from curlewshift.front.spoilt_configured import HalfSwap, spoilt_begin
 from curlewshift.peering.frames import Frame, encode
 from curlewshift.rehearsal.processes import free_ports
@@ -415,6 +417,9 @@
                 told = {"version": front.configured.version}
                 self.assertEqual((front.desk.packages["receipt"].floor, front.configured.show()["refused"][0]["version"]),
                                  (1, restarted))
+                # and whoever made it sees who refuses, and why
+                await until(lambda: any(zone["refusing"] == 1 and "a higher floor" in str(zone["whys"])
+                                        for zone in machines[writer].wire.show()["zones"]))
                 after = begin(self.path, read_site(self.path), state)
                 self.assertEqual((after.how, after.version, after.site.packages[0].floor), ("disk", restarted, 2))
                 (state / "configuration-next").unlink()
