Seats: a lender begins on its own part by the time it lends by; a told level is followed at once

In between the front began on the seat, and lent it again to the borrower that had it last, which is asked nothing about use: two on one seat after late rounds.

A front followed a level at its next round and so let in whom the others shed, and refused whom they let in, for up to a second more. It follows at once now, a step a round as before.

--- a/curlewshift/emulator/seat_histories.py
+++ b/curlewshift/emulator/seat_histories.py
@@ -12,6 +12,7 @@
 
 from curlewshift.emulator.loan_histories import MS, LoanFront, LoanHistory, Overdrawn
 from curlewshift.sharing.budgets import SEAT, Pool, Seats
+from curlewshift.sharing.loans import Loans
 from curlewshift.sharing.standing import StandingLoans
 from curlewshift.sharing.terms import SharingTerms, Together
 
@@ -213,7 +214,11 @@
             # stopped again before it could act it would have been stopped for longer
             front.paused_until = min(front.paused_until, front.acted_at + LONGEST_STOP)
         borrowers = [front for front in self.fronts if front.loans.borrowed and front.paused_until <= self.now]
+        lenders = [front for front in self.fronts if front.loans.lent and front.paused_until <= self.now]
         kind = self.chance.random()
+        if lenders and kind > 0.8:
+            # by more than may pass for a round that comes late
+            self.chance.choice(lenders).offset += self.chance.randrange(3000 * MS, 20_000 * MS)
         if not borrowers or kind > 0.5:
             return
         front = self.chance.choice(borrowers)
@@ -280,6 +285,13 @@
         super().end_overdue()
 
 
+class SeatsByTheClock(StandingLoans):
+    """Tells the rules when its own part will be back by the clock, while it lends by steady time."""
+
+    def in_hand(self, key):
+        return Loans.in_hand(self, key)
+
+
 class UntoldSeats(Seats):
     """Says nothing to the rules before its first round, in which a front that starts has taken up what it remembers."""
 
@@ -297,4 +309,4 @@
 
 
 FAULTS = {"seats-for-ever": SeatsForEver, "seats-lent-in-use": SeatsLentInUse, "seats-survive-restart": SeatsSurviveRestart,
-          "seats-forgotten": SeatsForgotten}
+          "seats-forgotten": SeatsForgotten, "seats-by-the-clock": SeatsByTheClock}
--- a/curlewshift/overload/overload.py
+++ b/curlewshift/overload/overload.py
@@ -60,6 +60,8 @@
         self.fleet: dict[str, Level] = {}
         # what was told: by zone when, where the level is, and why
         self.told: dict[str, tuple[int, int, str]] = {}
+        # zones whose told level was met since the last round: no further step until the next
+        self.met: set[str] = set()
         self.full: dict[str, float] = {}
         self.played: OrderedDict[str, int] = OrderedDict()
         self.shed: dict[str, int] = {}
@@ -138,10 +140,8 @@
                 self.words.pop(zone, None)
                 self.fleet.pop(zone, None)
             self._follow(zone, level, seen, now)
-            if level.cut != before:
-                if not before or not level.cut:
-                    self.since[zone] = now
-                self.outside.level_changed(zone, level.cut, before, level.why)
+            self._changed(zone, level, before, now)
+        self.met.clear()
 
     def _follow(self, zone: str, level: Level, seen: Round, now: int) -> None:
         """The level of all where it is heard and justified, else this front's own from where it is."""
@@ -149,7 +149,9 @@
         heard = at >= 0 and now - at <= self.terms.told_lasts
         if not heard:
             level.round(seen, self.full.get(zone, 0.0))
-        elif told <= level.cut or self.full.get(zone, 0.0) >= SHORT_BY_SIGHT:
+        elif zone in self.met:
+            level.note(seen)
+        elif self._justified(zone, level, told):
             level.note(seen)
             level.meet(told, why)
         else:
@@ -187,8 +189,26 @@
             self.outside.tell_level(by, zone, cut, why)
 
     def level_told(self, zone: str, cut: int, why: str) -> None:
-        if zone in self.full:
-            self.told[zone] = self.outside.now(), max(0, min(self.order.top, cut)), why
+        """Followed at once, a step a round: until the round after it, a front let in whom the others shed by then, and refused whom
+        they let in."""
+        if zone not in self.full:
+            return
+        now, level = self.outside.now(), self.levels.get(zone)
+        _, told, why = self.told[zone] = now, max(0, min(self.order.top, cut)), why
+        if level is not None and zone not in self.met and self._justified(zone, level, told):
+            self.met.add(zone)
+            before = level.cut
+            level.meet(told, why)
+            self._changed(zone, level, before, now)
+
+    def _justified(self, zone: str, level: Level, told: int) -> bool:
+        return told <= level.cut or self.full.get(zone, 0.0) >= SHORT_BY_SIGHT
+
+    def _changed(self, zone: str, level: Level, before: int, now: int) -> None:
+        if level.cut != before:
+            if not before or not level.cut:
+                self.since[zone] = now
+            self.outside.level_changed(zone, level.cut, before, level.why)
 
     def _heard(self, by: str, life: int, number: int, zone: str, seen: Round, now: int) -> bool:
         words = self.words.setdefault(zone, {})
--- a/curlewshift/sharing/standing.py
+++ b/curlewshift/sharing/standing.py
@@ -10,7 +10,7 @@
 
 from typing import Callable, Protocol
 
-from curlewshift.sharing.loans import MOST_KEYS, MOST_OUT, Loans
+from curlewshift.sharing.loans import FOR_EVER, MOST_KEYS, MOST_OUT, Loans
 from curlewshift.sharing.loans import Outside as LoansOutside
 
 
@@ -51,6 +51,11 @@
         """What stands on a loan is ended so long before its term, so that it has ended when the term has."""
         return until - self.terms.every
 
+    def in_hand(self, key: str) -> list[tuple[int, int, int]]:
+        """The own part only once it is back by steady time, and not with when it will be by the clock: a clock that is set ahead
+        or a round that comes late had the rules begin on what was lent for longer yet, and lent again in use."""
+        return [held for held in super().in_hand(key) if held[1] != FOR_EVER or self.own_from(key) <= self.steady.last]
+
     def may_use(self, key: str) -> int:
         steady, now = self._read()
         count = 0 if steady < self.own_from(key) else self.outside.part(key)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -277,6 +277,28 @@
                 end.overload.level_told("a", 150, "so they say")
         self.assertEqual(self.levels(fleet), [0] * 4)
 
+    def test_a_told_level_is_followed_at_once_a_step_a_round_and_not_before_the_first(self):
+        fleet = Fleet()
+        fleet.full("a")
+        one = fleet.ends[0].overload
+        half = one.order.top // 2
+        one.level_told("a", 200, "so they say")
+        self.assertEqual(one.levels, {})
+        fleet.second([], 0)
+        one.levels["a"].young = 0
+        one.level_told("a", 200, "so they say")
+        self.assertEqual((one.levels["a"].cut, fleet.ends[0].changes), (half, [("a", half)]))
+        # doubled, and a later word of the same round: no further step
+        one.level_told("a", 200, "so they say")
+        one.level_told("a", 0, "or so")
+        self.assertEqual(one.levels["a"].cut, half)
+        # the round itself takes none beside it; the next word does
+        fleet.sides = {0}
+        one.time()
+        self.assertEqual(one.levels["a"].cut, half)
+        one.level_told("a", 0, "or so")
+        self.assertEqual(one.levels["a"].cut, half - one.order.top // 10)
+
     def test_a_front_that_has_just_started_has_the_level_after_one_round(self):
         fleet = Fleet()
         self.overloaded(fleet)
