--- a/curlewshift/scale/slopes_crowd.py
+++ b/curlewshift/scale/slopes_crowd.py
@@ -87,7 +87,7 @@
     def tear_down(self, id: str) -> None:
         viewer = self.playing.pop(id)
         viewer.say(f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\n"
-                            "Content-Length: 0\r\n\r\n".encode())
+                   "Content-Length: 0\r\n\r\n".encode())
 
     def heard(self, viewer: Viewer, message: rtsp.Message) -> None:
         id = message.fields.get("session", "")
