--- a/curlewshift/capacity/at_control.py
+++ b/curlewshift/capacity/at_control.py
@@ -84,7 +84,7 @@
             worked_out(size.nodes, "connections"), None, LISTS),
         Row("list", FOLLOWER, PROCESSOR, f"{servers:,.0f} servers at rest", idle and replace(idle, unit="cores"),
             size.control_core, LISTS),
-        Row("list", FOLLOWER, PROCESSOR, f"{servers:,.0f} servers taken at a start, at once", taken, size.p99 * 1000, LISTS),
+        Row("list", FOLLOWER, PROCESSOR, f"what {servers:,.0f} servers add to a start, before the door is open", taken, None, LISTS),
         Row("list", FOLLOWER, MEMORY, f"a list of {servers:,.0f} servers", of_servers(measured, LIST_MEMORY, servers, "MB"),
             size.control_memory, LISTS),
     ]
@@ -93,7 +93,7 @@
 def of_servers(measured: Measured, name: str, servers: float, unit: str) -> Figure | None:
     """What so many servers add to a node that has none."""
     slope = measured.slopes.get(name)
-    return slope and slope.each(unit, servers).times(servers, unit)
+    return slope and slope.added(servers, unit)
 
 
 def leases_a_shard(size: Size, measured: Measured) -> Figure | None:
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -94,6 +94,14 @@
             value, error = (y1 - y0) / (x1 - x0), 0.0
         return self._figure(value, error, unit, carried_to, not self.bears_carrying and carried_to > self.measured_to)
 
+    def added(self, x: float, unit: str) -> Figure:
+        """What x of them add to none: by the line; where that is not straight, to the fewest that were run."""
+        if self.bears_carrying:
+            return self.each(unit, x).times(x, unit)
+        found, fewest = self.at(x, unit), self.at(self.curve[0][0], unit)
+        return replace(found, value=found.value - fewest.value, error=found.error + fewest.error, how=WORKED_OUT,
+                       by=f"{found.by}, less that at {short(self.curve[0][0])}")
+
     def at(self, x: float, unit: str, beyond: bool = True) -> Figure:
         """What x of them cost. Without `beyond` nothing past the run is worked out, as of waits, which rise without end once a
         process is full."""
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -274,6 +274,8 @@
         self.assertEqual((bulletin.MOST - 9) // bulletin.RECORD.size, MOST_LISTED)
         measured = self.files(slope_list=line_file("memory-by-servers", 30_000_000, 4_000))
         self.assertAlmostEqual(self.row(measured, "a list of 2,000 servers").figure.value, 8.0)
+        bent = self.files(slope_list=line_file("memory-by-servers", 30_000_000, 0, bend=1.0, xs=(1000, 2000, 3000, 4000)))
+        self.assertAlmostEqual(self.row(bent, "a list of 2,000 servers").figure.value, 4.0 - 1.0)
         self.assertEqual(self.row(measured, "servers that a whole list has to hold").verdict(ROOT), "over: ×3.3 of 606 servers")
 
     def test_a_line_that_is_too_scattered_to_show_it_straight_is_not_carried(self):
