--- a/curlewshift/capacity/at_control.py
+++ b/curlewshift/capacity/at_control.py
@@ -42,13 +42,13 @@
 
 def of_a_run(size: Size, measured: Measured) -> list[Row]:
     """What a scale run counted for a control machine, all its parts together: with nothing to do, and over a stretch of changes."""
-    file, found = measured.scale(size.nodes), []
+    found = []
     for words, way in (("at rest", ()), ("over a stretch of changes and restarts", ("stretch",))):
         for what, key, unit, bound in ((MESSAGES, "bytes_a_second", "bytes/s", None), (PROCESSOR, "core", "cores", 1.0)):
-            found.append(Row("configuration", CONTROL, what, f"{words}, out" if what == MESSAGES else words, file and measured.figure(
-                file, *way, "control", "all", key, "mean", unit=unit), bound, MACHINE))
-    found.append(Row("configuration", CONTROL, MEMORY, "its process, as a scale run counted", file and measured.figure(
-        file, "control", "memory_kB", unit="MB", by=0.001), size.guess("memory-a-node-GB") * 1000, MACHINE))
+            found.append(Row("configuration", CONTROL, what, f"{words}, out" if what == MESSAGES else words, measured.at_size(
+                size.nodes, *way, "control", "all", key, "mean", unit=unit), bound, MACHINE))
+    found.append(Row("configuration", CONTROL, MEMORY, "its process, as a scale run counted", measured.at_size(
+        size.nodes, "control", "memory_kB", unit="MB", by=0.001), size.guess("memory-a-node-GB") * 1000, MACHINE))
     return found
 
 
--- a/curlewshift/capacity/failures.py
+++ b/curlewshift/capacity/failures.py
@@ -206,8 +206,8 @@
         file = self.measured.scale(self.size.nodes)
         for place, one in enumerate(self.measured.get(file, "faults") or () if file else ()):
             if isinstance(one, dict) and one.get("kind") == kind:
-                return self.measured.figure(file, "faults", place, *way,
-                                            unit="bytes/s" if "bytes_a_second" in way else "s")
+                return self.measured.at_size(self.size.nodes, "faults", place, *way,
+                                             unit="bytes/s" if "bytes_a_second" in way else "s")
         return None
 
     def change_after(self, kind: str) -> Figure | None:
@@ -215,5 +215,6 @@
         file = self.measured.scale(self.size.nodes)
         for one in (self.measured.get(file, "faults") or ()) if file else ():
             if one.get("kind") == kind:
-                return longest(self.measured, file, one.get("change_after"))
+                found = longest(self.measured, file, one.get("change_after"))
+                return found and self.measured.of_run(file, found, self.size.nodes)
         return None
--- a/curlewshift/capacity/figures.py
+++ b/curlewshift/capacity/figures.py
@@ -15,7 +15,8 @@
 @dataclass(frozen=True)
 class Figure:
     """`error` is in the figure's own unit. `measured_to` and `wanted_at` are where a slope was carried beyond its run, as
-    (amount, unit). `at_least`: the slope is not straight, this is its last measured point and the true figure lies above."""
+    (amount, unit). `at_least`: not carried beyond its run, and as it rises the true figure lies above. `of_less`: of a smaller
+    run, and nothing says which way it goes."""
 
     value: float
     unit: str
@@ -28,6 +29,7 @@
     carried: str = ""
     at_least: bool = False
     by: str = ""
+    of_less: bool = False
 
     @property
     def factor(self) -> float:
@@ -43,7 +45,7 @@
         """The limit of the machine that measured, beside a figure carried beyond it."""
         if self.factor <= 1.0:
             return ""
-        words = "" if self.how == WANTED else ", not carried" if self.at_least else ", carried"
+        words = "" if self.how == WANTED else ", not carried" if self.at_least or self.of_less else ", carried"
         return f"measured to {short(self.measured_to)} {self.carried}, wanted {short(self.wanted_at)}: ×{self.factor:.1f}{words}"
 
     def times(self, by: float, unit: str, carried: str = "") -> Figure:
@@ -59,6 +61,7 @@
         how = FROM_SIMULATED if {self.how, other.how} & {SIMULATED, FROM_SIMULATED} else WORKED_OUT
         return replace(further, value=self.value + other.value, error=self.error + other.error, how=how,
                        files=tuple(dict.fromkeys(self.files + other.files)), at_least=self.at_least or other.at_least,
+                       of_less=self.of_less or other.of_less,
                        command=" ; ".join(dict.fromkeys(one for one in (self.command, other.command) if one)))
 
 
--- a/curlewshift/capacity/given.py
+++ b/curlewshift/capacity/given.py
@@ -44,12 +44,22 @@
     if name == "sharing" and sharing is not None and sharing < (measured.get(file, "nodes") or 0):
         return None
     kind, unit, by, _ = KINDS[what]
-    return measured.figure(file, *(way or ("a_node",)), name, *kind, unit=unit, by=by)
+    return measured.at_size(size.nodes, *(way or ("a_node",)), name, *kind, unit=unit, by=by)
 
 
 def whole(size: Size, measured: Measured, what: str) -> Figure | None:
-    """All parts together; None where one of them is not measured."""
-    return together([subsystem(size, measured, name, what) for name, _, _ in SUBSYSTEMS])
+    """All four parts together, sharing by its slope where no run has it; None where one of them is not measured."""
+    parts = {name: subsystem(size, measured, name, what) for name, _, _ in SUBSYSTEMS}
+    if parts["sharing"] is None and what != MEMORY:
+        parts["sharing"] = by_links(size, measured, what)
+    return together(list(parts.values()))
+
+
+def by_links(size: Size, measured: Measured, what: str) -> Figure | None:
+    links = size.guess("servers-played-on")
+    if what == MESSAGES:
+        return carried(measured, BYTES_BY_LINKS, links, "bytes/s")
+    return a_second(measured, CORE_BY_LINKS, links)
 
 
 def rows(size: Size, measured: Measured) -> list[Row]:
@@ -63,34 +73,42 @@
                          getattr(size, bound), MEMBERSHIP))
     found.append(Row("overload", FRONT, MESSAGES, "control: overload out, a round each second for each zone of servers", supposed(
         size.zones * size.guess("round-word-bytes"), "bytes/s"), size.control_bytes, OVERLOAD))
-    return found + of_changes(size, measured) + after_faults(size, measured) + simulated(size, measured) + sharing(size, measured)
+    return found + of_runs(size, measured) + simulated(size, measured) + sharing(size, measured)
 
 
-def of_changes(size: Size, measured: Measured) -> list[Row]:
-    """Over a stretch with changes and restarts: what distribution takes, and what all parts that ran took together."""
+def of_runs(size: Size, measured: Measured) -> list[Row]:
+    """What all parts that ran took together: at rest, over a stretch with changes and restarts, and in each fault. Membership is
+    most of it in a fault, and tells of it; distribution is what a stretch of changes is for."""
     file = measured.scale(size.nodes)
-    if file is None or not measured.get(file, "stretch"):
+    if file is None:
         return []
-    found, parts = [], ", ".join(name for name, *_ in SUBSYSTEMS if measured.get(file, "stretch", "a_node", name))
-    words = f"over {measured.get(file, 'stretch', 'changes')} changes and {measured.get(file, 'stretch', 'restarts')} restarts"
-    for what, (_, _, _, bound) in list(KINDS.items())[:2]:
-        for name, key, says in (("distribution", "configuration", "distribution"), ("all", "control-together", f"all that ran ({parts})")):
-            found.append(Row(key, FRONT, what, f"control: {says}, {words}", subsystem(
-                size, measured, name, what, "stretch", "a_node"), getattr(size, bound), DISTRIBUTION))
-    return found
-
+    ran = ", ".join(name for name, *_ in SUBSYSTEMS if measured.get(file, "a_node", name))
+    found = []
 
-def after_faults(size: Size, measured: Measured) -> list[Row]:
-    """Bytes out on days when something happens, of membership, which tells of it, and of configuration, which is late then."""
-    found, file = [], measured.scale(size.nodes)
-    for place, fault in enumerate((measured.get(file, "faults") or []) if file else []):
+    def add(key: str, name: str, words: str, *way: str | int) -> None:
+        for what in (MESSAGES, PROCESSOR):
+            figure = subsystem(size, measured, name, what, *way)
+            if figure is not None:
+                found.append(Row(key, FRONT, what, f"control: {words}", figure, getattr(size, KINDS[what][3]), MEMBERSHIP))
+    add("membership", "all", f"all that ran ({ran}), at rest", "a_node")
+    alone = measured.at_size(size.nodes, "alone", "alone", unit="cores")
+    if alone is not None:
+        found.append(Row("membership", FRONT, PROCESSOR, "control: all that ran, at rest, of a node alone in its process", alone,
+                         size.control_core, MEMBERSHIP))
+    told = measured.get(file, "stretch")
+    if told:
+        over = f"over {told['changes']} changes and {told['restarts']} restarts"
+        add("configuration", "distribution", f"distribution, {over}", "stretch", "a_node")
+        add("configuration", "all", f"all that ran, {over}", "stretch", "a_node")
+    for place, fault in enumerate(measured.get(file, "faults") or []):
         for when in ("while", "after"):
-            for name, key, mechanism in SUBSYSTEMS:
-                figure = subsystem(size, measured, name, MESSAGES, "faults", place, when)
-                if figure is not None and key in ("membership", "configuration"):
-                    lasted = measured.get(file, "faults", place, when, "lasted_s")
-                    words = f"control: {name} out, {when} {fault['kind']}" + (f", over {lasted:.0f} s" if lasted else "")
-                    found.append(Row(key, FRONT, MESSAGES, words, figure, size.control_bytes, mechanism))
+            lasted = measured.get(file, "faults", place, when, "lasted_s")
+            add("membership", "all", f"all that ran, {when} {fault['kind']}" + (f", over {lasted:.0f} s" if lasted else ""),
+                "faults", place, when)
+    joins = measured.at_size(size.nodes, "joins", "with_over_without", "p99_us", unit="times")
+    if joins is not None:
+        found.append(Row("joins", FRONT, MESSAGES, "p99 of joins at a real node of the fleet, over one apart from it", joins, None,
+                         MEMBERSHIP))
     return found
 
 
@@ -107,9 +125,6 @@
         plays = sizes[-1]["plays_on"]
         found.append(Row("sharing", FRONT, MESSAGES, f"control: sharing out, {plays} servers played on", measured.figure(
             "shared.json", "sizes", len(sizes) - 1, "bytes_a_second", unit="bytes/s"), size.control_bytes, SHARING))
-    links = size.guess("servers-played-on")
-    return found + [
-        Row("sharing", FRONT, MESSAGES, f"control: sharing out, {links:,.0f} servers played on",
-            carried(measured, BYTES_BY_LINKS, links, "bytes/s"), size.control_bytes, SHARING),
-        Row("sharing", FRONT, PROCESSOR, f"control: sharing, {links:,.0f} servers played on",
-            a_second(measured, CORE_BY_LINKS, links), size.control_core, SHARING)]
+    words = f"control: sharing, {size.guess('servers-played-on'):,.0f} servers played on"
+    return found + [Row("sharing", FRONT, what, words, by_links(size, measured, what), getattr(size, KINDS[what][3]), SHARING)
+                    for what in (MESSAGES, PROCESSOR)]
--- a/curlewshift/capacity/in_force.py
+++ b/curlewshift/capacity/in_force.py
@@ -27,6 +27,8 @@
     file, found = measured.scale(size.nodes), []
 
     def add(words: str, figure: Figure | None) -> None:
+        if figure is not None and figure.how == MEASURED:
+            figure = measured.of_run(file, figure, size.nodes)
         found.append(Row("configuration", CONTROL, MESSAGES, words, figure, size.in_force_within, DISTRIBUTION))
     if file is not None and measured.get(file, "versions"):
         nodes = measured.get(file, "nodes")
--- a/curlewshift/capacity/measured.py
+++ b/curlewshift/capacity/measured.py
@@ -51,6 +51,17 @@
         simulated = file in WHOLE_FILE_SIMULATED or "emulated" in way
         return Figure(found * by, unit, SIMULATED if simulated else MEASURED, files=(file,), command=self.command(file))
 
+    def at_size(self, nodes: int, *way: str | int, unit: str, by: float = 1.0) -> Figure | None:
+        """The number at the end of a way in the scale run of so many nodes, or of one that is nearest; of a smaller one it is not
+        carried: leases cost each node less where there are more, other parts cost more."""
+        file = self.scale(nodes)
+        found = file and self.figure(file, *way, unit=unit, by=by)
+        return found and self.of_run(file, found, nodes)
+
+    def of_run(self, file: str, figure: Figure, nodes: int) -> Figure:
+        ran = self.get(file, "nodes") or nodes
+        return replace(figure, measured_to=ran, wanted_at=nodes, carried="nodes", of_less=ran < nodes)
+
     def machine(self, file: str) -> str:
         """What measured, in words: cores, memory, and what else ran."""
         told = self.get(file, "machine") or self.get(file, "slopes", 0, "machine") or {}
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -347,13 +347,24 @@
         told["model"] = {"sharing": {"nodes": 12}}
         self.assertIsNone(self.row(self.files(scale_24=told), "control: sharing out").figure)
 
-    def test_bytes_after_faults_are_rows_of_their_own(self):
-        part = {"membership": {"bytes_a_second": {"mean": 4900.0, "worst": 6000.0}}}
+    def test_bytes_in_faults_are_rows_of_their_own_and_a_smaller_run_is_not_carried(self):
+        part = {"all": {"bytes_a_second": {"mean": 4900.0, "worst": 6000.0}}}
         told = {"nodes": 630, "faults": [{"kind": "zone-lost", "known_s": 7.5, "while": {"lasted_s": 15.1, **part}}]}
-        measured = self.files(scale_630=told)
-        row = self.row(measured, "membership out, while zone-lost, over 15 s")
-        self.assertEqual(row.verdict(ROOT), "over: ×1.23 of 4,000 bytes/s")
+        measured, words = self.files(scale_630=told), "all that ran, while zone-lost, over 15 s"
+        self.assertEqual(self.row(measured, words).verdict(ROOT), "over: ×1.23 of 4,000 bytes/s")
         self.assertIn("until all agree: 7.5 s (measured)", tables(self.small(), measured, ROOT)["failures"])
+        told["nodes"], part["all"]["bytes_a_second"]["mean"] = 5, 400.0
+        row = self.row(self.files(scale_5=told), words)
+        self.assertEqual(row.figure.limit(), "measured to 5 nodes, wanted 10: ×2.0, not carried")
+        self.assertEqual(row.verdict(ROOT), "not known: ×0.1 of 4,000 bytes/s in a smaller run, and not carried")
+        self.assertEqual(row.figure.text(), "400 bytes/s (measured)")
+
+    def test_sharing_counts_by_its_slope_where_a_run_left_it_out(self):
+        part = {"bytes_a_second": {"mean": 100.0}}
+        told = {"nodes": 24, "a_node": {name: part for name in ("membership", "leases", "distribution")}}
+        measured = self.files(scale_24=told, slope_sharing=line_file(
+            "sharing-bytes-by-links", 1000, 10, unit="bytes/s", xs=(100, 200, 400, 640)))
+        self.assertAlmostEqual(self.row(measured, "all four together out").figure.value, 300 + 7400)
 
     def test_what_comes_again_is_shared_by_those_that_are_left(self):
         made = tables(self.small(), self.files(), ROOT)["failures"]
