--- a/curlewshift/capacity/at_control.py
+++ b/curlewshift/capacity/at_control.py
@@ -47,6 +47,12 @@
         for what, key, unit, bound in ((MESSAGES, "bytes_a_second", "bytes/s", None), (PROCESSOR, "core", "cores", 1.0)):
             found.append(Row("configuration", CONTROL, what, f"{words}, out" if what == MESSAGES else words, measured.at_size(
                 size.nodes, *way, "control", "all", key, "mean", unit=unit), bound, MACHINE))
+    for words, way in (("over 100 changes and 20 restarts close together", "stretch"),
+                       ("while a zone comes back with empty disks", "zone_returns_empty")):
+        figure = measured.figure("versions.json", way, "stores_sent_worst", unit="bytes/s")
+        if figure is not None:
+            found.append(Row("configuration", CONTROL, MESSAGES, f"{words}, out, simulated", measured.of_run(
+                "versions.json", figure, size.nodes), None, MACHINE))
     found.append(Row("configuration", CONTROL, MEMORY, "its process, as a scale run counted", measured.at_size(
         size.nodes, "control", "memory_kB", unit="MB", by=0.001), size.guess("memory-a-node-GB") * 1000, MACHINE))
     return found
--- a/curlewshift/capacity/in_force.py
+++ b/curlewshift/capacity/in_force.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from curlewshift.capacity.figures import MEASURED, Figure
+from curlewshift.capacity.figures import MEASURED, SIMULATED, Figure
 from curlewshift.capacity.given import DISTRIBUTION
 from curlewshift.capacity.measured import Measured
 from curlewshift.capacity.rows import CONTROL, MESSAGES, Row
@@ -47,15 +47,22 @@
                 Figure(WAITED, "s", MEASURED, files=(file,), command=measured.command(file), at_least=True))
     else:
         add("time until in force everywhere", None)
-    simulated = of_simulation(size, measured)
-    if simulated is not None:
-        add("time until in force everywhere, simulated, p99", simulated)
+    for words, figure in simulated(size, measured):
+        add(f"{words}, simulated", figure)
     return found
 
 
-def of_simulation(size: Size, measured: Measured) -> Figure | None:
-    """Of the simulated fleet nearest above the size, else of the largest."""
-    sizes = measured.get("versions.json", "sizes") or []
-    fits = [(one.get("nodes", 0), place) for place, one in enumerate(sizes) if isinstance(one, dict)]
-    fits = [one for one in fits if one[0] >= size.nodes] or fits[-1:]
-    return measured.figure("versions.json", "sizes", min(fits)[1], "in_force_p99_s", unit="s") if fits else None
+def simulated(size: Size, measured: Measured) -> list[tuple[str, Figure | None]]:
+    """In virtual time, of as many nodes as the file says."""
+    file, found = "versions.json", []
+    for key, words in (("no_loss", "nothing lost"), ("loss_of_5_percent", "5% of datagrams lost")):
+        waits = measured.get(file, key, "last_node_s")
+        if waits:
+            value, late = max(WAITED if wait is None else wait for wait in waits), None in waits
+            found.append((f"in force everywhere, {words}: slowest of {len(waits)} changes", Figure(
+                value, "s", SIMULATED, files=(file,), command=measured.command(file), at_least=late)))
+    for words, way in (("in force in all of a zone that is back at once with empty disks", ("zone_returns_empty", "in_force_in_all_s")),
+                       ("in force everywhere after regions met", ("regions_apart", "in_force_everywhere_after_meeting_s"))):
+        if measured.get(file, way[0]):
+            found.append((words, measured.figure(file, *way, unit="s")))
+    return [(words, figure and measured.of_run(file, figure, size.nodes)) for words, figure in found]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -22,6 +22,7 @@
 from curlewshift.commands.capacity import MEASURED, PAGE, ROOT, USUAL, read_size
 from curlewshift.commands.main import NOUNS, main
 from curlewshift.distribution.terms import NS, DistributionTerms
+from curlewshift.emulator.versions import site_file
 from curlewshift.node import bulletin
 from curlewshift.peering import leasing, overloaded
 from curlewshift.peering.frames import Frame, encode
@@ -251,10 +252,18 @@
         self.assertAlmostEqual(row.figure.value, 32 * 10.0 / 5 * 100)
         self.assertEqual(self.small().deliveries_a_node, 2000)
 
-    def test_time_until_in_force_is_of_the_run_and_of_the_nearest_simulation_above(self):
-        sizes = [{"nodes": 4, "in_force_p99_s": 1.0}, {"nodes": 24, "in_force_p99_s": 2.0}, {"nodes": 630, "in_force_p99_s": 3.0}]
-        figure = self.row(self.files(versions={"sizes": sizes}), "in force everywhere, simulated, p99").figure
-        self.assertEqual((figure.value, figure.how), (2.0, "simulated"))
+    def test_time_until_in_force_is_of_the_run_and_of_the_simulation(self):
+        told = {"nodes": 630, "no_loss": {"last_node_s": [2.0, 3.0]}, "loss_of_5_percent": {"last_node_s": [2.0, None]},
+                "zone_returns_empty": {"in_force_in_all_s": 19.8, "others_sent_worst": 5000}}
+        measured = self.files(versions=told)
+        for words, verdict in (("nothing lost: slowest of 2 changes, simulated", "within: ×0.17 of 18 s"),
+                               ("5% of datagrams lost: slowest of 2 changes, sim", "over: at least ×3.33 of 18 s"),
+                               ("all of a zone that is back at once", "over: ×1.1 of 18 s"),
+                               ("of the others the one that sends most", "over: ×1.25 of 4,000 bytes/s")):
+            self.assertEqual(self.row(measured, words).verdict(ROOT), verdict, words)
+        self.assertIn("not measured", self.row(measured, "time until in force everywhere").verdict(ROOT))
+        self.assertIn("in a smaller run", self.row(self.files(versions={**told, "nodes": 5}), "nothing lost: slowest of 2 changes, s"
+                                                   ).verdict(ROOT))
         made, late, lost = ({"ok": True, "everywhere_s": 4.0}, {"ok": True, "everywhere_s": 20.0}, {"ok": True, "everywhere_s": None})
         run = {"nodes": 24, "versions": {"no_loss": [made, made], "loss": [made, lost]}, "faults": [
             {"kind": "zone-lost", "change_while": late, "change_after": {"ok": False, "refused": ["no majority"]}},
@@ -318,6 +327,11 @@
         self.assertEqual(weighs(overloaded.KIND, overloaded.Body(100_000, "zone-3", 512, "served of what was let in")),
                          size.guess("level-word-bytes"))
 
+    def test_the_configuration_that_is_assumed_is_as_large_as_a_site_file_of_so_many_fronts(self):
+        for name, nodes in (("two-years", 630), ("two-hundred", 200)):
+            guessed = read_size(USUAL.with_name(f"{name}.xml")).guess("configuration-kB")
+            self.assertAlmostEqual(len(site_file(nodes)) / 1000 / guessed, 1, delta=0.01)
+
     def test_the_time_of_reports_is_that_of_distribution(self):
         self.assertEqual(DistributionTerms(("c1",)).report_each, REPORT_EACH * NS)
 
