--- a/curlewshift/rehearsal/configuring.py
+++ b/curlewshift/rehearsal/configuring.py
@@ -200,18 +200,23 @@
         except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError, ValueError):
             return {"ok": False, "unknown": True, "wrong": f"{machine.name} did not answer"}
 
-    async def writer(self):
-        for machine in self.machines:
-            told = None if machine.paused else await machine.ask({"do": "leases"})
-            if told is not None and told.get("leases") and told["leases"]["number"]:
-                return machine
-        return None
+    async def writer(self, within: float = 0.0):
+        """Who may make a version now, or comes to within so long (s)."""
+        ends = time.monotonic() + within
+        while True:
+            for machine in self.machines:
+                told = None if machine.paused else await machine.ask({"do": "leases"})
+                if told is not None and told.get("leases") and told["leases"]["number"]:
+                    return machine
+            if time.monotonic() >= ends:
+                return None
+            await anyio.sleep(ASK_AGAIN)
 
     async def _put_bad(self) -> None:
         """Files that are wrong, and one that would need a restart: neither may reach anybody."""
         for what, old, new in (("schema", b'longest-wait="', b'longest-weight="'), ("rule", b'join-target="', b'join-target="9'),
                                ("restart", b'warm-within="', b'warm-within="1')):
-            machine = await self.writer()
+            machine = await self.writer(PUT_WITHIN)
             if machine is None:
                 continue
             content = marked(self.base, BAD).replace(old, new, 1).decode()
@@ -221,7 +226,7 @@
 
     async def _strike_writer(self, kind: str, lasts: float) -> None:
         """In the middle of a version that it was told to make."""
-        machine = await self.writer()
+        machine = await self.writer(PUT_WITHIN)
         if machine is None:
             return
         async with anyio.create_task_group() as tasks:
@@ -235,7 +240,7 @@
                 await machine.start()
 
     async def _lose_machine(self, lasts: float) -> None:
-        writer = await self.writer()
+        writer = await self.writer(PUT_WITHIN)
         machine = self.chance.choice([one for one in self.machines if one is not writer and not one.paused])
         machine.kill()
         for name in ("vote", "configuration"):
