Scale run: leases at some nodes only, as tasks' picking over all names does not fit a machine at 630; a fallen child ends the start

With leases at all of 630 nodes views did not agree in 75 s: each node hashes every name for every shard four times a second, 3 cores of 8 went into 12 starved processes, and the run was broken off. A process that fell while the run started was waited for in vain.

--- a/curlewshift/commands/scale.py
+++ b/curlewshift/commands/scale.py
@@ -30,6 +30,7 @@
 @click.option("--fault", "faults", type=click.Choice(FAULTS), multiple=True, help="Befalls them, in the order said.")
 @click.option("--part", "parts", type=click.Choice(PARTS), multiple=True, help="Beside membership.")
 @click.option("--sharing", type=int, default=None, help="Nodes that share; all hollow ones if not said.")
+@click.option("--leasing", type=int, default=None, help="Nodes that ask for leases; all hollow ones if not said.")
 @click.option("--servers", type=click.IntRange(1, 100_000), default=2000, help="Servers that are shared.")
 @click.option("--links", type=click.IntRange(0, 10_000), default=40, help="Of them, those that a node plays on.")
 @click.option("--viewings", type=click.IntRange(0, 1_000_000), default=400, help="A node has on them.")
@@ -38,7 +39,7 @@
 @click.option("--joins", type=click.IntRange(0, 100_000), default=400, help="Compared each way; 0: none.")
 @click.option("--out", type=PATH, required=True, help="A folder for figures.json, chart.svg and logs.")
 @click.option("--spoil", default="", hidden=True)
-def scale_run(nodes, real, processes, relays, regions, zones, seconds, seed, loss, faults, parts, sharing, servers, links,
+def scale_run(nodes, real, processes, relays, regions, zones, seconds, seed, loss, faults, parts, sharing, leasing, servers, links,
               viewings, changes, change_every, joins, out, spoil):
     """Play hollow nodes beside real ones and tell what each spent, by subsystem, and how soon they agreed.
 
@@ -50,9 +51,11 @@
     from curlewshift.scale.report import draw, tables
     from curlewshift.scale.run import ScaleRun, write_figures
     all_parts = [part for part in PARTS if part == "membership" or part in parts]
-    shares = (nodes - real if sharing is None else min(sharing, nodes - real)) if "sharing" in parts else 0
+    hollow = nodes - real
+    shares, asks = ((hollow if said is None else min(said, hollow)) if part in parts else 0
+                    for part, said in (("sharing", sharing), ("leases", leasing)))
     plan = Plan(nodes, real, processes, relays, regions, zones, seconds, seed, loss, all_parts, list(faults),
-                Load(servers, links, viewings, sharing=shares), changes=changes, change_every=change_every, spoil=spoil)
+                Load(servers, links, viewings, sharing=shares, leasing=asks), changes=changes, change_every=change_every, spoil=spoil)
     try:
         plan.check()
     except Unfit as why:
--- a/curlewshift/scale/fleet.py
+++ b/curlewshift/scale/fleet.py
@@ -194,9 +194,9 @@
         machines = "".join(f'<server shelf="s{n}" listen="127.0.0.1:{port}" link="9000MB/s" streams="100000"/>'
                            for n, port in enumerate(servers))
         more = "<sharing/>" if "sharing" in self.plan.parts else ""
-        if "leases" in self.plan.parts and name == "site":
-            hollow = [place.name for place in self.plan.named("hollow") if place.process != 1]
-            more += f'<leases keepers="{" ".join(hollow[::max(1, len(hollow) // KEEPERS)][:KEEPERS])}" tasks="probe"/>'
+        leasing = [place.name for place in self.plan.named("hollow") if place.leases and place.process != 1]
+        if leasing and name == "site":
+            more += f'<leases keepers="{" ".join(leasing[::max(1, len(leasing) // KEEPERS)][:KEEPERS])}" tasks="probe"/>'
         if "distribution" in self.plan.parts and control:
             more += "<configuration/>"
         seeds = [f"c{n}" for n in range(CONTROL)] if name == "site" else [row[0].name for row in rows[:2]]
--- a/curlewshift/scale/node.py
+++ b/curlewshift/scale/node.py
@@ -158,12 +158,14 @@
             self.leased = MachineLeases(channel, self.clock, self.stores, self.stores.index(self.place.name), self.stores,
                                       self.site.control.terms, self.log, chance)
             self.fence = self.leased.fence
-        elif "leases" in self.plan.parts:
+        elif self.place.leases:
             wants = self.site.leases
             self.leased = LeaseWire(channel, self, order, order.index(self.place.name), wants.keepers, wants.terms,
                                     wants.shards, wants.probe_each, self.log, chance, wants.tasks, wants.orphans_after)
         if self.leased is not None:
-            for owner, name in ((self.leased.tasks, "time"), (self.leased.keeper, "time"), (self.leased, "_to_itself")):
+            # a control machine's has its own time, a front's that of its tasks
+            rounds = self.leased if self.place.kind == "control" else self.leased.tasks
+            for owner, name in ((rounds, "time"), (self.leased.keeper, "time"), (self.leased, "_to_itself")):
                 if owner is not None:
                     setattr(owner, name, metered("leases", getattr(owner, name)))
         if "distribution" in self.plan.parts:
--- a/curlewshift/scale/plan.py
+++ b/curlewshift/scale/plan.py
@@ -33,13 +33,14 @@
 
 class Load(msgspec.Struct, frozen=True):
     """What drives hollow nodes that share: each plays on links of its own choice and uses them by its viewings, a little more or
-    less each round. `sharing` nodes do so, the rest know their members alone."""
+    less each round. `sharing` nodes do so and `leasing` ask for leases; the rest are members that do neither."""
 
     servers: int = 2000
     links: int = 40
     viewings: int = 400
     rate: float = 70.0
     sharing: int = 0
+    leasing: int = 0
     rack: int = 20
 
 
@@ -53,6 +54,7 @@
     listen: int
     process: int = -1
     shares: bool = False
+    leases: bool = False
     reach: int = 0
 
 
@@ -90,6 +92,8 @@
         if self.real > self.nodes - self.processes:
             raise Unfit(f"{self.nodes} nodes, {self.real} of them real, leave less than one hollow node for each of "
                         f"{self.processes} processes")
+        if 0 < self.load.leasing <= KEEPERS:
+            raise Unfit(f"{self.load.leasing} nodes with leases are too few for {KEEPERS} keepers and one that asks alone")
         if self.load.links > self.load.servers:
             raise Unfit(f"links played on are {self.load.links} of {self.load.servers}")
         # hollow ones, one of them alone, relays, fronts of the fleet and apart from it, servers with their list
@@ -133,8 +137,11 @@
         # control machines in a process of their own (0), one node alone (1), the others in turn
         for number, place in enumerate(hollow):
             place.process = 1 if number == 0 else 2 + (number - 1) % self.processes
-        for place in [hollow[0], *chance.sample(hollow[1:], len(hollow) - 1)][:self.load.sharing]:
+        drawn = [hollow[0], *chance.sample(hollow[1:], len(hollow) - 1)]
+        for place in drawn[:self.load.sharing]:
             place.shares = True
+        for place in drawn[:self.load.leasing]:
+            place.leases = True
 
     def _labels(self, zone: int) -> tuple[str, str]:
         return f"r{zone * self.regions // self.zones}", f"z{zone}"
--- a/curlewshift/scale/run.py
+++ b/curlewshift/scale/run.py
@@ -52,8 +52,8 @@
         try:
             async with anyio.create_task_group() as tasks:
                 try:
-                    await self.fleet.start(tasks)
                     tasks.start_soon(self._watch)
+                    await self.fleet.start(tasks)
                     await self._play(tasks)
                 finally:
                     # reading of what children say ends with them
@@ -77,7 +77,7 @@
                 "between_zones_s": plan.late[0], "between_regions_s": plan.late[1], "parts": plan.parts,
                 "sharing": {"nodes": load.sharing, "servers": load.servers, "links_played_on": load.links,
                             "viewings_a_node": load.viewings, "kB_a_viewing": load.rate} if load.sharing else None,
-                "left_out": "door, desk and logs of hollow nodes; tasks' own work at servers", "spoil": plan.spoil}
+                "leasing_nodes": load.leasing, "left_out": "door, desk and logs of hollow nodes; tasks' own work at servers", "spoil": plan.spoil}
 
     # ---- what is watched throughout
 
@@ -141,9 +141,10 @@
             "control": {**a_node(quiet, [place.name for place in plan.named("control")], [0]), "memory_kB": memory["control_kB"]},
             "memory": memory, "alone": self._alone(quiet), "relay_core": spread(
                 [(after - before) / 1e9 / quiet.lasted for before, after in zip(quiet.begun.relay_core, quiet.ended.relay_core)], 3)}
-        sharers = [place.name for place in plan.places if place.shares]
-        if sharers and len(sharers) < len(self._front_names()):
-            self.figures["a_sharing_node"] = a_node(quiet, sharers, [1, *self._shared_processes()])
+        for part in ("sharing", "leasing"):
+            some = [place.name for place in plan.places if (place.shares if part == "sharing" else place.leases)]
+            if some and len(some) < len(plan.named("hollow")):
+                self.figures[f"a_{part}_node"] = a_node(quiet, some, [1, *self._shared_processes()])
         if fleet.real:
             self.figures["real_node"] = {
                 "core": spread(list(quiet.real_core().values()), 5), "bytes_a_second": spread(
