--- a/curlewshift/capacity/in_force.py
+++ b/curlewshift/capacity/in_force.py
@@ -10,6 +10,8 @@
 
 # What a run waits for the last node to show a version (s); one that did not is at least so late.
 WAITED = 60.0
+# Fronts of examples/fleet-configuration-day.xml.
+REHEARSED = 8
 
 
 def longest(measured: Measured, file: str, told: list | dict | None) -> Figure | None:
@@ -27,7 +29,7 @@
     file, found = measured.scale(size.nodes), []
 
     def add(words: str, figure: Figure | None) -> None:
-        if figure is not None and figure.how == MEASURED:
+        if figure is not None and figure.how == MEASURED and not figure.measured_to:
             figure = measured.of_run(file, figure, size.nodes)
         found.append(Row("configuration", CONTROL, MESSAGES, words, figure, size.in_force_within, DISTRIBUTION))
     if file is not None and measured.get(file, "versions"):
@@ -47,11 +49,26 @@
                 Figure(WAITED, "s", MEASURED, files=(file,), command=measured.command(file), at_least=True))
     else:
         add("time until in force everywhere", None)
+    rehearsed = of_days(size, measured)
+    if rehearsed is not None:
+        add("in force at all real fronts of a rehearsed day with cuts, kills and stops: slowest of all sound days", rehearsed)
     for words, figure in simulated(size, measured):
         add(f"{words}, simulated", figure)
     return found
 
 
+def of_days(size: Size, measured: Measured) -> Figure | None:
+    """The slowest of the days that no sabotage spoilt, with that day's command."""
+    file = "configuration-day.json"
+    days = [one for one in measured.get(file, "days") or [] if not one.get("sabotage")]
+    if not days:
+        return None
+    worst = max(days, key=lambda one: one["configuration"]["in_force_max_s"])
+    late = any(one["configuration"]["late"] or one["configuration"]["missing"] for one in days)
+    return Figure(worst["configuration"]["in_force_max_s"], "s", MEASURED, files=(file,), command=worst["command"], at_least=late,
+                  measured_to=REHEARSED, wanted_at=size.nodes, carried="fronts", of_less=True)
+
+
 def simulated(size: Size, measured: Measured) -> list[tuple[str, Figure | None]]:
     """In virtual time, of as many nodes as the file says."""
     file, found = "versions.json", []
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -279,6 +279,14 @@
         # a minority's refusal is no change that was late
         self.assertFalse([row for row in all_rows(self.small(), measured) if "while regions-apart" in row.says])
 
+    def test_rehearsed_days_count_by_the_slowest_that_no_sabotage_spoilt(self):
+        def day(most, sabotage=None, late=0):
+            return {"sabotage": sabotage, "command": "bin/curlewshift rehearse D", "configuration": {
+                "in_force_max_s": most, "late": late, "missing": 0}}
+        row = self.row(self.files(configuration_day={"days": [day(8.0), day(10.0), day(50.0, "half-in-force")]}), "rehearsed day")
+        self.assertEqual((row.figure.value, row.figure.command), (10.0, "bin/curlewshift rehearse D"))
+        self.assertEqual(row.verdict(ROOT), "not known: ×0.56 of 18 s in a smaller run, and not carried")
+
     def test_servers_of_a_list_are_what_they_add_and_more_than_a_frame_holds_is_over(self):
         self.assertEqual((bulletin.MOST - 9) // bulletin.RECORD.size, MOST_LISTED)
         measured = self.files(slope_list=line_file("memory-by-servers", 30_000_000, 4_000))
