--- a/curlewshift/emulator/version_histories.py
+++ b/curlewshift/emulator/version_histories.py
@@ -75,8 +75,8 @@
         self.vote: bytes | None = None
         self.disk_full = False
         self.wire: DistributionWire | None = None
-        # the number in force, of this life and with this disk
-        self.number = (0, 0)
+        # the number in force in this life, and the highest that this disk was given
+        self.life_number = self.number = (0, 0)
 
     def now(self) -> int:
         return self.history.now
@@ -84,6 +84,7 @@
     def start(self) -> None:
         self.lives += 1
         self.alive, self.paused_until, self.fence, self.disk_full = True, 0, 0, False
+        self.life_number = (0, 0)
         if self.copy is None:
             self.number = (0, 0)
         history = self.history
@@ -427,8 +428,9 @@
             return
         if len(self.holding.get(version, ())) < self.terms.majority:
             self._wrong(f"{process.name} was told of {text} before a majority had it")
-        if version.number < process.number:
-            self._wrong(f"{process.name} went back to {text} from {process.number}")
+        if version.number < max(process.number, process.life_number):
+            self._wrong(f"{process.name} went back to {text} from {max(process.number, process.life_number)}")
+        process.life_number = version.number
         if not process.disk_full:
             process.number = version.number
 
