--- a/curlewshift/commands/measure.py
+++ b/curlewshift/commands/measure.py
@@ -170,5 +170,7 @@
     from curlewshift.emulator.version_figures import measure_versions as measured
     began = [round(load, 1) for load in os.getloadavg()]
     told = measured(workers, names, many)
-    told["load"] = {"before": began, "after": [round(load, 1) for load in os.getloadavg()]}
-    keep(out, {**(json.loads(out.read_text()) if out.exists() else {}), **told})
+    before = json.loads(out.read_text()) if out.exists() else {}
+    # what else ran, as the machine's load tells it: simulated times do not depend on it, those of the runs do
+    loads = before.get("load", {}) | {", ".join(names) or "all": {"before": began, "after": [round(load, 1) for load in os.getloadavg()]}}
+    keep(out, {**before, **told, "load": loads})
--- a/curlewshift/emulator/version_figures.py
+++ b/curlewshift/emulator/version_figures.py
@@ -44,6 +44,15 @@
             "sent_bytes_a_second_mean": round(sum(cost) / len(cost))}
 
 
+def by_node(before: dict, after: dict, posts: list, seconds: float, what: str) -> dict:
+    """Bytes a second a node: all that it sent and received, and what of the sent was distribution's own."""
+    told = {}
+    for index, name in enumerate(("sent", "received", "own_sent")):
+        rows = [(after[post.name][index] - before[post.name][index]) / seconds for post in posts]
+        told |= {f"{what}_{name}_mean": round(sum(rows) / len(rows)), f"{what}_{name}_worst": round(max(rows))}
+    return told
+
+
 def zone_returns(nodes: int = NODES) -> dict:
     """All of a zone killed, and back 20 s later at once, with nothing on their disks."""
     fleet = VersionFleet(nodes).begin()
@@ -60,16 +69,11 @@
     took = fleet.until(fleet.everywhere, 60)
     fleet.run(max(0.0, 18 - (fleet.queue.now - began) / NS))
     after = fleet.spent()
-    names = {post.name for post in zone}
     seconds = (fleet.queue.now - began) / NS
-    sent = {name: (after[name][0] - before[name][0]) / seconds for name in after}
-    given = [post.wire.giver.given_bytes / seconds for post in fleet.nodes if post.name not in names]
-    others = [sent[post.name] for post in fleet.nodes if post.name not in names]
+    others = [post for post in fleet.nodes if post not in zone]
     return {"returned": len(zone), "in_force_in_all_s": None if took is None else round(took, 2), "over_s": round(seconds, 1),
-            "others_sent_bytes_a_second_mean": round(sum(others) / len(others)), "others_sent_worst": round(max(others)),
-            "others_given_bytes_a_second_worst_since_start": round(max(given)),
-            "returned_sent_mean": round(sum(sent[name] for name in names) / len(names)),
-            "stores_sent_worst": round(max(sent[post.name] for post in fleet.stores))}
+            **by_node(before, after, others, seconds, "others"), **by_node(before, after, zone, seconds, "returned"),
+            **by_node(before, after, fleet.stores, seconds, "stores")}
 
 
 def regions_apart(seconds: int = APART_S, nodes: int = NODES) -> dict:
@@ -85,19 +89,17 @@
     before, began = fleet.spent(), fleet.queue.now
     took = fleet.until(fleet.everywhere, 120)
     after, lasted = fleet.spent(), max(0.1, (fleet.queue.now - began) / NS)
-    sent = [(after[post.name][0] - before[post.name][0]) / lasted for post in fleet.nodes]
     return {"apart_s": seconds, "changes_meanwhile": APART_CHANGES, "had_it_before_they_met": len(here),
             "in_force_everywhere_after_meeting_s": None if took is None else round(took, 2),
-            "sent_bytes_a_second_mean_until_then": round(sum(sent) / len(sent)), "worst": round(max(sent))}
+            **by_node(before, after, fleet.nodes, lasted, "until_then")}
 
 
 def stretch(nodes: int = NODES) -> dict:
     """100 changes and 20 restarts (with their disks), closer together than any day has them."""
     fleet = VersionFleet(nodes).begin()
     quiet = fleet.spent()
-    fleet.run(10)
-    after = fleet.spent()
-    alone = [(after[post.name][0] - quiet[post.name][0]) / 10 for post in fleet.nodes]
+    fleet.run(8)
+    alone = by_node(quiet, fleet.spent(), fleet.nodes, 8, "quiet")
     before, began, late = fleet.spent(), fleet.queue.now, 0
     for number in range(STRETCH_CHANGES):
         if number % (STRETCH_CHANGES // STRETCH_RESTARTS) == 2:
@@ -111,16 +113,11 @@
     took = fleet.until(fleet.everywhere, 30)
     seconds = (fleet.queue.now - began) / NS
     after = fleet.spent()
-    sent = [(after[post.name][0] - before[post.name][0]) / seconds for post in fleet.nodes]
-    heard = [(after[post.name][1] - before[post.name][1]) / seconds for post in fleet.nodes]
-    stores = [(after[post.name][0] - before[post.name][0]) / seconds for post in fleet.stores]
-    mean, rest = sum(sent) / len(sent), sum(alone) / len(alone)
-    a_change = (mean - rest) * seconds / STRETCH_CHANGES
-    return {"changes": STRETCH_CHANGES, "restarts": STRETCH_RESTARTS, "seconds": round(seconds, 1),
-            "quiet_sent_bytes_a_second_mean": round(rest), "sent_bytes_a_second_mean": round(mean), "sent_worst": round(max(sent)),
-            "received_bytes_a_second_mean": round(sum(heard) / len(heard)), "received_worst": round(max(heard)),
-            "stores_sent_worst": round(max(stores)), "sent_bytes_a_change_a_node": round(a_change),
-            "at_910_changes_a_day_bytes_a_second": round(rest + a_change * 910 / 86_400, 1),
+    busy = by_node(before, after, fleet.nodes, seconds, "nodes")
+    a_change = (busy["nodes_own_sent_mean"] - alone["quiet_own_sent_mean"]) * seconds / STRETCH_CHANGES
+    return {"changes": STRETCH_CHANGES, "restarts": STRETCH_RESTARTS, "seconds": round(seconds, 1), **alone, **busy,
+            **by_node(before, after, fleet.stores, seconds, "stores"), "own_bytes_a_change_a_node": round(a_change),
+            "own_at_910_changes_a_day_bytes_a_second": round(alone["quiet_own_sent_mean"] + a_change * 910 / 86_400, 1),
             "not_everywhere_at_the_next_change": late, "everywhere_at_the_end": took is not None}
 
 
--- a/curlewshift/emulator/versions.py
+++ b/curlewshift/emulator/versions.py
@@ -60,11 +60,13 @@
     wire: DistributionWire | None = None
     copy: bytes | None = None
     vote: bytes | None = None
-    fence = sent = received = 0
+    # bytes of whole datagrams; `own` are those of this kind, and what rides on others
+    fence = sent = received = own = 0
 
     def start(self) -> None:
         super().start()
         fleet, life = self.fleet, self.lives
+        self._count_own(self.channel)
         self.wire = EmulatedWire(self.channel, self, self.name, fleet.places, fleet.terms, lambda: self.fence, self, fleet.log,
                                  Random(f"{fleet.seed} {self.name} {life}"), self.copy, self.vote)
         fleet.queue.at(fleet.queue.now + fleet.chance.randrange(EVERY), self._round, life)
@@ -74,6 +76,23 @@
             self.wire.time()
             self.fleet.queue.at(self.fleet.queue.now + EVERY, self._round, life)
 
+    def _count_own(self, channel) -> None:
+        say, rides = channel.say, channel.rides
+
+        def counted(to, kind, body) -> bool:
+            before = self.sent
+            gone = say(to, kind, body)
+            self.own += self.sent - before
+            return gone
+
+        def ridden(rider, heard) -> None:
+            def counted_rider() -> bytes:
+                body = rider()
+                self.own += len(body)
+                return body
+            rides(counted_rider, heard)
+        channel.say, channel.rides = counted, ridden
+
     def post(self, address: tuple[str, int], data: bytes) -> None:
         self.sent += len(data)
         super().post(address, data)
@@ -163,5 +182,6 @@
         """Seconds from the operator's word until in force, by node, rising."""
         return sorted((at - self.asked[version]) / NS for at in self.took.get(version, {}).values())
 
-    def spent(self) -> dict[str, tuple[int, int]]:
-        return {post.name: (post.sent, post.received) for post in self.posts}
+    def spent(self) -> dict[str, tuple[int, int, int]]:
+        """Bytes sent, received, and sent for distribution, by node."""
+        return {post.name: (post.sent, post.received, post.own) for post in self.posts}
