--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -286,6 +286,8 @@
         **{fault: lambda how_so=how_so: leasing(**how_so)(*args, **how) for fault, how_so in LEASE_FAULTS.items()},
         "never-forget": lambda: wired(NeverForget)(*args, **how),
         **{fault: lambda front=front: front(*args, **how) for fault, front in CONFIGURATION_FAULTS.items()},
+        # of control machines alone
+        **{fault: lambda: Front(*args, **how) for fault in MACHINE_FAULTS},
     }[name]()
 
 
