Scale run: quiet begins when news of who came in has gone round

A run at 630 nodes on a machine whose load was 38 from elsewhere called 7.9 kB a second a node quiet, while news of the start was still going round; the wait was a stretch's length. Now it is until datagrams of news are under a tenth a second a node, 90 s at the most.

--- a/curlewshift/scale/relay.py
+++ b/curlewshift/scale/relay.py
@@ -25,7 +25,8 @@
 # Datagrams read in one go from one node's port, and between what it tells unasked (s).
 AT_ONCE, TELLS_EVERY = 64, 0.5
 GONE = 2
-PROBES = (1, 2)
+# Kinds of frames (docs/peers.md): on which a version rides, and which tell of members alone.
+PROBES, NEWS = (1, 2), (5, 7)
 
 
 def version_ridden(body: bytes) -> list | None:
@@ -127,7 +128,8 @@
             await anyio.sleep(TELLS_EVERY)
             gone = list(self.gone.values())
             say({"tick": time.monotonic(), "shown": {name: self.shown[name] for name in self.news}, "gone": gone[told:],
-                 "bytes": sum(row[1] for row in self.said.values())})
+                 "bytes": sum(row[1] for row in self.said.values()),
+                 "news": sum(row[0] for (_, kind), row in self.said.items() if kind in NEWS)})
             self.news.clear()
             told = len(gone)
 
--- a/curlewshift/scale/run.py
+++ b/curlewshift/scale/run.py
@@ -22,6 +22,9 @@
 # Views get so long to agree, at first and after a fault (s).
 AGREE_WITHIN = 120.0
 LOOK = 0.1
+# News has gone round when datagrams that tell of members alone are fewer than this a second a node, over so long (s); it is
+# waited for so long at the most (s).
+CALM, CALM_FOR, SETTLES_WITHIN = 0.1, 2.0, 90.0
 # The part of all datagrams that is lost in the second row of changes.
 LOST = 0.05
 # A node's own count may be off by so much of what the relays saw of it; and what it sent in the last moment (datagrams).
@@ -40,6 +43,7 @@
         self.fleet = Fleet(plan, out, self._heard, apart=joins > 0)
         # bytes by relay so far, and of all of them at each second
         self.carried: dict[int, int] = {}
+        self.news: dict[int, int] = {}
         self.seen: dict[int, int] = {}
         self.stretches: list[tuple[str, float, float]] = []
         self.most_memory = 0.0
@@ -83,7 +87,7 @@
 
     def _heard(self, relay: int, tick: dict) -> None:
         self.judge.saw(tick)
-        self.carried[relay] = tick["bytes"]
+        self.carried[relay], self.news[relay] = tick["bytes"], tick["news"]
         self.seen[int(tick["tick"])] = sum(self.carried.values())
 
     async def _watch(self) -> None:
@@ -133,11 +137,13 @@
             self.progress("views did not agree at first")
         viewers = Viewers(fleet)
         # what was told of those who came in goes round for a while after views agree
-        settling = await self._stretch("settling", plan.seconds)
+        settling = await self._settle()
         quiet = await self._stretch("quiet", plan.seconds)
         memory = await self._memory(quiet)
+        fronts, shared = self._front_names(), self._shared_processes()
         self.figures = {
-            "joined_s": joined, "settling": a_node(settling, self._front_names(), self._shared_processes()), "a_node": a_node(quiet, self._front_names(), self._shared_processes(), memory["by_part"]),
+            "joined_s": joined, "settled_s": round(settling.lasted, 2), "settling": a_node(settling, fronts, shared),
+            "a_node": a_node(quiet, fronts, shared, memory["by_part"]),
             "control": {**a_node(quiet, [place.name for place in plan.named("control")], [0]), "memory_kB": memory["control_kB"]},
             "memory": memory, "alone": self._alone(quiet), "relay_core": spread(
                 [(after - before) / 1e9 / quiet.lasted for before, after in zip(quiet.begun.relay_core, quiet.ended.relay_core)], 3)}
@@ -167,6 +173,19 @@
         self.figures["verdict"] = await self._judge(joined, viewers)
         self.figures["memory"]["most_GiB"] = round(self.most_memory / 2**20, 2)
 
+    async def _settle(self) -> Stretch:
+        """Until hardly any datagram tells of members alone, for so long at the most; the stretch it took."""
+        self.progress("settling")
+        begun, nodes = await self._mark(), len(self.plan.places)
+        while time.monotonic() - begun.at < SETTLES_WITHIN:
+            before = sum(self.news.values())
+            await anyio.sleep(CALM_FOR)
+            if (sum(self.news.values()) - before) / CALM_FOR / nodes < CALM:
+                break
+        stretch = Stretch(begun, await self._mark())
+        self.stretches.append(("settling", stretch.begun.at, stretch.ended.at))
+        return stretch
+
     async def _stretch(self, name: str, lasts: float) -> Stretch:
         self.progress(f"{name}: {lasts:g} s")
         begun = await self._mark()
