--- a/curlewshift/capacity/measured.py
+++ b/curlewshift/capacity/measured.py
@@ -60,8 +60,6 @@
 
     def of_run(self, file: str, figure: Figure, nodes: int) -> Figure:
         ran = self.get(file, "nodes") or nodes
-        if ran > nodes:
-            return figure
         return replace(figure, measured_to=ran, wanted_at=nodes, carried="nodes", of_less=ran < nodes)
 
     def machine(self, file: str) -> str:
