--- a/curlewshift/capacity/at_node.py
+++ b/curlewshift/capacity/at_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from math import ceil
 
 from curlewshift.capacity import given
 from curlewshift.capacity.figures import Figure, wanted
@@ -34,7 +35,19 @@
 def each_delivery(size: Size, measured: Measured) -> list[tuple[str, Figure | None]]:
     """Cores for all deliveries of a node, were all of one kind."""
     return [(kind, a_second(measured, name, size.deliveries_a_node)) for kind, name in (
-        ("requests", BY_REQUEST), ("notices", BY_NOTICE), ("changes of rung", BY_RUNG))]
+        ("set-ups, each with its end counted as one", BY_REQUEST), ("notices", BY_NOTICE), ("changes of rung", BY_RUNG))]
+
+
+def told_at_once(size: Size, measured: Measured) -> Figure | None:
+    """How long one process is busy with telling a node's part of the largest topic (ms)."""
+    slope, listeners = measured.slopes.get(BY_NOTICE), size.largest / size.nodes
+    return slope and slope.each("ms", listeners).times(listeners, "ms")
+
+
+def processes(size: Size, measured: Measured) -> Figure | None:
+    """Cores, and so processes, that the dearest kind of delivery takes, of those that could be carried."""
+    found = [one for _, one in each_delivery(size, measured) if one is not None and not one.at_least]
+    return max(found, key=lambda one: one.value, default=None)
 
 
 def rows(size: Size, measured: Measured) -> list[Row]:
@@ -55,6 +68,10 @@
     for kind, figure in each_delivery(size, measured):
         found.append(Row("workers", FRONT, PROCESSOR, f"{size.deliveries_a_node:,.0f} deliveries a second, were all {kind}",
                          figure, 1.0, DESK))
+    found.append(Row("workers", FRONT, PROCESSOR, "the same on all cores of the machine, were all of the dearest kind", processes(
+        size, measured), size.guess("cores-a-node"), DESK))
+    found.append(Row("largest-topic", FRONT, PROCESSOR, f"{size.largest / size.nodes:,.0f} listeners of the largest topic told at once",
+                     told_at_once(size, measured), size.p99 * 1000, DESK))
     for kind, name in (("an answer", P99_BY_REQUEST), ("a notice", P99_BY_NOTICE)):
         found.append(Row("p99", FRONT, MESSAGES, f"p99 of {kind} at {size.deliveries_a_node:,.0f} a second", carried(
             measured, name, size.deliveries_a_node, "ms", beyond=False), size.p99 * 1000, DESK))
@@ -72,21 +89,22 @@
 
 def worker_rows(size: Size, measured: Measured) -> list[Row]:
     """No split of a node exists: how many processes it would take, and what each would hold."""
-    most = max((one for _, one in each_delivery(size, measured) if one is not None), key=lambda one: one.value, default=None)
-    processes = most and most.times(1.0, "processes")
+    cores = processes(size, measured)
+    wanted_ = cores and replace(cores, value=float(ceil(cores.value)), unit="processes")
+    each = wanted_ and replace(wanted_, value=size.connections_a_node / wanted_.value, error=0.0, unit="connections")
     return [
-        Row("workers", WORKER, STATE, "processes that the dearest kind of delivery takes", processes,
+        Row("workers", WORKER, STATE, "processes that the dearest kind of delivery takes", wanted_,
             size.guess("cores-a-node"), None),
-        Row("workers", WORKER, STATE, "connections and viewings of one process in so many", None, None, None),
+        Row("workers", WORKER, STATE, "connections of one process in so many", each, None, None),
         Row("workers", WORKER, MESSAGES, "what the node's channel, list and configuration tell it on the machine", None, None,
             None),
         Row("workers", WORKER, PROCESSOR, "a second channel, list and copy, were each worker a node of its own",
-            _again(size, measured, PROCESSOR, processes), size.control_core, None),
+            _again(size, measured, PROCESSOR, wanted_), size.control_core, None),
         Row("workers", WORKER, MEMORY, "a second channel, list and copy, were each worker a node of its own",
-            _again(size, measured, MEMORY, processes), size.control_memory, None),
+            _again(size, measured, MEMORY, wanted_), size.control_memory, None),
     ]
 
 
-def _again(size: Size, measured: Measured, what: str, processes: Figure | None) -> Figure | None:
+def _again(size: Size, measured: Measured, what: str, workers: Figure | None) -> Figure | None:
     whole = given.whole(size, measured, what)
-    return whole and processes and whole.times(processes.value, whole.unit)
+    return whole and workers and whole.times(workers.value, whole.unit)
--- a/curlewshift/capacity/failures.py
+++ b/curlewshift/capacity/failures.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from curlewshift.capacity.at_node import BY_NOTICE, BY_REQUEST
+from curlewshift.capacity.at_node import BY_REQUEST, told_at_once
 from curlewshift.capacity.figures import NOT_MEASURED, Figure, short, supposed, worked_out
 from curlewshift.capacity.in_force import longest
 from curlewshift.capacity.measured import Measured, a_second, carried
@@ -165,9 +165,8 @@
     def largest_topic(self) -> Failure:
         size = self.size
         a_node = worked_out(size.largest / size.nodes, "notices")
-        slope = self.measured.slopes.get(BY_NOTICE)
-        lasts = slope and slope.each("s", a_node.value).times(a_node.value, "s")
-        words = f"×{lasts.value / size.p99:.3g} of the {short(size.p99 * 1000)} ms" if lasts else \
+        lasts = told_at_once(size, self.measured)
+        words = f"×{lasts.value / size.p99 / 1000:.3g} of the {short(size.p99 * 1000)} ms" if lasts else \
             f"against {short(size.p99 * 1000)} ms"
         return Failure(
             f"the largest topic's {_many(size.largest)} listeners are told at once", "no number is stated",
--- a/curlewshift/capacity/questions.py
+++ b/curlewshift/capacity/questions.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 from curlewshift.capacity.at_control import leases_a_shard
+from curlewshift.capacity.at_node import each_delivery, processes
 from curlewshift.capacity.figures import NOT_MEASURED
 from curlewshift.capacity.measured import Measured
-from curlewshift.capacity.rows import Row
 from curlewshift.capacity.size import Size
 
 
-def questions(size: Size, measured: Measured, rows: list[Row]) -> list[tuple[str, str, str, str]]:
+def questions(size: Size, measured: Measured) -> list[tuple[str, str, str, str]]:
     """(word, as read, the other way, what changes then)."""
-    by_kind = {row.says.rpartition(" ")[2]: row.figure for row in rows if row.says.endswith(("requests", "notices", "rung"))}
-    dear, cheap = by_kind.get("requests"), by_kind.get("notices")
-    between = (f"{dear.text()} if all are requests, {cheap.text()} if all are notices" if dear and cheap else
-               "the processor rows above, by kind")
+    by_kind = dict(each_delivery(size, measured))
+    dear, cheap = processes(size, measured), by_kind["notices"]
+    between = (f"{dear.text()} if all are set-ups with their ends, half of that if each end counts for itself; {cheap.text()} if all "
+               "are notices" if dear and cheap else "the processor rows below, by kind")
     shards = leases_a_shard(size, measured)
     majority = size.control_machines // 2 + 1
     return [
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -14,8 +14,8 @@
 FEWEST_POINTS = 4
 # How far the fit that a file states may lie from the line through its points, as a part: it is told with five digits.
 SAME_FIT = 0.001
-# A line from which the mean of a size lies further off than this part of its rise is too scattered to be carried beyond its run:
-# so few points do not show that it is straight.
+# A line from which the mean of a size lies further off than this part of its rise, or whose slope has an error over this part of it,
+# is too scattered to be carried beyond its run: so few points do not show that it is straight.
 SCATTERED = 0.10
 # What a unit is in the first of its kind.
 UNITS = {"bytes": ("bytes", 1.0), "kB": ("bytes", 1e3), "MB": ("bytes", 1e6), "GB": ("bytes", 1e9),
@@ -79,7 +79,8 @@
     @property
     def bears_carrying(self) -> bool:
         off = max(abs(y - self.line.intercept - self.line.slope * x) for x, y in self.curve)
-        return self.straight and off <= SCATTERED * abs(self.line.slope) * (self.points[-1][0] - self.points[0][0])
+        sure = self.line.slope_error <= SCATTERED * abs(self.line.slope)
+        return self.straight and sure and off <= SCATTERED * abs(self.line.slope) * (self.points[-1][0] - self.points[0][0])
 
     @property
     def measured_to(self) -> float:
--- a/curlewshift/capacity/tables.py
+++ b/curlewshift/capacity/tables.py
@@ -24,7 +24,7 @@
     """Name to markdown, in the order of the page. `root` is the tree's: a mechanism that is not there carries nothing."""
     rows = all_rows(size, measured)
     made = {"size": size_table(size), "questions": table(
-        ("word", "as read here", "the other way", "what changes then"), questions(size, measured, rows))}
+        ("word", "as read here", "the other way", "what changes then"), questions(size, measured))}
     for role in ROLES:
         made[role] = role_table([row for row in rows if row.role == role], root)
     made["failures"] = failures_table(size, measured)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -305,6 +305,18 @@
             self.assertEqual(figure.at_least, not carried)
         self.assertEqual((figure.value, figure.by), (0.04, "too scattered to carry: by its last point"))
 
+    def test_deliveries_of_the_dearest_kind_make_the_processes_and_listeners_at_once_their_wait(self):
+        measured = self.files(
+            slope_a=line_file("processor-time-by-request", 0.0, 0.004, unit="seconds", x="set-ups a second"),
+            slope_b=line_file("processor-time-by-notice", 0.0, 0.001, unit="seconds", x="notices a second"))
+        rows = {row.says: row for row in all_rows(self.small(), measured)}
+        self.assertAlmostEqual(rows["2,000 deliveries a second, were all notices"].figure.value, 2.0)
+        dear = rows["the same on all cores of the machine, were all of the dearest kind"]
+        self.assertEqual(dear.verdict(ROOT), "within: ×1 of 8 cores")
+        self.assertAlmostEqual(rows["processes that the dearest kind of delivery takes"].figure.value, 8)
+        self.assertAlmostEqual(rows["connections of one process in so many"].figure.value, 125)
+        self.assertEqual(rows["500 listeners of the largest topic told at once"].verdict(ROOT), "over: ×2.78 of 180 ms")
+
     def test_a_slope_whose_fit_is_not_that_of_its_points_is_refused(self):
         for spoil in (lambda one: one["points"][2].__setitem__(1, 9e6), lambda one: one["fit"].update(slope=9_100),
                       lambda one: one["fit"].update(intercept=0), lambda one: one["points"].pop(),
