--- a/curlewshift/walk/versions.py
+++ b/curlewshift/walk/versions.py
@@ -2,7 +2,8 @@
 
 Writers, stores and nodes' copies are the program's own. Words of a writer to a store wait in a slot by their kind: one that is
 never handed on is lost, an answer may be kept back, the last take of an earlier try may come in at any time, as often as it
-likes; what has been told may reach a node in any order and again. Both writers may hold the lease, and even one number of it.
+likes; what has been told may reach a node in any order and again, and with a content that is not its own. Both writers may hold
+the lease, and even one number of it.
 Called by `curlewshift walk --of versions` and by tests.
 """
 
@@ -231,7 +232,7 @@
             if self.restarts < self.restarts_most and self.fences[number]:
                 found.append(("writer", number))
         for version in self.told:
-            found += [("tell", number, version) for number in range(NODES)]
+            found += [(kind, number, version) for number in range(NODES) for kind in ("tell", "spoilt")]
         if self.restarts < self.restarts_most:
             found += [("store", name) for name in STORES]
             found += [("node", number) for number in range(NODES) if self.disks[number] is not None]
@@ -257,9 +258,9 @@
             self.writers[step[1]].time()
         elif kind == "put":
             self._put(step[1])
-        elif kind == "tell":
+        elif kind in ("tell", "spoilt"):
             self.nodes[step[1]].heard(step[2])
-            self.nodes[step[1]].got(step[2], self.contents[step[2].digest])
+            self.nodes[step[1]].got(step[2], self.contents[step[2].digest] if kind == "tell" else b"spoilt on its way")
         else:
             self._restart(kind, step[1])
         if self.wrong:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -577,7 +577,7 @@
             self.assertEqual(walked.breach, "", walked.course)
             self.assertGreater(walked.states, 100)
         self.assertEqual(long_courses(150, 60).breach, "")
-        for fault in ("no-majority", "old-over-new", "half-in-force", "blank-votes", "base-unchecked"):
+        for fault in ("no-majority", "old-over-new", "half-in-force", "digest-unchecked", "blank-votes", "base-unchecked"):
             classes = {part: kind for part, kind in FAULTS[fault].items() if part != "fetch"}
             self.assertNotEqual(long_courses(200, 60, **classes).breach, "", fault)
 
