--- a/curlewshift/standins/fleet.py
+++ b/curlewshift/standins/fleet.py
@@ -201,6 +201,13 @@
         for place in struck:
             place.server.unfreeze()
 
+    async def _slow_accept(self, trouble, struck, chance):
+        for place in struck:
+            await place.server.accept_late()
+        await anyio.sleep(trouble.lasts)
+        for place in struck:
+            place.server.accept_again()
+
     async def _fast_errors(self, trouble, struck, chance):
         await self._for_a_while(trouble, struck, "fails_fast", True, False)
 
--- a/curlewshift/standins/script.py
+++ b/curlewshift/standins/script.py
@@ -22,6 +22,7 @@
     "doubled": (6, 1.0, 0.3), "reordered": (6, 1.0, 0.3), "spoilt": (6, 1.0, 0.2),
     "put": (1, 1.0, 1.0), "bad-put": (1, 1.0, 1.0), "writer-pause": (5, 1.0, 1.0), "writer-crash": (3, 1.0, 1.0),
     "control-lost": (3, 1.0, 1.0), "control-cut": (6, 1.0, 1.0), "front-lost": (1, 0.2, 1.0), "front-spoilt": (1, 0.2, 1.0),
+    "slow-accept": (1.5, 0.25, 1.0),
 }
 # What befalls datagrams between fronts, by the relay that all of them pass.
 OF_PEERS = ("cut", "one-way", "loss", "late", "doubled", "reordered", "spoilt", "control-cut")
@@ -30,8 +31,9 @@
 # What befalls processes and their clocks.
 OF_FRONTS = ("front-crash", "front-roll", "pause", "clock-rate", "clock-step", "bad-path", "pause-in-act", *OF_CONFIGURATION)
 OF_VIEWERS = ("burst", "crowd", "peak")
-# What deployments in the emulator's world know; it has viewers, servers and fronts, but nothing between fronts.
-EMULATED = tuple(kind for kind in USUAL if kind not in (*OF_PEERS, *OF_FRONTS[2:], "peak"))
+# What deployments in the emulator's world know; it has viewers, servers and fronts, but nothing between fronts, and no queues for
+# connections.
+EMULATED = tuple(kind for kind in USUAL if kind not in (*OF_PEERS, *OF_FRONTS[2:], "peak", "slow-accept"))
 # Arrivals a second beside the usual ones, and the title or package that they are for.
 Part = tuple[float, str | None, str | None]
 # A longer day or more viewers than this a second is not for one machine.
--- a/curlewshift/standins/server.py
+++ b/curlewshift/standins/server.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import secrets
+import socket
 import time
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
 
 import anyio
+from anyio.abc import SocketAttribute
 
 from curlewshift.exchange.server import Exchange, Line, PeerGone
 from curlewshift.signalling.bodies import (
@@ -38,6 +40,8 @@
 # A session without a watcher for so long is over, and so are those of a front that is not heard of (s): no life of it.
 WATCHED_WITHIN = 3.0
 FRONT_WITHIN = 10.0
+# Connections that wait to be accepted, where it does not accept late.
+QUEUE = 1024
 JSON = [("content-type", "application/json")]
 MEDIA_EVERY = 0.5
 # Load reports are renewed so often (s), and are off by so much.
@@ -120,6 +124,9 @@
         self.notes_late = 0.0
         self.thaw = anyio.Event()
         self.thaw.set()
+        self.accepts = anyio.Event()
+        self.accepts.set()
+        self.fillers: list[socket.socket] = []
         self.fallen = anyio.Event()
         self.scope = anyio.CancelScope()
 
@@ -134,7 +141,7 @@
                 tasks.start_soon(self._fall, tasks)
                 if ready is not None:
                     ready()
-                await listener.serve(self._connection)
+                await self._accept(listener, tasks)
         for line in list(self.lines):
             line.reset()
         self.link.asked = 0.0
@@ -170,6 +177,40 @@
         self.traffic.seen("fell-over", server=self.name, boot=self.boot)
         self.die()
 
+    async def accept_late(self) -> None:
+        """Nobody takes connections out of the kernel's queue, which has one place, and that is taken: who dials waits for the
+        kernel to ask again, a second later at the soonest."""
+        self.accepts = anyio.Event()
+        self._queue(0)
+        # the first is accepted by the turn that is under way, and kept waiting; the second stays in the queue
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", int(self.name.rpartition(":")[2])))
+            self.fillers.append(filler)
+            await anyio.sleep(0.02)
+
+    def accept_again(self) -> None:
+        fillers, self.fillers = self.fillers, []
+        for filler in fillers:
+            filler.close()
+        self._queue(QUEUE)
+        self.accepts.set()
+
+    def _queue(self, places: int) -> None:
+        try:
+            self.listener.extra(SocketAttribute.raw_socket).listen(places)
+        except OSError:
+            # it has died meanwhile
+            pass
+
+    async def _accept(self, listener, tasks) -> None:
+        self.listener = listener
+        while True:
+            stream = await listener.accept()
+            await self.accepts.wait()
+            tasks.start_soon(self._connection, stream)
+
     async def _connection(self, stream) -> None:
         line = Line(Arrivals(stream), self._serve)
         self.lines.add(line)
--- a/curlewshift/standins/traffic.py
+++ b/curlewshift/standins/traffic.py
@@ -14,6 +14,8 @@
 # Where TCP_INFO (tcp(7), linux/tcp.h) has the age of the last bytes that came, in ms; it is counted in the kernel's ticks
 # (ns), which CLOCK_MONOTONIC_COARSE (linux/time.h) tells.
 LAST_DATA_RECV = 8 + 11 * 4
+# and how many bytes have come on it at all.
+BYTES_RECEIVED = 8 + 24 * 4 + 3 * 8
 TICK = int(time.clock_getres(6) * 1_000_000_000)
 
 
@@ -47,6 +49,12 @@
     return time.monotonic_ns() - max(0, struct.unpack_from("=I", info, LAST_DATA_RECV)[0] * MS - TICK)
 
 
+def bytes_come(sock: socket.socket) -> int:
+    """How many bytes the kernel has taken on this socket, read or not."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, BYTES_RECEIVED + 8)
+    return struct.unpack_from("=Q", info, BYTES_RECEIVED)[0]
+
+
 class Arrivals:
     """A stream that notes when the first byte of what is read next came in."""
 
--- a/curlewshift/standins/viewers.py
+++ b/curlewshift/standins/viewers.py
@@ -12,6 +12,7 @@
 
 import anyio
 import msgspec
+from anyio.abc import SocketAttribute
 
 from curlewshift.exchange.client import Answered, Broken, Call, NeverSent, ask, connect
 from curlewshift.signalling.bodies import BadBody, Problem, decode
@@ -19,7 +20,7 @@
     PLAYS, PUBLISHES, BadDescription, candidate_of, offer_text, parse)
 from curlewshift.site.site import Site
 from curlewshift.standins.script import Script, Wish, drawn_part, pressure
-from curlewshift.standins.traffic import Traffic
+from curlewshift.standins.traffic import Traffic, bytes_come
 
 NS = 1_000_000_000
 SDP = "application/sdp"
@@ -158,7 +159,7 @@
         finally:
             if call is not None:
                 call.say_no_more()
-                self.traffic.seen("left", how="shut-down" if lingers else "closed", answered=answered is not None, **facts)
+                self.traffic.seen("left", how="shut-down" if lingers else "closed", answered=answered is not None, came=bytes_come(call.stream.extra(SocketAttribute.raw_socket)), **facts)
                 with anyio.CancelScope(shield=True):
                     await anyio.sleep(lingers)
                 await call.close()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -192,6 +192,31 @@
         self.assertEqual((told["late"], told["clean"]), (1, False), told)
         self.assertGreater(told["latest_ms"], 140)
 
+    @story
+    async def test_a_server_that_accepts_late_gets_nothing_for_who_left_meanwhile_unless_the_front_is_deaf(self):
+        for desk, begun in ((None, 0), (DeafDesk, 1)):
+            async with SmallSite(servers=1, patience=4 * 1000 * MS).up() as site:
+                if desk is not None:
+                    site.front.desk.__class__ = desk
+                [server] = site.servers.values()
+                await server.accept_late()
+                call = await site.call()
+                site.traffic.seen("ask", request="q", front="f")
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.asks, call, "clip")
+                    await until(lambda: site.front.reach.out)
+                    await anyio.sleep(0.1)
+                    call.say_no_more()
+                    site.traffic.seen("left", request="q", front="f", how="shut-down", answered=False)
+                    await anyio.sleep(0.1)
+                    server.accept_again()
+                    await until(lambda: not site.front.reach.out)
+                    await anyio.sleep(0.05)
+                    tasks.cancel_scope.cancel()
+                await call.close()
+                told = judge_attempts(site.traffic.events)
+                self.assertEqual((told["left"], told["attempts"], told["late"]), (1, begun, begun), told)
+
 
 class AtTheNodeInService(unittest.TestCase):
     """`curlewshift leavers`, as users start it: the node is a process of its own, sound or deaf to a way to leave."""
