--- a/curlewshift/capacity/at_control.py
+++ b/curlewshift/capacity/at_control.py
@@ -42,13 +42,19 @@
 
 def of_a_run(size: Size, measured: Measured) -> list[Row]:
     """What a scale run counted for a control machine, all its parts together: with nothing to do, and over a stretch of changes."""
-    file, found = measured.scale(size.nodes), []
+    found = []
     for words, way in (("at rest", ()), ("over a stretch of changes and restarts", ("stretch",))):
         for what, key, unit, bound in ((MESSAGES, "bytes_a_second", "bytes/s", None), (PROCESSOR, "core", "cores", 1.0)):
-            found.append(Row("configuration", CONTROL, what, f"{words}, out" if what == MESSAGES else words, file and measured.figure(
-                file, *way, "control", "all", key, "mean", unit=unit), bound, MACHINE))
-    found.append(Row("configuration", CONTROL, MEMORY, "its process, as a scale run counted", file and measured.figure(
-        file, "control", "memory_kB", unit="MB", by=0.001), size.guess("memory-a-node-GB") * 1000, MACHINE))
+            found.append(Row("configuration", CONTROL, what, f"{words}, out" if what == MESSAGES else words, measured.at_size(
+                size.nodes, *way, "control", "all", key, "mean", unit=unit), bound, MACHINE))
+    for words, way in (("over 100 changes and 20 restarts close together", "stretch"),
+                       ("while a zone comes back with empty disks", "zone_returns_empty")):
+        figure = measured.figure("versions.json", way, "stores_sent_worst", unit="bytes/s")
+        if figure is not None:
+            found.append(Row("configuration", CONTROL, MESSAGES, f"{words}, out, simulated", measured.of_run(
+                "versions.json", figure, size.nodes), None, MACHINE))
+    found.append(Row("configuration", CONTROL, MEMORY, "its process, as a scale run counted", measured.at_size(
+        size.nodes, "control", "memory_kB", unit="MB", by=0.001), size.guess("memory-a-node-GB") * 1000, MACHINE))
     return found
 
 
@@ -84,7 +90,7 @@
             worked_out(size.nodes, "connections"), None, LISTS),
         Row("list", FOLLOWER, PROCESSOR, f"{servers:,.0f} servers at rest", idle and replace(idle, unit="cores"),
             size.control_core, LISTS),
-        Row("list", FOLLOWER, PROCESSOR, f"{servers:,.0f} servers taken at a start, at once", taken, size.p99 * 1000, LISTS),
+        Row("list", FOLLOWER, PROCESSOR, f"what {servers:,.0f} servers add to a start, before the door is open", taken, None, LISTS),
         Row("list", FOLLOWER, MEMORY, f"a list of {servers:,.0f} servers", of_servers(measured, LIST_MEMORY, servers, "MB"),
             size.control_memory, LISTS),
     ]
@@ -93,7 +99,7 @@
 def of_servers(measured: Measured, name: str, servers: float, unit: str) -> Figure | None:
     """What so many servers add to a node that has none."""
     slope = measured.slopes.get(name)
-    return slope and slope.each(unit, servers).times(servers, unit)
+    return slope and slope.added(servers, unit)
 
 
 def leases_a_shard(size: Size, measured: Measured) -> Figure | None:
--- a/curlewshift/capacity/failures.py
+++ b/curlewshift/capacity/failures.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from curlewshift.capacity.at_node import BY_NOTICE, BY_REQUEST
+from curlewshift.capacity.at_node import BY_REQUEST, told_at_once
 from curlewshift.capacity.figures import NOT_MEASURED, Figure, short, supposed, worked_out
 from curlewshift.capacity.in_force import longest
 from curlewshift.capacity.measured import Measured, a_second, carried
@@ -165,9 +165,8 @@
     def largest_topic(self) -> Failure:
         size = self.size
         a_node = worked_out(size.largest / size.nodes, "notices")
-        slope = self.measured.slopes.get(BY_NOTICE)
-        lasts = slope and slope.each("s", a_node.value).times(a_node.value, "s")
-        words = f"×{lasts.value / size.p99:.3g} of the {short(size.p99 * 1000)} ms" if lasts else \
+        lasts = told_at_once(size, self.measured)
+        words = f"×{lasts.value / size.p99 / 1000:.3g} of the {short(size.p99 * 1000)} ms" if lasts else \
             f"against {short(size.p99 * 1000)} ms"
         return Failure(
             f"the largest topic's {_many(size.largest)} listeners are told at once", "no number is stated",
@@ -206,8 +205,8 @@
         file = self.measured.scale(self.size.nodes)
         for place, one in enumerate(self.measured.get(file, "faults") or () if file else ()):
             if isinstance(one, dict) and one.get("kind") == kind:
-                return self.measured.figure(file, "faults", place, *way,
-                                            unit="bytes/s" if "bytes_a_second" in way else "s")
+                return self.measured.at_size(self.size.nodes, "faults", place, *way,
+                                             unit="bytes/s" if "bytes_a_second" in way else "s")
         return None
 
     def change_after(self, kind: str) -> Figure | None:
@@ -215,5 +214,6 @@
         file = self.measured.scale(self.size.nodes)
         for one in (self.measured.get(file, "faults") or ()) if file else ():
             if one.get("kind") == kind:
-                return longest(self.measured, file, one.get("change_after"))
+                found = longest(self.measured, file, one.get("change_after"))
+                return found and self.measured.of_run(file, found, self.size.nodes)
         return None
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -7,15 +7,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from curlewshift.capacity.figures import FROM_SIMULATED, WORKED_OUT, Figure, short
+from curlewshift.capacity.figures import FROM_SIMULATED, MEASURED, SIMULATED, WORKED_OUT, Figure, short
 
 FEWEST_POINTS = 4
 # How far the fit that a file states may lie from the line through its points, as a part: it is told with five digits.
 SAME_FIT = 0.001
-# A line from which the mean of a size lies further off than this part of its rise is too scattered to be carried beyond its run:
-# so few points do not show that it is straight.
+# A line from which the mean of a size lies further off than this part of its rise, or whose slope has an error over this part of it,
+# is too scattered to be carried beyond its run: so few points do not show that it is straight.
 SCATTERED = 0.10
 # What a unit is in the first of its kind.
 UNITS = {"bytes": ("bytes", 1.0), "kB": ("bytes", 1e3), "MB": ("bytes", 1e6), "GB": ("bytes", 1e9),
@@ -79,7 +79,8 @@
     @property
     def bears_carrying(self) -> bool:
         off = max(abs(y - self.line.intercept - self.line.slope * x) for x, y in self.curve)
-        return self.straight and off <= SCATTERED * abs(self.line.slope) * (self.points[-1][0] - self.points[0][0])
+        sure = self.line.slope_error <= SCATTERED * abs(self.line.slope)
+        return self.straight and sure and off <= SCATTERED * abs(self.line.slope) * (self.points[-1][0] - self.points[0][0])
 
     @property
     def measured_to(self) -> float:
@@ -94,17 +95,34 @@
             value, error = (y1 - y0) / (x1 - x0), 0.0
         return self._figure(value, error, unit, carried_to, not self.bears_carrying and carried_to > self.measured_to)
 
+    def added(self, x: float, unit: str) -> Figure:
+        """What x of them add to none: by the line; where that is not straight, to the fewest that were run."""
+        if self.bears_carrying:
+            return self.each(unit, x).times(x, unit)
+        found, fewest = self.at(x, unit), self.at(self.curve[0][0], unit)
+        return replace(found, value=found.value - fewest.value, error=found.error + fewest.error, how=WORKED_OUT,
+                       by=f"{found.by}, less that at {short(self.curve[0][0])}")
+
     def at(self, x: float, unit: str, beyond: bool = True) -> Figure:
         """What x of them cost. Without `beyond` nothing past the run is worked out, as of waits, which rise without end once a
         process is full."""
         within = x <= self.measured_to
-        if self.bears_carrying and beyond or self.straight and within:
+        repeats = [y for size, y in self.points if size == x]
+        if repeats:
+            return self._run(repeats, unit, x)
+        if self.bears_carrying and (beyond or within):
             return self._figure(self.line.intercept + self.line.slope * x,
                                 self.line.slope_error * abs(x) + self.line.worst, unit, x, False)
         if not within:
             return self._figure(self.curve[-1][1], 0.0, unit, x, True)
         return self._figure(self._between(x), 0.0, unit, x, False)
 
+    def _run(self, repeats: list[float], unit: str, x: float) -> Figure:
+        """A size that was run itself: the mean of its repeats, and how far one lies from it."""
+        mean = sum(repeats) / len(repeats)
+        found = self._figure(mean, max(abs(one - mean) for one in repeats), unit, x, False)
+        return replace(found, how=SIMULATED if self.simulated else MEASURED, by=f"run at {short(x)} {self.x_unit}")
+
     def _figure(self, value: float, error: float, unit: str, x: float, least: bool) -> Figure:
         bent = "" if self.bears_carrying else "too scattered to carry: " if self.straight else "not straight: "
         by = f"{bent}by its last point" if least else "by its line" if self.straight else f"{bent}between its points"
@@ -168,4 +186,4 @@
 
 def _plural(name: str) -> str:
     first, *more = name.replace("-", " ").split()
-    return " ".join([first + "s", *more])
+    return " ".join([first if first.endswith("s") else first + "s", *more])
--- a/curlewshift/distribution/copy.py
+++ b/curlewshift/distribution/copy.py
@@ -77,20 +77,25 @@
 
     def heard(self, version: Version) -> bool:
         """True if it is news."""
-        self._same(version, self.newest)
-        self._same(version, self.held)
+        for other in {self.newest, self.held}:
+            if version.number == other.number and version.digest != other.digest:
+                self.forks += 1
+                self.outside.forked(version, other)
         if not version.over(self.newest):
             return False
         self.newest = version
         return True
 
+    def newer(self, version: Version) -> bool:
+        return version.over(self.held)
+
     @property
     def wants(self) -> Version | None:
-        return self.newest if self.newest.over(self.held) else None
+        return self.newest if self.newer(self.newest) else None
 
     def got(self, version: Version, content: bytes) -> bool:
         """The content of one that was heard of. False where it is not newer, or is not what it says."""
-        if not version.over(self.held) or not self._fits(version, content):
+        if not self.newer(version) or not self._fits(version, content):
             return False
         return self._take(version, content)
 
@@ -123,11 +128,6 @@
         except OSError as wrong:
             self.outside.not_kept(str(wrong))
 
-    def _same(self, one: Version, other: Version) -> None:
-        if one.number == other.number and one.digest != other.digest:
-            self.forks += 1
-            self.outside.forked(one, other)
-
     # ---- how old it is
 
     def vouched(self, version: Version, age: int) -> None:
--- a/curlewshift/distribution/fetching.py
+++ b/curlewshift/distribution/fetching.py
@@ -16,6 +16,8 @@
 
 # Packings of one content that are collected beside each other; a giver with another base or library packs otherwise.
 MOST_PACKINGS = 3
+# Contents wanted at once; the oldest goes first: of a writer that is gone before it gave any, nobody has it.
+MOST_WANTED = 6
 
 
 class Outside(Protocol):
@@ -29,14 +31,14 @@
 class Wanted:
     """`givers` tells who has it, as far as is known."""
 
-    __slots__ = ("version", "givers", "parts", "asked", "asked_at", "heard_at", "due", "whole_only")
+    __slots__ = ("version", "givers", "parts", "asked", "asked_at", "heard_at", "due", "whole_only", "tries")
 
     def __init__(self, version: Version, givers: Callable[[], list[str]]):
         self.version, self.givers = version, givers
         self.parts: dict[bytes, Parts] = {}
         self.asked, self.asked_at, self.heard_at, self.whole_only = "", 0, 0, False
         # pieces that the one asked may still send; none told of how many there are before the first came
-        self.due = 0
+        self.due = self.tries = 0
 
 
 class Fetch:
@@ -52,7 +54,12 @@
         held = self.library.get(version.digest)
         if held is not None:
             self.outside.came(version, held)
-        elif version.digest not in self.wanted:
+        elif version.digest in self.wanted:
+            # who has it is known better now than when it was first wanted (history 49: for ever asked of one that had lost it)
+            self.wanted[version.digest].givers = givers
+        else:
+            if len(self.wanted) >= MOST_WANTED:
+                del self.wanted[next(iter(self.wanted))]
             wanted = self.wanted[version.digest] = Wanted(version, givers)
             self._ask(wanted)
 
@@ -63,9 +70,10 @@
         now = self.outside.now()
         self.resting = {name: until for name, until in self.resting.items() if until > now}
         for wanted in list(self.wanted.values()):
+            wanted.tries = 0
             if wanted.asked and now - max(wanted.asked_at, wanted.heard_at) > self.terms.ask_within:
                 # silent, or its last pieces were lost: after some that came, it is asked for the rest
-                if wanted.heard_at <= wanted.asked_at:
+                if not wanted.heard_at:
                     self.resting[wanted.asked] = now + self.terms.rest
                 wanted.asked = ""
             if not wanted.asked:
@@ -101,11 +109,14 @@
         self._not_now(giver, version, self.terms.rest // 4)
 
     def _not_now(self, giver: str, version: Version, after: int) -> None:
-        self.resting[giver] = self.outside.now() + min(after, self.terms.rest)
+        # not all at the same moment again
+        self.resting[giver] = self.outside.now() + int(min(after, self.terms.rest) * self.chance.uniform(1, 2))
         wanted = self.wanted.get(version.digest)
         if wanted is not None and wanted.asked == giver:
             wanted.asked = ""
-            self._ask(wanted)
+            wanted.tries += 1
+            if wanted.tries < self.terms.tries_a_round:
+                self._ask(wanted)
 
     # ---- the course of one
 
@@ -119,7 +130,7 @@
             of = self.chance.choice(near)
         packing, parts = max(wanted.parts.items(), key=lambda pair: len(pair[1].held), default=(b"", None))
         base = b"" if wanted.whole_only else self.base
-        wanted.asked, wanted.asked_at = of, now
+        wanted.asked, wanted.asked_at, wanted.heard_at = of, now, 0
         missing = parts.missing(self.terms.window) if parts is not None else []
         wanted.due = len(missing) or self.terms.window
         self.outside.ask(of, wanted.version, base, packing, missing)
--- a/curlewshift/rehearsal/configuring.py
+++ b/curlewshift/rehearsal/configuring.py
@@ -25,8 +25,8 @@
 # A writer is struck so long after it was told to make a version, at the most (s): before, between and after its words.
 STRUCK_WITHIN = 0.03
 MARKS = {"patience": 5000, "longest_wait": 1900, "most_waiting": 500}
-# The mark of a content that no version has, under the name of one, on a spoilt disk.
-SPOILT = 300
+# The mark of a content that no version has, under the name of one, on a spoilt disk; and that of files that nobody may take.
+SPOILT, BAD = 300, 700
 # Sabotages of control machines; the others are those of fronts.
 OF_MACHINES = ("no-majority",)
 
@@ -200,28 +200,33 @@
         except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError, ValueError):
             return {"ok": False, "unknown": True, "wrong": f"{machine.name} did not answer"}
 
-    async def writer(self):
-        for machine in self.machines:
-            told = None if machine.paused else await machine.ask({"do": "leases"})
-            if told is not None and told.get("leases") and told["leases"]["number"]:
-                return machine
-        return None
+    async def writer(self, within: float = 0.0):
+        """Who may make a version now, or comes to within so long (s)."""
+        ends = time.monotonic() + within
+        while True:
+            for machine in self.machines:
+                told = None if machine.paused else await machine.ask({"do": "leases"})
+                if told is not None and told.get("leases") and told["leases"]["number"]:
+                    return machine
+            if time.monotonic() >= ends:
+                return None
+            await anyio.sleep(ASK_AGAIN)
 
     async def _put_bad(self) -> None:
         """Files that are wrong, and one that would need a restart: neither may reach anybody."""
         for what, old, new in (("schema", b'longest-wait="', b'longest-weight="'), ("rule", b'join-target="', b'join-target="9'),
                                ("restart", b'warm-within="', b'warm-within="1')):
-            machine = await self.writer()
+            machine = await self.writer(PUT_WITHIN)
             if machine is None:
                 continue
-            content = marked(self.base, 90_000).replace(old, new, 1).decode()
+            content = marked(self.base, BAD).replace(old, new, 1).decode()
             answer = await self._tell(machine, {"do": "put", "content": content, "base": "", "name": "bad.xml",
                                                 "why": "the rehearsal's bad file"})
-            self.day.traffic.seen("bad-put", what=what, ok=answer["ok"], wrong=answer.get("wrong", ""))
+            self.day.traffic.seen("bad-put", mark=BAD, what=what, ok=answer["ok"], wrong=answer.get("wrong", ""))
 
     async def _strike_writer(self, kind: str, lasts: float) -> None:
         """In the middle of a version that it was told to make."""
-        machine = await self.writer()
+        machine = await self.writer(PUT_WITHIN)
         if machine is None:
             return
         async with anyio.create_task_group() as tasks:
@@ -235,7 +240,7 @@
                 await machine.start()
 
     async def _lose_machine(self, lasts: float) -> None:
-        writer = await self.writer()
+        writer = await self.writer(PUT_WITHIN)
         machine = self.chance.choice([one for one in self.machines if one is not writer and not one.paused])
         machine.kill()
         for name in ("vote", "configuration"):
--- a/curlewshift/scale/relay.py
+++ b/curlewshift/scale/relay.py
@@ -25,7 +25,8 @@
 # Datagrams read in one go from one node's port, and between what it tells unasked (s).
 AT_ONCE, TELLS_EVERY = 64, 0.5
 GONE = 2
-PROBES = (1, 2)
+# Kinds of frames (docs/peers.md): on which a version rides, and which tell of members alone.
+PROBES, NEWS = (1, 2), (5, 7)
 
 
 def version_ridden(body: bytes) -> list | None:
@@ -52,9 +53,10 @@
         self.said: dict[tuple[str, int], list[int]] = {}
         self.handed_to: dict[str, list[int]] = {name: [0, 0] for name in self.names}
         self.lost = self.cut = self.spoilt = 0
-        # what senders show: life, incarnation, view, number of the datagram, when; and what rode last: version, since when
+        # what senders show: life, incarnation, view, number of the datagram, when; and what rode last: version, first seen here
+        # when, number of the last datagram that it rode on
         self.shown: dict[str, list] = {}
-        self.rode: dict[str, tuple[int, list, float]] = {}
+        self.rode: dict[str, tuple[int, list, float, int]] = {}
         self.news: set[str] = set()
         self.gone: dict[tuple[str, int], list] = {}
 
@@ -104,8 +106,10 @@
             now = time.monotonic()
             if frame[7] in PROBES and frame[12]:
                 version = version_ridden(frame[12])
-                if version is not None and self.rode.get(sender, (0, None))[:2] != (life, version):
-                    self.rode[sender] = life, version, now
+                rode = self.rode.get(sender)
+                if version is not None and (rode is None or (life, number) > (rode[0], rode[3])):
+                    same = rode is not None and rode[:2] == (life, version)
+                    self.rode[sender] = life, version, rode[2] if same else now, number
             rode = self.rode.get(sender)
             self.shown[sender] = [life, incarnation, view, number, now, *(rode[1:] if rode and rode[0] == life else ())]
         for claim in frame[11]:
@@ -124,7 +128,8 @@
             await anyio.sleep(TELLS_EVERY)
             gone = list(self.gone.values())
             say({"tick": time.monotonic(), "shown": {name: self.shown[name] for name in self.news}, "gone": gone[told:],
-                 "bytes": sum(row[1] for row in self.said.values())})
+                 "bytes": sum(row[1] for row in self.said.values()),
+                 "news": sum(row[0] for (_, kind), row in self.said.items() if kind in NEWS)})
             self.news.clear()
             told = len(gone)
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -22,6 +22,7 @@
 from curlewshift.commands.capacity import MEASURED, PAGE, ROOT, USUAL, read_size
 from curlewshift.commands.main import NOUNS, main
 from curlewshift.distribution.terms import NS, DistributionTerms
+from curlewshift.emulator.versions import site_file
 from curlewshift.node import bulletin
 from curlewshift.peering import leasing, overloaded
 from curlewshift.peering.frames import Frame, encode
@@ -231,7 +232,12 @@
         told["points"][-1][1] = 0.18
         line = linear_regression(*zip(*told["points"]))
         told["fit"].update(intercept=line.intercept, slope=line.slope)
-        self.assertAlmostEqual(slope_of(told, "F").at(400, "s").value, 0.17)
+        figure = slope_of(told, "F").at(400, "s")
+        self.assertAlmostEqual(figure.value, 0.17)
+        self.assertAlmostEqual(figure.error, 0.01)
+        self.assertEqual((figure.how, figure.by), ("measured", "run at 400 connections"))
+        # beside a size that was run, the points on both sides
+        self.assertAlmostEqual(slope_of(told, "F").at(350, "s").value, (0.09 + 0.17) / 2)
 
     def test_connections_without_a_viewing_count_by_their_own_slope(self):
         size = read_size(self.size(('"viewings-a-connection" value="1"', '"viewings-a-connection" value="0.5"')))
@@ -246,10 +252,18 @@
         self.assertAlmostEqual(row.figure.value, 32 * 10.0 / 5 * 100)
         self.assertEqual(self.small().deliveries_a_node, 2000)
 
-    def test_time_until_in_force_is_of_the_run_and_of_the_nearest_simulation_above(self):
-        sizes = [{"nodes": 4, "in_force_p99_s": 1.0}, {"nodes": 24, "in_force_p99_s": 2.0}, {"nodes": 630, "in_force_p99_s": 3.0}]
-        figure = self.row(self.files(versions={"sizes": sizes}), "in force everywhere, simulated, p99").figure
-        self.assertEqual((figure.value, figure.how), (2.0, "simulated"))
+    def test_time_until_in_force_is_of_the_run_and_of_the_simulation(self):
+        told = {"nodes": 630, "no_loss": {"last_node_s": [2.0, 3.0]}, "loss_of_5_percent": {"last_node_s": [2.0, None]},
+                "zone_returns_empty": {"in_force_in_all_s": 19.8, "others_sent_worst": 5000}}
+        measured = self.files(versions=told)
+        for words, verdict in (("nothing lost: slowest of 2 changes, simulated", "within: ×0.17 of 18 s"),
+                               ("5% of datagrams lost: slowest of 2 changes, sim", "over: at least ×3.33 of 18 s"),
+                               ("all of a zone that is back at once", "over: ×1.1 of 18 s"),
+                               ("of the others the one that sends most", "over: ×1.25 of 4,000 bytes/s")):
+            self.assertEqual(self.row(measured, words).verdict(ROOT), verdict, words)
+        self.assertIn("not measured", self.row(measured, "time until in force everywhere").verdict(ROOT))
+        self.assertIn("in a smaller run", self.row(self.files(versions={**told, "nodes": 5}), "nothing lost: slowest of 2 changes, s"
+                                                   ).verdict(ROOT))
         made, late, lost = ({"ok": True, "everywhere_s": 4.0}, {"ok": True, "everywhere_s": 20.0}, {"ok": True, "everywhere_s": None})
         run = {"nodes": 24, "versions": {"no_loss": [made, made], "loss": [made, lost]}, "faults": [
             {"kind": "zone-lost", "change_while": late, "change_after": {"ok": False, "refused": ["no majority"]}},
@@ -265,10 +279,20 @@
         # a minority's refusal is no change that was late
         self.assertFalse([row for row in all_rows(self.small(), measured) if "while regions-apart" in row.says])
 
+    def test_rehearsed_days_count_by_the_slowest_that_no_sabotage_spoilt(self):
+        def day(most, sabotage=None, late=0):
+            return {"sabotage": sabotage, "command": "bin/curlewshift rehearse D", "configuration": {
+                "in_force_max_s": most, "late": late, "missing": 0}}
+        row = self.row(self.files(configuration_day={"days": [day(8.0), day(10.0), day(50.0, "half-in-force")]}), "rehearsed day")
+        self.assertEqual((row.figure.value, row.figure.command), (10.0, "bin/curlewshift rehearse D"))
+        self.assertEqual(row.verdict(ROOT), "not known: ×0.56 of 18 s in a smaller run, and not carried")
+
     def test_servers_of_a_list_are_what_they_add_and_more_than_a_frame_holds_is_over(self):
         self.assertEqual((bulletin.MOST - 9) // bulletin.RECORD.size, MOST_LISTED)
         measured = self.files(slope_list=line_file("memory-by-servers", 30_000_000, 4_000))
         self.assertAlmostEqual(self.row(measured, "a list of 2,000 servers").figure.value, 8.0)
+        bent = self.files(slope_list=line_file("memory-by-servers", 30_000_000, 0, bend=1.0, xs=(1000, 2000, 3000, 4000)))
+        self.assertAlmostEqual(self.row(bent, "a list of 2,000 servers").figure.value, 4.0 - 1.0)
         self.assertEqual(self.row(measured, "servers that a whole list has to hold").verdict(ROOT), "over: ×3.3 of 606 servers")
 
     def test_a_line_that_is_too_scattered_to_show_it_straight_is_not_carried(self):
@@ -281,6 +305,18 @@
             self.assertEqual(figure.at_least, not carried)
         self.assertEqual((figure.value, figure.by), (0.04, "too scattered to carry: by its last point"))
 
+    def test_deliveries_of_the_dearest_kind_make_the_processes_and_listeners_at_once_their_wait(self):
+        measured = self.files(
+            slope_a=line_file("processor-time-by-request", 0.0, 0.004, unit="seconds", x="set-ups a second"),
+            slope_b=line_file("processor-time-by-notice", 0.0, 0.001, unit="seconds", x="notices a second"))
+        rows = {row.says: row for row in all_rows(self.small(), measured)}
+        self.assertAlmostEqual(rows["2,000 deliveries a second, were all notices"].figure.value, 2.0)
+        dear = rows["the same on all cores of the machine, were all of the dearest kind"]
+        self.assertEqual(dear.verdict(ROOT), "within: ×1 of 8 cores")
+        self.assertAlmostEqual(rows["processes that the dearest kind of delivery takes"].figure.value, 8)
+        self.assertAlmostEqual(rows["connections of one process in so many"].figure.value, 125)
+        self.assertEqual(rows["500 listeners of the largest topic told at once"].verdict(ROOT), "over: ×2.78 of 180 ms")
+
     def test_a_slope_whose_fit_is_not_that_of_its_points_is_refused(self):
         for spoil in (lambda one: one["points"][2].__setitem__(1, 9e6), lambda one: one["fit"].update(slope=9_100),
                       lambda one: one["fit"].update(intercept=0), lambda one: one["points"].pop(),
@@ -311,6 +347,11 @@
         self.assertEqual(weighs(overloaded.KIND, overloaded.Body(100_000, "zone-3", 512, "served of what was let in")),
                          size.guess("level-word-bytes"))
 
+    def test_the_configuration_that_is_assumed_is_as_large_as_a_site_file_of_so_many_fronts(self):
+        for name, nodes in (("two-years", 630), ("two-hundred", 200)):
+            guessed = read_size(USUAL.with_name(f"{name}.xml")).guess("configuration-kB")
+            self.assertAlmostEqual(len(site_file(nodes)) / 1000 / guessed, 1, delta=0.01)
+
     def test_the_time_of_reports_is_that_of_distribution(self):
         self.assertEqual(DistributionTerms(("c1",)).report_each, REPORT_EACH * NS)
 
@@ -340,13 +381,24 @@
         told["model"] = {"sharing": {"nodes": 12}}
         self.assertIsNone(self.row(self.files(scale_24=told), "control: sharing out").figure)
 
-    def test_bytes_after_faults_are_rows_of_their_own(self):
-        part = {"membership": {"bytes_a_second": {"mean": 4900.0, "worst": 6000.0}}}
+    def test_bytes_in_faults_are_rows_of_their_own_and_a_smaller_run_is_not_carried(self):
+        part = {"all": {"bytes_a_second": {"mean": 4900.0, "worst": 6000.0}}}
         told = {"nodes": 630, "faults": [{"kind": "zone-lost", "known_s": 7.5, "while": {"lasted_s": 15.1, **part}}]}
-        measured = self.files(scale_630=told)
-        row = self.row(measured, "membership out, while zone-lost, over 15 s")
-        self.assertEqual(row.verdict(ROOT), "over: ×1.23 of 4,000 bytes/s")
+        measured, words = self.files(scale_630=told), "all that ran, while zone-lost, over 15 s"
+        self.assertEqual(self.row(measured, words).verdict(ROOT), "over: ×1.23 of 4,000 bytes/s")
         self.assertIn("until all agree: 7.5 s (measured)", tables(self.small(), measured, ROOT)["failures"])
+        told["nodes"], part["all"]["bytes_a_second"]["mean"] = 5, 400.0
+        row = self.row(self.files(scale_5=told), words)
+        self.assertEqual(row.figure.limit(), "measured to 5 nodes, wanted 10: ×2.0, not carried")
+        self.assertEqual(row.verdict(ROOT), "not known: ×0.1 of 4,000 bytes/s in a smaller run, and not carried")
+        self.assertEqual(row.figure.text(), "400 bytes/s (measured)")
+
+    def test_sharing_counts_by_its_slope_where_a_run_left_it_out(self):
+        part = {"bytes_a_second": {"mean": 100.0}}
+        told = {"nodes": 24, "a_node": {name: part for name in ("membership", "leases", "distribution")}}
+        measured = self.files(scale_24=told, slope_sharing=line_file(
+            "sharing-bytes-by-links", 1000, 10, unit="bytes/s", xs=(100, 200, 400, 640)))
+        self.assertAlmostEqual(self.row(measured, "all four together out").figure.value, 300 + 7400)
 
     def test_what_comes_again_is_shared_by_those_that_are_left(self):
         made = tables(self.small(), self.files(), ROOT)["failures"]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -112,29 +112,36 @@
         self.seen = VersionsSeen()
 
     def test_each_is_timed_by_the_first_that_is_as_new(self):
-        self.seen.saw("a", 7, [5, 1, "aa"], 1.0)
-        self.seen.saw("a", 7, [5, 3, "cc"], 4.0)
-        self.seen.saw("b", 7, [5, 2, "bb"], 3.0)
+        self.seen.saw("a", 7, [5, 1, "aa"], 1.0, 10)
+        self.seen.saw("a", 7, [5, 3, "cc"], 4.0, 11)
+        self.seen.saw("b", 7, [5, 2, "bb"], 3.0, 10)
         self.assertEqual(self.seen.reached((5, 2), ["a", "b"]), ([4.0, 3.0], []))
         self.assertEqual(self.seen.reached((6, 1), ["a", "c"]), ([], ["a", "c"]))
         self.assertEqual((self.seen.regressions, self.seen.forks), ([], []))
 
     def test_an_older_one_over_a_newer_one_is_told_also_over_a_restart(self):
-        self.seen.saw("a", 7, [5, 3, "cc"], 1.0)
-        self.seen.saw("a", 7, [5, 2, "bb"], 2.0)
+        self.seen.saw("a", 7, [5, 3, "cc"], 1.0, 10)
+        self.seen.saw("a", 7, [5, 2, "bb"], 2.0, 11)
         self.assertEqual(len(self.seen.regressions), 1)
         self.seen.down("a")
-        self.seen.saw("a", 8, [4, 9, "xx"], 3.0)
+        self.seen.saw("a", 8, [4, 9, "xx"], 3.0, 1)
         self.assertEqual(len(self.seen.regressions), 2)
         self.seen.down("a")
         self.seen.emptied("a")
-        self.seen.saw("a", 9, [0, 0, ""], 4.0)
-        self.seen.saw("a", 9, [5, 1, "aa"], 5.0)
+        self.seen.saw("a", 9, [0, 0, ""], 4.0, 1)
+        self.seen.saw("a", 9, [5, 1, "aa"], 5.0, 2)
         self.assertEqual(len(self.seen.regressions), 2, "whose disk was lost may begin anew")
 
+    def test_what_another_relay_saw_earlier_is_no_step_back(self):
+        self.seen.saw("a", 7, [5, 3, "cc"], 2.0, 20)
+        self.seen.saw("a", 7, [5, 2, "bb"], 1.0, 15)
+        self.assertEqual(self.seen.regressions, [])
+        self.seen.saw("a", 7, [5, 2, "bb"], 1.0, 21)
+        self.assertEqual(len(self.seen.regressions), 1)
+
     def test_two_contents_under_one_number_are_told(self):
-        self.seen.saw("a", 7, [5, 3, "cc"], 1.0)
-        self.seen.saw("b", 7, [5, 3, "dd"], 1.0)
+        self.seen.saw("a", 7, [5, 3, "cc"], 1.0, 1)
+        self.seen.saw("b", 7, [5, 3, "dd"], 1.0, 1)
         self.assertEqual(len(self.seen.forks), 1)
 
     def test_what_rides_is_read_without_the_program(self):
@@ -204,6 +211,7 @@
         self.refuses("more processes would do", made(nodes=resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
         self.refuses("each region has a zone", made(regions=5))
         self.refuses("less than one hollow node", made(nodes=4, real=4))
+        self.refuses("too few for 3 keepers", made(load=Load(0, 0, 0, leasing=3)))
         self.refuses("links played on", made(load=Load(servers=10, links=11, sharing=4)))
         with mock.patch.object(resource, "getrlimit", lambda what: (1 << 20, 1 << 20)):
             self.refuses("more ports", made(nodes=6000, processes=100, relays=10))
@@ -215,14 +223,14 @@
                 self.refuses(what, made())
 
     def test_each_zone_has_its_nodes_and_real_ones_stand_in_several(self):
-        plan = made(nodes=30, real=3, zones=9, regions=3, load=Load(10, 2, sharing=5))
+        plan = made(nodes=30, real=3, zones=9, regions=3, load=Load(10, 2, sharing=5, leasing=7))
         plan.lay_out()
         fronts = plan.named("hollow", "real")
         self.assertEqual(len({place.zone for place in fronts}), 9)
         self.assertEqual(len({place.zone for place in plan.named("real")}), 3)
         self.assertEqual({place.region for place in plan.named("control")}, {"r0", "r1", "r2"})
         self.assertEqual(len({place.listen for place in plan.places}), 34)
-        self.assertEqual(sum(place.shares for place in fronts), 5)
+        self.assertEqual((sum(place.shares for place in fronts), sum(place.leases for place in fronts)), (5, 7))
         self.assertEqual([place.process for place in plan.named("hollow")].count(1), 1)
 
     def test_the_command_says_so_in_a_line(self):
@@ -242,7 +250,8 @@
             return figures
 
     def test_a_cut_of_24_hollow_and_2_real_is_known_and_healed(self):
-        told = self.play(made(nodes=26, faults=["regions-apart"], parts=["membership", "leases", "distribution"]),
+        told = self.play(made(nodes=26, faults=["regions-apart"], parts=["membership", "leases", "distribution"],
+                              load=Load(0, 0, 0, leasing=24)),
                          agree_within=30.0)
         verdict, (fault,) = told["verdict"], told["faults"]
         self.assertTrue(verdict["ok"], verdict)
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -21,7 +21,8 @@
 from curlewshift.scale import fits, slopes, slopes_control, slopes_idle
 from curlewshift.scale.fits import TooFew, fit
 from curlewshift.scale.slopes_asked import Pace, p99
-from curlewshift.scale.slopes_stands import Listening, Loop
+from curlewshift.scale.slopes_loop import Loop
+from curlewshift.scale.slopes_stands import Bulletin, Listening
 from curlewshift.scale.slopes_storm import PAUSE, Storm
 
 SIZES = (1000, 2000, 4000, 6000, 8000)
@@ -118,6 +119,11 @@
             self.assertIn("descriptors", told.output)
             self.assertEqual(CliRunner().invoke(main, ["slopes", "nothing", "--out", out]).exit_code, 2)
 
+    def test_help_names_each_there_is(self):
+        told = " ".join(CliRunner().invoke(main, ["slopes", "--help"]).output.split())
+        for name in slopes.KINDS:
+            self.assertRegex(told, rf"[ :]{name},")
+
     def test_connections_that_may_rest_are_those_that_the_nodes_own_gate_lets_rest(self):
         from curlewshift.limits.descriptors import CROWDED_PART, Gate
         from curlewshift.node.node import OTHERS, SERVERS_PART
@@ -175,6 +181,26 @@
             self.loop.until(lambda: storm.waits, 0.3, "a storm")
         self.assertGreater(storm.refused, 2)
 
+    def test_who_is_dropped_before_it_says_anything_comes_again(self):
+        node = Spoilt(self.loop, 0, 0)
+        crowd = slopes_idle.Returning(self.loop, node.port, Random(1))
+        gone = crowd.connect()
+        gone.sock.shutdown(socket.SHUT_WR)
+        crowd.greet(gone)
+        self.loop.until(lambda: crowd.dropped, 2, "its end is read")
+        self.assertEqual((crowd.dropped, len(crowd.viewers), gone in crowd.viewers), (1, 1, False))
+
+    def test_a_bulletin_whose_follower_has_closed_tells_the_others(self):
+        bulletin = Bulletin(self.loop)
+        socks = [socket.create_connection(("127.0.0.1", bulletin.port)) for _ in range(2)]
+        self.loop.until(lambda: len(bulletin.lines) == 2, 2, "both are there")
+        bulletin.lines[0].shutdown(socket.SHUT_WR)
+        bulletin.told_at = 0
+        self.loop.until(lambda: bulletin.told_at, 2, "it has told")
+        self.assertEqual(len(socks[1].recv(100)), 13)
+        for sock in socks:
+            sock.close()
+
     def test_a_pace_leaves_nothing_out_when_the_loop_comes_late(self):
         stands, calls = mock.Mock(loop=self.loop, chance=Random(3)), []
         pace = Pace(stands, 1000, lambda: calls.append(1))
@@ -246,7 +272,7 @@
             self.assertEqual(os.listdir(out), [])
 
     def test_one_whose_cost_grows_by_the_square_is_called_not_straight(self):
-        kind = slopes.Kind("planted", "", (100, 200, 300, 400), "slopes_planted.measure", lambda size: 0, "")
+        kind = slopes.Kind("planted", "", (100, 200, 300, 400), "slopes_planted.measure", lambda size: 0)
         with mock.patch.dict("sys.modules", {"curlewshift.scale.slopes_planted": mock.Mock(measure=growing_by_the_square)}), \
                 tempfile.TemporaryDirectory() as folder:
             told = slopes.measured(kind, slopes.Run(kind.sizes, 1, Path(folder), lambda text: None), "none")
