Node: an ending that a server has heard is counted back whichever connection had it out

Cause: in Reach._ending_heard the call that tells the desk was made in a loop over the server's connections and read the loop's last value when it ran (node/reach.py, the lambda over held). Where a later connection had no such ending that was None: the call failed (TypeError in desk.time, logged as something due), the ending was never counted back, and after as many as may be out at a server nothing more was ended there.

--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -507,7 +507,7 @@
         for other in line.endpoint.lines:
             held = other.ending.pop(id, None)
             if held is not None:
-                self._later(lambda: self.desk.session_ended(held[0], True))
+                self._later(lambda ending=held[0]: self.desk.session_ended(ending, True))
 
     def _note(self, endpoint: Endpoint, id: bytes, name: str, figure: str) -> None:
         try:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -236,6 +236,7 @@
         sound = verdicts.pop("")
         judged = sound["attempts_after_leaving"]
         self.assertEqual((judged["late"], judged["unjoined"], judged["clean"], sound["unanswered"]), (0, 0, True, 0), told[""])
+        self.assertEqual(sound["faults"], {}, sound)
         self.assertGreater(min(judged["left"], sound["played"], sound["refused"]), 5, sound)
         for sabotage, verdict in verdicts.items():
             judged = verdict["attempts_after_leaving"]
--- a/tests/test_crossings_reloads.py
+++ b/tests/test_crossings_reloads.py
@@ -416,5 +416,30 @@
             viewer.close()
 
 
+class Endings(unittest.TestCase):
+    @story
+    async def test_a_server_that_says_over_on_the_first_of_several_connections_is_heard(self):
+        """Each ending that was not counted back left one of the few that may be out at a server."""
+        ids = [f"{number:016x}" for number in range(1, 7)]
+        async with Place().up() as place:
+            viewer, media = Plain(place.port), place.medias[0]
+            for id in ids:
+                viewer.ask(id, package=CLIP)
+            for _ in ids:
+                self.assertEqual((await viewer.hear()).status, 200)
+            endpoint = place.node.reach.endpoints[place.node.fleet.servers[media.name]]
+            self.assertGreater(len(endpoint.lines), 1)
+            first = endpoint.lines[0]
+            at = first.wire.socket.getsockname()[1]
+            [stream] = [line for line in media.lines if line.extra(anyio.abc.SocketAttribute.remote_port) == at]
+            await stream.send(isup.encode(isup.PROBED, b"a" * 8, (isup.CAUSE, b"\1")))
+            await until(lambda: max(endpoint.lines, key=lambda line: line.heard_at) is first)
+            for id in ids:
+                viewer.tear_down(id)
+            await until(lambda: len(media.had(isup.RELEASE)) == len(ids))
+            await until(lambda: not len(place.node.desk.endings))
+            self.assertEqual(place.node.desk.endings.done, len(ids))
+            viewer.close()
+
 if __name__ == "__main__":
     unittest.main()
