--- a/curlewshift/capacity/at_control.py
+++ b/curlewshift/capacity/at_control.py
@@ -24,7 +24,8 @@
 
 
 def rows(size: Size, measured: Measured) -> list[Row]:
-    return in_force.rows(size, measured) + control_machine(size, measured) + aggregator(size, measured) + follower(size, measured) + led(size, measured)
+    return [*in_force.rows(size, measured), *control_machine(size, measured), *aggregator(size, measured),
+            *follower(size, measured), *led(size, measured)]
 
 
 def control_machine(size: Size, measured: Measured) -> list[Row]:
@@ -41,7 +42,7 @@
 
 
 def of_a_run(size: Size, measured: Measured) -> list[Row]:
-    """What a scale run counted for a control machine, all its parts together: with nothing to do, and over a stretch of changes."""
+    """What a scale run counted for a control machine, all its parts together: at rest, and over a stretch of changes."""
     found = []
     for words, way in (("at rest", ()), ("over a stretch of changes and restarts", ("stretch",))):
         for what, key, unit, bound in ((MESSAGES, "bytes_a_second", "bytes/s", None), (PROCESSOR, "core", "cores", 1.0)):
@@ -90,7 +91,8 @@
             worked_out(size.nodes, "connections"), None, LISTS),
         Row("list", FOLLOWER, PROCESSOR, f"{servers:,.0f} servers at rest", idle and replace(idle, unit="cores"),
             size.control_core, LISTS),
-        Row("list", FOLLOWER, PROCESSOR, f"what {servers:,.0f} servers add to a start, before the door is open", taken, None, LISTS),
+        Row("list", FOLLOWER, PROCESSOR, f"what {servers:,.0f} servers add to a start, before the door is open", taken, None,
+            LISTS),
         Row("list", FOLLOWER, MEMORY, f"a list of {servers:,.0f} servers", of_servers(measured, LIST_MEMORY, servers, "MB"),
             size.control_memory, LISTS),
     ]
--- a/curlewshift/capacity/at_node.py
+++ b/curlewshift/capacity/at_node.py
@@ -70,8 +70,8 @@
                          figure, 1.0, DESK))
     found.append(Row("workers", FRONT, PROCESSOR, "the same on all cores of the machine, were all of the dearest kind", processes(
         size, measured), size.guess("cores-a-node"), DESK))
-    found.append(Row("largest-topic", FRONT, PROCESSOR, f"{size.largest / size.nodes:,.0f} listeners of the largest topic told at once",
-                     told_at_once(size, measured), size.p99 * 1000, DESK))
+    told = f"{size.largest / size.nodes:,.0f} listeners of the largest topic told at once"
+    found.append(Row("largest-topic", FRONT, PROCESSOR, told, told_at_once(size, measured), size.p99 * 1000, DESK))
     for kind, name in (("an answer", P99_BY_REQUEST), ("a notice", P99_BY_NOTICE)):
         found.append(Row("p99", FRONT, MESSAGES, f"p99 of {kind} at {size.deliveries_a_node:,.0f} a second", carried(
             measured, name, size.deliveries_a_node, "ms", beyond=False), size.p99 * 1000, DESK))
--- a/curlewshift/capacity/failures.py
+++ b/curlewshift/capacity/failures.py
@@ -115,7 +115,8 @@
         return Failure(
             f"a zone returns: {short(nodes)} empty nodes at once", f"each {short(size.zone_each_days)} days", "peers at once",
             f"the configuration {short(nodes)} times, {said(all_)} together, from each other and from who is near",
-            f"a giver of the other zones: bounded, apart from its channel; a change is in force everywhere after they are back: {said(again)}",
+            "a giver of the other zones: bounded, apart from its channel; "
+            f"a change is in force everywhere after they are back: {said(again)}",
             "their own rights, and cold servers' paces", (all_, again))
 
     def apart(self) -> Failure:
@@ -134,7 +135,8 @@
             f"peers, as a machine; until all agree after they meet: {said(converged)}",
             f"no connection; {said(changes)} are made meanwhile, by whoever has {majority} of {size.control_machines} control "
             f"machines; all {size.regions} regions apart: no side has a majority, and no change is made",
-            f"control out {said(worst)} meanwhile, {said(after)} after; a change in force everywhere after they meet: {said(change)}",
+            f"control out {said(worst)} meanwhile, {said(after)} after; "
+            f"a change in force everywhere after they meet: {said(change)}",
             f"a region without a majority goes on with what it has, up to {short(size.regions_apart)} s old (the largest region "
             f"holding {size.control_machines - held} of {size.control_machines} cut off: {able}); leases of a minority's "
             "holders end with their term", (changes, converged, worst, after, change))
--- a/curlewshift/capacity/given.py
+++ b/curlewshift/capacity/given.py
@@ -36,7 +36,8 @@
 VERSIONS = (("at 910 changes a day", ("stretch", "at_910_changes_a_day_bytes_a_second")),
             ("over 100 changes and 20 restarts close together", ("stretch", "sent_bytes_a_second_mean")),
             ("the same, the node that sends most", ("stretch", "sent_worst")),
-            ("while a zone comes back with empty disks, of the others the one that sends most", ("zone_returns_empty", "others_sent_worst")),
+            ("while a zone comes back with empty disks, of the others the one that sends most",
+             ("zone_returns_empty", "others_sent_worst")),
             ("while regions that met come to agree, the one that sends most", ("regions_apart", "worst")))
 
 
--- a/curlewshift/capacity/in_force.py
+++ b/curlewshift/capacity/in_force.py
@@ -78,7 +78,8 @@
             value, late = max(WAITED if wait is None else wait for wait in waits), None in waits
             found.append((f"in force everywhere, {words}: slowest of {len(waits)} changes", Figure(
                 value, "s", SIMULATED, files=(file,), command=measured.command(file), at_least=late)))
-    for words, way in (("in force in all of a zone that is back at once with empty disks", ("zone_returns_empty", "in_force_in_all_s")),
+    for words, way in (("in force in all of a zone that is back at once with empty disks",
+                        ("zone_returns_empty", "in_force_in_all_s")),
                        ("in force everywhere after regions met", ("regions_apart", "in_force_everywhere_after_meeting_s"))):
         if measured.get(file, way[0]):
             found.append((words, measured.figure(file, *way, unit="s")))
--- a/curlewshift/capacity/options.py
+++ b/curlewshift/capacity/options.py
@@ -47,8 +47,8 @@
         ("membership by zone, with a few of each zone in a fleet-wide one",
          "others' nodes are known by their zone's word alone")),
     "list": (
-        ("a whole list in several frames, agreed with whoever tells it", "a form that is not ours; until then a list past one frame "
-         "comes at the start alone"),
+        ("a whole list in several frames, agreed with whoever tells it",
+         "a form that is not ours; until then a list past one frame comes at the start alone"),
         ("take a list in slices between requests",
          "a list that is half in force for some milliseconds, unless it is swapped at once"),
         ("changes alone (there), and whole lists compared by digest first", "a start takes the whole list all the same")),
@@ -70,7 +70,7 @@
 # What rests on what: a worker has one copy of the configuration with the others of its machine; who adds up for a zone, and
 # which node holds a shard, are configuration.
 RESTS = {"workers": ("configuration",), "sharing": ("configuration",), "shards-of-topics": ("configuration",),
-         "p99": ("workers",), "largest-topic": ("workers",), "control-together": ("sharing",)}
+         "p99": ("workers",), "control-together": ("sharing",)}
 
 
 @dataclass(frozen=True)
--- a/curlewshift/capacity/questions.py
+++ b/curlewshift/capacity/questions.py
@@ -13,8 +13,8 @@
     """(word, as read, the other way, what changes then)."""
     by_kind = dict(each_delivery(size, measured))
     dear, cheap = processes(size, measured), by_kind["notices"]
-    between = (f"{dear.text()} if all are set-ups with their ends, half of that if each end counts for itself; {cheap.text()} if all "
-               "are notices" if dear and cheap else "the processor rows below, by kind")
+    between = (f"{dear.text()} if all are set-ups with their ends, half of that if each end counts for itself; "
+               f"{cheap.text()} if all are notices" if dear and cheap else "the processor rows below, by kind")
     shards = leases_a_shard(size, measured)
     majority = size.control_machines // 2 + 1
     return [
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -14,7 +14,7 @@
 FEWEST_POINTS = 4
 # How far the fit that a file states may lie from the line through its points, as a part: it is told with five digits.
 SAME_FIT = 0.001
-# A line from which the mean of a size lies further off than this part of its rise, or whose slope has an error over this part of it,
+# A line from which the mean of a size lies further off than this part of its rise, or whose slope has an error over this part,
 # is too scattered to be carried beyond its run: so few points do not show that it is straight.
 SCATTERED = 0.10
 # What a unit is in the first of its kind.
