--- a/curlewshift/commands/scale.py
+++ b/curlewshift/commands/scale.py
@@ -55,7 +55,8 @@
     shares, asks = ((hollow if said is None else min(said, hollow)) if part in parts else 0
                     for part, said in (("sharing", sharing), ("leases", leasing)))
     plan = Plan(nodes, real, processes, relays, regions, zones, seconds, seed, loss, all_parts, list(faults),
-                Load(servers, links, viewings, sharing=shares, leasing=asks), changes=changes, change_every=change_every, spoil=spoil)
+                Load(servers, links, viewings, sharing=shares, leasing=asks), changes=changes,
+                change_every=change_every, spoil=spoil)
     try:
         plan.check()
     except Unfit as why:
--- a/curlewshift/scale/fleet.py
+++ b/curlewshift/scale/fleet.py
@@ -79,7 +79,8 @@
 
 
 class Fleet:
-    """`heard` is told which relay says what unasked; `apart`: whether fronts are wanted that know no hollow node. Use within `run`, which ends every process by its id."""
+    """`heard` is told which relay says what unasked; `apart`: whether fronts are wanted that know no hollow
+    node. Whoever starts it calls `end_all`, which ends every process by its id."""
 
     def __init__(self, plan: Plan, out: Path, heard, apart: bool = True):
         self.plan, self.out, self.heard, self.wants_apart = plan, out, heard, apart
--- a/curlewshift/scale/hollow.py
+++ b/curlewshift/scale/hollow.py
@@ -74,7 +74,8 @@
     def weigh(self) -> dict[str, float]:
         """kB of one node's own objects by subsystem: what hangs on each and on none before it."""
         node = next(iter(self.nodes.values()))
-        known = {id(node), id(node.disk), id(node.places), id(node.site), id(node.plan), id(node.wire), id(node.log), id(node.clock), id(node.meter)}
+        known = {id(node), id(node.disk), id(node.places), id(node.site), id(node.plan), id(node.wire),
+                 id(node.log), id(node.clock), id(node.meter)}
         for part in node.parts.values():
             known.add(id(part))
         told = {}
--- a/curlewshift/scale/run.py
+++ b/curlewshift/scale/run.py
@@ -81,7 +81,8 @@
                 "between_zones_s": plan.late[0], "between_regions_s": plan.late[1], "parts": plan.parts,
                 "sharing": {"nodes": load.sharing, "servers": load.servers, "links_played_on": load.links,
                             "viewings_a_node": load.viewings, "kB_a_viewing": load.rate} if load.sharing else None,
-                "leasing_nodes": load.leasing, "left_out": "door, desk and logs of hollow nodes; tasks' own work at servers", "spoil": plan.spoil}
+                "leasing_nodes": load.leasing, "spoil": plan.spoil,
+                "left_out": "door, desk and logs of hollow nodes; tasks' own work at servers"}
 
     # ---- what is watched throughout
 
@@ -144,9 +145,11 @@
         self.figures = {
             "joined_s": joined, "settled_s": round(settling.lasted, 2), "settling": a_node(settling, fronts, shared),
             "a_node": a_node(quiet, fronts, shared, memory["by_part"]),
-            "control": {**a_node(quiet, [place.name for place in plan.named("control")], [0]), "memory_kB": memory["control_kB"]},
+            "control": {**a_node(quiet, [place.name for place in plan.named("control")], [0]),
+                        "memory_kB": memory["control_kB"]},
             "memory": memory, "alone": self._alone(quiet), "relay_core": spread(
-                [(after - before) / 1e9 / quiet.lasted for before, after in zip(quiet.begun.relay_core, quiet.ended.relay_core)], 3)}
+                [(after - before) / 1e9 / quiet.lasted
+                 for before, after in zip(quiet.begun.relay_core, quiet.ended.relay_core)], 3)}
         for part in ("sharing", "leasing"):
             some = [place.name for place in plan.places if (place.shares if part == "sharing" else place.leases)]
             if some and len(some) < len(plan.named("hollow")):
@@ -177,7 +180,7 @@
         """Until hardly any datagram tells of members alone, for so long at the most; the stretch it took."""
         self.progress("settling")
         begun, nodes = await self._mark(), len(self.plan.places)
-        while time.monotonic() - begun.at < SETTLES_WITHIN:
+        while time.monotonic() - begun.at < min(SETTLES_WITHIN, self.agree_within):
             before = sum(self.news.values())
             await anyio.sleep(CALM_FOR)
             if (sum(self.news.values()) - before) / CALM_FOR / nodes < CALM:
@@ -224,8 +227,10 @@
         rows = [row for row in self.versions.made if row["when"] == "stretch"]
         waits = sorted(row["everywhere_s"] for row in rows if row.get("everywhere_s") is not None)
         return {"changes": len(rows), "restarts": plan.changes // 5, "lasted_s": round(stretch.lasted, 1),
-                "everywhere_median_s": waits[len(waits) // 2] if waits else None, "everywhere_worst_s": waits[-1] if waits else None,
-                "not_everywhere": len(rows) - len(waits), "a_node": a_node(stretch, self._front_names(), self._shared_processes()),
+                "everywhere_median_s": waits[len(waits) // 2] if waits else None,
+                "everywhere_worst_s": waits[-1] if waits else None,
+                "not_everywhere": len(rows) - len(waits),
+                "a_node": a_node(stretch, self._front_names(), self._shared_processes()),
                 "control": a_node(stretch, [place.name for place in plan.named("control")], [0]),
                 "real_core": spread(list(stretch.real_core().values()), 5)}
 
@@ -260,7 +265,8 @@
         sound = [name for name in self._front_names() if name not in fault.struck or fault.kind == "regions-apart"]
         told = {"kind": fault.kind, "struck": len(fault.struck), "known_s": known, "converged_s": converged, **told}
         for key, stretch in (("while", Stretch(begun, middle)), ("after", Stretch(middle, ended))):
-            told[key] = {"lasted_s": round(stretch.lasted, 2), "most_bytes_in_a_second": self._most(stretch), **a_node(stretch, sound, self._shared_processes())}
+            told[key] = {"lasted_s": round(stretch.lasted, 2), "most_bytes_in_a_second": self._most(stretch),
+                         **a_node(stretch, sound, self._shared_processes())}
         return {**told, "bytes_a_second": told["after"]["all"]["bytes_a_second"]}
 
     async def _change_in(self, fault: Fault) -> dict:
