--- a/curlewshift/capacity/measured.py
+++ b/curlewshift/capacity/measured.py
@@ -14,6 +14,8 @@
             ("fleet", "flood", "joins", "keys", "leases", "limits", "peers", "recovery", "shared", "wheel", "goodput")}
 WHOLE_FILE_SIMULATED = {"leases.json", "shared.json", "goodput.json", "versions.json"}
 
+NOT_GOOD = "a run whose own verdict is not good"
+
 
 class Measured:
     """`folder` is docs/measured. Slopes of all its files `slope-*.json` by name; raises `Spoilt` for one that is spoilt."""
@@ -59,8 +61,11 @@
         return found and self.of_run(file, found, nodes)
 
     def of_run(self, file: str, figure: Figure, nodes: int) -> Figure:
+        """A run's figure, with how many nodes were run; one of fewer, or whose own verdict is not good, is not carried."""
         ran = self.get(file, "nodes") or nodes
-        return replace(figure, measured_to=ran, wanted_at=nodes, carried="nodes", of_less=ran < nodes)
+        if self.get(file, "verdict", "ok") is False:
+            figure = replace(figure, by=NOT_GOOD)
+        return replace(figure, measured_to=ran, wanted_at=nodes, carried="nodes", of_less=ran < nodes or figure.by == NOT_GOOD)
 
     def machine(self, file: str) -> str:
         """What measured, in words: cores, memory, and what else ran."""
@@ -78,7 +83,7 @@
         said = self.get(file, "command")
         if not isinstance(said, str):
             return COMMANDS.get(file.removesuffix(".json"), "")
-        return said if said.startswith("bin/") else f"bin/curlewshift {said}"
+        return "bin/curlewshift " + said.removeprefix("bin/").removeprefix("curlewshift ")
 
     def scale(self, nodes: int) -> str | None:
         """The name of the file of a run of that many nodes: its own, else the nearest that was run, larger ones first."""
--- a/curlewshift/capacity/rows.py
+++ b/curlewshift/capacity/rows.py
@@ -57,7 +57,7 @@
             least = "at least " if figure.at_least else ""
             return f"{OVER}: {least}×{factor:.3g} of {_bound(self)}"
         if figure.of_less:
-            return f"not known: ×{factor:.2g} of {_bound(self)} in a smaller run, and not carried"
+            return f"not known: ×{factor:.2g} of {_bound(self)} in {figure.by or 'a smaller run'}, and not carried"
         if figure.at_least and figure.factor > 1:
             return f"not known: at least ×{factor:.2g} of {_bound(self)}, and not carried beyond its run"
         if figure.value + figure.error > self.bound:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -392,6 +392,9 @@
         self.assertEqual(row.figure.limit(), "measured to 5 nodes, wanted 10: ×2.0, not carried")
         self.assertEqual(row.verdict(ROOT), "not known: ×0.1 of 4,000 bytes/s in a smaller run, and not carried")
         self.assertEqual(row.figure.text(), "400 bytes/s (measured)")
+        told |= {"nodes": 630, "verdict": {"ok": False}}
+        self.assertEqual(self.row(self.files(scale_630=told), words).verdict(ROOT),
+                         "not known: ×0.1 of 4,000 bytes/s in a run whose own verdict is not good, and not carried")
 
     def test_sharing_counts_by_its_slope_where_a_run_left_it_out(self):
         part = {"bytes_a_second": {"mean": 100.0}}
