--- a/curlewshift/capacity/failures.py
+++ b/curlewshift/capacity/failures.py
@@ -204,17 +204,15 @@
 
     def fault(self, kind: str, *way: str) -> Figure | None:
         """Of a scale run's faults, by kind."""
-        file = self.measured.scale(self.size.nodes)
-        for place, one in enumerate(self.measured.get(file, "faults") or () if file else ()):
-            if isinstance(one, dict) and one.get("kind") == kind:
-                return self.measured.at_size(self.size.nodes, "faults", place, *way,
+        for file, place, one in self.measured.faults(self.size.nodes):
+            if one.get("kind") == kind:
+                return self.measured.at_size(self.size.nodes, "faults", place, *way, file=file,
                                              unit="bytes/s" if "bytes_a_second" in way else "s")
         return None
 
     def change_after(self, kind: str) -> Figure | None:
         """Seconds from the end of a fault until a change was in force everywhere."""
-        file = self.measured.scale(self.size.nodes)
-        for one in (self.measured.get(file, "faults") or ()) if file else ():
+        for file, _, one in self.measured.faults(self.size.nodes):
             if one.get("kind") == kind:
                 found = longest(self.measured, file, one.get("change_after"))
                 return found and self.measured.of_run(file, found, self.size.nodes)
--- a/curlewshift/capacity/given.py
+++ b/curlewshift/capacity/given.py
@@ -51,17 +51,18 @@
              ("zone_returns_empty", "returned_sent_worst")))
 
 
-def subsystem(size: Size, measured: Measured, name: str, what: str, *way: str | int) -> Figure | None:
+def subsystem(size: Size, measured: Measured, name: str, what: str, *way: str | int, file: str | None = None) -> Figure | None:
     """Of one part of a node, at the end of a way in the run's file (`a_node` if none is said). Sharing counts only where all
     nodes of the run shared: a mean over nodes of which some did says nothing of one that does."""
-    file = measured.scale(size.nodes)
+    kind, unit, by, _ = KINDS[what]
+    way = (*(way or ("a_node",)), name, *kind)
+    file = file or measured.scale(size.nodes, *way)
     if file is None:
         return None
     sharing = measured.get(file, "model", "sharing", "nodes")
     if name == "sharing" and sharing is not None and sharing < (measured.get(file, "nodes") or 0):
         return None
-    kind, unit, by, _ = KINDS[what]
-    return measured.at_size(size.nodes, *(way or ("a_node",)), name, *kind, unit=unit, by=by)
+    return measured.at_size(size.nodes, *way, unit=unit, by=by, file=file)
 
 
 def whole(size: Size, measured: Measured, what: str) -> Figure | None:
@@ -102,9 +103,9 @@
     ran = ", ".join(name for name, *_ in SUBSYSTEMS if measured.get(file, "a_node", name))
     found = []
 
-    def add(key: str, name: str, words: str, *way: str | int) -> None:
+    def add(key: str, name: str, words: str, *way: str | int, file: str | None = None) -> None:
         for what in (MESSAGES, PROCESSOR):
-            figure = subsystem(size, measured, name, what, *way)
+            figure = subsystem(size, measured, name, what, *way, file=file)
             if figure is not None:
                 found.append(Row(key, FRONT, what, f"control: {words}", figure, getattr(size, KINDS[what][3]), MEMBERSHIP))
     add("membership", "all", f"all that ran ({ran}), at rest", "a_node")
@@ -112,16 +113,16 @@
     if alone is not None:
         found.append(Row("membership", FRONT, PROCESSOR, "control: all that ran, at rest, of a node alone in its process", alone,
                          size.control_core, MEMBERSHIP))
-    told = measured.get(file, "stretch")
+    told = measured.get(measured.scale(size.nodes, "stretch") or "", "stretch")
     if told:
         over = f"over {told['changes']} changes and {told['restarts']} restarts"
         add("configuration", "distribution", f"distribution, {over}", "stretch", "a_node")
         add("configuration", "all", f"all that ran, {over}", "stretch", "a_node")
-    for place, fault in enumerate(measured.get(file, "faults") or []):
+    for file, place, fault in measured.faults(size.nodes):
         for when in ("while", "after"):
-            lasted = measured.get(file, "faults", place, when, "lasted_s")
+            lasted = fault.get(when, {}).get("lasted_s")
             add("membership", "all", f"all that ran, {when} {fault['kind']}" + (f", over {lasted:.0f} s" if lasted else ""),
-                "faults", place, when)
+                "faults", place, when, file=file)
     joins = measured.at_size(size.nodes, "joins", "with_over_without", "p99_us", unit="times")
     if joins is not None:
         found.append(Row("joins", FRONT, MESSAGES, "p99 of joins at a real node of the fleet, over one apart from it", joins, None,
--- a/curlewshift/capacity/in_force.py
+++ b/curlewshift/capacity/in_force.py
@@ -26,7 +26,7 @@
 
 def rows(size: Size, measured: Measured) -> list[Row]:
     """The slowest change of each kind that the run made; with no run, the simulated one alone."""
-    file, found = measured.scale(size.nodes), []
+    file, found = measured.scale(size.nodes, "versions"), []
 
     def add(words: str, figure: Figure | None) -> None:
         if figure is not None and figure.how == MEASURED and not figure.measured_to:
@@ -37,14 +37,15 @@
         for key, words in (("no_loss", "nothing lost"), ("loss", "5% of datagrams lost")):
             told = measured.get(file, "versions", key) or []
             add(f"in force at all of {nodes} nodes, {words}: slowest of {len(told)} changes", longest(measured, file, told))
-        for fault in measured.get(file, "faults") or []:
+        for file, _, fault in measured.faults(size.nodes):
             for when in ("while", "after"):
                 told = fault.get(f"change_{when}")
                 if told and not told.get("no_majority"):
-                    add(f"in force at all of them, a change {when} {fault['kind']}", longest(measured, file, told))
+                    add(f"in force at all of {measured.get(file, 'nodes')}, a change {when} {fault['kind']}", longest(measured, file, told))
+        file = measured.scale(size.nodes, "stretch") or file
         told = measured.get(file, "stretch")
         if told:
-            add(f"in force at all of them, slowest of {told['changes']} changes with {told['restarts']} restarts",
+            add(f"in force at all of {measured.get(file, 'nodes')}, slowest of {told['changes']} changes with {told['restarts']} restarts",
                 measured.figure(file, "stretch", "everywhere_worst_s", unit="s") if not told.get("not_everywhere") else
                 Figure(WAITED, "s", MEASURED, files=(file,), command=measured.command(file), at_least=True))
     else:
--- a/curlewshift/capacity/measured.py
+++ b/curlewshift/capacity/measured.py
@@ -53,10 +53,11 @@
         simulated = file in WHOLE_FILE_SIMULATED or "emulated" in way
         return Figure(found * by, unit, SIMULATED if simulated else MEASURED, files=(file,), command=self.command(file))
 
-    def at_size(self, nodes: int, *way: str | int, unit: str, by: float = 1.0) -> Figure | None:
+    def at_size(self, nodes: int, *way: str | int, unit: str, by: float = 1.0, file: str | None = None
+                ) -> Figure | None:
         """The number at the end of a way in the scale run of so many nodes, or of one that is nearest; of a smaller one it is not
         carried: leases cost each node less where there are more, other parts cost more."""
-        file = self.scale(nodes)
+        file = file or self.scale(nodes, *way)
         found = file and self.figure(file, *way, unit=unit, by=by)
         return found and self.of_run(file, found, nodes)
 
@@ -85,11 +86,24 @@
             return COMMANDS.get(file.removesuffix(".json"), "")
         return "bin/curlewshift " + said.removeprefix("bin/").removeprefix("curlewshift ")
 
-    def scale(self, nodes: int) -> str | None:
-        """The name of the file of a run of that many nodes: its own, else the nearest that was run, larger ones first."""
+    def scales(self, nodes: int) -> list[str]:
+        """Files of runs: of that many nodes or the nearest above, larger ones, then smaller ones from the largest down."""
         runs = sorted(int(name[6:-5]) for name in self.files if name.startswith("scale-") and name[6:-5].isdigit())
-        nearest = next((one for one in runs if one >= nodes), runs[-1] if runs else None)
-        return None if nearest is None else f"scale-{nearest}.json"
+        order = [one for one in runs if one >= nodes] + [one for one in reversed(runs) if one < nodes]
+        return [f"scale-{one}.json" for one in order]
+
+    def scale(self, nodes: int, *way: str | int) -> str | None:
+        """The first of them that has something at the end of a way."""
+        return next((file for file in self.scales(nodes) if not way or self.get(file, *way) is not None), None)
+
+    def faults(self, nodes: int) -> list[tuple[str, int, dict]]:
+        """(file, place, fault): each kind of fault in the first run that has it."""
+        found: dict[str, tuple[str, int, dict]] = {}
+        for file in self.scales(nodes):
+            for place, one in enumerate(self.get(file, "faults") or []):
+                if isinstance(one, dict):
+                    found.setdefault(one.get("kind", ""), (file, place, one))
+        return list(found.values())
 
 
 def carried(measured: Measured, name: str, x: float, unit: str, beyond: bool = True) -> Figure | None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -396,6 +396,21 @@
         self.assertEqual(self.row(self.files(scale_630=told), words).verdict(ROOT),
                          "not known: ×0.1 of 4,000 bytes/s in a run whose own verdict is not good, and not carried")
 
+    def test_what_the_nearest_run_left_out_is_of_the_next_that_has_it(self):
+        part = {"bytes_a_second": {"mean": 100.0}}
+        fault = {"kind": "zone-lost", "known_s": 1.0, "while": {"lasted_s": 15.0, "all": part}}
+        near = {"nodes": 8, "a_node": {"membership": part}, "stretch": None, "faults": [fault]}
+        far = {"nodes": 4, "a_node": {"leases": {"bytes_a_second": {"mean": 50.0}}}, "stretch": {
+            "changes": 5, "restarts": 1, "everywhere_worst_s": 3.0, "a_node": {"all": part}}, "faults": [
+            {**fault, "known_s": 9.0}, {**fault, "kind": "regions-apart", "known_s": 4.0}], "versions": {"no_loss": []}}
+        measured = self.files(scale_8=near, scale_4=far)
+        self.assertEqual(self.row(measured, "control: leases out").figure.measured_to, 4)
+        self.assertEqual(self.row(measured, "control: membership out").figure.measured_to, 8)
+        self.assertEqual(self.row(measured, "all that ran, while regions-apart").figure.measured_to, 4)
+        self.assertEqual(self.row(measured, "all that ran, while zone-lost").figure.measured_to, 8)
+        self.assertEqual(self.row(measured, "of 4, slowest of 5 changes").figure.measured_to, 4)
+        self.assertIn("until all agree: 1 s (measured)", tables(self.small(), measured, ROOT)["failures"])
+
     def test_sharing_counts_by_its_slope_where_a_run_left_it_out(self):
         part = {"bytes_a_second": {"mean": 100.0}}
         told = {"nodes": 24, "a_node": {name: part for name in ("membership", "leases", "distribution")}}
