--- a/curlewshift/emulator/version_histories.py
+++ b/curlewshift/emulator/version_histories.py
@@ -158,7 +158,7 @@
         self.contents: dict[bytes, bytes] = {}
         self.puts = {"ok": 0, "unknown": 0, "refused": 0}
         self.ok_versions: list[str] = []
-        self.takes = self.restarts = 0
+        self.takes = self.restarts = self.made = 0
         for process in self.processes.values():
             self._start(process)
             self.at(self.now + chance.randrange(EVERY), self._round, process)
@@ -369,6 +369,9 @@
             lines[0] = b"refused-by n%d;" % chance.randrange(5)
         elif not refusable:
             lines[0] = b"good for all"
+        # no two alike: the judge knows by its content upon what a change was made
+        self.made += 1
+        lines[-1] = b"change %d" % self.made
         content = b"\n".join(lines)
         base = wire.version if chance.random() < 0.9 else chance.choice(self.ok_versions or ["file"])
         if wire.copy.held.text != wire.version and not refusable:
