--- a/curlewshift/rehearsal/processes.py
+++ b/curlewshift/rehearsal/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import resource
 import signal
 import socket
@@ -16,13 +17,16 @@
 ROOT = Path(__file__).resolve().parents[2]
 # A child that does not end when asked is killed after this (s).
 END_WITHIN = 10.0
+# Where free ports are looked for: outside those that outgoing connections are given. Who runs several at once beside each
+# other gives each a part (`FROM-TO`), as a port is free until it is used.
+PORTS = tuple(map(int, os.environ.get("CURLEWSHIFT_PORTS", "12000-20000").split("-")))
 
 
 def free_ports(count: int, chance: Random, kind: int = socket.SOCK_STREAM) -> list[int]:
     """Loopback ports that nothing listens on now, outside those that outgoing connections are given."""
     found = []
     for _ in range(1000):
-        port = chance.randrange(12_000, 20_000)
+        port = chance.randrange(*PORTS)
         with socket.socket(socket.AF_INET, kind) as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,15 +3,28 @@
     test id | cause | issue
 
 A listed test that passes, a line that names no test or lacks a part, and more than three lines fail the run. Called by
-bin/test, with what unittest's own `discover` takes.
+bin/test, with what unittest's own `discover` takes; without, several processes share the files, one file after the other each.
 """
 
+import os
+import re
+import subprocess
 import sys
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor, as_completed
 from pathlib import Path
+from queue import Queue
 
 ROOT = Path(__file__).resolve().parents[1]
 MOST = 3
+# Half of the time of the tests is waiting. Each process looks for free ports in a part of its own.
+AT_ONCE, FIRST_PORT, PORTS_EACH = 4, 12_000, 2_000
+# A file that takes longer has hung (s).
+LONGEST = 900
+# Those that take longest begin first, so that the last to end is not one of them.
+LONGEST_FIRST = ("test_sharing.py", "test_rehearsal.py", "test_together.py", "test_front.py", "test_leases.py", "test_scale.py",
+                 "test_attempts.py", "test_distribution.py", "test_sessions.py")
 
 
 class Unusable(Exception):
@@ -90,6 +103,47 @@
 
 
 def main(arguments, path=ROOT / "KNOWN-RED.txt"):
+    if not arguments and AT_ONCE > 1:
+        return shared_out()
+    return alone(arguments, path)
+
+
+def shared_out(folder=ROOT / "tests", top=ROOT):
+    """Each file of the folder in a process of its own, so many at once; what each says comes whole, when it has ended. `top` is
+    where its modules' names begin."""
+    files = sorted((path.name for path in folder.glob("test_*.py")), key=lambda name: (
+        LONGEST_FIRST.index(name) if name in LONGEST_FIRST else len(LONGEST_FIRST), name))
+    slots, ran, failed = Queue(), 0, []
+    for slot in range(AT_ONCE):
+        slots.put(slot)
+    began = time.monotonic()
+
+    def play(name):
+        slot = slots.get()
+        first = FIRST_PORT + slot * PORTS_EACH
+        try:
+            done = subprocess.run([sys.executable, __file__, "-s", folder, "-t", top, "-p", name], cwd=ROOT, text=True,
+                                  stdout=subprocess.PIPE, stderr=subprocess.STDOUT, timeout=LONGEST,
+                                  env={**os.environ, "CURLEWSHIFT_PORTS": f"{first}-{first + PORTS_EACH}"})
+            return name, done.returncode, done.stdout
+        except subprocess.TimeoutExpired as late:
+            return name, 1, f"{late.stdout or ''}\n{name} did not end within {LONGEST} s\n"
+        finally:
+            slots.put(slot)
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        for over in as_completed([pool.submit(play, name) for name in files]):
+            name, code, said = over.result()
+            found = re.search(r"^Ran (\d+) tests? in", said, re.MULTILINE)
+            ran += int(found[1]) if found else 0
+            if code or not found:
+                failed.append(name)
+            print(f"== {name}\n{said.rstrip()}", flush=True)
+    print(f"\n{len(files)} files, {ran} tests in {time.monotonic() - began:.0f} s" + (
+        f", not passed: {', '.join(sorted(failed))}" if failed else ", all passed"))
+    return 1 if failed or not ran else 0
+
+
+def alone(arguments, path=ROOT / "KNOWN-RED.txt"):
     try:
         listed = read(path.read_text()) if path.exists() else {}
     except Unusable as wrong:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,7 +1,10 @@
 """The list of tests that are known to fail: what it passes over, and what it does not."""
 
+import contextlib
 import io
+import tempfile
 import unittest
+from pathlib import Path
 
 from tests import known_red
 
@@ -62,6 +65,28 @@
             with self.assertRaises(known_red.Unusable, msg=text):
                 known_red.read(text)
 
+    def shared_out(self, **files):
+        """The code of a run over these files, and what it says."""
+        with tempfile.TemporaryDirectory() as folder, contextlib.redirect_stdout(io.StringIO()) as said:
+            for name, body in files.items():
+                (Path(folder) / f"test_{name}.py").write_text(
+                    f"import os\nimport unittest\n\nclass A(unittest.TestCase):\n    def test_a(self):\n        {body}\n")
+            return known_red.shared_out(Path(folder), Path(folder)), said.getvalue()
+
+    def test_files_that_several_processes_share_each_count_and_any_that_fails_is_named(self):
+        code, said = self.shared_out(one="pass", two="pass")
+        self.assertEqual((code, "2 files, 2 tests" in said, "all passed" in said), (0, True, True), said)
+        code, said = self.shared_out(one="pass", two="self.fail('the fault')", three="os._exit(0)", four="import nowhere")
+        self.assertEqual((code, said.rstrip().endswith("not passed: test_four.py, test_three.py, test_two.py")), (1, True), said)
+        self.assertIn("the fault", said)
+        self.assertEqual(self.shared_out()[0], 1)
+
+    def test_each_process_looks_for_ports_in_a_part_of_its_own(self):
+        said = self.shared_out(**{name: "print(os.environ['CURLEWSHIFT_PORTS'])" for name in ("one", "two")})[1]
+        parts = [tuple(map(int, line.split("-"))) for line in said.splitlines() if line[:1].isdigit() and "-" in line]
+        self.assertEqual(len(parts), 2, said)
+        self.assertTrue(all(12_000 <= first < last <= 20_000 for first, last in parts), parts)
+
 
 if __name__ == "__main__":
     unittest.main()
