--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -284,7 +284,7 @@
         wrong.append((line, "configuration: there are no peers to have versions from"))
     if control is None:
         wrong.append((line, "configuration: there is no <control> with the machines that make and keep versions"))
-    give, within = int(rate(element.get("give-bytes", "2kB/s")) * 1000), span(element.get("start-within", "3s"))
+    give, within = int(rate(element.get("give-bytes", "1.5kB/s")) * 1000), span(element.get("start-within", "3s"))
     if give < 1000:
         wrong.append((line, "configuration: give-bytes under 1kB/s takes minutes for one file"))
     if within > 60 * SECOND:
