Rehearsal: fronts and control machines are members of one kind; one text, one write a record

The read-over found three things written twice. A control machine's process was mixed at run time from a copy of a front's first lines and the front's class: both are MemberProcess now (rehearsal/members.py). The scale run had the measurements' site text again: it takes it from joins.py, whose text is the same to the letter. A record was framed and replaced in two ways that differ only in whether the disk has it: one, with that said. No behaviour changes.

--- a/curlewshift/rehearsal/configuring.py
+++ b/curlewshift/rehearsal/configuring.py
@@ -14,6 +14,7 @@
 import anyio
 from lxml import etree
 
+from curlewshift.rehearsal.members import MemberProcess
 from curlewshift.rehearsal.processes import Child
 
 # Control machines get so long to come up (s), and a majority to take a version.
@@ -44,25 +45,11 @@
     return etree.tostring(root, encoding="utf-8", xml_declaration=True)
 
 
-class MachineProcess:
-    """One control machine over its lives; to the judges it is a member as fronts are."""
-
-    paused = False
-
-    def __init__(self, day, number: int, name: str):
-        self.day, self.number, self.name, self.lives = day, number, name, 0
-        self.child: Child | None = None
-        self.state = day.out / name
-        self.state.mkdir(exist_ok=True)
-
-    @property
-    def life(self) -> str:
-        return f"{self.name}.{self.lives}"
+class MachineProcess(MemberProcess):
+    """One control machine over its lives."""
 
     async def start(self) -> None:
-        self.lives += 1
-        self.paused = False
-        self.day.traffic.seen("front-up", front=self.name, life=self.life)
+        self.another_life()
         arguments = ["control", str(self.day.out / "site.xml"), "--name", self.name, "--state", str(self.state), "--seed",
                      str(self.day.seed * 1000 + 500 + self.number * 50 + self.lives)]
         if self.day.sabotage in OF_MACHINES:
@@ -85,11 +72,9 @@
         self.mark = 0
         self.chance = Random(f"{day.seed} operator")
 
-    async def start(self, process_class) -> None:
-        # a member's life, stops and questions are those of a front's process
-        self.kind = type("Machine", (MachineProcess, process_class), {})
+    async def start(self) -> None:
         self.base = (self.day.out / "site.xml").read_bytes()
-        self.machines = [self.kind(self.day, number, machine.name)
+        self.machines = [MachineProcess(self.day, number, machine.name)
                          for number, machine in enumerate(self.day.script.site.control.machines)]
         async with anyio.create_task_group() as tasks:
             for machine in self.machines:
--- a/curlewshift/rehearsal/joins.py
+++ b/curlewshift/rehearsal/joins.py
@@ -31,9 +31,8 @@
 PAUSE = 0.002
 
 TLS = '<tls certificate="door.pem" key="door.key"/>'
-SITE = """<site name="measure">
-  <fronts most-waiting="1000"><front name="f" listen="127.0.0.1:{front}"/>{more}</fronts>
-  <list address="127.0.0.1:{list}"/>
+# What sites to be measured on have alike behind their fronts.
+BEHIND = """  <list address="127.0.0.1:{list}"/>
   <ladder><rung rate="100kB/s"/><rung rate="200kB/s"/></ladder>
   <packages><package name="p" value="1" join-target="1s" patience="4s"/></packages>
   <racks><rack name="r" uplink="9000MB/s">{servers}</rack></racks>
@@ -43,8 +42,10 @@
     <cold-servers warm-within="5s" start-capacity="0.5" fall-multiple="2" fall-within="1s"/>
     <news told-late="500ms" told-every="3s" probes="true" uplinks="true"/>
   </obligations>
-</site>
 """
+SITE = """<site name="measure">
+  <fronts most-waiting="1000"><front name="f" listen="127.0.0.1:{front}"/>{more}</fronts>
+""" + BEHIND + "</site>\n"
 
 
 def site_file(path: Path, front: int, list_port: int, servers: list[int], more: str = "") -> Path:
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -17,6 +17,7 @@
 from curlewshift.capture.store import read_capture
 from curlewshift.front.control import tell
 from curlewshift.rehearsal.configuring import OF_MACHINES, Configuring
+from curlewshift.rehearsal.members import MemberProcess
 from curlewshift.rehearsal.processes import Child, free_ports, listens
 from curlewshift.site.site import Site
 from curlewshift.standins.script import OF_FRONTS, Announced, Script, Trouble
@@ -69,25 +70,15 @@
         seats={package.name: package.seats for package in packages})
 
 
-class FrontProcess:
+class FrontProcess(MemberProcess):
     """One front over its lives."""
 
     def __init__(self, day: Rehearsal, number: int, port: int):
-        self.day, self.number, self.port = day, number, port
-        self.name = day.script.site.doors[number].name
-        self.lives = 0
-        self.child: Child | None = None
-        self.state = day.out / self.name
-        self.state.mkdir(exist_ok=True)
-
-    @property
-    def life(self) -> str:
-        return f"{self.name}.{self.lives}"
+        super().__init__(day, number, day.script.site.doors[number].name)
+        self.port = port
 
     async def start(self) -> None:
-        self.lives += 1
-        self.paused = False
-        self.day.traffic.seen("front-up", front=self.name, life=self.life)
+        self.another_life()
         arguments = ["front", str(self.day.out / "site.xml"), "--name", self.name, "--life", self.life, "--state",
                      str(self.state), "--seed", str(self.day.seed * 1000 + self.number * 100 + self.lives)]
         if self.day.capture:
@@ -103,49 +94,6 @@
         if not await listens(self.port, START_WITHIN):
             raise StartFailed(f"front {self.name} does not listen; see {self.day.out / (self.name + '.log')}")
 
-    def kill(self) -> None:
-        self.child.kill()
-        self.day.traffic.seen("front-down", front=self.name, life=self.life, how="killed")
-        if self.day.forget:
-            (self.state / "sessions.log").unlink(missing_ok=True)
-
-    async def pause(self, lasts: float) -> None:
-        """Stopped by the machine, as one that is starved or swapped out; killed meanwhile, it does not go on."""
-        child = self.child
-        self.paused = True
-        child.pause()
-        self.day.traffic.seen("front-paused", front=self.name, life=self.life)
-        await anyio.sleep(lasts)
-        if self.child is child:
-            self.paused = False
-            self.day.traffic.seen("front-goes-on", front=self.name, life=self.life)
-            child.go_on()
-
-    async def stop_in_act(self, lasts: float, within: float) -> None:
-        """It stops itself at its next act, if there is one within so long."""
-        child = self.child
-        await self.ask({"do": "stop-in-act"})
-        with anyio.move_on_after(within):
-            while self.child is child and not child.stopped():
-                await anyio.sleep(0.01)
-            if self.child is child:
-                await self.pause(lasts)
-
-    async def ask(self, command: dict) -> dict | None:
-        """What it answers on its control socket; None where it cannot."""
-        try:
-            return await tell(self.state, command)
-        except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
-            return None
-
-    async def end(self) -> None:
-        if self.paused:
-            self.child.go_on()
-        self.child.ask_to_end()
-        status = await self.child.ended()
-        self.day.traffic.seen("front-down", front=self.name, life=self.life,
-                              how="ended" if status == 0 else "killed", status=status)
-
 
 class Rehearsal:
     """`progress(done, of)` is told seconds of the day."""
@@ -192,7 +140,7 @@
         self.fronts = [FrontProcess(self, number, port) for number, port in enumerate(ports)]
         async with anyio.create_task_group() as tasks:
             if self.configuring is not None:
-                tasks.start_soon(self.configuring.start, FrontProcess)
+                tasks.start_soon(self.configuring.start)
             for front in self.fronts:
                 tasks.start_soon(front.start)
         await anyio.sleep(SETTLE)
--- a/curlewshift/scale/fleet.py
+++ b/curlewshift/scale/fleet.py
@@ -12,6 +12,7 @@
 
 from curlewshift.front.control import tell
 from curlewshift.rehearsal.joins import cpu_of, memory_of
+from curlewshift.rehearsal.joins import BEHIND
 from curlewshift.rehearsal.processes import Child, free_ports, listens
 from curlewshift.scale.plan import CONTROL, KEEPERS, Place, Plan, write_plan
 from curlewshift.scale.talk import Spoken
@@ -21,18 +22,8 @@
 SITE = """<site name="scale">
   <fronts most-waiting="1000">{fronts}
     <peers seeds="{seeds}" period="{period}"/>{more}
-  </fronts>  <list address="127.0.0.1:{list}"/>
-  <ladder><rung rate="100kB/s"/><rung rate="200kB/s"/></ladder>
-  <packages><package name="p" value="1" join-target="1s" patience="4s"/></packages>
-  <racks><rack name="r" uplink="9000MB/s">{servers}</rack></racks>
-  <catalogue><title name="t" shelves="{shelves}"/></catalogue>
-  <obligations>
-    <answers way-back="100ms" longest-wait="2s" most-tune-ins="3"/><drains grace="2s"/>
-    <cold-servers warm-within="5s" start-capacity="0.5" fall-multiple="2" fall-within="1s"/>
-    <news told-late="500ms" told-every="3s" probes="true" uplinks="true"/>
-  </obligations>{control}
-</site>
-"""
+  </fronts>
+""" + BEHIND + "{control}</site>\n"
 
 
 class RunFailed(Exception):
--- a/curlewshift/state/configured.py
+++ b/curlewshift/state/configured.py
@@ -43,19 +43,21 @@
     def write(self, data: bytes) -> None:
         """Outlives the process when this returns, and the machine too once `flush` has. Raises `OSError`; what was there before
         is then still there."""
-        beside = self.path.with_name(self.path.name + ".new")
-        beside.write_bytes(FORM + sha256(data).hexdigest().encode() + b"\n" + data)
-        os.replace(beside, self.path)
+        self._replace(data, durable=False)
 
     def write_durable(self, data: bytes) -> None:
         """Outlives the machine when this returns. Raises `OSError`."""
+        self._replace(data, durable=True)
+        self._flush_folder()
+
+    def _replace(self, data: bytes, durable: bool) -> None:
         beside = self.path.with_name(self.path.name + ".new")
         with open(beside, "wb") as file:
             file.write(FORM + sha256(data).hexdigest().encode() + b"\n" + data)
-            file.flush()
-            os.fsync(file.fileno())
+            if durable:
+                file.flush()
+                os.fsync(file.fileno())
         os.replace(beside, self.path)
-        self._flush_folder()
 
     def flush(self) -> None:
         """What `write` wrote last, and its name. May take as long as the disk does: call it from a thread."""
