--- /dev/null
+++ b/tests/test_attempt_order.py
@@ -0,0 +1,97 @@
+"""The order of attempts of one request, as media servers see it, where connections do not keep the order of one another."""
+
+import contextlib
+import os
+import subprocess
+import sys
+import unittest
+from collections import Counter
+from pathlib import Path
+
+import anyio
+
+from curlewshift.node import isup
+from curlewshift.rehearsal.processes import listens
+from curlewshift.soak.proxy import Proxy, Shape
+from tests.node_place import Place, Plain
+from tests.sockets import story, until
+
+ROOT = Path(__file__).resolve().parents[1]
+REQUEST = "00000000000000a1"
+
+
+class Attempts:
+    """What one media server has out by request; a release ends the newest attempt of its id, on whichever connection it comes."""
+
+    def __init__(self, media):
+        self.out, self.most_out, self.set_ups, self.media = Counter(), 0, 0, media
+        media.does = self.heard
+
+    async def heard(self, line, kind, id, parameters):
+        if kind == isup.SET_UP:
+            self.set_ups += 1
+            self.out[id] += 1
+            self.most_out = max(self.most_out, self.out[id])
+        elif kind == isup.RELEASE and self.out[id]:
+            self.out[id] -= 1
+        elif kind == isup.PROBE:
+            await line.send(isup.encode(isup.PROBED, id, (isup.CAUSE, b"\1"), (isup.REPORT, b"x0:0.5")))
+
+
+class Proxied(Place):
+    """A place whose media servers are reached through a proxy each; `delays_s` are those of its connections, in order."""
+
+    def __init__(self, medias, delays_s):
+        super().__init__(medias)
+        self.delays_s, self.proxies = delays_s, []
+
+    def told(self):
+        told = super().told()
+        for row, proxy in zip(told["known"]["items"][0]["roster"]["servers"], self.proxies):
+            row["addr"] = f"127.0.0.1:{proxy.port}"
+        return told
+
+    def shape(self, number):
+        return Shape(delay_out_s=self.delays_s[number] if number < len(self.delays_s) else 0.0)
+
+    @contextlib.asynccontextmanager
+    async def process(self):
+        """A real node process in this place."""
+        for media in self.medias:
+            self.proxies.append(proxy := Proxy(lambda media=media: ("127.0.0.1", media.port), self.shape))
+            proxy.open()
+        async with self.around():
+            for proxy in self.proxies:
+                self.tasks.start_soon(proxy.run, self.tasks)
+            child = subprocess.Popen([sys.executable, "-m", "curlewshift.node"], cwd=ROOT, stderr=subprocess.DEVNULL,
+                                     env={**os.environ, "NODE_CONFIG": str(self.path)}, start_new_session=True)
+            try:
+                assert await listens(self.port, 20)
+                yield self
+            finally:
+                child.kill()
+                child.wait()
+
+
+class AtOneServer(unittest.TestCase):
+    async def most_out(self, delay_s):
+        place = Proxied(1, [delay_s])
+        attempts = Attempts(place.medias[0])
+        async with place.process():
+            viewer = Plain(place.port)
+            viewer.ask(REQUEST)
+            with anyio.move_on_after(2.5):
+                await viewer.hear()
+            await until(lambda: attempts.set_ups)
+            viewer.close()
+        return attempts.most_out
+
+    @story
+    async def test_no_second_attempt_is_out_where_the_release_of_the_first_is_late(self):
+        for delay_s in (0.02, 0.15):
+            with self.subTest(delay_s=delay_s):
+                self.assertEqual(await self.most_out(delay_s), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
