Tests: four leavers runs beside each other get a part of the ports each

A clean checkout's run of the whole suite had no verdict of one of the four (FileNotFoundError: deaf-to-leaving/verdict.json). Each run draws 25 ports of the same 2,000 and the node binds its own .3 s after it was found free, so that two runs could take one port; another set of tests ran beside it on the same range then. The convention (CURLEWSHIFT_PORTS gives each a part) was not kept here.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -16,6 +17,7 @@
 from curlewshift.exchange.client import connect
 from curlewshift.front import reach
 from curlewshift.front.spoilt import DeafDesk
+from curlewshift.rehearsal.processes import PORTS
 from curlewshift.standins.traffic import TICK, arrived_at
 from curlewshift.state.journal import Journal
 from curlewshift.verdict.attempts import judge_attempts
@@ -226,10 +228,13 @@
 
     def test_a_sound_one_begins_nothing_late_and_one_deaf_to_a_way_to_leave_is_caught_by_that_way(self):
         with tempfile.TemporaryDirectory() as folder:
+            first, last = PORTS
+            part = (last - first) // (1 + len(self.FAULTS))
             runs = {sabotage: subprocess.Popen(
                 [sys.executable, "-m", "curlewshift", "leavers", "--seconds", "1.5", "--viewers", "200", "--out",
                  str(Path(folder) / (sabotage or "sound")), "--sabotage", sabotage], cwd=ROOT, stdout=subprocess.PIPE,
-                stderr=subprocess.PIPE, text=True) for sabotage in ("", *self.FAULTS)}
+                env={**os.environ, "CURLEWSHIFT_PORTS": f"{first + number * part}-{first + (number + 1) * part}"},
+                stderr=subprocess.PIPE, text=True) for number, sabotage in enumerate(("", *self.FAULTS))}
             told = {sabotage: run.communicate(timeout=60) for sabotage, run in runs.items()}
             verdicts = {sabotage: json.loads((Path(folder) / (sabotage or "sound") / "verdict.json").read_text())
                         for sabotage in runs}
