A further attempt waits until the server has provably ended the one before

Cause: at the end of an attempt's time its release was queued on its own connection and the further attempt left .6 ms later on another, under the same id. Two connections order nothing: a release that came second ended the newer attempt, and the older one stood for seconds.

The same holds after a close of our own, which the server may see late, and for an id that comes again after its session. Settled by what was read and not by what was written, so it does not rest on delays, pieces or the order in which a server reads its sockets.

--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Iterable
 
 
 class Outcome(Enum):
@@ -129,6 +129,8 @@
     asked: int = 0
     may_have_run: bool = False
     tried: list = field(default_factory=list)
+    # servers where an attempt of it has been given up and may not have ended yet; the host keeps it true
+    unconfirmed: Container[Server] = ()
     turn: int = 0
     changed_at: int = 0
     held_rate: float = 0.0
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -17,6 +17,7 @@
 from curlewshift.deployment import use_of
 from curlewshift.model import Outcome, Server
 from curlewshift.node import isup
+from curlewshift.node.releases import Releases
 from curlewshift.node.wire import Errand, Intake, Wire, dial
 from curlewshift.retries.endings import Ending
 
@@ -89,7 +90,7 @@
         self.endpoint = endpoint
         self.wire: Wire | None = None
         self.flights: dict[bytes, Flight] = {}
-        self.unsent: list[tuple[bytes, Flight | None]] = []
+        self.unsent: list[tuple[bytes, Errand | None]] = []
         # ids and times of releases on which nothing has come back yet
         self.ending: dict[bytes, tuple[Ending, int]] = {}
         self.over = False
@@ -107,12 +108,12 @@
         """It is up, or may come up yet."""
         return self.wire is None or not self.wire.gone
 
-    def send(self, data: bytes, flight: Flight | None = None) -> None:
+    def send(self, data: bytes, errand: Errand | None = None) -> None:
         self.used_at = self.endpoint.reach.now()
         if self.wire is None:
-            self.unsent.append((data, None))
+            self.unsent.append((data, errand))
         else:
-            self.wire.send(data, flight)
+            self.wire.send(data, errand)
 
     def withdraw(self, flight: Flight) -> None:
         self.unsent = [entry for entry in self.unsent if entry[1] is not flight]
@@ -149,6 +150,7 @@
         self.idle_for = int(idle_close * IDLE_PART)
         self.endpoints: dict[Server, Endpoint] = {}
         self.flights: dict[TuneIn, Flight] = {}
+        self.releases = Releases(clock)
         self.given_up: OrderedDict[tuple[Server, bytes], TuneIn] = OrderedDict()
         self.over: OrderedDict[tuple[Server, bytes], int] = OrderedDict()
         self.count = 0
@@ -229,8 +231,13 @@
             return False
         if line.wire.peer_closed():
             # its server has closed it: what goes out now would be in doubt
+            line.wire.ended_by_peer = True
             self._later(lambda: self._break(line, "its server has closed it"))
             return False
+        release = self.releases.before(flight.tune_in.server, flight.id)
+        if release is not None:
+            release.followers.append(lambda: self._go_on(flight))
+            return False
         return not self.read_first(flight.tune_in, lambda: self._go_on(flight))
 
     def _overtaken(self, flight: Flight) -> None:
@@ -251,7 +258,8 @@
         if not flight.handed:
             line.withdraw(flight)
             return False
-        line.send(isup.release(flight.id, isup.OVER))
+        self._release(line, tune_in.server, flight.id, isup.OVER)
+        tune_in.course.vw.unconfirmed = self.releases.servers(flight.id)
         if line.heard_at < flight.sent_at and self.now() >= tune_in.until:
             line.doubtful = True
         self.given_up[tune_in.server, flight.id] = tune_in
@@ -269,7 +277,10 @@
             return
         line = self._some_line(endpoint)
         line.ending[ending.session.id] = (ending, self.now())
-        line.send(isup.release(ending.session.id, ending.session.cause))
+        self._release(line, ending.server, ending.session.id, ending.session.cause)
+
+    def _release(self, line: Line, server: Server, id: bytes, cause: int) -> None:
+        line.send(isup.release(id, cause), self.releases.sent(server, id, line))
 
     def probe(self, server: Server) -> None:
         endpoint = self.endpoints.get(server)
@@ -351,11 +362,11 @@
     def _take_off(self, line: Line) -> None:
         """What waited for the connection goes out on it."""
         unsent, line.unsent = line.unsent, []
-        for data, flight in unsent:
-            if flight is None:
-                line.send(data)
+        for data, errand in unsent:
+            if isinstance(errand, Flight):
+                self._write(line, errand)
             else:
-                self._write(line, flight)
+                line.send(data, errand)
 
     def _not_up(self, line: Line, wrong: OSError | None) -> None:
         """It did not come up; of one that nobody wants any more nothing is learnt."""
@@ -392,10 +403,15 @@
         self._gone(line)
         if line.wire is not None:
             line.wire.drop()
+        by_peer = line.wire is not None and line.wire.ended_by_peer
         if line.flights:
             self.log.info("line-broke", server=line.endpoint.server.name, cause=why, out=len(line.flights))
         for flight in list(line.flights.values()):
             if flight.handed:
+                if not by_peer:
+                    # the server may not have seen that the connection is closed when the next attempt comes
+                    self.releases.sent(flight.tune_in.server, flight.id, line)
+                    flight.tune_in.course.vw.unconfirmed = self.releases.servers(flight.id)
                 self._end(flight, Outcome.BROKEN)
             elif flight.moves >= MOST_MOVES or not self.desk.stands(flight.tune_in):
                 self._end(flight, Outcome.UNSENT)
@@ -404,6 +420,7 @@
                 line.flights.pop(flight.id)
                 self._fly(flight)
         self._endings_back(line)
+        self.releases.connection_ended(line, by_peer)
 
     def _endings_back(self, line: Line) -> None:
         ending, line.ending = line.ending, {}
@@ -443,6 +460,7 @@
         elif kind == isup.RELEASE:
             self._released(line, id, isup.cause_of(parameters), self._report(parameters))
         elif kind == isup.RELEASED:
+            self.releases.heard(endpoint.server, id, line)
             self._ending_heard(line, id)
         elif kind == isup.NOTE:
             self._note(endpoint, id, isup.text_of(parameters, isup.KIND), isup.text_of(parameters, isup.FIGURE))
@@ -554,6 +572,7 @@
 
     def sweep(self) -> None:
         now = self.now()
+        self.releases.expire()
         while self.given_up and next(iter(self.given_up.values())).until < now - GIVEN_UP_FOR:
             self.given_up.popitem(last=False)
         for endpoint in list(self.endpoints.values()):
--- /dev/null
+++ b/curlewshift/node/releases.py
@@ -0,0 +1,105 @@
+"""Releases that this node has sent to media servers and whose effect there is not known yet. No I/O.
+
+A connection orders what is on it, and two connections order nothing: a release may arrive behind a set-up that left later under
+the same id on another connection, and end that one instead. So a release is unconfirmed until the server has said "release
+heard" or has closed the connection that it went on. Called by reach.py; times are nanoseconds.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from curlewshift.model import Server
+from curlewshift.node.wire import Errand
+
+NS = 1_000_000_000
+# Unconfirmed releases are forgotten after this time, or the oldest when there are more than this.
+FORGOTTEN_AFTER_NS, MOST_UNCONFIRMED = 30 * NS, 4000
+
+
+@dataclass(eq=False, slots=True)
+class Release(Errand):
+    """One release on one connection."""
+
+    server: Server
+    id: bytes
+    connection: object
+    sent_at: int
+    handed: bool = False
+    # called once it is confirmed or forgotten
+    followers: list[Callable[[], None]] = field(default_factory=list)
+
+
+@dataclass(eq=False, slots=True)
+class OfOneId:
+    """The unconfirmed releases of one id, and the servers they went to."""
+
+    releases: list[Release] = field(default_factory=list)
+    servers: set[Server] = field(default_factory=set)
+
+
+class Releases:
+    def __init__(self, now: Callable[[], int]):
+        self.now = now
+        self.by_id: dict[bytes, OfOneId] = {}
+        self.by_connection: dict[object, list[Release]] = {}
+        # in the order they were sent
+        self.all: OrderedDict[Release, None] = OrderedDict()
+
+    def sent(self, server: Server, id: bytes, connection: object) -> Release:
+        """Notes a release; it is to be written as what its bytes are for."""
+        release = Release(server, id, connection, self.now())
+        self.all[release] = None
+        of_one_id = self.by_id.setdefault(id, OfOneId())
+        of_one_id.releases.append(release)
+        of_one_id.servers.add(server)
+        self.by_connection.setdefault(connection, []).append(release)
+        if len(self.all) > MOST_UNCONFIRMED:
+            self._forget(next(iter(self.all)))
+        return release
+
+    def heard(self, server: Server, id: bytes, connection: object) -> None:
+        """The server has said "release heard": on the connection of the release, or else of the oldest one."""
+        mine = [release for release in self._of(id) if release.server is server]
+        if mine:
+            self._forget(next((release for release in mine if release.connection is connection), mine[0]))
+
+    def connection_ended(self, connection: object, by_peer: bool) -> None:
+        """Closed by the server, nothing of it can arrive any more; closed from here, what was sent on it may."""
+        for release in list(self.by_connection.get(connection, ())):
+            if by_peer:
+                self._forget(release)
+
+    def servers(self, id: bytes) -> set[Server]:
+        """Where a release of this id is unconfirmed; the set follows what becomes of them."""
+        of_one_id = self.by_id.get(id)
+        return of_one_id.servers if of_one_id is not None else set()
+
+    def before(self, server: Server, id: bytes) -> Release | None:
+        """One that a set-up of this id at this server has to wait for."""
+        return next((release for release in self._of(id) if release.server is server), None)
+
+    def expire(self) -> None:
+        while self.all and next(iter(self.all)).sent_at < self.now() - FORGOTTEN_AFTER_NS:
+            self._forget(next(iter(self.all)))
+
+    def _of(self, id: bytes) -> list[Release]:
+        of_one_id = self.by_id.get(id)
+        return of_one_id.releases if of_one_id is not None else []
+
+    def _forget(self, release: Release) -> None:
+        del self.all[release]
+        on_connection = self.by_connection[release.connection]
+        on_connection.remove(release)
+        if not on_connection:
+            del self.by_connection[release.connection]
+        of_one_id = self.by_id[release.id]
+        of_one_id.releases.remove(release)
+        if not any(other.server is release.server for other in of_one_id.releases):
+            of_one_id.servers.discard(release.server)
+        if not of_one_id.releases:
+            del self.by_id[release.id]
+        for follow in release.followers:
+            follow()
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -145,6 +145,8 @@
     def __init__(self, sock: socket.socket, tasks):
         self.socket, self.tasks = sock, tasks
         self.state = State.OPEN
+        # the peer has closed or broken it, as far as has been read
+        self.ended_by_peer = False
         # bytes, what they are for, and whether some of them have left
         self.waiting: deque[list] = deque()
         self.size = 0
@@ -239,7 +241,8 @@
             except (BlockingIOError, InterruptedError):
                 continue
             except ENDED:
-                return b""
+                data = b""
+            self.ended_by_peer = not data and not self.gone
             if self.open or not data:
                 return data
         return b""
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -280,7 +280,8 @@
             # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
             if rung is None or sick and (vw.package.paid_at_setup or server.out):
                 continue
-            rank = (bound, not sick, not self._silent(server), server not in vw.tried,
+            # a set-up waits until an earlier one at the same server has provably ended, which a hung one never says
+            rank = (server not in vw.unconfirmed, bound, not sick, not self._silent(server), server not in vw.tried,
                     self._room(server, vw=vw) // (ROOM_STEP * server.link.size), shared_order(vw, server))
             if rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
--- a/tests/test_attempt_order.py
+++ b/tests/test_attempt_order.py
@@ -92,6 +92,60 @@
             with self.subTest(delay_s=delay_s):
                 self.assertEqual(await self.most_out(delay_s), 1)
 
+    async def set_ups(self, does, enough):
+        """How many set-ups of one request a lone server gets that does this."""
+        async with Place().up() as place:
+            media, viewer = place.medias[0], Plain(place.port)
+            media.does = does
+            viewer.ask(REQUEST)
+            with anyio.move_on_after(1.0):
+                await until(lambda: len(media.had(isup.SET_UP)) >= enough)
+            viewer.close()
+            return len(media.had(isup.SET_UP))
+
+    @story
+    async def test_a_server_that_has_heard_the_release_is_tried_again(self):
+        async def hears(line, kind, id, parameters):
+            if kind == isup.RELEASE:
+                await line.send(isup.released(id))
+        self.assertGreaterEqual(await self.set_ups(hears, 2), 2)
+
+    @story
+    async def test_a_server_that_closes_the_connection_is_tried_again(self):
+        async def closes(line, kind, id, parameters):
+            if kind == isup.SET_UP:
+                await line.aclose()
+        self.assertGreaterEqual(await self.set_ups(closes, 2), 2)
+
+    @story
+    async def test_no_second_attempt_follows_a_close_of_our_own_that_the_server_may_not_have_seen(self):
+        async def spoils(line, kind, id, parameters):
+            if kind == isup.SET_UP:
+                await line.send(b"\xff" * 64)
+        self.assertEqual(await self.set_ups(spoils, 2), 1)
+
+    @story
+    async def test_an_id_that_comes_again_waits_until_the_release_of_its_session_is_heard(self):
+        go = anyio.Event()
+        async with Place().up() as place:
+            media, viewer = place.medias[0], Plain(place.port)
+
+            async def hears_late(line, kind, id, parameters):
+                if kind == isup.RELEASE:
+                    await go.wait()
+                await media.plays(line, kind, id, parameters)
+            media.does = hears_late
+            viewer.ask(REQUEST)
+            await viewer.hear()
+            viewer.tear_down(REQUEST)
+            await viewer.hear()
+            viewer.ask(REQUEST, body=b"second")
+            await anyio.sleep(0.1)
+            before = len(media.had(isup.SET_UP))
+            go.set()
+            self.assertEqual(((await viewer.hear()).body, before), (b"plays second", 1))
+            viewer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
