A further attempt leaves once the release of the one before is written, or its connection is reset

The same mistake towards another server, found by reading: the release was only queued when the next attempt left. Where the first connection takes no bytes (a reader that stands still, a full buffer), the release stayed here while the second server got the set-up: two attempts out, for as long as that lasted.

A hung server confirms nothing, so nothing more is waited for: the release is ordered behind its set-up on its connection.

Both stories of tests/test_attempt_order.AtAnotherServer fail without the change.

--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -17,7 +17,7 @@
 from curlewshift.deployment import use_of
 from curlewshift.model import Outcome, Server
 from curlewshift.node import isup
-from curlewshift.node.releases import Releases
+from curlewshift.node.releases import Release, Releases
 from curlewshift.node.wire import Errand, Intake, Wire, dial
 from curlewshift.retries.endings import Ending
 
@@ -39,6 +39,8 @@
 FAILING_FOR = NS
 # A server that has restarted tells what is over on the next connection; after this it is taken as told.
 TOLD_WITHIN = 2 * NS
+# A set-up that follows a release waits this long for the kernel to take it (ns).
+RELEASE_WRITTEN_WITHIN = 50 * MS
 # A release is heard once it has been out for so long on a connection that is still sound: saying so is free.
 HEARD_AFTER = NS // 5
 # Set-ups that were given up are kept to end what they set up all the same: so many, and for so long.
@@ -237,9 +239,18 @@
         release = self.releases.before(flight.tune_in.server, flight.id)
         if release is not None:
             release.followers.append(lambda: self._go_on(flight))
+            if not release.written:
+                self.desk.timers.at(self.now() + RELEASE_WRITTEN_WITHIN, lambda: self._reset_unless_written(release))
             return False
         return not self.read_first(flight.tune_in, lambda: self._go_on(flight))
 
+    def _reset_unless_written(self, release: Release) -> None:
+        """A peer that takes no bytes must not hold up an attempt elsewhere; a reset lets nothing of what waits through."""
+        if not release.written:
+            if release.connection.wire is not None:
+                release.connection.wire.reset()
+            self._break(release.connection, "it does not take a release")
+
     def _overtaken(self, flight: Flight) -> None:
         if self.flights.get(flight.tune_in) is flight:
             self._end(flight, Outcome.UNSENT)
--- a/curlewshift/node/releases.py
+++ b/curlewshift/node/releases.py
@@ -2,7 +2,9 @@
 
 A connection orders what is on it, and two connections order nothing: a release may arrive behind a set-up that left later under
 the same id on another connection, and end that one instead. So a release is unconfirmed until the server has said "release
-heard" or has closed the connection that it went on. Called by reach.py; times are nanoseconds.
+heard" or has closed the connection that it went on, and a further set-up at the same server waits for that. A further set-up at
+another server waits until the release is written, as a server that hangs confirms nothing. Called by reach.py; times are
+nanoseconds.
 """
 
 from __future__ import annotations
@@ -21,16 +23,26 @@
 
 @dataclass(eq=False, slots=True)
 class Release(Errand):
-    """One release on one connection."""
+    """One release on one connection. `written` once the kernel has its last byte, or its connection has been closed here."""
 
     server: Server
     id: bytes
     connection: object
     sent_at: int
     handed: bool = False
-    # called once it is confirmed or forgotten
+    written: bool = False
+    # called once more is known of it
     followers: list[Callable[[], None]] = field(default_factory=list)
 
+    def out(self) -> None:
+        self.written = True
+        self.call_followers()
+
+    def call_followers(self) -> None:
+        followers, self.followers = self.followers, []
+        for follow in followers:
+            follow()
+
 
 @dataclass(eq=False, slots=True)
 class OfOneId:
@@ -71,6 +83,7 @@
         for release in list(self.by_connection.get(connection, ())):
             if by_peer:
                 self._forget(release)
+            release.out()
 
     def servers(self, id: bytes) -> set[Server]:
         """Where a release of this id is unconfirmed; the set follows what becomes of them."""
@@ -79,7 +92,7 @@
 
     def before(self, server: Server, id: bytes) -> Release | None:
         """One that a set-up of this id at this server has to wait for."""
-        return next((release for release in self._of(id) if release.server is server), None)
+        return next((release for release in self._of(id) if release.server is server or not release.written), None)
 
     def expire(self) -> None:
         while self.all and next(iter(self.all)).sent_at < self.now() - FORGOTTEN_AFTER_NS:
@@ -101,5 +114,4 @@
             of_one_id.servers.discard(release.server)
         if not of_one_id.releases:
             del self.by_id[release.id]
-        for follow in release.followers:
-            follow()
+        release.call_followers()
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -13,6 +13,7 @@
 import errno
 import os
 import socket
+import struct
 from collections import deque
 from enum import Enum
 
@@ -22,6 +23,8 @@
 READ = 64 * 1024
 # What waits when a connection is closed in peace has so long to go out, and its peer to close as well (s).
 ENDS_WITHIN = 0.5
+# SO_LINGER with a time of zero (socket(7)).
+LINGER_ZERO = struct.pack("ii", 1, 0)
 ENDED = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
 
 
@@ -295,6 +298,14 @@
         except OSError:
             pass
 
+    def reset(self) -> None:
+        """Closed at once with a reset: what the kernel has and the peer has not taken is lost too."""
+        if not self.gone:
+            self.state = State.OVER
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+            # who reads and who writes wake; the owner closes it then, and that sends the reset
+            anyio.notify_closing(self.socket)
+
     async def close(self) -> None:
         """By its owner, who reads no more: the descriptor is let go once the writer has let go of it."""
         self.drop()
--- a/tests/test_attempt_order.py
+++ b/tests/test_attempt_order.py
@@ -7,10 +7,12 @@
 import unittest
 from collections import Counter
 from pathlib import Path
+from unittest import mock
 
 import anyio
 
-from curlewshift.node import isup
+from curlewshift.node import isup, wire
+from curlewshift.node.wire import Wire
 from curlewshift.rehearsal.processes import listens
 from curlewshift.soak.proxy import Proxy, Shape
 from tests.node_place import Place, Plain
@@ -147,5 +149,57 @@
             viewer.close()
 
 
+class AtAnotherServer(unittest.TestCase):
+    async def first_and_next(self, place, may_write):
+        """The two servers in the order in which a request came to them, where the first attempt's connection takes bytes only
+        while `may_write()`; when the second got it, after the first was given up (s)."""
+        viewer, times = Plain(place.port), {}
+        for media in place.medias:
+            media.does = media.silent
+        viewer.ask(REQUEST)
+        await until(lambda: any(media.had(isup.SET_UP) for media in place.medias))
+        first = next(media for media in place.medias if media.had(isup.SET_UP))
+        second = next(media for media in place.medias if media is not first)
+        held = next(iter(place.node.reach.flights.values())).line.wire
+        push = Wire._push
+
+        def pushed(wire):
+            return push(wire) if wire is not held or may_write() else False
+
+        async def writable(sock):
+            if sock is held.socket and not may_write():
+                await anyio.sleep(0.005)
+            await ready(sock)
+        ready = anyio.wait_writable
+        with mock.patch.object(Wire, "_push", pushed), mock.patch.object(wire.anyio, "wait_writable", writable):
+            await until(lambda: held.waiting)
+            times["given up"] = anyio.current_time()
+            await until(lambda: second.had(isup.SET_UP))
+            times["next"] = anyio.current_time()
+        viewer.close()
+        return first, second, times["next"] - times["given up"]
+
+    @story
+    async def test_no_further_attempt_leaves_before_the_kernel_has_the_release_of_the_one_before(self):
+        may_write = []
+        async with Place(2).up() as place:
+            async with anyio.create_task_group() as tasks:
+                async def later():
+                    await until(lambda: any(one.number == 2 for one in place.node.reach.flights))
+                    await anyio.sleep(0.03)
+                    self.assertEqual(sum(len(media.had(isup.SET_UP)) for media in place.medias), 1)
+                    may_write.append(True)
+                tasks.start_soon(later)
+                first, _, _ = await self.first_and_next(place, lambda: may_write)
+            self.assertEqual(len(first.had(isup.RELEASE)), 1)
+
+    @story
+    async def test_a_connection_that_does_not_take_a_release_is_reset_and_holds_no_further_attempt_up(self):
+        async with Place(2).up() as place:
+            first, _, after_s = await self.first_and_next(place, lambda: False)
+            self.assertLess(after_s, 0.15)
+            self.assertFalse(first.lines)
+
+
 if __name__ == "__main__":
     unittest.main()
