A connection is closed in peace on both sides: what crosses the close is still read

Callers were not told that a session was over: its media server's release crossed the idle close of the connection it went on, and the node threw away what it had not read.

Change: an idle connection to a media server sends its end, takes nothing new, and is read until the server has closed it too, .5 s at the most. Towards clients the same way: a TEARDOWN that crosses the end of a connection is taken, where it was thrown away and the session stood on for nobody; a set-up that crosses it is not, as its client sends it again.

Both stories of tests/test_closing.py fail without it. Two stories of test_node asked for the flag that the connection is over at once; they now ask that nothing new goes out on it at once and that it is over within a second, which is as strict in what callers see.

--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -200,7 +200,9 @@
                 # as long as its pieces come it does not rest
                 line.rested_at = now / NS
             for message in messages:
-                self._take(line, message, now)
+                # a set-up that crosses the close comes again on another connection, the end of a session does not
+                if line.wire.open or message.method == "TEARDOWN":
+                    self._take(line, message, now)
             if wrong is not None:
                 self.log.info("malformed", what="viewers", cause=str(wrong))
                 line.wire.send(rtsp.answer(wrong.status, "1", ""))
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -404,9 +404,15 @@
     def _gone(self, line: Line) -> None:
         if not line.over:
             line.over = True
-            line.endpoint.lines.remove(line)
+            if line in line.endpoint.lines:
+                line.endpoint.lines.remove(line)
             self.count -= 1
 
+    def _retire(self, line: Line) -> None:
+        """Closed in peace: nothing more goes out on it, and what its server has said meanwhile is still read."""
+        line.endpoint.lines.remove(line)
+        line.wire.end()
+
     def _break(self, line: Line, why: str) -> None:
         """The connection is of no more use: what was out on it may have run, what had not left is sent on another."""
         if line.over:
@@ -608,7 +614,7 @@
         spare = len(line.endpoint.lines) > 1 or not line.endpoint.standing
         idle_for = self.idle_for if self.count < self.most_lines else min(IDLE_FOR, self.idle_for)
         if spare and line.up and not line.flights and not line.ending and (line.doubtful or now - line.used_at > idle_for):
-            self._break(line, "idle")
+            self._retire(line)
 
     def _ask_for_sign(self, endpoint: Endpoint, now: int) -> None:
         """A machine that has vanished says nothing, and its connections stay open: only a new one tells."""
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -123,7 +123,7 @@
 
 class State(Enum):
     OPEN = "open"
-    # takes nothing new; what waits goes out, and what comes in is thrown away
+    # takes nothing new; what waits goes out, and what comes in is still read
     ENDING = "ending"
     # closed, from here or from there
     OVER = "over"
@@ -236,7 +236,7 @@
     # ---- what comes in
 
     async def receive(self) -> bytes:
-        """Empty once the connection has ended."""
+        """Empty once the connection has ended. While this side is ending it, its owner says what is still taken."""
         while not self.gone:
             try:
                 await anyio.wait_readable(self.socket)
@@ -246,8 +246,7 @@
             except ENDED:
                 data = b""
             self.ended_by_peer = not data and not self.gone
-            if self.open or not data:
-                return data
+            return data
         return b""
 
     def unread(self) -> bool:
