The process ends before it may be killed: each request has its answer, each connection its end

Clients go on sending on open connections until SIGKILL, which may come as soon as the longest deadline (3 s at most) and .7 s after SIGTERM. A node with sessions that stand stayed until it was killed: a request that came in its last moment was taken and never answered, and those with longer deadlines than 3 s lost their answer.

Change: .1 s before the kill may come the process has ended by itself. From .45 s before it each connection is closed in peace as soon as nothing is open on it (and not all together once all are quiet, which never comes under traffic); .35 s before it whoever waits is answered, refused with advice where nothing can have run, failed where a paid set-up may have. Sessions that stand end .1 to .45 s earlier than by the kill. Where nothing plays and nobody waits the end comes as early as before.

The two stories of tests/test_closing.AtTheEndOfTheProcess fail without it (no answer before the kill). Two stories that stand in for Door.finish pass its new arguments on.

--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -155,6 +155,22 @@
         """The client changes its session; `told(errand)` is called once, with what came of it at its server."""
         course.errands.patch(course, patch, told)
 
+    def end_waiting(self) -> None:
+        """This front ends now: whoever still waits is answered, and what is out for them is withdrawn."""
+        for course in list(self.courses.values()):
+            if not course.waiting or course.answer is not None:
+                continue
+            vw, tune_in = course.vw, course.tune_in
+            self.rules.left(vw)
+            if tune_in is not None:
+                tune_in.outcome = Outcome.SILENT if self.outside.withdraw(tune_in) else Outcome.UNSENT
+                course.tune_in = None
+                self.rules.ended(vw, tune_in.outcome, True)
+            if vw.package.paid_at_setup and vw.may_have_run:
+                self.abort(vw)
+            else:
+                self.block(vw, min(SECOND, self.longest_wait))
+
     def drain(self) -> None:
         """Take nothing new; what is in work is still answered."""
         self.draining = True
--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -37,8 +37,6 @@
 MOST_PENDING = 5000
 # Sessions torn down that nobody here knew: a hand-over that comes after its own end must not stand. So many are kept.
 MOST_TORN_DOWN = 2000
-# At its end the node has so long to read what has come, answer it and see it out (s).
-FINISH_WITHIN = 1.5
 
 SESSION = re.compile(r"[0-9a-f]{16}")
 TITLE = re.compile(r"rtsp://media/([0-9a-f]{16})")
@@ -220,8 +218,9 @@
         asked.line.after_reading.append(then)
         return True
 
-    async def finish(self) -> None:
-        """The node's end: who has come is answered, what is queued goes out, and connections are closed in peace."""
+    async def finish(self, answered_by: float, closed_by: float) -> None:
+        """The node's end: who has come is answered, what is queued goes out, and each connection is closed in peace as soon as
+        nothing is open on it. Who still waits at `answered_by` is answered then; all is over at `closed_by` (anyio's clock)."""
         try:
             while (sock := self.listener.accept_one()) is not None:
                 self.tasks.start_soon(self._run, sock)
@@ -229,14 +228,17 @@
             # no descriptor is left to take them with: the kernel turns them away
             pass
         self.listener.close()
-        with anyio.move_on_after(FINISH_WITHIN):
-            await anyio.sleep(0)
-            while any(line.at_work or line.asking for line in self.lines) or self.pending_releases and self.lines:
-                await anyio.sleep(0.005)
-            for line in list(self.lines):
-                line.wire.end()
-            while self.lines:
-                await anyio.sleep(0.005)
+        await anyio.sleep(0)
+        while any(line.wire.open for line in self.lines) and anyio.current_time() < answered_by:
+            for line in self.lines:
+                if not (line.at_work or line.asking or self.pending_releases):
+                    line.wire.end()
+            await anyio.sleep(0.005)
+        self.node.end_waiting()
+        for line in list(self.lines):
+            line.wire.end()
+        while self.lines and anyio.current_time() < closed_by:
+            await anyio.sleep(0.005)
 
     def sweep(self) -> None:
         """Connections that say nothing, or half of something, are closed in time."""
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -33,8 +33,14 @@
 SERVERS_PART, OTHERS = 0.4, 16
 # Where connections from viewers are many, those that rest so long (s) go, so many at once: hundreds come in a second.
 IDLE_FOR, AT_ONCE = 0.25, 64
-# After a SIGTERM connections go on coming for 0.4 s and requests for 0.2 s more; nobody is left waiting after this (s).
+# After a SIGTERM new connections go on coming for 0.4 s, and requests on open ones until the process is killed (s).
 STILL_COME = 1.0
+# SIGKILL follows no sooner than this after the longest deadline, which counts as this at the most (s).
+KILLED_AFTER, LONGEST_COUNTED = 0.7, 3.0
+# The process is over so long before that, and what is open then is closed in so long (s).
+ENDS_BEFORE, CLOSING_TAKES, ANSWERING_TAKES = 0.1, 0.25, 0.1
+# At its end, with nobody left to answer, it has so long to see out what is queued (s).
+FINISH_WITHIN = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,14 +124,25 @@
         self.draining, self.ready = True, False
         self.log.info("drain", waiting=self.desk.waiting, playing=len(self.desk.courses))
         self.desk.drain()
-        await anyio.sleep(STILL_COME)
-        while self.desk.courses or self.desk.waiting or self.door.pending_releases:
-            await anyio.sleep(0.05)
-        await self.door.finish()
+        closed_by = anyio.current_time() + self._longest_deadline() + KILLED_AFTER - ENDS_BEFORE
+        answered_by = closed_by - CLOSING_TAKES
+        with anyio.move_on_at(answered_by - ANSWERING_TAKES):
+            await anyio.sleep(STILL_COME)
+            while self.desk.courses or self.desk.waiting or self.door.pending_releases:
+                await anyio.sleep(0.05)
+        left = anyio.current_time() + FINISH_WITHIN
+        await self.door.finish(min(answered_by, left), min(closed_by, left + CLOSING_TAKES))
         await self.reach.finish()
         self.log.info("ended")
         self.tasks.cancel_scope.cancel()
 
+    def _longest_deadline(self) -> float:
+        deadlines = [package.patience for package in self.desk.packages.values()]
+        return min(LONGEST_COUNTED, max(deadlines) / NS) if all(deadlines) else LONGEST_COUNTED
+
+    def end_waiting(self) -> None:
+        self.desk.end_waiting()
+
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(SWEEP)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -1,11 +1,16 @@
 """What crosses the close of a connection, on real sockets."""
 
+import os
+import signal
+import subprocess
+import sys
 import unittest
 
 import anyio
 
 from curlewshift.node import isup
-from tests.node_place import Held, Place, Plain
+from curlewshift.rehearsal.processes import listens
+from tests.node_place import CLIP, Held, Place, Plain
 from tests.sockets import story, until
 
 FIRST, SECOND = "00000000000000a1", "00000000000000b2"
@@ -54,5 +59,55 @@
             viewer.close()
 
 
+class AtTheEndOfTheProcess(unittest.TestCase):
+    @story
+    async def test_no_request_on_an_open_connection_is_unanswered_when_the_process_could_be_killed(self):
+        # the longest deadline of the place is 2 s, and the kill follows .7 s later
+        async with Place().around() as place:
+            process = await anyio.open_process(
+                [sys.executable, "-m", "curlewshift.node"], stderr=subprocess.DEVNULL,
+                env={**os.environ, "NODE_CONFIG": str(place.path)})
+            try:
+                assert await listens(place.port, 20)
+                viewer = Plain(place.port)
+                viewer.ask(FIRST)
+                self.assertEqual((await viewer.hear()).status, 200)
+                process.send_signal(signal.SIGTERM)
+                told, number, answered = anyio.current_time(), 0, True
+                while answered is not None and anyio.current_time() < told + 2.7:
+                    number += 1
+                    viewer.ask(f"ff{number:014x}")
+                    answered = await viewer.hear()
+                    self.assertTrue(answered is None or answered.status == 503)
+                    await anyio.sleep(0.01)
+                with anyio.fail_after(0.7):
+                    self.assertEqual(await process.wait(), 0)
+                self.assertTrue(2.0 < anyio.current_time() - told < 2.7, anyio.current_time() - told)
+                self.assertGreater(number, 50)
+                viewer.close()
+            finally:
+                if process.returncode is None:
+                    process.kill()
+
+    @story
+    async def test_who_waits_longer_than_the_process_has_is_answered_before_its_end(self):
+        async with Place().up() as place:
+            media = place.medias[0]
+
+            async def answers_tests_alone(line, kind, id, parameters):
+                if kind == isup.PROBE:
+                    await media.plays(line, kind, id, parameters)
+            media.does = answers_tests_alone
+            place.node.desk.packages[CLIP].patience = 4 * 10**9
+            viewer = Plain(place.port)
+            viewer.ask(FIRST, package=CLIP, patience=4000)
+            await until(lambda: media.had(isup.SET_UP))
+            os.kill(os.getpid(), signal.SIGTERM)
+            answer = await viewer.hear(within=3.6)
+            self.assertEqual((answer.status, answer.fields["session"]), (500, FIRST))
+            await until(lambda: media.had(isup.RELEASE), 0.3)
+            viewer.close()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -579,12 +579,12 @@
             await early.hear()
             finish, late = Door.finish, []
 
-            async def with_a_late_one(door):
+            async def with_a_late_one(door, *by):
                 # one connects and asks, one asks on an open connection: both are in the kernel, and nobody has looked
                 late.append(Plain(place.port))
                 late[0].ask(B)
                 early.ask(C)
-                await finish(door)
+                await finish(door, *by)
             with mock.patch.object(Door, "finish", with_a_late_one):
                 os.kill(os.getpid(), signal.SIGTERM)
                 await self.ended(place)
