Soak: short seeded trials of a few real node processes under combined faults

bin/curlewshift soak plays trials that one seed decides: two to six real node processes, three to twenty media servers, a server list and clients of the trial's own process, a byte-level proxy on the legs to servers and clients with a delay for each connection, and faults of five families that overlap. The judge reads records made on the node's side of the proxies and shares no code with node, desk or rules; it counts the cases of each rule.

--- /dev/null
+++ b/curlewshift/soak/judge.py
@@ -0,0 +1,393 @@
+"""Judges a trial from its records alone: the rules of the pages with their slack, and what a process may not do.
+
+Each rule counts the cases it looked at, so that a rule that nothing exercised is not taken for kept. Slack is the page's 50 ms,
+and on top of it what the judge's own loop was late, as no record can be better than that.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from math import sqrt
+
+import msgspec
+
+from curlewshift.soak.plan import Plan
+from curlewshift.soak.records import Attempt, Ending, Life, Records, Request, ServerAttempt
+
+PAGE_SLACK_S = 0.05
+# An attempt may begin this long after its client has left.
+AFTER_LEAVING_S = 0.1
+# A request has its answer at the latest this long after its time.
+ANSWERED_WITHIN_S = 0.5
+# The end of a session is told to its client within this of the server's word.
+TOLD_WITHIN_S = 1.0
+# A session whose client has ended it, or was never told of it, is over at its server within this.
+RELEASED_WITHIN_S = 8.0
+# After a failed or refused call to discovery a change counts as told this long after it could be reached.
+TOLD_AFTER_OUTAGE_S = 6.0
+# What arrives so long after SIGTERM is owed an answer before SIGKILL; the rest is lost with the process or answered.
+STILL_ANSWERED_S = 0.7
+# A set-up that crosses the close of its connection within this is sent again by its client.
+CROSSES_CLOSE_S = 0.05
+READY_WITHIN_S, READY_SHARE = 10.0, 0.9
+MEMORY_MB = 96.0
+STARVED_S = 0.25
+NEVER = 1e18
+PLAYS, REFUSED = 200, (453, 454, 503)
+RULES = ("answered once", "no answer that nobody made", "one attempt at a time", "paid set-ups once", "drains", "cold servers",
+         "rungs", "seats", "budget", "no attempt after leaving", "no attempt unasked", "ends told", "nothing left standing",
+         "no crash", "limits", "ready again")
+
+
+class Break(msgspec.Struct):
+    rule: str
+    at_s: float
+    says: str
+    # the request that it is about, if it is about one
+    id: str = ""
+
+
+class Verdict(msgspec.Struct):
+    seed: int
+    breaks: list[Break] = []
+    # cases looked at, by rule
+    looked_at: dict[str, int] = {}
+    starved: bool = False
+    loop_late_s: float = 0.0
+
+
+class Judge:
+    def __init__(self, plan: Plan, records: Records):
+        self.plan, self.records = plan, records
+        late_s = records.loop_late_s
+        self.slack_s = PAGE_SLACK_S + late_s
+        self.verdict = Verdict(self.plan.seed, looked_at=dict.fromkeys(RULES, 0), starved=late_s > STARVED_S, loop_late_s=late_s)
+        self.attempts_of: dict[str, list[Attempt]] = defaultdict(list)
+        for attempt in self.records.attempts:
+            self.attempts_of[attempt.id].append(attempt)
+        self.requests_of: dict[str, list[Request]] = defaultdict(list)
+        for request in self.records.requests:
+            self.requests_of[request.id].append(request)
+        # those of which every message can be told apart
+        self.clear = [request for request in records.requests if not request.ambiguous]
+        self.lives_of: dict[str, list[Life]] = defaultdict(list)
+        for life in self.records.lives:
+            self.lives_of[life.node].append(life)
+        self.classes = {one.name: one for one in self.plan.classes}
+
+    def judge(self) -> Verdict:
+        for check in (self._answers, self._bodies, self._one_at_a_time, self._one_at_a_server, self._paid, self._drains, self._cold,
+                      self._rungs, self._seats, self._budget, self._after_leaving, self._unasked, self._ends_told, self._standing,
+                      self._processes):
+            check()
+        self.verdict.breaks.sort(key=lambda one: one.at_s)
+        return self.verdict
+
+    def _looked(self, rule: str, count: int = 1) -> None:
+        self.verdict.looked_at[rule] += count
+
+    def _broken(self, rule: str, at: float, says: str, id: str = "") -> None:
+        self.verdict.breaks.append(Break(rule, round(at - self.records.began_at, 3), says, id))
+
+    def _life_at(self, node: str, at: float) -> Life | None:
+        return next((life for life in self.lives_of[node] if life.started_at <= at
+                     and (life.ended_at is None or at <= life.ended_at)), None)
+
+    def _last_moment(self) -> float:
+        return self.records.began_at + self.plan.seconds
+
+    # ---- answers
+
+    def _answers(self) -> None:
+        rule = "answered once"
+        for request in self.clear:
+            life = self._life_at(request.node, request.taken_at)
+            if life is None or request.after_close_s is not None and request.after_close_s <= CROSSES_CLOSE_S + self.slack_s:
+                continue
+            self._looked(rule)
+            if len(request.answers) > 1:
+                self._broken(rule, request.answers[1].at, f"answered {len(request.answers)} times", request.id)
+            due = request.taken_at + request.wait_s + ANSWERED_WITHIN_S + self.slack_s
+            if request.answers:
+                if request.answers[0].at > due and request.left_at is None:
+                    self._broken(rule, due, f"answered {request.answers[0].at - due:.3f} s late", request.id)
+            elif request.left_at is not None and request.left_how != "closed by the node":
+                continue
+            elif life.ended_at is not None and life.ended_at <= due + 0.01:
+                self._lost_at_the_end(request, life)
+            elif request.left_how == "closed by the node":
+                self._broken(rule, request.left_at, "its connection was closed without an answer", request.id)
+            elif due < self._last_moment():
+                self._broken(rule, due, "never answered", request.id)
+
+    def _lost_at_the_end(self, request: Request, life: Life) -> None:
+        terms = [signal.at for signal in self.records.signals
+                 if signal.node == life.node and signal.what == "SIGTERM" and life.started_at <= signal.at <= life.ended_at]
+        if not terms:
+            # killed without a warning: what it held is no longer its duty
+            return
+        by_itself = not life.killed or life.exit_status == 0
+        if by_itself or request.taken_at > terms[0] + STILL_ANSWERED_S:
+            how = "ended by itself" if by_itself else "was killed"
+            self._broken("answered once", request.taken_at,
+                         f"came {request.taken_at - terms[0]:.3f} s after SIGTERM, unanswered when the process {how} "
+                         f"{life.ended_at - request.taken_at:.3f} s later", request.id)
+
+    def _bodies(self) -> None:
+        rule = "no answer that nobody made"
+        for request in self.clear:
+            for answer in request.answers:
+                if answer.status == PLAYS:
+                    self._looked(rule)
+                    made = [attempt.answer_body for attempt in self.attempts_of[request.id]]
+                    if answer.body not in made:
+                        self._broken(rule, answer.at, f"served with {answer.body[:60]!r}, which no server made", request.id)
+
+    # ---- attempts
+
+    def _end_here(self, attempt: Attempt) -> float | None:
+        """When the node wrote or heard the end of an attempt."""
+        return min((at for at, _ in attempt.heard), default=None)
+
+    def _one_at_a_time(self) -> None:
+        """At two servers: in the order in which the node wrote and heard."""
+        rule = "one attempt at a time"
+        for id, attempts in self.attempts_of.items():
+            attempts.sort(key=lambda attempt: attempt.first_byte_at)
+            for before, after in zip(attempts, attempts[1:]):
+                if before.server == after.server and before.node == after.node:
+                    continue
+                self._looked(rule)
+                ended = self._end_here(before)
+                if ended is None or after.first_byte_at < ended - self.slack_s:
+                    self._broken(rule, after.first_byte_at, f"out at {after.server} while out at {before.server}", id)
+
+    def _one_at_a_server(self) -> None:
+        """At one server: in the order in which it read, with no slack, as it holds one thing under an id."""
+        rule = "one attempt at a time"
+        by_place: dict[tuple[str, str], list[ServerAttempt]] = defaultdict(list)
+        for attempt in self.records.server_attempts:
+            by_place[attempt.id, attempt.server].append(attempt)
+        for (id, server), attempts in by_place.items():
+            for before, after in zip(attempts, attempts[1:]):
+                self._looked(rule)
+                if before.ended_at is None or after.taken_at < before.ended_at:
+                    self._broken(rule, after.taken_at, f"twice at {server}: connections {before.connection} and {after.connection}", id)
+
+    def _paid(self) -> None:
+        rule = "paid set-ups once"
+        for request in self.clear:
+            service = self.classes.get(request.service_class)
+            attempts = self.attempts_of[request.id]
+            if service is None or service.effect == "safe" or not attempts:
+                continue
+            self._looked(rule)
+            for before, after in zip(attempts, attempts[1:]):
+                if not before.never_ran:
+                    self._broken(rule, after.first_byte_at, f"sent again to {after.server} after {before.server} may have run it", request.id)
+            refused = [answer for answer in request.answers if answer.status in REFUSED]
+            if refused and not all(attempt.never_ran for attempt in attempts):
+                self._broken(rule, refused[0].at, f"refused with {refused[0].status} though it may have run", request.id)
+
+    def _after_leaving(self) -> None:
+        rule = "no attempt after leaving"
+        for request in self.clear:
+            if request.left_at is None:
+                continue
+            for attempt in self.attempts_of[request.id]:
+                self._looked(rule)
+                late = attempt.first_byte_at - request.left_at - AFTER_LEAVING_S
+                if late > self.records.loop_late_s:
+                    self._broken(rule, attempt.first_byte_at, f"began {late + AFTER_LEAVING_S:.3f} s after its client had left", request.id)
+
+    def _unasked(self) -> None:
+        rule = "no attempt unasked"
+        for attempt in self.records.attempts:
+            self._looked(rule)
+            bodies = [request.body for request in self.requests_of[attempt.id]]
+            if attempt.body not in bodies:
+                self._broken(rule, attempt.first_byte_at, f"a set-up at {attempt.server} that no client sent", attempt.id)
+
+    # ---- servers
+
+    def _drains(self) -> None:
+        rule = "drains"
+        told = {}
+        for change in self.records.listed:
+            if change.state in ("draining", "gone"):
+                told.setdefault(change.server, change.at)
+        for attempt in self.records.attempts:
+            if attempt.server not in told or attempt.first_byte_at < told[attempt.server]:
+                continue
+            self._looked(rule)
+            counts_from = self._counts_as_told(attempt.node, told[attempt.server])
+            late = attempt.first_byte_at - counts_from - self.plan.grace_ms / 1000 - self.slack_s
+            if late > 0:
+                self._broken(rule, attempt.first_byte_at, f"sent to {attempt.server} {late:.3f} s after the grace", attempt.id)
+
+    def _counts_as_told(self, node: str, at: float) -> float:
+        """A change counts as told once it is in the list; what an outage hid does so a while after its end."""
+        for outage in self.records.outages:
+            if outage.kind.split()[0] == node and outage.since - 0.1 <= at <= outage.until + TOLD_AFTER_OUTAGE_S:
+                at = max(at, outage.until + TOLD_AFTER_OUTAGE_S)
+        return at
+
+    def _cold(self) -> None:
+        rule = "cold servers"
+        starts = {change.server: change.at for change in self.records.listed if change.started_at and change.state == "ready"}
+        window, warm = self.plan.fall_ms / 1000, self.plan.warm_within_ms / 1000
+        for server, started in starts.items():
+            times = sorted(one.taken_at for one in self.records.server_attempts if one.server == server)
+            for first, at in enumerate(times):
+                if at - started > warm:
+                    break
+                self._looked(rule)
+                count = sum(at <= other < at + window for other in times[first:])
+                warmth = min(1.0, self.plan.start_capacity + (1 - self.plan.start_capacity) * (at + window - started) / warm)
+                bears = self.plan.streams / warm * warmth * self.plan.fall_multiple * window
+                most = bears + 2 * sqrt(bears) + 2 if bears >= 30 else bears + 3 * sqrt(bears) + 3
+                if count > most:
+                    self._broken(rule, at, f"{server} got {count} in {window} s, {most:.0f} at the most")
+                    break
+
+    def _rungs(self) -> None:
+        rule = "rungs"
+        for attempt in self.records.attempts:
+            for request in self.requests_of[attempt.id][:1]:
+                service = self.classes.get(request.service_class)
+                if service is not None:
+                    self._looked(rule)
+                    if not service.floor <= attempt.rung <= request.top:
+                        self._broken(rule, attempt.first_byte_at, f"rung {attempt.rung}", attempt.id)
+        for at, id, rung in self.records.rungs:
+            for request in self.requests_of[id][:1]:
+                self._looked(rule)
+                if rung > request.top or rung < self.classes[request.service_class].floor:
+                    self._broken(rule, at, f"new rung {rung}", id)
+
+    def _seats(self) -> None:
+        """A seat is held from a set-up's first byte to the end of the attempt or of its session, as the node wrote or heard it."""
+        rule = "seats"
+        ends = self._session_ends()
+        held: dict[tuple[str, str, str], list[tuple[float, int]]] = defaultdict(list)
+        for attempt in self.records.attempts:
+            request = next(iter(self.requests_of[attempt.id]), None)
+            service = self.classes.get(request.service_class) if request is not None and not request.ambiguous else None
+            if service is None or not service.seats:
+                continue
+            life = self._life_at(attempt.node, attempt.first_byte_at)
+            over = [at for at, what in attempt.heard if what != "answer"] if attempt.answer_body is None else []
+            over += ends.get((attempt.node, attempt.id), [])
+            over += [at for at in (request.left_at, life.ended_at if life is not None else None) if at is not None]
+            until = min((at for at in over if at >= attempt.first_byte_at), default=NEVER)
+            held[attempt.node, request.title, service.name] += [(attempt.first_byte_at, 1), (until, -1)]
+        for (node, title, name), changes in held.items():
+            count = 0
+            for at, change in sorted(changes):
+                count += change
+                if change > 0:
+                    self._looked(rule)
+                    if count > self.classes[name].seats:
+                        self._broken(rule, at, f"{node} holds {count} of {title} in {name}")
+
+    def _session_ends(self) -> dict[tuple[str, str], list[float]]:
+        """By node and id, each word that a session is over."""
+        ends: dict[tuple[str, str], list[float]] = defaultdict(list)
+        for one in (*self.records.releases, *self.records.client_releases):
+            ends[one.node, one.id].append(one.at)
+        return ends
+
+    def _budget(self) -> None:
+        rule = "budget"
+        if self.plan.budget is None:
+            return
+        free, share, look_back_ms = self.plan.budget
+        for node, lives in self.lives_of.items():
+            for life in lives:
+                until = life.ended_at or NEVER
+                taken = [one.taken_at for one in self.records.requests if one.node == node and life.started_at <= one.taken_at <= until]
+                mine = [one for one in self.records.attempts if one.node == node and life.started_at <= one.first_byte_at <= until]
+                seen, further = set(), []
+                for attempt in sorted(mine, key=lambda one: one.first_byte_at):
+                    if attempt.id in seen:
+                        further.append(attempt.first_byte_at)
+                    seen.add(attempt.id)
+                self._over_budget(node, taken, further, free, share, look_back_ms / 1000)
+
+    def _over_budget(self, node: str, taken: list[float], further: list[float], free: int, share: float, window_s: float) -> None:
+        for index, at in enumerate(further):
+            self._looked("budget")
+            made = sum(other > at - window_s for other in further[:index + 1])
+            allowed = free + share * sum(at - window_s - self.slack_s <= other <= at for other in taken)
+            if made > allowed:
+                self._broken("budget", at, f"{node} made {made} further attempts, {allowed:.1f} at the most")
+
+    # ---- sessions
+
+    def _ends_told(self) -> None:
+        rule = "ends told"
+        told: dict[tuple[str, str], float] = {}
+        for release in self.records.releases:
+            if release.to_client:
+                told.setdefault((release.node, release.id), release.at)
+        ended = {(one.node, one.id): one.at for one in self.records.client_releases}
+        for release in self.records.releases:
+            request = next(iter(self.requests_of[release.id]), None)
+            if release.to_client or request is None or not request.answers or request.answers[0].status != PLAYS:
+                continue
+            due = release.at + TOLD_WITHIN_S + self.slack_s
+            life = self._life_at(release.node, release.at)
+            if life is not self._life_at(request.node, request.taken_at):
+                continue
+            over = life is None or life.ended_at is not None and life.ended_at < due or due > self._last_moment()
+            if over or ended.get((release.node, release.id), due) < due or request.left_at is not None:
+                continue
+            self._looked(rule)
+            if told.get((release.node, release.id), NEVER) > due and self._has_connections(release.node, release.at, due):
+                self._broken(rule, release.at, "the end of its session was not told within a second", release.id)
+
+    def _has_connections(self, node: str, since: float, until: float) -> bool:
+        """Whether a client was answered there shortly before and asked again after, so that some connection was open."""
+        return any(one.node == node and since - 1 < one.taken_at < until and one.answers for one in self.records.requests)
+
+    def _standing(self) -> None:
+        """What stands at a server for a client that is gone."""
+        rule = "nothing left standing"
+        over = {(one.node, one.id): one.at for one in self.records.client_releases}
+        for attempt in self.records.server_attempts:
+            if attempt.ending is not Ending.SET_UP:
+                continue
+            request = next(iter(self.requests_of[attempt.id]), None)
+            since = over.get((attempt.node, attempt.id))
+            if since is None and request is not None and request.left_at is not None:
+                since = request.left_at
+            if since is None:
+                continue
+            due = max(since, attempt.ended_at or since) + RELEASED_WITHIN_S + self.slack_s
+            life = self._life_at(attempt.node, since)
+            if due > self._last_moment() or life is None or life.ended_at is not None and life.ended_at < due:
+                continue
+            self._looked(rule)
+            if attempt.session_ended_at is None or attempt.session_ended_at > due:
+                self._broken(rule, due, f"stands at {attempt.server} {RELEASED_WITHIN_S:.0f} s after its client's end", attempt.id)
+
+    # ---- processes
+
+    def _processes(self) -> None:
+        ready, restarts = 0, 0
+        first = {node: lives[0] for node, lives in self.lives_of.items()}
+        for life in self.records.lives:
+            self._looked("no crash")
+            self._looked("limits")
+            asked = any(signal.node == life.node and signal.what == "SIGTERM" and life.started_at <= signal.at <= (life.ended_at or NEVER)
+                        for signal in self.records.signals)
+            if life.ended_at is not None and not life.killed and not (asked and life.exit_status == 0):
+                self._broken("no crash", life.ended_at, f"{life.node} ended with status {life.exit_status}")
+            if life.memory_mb > MEMORY_MB or life.descriptors > self.plan.descriptors:
+                self._broken("limits", life.started_at, f"{life.node}: {life.memory_mb:.0f} MB, {life.descriptors} descriptors")
+            if life is not first[life.node]:
+                restarts += 1
+                self._looked("ready again")
+                ready += life.ready_at is not None and life.ready_at - life.started_at <= READY_WITHIN_S
+        if ready < READY_SHARE * restarts:
+            self._broken("ready again", self._last_moment(), f"{ready} of {restarts} restarted processes were ready in time")
--- a/curlewshift/soak/proxy.py
+++ b/curlewshift/soak/proxy.py
@@ -72,12 +72,15 @@
 class Proxy:
     """Accepts at `port` and connects to `target()`. `shape(number)` is asked for each new connection.
 
-    `observe(link, outward, data, at_s)` is called with all bytes as they come in from either side; empty data is an end.
+    `observe(link, from_watched, data, at_s)` is called with all bytes at the side that is watched, the source's or the target's:
+    with those that come from there when they are read, and with the others when they are passed on. Empty data is an end.
     """
 
     def __init__(self, target: Callable[[], tuple[str, int]], shape: Callable[[int], Shape] = lambda number: PLAIN,
-                 observe: Callable[[Link, bool, bytes, float], None] | None = None):
-        self.target, self.shape, self.observe = target, shape, observe
+                 observe: Callable[[Link, bool, bytes, float], None] | None = None, watches_source: bool = True,
+                 connected: Callable[[Link], None] | None = None):
+        self.target, self.shape, self.observe, self.watches_source = target, shape, observe, watches_source
+        self.connected = connected
         self.links: list[Link] = []
         self.count = 0
         # new connections are taken by the kernel and not served
@@ -111,8 +114,13 @@
     def break_all(self) -> None:
         """Resets all open connections."""
         for link in list(self.links):
+            self._observe(link, False, b"", anyio.current_time())
             link.break_off()
 
+    def _observe(self, link: Link, from_watched: bool, data: bytes, at_s: float) -> None:
+        if self.observe is not None:
+            self.observe(link, from_watched, data, at_s)
+
     async def _serve(self, source: socket.socket) -> None:
         link = Link(self.count, self.shape(self.count), source)
         self.count += 1
@@ -126,6 +134,8 @@
                 reset(source)
                 return
             link.target = target
+            if self.connected is not None:
+                self.connected(link)
             async with anyio.create_task_group() as both:
                 both.start_soon(self._carry, link, True)
                 both.start_soon(self._carry, link, False)
@@ -157,9 +167,13 @@
                 except ENDED:
                     data = b""
                 now_s = anyio.current_time()
-                if self.observe is not None:
-                    self.observe(link, outward, data, now_s)
-                await send.send((now_s + delay_s, data))
+                if outward is self.watches_source:
+                    self._observe(link, True, data, now_s)
+                try:
+                    await send.send((now_s + delay_s, data))
+                except ENDED:
+                    # the other side has gone
+                    return
                 if not data:
                     return
 
@@ -175,12 +189,17 @@
             if (self.lose_out or link.lost_out) if outward else (self.lose_back or link.lost_back):
                 # neither its bytes nor its end come through
                 continue
+            watched = outward is not self.watches_source
             if not data:
+                if watched:
+                    self._observe(link, False, data, anyio.current_time())
                 with contextlib.suppress(OSError):
                     sock.shutdown(socket.SHUT_WR)
                 return
             size = link.shape.piece_size or len(data)
             for start in range(0, len(data), size):
+                if watched:
+                    self._observe(link, False, data[start:start + size], anyio.current_time())
                 if not await _send_all(sock, data[start:start + size]):
                     reset(link.source if outward else link.target)
                     return
--- /dev/null
+++ b/curlewshift/soak/run.py
@@ -0,0 +1,121 @@
+"""Plays trials side by side, each in a process of its own, and sums up what they show."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor, as_completed
+from pathlib import Path
+from queue import Queue
+
+import anyio
+import msgspec
+
+from curlewshift.rehearsal.processes import PORTS, ROOT
+from curlewshift.soak.judge import RULES, Judge, Verdict
+from curlewshift.soak.plan import plan_of
+from curlewshift.soak.timeline import timeline
+from curlewshift.soak.trial import Trial
+
+# A trial wants about this many cores: its own loop, and its nodes.
+CORES_EACH = 2.5
+# A trial that takes this much longer than its seconds has hung.
+HANGS_AFTER_S = 90.0
+MOST_TIMELINES = 20
+STARVED_SHARE = 0.1
+
+
+class Summary(msgspec.Struct):
+    """What a run of several trials shows."""
+
+    command: str
+    seeds: list[int]
+    plant: str
+    seconds: float
+    breaks: dict[int, list[str]] = {}
+    looked_at: dict[str, int] = {}
+    starved: list[int] = []
+    failed: list[int] = []
+    not_looked_at: list[str] = []
+    wall_s: float = 0.0
+
+    @property
+    def good(self) -> bool:
+        return not (self.breaks or self.failed or self.not_looked_at) and len(self.starved) <= STARVED_SHARE * len(self.seeds)
+
+
+def play_one(seed: int, seconds: float, only: tuple[str, ...], plant: str, out: Path) -> Verdict:
+    """Plays one trial in this process and leaves verdict, records and timelines in its folder."""
+    folder = out / f"seed-{seed}"
+    folder.mkdir(parents=True, exist_ok=True)
+    for old in folder.iterdir():
+        old.unlink()
+    plan = plan_of(seed, seconds, only)
+    records = anyio.run(Trial(plan, folder, plant).run)
+    verdict = Judge(plan, records).judge()
+    (folder / "plan.json").write_bytes(msgspec.json.format(msgspec.json.encode(plan)))
+    (folder / "records.json").write_bytes(msgspec.json.encode(records))
+    (folder / "verdict.json").write_bytes(msgspec.json.format(msgspec.json.encode(verdict)))
+    told = [timeline(broken, records, folder) for broken in verdict.breaks[:MOST_TIMELINES]]
+    (folder / "timeline.txt").write_text("\n".join(told) or "no rule was broken\n")
+    return verdict
+
+
+def play_all(seeds: list[int], seconds: float, only: tuple[str, ...], plant: str, out: Path, at_once: int,
+             progress: Callable[[str], None]) -> Summary:
+    summary = Summary(" ".join(sys.argv[1:]), seeds, plant, seconds, looked_at=dict.fromkeys(RULES, 0))
+    began, slots = time.monotonic(), Queue()
+    for slot in range(at_once):
+        slots.put(slot)
+    first, last = PORTS
+    part = (last - first) // at_once
+
+    def play(seed: int) -> Verdict | None:
+        slot = slots.get()
+        try:
+            ports = f"{first + slot * part}-{first + (slot + 1) * part}"
+            return _play_apart(seed, seconds, only, plant, out, ports)
+        finally:
+            slots.put(slot)
+    with ThreadPoolExecutor(at_once) as pool:
+        played = {pool.submit(play, seed): seed for seed in seeds}
+        for done in as_completed(played):
+            progress(_count(summary, played[done], done.result()))
+    summary.not_looked_at = [] if only else [rule for rule, count in summary.looked_at.items() if not count]
+    summary.wall_s = round(time.monotonic() - began, 1)
+    (out / "summary.json").write_bytes(msgspec.json.format(msgspec.json.encode(summary)))
+    return summary
+
+
+def _play_apart(seed: int, seconds: float, only: tuple[str, ...], plant: str, out: Path, ports: str) -> Verdict | None:
+    """None if the trial itself failed; its error is in the folder."""
+    arguments = [sys.executable, "-m", "curlewshift.soak", str(seed), str(seconds), str(out), plant, *only]
+    with open(out / f"seed-{seed}.err", "wb") as errors:
+        try:
+            subprocess.run(arguments, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=errors, stderr=errors, check=True,
+                           timeout=seconds + HANGS_AFTER_S, env={**os.environ, "CURLEWSHIFT_PORTS": ports})
+        except subprocess.SubprocessError:
+            return None
+    return msgspec.json.decode((out / f"seed-{seed}" / "verdict.json").read_bytes(), type=Verdict)
+
+
+def _count(summary: Summary, seed: int, verdict: Verdict | None) -> str:
+    """Adds a verdict to the summary; what is said of it while the run goes on."""
+    if verdict is None:
+        summary.failed.append(seed)
+        return f"seed {seed}: the trial failed, see seed-{seed}.err"
+    if verdict.starved:
+        summary.starved.append(seed)
+        return f"seed {seed}: starved, not counted (the judge's loop was {verdict.loop_late_s:.2f} s late)"
+    for rule, count in verdict.looked_at.items():
+        summary.looked_at[rule] += count
+    if not verdict.breaks:
+        return f"seed {seed}: no rule broken"
+    rules = Counter(broken.rule for broken in verdict.breaks)
+    summary.breaks[seed] = [f"{rule}: {count}" for rule, count in rules.items()]
+    first = verdict.breaks[0]
+    return f"seed {seed}: {', '.join(summary.breaks[seed])}; first at {first.at_s:.3f}: {first.says}"
--- a/tests/test_node_crowds.py
+++ b/tests/test_node_crowds.py
@@ -190,9 +190,9 @@
             await until(lambda: place.node.door.lines)
             finish = place.node.door.finish
 
-            async def with_the_rest():
+            async def with_the_rest(*by):
                 await self.begun(place, viewer, data[:100])
-                place.tasks.start_soon(finish)
+                place.tasks.start_soon(finish, *by)
                 await anyio.sleep(0.2)
                 viewer.say(data[100:])
                 await until(lambda: not place.node.door.lines)
@@ -240,10 +240,16 @@
             cold.does = noted
             async with self.nodes(place, 30) as nodes:
                 viewers = [Plain(port) for _, port in nodes]
-                ids = [[f"{number:08x}{one:08x}" for one in range(12)] for number in range(30)]
-                for one in range(12):
-                    for viewer, own in zip(viewers, ids):
-                        viewer.ask(own[one], patience=2000)
+                ids = [[] for _ in range(30)]
+                # turns at a cold server go by the clock, with a rest between two: until enough have been taken
+                asked_until = anyio.current_time() + 10.0
+
+                def few():
+                    return not arrivals or sum(len(media.had(isup.SET_UP)) for media in place.medias) <= 5
+                while len(ids[0]) < 12 or few() and anyio.current_time() < asked_until:
+                    for number, (viewer, own) in enumerate(zip(viewers, ids)):
+                        own.append(f"{number:08x}{len(own):08x}")
+                        viewer.ask(own[-1], patience=2000)
                     await anyio.sleep(0.1)
                 statuses = []
                 for viewer, own in zip(viewers, ids):
