--- a/curlewshift/soak/legs.py
+++ b/curlewshift/soak/legs.py
@@ -52,10 +52,11 @@
     def _asked(self, number: int, message: codec.Rtsp, at_s: float) -> None:
         legs = dict(LEG.findall(message.fields.get("x-legs", "")))
         home, copies = int(legs.get("home", 0)), int(legs.get("copies", 1))
+        wait_ms = message.fields.get("x-timer-ms", "")
         request = Request(
             message.id, self.node, number, message.fields.get("x-cos", ""), message.address.rpartition("/")[2],
             [cell % self.cells for cell in range(home, home + copies)], int(legs.get("top", 0)),
-            int(message.fields.get("x-timer-ms", "0")) / 1000, message.body, at_s)
+            int(wait_ms) / 1000 if wait_ms.isdigit() else 0.0, message.body, at_s)
         if number in self.closed_by_node_at:
             request.after_close_s = at_s - self.closed_by_node_at[number]
         earlier = self.by_id.get(message.id)
@@ -93,11 +94,14 @@
         self.name_of: dict[int, str] = {}
         self.attempts: dict[int, dict[str, Attempt]] = {}
         self.rungs: list[tuple[float, str, int]] = []
+        self.closed_by_node: set[int] = set()
 
     def observe(self, link: Link, from_node: bool, data: bytes, at_s: float) -> None:
         number = link.number
         name = self.name_of.setdefault(number, self.server())
         if not data:
+            if from_node:
+                self.closed_by_node.add(number)
             for attempt in self.attempts.pop(number, {}).values():
                 attempt.heard.append((at_s, "closed by the node" if from_node else "closed by the server"))
             return
@@ -107,7 +111,7 @@
             if from_node:
                 self._from_node(number, name, message, first_at_s, at_s)
             else:
-                self._from_server(number, message, at_s)
+                self._from_server(number, name, message, at_s)
 
     def _from_node(self, number: int, name: str, message: codec.Binary, first_at_s: float, at_s: float) -> None:
         if message.kind == codec.SET_UP:
@@ -122,7 +126,7 @@
         elif message.kind == codec.RUNG:
             self.rungs.append((at_s, message.id, int(message.fields.get(codec.LEVEL, b"0"))))
 
-    def _from_server(self, number: int, message: codec.Binary, at_s: float) -> None:
+    def _from_server(self, number: int, name: str, message: codec.Binary, at_s: float) -> None:
         attempt = self.attempts.get(number, {}).get(message.id)
         if message.kind == codec.ANSWER and attempt is not None:
             attempt.heard.append((at_s, "answer"))
@@ -134,6 +138,8 @@
                 attempt.never_ran = message.cause in codec.NEVER_RAN
                 attempt.heard.append((at_s, f"refused, cause {message.cause}"))
             else:
-                self.records.releases.append(Release(message.id, self.node, at_s, to_client=False, cause=message.cause))
+                self.records.releases.append(Release(
+                    message.id, self.node, at_s, to_client=False, cause=message.cause, server=name,
+                    after_close=number in self.closed_by_node))
         elif message.kind == codec.RELEASE_HEARD and attempt is not None:
             attempt.heard.append((at_s, "release heard"))
--- a/curlewshift/soak/plan.py
+++ b/curlewshift/soak/plan.py
@@ -18,8 +18,11 @@
 # Those that strike nodes; the others strike addresses of media servers.
 NODE_FAULTS = DISCOVERY_FAULTS + PROCESS_FAULTS + CLIENT_FAULTS
 ALL_FAULTS = MEDIA_FAULTS + LIST_FAULTS + DISCOVERY_FAULTS + PROCESS_FAULTS + CLIENT_FAULTS
+FAULTS_EACH_S = 1.3
 # How often a fault of each family is drawn, beside the others.
-FAMILIES = ((MEDIA_FAULTS, 5), (LIST_FAULTS, 3), (DISCOVERY_FAULTS, 3), (PROCESS_FAULTS, 3), (CLIENT_FAULTS, 2))
+# Those that leave an attempt out without a word, drawn as often as all other troubles of media servers together.
+SILENCES = ("hang", "hang", "slow", "cut", "lost-answers", "lost-requests")
+FAMILIES = ((MEDIA_FAULTS, 4), (SILENCES, 4), (LIST_FAULTS, 3), (DISCOVERY_FAULTS, 3), (PROCESS_FAULTS, 3), (CLIENT_FAULTS, 2))
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,10 +112,10 @@
         copies=chance.choice((1, 1, 2, 3)), classes=classes, rates_kb=sorted(chance.sample(range(100, 3000), chance.choice((1, 3, 5)))),
         requests_per_node_s=chance.choice((8.0, 15.0, 25.0)), descriptors=chance.choice((160, 256, 512)),
         streams_per_connection=chance.choice((1, 4, 32)), idle_close_ms=chance.choice((1000, 1000, 30_000)),
-        connect_timeout_ms=chance.choice((250, 250, 500)), max_attempts=chance.choice((2, 3, 5)), probes=chance.random() < 0.7,
+        connect_timeout_ms=chance.choice((250, 250, 500)), max_attempts=chance.choice((2, 3, 5, 5)), probes=chance.random() < 0.7,
         grace_ms=chance.choice((250, 1000, 2000)), warm_within_ms=chance.choice((2000, 5000)), start_capacity=0.4,
         fall_multiple=4.0, fall_ms=2000, streams=chance.choice((30, 60)),
-        budget=chance.choice((None, (3, 0.1, 4000), (10, 0.25, 8000))), skew_s=chance.choice((0.0, 0.02, 0.15)),
+        budget=chance.choice((None, (3, 0.1, 4000), (10, 0.25, 8000))), skew_s=chance.choice((0.0, 0.02, 0.05, 0.15)),
         says_heard=chance.choice((0.0, 0.5, 1.0)))
     plan.faults = [fault for fault in _faults(chance, plan) if not only or fault.kind in only]
     return plan
@@ -126,11 +129,11 @@
 
 
 def _faults(chance: Random, plan: Plan) -> list[Fault]:
-    """About one begins each second, and they overlap; the last seconds are quiet."""
+    """They overlap; the last seconds are quiet."""
     last_s = plan.seconds * 0.8
     kinds, weights = zip(*FAMILIES)
     faults, restarted = [], {}
-    for _ in range(int(plan.seconds * 0.9)):
+    for _ in range(int(plan.seconds * FAULTS_EACH_S)):
         kind = chance.choice(chance.choices(kinds, weights)[0])
         at_s, lasts_s = chance.uniform(1.0, last_s), chance.choice((0.3, 1.0, 2.5, 5.0))
         count = plan.nodes if kind in NODE_FAULTS else plan.slots
--- a/curlewshift/soak/records.py
+++ b/curlewshift/soak/records.py
@@ -90,6 +90,9 @@
     at: float
     to_client: bool
     cause: int = 0
+    server: str = ""
+    # the node had closed this connection before, and the server had not seen it
+    after_close: bool = False
 
 
 class ClientRelease(msgspec.Struct, omit_defaults=True):
