Logs: one id through all lines of a request, why each attempt and connection ended, counts

The report's log of the node was empty: nothing said on which connection an attempt was, why it ended or why a connection was closed. attempt-ended, further-attempt, attempt-waits, connection-closed, client-closed, counts (each 10 s) and the list's version are logged now; tune-in-failed, withdrawn and line-broke go into them. CURLEWSHIFT_LOG_LEVEL sets the least level.

--- a/curlewshift/logs.py
+++ b/curlewshift/logs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import atexit
+import logging
+import os
 import sys
 import threading
 import time
@@ -74,6 +76,15 @@
         return line
 
 
+# The environment variable that names the least level that is written, and its words. Nothing is logged as critical: `off` is off.
+LEVEL_FROM = "CURLEWSHIFT_LOG_LEVEL"
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR, "off": logging.CRITICAL}
+
+
+def level() -> int:
+    return LEVELS.get(os.environ.get(LEVEL_FROM, "info").lower(), logging.INFO)
+
+
 def make_log(bounded: bool = False, **always):
     """A logger whose lines all bear `always`; `bounded` where anybody may cause lines."""
     return structlog.wrap_logger(
@@ -85,4 +96,4 @@
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(serializer=lambda line, **_: msgspec.json.encode(line)),
         ],
-        cache_logger_on_first_use=True).bind(**always)
+        wrapper_class=structlog.make_filtering_bound_logger(level()), cache_logger_on_first_use=True).bind(**always)
--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -87,7 +87,9 @@
 class Line:
     """One connection from viewers."""
 
-    def __init__(self, wire: Wire, now: int):
+    def __init__(self, wire: Wire, now: int, number: int):
+        """`number` is its name in the log."""
+        self.number = number
         self.wire, self.intake = wire, Intake(rtsp.Reader(), rtsp.Malformed, now)
         self.waiting: dict[str, Asked] = {}
         # viewings asked for here that stand: their ends are told here, and their viewers' next requests come here
@@ -140,6 +142,7 @@
         self.node, self.gate, self.log = node, gate, log
         self.trail = trail_of(node.now, log)
         self.cells, self.tops = cells, tops
+        self.opened = 0
         self.asked: dict[str, Asked] = {}
         self.lines: dict[Line, bool] = {}
         # releases of which nothing has left yet
@@ -158,7 +161,8 @@
 
     async def _run(self, sock) -> None:
         wire = Wire(sock, self.tasks)
-        line = Line(wire, self.node.now())
+        self.opened += 1
+        line = Line(wire, self.node.now(), self.opened)
         self.lines[line] = True
         self.gate.opened(line)
         try:
@@ -177,6 +181,8 @@
         self.lines.pop(line, None)
         if self.last_good is line:
             self.last_good = None
+        if line.waiting:
+            self.log.info("client-closed", connection=line.number, by_client=line.wire.ended_by_peer, waiting=list(line.waiting)[:8])
         for asked in list(line.waiting.values()):
             try:
                 self._give_up(asked)
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -8,6 +8,7 @@
 import gc
 import signal
 import time
+from collections import Counter
 from dataclasses import dataclass
 
 import anyio
@@ -29,6 +30,8 @@
 
 MS = 1_000_000
 NS = 1_000_000_000
+# Counts are logged this often, where there are any (ns).
+COUNTS_EVERY = 10 * NS
 # Of all descriptors, this part is for media servers; a few more are for files, the bulletin and the loop itself.
 SERVERS_PART, OTHERS = 0.4, 16
 # Where connections from viewers are many, those that rest so long (s) go, so many at once: hundreds come in a second.
@@ -59,6 +62,8 @@
         self.zones, self.kinds = settings.get("areas") or [], settings.get("flavors") or []
         self.fleet = Fleet(settings)
         self.ready = self.draining = False
+        # what has happened since it was logged last
+        self.counts: Counter[str] = Counter()
         self.waking = Waking(self.clock, self._time)
         self.desk = Desk(self, terms_of(settings, self.clock.now(), posting.seed), self.fleet)
         extra = settings.get("extra") or {}
@@ -75,11 +80,11 @@
                 def ns(owner, name, default):
                     return round((owner.get(name) or default) * MS)
                 self.reach = Reach(
-                    self.desk, self.clock.now, self.tasks, self.log, self.ended, self.read_first, self.for_servers,
+                    self.desk, self.clock.now, self.tasks, self.log, self.counts, self.ended, self.read_first, self.for_servers,
                     bounds.get("streams_per_conn") or 1, ns(bounds, "connect_timeout_ms", 250),
                     ns(extra, "told_every_ms", 0), ns(bounds, "idle_close_ms", 30_000))
-                for number, (_, full, rows) in enumerate(configuration.events(self.posting)):
-                    self._listed(rows, full, stale=not number)
+                for number, (version, full, rows) in enumerate(configuration.events(self.posting)):
+                    self._listed(rows, full, version, stale=not number)
                 self.follower = Follower(self.posting.bulletin, self.posting.last, self._news, self.log, self.tasks)
                 listener = Listener(self.posting.listen)
                 self.tasks.start_soon(self._signals, signals)
@@ -115,14 +120,14 @@
         self.log.info("configuration", bulletin=":".join(map(str, posting.bulletin)))
         for number, full, rows in configuration.events(posting):
             if number > self.follower.last:
-                self._listed(rows, full)
+                self._listed(rows, full, number)
                 self.follower.last = number
         self.follower.move(posting.bulletin)
 
     async def _end(self) -> None:
-        """New requests are refused, those taken are answered, and what plays is looked after to its end."""
+        """New requests are refused, those taken are answered, and what plays is looked after while there is time."""
         self.draining, self.ready = True, False
-        self.log.info("drain", waiting=self.desk.waiting, playing=len(self.desk.courses))
+        self.log.info("drain", list=self.follower.last, waiting=self.desk.waiting, playing=len(self.desk.courses))
         self.desk.drain()
         closed_by = anyio.current_time() + self._longest_deadline() + KILLED_AFTER - ENDS_BEFORE
         answered_by = closed_by - CLOSING_TAKES
@@ -133,7 +138,8 @@
         left = anyio.current_time() + FINISH_WITHIN
         await self.door.finish(min(answered_by, left), min(closed_by, left + CLOSING_TAKES))
         await self.reach.finish()
-        self.log.info("ended")
+        self._tell_counts()
+        self.log.info("ended", playing=len(self.desk.courses))
         self.tasks.cancel_scope.cancel()
 
     def _longest_deadline(self) -> float:
@@ -143,9 +149,19 @@
     def end_waiting(self) -> None:
         self.desk.end_waiting()
 
+    def _tell_counts(self) -> None:
+        """What has happened since this was told last, by kind and cause."""
+        if self.counts:
+            self.log.info("counts", **{name.replace("-", "_"): count for name, count in sorted(self.counts.items())})
+            self.counts.clear()
+
     async def _sweep(self) -> None:
+        told_at = self.now()
         while True:
             await anyio.sleep(SWEEP)
+            if self.now() - told_at > COUNTS_EVERY:
+                told_at = self.now()
+                self._tell_counts()
             for what, sweep in (("door", self.door.sweep), ("reach", self.reach.sweep)):
                 try:
                     sweep()
@@ -162,9 +178,9 @@
     # ---- the list
 
     def _news(self, whole: bool, payload: bytes) -> None:
-        self._listed(lambda told: bulletin.each_record(payload, told), whole)
+        self._listed(lambda told: bulletin.each_record(payload, told), whole, self.follower.last)
 
-    def _listed(self, rows, full: bool, stale: bool = False) -> None:
+    def _listed(self, rows, full: bool, version: int, stale: bool = False) -> None:
         lines, named = [], set()
 
         def told(name, address, state, zone, kind, cell, weight, started_ms):
@@ -184,7 +200,7 @@
                 if server not in named:
                     self.fleet.unlisted(server)
                     lines.append(Listed(server, False, server.started))
-        self.log.info("list", servers=len(named), whole=full, open=sum(line.open for line in lines))
+        self.log.info("list", version=version, servers=len(named), whole=full, open=sum(line.open for line in lines))
         self.desk.lines_told(lines, stale)
 
     # ---- the door's side
@@ -252,10 +268,12 @@
 
     def tune_in(self, tune_in: TuneIn) -> None:
         self.door.trail.note(tune_in.course.offer.name, f"attempt {tune_in.number} at {tune_in.server.name}")
+        if tune_in.number > 1:
+            self.log.info("further-attempt", session=tune_in.course.offer.name, number=tune_in.number,
+                          server=tune_in.server.name, rung=tune_in.rung, lasts_ms=(tune_in.until - self.now()) // MS)
         self.reach.tune_in(tune_in)
 
     def withdraw(self, tune_in: TuneIn) -> bool:
-        self.log.info("withdrawn", session=tune_in.course.offer.name, server=tune_in.server.name)
         return self.reach.withdraw(tune_in)
 
     def tell(self, errand: Errand) -> None:
@@ -271,9 +289,10 @@
 
     def answer(self, request: Request, answer: Answer) -> None:
         course = request.course
+        self.counts[f"answer-{answer.kind.value}"] += 1
         self.log.info("answer", session=request.name, answer=answer.kind.value, wait_ms=answer.wait // MS,
                       after_ms=(self.now() - request.arrived) // MS, tries=course.vw.tune_ins if course else 0,
-                      server=course.vw.server.name if course and course.vw.server else "")
+                      cause=answer.cause, server=course.vw.server.name if course and course.vw.server else "")
         asked = self.door.asked.get(request.name)
         if asked is None:
             return
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -88,8 +88,9 @@
 class Line:
     """One connection to a media server, from the first try to its end."""
 
-    def __init__(self, endpoint: Endpoint):
-        self.endpoint = endpoint
+    def __init__(self, endpoint: Endpoint, number: int):
+        """`number` is its name in the log."""
+        self.endpoint, self.number = endpoint, number
         self.wire: Wire | None = None
         self.flights: dict[bytes, Flight] = {}
         self.unsent: list[tuple[bytes, Errand | None]] = []
@@ -142,9 +143,9 @@
     """`ended(course, outcome, cause)` is told of sessions that have ended at their server, and `read_first(tune_in, then)`
     asked before a set-up leaves; see the node. Times are ns."""
 
-    def __init__(self, desk, clock, tasks, log, ended, read_first, most_lines: int, streams: int, connect_within: int,
+    def __init__(self, desk, clock, tasks, log, counts, ended, read_first, most_lines: int, streams: int, connect_within: int,
                  told_every: int, idle_close: int):
-        self.desk, self.now, self.tasks, self.log, self.ended = desk, clock, tasks, log, ended
+        self.desk, self.now, self.tasks, self.log, self.counts, self.ended = desk, clock, tasks, log, counts, ended
         self.read_first = read_first
         self.most_lines, self.streams = most_lines, streams
         self.connect_within = connect_within / NS
@@ -155,7 +156,7 @@
         self.releases = Releases(clock)
         self.given_up: OrderedDict[tuple[Server, bytes], TuneIn] = OrderedDict()
         self.over: OrderedDict[tuple[Server, bytes], int] = OrderedDict()
-        self.count = 0
+        self.count = self.opened = 0
 
     # ---- servers
 
@@ -238,6 +239,9 @@
             return False
         release = self.releases.before(flight.tune_in.server, flight.id)
         if release is not None:
+            self.log.info("attempt-waits", session=flight.id.hex(), server=flight.tune_in.server.name,
+                          cause="a release is not written" if not release.written else "a release is not confirmed",
+                          connection=release.connection.number)
             release.followers.append(lambda: self._go_on(flight))
             if not release.written:
                 self.desk.timers.at(self.now() + RELEASE_WRITTEN_WITHIN, lambda: self._reset_unless_written(release))
@@ -266,6 +270,7 @@
         line = flight.line
         if line.flights.get(flight.id) is flight:
             del line.flights[flight.id]
+        self._log_end(flight, "timed out" if self.now() >= tune_in.until else "client left")
         if not flight.handed:
             line.withdraw(flight)
             return False
@@ -334,7 +339,8 @@
             self._open(endpoint)
 
     def _open(self, endpoint: Endpoint) -> Line:
-        line = Line(endpoint)
+        self.opened += 1
+        line = Line(endpoint, self.opened)
         endpoint.lines.append(line)
         self.count += 1
         self.tasks.start_soon(self._run, line)
@@ -390,7 +396,7 @@
             if not endpoint.never_up:
                 endpoint.failing_since = line.opened_at
             endpoint.never_up += 1
-        self.log.info("not-up", server=endpoint.server.name, cause=repr(wrong) if wrong is not None else "not up in time")
+        self.log.info("not-up", server=endpoint.server.name, connection=line.number, cause=repr(wrong) if wrong is not None else "not up in time")
         self._gone(line)
         for flight in list(line.flights.values()):
             self._end(flight, Outcome.UNSENT if own else Outcome.UNREACHED)
@@ -421,8 +427,7 @@
         if line.wire is not None:
             line.wire.drop()
         by_peer = line.wire is not None and line.wire.ended_by_peer
-        if line.flights:
-            self.log.info("line-broke", server=line.endpoint.server.name, cause=why, out=len(line.flights))
+        self._log_close(line, "its server has closed it" if by_peer else why)
         for flight in list(line.flights.values()):
             if flight.handed:
                 if not by_peer:
@@ -448,10 +453,21 @@
         self.flights.pop(flight.tune_in, None)
         if flight.line is not None and flight.line.flights.get(flight.id) is flight:
             del flight.line.flights[flight.id]
-        self.log.info("tune-in-failed", session=flight.id.hex(), server=flight.tune_in.server.name,
-                      outcome=outcome.value)
+        self._log_end(flight, outcome.value)
         self.desk.failed(flight.tune_in, outcome, report)
 
+    def _log_end(self, flight: Flight, outcome: str) -> None:
+        """Of an attempt that has set nothing up."""
+        self.counts[f"attempt-{outcome.replace(' ', '-')}"] += 1
+        self.log.info("attempt-ended", session=flight.id.hex(), number=flight.tune_in.number, server=flight.tune_in.server.name,
+                      connection=flight.line.number if flight.line is not None else 0, outcome=outcome, left=flight.handed,
+                      after_ms=(self.now() - flight.sent_at) // MS if flight.sent_at else 0)
+
+    def _log_close(self, line: Line, cause: str) -> None:
+        self.counts["connection-closed"] += 1
+        self.log.info("connection-closed", server=line.endpoint.server.name, connection=line.number, cause=cause,
+                      out=len(line.flights), open_ms=(self.now() - line.opened_at) // MS)
+
     # ---- what comes in
 
     def _read(self, line: Line, data: bytes) -> None:
--- a/curlewshift/soak/media.py
+++ b/curlewshift/soak/media.py
@@ -216,6 +216,7 @@
         held.stands = True
         held.seen.ended_at, held.seen.ending = now_s, Ending.SET_UP
         body = b"plays at " + self.name.encode() + b" " + message.fields.get(codec.DESCRIPTION, b"")
+        held.seen.body = body
         answer = codec.binary(codec.ANSWER, id, (codec.DESCRIPTION, body), (codec.REPORT, b"x0:0.4"))
         if behaviour.spoils:
             answer = os.urandom(24) if self.chance.random() < 0.5 else answer[:-7]
--- a/curlewshift/soak/plants.py
+++ b/curlewshift/soak/plants.py
@@ -92,10 +92,10 @@
 class IgnoresList(node.Node):
     """Takes no word that a server drains or is gone."""
 
-    def _listed(self, rows, full, stale=False):
+    def _listed(self, rows, full, version, stale=False):
         def ready(told):
             rows(lambda name, address, state, *rest: told(name, address, 0, *rest))
-        super()._listed(ready, False, stale)
+        super()._listed(ready, False, version, stale)
 
 
 def _with_rules(rules: type[Rules]) -> None:
--- a/curlewshift/soak/records.py
+++ b/curlewshift/soak/records.py
@@ -78,6 +78,8 @@
     taken_at: float
     ended_at: float | None = None
     ending: Ending = Ending.OPEN
+    # the description of its answer
+    body: bytes | None = None
     # the session that it set up, until it ended there
     session_ended_at: float | None = None
 
--- a/curlewshift/soak/run.py
+++ b/curlewshift/soak/run.py
@@ -22,7 +22,7 @@
 from curlewshift.soak.trial import Trial
 
 # A trial wants about this many cores: its own loop, and its nodes.
-CORES_EACH = 2.5
+CORES_EACH = 1.25
 # A trial that takes this much longer than its seconds has hung.
 HANGS_AFTER_S = 90.0
 MOST_TIMELINES = 20
