A session answered after its client had closed is ended at its server

Change: before a 200 goes out the connection is looked at, as before each set-up; with its end there and nothing else to read the session is released at once. The story of tests/test_closing.AtAClient fails without it.

--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -396,6 +396,9 @@
         if answer.kind is Kind.PLAYS:
             asked.course = answer.course
             self._stands(asked)
+            if line.wire.peer_closed():
+                self.node.later(lambda: self._nobody_has(asked))
+                return
             line.wire.send(rtsp.answer(200, "1", asked.name, description), queued)
             line.good, self.last_good = True, line
         elif answer.kind is Kind.REFUSED:
@@ -404,6 +407,12 @@
         else:
             line.wire.send(rtsp.answer(FAILED, "1", asked.name), queued)
 
+    def _nobody_has(self, asked: Asked) -> None:
+        """Its client had closed before the answer came, though nobody had read that."""
+        if self.asked.get(asked.name) is asked:
+            self._forget(asked)
+            self.node.released(asked.course, 0)
+
     def release(self, asked: Asked, cause: int | None) -> None:
         """The session is over; no cause for one of which its viewer is to hear nothing."""
         if self.asked.get(asked.name) is asked:
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -232,6 +232,10 @@
         over = self.reach.over_before(server, id)
         return 0 if over == isup.CANCELLED else over
 
+    def later(self, call) -> None:
+        """Not from within a call of the desk's."""
+        self.desk.timers.at(self.now(), call)
+
     def gave_up(self, request: Request) -> None:
         self.desk.gave_up(request)
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -41,7 +41,29 @@
             viewer.close()
 
 
+
 class AtAClient(unittest.TestCase):
+    @story
+    async def test_a_session_answered_after_its_client_had_closed_is_ended_at_its_server(self):
+        held = Held()
+        async with Place().up() as place:
+            with held.all():
+                media, viewer = place.medias[0], Plain(place.port)
+                go = anyio.Event()
+
+                async def plays_late(line, kind, id, parameters):
+                    if kind == isup.SET_UP:
+                        await go.wait()
+                    await media.plays(line, kind, id, parameters)
+                media.does = plays_late
+                viewer.ask(FIRST)
+                await until(lambda: media.had(isup.SET_UP))
+                held.sockets.update(line.wire.socket for line in place.node.door.lines)
+                viewer.close()
+                go.set()
+                await until(lambda: media.had(isup.RELEASE), 1.0)
+                held.go.set()
+
     @story
     async def test_a_release_that_crosses_the_close_of_its_connection_ends_the_session(self):
         held = Held()
