What a server set up in place of the one before at its address is ended there

Between a replacement and the list's word of it a set-up for the old server reaches the new one at the same address, which sets it up. Change: an endpoint knows its successor, and sessions and unread releases of the old one are released there. The story in tests/test_closing fails without it.

--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -137,6 +137,8 @@
         self.standing: dict[bytes, Course] = {}
         self.probes: dict[bytes, int] = {}
         self.heard_at = reach.now()
+        # the server that stands at its address now
+        self.successor: Endpoint | None = None
         # connections in a row that did not come up while nothing was heard on others, and since when
         self.never_up = self.failing_since = 0
         # when it was last asked for a sign
@@ -171,6 +173,7 @@
         for other in list(self.endpoints.values()):
             if other.address == address and other is not endpoint:
                 # one that has gone: whoever answers there now knows nothing of it, but for what it was sent in its place
+                other.successor = endpoint
                 self._lost(other, "its address is another server's")
                 other.address = None
         if endpoint.address != address:
@@ -308,7 +311,7 @@
         """Its connection has ended, and its server may never have read it: what it set up would stand there for nobody."""
         endpoint = self.endpoints.get(release.server)
         if endpoint is not None:
-            self._end_at(endpoint, release.id, release.cause, release.began_at)
+            self._end_at(endpoint.successor or endpoint, release.id, release.cause, release.began_at)
 
     def _end_at(self, endpoint: Endpoint, id: bytes, cause: int, released_at: int = 0) -> None:
         if endpoint.address is not None:
@@ -612,6 +615,8 @@
             self.ended(course, Outcome.BROKEN, isup.RESET)
             if cut_off:
                 self.desk.orphaned(endpoint.server, course.session)
+            elif endpoint.successor is not None:
+                self._end_at(endpoint.successor, course.session.id, isup.OVER)
         for line in list(endpoint.lines):
             self._break(line, why)
 
--- a/curlewshift/soak/legs.py
+++ b/curlewshift/soak/legs.py
@@ -7,7 +7,7 @@
 
 from curlewshift.soak import codec
 from curlewshift.soak.proxy import Link
-from curlewshift.soak.records import Answer, Attempt, ClientRelease, Records, Release, Request
+from curlewshift.soak.records import Answer, Attempt, ClientRelease, NodeRelease, Records, Release, Request
 
 LEG = re.compile(r"(\w+):([^;]*)")
 FINAL = 200
@@ -95,6 +95,8 @@
         self.attempts: dict[int, dict[str, Attempt]] = {}
         self.rungs: list[tuple[float, str, int]] = []
         self.closed_by_node: set[int] = set()
+        self.releases: dict[int, list[NodeRelease]] = {}
+        self.links: dict[int, Link] = {}
 
     def observe(self, link: Link, from_node: bool, data: bytes, at_s: float) -> None:
         number = link.number
@@ -102,9 +104,12 @@
         if not data:
             if from_node:
                 self.closed_by_node.add(number)
+            for release in self.releases.get(number, ()):
+                release.closed_at = release.closed_at or at_s
             for attempt in self.attempts.pop(number, {}).values():
                 attempt.heard.append((at_s, "closed by the node" if from_node else "closed by the server"))
             return
+        self.links[number] = link
         readers = self.from_node if from_node else self.from_server
         reader = readers.setdefault(number, codec.BinaryReader())
         for first_at_s, message in reader.feed(data, at_s):
@@ -113,6 +118,12 @@
             else:
                 self._from_server(number, name, message, at_s)
 
+    def finish(self) -> None:
+        """Once the trial is over."""
+        for number, releases in self.releases.items():
+            for release in releases:
+                release.lost = self.links[number].lost_out
+
     def _from_node(self, number: int, name: str, message: codec.Binary, first_at_s: float, at_s: float) -> None:
         if message.kind == codec.SET_UP:
             rung = int(message.fields.get(codec.LEVEL, b"0"))
@@ -120,6 +131,9 @@
             self.records.attempts.append(attempt)
             self.attempts.setdefault(number, {})[message.id] = attempt
         elif message.kind == codec.RELEASE:
+            release = NodeRelease(message.id, self.node, name, number, at_s)
+            self.records.node_releases.append(release)
+            self.releases.setdefault(number, []).append(release)
             attempt = self.attempts.get(number, {}).get(message.id)
             if attempt is not None:
                 attempt.heard.append((at_s, "release"))
--- a/curlewshift/soak/media.py
+++ b/curlewshift/soak/media.py
@@ -21,7 +21,7 @@
 
 ANSWER_WITHIN_S = (0.002, 0.06)
 SLOW_S = (0.2, 1.5)
-LIVES_S = (0.5, 5.0)
+LIVES_S = (0.5, 20.0)
 NOTES_EVERY_S = 1.0
 
 
--- a/curlewshift/soak/proxy.py
+++ b/curlewshift/soak/proxy.py
@@ -182,11 +182,19 @@
         async with receive:
             await self._pass_on(link, outward, sock, receive)
 
+    def _loses(self, link: Link, outward: bool) -> bool:
+        """A direction that has lost bytes stays silent for good: no stream goes on behind a gap."""
+        if outward:
+            link.lost_out = link.lost_out or self.lose_out
+            return link.lost_out
+        link.lost_back = link.lost_back or self.lose_back
+        return link.lost_back
+
     async def _pass_on(self, link: Link, outward: bool, sock: socket.socket, receive) -> None:
         async for due_s, data in receive:
             await anyio.sleep_until(due_s)
             await link.flows.wait()
-            if (self.lose_out or link.lost_out) if outward else (self.lose_back or link.lost_back):
+            if self._loses(link, outward):
                 # neither its bytes nor its end come through
                 continue
             watched = outward is not self.watches_source
--- a/curlewshift/soak/records.py
+++ b/curlewshift/soak/records.py
@@ -105,6 +105,20 @@
     at: float
 
 
+class NodeRelease(msgspec.Struct, omit_defaults=True):
+    """A release as a node wrote it to a media server."""
+
+    id: str
+    node: str
+    server: str
+    connection: int
+    at: float
+    # when the node knew that this connection had ended
+    closed_at: float | None = None
+    # the network lost what was written on this connection
+    lost: bool = False
+
+
 class Listed(msgspec.Struct, omit_defaults=True):
     """A change of the server list."""
 
@@ -156,6 +170,7 @@
     server_attempts: list[ServerAttempt] = []
     releases: list[Release] = []
     client_releases: list[ClientRelease] = []
+    node_releases: list[NodeRelease] = []
     listed: list[Listed] = []
     signals: list[Signal] = []
     lives: list[Life] = []
--- a/curlewshift/soak/timeline.py
+++ b/curlewshift/soak/timeline.py
@@ -38,6 +38,9 @@
     for release in records.releases:
         if broken.id and release.id == broken.id:
             lines.append(f"  {second(release.at)} {release.node}: release {'to the client' if release.to_client else 'from its server'}")
+    for one in records.node_releases:
+        if broken.id and one.id == broken.id:
+            lines.append(f"  {second(one.at)} {one.node}: release to {one.server} on connection {one.connection}, closed {second(one.closed_at)}")
     for one in records.client_releases:
         if broken.id and one.id == broken.id:
             lines.append(f"  {second(one.at)} {one.node}: release from the client")
--- a/curlewshift/soak/trial.py
+++ b/curlewshift/soak/trial.py
@@ -70,6 +70,8 @@
                 for node in self.nodes.values():
                     node.kill()
                 tasks.cancel_scope.cancel()
+        for leg in self.server_legs:
+            leg.finish()
         self.records.rungs = [rung for leg in self.server_legs for rung in leg.rungs]
         return self.records
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,7 +10,7 @@
 
 from curlewshift.node import isup
 from curlewshift.rehearsal.processes import listens
-from tests.node_place import CLIP, Held, Place, Plain
+from tests.node_place import CLIP, Held, Media, Place, Plain
 from tests.sockets import story, until
 
 FIRST, SECOND = "00000000000000a1", "00000000000000b2"
@@ -58,6 +58,20 @@
             await until(lambda: len(media.had(isup.RELEASE)) == 2, 1.0)
             viewer.close()
 
+    @story
+    async def test_a_session_that_a_server_set_up_in_place_of_the_one_before_at_its_address_is_ended_there(self):
+        async with Place().up() as place:
+            old, viewer = place.medias[0], Plain(place.port)
+            viewer.ask(FIRST)
+            await viewer.hear()
+            new = Media("s-000000aa")
+            new.port, new.started = old.port, 1
+            await until(lambda: place.bulletin.lines)
+            await place.bulletin.tell(2, new)
+            # the same process stands for both here: it answers to the new name
+            await until(lambda: old.had(isup.RELEASE), 1.0)
+            self.assertEqual((await viewer.hear()).method, "TEARDOWN")
+            viewer.close()
 
 
 class AtAClient(unittest.TestCase):
