Discovery that answers late each time is waited for longer, up to 3 s

A list that says nothing for 2 s after it has been asked was left after 1.5 s each time and never heard, so that drains were never told. Change: a connection that said nothing doubles the wait of the next, up to 3 s; one frame, or a move, sets it back. A dial, that wait and the longest pause stay within the 6 s in which a change counts as told after a failed call. The story in test_node.TheList fails without.

--- a/curlewshift/node/follower.py
+++ b/curlewshift/node/follower.py
@@ -9,9 +9,11 @@
 from curlewshift.node import bulletin
 from curlewshift.node.wire import ENDED, Wire, dial
 
-# An empty frame comes each second: without any for so long, whatever is open there is dead; and so is what says nothing when
-# it is asked, as that is answered at once (s).
-SILENT_FOR, FIRST_WITHIN = 2.2, 1.5
+# An empty frame comes each second: without any for so long, whatever is open there is dead (s).
+SILENT_FOR = 2.2
+# What is asked is answered at once, or late where many ask: a connection that says nothing is left after the first of these, and
+# after twice as long, up to the second, if the one before said nothing either (s). A change is followed within 6 s of a failed call.
+FIRST_WITHIN, LONGEST_FIRST_WITHIN = 1.5, 3.0
 CONNECT_WITHIN = 1.0
 # Pauses after a connection that told nothing: the first, doubled up to the longest (s).
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 1.0
@@ -30,10 +32,11 @@
         self.moved = anyio.Event()
         # asked for what is missing after this number, and when
         self.gap_after, self.gap_at = -1, 0.0
+        self.first_within = FIRST_WITHIN
 
     def move(self, address: tuple[str, int]) -> None:
         if address != self.address:
-            self.address = address
+            self.address, self.first_within = address, FIRST_WITHIN
             self.moved.set()
             if self.scope is not None:
                 self.scope.cancel()
@@ -68,8 +71,7 @@
             try:
                 wire.send(bulletin.ask(self.last))
                 while True:
-                    with anyio.fail_after(SILENT_FOR if heard else FIRST_WITHIN):
-                        data = await wire.receive()
+                    data = await self._receive(wire, heard)
                     if not data:
                         raise anyio.EndOfStream
                     wrong = None
@@ -92,6 +94,15 @@
                 except OSError as wrong:
                     self.log.warning("no-spare-descriptor", cause=repr(wrong))
 
+    async def _receive(self, wire: Wire, heard: list) -> bytes:
+        try:
+            with anyio.fail_after(SILENT_FOR if heard else self.first_within):
+                data = await wire.receive()
+        except TimeoutError:
+            self.first_within = FIRST_WITHIN if heard else min(LONGEST_FIRST_WITHIN, 2 * self.first_within)
+            raise
+        return data
+
     def _take(self, frames: list[tuple[int, int, bytes]]) -> bool:
         """False if events are missing before the newest: they have to be asked for."""
         for number, kind, payload in frames:
--- a/curlewshift/soak/discovery.py
+++ b/curlewshift/soak/discovery.py
@@ -11,6 +11,8 @@
 import anyio
 
 EMPTY_EVERY_S = 1.0
+# A slow one says nothing for so long after it has been asked.
+SLOW_S = 2.0
 NOTHING_NEW, WHOLE, CHANGES = 0, 1, 2
 READY, DRAINING, GONE = 0, 1, 2
 OLD_ADDRESS_CLOSES_AFTER_S = 1.5
@@ -125,6 +127,7 @@
             sock.close()
 
     async def _tell(self, sock: socket.socket, last: int) -> None:
+        first = True
         while not self.moved:
             changes = [change for change in self.discovery.changes if change.number > last]
             told = self.discovery.told
@@ -136,8 +139,9 @@
                 while self.fault == "half-frame":
                     await anyio.sleep(0.02)
                 return
-            if self.fault == "slow":
-                await anyio.sleep(1.0)
+            if self.fault == "slow" and first:
+                await anyio.sleep(SLOW_S)
+            first = False
             for change in changes:
                 data = frame(change.number, CHANGES, self.discovery.record(self.node, change))
                 if self.fault == "slow":
