New rungs of a session go out on one connection; patience with discovery after two silences

Two faults' mends: (1) new rungs went out on whichever connection had heard last, so that an older rung could arrive behind a newer one and stay in force, while the node counted the newer. They go out on the connection of the session's set-up while it is sound. The story test_attempt_order.NewRungs fails without it (three connections used).

--- a/curlewshift/node/follower.py
+++ b/curlewshift/node/follower.py
@@ -12,8 +12,8 @@
 # An empty frame comes each second: without any for so long, whatever is open there is dead (s).
 SILENT_FOR = 2.2
 # What is asked is answered at once, or late where many ask: a connection that says nothing is left after the first of these, and
-# after twice as long, up to the second, if the one before said nothing either (s). A change is followed within 6 s of a failed call.
-FIRST_WITHIN, LONGEST_FIRST_WITHIN = 1.5, 3.0
+# after the second once so many in a row have said nothing (s). A change counts as told 6 s after a call that failed.
+FIRST_WITHIN, PATIENT_FIRST_WITHIN, PATIENT_AFTER = 1.5, 3.0, 2
 CONNECT_WITHIN = 1.0
 # Pauses after a connection that told nothing: the first, doubled up to the longest (s).
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 1.0
@@ -32,11 +32,12 @@
         self.moved = anyio.Event()
         # asked for what is missing after this number, and when
         self.gap_after, self.gap_at = -1, 0.0
-        self.first_within = FIRST_WITHIN
+        # connections in a row that were up and said nothing
+        self.silent = 0
 
     def move(self, address: tuple[str, int]) -> None:
         if address != self.address:
-            self.address, self.first_within = address, FIRST_WITHIN
+            self.address, self.silent = address, 0
             self.moved.set()
             if self.scope is not None:
                 self.scope.cancel()
@@ -95,13 +96,13 @@
                     self.log.warning("no-spare-descriptor", cause=repr(wrong))
 
     async def _receive(self, wire: Wire, heard: list) -> bytes:
+        first_within = FIRST_WITHIN if self.silent < PATIENT_AFTER else PATIENT_FIRST_WITHIN
         try:
-            with anyio.fail_after(SILENT_FOR if heard else self.first_within):
-                data = await wire.receive()
+            with anyio.fail_after(SILENT_FOR if heard else first_within):
+                return await wire.receive()
         except TimeoutError:
-            self.first_within = FIRST_WITHIN if heard else min(LONGEST_FIRST_WITHIN, 2 * self.first_within)
+            self.silent = 0 if heard else self.silent + 1
             raise
-        return data
 
     def _take(self, frames: list[tuple[int, int, bytes]]) -> bool:
         """False if events are missing before the newest: they have to be asked for."""
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -64,6 +64,8 @@
     description: bytes = b""
     cause: int = isup.OVER
     since: int = 0
+    # its new rungs go out on one connection while that is sound, as two would not keep their order
+    line: Line | None = None
     # when it was first released, 0 before
     released_at: int = 0
 
@@ -291,7 +293,11 @@
         return True
 
     def rung(self, course: Course, rung: int) -> None:
-        self._some_line(self.endpoints[course.session.server]).send(isup.rung(course.session.id, rung))
+        session = course.session
+        line = session.line
+        if line is None or line not in line.endpoint.lines or line.doubtful or not line.up:
+            line = session.line = self._some_line(self.endpoints[session.server])
+        line.send(isup.rung(session.id, rung))
 
     def end_session(self, ending: Ending) -> None:
         endpoint = self.endpoints.get(ending.server)
@@ -556,6 +562,7 @@
         course = flight.tune_in.course
         self.desk.played(flight.tune_in, session, self._report(parameters))
         if course.session is session and course.vw.playing:
+            session.line = line
             endpoint.standing[id] = course
 
     def _released(self, line: Line, id: bytes, cause: int, report: dict[str, float]) -> None:
--- a/tests/test_attempt_order.py
+++ b/tests/test_attempt_order.py
@@ -203,5 +203,29 @@
             self.assertEqual(len(first.had(isup.RELEASE)), 1)
 
 
+class NewRungs(unittest.TestCase):
+    @story
+    async def test_new_rungs_of_one_session_keep_their_order_whatever_other_connections_hear(self):
+        async with Place().up() as place:
+            viewer, reach = Plain(place.port), place.node.reach
+            ids = [f"{number:016x}" for number in range(1, 4)]
+            for id in ids:
+                viewer.ask(id)
+            for _ in ids:
+                await viewer.hear()
+            course = next(iter(place.node.desk.courses.values()))
+            lines = next(iter(reach.endpoints.values())).lines
+            self.assertGreater(len(lines), 1)
+            used = set()
+            for number in range(6):
+                lines[number % len(lines)].heard_at = reach.now() + number
+                before = {line: line.used_at for line in lines}
+                await anyio.sleep(0.002)
+                reach.rung(course, number % 2)
+                used |= {line for line in lines if line.used_at != before[line]}
+            self.assertEqual(len(used), 1)
+            viewer.close()
+
+
 if __name__ == "__main__":
     unittest.main()
