Front over HTTP: a further request to a server waits until the one before has ended there

The same mistake in related code: the front closes its half of the first request's connection and sends the next at once on another. A server that reads them in the other order, or reads the end and keeps its own half open, has the viewing two or three times: three POSTs out at one server in 1.2 s.

--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 from anyio.abc import TaskGroup
@@ -76,6 +76,8 @@
 
     scope: anyio.CancelScope
     call: Call | None = None
+    # its connection has ended, or its answer has been read
+    over: anyio.Event = field(default_factory=anyio.Event)
 
 
 def doubt_mark(key: str) -> str:
@@ -114,6 +116,8 @@
         # The server sees that nobody waits; an answer that is on its way already is still read, as the session that
         # it tells of has to be ended.
         out.call.say_no_more()
+        vw = tune_in.course.vw
+        vw.unconfirmed = {*vw.unconfirmed, tune_in.server}
         out.scope.deadline = anyio.current_time() + LATE_ANSWER
         return True
 
@@ -126,6 +130,7 @@
                     # a kept connection may end under the request, which proves nothing: not for what is paid
                     fresh = tune_in.course.vw.package.paid_at_setup
                     call = out.call = await self._connection(server, (tune_in.until - self.desk.now()) / NS, fresh)
+                    await self._after_earlier(tune_in)
                     ended = await self._ready(tune_in)
                     if ended is not None:
                         self._end(tune_in, ended)
@@ -145,10 +150,19 @@
                     self.desk.failed(tune_in, Outcome.BROKEN)
         finally:
             del self.out[tune_in]
+            out.over.set()
+            vw = tune_in.course.vw
+            vw.unconfirmed = {one for one in vw.unconfirmed if one is not server}
             if out.call is not None and not kept:
                 with anyio.CancelScope(shield=True):
                     await self._drop(server, out.call)
 
+    async def _after_earlier(self, tune_in: TuneIn) -> None:
+        """Two connections order nothing: the server may see the end of an earlier attempt after the beginning of this one."""
+        for other, out in list(self.out.items()):
+            if other is not tune_in and other.course is tune_in.course and other.server is tune_in.server:
+                await out.over.wait()
+
     async def _connection(self, server: Server, within: float, fresh: bool = False) -> Call:
         """One that is idle, or a new one within so many seconds. Raises `NeverSent`."""
         idle = self.idle.get(server)
--- a/tests/test_attempt_order.py
+++ b/tests/test_attempt_order.py
@@ -11,12 +11,13 @@
 
 import anyio
 
+from curlewshift.front import reach
 from curlewshift.node import isup, wire
 from curlewshift.node.wire import Wire
 from curlewshift.rehearsal.processes import listens
 from curlewshift.soak.proxy import Proxy, Shape
 from tests.node_place import Place, Plain
-from tests.sockets import story, until
+from tests.sockets import SmallSite, story, until
 
 ROOT = Path(__file__).resolve().parents[1]
 REQUEST = "00000000000000a1"
@@ -203,6 +204,31 @@
             self.assertEqual(len(first.had(isup.RELEASE)), 1)
 
 
+class AtAFront(unittest.TestCase):
+    @story
+    async def test_no_second_request_goes_to_a_server_that_has_not_ended_the_first(self):
+        site, asked = SmallSite(1), []
+
+        async def takes_and_says_nothing(stream):
+            async with stream:
+                with contextlib.suppress(anyio.EndOfStream):
+                    while b"POST " in await stream.receive():
+                        asked.append(anyio.current_time())
+                # it has read the end of the client's half, and keeps its own open
+                await anyio.sleep(5)
+        async with site.up():
+            machine = site.site.machines[0]
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            site.tasks.start_soon(listener.serve, takes_and_says_nothing)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            with mock.patch.object(reach, "host_port", lambda name: ("127.0.0.1", port)):
+                site.tasks.start_soon(site.ask)
+                await until(lambda: asked)
+                await anyio.sleep(1.2)
+            self.assertEqual(len(asked), 1, machine)
+            site.tasks.cancel_scope.cancel()
+
+
 class NewRungs(unittest.TestCase):
     @story
     async def test_new_rungs_of_one_session_keep_their_order_whatever_other_connections_hear(self):
