--- a/curlewshift/soak/plan.py
+++ b/curlewshift/soak/plan.py
@@ -114,7 +114,7 @@
         streams_per_connection=chance.choice((1, 4, 32)), idle_close_ms=chance.choice((1000, 1000, 30_000)),
         connect_timeout_ms=chance.choice((250, 250, 500)), max_attempts=chance.choice((2, 3, 5, 5)), probes=chance.random() < 0.7,
         grace_ms=chance.choice((250, 1000, 2000)), warm_within_ms=chance.choice((2000, 5000)), start_capacity=0.4,
-        fall_multiple=4.0, fall_ms=2000, streams=chance.choice((30, 60)),
+        fall_multiple=4.0, fall_ms=2000, streams=chance.choice((12, 12, 30)),
         budget=chance.choice((None, (3, 0.1, 4000), (10, 0.25, 8000))), skew_s=chance.choice((0.0, 0.02, 0.05, 0.15)),
         says_heard=chance.choice((0.0, 0.5, 1.0)))
     plan.faults = [fault for fault in _faults(chance, plan) if not only or fault.kind in only]
