--- a/curlewshift/retries/endings.py
+++ b/curlewshift/retries/endings.py
@@ -22,7 +22,7 @@
 MOST_OUT = 4
 # Pauses after a try that nobody answered: the first, doubled up to the longest.
 FIRST_PAUSE = SECOND // 4
-LONGEST_PAUSE = 4 * SECOND
+LONGEST_PAUSE = 2 * SECOND
 # An ending is given up after this: servers end what nobody watches long before.
 TRIED_FOR = 30 * SECOND
 # Waiting endings of one server; the oldest are given up first, as their servers will have ended them soonest.
