--- a/curlewshift/commands/soak.py
+++ b/curlewshift/commands/soak.py
@@ -33,9 +33,10 @@
     from curlewshift.soak.plan import ALL_FAULTS
     from curlewshift.soak.plants import PLANTS
     from curlewshift.soak.run import CORES_EACH, play_all
+
     faults = tuple(fault for fault in only.split(",") if fault)
     unknown = [fault for fault in faults if fault not in ALL_FAULTS]
-    if unknown or plant and plant not in PLANTS:
+    if unknown or (plant and plant not in PLANTS):
         known = ", ".join(ALL_FAULTS if unknown else PLANTS)
         click.echo(f"there is no {', '.join(unknown) or plant!r}, but {known}", err=True)
         sys.exit(2)
@@ -49,6 +50,8 @@
     summary = play_all(chosen, seconds, faults, plant, out, at_once, click.echo)
     for rule, count in summary.looked_at.items():
         click.echo(f"{count:9,} cases  {rule}{'  (NOT EXERCISED)' if not count else ''}")
-    click.echo(f"{len(chosen)} seeds in {summary.wall_s} s: {len(summary.breaks)} with a broken rule, {len(summary.starved)} starved, "
-               f"{len(summary.failed)} failed")
+    click.echo(
+        f"{len(chosen)} seeds in {summary.wall_s} s: {len(summary.breaks)} with a broken rule, {len(summary.starved)} starved, "
+        f"{len(summary.failed)} failed"
+    )
     sys.exit(0 if summary.good else 1)
--- a/curlewshift/soak/clients.py
+++ b/curlewshift/soak/clients.py
@@ -176,8 +176,10 @@
     def set_up(self, id: str, name: str, wait_ms: int, again: int = 0, body: bytes = b"") -> bytes:
         home = self.chance.randrange(self.plan.cells)
         copies = min(self.plan.copies, self.plan.cells)
-        lines = (f"X-Cos: {name}\r\nX-Timer-Ms: {wait_ms}\r\nX-Legs: home:{home};copies:{copies};"
-                 f"top:{len(self.plan.rates_kb) - 1};viewer:{id}{';again:1' if again else ''}\r\n")
+        lines = (
+            f"X-Cos: {name}\r\nX-Timer-Ms: {wait_ms}\r\nX-Legs: home:{home};copies:{copies};"
+            f"top:{len(self.plan.rates_kb) - 1};viewer:{id}{';again:1' if again else ''}\r\n"
+        )
         title = f"{self.chance.randrange(8):016x}"
         return codec.rtsp_request("SETUP", f"rtsp://media/{title}", 1, id, lines, body or f"offer {id}".encode())
 
--- a/curlewshift/soak/codec.py
+++ b/curlewshift/soak/codec.py
@@ -70,8 +70,8 @@
             elif len(self.held) < 2 + length:
                 break
             else:
-                found.append((self.first_at_s, _binary(bytes(self.held[2:2 + length]))))
-                del self.held[:2 + length]
+                found.append((self.first_at_s, _binary(bytes(self.held[2 : 2 + length]))))
+                del self.held[: 2 + length]
                 self.first_at_s = at_s
         return found
 
@@ -89,7 +89,7 @@
             if end < 0:
                 self.broken = len(self.held) > LARGEST
                 break
-            head = bytes(self.held[:end + 2])
+            head = bytes(self.held[: end + 2])
             first = FIRST_LINE.match(head)
             fields = _fields(head)
             length = fields.get("content-length", "")
@@ -99,7 +99,7 @@
             whole = end + 4 + int(length)
             if len(self.held) < whole:
                 break
-            body = bytes(self.held[end + 4:whole])
+            body = bytes(self.held[end + 4 : whole])
             found.append(Rtsp((first[2] or b"").decode(), (first[3] or b"").decode(), int(first[1] or 0), fields, body))
             del self.held[:whole]
         return found
@@ -117,18 +117,20 @@
 def _binary(raw: bytes) -> Binary:
     fields, at = {}, 9
     while at + 3 <= len(raw):
-        length = int.from_bytes(raw[at + 1:at + 3], "big")
-        fields[raw[at]] = raw[at + 3:at + 3 + length]
+        length = int.from_bytes(raw[at + 1 : at + 3], "big")
+        fields[raw[at]] = raw[at + 3 : at + 3 + length]
         at += 3 + length
     return Binary(raw[0], raw[1:9].hex(), fields)
 
 
 def binary(kind: int, id: str, *fields: tuple[int, bytes]) -> bytes:
+    """A message of the binary form; `fields` are codes and values."""
     rest = b"".join(struct.pack(">BH", code, len(value)) + value for code, value in fields)
     return struct.pack(">HB", 9 + len(rest), kind) + bytes.fromhex(id) + rest
 
 
 def rtsp_request(method: str, address: str, number: int, id: str, lines: str = "", body: bytes = b"") -> bytes:
     """`lines` are whole header lines."""
-    return (f"{method} {address} RTSP/1.0\r\nCSeq: {number}\r\nSession: {id}\r\n{lines}"
-            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+    return (
+        f"{method} {address} RTSP/1.0\r\nCSeq: {number}\r\nSession: {id}\r\n{lines}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
--- a/curlewshift/soak/discovery.py
+++ b/curlewshift/soak/discovery.py
@@ -26,6 +26,7 @@
 
 
 def frame(number: int, kind: int, payload: bytes = b"") -> bytes:
+    """One frame of the list, by the protocol page."""
     return struct.pack(">IQB", 9 + len(payload), number, kind) + payload
 
 
--- a/curlewshift/soak/judge.py
+++ b/curlewshift/soak/judge.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import defaultdict
 from math import sqrt
 
@@ -34,9 +35,24 @@
 STARVED_S = 0.25
 NEVER = 1e18
 PLAYS, REFUSED = 200, (453, 454, 503)
-RULES = ("answered once", "no answer that nobody made", "one attempt at a time", "paid set-ups once", "drains", "cold servers",
-         "rungs", "seats", "budget", "no attempt after leaving", "no attempt unasked", "ends told", "nothing left standing",
-         "no crash", "limits", "ready again")
+RULES = (
+    "answered once",
+    "no answer that nobody made",
+    "one attempt at a time",
+    "paid set-ups once",
+    "drains",
+    "cold servers",
+    "rungs",
+    "seats",
+    "budget",
+    "no attempt after leaving",
+    "no attempt unasked",
+    "ends told",
+    "nothing left standing",
+    "no crash",
+    "limits",
+    "ready again",
+)
 
 
 class Break(msgspec.Struct):
@@ -76,9 +92,23 @@
         self.classes = {one.name: one for one in self.plan.classes}
 
     def judge(self) -> Verdict:
-        for check in (self._answers, self._bodies, self._one_at_a_time, self._one_at_a_server, self._paid, self._drains, self._cold,
-                      self._rungs, self._seats, self._budget, self._after_leaving, self._unasked, self._ends_told, self._standing,
-                      self._processes):
+        for check in (
+            self._answers,
+            self._bodies,
+            self._one_at_a_time,
+            self._one_at_a_server,
+            self._paid,
+            self._drains,
+            self._cold,
+            self._rungs,
+            self._seats,
+            self._budget,
+            self._after_leaving,
+            self._unasked,
+            self._ends_told,
+            self._standing,
+            self._processes,
+        ):
             check()
         self.verdict.breaks.sort(key=lambda one: one.at_s)
         return self.verdict
@@ -90,8 +120,10 @@
         self.verdict.breaks.append(Break(rule, round(at - self.records.began_at, 3), says, id))
 
     def _life_at(self, node: str, at: float) -> Life | None:
-        return next((life for life in self.lives_of[node] if life.started_at <= at
-                     and (life.ended_at is None or at <= life.ended_at)), None)
+        return next(
+            (life for life in self.lives_of[node] if life.started_at <= at and (life.ended_at is None or at <= life.ended_at)),
+            None,
+        )
 
     def _last_moment(self) -> float:
         return self.records.began_at + self.plan.seconds
@@ -129,17 +161,24 @@
         return request.left_how == "closed by the node" and request.left_at - request.taken_at <= CROSSES_CLOSE_S
 
     def _lost_at_the_end(self, request: Request, life: Life) -> None:
-        terms = [signal.at for signal in self.records.signals
-                 if signal.node == life.node and signal.what == "SIGTERM" and life.started_at <= signal.at <= life.ended_at]
+        terms = [
+            signal.at
+            for signal in self.records.signals
+            if signal.node == life.node and signal.what == "SIGTERM" and life.started_at <= signal.at <= life.ended_at
+        ]
         if not terms:
             # killed without a warning: what it held is no longer its duty
             return
         by_itself = not life.killed or life.exit_status == 0
         if by_itself or request.taken_at > terms[0] + STILL_ANSWERED_S:
             how = "ended by itself" if by_itself else "was killed"
-            self._broken("answered once", request.taken_at,
-                         f"came {request.taken_at - terms[0]:.3f} s after SIGTERM, unanswered when the process {how} "
-                         f"{life.ended_at - request.taken_at:.3f} s later", request.id)
+            self._broken(
+                "answered once",
+                request.taken_at,
+                f"came {request.taken_at - terms[0]:.3f} s after SIGTERM, unanswered when the process {how} "
+                f"{life.ended_at - request.taken_at:.3f} s later",
+                request.id,
+            )
 
     def _bodies(self) -> None:
         rule = "no answer that nobody made"
@@ -162,7 +201,7 @@
         rule = "one attempt at a time"
         for id, attempts in self.attempts_of.items():
             attempts.sort(key=lambda attempt: attempt.first_byte_at)
-            for before, after in zip(attempts, attempts[1:]):
+            for before, after in itertools.pairwise(attempts):
                 if before.server == after.server and before.node == after.node:
                     continue
                 self._looked(rule)
@@ -177,10 +216,12 @@
         for attempt in self.records.server_attempts:
             by_place[attempt.id, attempt.server].append(attempt)
         for (id, server), attempts in by_place.items():
-            for before, after in zip(attempts, attempts[1:]):
+            for before, after in itertools.pairwise(attempts):
                 self._looked(rule)
                 if before.ended_at is None or after.taken_at < before.ended_at:
-                    self._broken(rule, after.taken_at, f"twice at {server}: connections {before.connection} and {after.connection}", id)
+                    self._broken(
+                        rule, after.taken_at, f"twice at {server}: connections {before.connection} and {after.connection}", id
+                    )
 
     def _paid(self) -> None:
         rule = "paid set-ups once"
@@ -190,9 +231,14 @@
             if service is None or service.effect == "safe" or not attempts:
                 continue
             self._looked(rule)
-            for before, after in zip(attempts, attempts[1:]):
+            for before, after in itertools.pairwise(attempts):
                 if not before.never_ran:
-                    self._broken(rule, after.first_byte_at, f"sent again to {after.server} after {before.server} may have run it", request.id)
+                    self._broken(
+                        rule,
+                        after.first_byte_at,
+                        f"sent again to {after.server} after {before.server} may have run it",
+                        request.id,
+                    )
             refused = [answer for answer in request.answers if answer.status in REFUSED]
             if refused and not all(attempt.never_ran for attempt in attempts):
                 self._broken(rule, refused[0].at, f"refused with {refused[0].status} though it may have run", request.id)
@@ -206,7 +252,9 @@
                 self._looked(rule)
                 late = attempt.first_byte_at - request.left_at - AFTER_LEAVING_S
                 if late > self.records.loop_late_s:
-                    self._broken(rule, attempt.first_byte_at, f"began {late + AFTER_LEAVING_S:.3f} s after its client had left", request.id)
+                    self._broken(
+                        rule, attempt.first_byte_at, f"began {late + AFTER_LEAVING_S:.3f} s after its client had left", request.id
+                    )
 
     def _unasked(self) -> None:
         rule = "no attempt unasked"
@@ -247,11 +295,12 @@
         for server, started in starts.items():
             times = sorted(one.taken_at for one in self.records.server_attempts if one.server == server)
             for first, at in enumerate(times):
-                if at + window - started > warm:
+                if at - started > warm:
                     break
                 self._looked(rule)
-                count = sum(at <= other < at + window for other in times[first:])
-                warmth = min(1.0, self.plan.start_capacity + (1 - self.plan.start_capacity) * (at + window - started) / warm)
+                until = min(at + window, started + warm)
+                count = sum(at <= other < until for other in times[first:])
+                warmth = min(1.0, self.plan.start_capacity + (1 - self.plan.start_capacity) * max(0.0, at - started) / warm)
                 bears = self.plan.streams / warm * warmth * self.plan.fall_multiple * window
                 most = bears + 2 * sqrt(bears) + 2 if bears >= 30 else bears + 3 * sqrt(bears) + 3
                 if count > most:
@@ -274,7 +323,7 @@
                     self._broken(rule, at, f"new rung {rung}", id)
 
     def _seats(self) -> None:
-        """A seat is held from a set-up's first byte to the end of the attempt or of its session, as the node wrote or heard it."""
+        """A seat is held from a set-up's first byte to the end of its attempt or session, as the node wrote or heard it."""
         rule = "seats"
         ends = self._session_ends()
         held: dict[tuple[str, str, str], list[tuple[float, int]]] = defaultdict(list)
@@ -311,15 +360,18 @@
         return ends
 
     def _budget(self) -> None:
-        rule = "budget"
         if self.plan.budget is None:
             return
         free, share, look_back_ms = self.plan.budget
         for node, lives in self.lives_of.items():
             for life in lives:
                 until = life.ended_at or NEVER
-                taken = [one.taken_at for one in self.records.requests if one.node == node and life.started_at <= one.taken_at <= until]
-                mine = [one for one in self.records.attempts if one.node == node and life.started_at <= one.first_byte_at <= until]
+                taken = [
+                    one.taken_at for one in self.records.requests if one.node == node and life.started_at <= one.taken_at <= until
+                ]
+                mine = [
+                    one for one in self.records.attempts if one.node == node and life.started_at <= one.first_byte_at <= until
+                ]
                 seen, further = set(), []
                 for attempt in sorted(mine, key=lambda one: one.first_byte_at):
                     if attempt.id in seen:
@@ -330,7 +382,7 @@
     def _over_budget(self, node: str, taken: list[float], further: list[float], free: int, share: float, window_s: float) -> None:
         for index, at in enumerate(further):
             self._looked("budget")
-            made = sum(other > at - window_s for other in further[:index + 1])
+            made = sum(other > at - window_s for other in further[: index + 1])
             allowed = free + share * sum(at - window_s - self.slack_s <= other <= at for other in taken)
             if made > allowed:
                 self._broken("budget", at, f"{node} made {made} further attempts, {allowed:.1f} at the most")
@@ -346,7 +398,13 @@
         ended = {(one.node, one.id): one.at for one in self.records.client_releases}
         for release in self.records.releases:
             request = next(iter(self.requests_of[release.id]), None)
-            if release.to_client or release.after_close or request is None or not request.answers or request.answers[0].status != PLAYS:
+            if (
+                release.to_client
+                or release.after_close
+                or request is None
+                or not request.answers
+                or request.answers[0].status != PLAYS
+            ):
                 continue
             if release.server not in self._served_by(request):
                 continue
@@ -354,7 +412,7 @@
             life = self._life_at(release.node, release.at)
             if life is not self._life_at(request.node, request.taken_at):
                 continue
-            over = life is None or life.ended_at is not None and life.ended_at < due or due > self._last_moment()
+            over = life is None or (life.ended_at is not None and life.ended_at < due) or due > self._last_moment()
             if over or ended.get((release.node, release.id), due) < due or request.left_at is not None:
                 continue
             self._looked(rule)
@@ -387,16 +445,24 @@
             life = self._life_at(attempt.node, request.taken_at)
             if request.answers and request.left_at is not None and request.answers[0].at - request.left_at < CROSSES_CLOSE_S:
                 continue
-            if due > self._last_moment() or life is None or life.ended_at is not None and life.ended_at < due:
+            if due > self._last_moment() or life is None or (life.ended_at is not None and life.ended_at < due):
                 continue
             self._looked(rule)
             if (attempt.session_ended_at is None or attempt.session_ended_at > due) and not self._lost_on_the_way(attempt, due):
-                self._broken(rule, due, f"stands at {attempt.server} {RELEASED_WITHIN_S:.0f} s after its client's end", attempt.id)
+                self._broken(
+                    rule, due, f"stands at {attempt.server} {RELEASED_WITHIN_S:.0f} s after its client's end", attempt.id
+                )
 
     def _lost_on_the_way(self, attempt: ServerAttempt, due: float) -> bool:
         """Its release was written in time, and the network lost what was written on that connection."""
-        return any(release.id == attempt.id and release.server == attempt.server and release.node == attempt.node
-                   and release.at <= due and release.lost for release in self.records.node_releases)
+        return any(
+            release.id == attempt.id
+            and release.server == attempt.server
+            and release.node == attempt.node
+            and release.at <= due
+            and release.lost
+            for release in self.records.node_releases
+        )
 
     # ---- processes
 
@@ -406,8 +472,10 @@
         for life in self.records.lives:
             self._looked("no crash")
             self._looked("limits")
-            asked = any(signal.node == life.node and signal.what == "SIGTERM" and life.started_at <= signal.at <= (life.ended_at or NEVER)
-                        for signal in self.records.signals)
+            asked = any(
+                signal.node == life.node and signal.what == "SIGTERM" and life.started_at <= signal.at <= (life.ended_at or NEVER)
+                for signal in self.records.signals
+            )
             if life.ended_at is not None and not life.killed and not (asked and life.exit_status == 0):
                 self._broken("no crash", life.ended_at, f"{life.node} ended with status {life.exit_status}")
             if life.memory_mb > MEMORY_MB or life.descriptors > self.plan.descriptors:
--- a/curlewshift/soak/legs.py
+++ b/curlewshift/soak/legs.py
@@ -54,9 +54,17 @@
         home, copies = int(legs.get("home", 0)), int(legs.get("copies", 1))
         wait_ms = message.fields.get("x-timer-ms", "")
         request = Request(
-            message.id, self.node, number, message.fields.get("x-cos", ""), message.address.rpartition("/")[2],
-            [cell % self.cells for cell in range(home, home + copies)], int(legs.get("top", 0)),
-            int(wait_ms) / 1000 if wait_ms.isdigit() else 0.0, message.body, at_s)
+            message.id,
+            self.node,
+            number,
+            message.fields.get("x-cos", ""),
+            message.address.rpartition("/")[2],
+            [cell % self.cells for cell in range(home, home + copies)],
+            int(legs.get("top", 0)),
+            int(wait_ms) / 1000 if wait_ms.isdigit() else 0.0,
+            message.body,
+            at_s,
+        )
         if number in self.closed_by_node_at:
             request.after_close_s = at_s - self.closed_by_node_at[number]
         earlier = self.by_id.get(message.id)
@@ -152,8 +160,16 @@
                 attempt.never_ran = message.cause in codec.NEVER_RAN
                 attempt.heard.append((at_s, f"refused, cause {message.cause}"))
             else:
-                self.records.releases.append(Release(
-                    message.id, self.node, at_s, to_client=False, cause=message.cause, server=name,
-                    after_close=number in self.closed_by_node))
+                self.records.releases.append(
+                    Release(
+                        message.id,
+                        self.node,
+                        at_s,
+                        to_client=False,
+                        cause=message.cause,
+                        server=name,
+                        after_close=number in self.closed_by_node,
+                    )
+                )
         elif message.kind == codec.RELEASE_HEARD and attempt is not None:
             attempt.heard.append((at_s, "release heard"))
--- a/curlewshift/soak/media.py
+++ b/curlewshift/soak/media.py
@@ -66,8 +66,17 @@
 
 
 class MediaServer:
-    def __init__(self, name: str, cell: int, records: Records, chance: Random, origin_of, idle_close_s: float,
-                 says_heard: float, started_at_ms: int = 0):
+    def __init__(
+        self,
+        name: str,
+        cell: int,
+        records: Records,
+        chance: Random,
+        origin_of,
+        idle_close_s: float,
+        says_heard: float,
+        started_at_ms: int = 0,
+    ):
         """`origin_of(port)` tells the node and connection behind a local port of a proxy."""
         self.name, self.cell, self.records, self.chance, self.origin_of = name, cell, records, chance, origin_of
         self.idle_close_s, self.says_heard, self.started_at_ms = idle_close_s, says_heard, started_at_ms
@@ -264,7 +273,9 @@
                 connection = self._connection_to(held)
                 if held.stands and connection is not None and held.seen.node not in told:
                     told.add(held.seen.node)
-                    self._say(connection, codec.binary(codec.NOTE, held.seen.id, (codec.NOTE_KIND, b"wire"), (codec.FIGURE, b"0.4")))
+                    self._say(
+                        connection, codec.binary(codec.NOTE, held.seen.id, (codec.NOTE_KIND, b"wire"), (codec.FIGURE, b"0.4"))
+                    )
 
 
 def record_of_list(name: str, port: int, state: int, cell: int, started_at_ms: int) -> bytes:
--- a/curlewshift/soak/plan.py
+++ b/curlewshift/soak/plan.py
@@ -8,11 +8,32 @@
 # Wire names are free in the settings; the program may know none of them.
 CLASS_NAMES = ("lesson-play", "clip-check", "receipt-clip", "x-ray", "a", "briefing")
 LONGEST_COUNTED_MS, AFTER_LONGEST_MS = 3000, 700
-MEDIA_FAULTS = ("hang", "cut", "lost-answers", "lost-requests", "reset", "accept-late", "close-after-accept",
-                "close-after-first-byte", "spoilt", "doubled", "late-answers", "single-bytes", "refusals", "errors", "slow")
+MEDIA_FAULTS = (
+    "hang",
+    "cut",
+    "lost-answers",
+    "lost-requests",
+    "reset",
+    "accept-late",
+    "close-after-accept",
+    "close-after-first-byte",
+    "spoilt",
+    "doubled",
+    "late-answers",
+    "single-bytes",
+    "refusals",
+    "errors",
+    "slow",
+)
 LIST_FAULTS = ("drain", "replace", "gone")
-DISCOVERY_FAULTS = ("discovery-silent", "discovery-refused", "discovery-stalled", "discovery-half-frame", "discovery-closes",
-                    "discovery-slow")
+DISCOVERY_FAULTS = (
+    "discovery-silent",
+    "discovery-refused",
+    "discovery-stalled",
+    "discovery-half-frame",
+    "discovery-closes",
+    "discovery-slow",
+)
 PROCESS_FAULTS = ("shutdown", "shutdown-with-hup", "kill", "reconfigure")
 CLIENT_FAULTS = ("crowd", "garbage", "slow-requests", "double-id", "never-read", "hurried")
 # Those that strike nodes; the others strike addresses of media servers.
@@ -84,39 +105,86 @@
     def settings(self, number: int) -> dict:
         """What a node is told, in the form of the pages."""
         obligations = dict(
-            drain_grace_ms=self.grace_ms, warm_within_ms=self.warm_within_ms, start_capacity=self.start_capacity,
-            fall_multiple=self.fall_multiple, fall_ms=self.fall_ms, answer_slack_ms=50)
+            drain_grace_ms=self.grace_ms,
+            warm_within_ms=self.warm_within_ms,
+            start_capacity=self.start_capacity,
+            fall_multiple=self.fall_multiple,
+            fall_ms=self.fall_ms,
+            answer_slack_ms=50,
+        )
         if self.budget is not None:
             obligations.update(free_resends=self.budget[0], budget_share=self.budget[1], look_back_ms=self.budget[2])
         return dict(
-            balancers=self.nodes, my_number=number, areas=["room"], az="room", flavors=["box"],
-            classes=[dict(name=one.name, effect=one.effect, gain=1.0, goal_time_ms=one.aim_ms, give_up_ms=one.deadline_ms)
-                     for one in self.classes],
-            bounds=dict(connect_timeout_ms=self.connect_timeout_ms, idle_close_ms=self.idle_close_ms, cancel=True,
-                        parallel_tries=False, max_attempts=self.max_attempts, retry_after=True, max_retry_after_ms=2000,
-                        streams_per_conn=self.streams_per_connection, probes=self.probes),
-            extra=dict(cells=self.cells, cabinets=2, kb_per_weight=40_000.0, rack_kb=1e6, rung_kb=self.rates_kb,
-                       floor_by_class=[one.floor for one in self.classes], top_by_class=[len(self.rates_kb) - 1] * len(self.classes),
-                       class_seats=[one.seats for one in self.classes], kind_streams=[self.streams], told_every_ms=1000,
-                       told_late_ms=200),
-            telemetry=dict(fields=["x0"], how="inline"), obligations=obligations)
+            balancers=self.nodes,
+            my_number=number,
+            areas=["room"],
+            az="room",
+            flavors=["box"],
+            classes=[
+                dict(name=one.name, effect=one.effect, gain=1.0, goal_time_ms=one.aim_ms, give_up_ms=one.deadline_ms)
+                for one in self.classes
+            ],
+            bounds=dict(
+                connect_timeout_ms=self.connect_timeout_ms,
+                idle_close_ms=self.idle_close_ms,
+                cancel=True,
+                parallel_tries=False,
+                max_attempts=self.max_attempts,
+                retry_after=True,
+                max_retry_after_ms=2000,
+                streams_per_conn=self.streams_per_connection,
+                probes=self.probes,
+            ),
+            extra=dict(
+                cells=self.cells,
+                cabinets=2,
+                kb_per_weight=40_000.0,
+                rack_kb=1e6,
+                rung_kb=self.rates_kb,
+                floor_by_class=[one.floor for one in self.classes],
+                top_by_class=[len(self.rates_kb) - 1] * len(self.classes),
+                class_seats=[one.seats for one in self.classes],
+                kind_streams=[self.streams],
+                told_every_ms=1000,
+                told_late_ms=200,
+            ),
+            telemetry=dict(fields=["x0"], how="inline"),
+            obligations=obligations,
+        )
 
 
 def plan_of(seed: int, seconds: float, only: tuple[str, ...] = ()) -> Plan:
+    """The plan of one seed; `only` keeps these kinds of fault and leaves the others out."""
     chance = Random(seed)
     names = chance.sample(CLASS_NAMES, chance.choice((2, 2, 3)))
     classes = [_class(chance, name, number) for number, name in enumerate(names)]
     slots = chance.choice((3, 4, 6, 8, 13, 20))
     plan = Plan(
-        seed=seed, seconds=seconds, nodes=chance.choice((2, 2, 3, 4, 6)), slots=slots, cells=min(slots, chance.choice((3, 4, 8))),
-        copies=chance.choice((1, 1, 2, 3)), classes=classes, rates_kb=sorted(chance.sample(range(100, 3000), chance.choice((1, 3, 5)))),
-        requests_per_node_s=chance.choice((8.0, 15.0, 25.0)), descriptors=chance.choice((160, 256, 512)),
-        streams_per_connection=chance.choice((1, 4, 32)), idle_close_ms=chance.choice((1000, 1000, 30_000)),
-        connect_timeout_ms=chance.choice((250, 250, 500)), max_attempts=chance.choice((2, 3, 5, 5)), probes=chance.random() < 0.7,
-        grace_ms=chance.choice((250, 1000, 2000)), warm_within_ms=chance.choice((2000, 5000)), start_capacity=0.4,
-        fall_multiple=4.0, fall_ms=2000, streams=chance.choice((12, 12, 30)),
-        budget=chance.choice((None, (3, 0.1, 4000), (10, 0.25, 8000))), skew_s=chance.choice((0.0, 0.02, 0.05, 0.15)),
-        says_heard=chance.choice((0.0, 0.5, 1.0)))
+        seed=seed,
+        seconds=seconds,
+        nodes=chance.choice((2, 2, 3, 4, 6)),
+        slots=slots,
+        cells=min(slots, chance.choice((3, 4, 8))),
+        copies=chance.choice((1, 1, 2, 3)),
+        classes=classes,
+        rates_kb=sorted(chance.sample(range(100, 3000), chance.choice((1, 3, 5)))),
+        requests_per_node_s=chance.choice((8.0, 15.0, 25.0)),
+        descriptors=chance.choice((160, 256, 512)),
+        streams_per_connection=chance.choice((1, 4, 32)),
+        idle_close_ms=chance.choice((1000, 1000, 30_000)),
+        connect_timeout_ms=chance.choice((250, 250, 500)),
+        max_attempts=chance.choice((2, 3, 5, 5)),
+        probes=chance.random() < 0.7,
+        grace_ms=chance.choice((250, 1000, 2000)),
+        warm_within_ms=chance.choice((2000, 5000)),
+        start_capacity=0.4,
+        fall_multiple=4.0,
+        fall_ms=2000,
+        streams=chance.choice((12, 12, 30)),
+        budget=chance.choice((None, (3, 0.1, 4000), (10, 0.25, 8000))),
+        skew_s=chance.choice((0.0, 0.02, 0.05, 0.15)),
+        says_heard=chance.choice((0.0, 0.5, 1.0)),
+    )
     plan.faults = [fault for fault in _faults(chance, plan) if not only or fault.kind in only]
     return plan
 
--- a/curlewshift/soak/plants.py
+++ b/curlewshift/soak/plants.py
@@ -95,6 +95,7 @@
     def _listed(self, rows, full, version, stale=False):
         def ready(told):
             rows(lambda name, address, state, *rest: told(name, address, 0, *rest))
+
         super()._listed(ready, False, version, stale)
 
 
@@ -111,7 +112,8 @@
     "serve-after-leaving": lambda: setattr(node, "Node", StaysAfterLeaving),
     "cold-burst": lambda: _with_rules(ColdBurst),
     "resend-unsafe": lambda: _with_rules(ResendsPaid),
-    "ignore-drains": lambda: setattr(node, "Node", IgnoresList)}
+    "ignore-drains": lambda: setattr(node, "Node", IgnoresList),
+}
 
 
 if __name__ == "__main__":
--- a/curlewshift/soak/processes.py
+++ b/curlewshift/soak/processes.py
@@ -37,8 +37,14 @@
         self.records.lives.append(self.life)
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", *module], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                start_new_session=True, env={**os.environ, "NODE_CONFIG": str(self.configuration)})
+                [sys.executable, "-m", *module],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+                env={**os.environ, "NODE_CONFIG": str(self.configuration)},
+            )
         if await listens(self.port, READY_WITHIN_S):
             self.life.ready_at = anyio.current_time()
 
--- a/curlewshift/soak/proxy.py
+++ b/curlewshift/soak/proxy.py
@@ -76,9 +76,14 @@
     with those that come from there when they are read, and with the others when they are passed on. Empty data is an end.
     """
 
-    def __init__(self, target: Callable[[], tuple[str, int]], shape: Callable[[int], Shape] = lambda number: PLAIN,
-                 observe: Callable[[Link, bool, bytes, float], None] | None = None, watches_source: bool = True,
-                 connected: Callable[[Link], None] | None = None):
+    def __init__(
+        self,
+        target: Callable[[], tuple[str, int]],
+        shape: Callable[[int], Shape] = lambda number: PLAIN,
+        observe: Callable[[Link, bool, bytes, float], None] | None = None,
+        watches_source: bool = True,
+        connected: Callable[[Link], None] | None = None,
+    ):
         self.target, self.shape, self.observe, self.watches_source = target, shape, observe, watches_source
         self.connected = connected
         self.links: list[Link] = []
@@ -207,8 +212,8 @@
             size = link.shape.piece_size or len(data)
             for start in range(0, len(data), size):
                 if watched:
-                    self._observe(link, False, data[start:start + size], anyio.current_time())
-                if not await _send_all(sock, data[start:start + size]):
+                    self._observe(link, False, data[start : start + size], anyio.current_time())
+                if not await _send_all(sock, data[start : start + size]):
                     reset(link.source if outward else link.target)
                     return
                 if link.shape.piece_pause_s:
@@ -235,7 +240,7 @@
     """False if the connection has ended."""
     while data:
         try:
-            data = data[sock.send(data):]
+            data = data[sock.send(data) :]
         except BlockingIOError:
             try:
                 await anyio.wait_writable(sock)
--- a/curlewshift/soak/records.py
+++ b/curlewshift/soak/records.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from enum import Enum
+from enum import StrEnum
 
 import msgspec
 
 
-class Ending(str, Enum):
+class Ending(StrEnum):
     """How an attempt at a media server ended, as the server saw it."""
 
     SET_UP = "set up there"
--- a/curlewshift/soak/run.py
+++ b/curlewshift/soak/run.py
@@ -65,8 +65,10 @@
     return verdict
 
 
-def play_all(seeds: list[int], seconds: float, only: tuple[str, ...], plant: str, out: Path, at_once: int,
-             progress: Callable[[str], None]) -> Summary:
+def play_all(
+    seeds: list[int], seconds: float, only: tuple[str, ...], plant: str, out: Path, at_once: int, progress: Callable[[str], None]
+) -> Summary:
+    """Plays these seeds, so many at once, and tells of each as it ends; the summary is written to `out` too."""
     summary = Summary(" ".join(sys.argv[1:]), seeds, plant, seconds, looked_at=dict.fromkeys(RULES, 0))
     began, slots = time.monotonic(), Queue()
     for slot in range(at_once):
@@ -81,6 +83,7 @@
             return _play_apart(seed, seconds, only, plant, out, ports)
         finally:
             slots.put(slot)
+
     with ThreadPoolExecutor(at_once) as pool:
         played = {pool.submit(play, seed): seed for seed in seeds}
         for done in as_completed(played):
@@ -96,8 +99,16 @@
     arguments = [sys.executable, "-m", "curlewshift.soak", str(seed), str(seconds), str(out), plant, *only]
     with open(out / f"seed-{seed}.err", "wb") as errors:
         try:
-            subprocess.run(arguments, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=errors, stderr=errors, check=True,
-                           timeout=seconds + HANGS_AFTER_S, env={**os.environ, "CURLEWSHIFT_PORTS": ports})
+            subprocess.run(
+                arguments,
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=errors,
+                stderr=errors,
+                check=True,
+                timeout=seconds + HANGS_AFTER_S,
+                env={**os.environ, "CURLEWSHIFT_PORTS": ports},
+            )
         except subprocess.SubprocessError:
             return None
     return msgspec.json.decode((out / f"seed-{seed}" / "verdict.json").read_bytes(), type=Verdict)
--- a/curlewshift/soak/trial.py
+++ b/curlewshift/soak/trial.py
@@ -25,9 +25,18 @@
 
 # What a fault makes of a media server's behaviour while it lasts.
 BEHAVIOURS = {
-    "hang": "hangs", "lost-answers": "loses_answers", "close-after-accept": "closes_after_accept",
-    "close-after-first-byte": "closes_after_first_byte", "spoilt": "spoils", "doubled": "doubles", "single-bytes": "single_bytes",
-    "refusals": "refuses", "errors": "errs", "slow": "slow", "late-answers": "slow"}
+    "hang": "hangs",
+    "lost-answers": "loses_answers",
+    "close-after-accept": "closes_after_accept",
+    "close-after-first-byte": "closes_after_first_byte",
+    "spoilt": "spoils",
+    "doubled": "doubles",
+    "single-bytes": "single_bytes",
+    "refusals": "refuses",
+    "errors": "errs",
+    "slow": "slow",
+    "late-answers": "slow",
+}
 ACCEPTS_LATE_S = (0.1, 1.0)
 DRAINS_FOR_S = 3.0
 RUN_OUT_S = 3.0
@@ -85,8 +94,7 @@
         for number, (name, port) in enumerate(zip(self.names, ports)):
             self._lay_legs(name, port)
             self._write_configuration(number, name, port)
-            self.nodes[name] = NodeProcess(
-                name, port, self._path(name), self.folder / f"{name}.log", self.records, self.plant)
+            self.nodes[name] = NodeProcess(name, port, self._path(name), self.folder / f"{name}.log", self.records, self.plant)
         self.records.began_at = anyio.current_time()
         async with anyio.create_task_group() as starts:
             for node in self.nodes.values():
@@ -98,8 +106,12 @@
             leg = ServerLeg(name, lambda slot=slot: slot.server.name, self.records)
             self.server_legs.append(leg)
             proxy = self.proxies[name, slot.number] = Proxy(
-                lambda slot=slot: ("127.0.0.1", slot.port), self._shape, leg.observe, watches_source=True,
-                connected=lambda link, name=name: self._connected(name, link))
+                lambda slot=slot: ("127.0.0.1", slot.port),
+                self._shape,
+                leg.observe,
+                watches_source=True,
+                connected=lambda link, name=name: self._connected(name, link),
+            )
             proxy.open()
             self.tasks.start_soon(proxy.run, self.tasks)
         leg = ClientLeg(name, self.records, self.plan.cells)
@@ -119,8 +131,15 @@
         self.servers_made += 1
         name = f"s-{self.servers_made:08x}"
         server = MediaServer(
-            name, slot.number % self.plan.cells, self.records, Random(self.chance.random()), lambda port: self.origins.get(port, ("", -1)),
-            self.plan.idle_close_ms / 1000, self.plan.says_heard, started_at_ms)
+            name,
+            slot.number % self.plan.cells,
+            self.records,
+            Random(self.chance.random()),
+            lambda port: self.origins.get(port, ("", -1)),
+            self.plan.idle_close_ms / 1000,
+            self.plan.says_heard,
+            started_at_ms,
+        )
         slot.server, slot.port, slot.state = server, server.open(), READY
         self.servers[name] = slot, server
         self.records.listed.append(Listed(self.discovery.number, name, "ready", anyio.current_time(), started_at_ms / 1000))
@@ -134,16 +153,33 @@
         return self.folder / f"{name}.json"
 
     def _write_configuration(self, number: int, name: str, port: int) -> None:
-        told = dict(name=name, listen=f"127.0.0.1:{port}", seed=f"{self.plan.seed * 64 + number:x}",
-                    limits=dict(sockets=self.plan.descriptors), bulletin=f"127.0.0.1:{self.addresses[name].port}",
-                    settings=self.plan.settings(number), known=dict(no=self.discovery.number, items=[self._whole_list(name)]))
+        told = dict(
+            name=name,
+            listen=f"127.0.0.1:{port}",
+            seed=f"{self.plan.seed * 64 + number:x}",
+            limits=dict(sockets=self.plan.descriptors),
+            bulletin=f"127.0.0.1:{self.addresses[name].port}",
+            settings=self.plan.settings(number),
+            known=dict(no=self.discovery.number, items=[self._whole_list(name)]),
+        )
         self._path(name).write_text(json.dumps(told))
 
     def _whole_list(self, name: str) -> dict:
         states = {READY: "active", DRAINING: "leaving"}
-        rows = [dict(id=slot.server.name, addr=f"127.0.0.1:{self.proxies[name, slot.number].port}", zone="room", kind="box",
-                     cell=slot.server.cell, state=states[slot.state], weight=1.0, started_ms=slot.server.started_at_ms)
-                for slot in self.slots if slot.state in states]
+        rows = [
+            dict(
+                id=slot.server.name,
+                addr=f"127.0.0.1:{self.proxies[name, slot.number].port}",
+                zone="room",
+                kind="box",
+                cell=slot.server.cell,
+                state=states[slot.state],
+                weight=1.0,
+                started_ms=slot.server.started_at_ms,
+            )
+            for slot in self.slots
+            if slot.state in states
+        ]
         return dict(no=self.discovery.number, roster=dict(version=self.discovery.number, full=True, servers=rows))
 
     # ---- the play
@@ -245,7 +281,9 @@
         slot.state = state
         change = self.discovery.publish(slot.server.name, state)
         word = {READY: "ready", DRAINING: "draining", GONE: "gone"}[state]
-        self.records.listed.append(Listed(change.number, slot.server.name, word, anyio.current_time(), slot.server.started_at_ms / 1000))
+        self.records.listed.append(
+            Listed(change.number, slot.server.name, word, anyio.current_time(), slot.server.started_at_ms / 1000)
+        )
 
     async def _disturb_server(self, fault: Fault, slot: Slot) -> None:
         server = slot.server
--- a/tests/test_attempt_order.py
+++ b/tests/test_attempt_order.py
@@ -66,8 +66,13 @@
         async with self.around():
             for proxy in self.proxies:
                 self.tasks.start_soon(proxy.run, self.tasks)
-            child = subprocess.Popen([sys.executable, "-m", "curlewshift.node"], cwd=ROOT, stderr=subprocess.DEVNULL,
-                                     env={**os.environ, "NODE_CONFIG": str(self.path)}, start_new_session=True)
+            child = subprocess.Popen(
+                [sys.executable, "-m", "curlewshift.node"],
+                cwd=ROOT,
+                stderr=subprocess.DEVNULL,
+                env={**os.environ, "NODE_CONFIG": str(self.path)},
+                start_new_session=True,
+            )
             try:
                 assert await listens(self.port, 20)
                 yield self
@@ -111,6 +116,7 @@
         async def hears(line, kind, id, parameters):
             if kind == isup.RELEASE:
                 await line.send(isup.released(id))
+
         self.assertGreaterEqual(await self.set_ups(hears, 2), 2)
 
     @story
@@ -118,6 +124,7 @@
         async def closes(line, kind, id, parameters):
             if kind == isup.SET_UP:
                 await line.aclose()
+
         self.assertGreaterEqual(await self.set_ups(closes, 2), 2)
 
     @story
@@ -125,6 +132,7 @@
         async def spoils(line, kind, id, parameters):
             if kind == isup.SET_UP:
                 await line.send(b"\xff" * 64)
+
         self.assertEqual(await self.set_ups(spoils, 2), 1)
 
     @story
@@ -137,6 +145,7 @@
                 if kind == isup.RELEASE:
                     await go.wait()
                 await media.plays(line, kind, id, parameters)
+
             media.does = hears_late
             viewer.ask(REQUEST)
             await viewer.hear()
@@ -171,6 +180,7 @@
             if sock is held.socket and not may_write():
                 await anyio.sleep(0.005)
             await ready(sock)
+
         ready = anyio.wait_writable
         with mock.patch.object(Wire, "_push", pushed), mock.patch.object(wire.anyio, "wait_writable", writable):
             await until(lambda: held.waiting)
@@ -185,11 +195,13 @@
         may_write = []
         async with Place(2).up() as place:
             async with anyio.create_task_group() as tasks:
+
                 async def later():
                     await until(lambda: any(one.number == 2 for one in place.node.reach.flights))
                     await anyio.sleep(0.03)
                     self.assertEqual(sum(len(media.had(isup.SET_UP)) for media in place.medias), 1)
                     may_write.append(True)
+
                 tasks.start_soon(later)
                 first, _, _ = await self.first_and_next(place, lambda: may_write)
             self.assertEqual(len(first.had(isup.RELEASE)), 1)
@@ -216,6 +228,7 @@
                         asked.append(anyio.current_time())
                 # it has read the end of the client's half, and keeps its own open
                 await anyio.sleep(5)
+
         async with site.up():
             machine = site.site.machines[0]
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -48,6 +48,7 @@
             async def says_no_word_on_releases(line, kind, id, parameters):
                 if kind != isup.RELEASE:
                     await media.plays(line, kind, id, parameters)
+
             media.does = says_no_word_on_releases
             viewer.ask(FIRST)
             await viewer.hear()
@@ -87,6 +88,7 @@
                     if kind == isup.SET_UP:
                         await go.wait()
                     await media.plays(line, kind, id, parameters)
+
                 media.does = plays_late
                 viewer.ask(FIRST)
                 await until(lambda: media.had(isup.SET_UP))
@@ -119,8 +121,10 @@
         # the longest deadline of the place is 2 s, and the kill follows .7 s later
         async with Place().around() as place:
             process = await anyio.open_process(
-                [sys.executable, "-m", "curlewshift.node"], stderr=subprocess.DEVNULL,
-                env={**os.environ, "NODE_CONFIG": str(place.path)})
+                [sys.executable, "-m", "curlewshift.node"],
+                stderr=subprocess.DEVNULL,
+                env={**os.environ, "NODE_CONFIG": str(place.path)},
+            )
             try:
                 assert await listens(place.port, 20)
                 viewer = Plain(place.port)
@@ -152,6 +156,7 @@
             async def answers_tests_alone(line, kind, id, parameters):
                 if kind == isup.PROBE:
                     await media.plays(line, kind, id, parameters)
+
             media.does = answers_tests_alone
             place.node.desk.packages[CLIP].patience = 4 * 10**9
             viewer = Plain(place.port)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -64,6 +64,7 @@
                     while len([one for one in heard if one[0] == number]) < 2:
                         await anyio.wait_readable(sock)
                         heard.append((number, sock.recv(1)))
+
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(proxy.run, tasks)
                 async with anyio.create_task_group() as readers:
@@ -176,7 +177,9 @@
         self.seen("s-1", 1.01, 1.05, Ending.SET_UP, body=BODY, session_ended_at=3.0)
         self.answered(1.06, body=BODY)
         self.records.releases = [Release(REQUEST, "n0", 3.0, to_client=False, server="s-1")]
-        self.records.requests.append(Request("b2", "n0", 1, self.safe.name, "t", [0], 9, 1.0, b"x", 2.5, answers=[Answer(2.6, 453)]))
+        self.records.requests.append(
+            Request("b2", "n0", 1, self.safe.name, "t", [0], 9, 1.0, b"x", 2.5, answers=[Answer(2.6, 453)])
+        )
         self.assertEqual(self.rules(), ["ends told"])
         self.records.releases.append(Release(REQUEST, "n0", 3.9, to_client=True))
         self.assertEqual(self.rules(), [])
@@ -187,8 +190,13 @@
 
 class AShortRun(unittest.TestCase):
     def run_of(self, folder, *arguments):
-        done = subprocess.run([sys.executable, "-m", "curlewshift", "soak", "--out", folder, *arguments], cwd=ROOT, text=True,
-                              capture_output=True, timeout=100)
+        done = subprocess.run(
+            [sys.executable, "-m", "curlewshift", "soak", "--out", folder, *arguments],
+            cwd=ROOT,
+            text=True,
+            capture_output=True,
+            timeout=100,
+        )
         return json.loads((Path(folder) / "summary.json").read_text()), done.stdout + done.stderr
 
     def test_three_sound_trials_break_no_rule_and_a_planted_fault_is_caught(self):
