Each end of a session is counted back, also where two of one session are out on one connection

Ends under way were kept by the session's id: a second one of the same session on the same connection took the first one's place, the first was never counted back, and at a silent server, which gets one at a time, no end went out any more. Releases said again made two of one session common; the fault is older. Change: kept by the end itself. The story in tests/test_closing fails without it.

--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -98,8 +98,8 @@
         self.wire: Wire | None = None
         self.flights: dict[bytes, Flight] = {}
         self.unsent: list[tuple[bytes, Errand | None]] = []
-        # ids and times of releases on which nothing has come back yet
-        self.ending: dict[bytes, tuple[Ending, int]] = {}
+        # releases on which nothing has come back yet, and when they went out; there may be several of one session
+        self.ending: dict[Ending, int] = {}
         self.over = False
         # our end has been sent, and its server's is waited for
         self.retired = False
@@ -305,7 +305,7 @@
             self._later(lambda: self.desk.session_ended(ending, True))
             return
         line = self._some_line(endpoint)
-        line.ending[ending.session.id] = (ending, self.now())
+        line.ending[ending] = self.now()
         session = ending.session
         session.released_at = session.released_at or self.now()
         self._release(line, ending.server, session.id, session.cause, session.released_at)
@@ -468,7 +468,7 @@
                 flight.moves += 1
                 line.flights.pop(flight.id)
                 self._fly(flight)
-        tried_again = set(line.ending)
+        tried_again = {ending.session.id for ending in line.ending}
         self._endings_back(line)
         for release in self.releases.connection_ended(line, by_peer, by_peer and line.retired):
             if release.id not in tried_again:
@@ -476,7 +476,7 @@
 
     def _endings_back(self, line: Line) -> None:
         ending, line.ending = line.ending, {}
-        for one, _ in ending.values():
+        for one in ending:
             self._later(lambda one=one: self.desk.session_ended(one, False))
 
     def _end(self, flight: Flight, outcome: Outcome, report: dict[str, float] | None = None) -> None:
@@ -587,9 +587,9 @@
 
     def _ending_heard(self, line: Line, id: bytes) -> None:
         for other in line.endpoint.lines:
-            held = other.ending.pop(id, None)
-            if held is not None:
-                self._later(lambda ending=held[0]: self.desk.session_ended(ending, True))
+            for ending in [ending for ending in other.ending if ending.session.id == id]:
+                del other.ending[ending]
+                self._later(lambda ending=ending: self.desk.session_ended(ending, True))
 
     def _note(self, endpoint: Endpoint, id: bytes, name: str, figure: str) -> None:
         try:
@@ -656,9 +656,9 @@
         if line.intake.stuck(now, WHOLE_WITHIN, WHOLE_WITHIN):
             self._break(line, "half a message and no more")
             return
-        for id, (ending, at) in list(line.ending.items()):
+        for ending, at in list(line.ending.items()):
             if line.up and now - at > HEARD_AFTER:
-                del line.ending[id]
+                del line.ending[ending]
                 self.desk.session_ended(ending, True)
         spare = len(line.endpoint.lines) > 1 or not line.endpoint.standing
         idle_for = self.idle_for if self.count < self.most_lines else min(IDLE_FOR, self.idle_for)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -9,6 +9,7 @@
 import anyio
 
 from curlewshift.node import isup
+from curlewshift.node.reach import Session
 from curlewshift.rehearsal.processes import listens
 from tests.node_place import CLIP, Held, Media, Place, Plain
 from tests.sockets import story, until
@@ -59,6 +60,18 @@
             await until(lambda: len(media.had(isup.RELEASE)) == 2, 1.0)
             viewer.close()
 
+    @story
+    async def test_two_ends_of_one_session_on_one_connection_are_both_counted_back(self):
+        async with Place().up() as place:
+            viewer, desk = Plain(place.port), place.node.desk
+            viewer.ask(FIRST)
+            await viewer.hear()
+            server = next(iter(place.node.reach.endpoints))
+            for _ in range(2):
+                desk.orphaned(server, Session(bytes.fromhex(FIRST), server))
+            await until(lambda: not len(desk.endings), 1.0)
+            viewer.close()
+
     @story
     async def test_a_session_that_a_server_set_up_in_place_of_the_one_before_at_its_address_is_ended_there(self):
         async with Place().up() as place:
