A reset after our own end says nothing of what the server has read: the release is said again

A server's close after our own end was taken for a proof that it had read all before; a reset is none. Change: only a clean end counts. The story in tests/test_closing fails without it.

--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -470,7 +470,8 @@
                 self._fly(flight)
         tried_again = {ending.session.id for ending in line.ending}
         self._endings_back(line)
-        for release in self.releases.connection_ended(line, by_peer, by_peer and line.retired):
+        all_read = by_peer and line.retired and not line.wire.reset_by_peer
+        for release in self.releases.connection_ended(line, by_peer, all_read):
             if release.id not in tried_again:
                 self._release_again(release)
 
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -150,6 +150,8 @@
         self.state = State.OPEN
         # the peer has closed or broken it, as far as has been read
         self.ended_by_peer = False
+        # by a reset, which says nothing of what the peer has read
+        self.reset_by_peer = False
         # bytes, what they are for, and whether some of them have left
         self.waiting: deque[list] = deque()
         self.size = 0
@@ -245,6 +247,7 @@
                 continue
             except ENDED:
                 data = b""
+                self.reset_by_peer = not self.gone
             self.ended_by_peer = not data and not self.gone
             return data
         return b""
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -2,6 +2,8 @@
 
 import os
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import unittest
@@ -60,6 +62,33 @@
             await until(lambda: len(media.had(isup.RELEASE)) == 2, 1.0)
             viewer.close()
 
+    @story
+    async def test_a_release_that_meets_a_reset_after_our_own_end_is_said_again(self):
+        go = anyio.Event()
+        async with Place().up() as place:
+            media, viewer = place.medias[0], Plain(place.port)
+
+            async def resets_unread(line, kind, id, parameters):
+                if kind == isup.RELEASE and len(media.had(isup.RELEASE)) == 1:
+                    await go.wait()
+                    sock = line.extra(anyio.abc.SocketAttribute.raw_socket)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    await line.aclose()
+                else:
+                    await media.plays(line, kind, id, parameters)
+
+            media.does = resets_unread
+            viewer.ask(FIRST)
+            await viewer.hear()
+            viewer.tear_down(FIRST)
+            line = next(iter(place.node.reach.endpoints.values())).lines[0]
+            await anyio.sleep(0.4)
+            place.node.reach._retire(line)
+            await anyio.sleep(0.05)
+            go.set()
+            await until(lambda: len(media.had(isup.RELEASE)) == 2, 1.0)
+            viewer.close()
+
     @story
     async def test_two_ends_of_one_session_on_one_connection_are_both_counted_back(self):
         async with Place().up() as place:
