--- a/curlewshift/soak/legs.py
+++ b/curlewshift/soak/legs.py
@@ -27,6 +27,10 @@
         self.by_id: dict[str, Request] = {}
         self.ended: set[int] = set()
         self.closed_by_node_at: dict[int, float] = {}
+        self.connected_at: dict[int, float] = {}
+
+    def connected(self, link: Link, at_s: float) -> None:
+        self.connected_at[link.number] = at_s
 
     def observe(self, link: Link, from_node: bool, data: bytes, at_s: float) -> None:
         if not data:
@@ -65,6 +69,7 @@
             message.body,
             at_s,
         )
+        request.connected_at = self.connected_at.get(number, at_s)
         if number in self.closed_by_node_at:
             request.after_close_s = at_s - self.closed_by_node_at[number]
         earlier = self.by_id.get(message.id)
--- a/curlewshift/soak/records.py
+++ b/curlewshift/soak/records.py
@@ -35,6 +35,8 @@
     wait_s: float
     body: bytes
     taken_at: float
+    # when its connection was accepted
+    connected_at: float = 0.0
     # the client gave up, closed or was cut: nothing is owed from then on
     left_at: float | None = None
     left_how: str = ""
--- a/curlewshift/soak/trial.py
+++ b/curlewshift/soak/trial.py
@@ -115,7 +115,12 @@
             proxy.open()
             self.tasks.start_soon(proxy.run, self.tasks)
         leg = ClientLeg(name, self.records, self.plan.cells)
-        proxy = Proxy(lambda: ("127.0.0.1", port), observe=leg.observe, watches_source=False)
+        proxy = Proxy(
+            lambda: ("127.0.0.1", port),
+            observe=leg.observe,
+            watches_source=False,
+            connected=lambda link: leg.connected(link, anyio.current_time()),
+        )
         self.clients[name] = Clients(proxy.open(), self.plan, Random(self.chance.random()))
         self.tasks.start_soon(proxy.run, self.tasks)
         self.addresses[name] = address = Address(self.discovery, name)
