--- a/curlewshift/soak/legs.py
+++ b/curlewshift/soak/legs.py
@@ -9,7 +9,7 @@
 from curlewshift.soak.proxy import Link
 from curlewshift.soak.records import Answer, Attempt, ClientRelease, NodeRelease, Records, Release, Request
 
-LEG = re.compile(r"(\w+):([^;]*)")
+LEG = re.compile(r"(\w+):(\d+)")
 FINAL = 200
 # An id that comes again within this may cross the answer to the one before (s).
 SAME_ID_WITHIN_S = 5.0
