Soak: state that nothing used is out of proxy, clients and judge

A link's gate that was always open, a stall that nothing set, a count never read, a parameter always 1 and an answer always true.

--- a/curlewshift/soak/clients.py
+++ b/curlewshift/soak/clients.py
@@ -49,7 +49,6 @@
         self.port, self.plan, self.chance = port, plan, chance
         self.pool: list[Connection] = []
         self.hurried = False
-        self.count = 0
 
     async def run(self, tasks, until_s: float) -> None:
         self.tasks = tasks
@@ -226,4 +225,4 @@
             many = [f"{self.chance.getrandbits(64):016x}" for _ in range(20)]
             connection.send(b"".join(self.set_up(one, "no such class", 800) for one in many))
         await anyio.sleep(0.3)
-        return kind != "crowd" or not connection.closed
+        return True
--- a/curlewshift/soak/judge.py
+++ b/curlewshift/soak/judge.py
@@ -113,8 +113,8 @@
         self.verdict.breaks.sort(key=lambda one: one.at_s)
         return self.verdict
 
-    def _looked(self, rule: str, count: int = 1) -> None:
-        self.verdict.looked_at[rule] += count
+    def _looked(self, rule: str) -> None:
+        self.verdict.looked_at[rule] += 1
 
     def _broken(self, rule: str, at: float, says: str, id: str = "") -> None:
         self.verdict.breaks.append(Break(rule, round(at - self.records.began_at, 3), says, id))
--- a/curlewshift/soak/proxy.py
+++ b/curlewshift/soak/proxy.py
@@ -10,7 +10,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 
@@ -58,9 +58,6 @@
     # bytes in this direction are read and thrown away while set
     lost_out: bool = False
     lost_back: bool = False
-    # nothing is passed on in either direction until it is set; bytes are still taken
-    flows: anyio.Event = field(default_factory=anyio.Event)
-    closed: bool = False
 
     def break_off(self) -> None:
         """Resets both sides."""
@@ -88,8 +85,6 @@
         self.connected = connected
         self.links: list[Link] = []
         self.count = 0
-        # new connections are taken by the kernel and not served
-        self.stalled = False
         # every new and open connection loses its bytes, outward or back
         self.lose_out = self.lose_back = False
 
@@ -104,9 +99,6 @@
         self.tasks = tasks
         while True:
             await anyio.wait_readable(self.listener)
-            if self.stalled:
-                await anyio.sleep(0.01)
-                continue
             try:
                 sock, _ = self.listener.accept()
             except (BlockingIOError, ConnectionAbortedError):
@@ -129,7 +121,6 @@
     async def _serve(self, source: socket.socket) -> None:
         link = Link(self.count, self.shape(self.count), source)
         self.count += 1
-        link.flows.set()
         self.links.append(link)
         try:
             if link.shape.accept_late_s:
@@ -145,7 +136,6 @@
                 both.start_soon(self._carry, link, True)
                 both.start_soon(self._carry, link, False)
         finally:
-            link.closed = True
             self.links.remove(link)
             for sock in (link.source, link.target):
                 if sock is not None:
@@ -198,7 +188,6 @@
     async def _pass_on(self, link: Link, outward: bool, sock: socket.socket, receive) -> None:
         async for due_s, data in receive:
             await anyio.sleep_until(due_s)
-            await link.flows.wait()
             if self._loses(link, outward):
                 # neither its bytes nor its end come through
                 continue
