--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -311,6 +311,11 @@
         self._release(line, ending.server, session.id, session.cause, session.released_at)
 
     def _release(self, line: Line, server: Server, id: bytes, cause: int, began_at: int = 0) -> None:
+        self.counts["release-sent"] += 1
+        if began_at and began_at != self.now():
+            self.counts["release-sent-again"] += 1
+            self.log.info("release-again", session=id.hex(), server=server.name, connection=line.number, cause=cause,
+                          after_ms=(self.now() - began_at) // MS)
         line.send(isup.release(id, cause), self.releases.sent(server, id, line, cause, began_at))
 
     def _release_again(self, release: Release) -> None:
@@ -524,6 +529,7 @@
         elif kind == isup.RELEASE:
             self._released(line, id, isup.cause_of(parameters), self._report(parameters))
         elif kind == isup.RELEASED:
+            self.counts["release-heard"] += 1
             self.releases.heard(endpoint.server, id, line)
             self._ending_heard(line, id)
         elif kind == isup.NOTE:
