--- a/tests/test_attempt_order.py
+++ b/tests/test_attempt_order.py
@@ -1,12 +1,8 @@
 """The order of attempts of one request, as media servers see it, where connections do not keep the order of one another."""
 
 import contextlib
-import os
-import subprocess
-import sys
 import unittest
 from collections import Counter
-from pathlib import Path
 from unittest import mock
 
 import anyio
@@ -14,12 +10,10 @@
 from curlewshift.front import reach
 from curlewshift.node import isup, wire
 from curlewshift.node.wire import Wire
-from curlewshift.rehearsal.processes import listens
-from curlewshift.soak.proxy import Proxy, Shape
 from tests.node_place import Place, Plain
+from tests.proxied import Proxied
 from tests.sockets import SmallSite, story, until
 
-ROOT = Path(__file__).resolve().parents[1]
 REQUEST = "00000000000000a1"
 
 
@@ -41,46 +35,6 @@
             await line.send(isup.encode(isup.PROBED, id, (isup.CAUSE, b"\1"), (isup.REPORT, b"x0:0.5")))
 
 
-class Proxied(Place):
-    """A place whose media servers are reached through a proxy each; `delays_s` are those of its connections, in order."""
-
-    def __init__(self, medias, delays_s):
-        super().__init__(medias)
-        self.delays_s, self.proxies = delays_s, []
-
-    def told(self):
-        told = super().told()
-        for row, proxy in zip(told["known"]["items"][0]["roster"]["servers"], self.proxies):
-            row["addr"] = f"127.0.0.1:{proxy.port}"
-        return told
-
-    def shape(self, number):
-        return Shape(delay_out_s=self.delays_s[number] if number < len(self.delays_s) else 0.0)
-
-    @contextlib.asynccontextmanager
-    async def process(self):
-        """A real node process in this place."""
-        for media in self.medias:
-            self.proxies.append(proxy := Proxy(lambda media=media: ("127.0.0.1", media.port), self.shape))
-            proxy.open()
-        async with self.around():
-            for proxy in self.proxies:
-                self.tasks.start_soon(proxy.run, self.tasks)
-            child = subprocess.Popen(
-                [sys.executable, "-m", "curlewshift.node"],
-                cwd=ROOT,
-                stderr=subprocess.DEVNULL,
-                env={**os.environ, "NODE_CONFIG": str(self.path)},
-                start_new_session=True,
-            )
-            try:
-                assert await listens(self.port, 20)
-                yield self
-            finally:
-                child.kill()
-                child.wait()
-
-
 class AtOneServer(unittest.TestCase):
     async def most_out(self, delay_s):
         place = Proxied(1, [delay_s])
--- /dev/null
+++ b/tests/test_ends.py
@@ -0,0 +1,109 @@
+"""What a set-up has left at a media server is over there, or told to its client, whatever connections swallow: real processes."""
+
+import signal
+import unittest
+
+import anyio
+
+from curlewshift.node import isup
+from tests.node_place import Plain
+from tests.proxied import Proxied
+from tests.sockets import story, until
+
+FIRST, SECOND = "00000000000000a1", "00000000000000b2"
+# The page's term for what has stood and is over (s).
+OVER_WITHIN_S = 8.0
+
+
+def swallow(link):
+    """From now on this connection loses what it is given, both ways, and looks open."""
+    link.lost_out = link.lost_back = True
+
+
+class Owing:
+    """A media server that says the end of a session on the connection of its set-up and on each connection opened later."""
+
+    def __init__(self, media):
+        self.media, self.stream_of, self.owed, self.told = media, {}, [], set()
+        media.does = self.heard
+
+    async def heard(self, stream, kind, id, parameters):
+        if kind == isup.SET_UP:
+            self.stream_of[id] = stream
+        await self.media.plays(stream, kind, id, parameters)
+
+    async def notes(self, stream, id):
+        """A note on a session that stands, twice a second."""
+        while True:
+            await anyio.sleep(0.5)
+            await stream.send(isup.encode(isup.NOTE, id, (isup.KIND, b"wire"), (isup.FIGURE, b"0.4")))
+
+    async def ends(self, id):
+        over, known = isup.release(id, isup.OVER), set(self.media.lines)
+        await self.stream_of[id].send(over)
+        while True:
+            for stream in set(self.media.lines) - known:
+                known.add(stream)
+                await stream.send(over)
+            await anyio.sleep(0.01)
+
+
+class OverAConnectionThatSwallows(unittest.TestCase):
+    @story
+    async def test_a_release_that_an_open_connection_swallowed_is_said_again_in_time(self):
+        async with Proxied(1).process() as place:
+            media, viewer = place.medias[0], Plain(place.port)
+            viewer.ask(FIRST)
+            await viewer.hear()
+            swallow(place.proxies[0].links[0])
+            viewer.tear_down(FIRST)
+            await until(lambda: media.had(isup.RELEASE), OVER_WITHIN_S)
+            viewer.close()
+
+    @story
+    async def test_an_end_that_one_of_several_connections_swallowed_is_told_to_the_client_in_time(self):
+        async with Proxied(1).process() as place:
+            server, viewer = Owing(place.medias[0]), Plain(place.port)
+            for id in (FIRST, SECOND):
+                viewer.ask(id)
+            for _ in (FIRST, SECOND):
+                await viewer.hear()
+            first, second = map(bytes.fromhex, (FIRST, SECOND))
+            self.assertIsNot(server.stream_of[first], server.stream_of[second])
+            swallow(place.link_of(server.stream_of[first]))
+            place.tasks.start_soon(server.notes, server.stream_of[second], second)
+            place.tasks.start_soon(server.ends, first)
+            told = await viewer.hear(within=OVER_WITHIN_S)
+            self.assertEqual((told.method, told.fields["session"]), ("TEARDOWN", FIRST))
+            viewer.close()
+
+
+class AtTheEndOfTheProcess(unittest.TestCase):
+    @story
+    async def test_sessions_that_clients_end_together_during_a_shutdown_are_ended_at_a_server_that_confirms_nothing(self):
+        ids = [f"{number:016x}" for number in range(1, 13)]
+        async with Proxied(1).process() as place:
+            media, viewer = place.medias[0], Plain(place.port)
+
+            async def confirms_nothing(stream, kind, id, parameters):
+                if kind != isup.RELEASE:
+                    await media.plays(stream, kind, id, parameters)
+
+            media.does = confirms_nothing
+            for id in ids:
+                viewer.ask(id)
+            for _ in ids:
+                await viewer.hear()
+            place.child.send_signal(signal.SIGTERM)
+            await anyio.sleep(1.2)
+            for id in ids:
+                viewer.tear_down(id)
+            for _ in ids:
+                await viewer.hear()
+            viewer.close()
+            await until(lambda: place.child.poll() is not None, 3.0)
+            self.assertEqual({id.hex() for id, _ in media.had(isup.RELEASE)}, set(ids))
+
+
+if __name__ == "__main__":
+    unittest.main()
