Releases have one owner until their server confirms them, and are said again until then

Cause: a release counted as heard by the clock (.2 s) or by a close in peace, so one that an open connection swallowed was never said again; ends of sessions went out four at a time and one at a time to a silent server, so that the process could be over before their turn.

Evidence: tests on a real process. One release in 8 s, on the connection that swallowed it; 4 of 12 sessions ended when the process was over.

Change: curlewshift/teardown/ keeps one record by server and id. It is closed by the server alone: release heard, an answer to anything written behind the release on its connection, a release of its own, its death (refused after a reset, or when not listed any more). Unconfirmed for .5 s, its connection is tested with a probe; unanswered, all that waits for the server goes out in one write on another connection, again each 2 s, and first on each connection that comes up. A set-up whose connection broke with a reset or inside an answer is released too. A refusal alone is no death: a process that lives may refuse when it has too many connections. node/releases.py goes; its order rules are in the new package.

Measured: the two tests fail before and pass now; tests of closing, attempt order, crossings, reloads, node, calls, crowds, walk, sessions pass.

--- /dev/null
+++ b/curlewshift/node/connections.py
@@ -0,0 +1,120 @@
+"""What the node knows of media servers: the server as it is reached, its connections, attempts that are out, sessions that stand.
+
+Made and moved by reach.py alone. Times are nanoseconds.
+"""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from curlewshift.desk.course import Course, TuneIn
+from curlewshift.model import Server
+from curlewshift.node import isup
+from curlewshift.node.wire import Errand, Intake, Wire
+
+if TYPE_CHECKING:
+    from curlewshift.node.reach import Reach
+
+
+@dataclass(eq=False, slots=True)
+class Session:
+    """What a media server has set up. `cause` is why it is to end."""
+
+    id: bytes
+    server: Server
+    description: bytes = b""
+    cause: int = isup.OVER
+    since: int = 0
+    # its new rungs go out on one connection while that is sound, as two would not keep their order
+    line: Line | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Flight(Errand):
+    """One set-up on its way. `queued` while a connection has it to write, `handed` once the kernel has a byte of it."""
+
+    tune_in: TuneIn
+    id: bytes
+    reach: Reach
+    line: Line | None = None
+    queued: bool = False
+    handed: bool = False
+    moves: int = 0
+    sent_at: int = 0
+    # its place among the messages of its connection
+    number: int = 0
+
+    def leaves(self) -> bool:
+        """Asked as its first byte is about to go out."""
+        self.queued = self.reach.leaves(self)
+        return self.queued
+
+
+class Line:
+    """One connection to a media server, from the first try to its end."""
+
+    def __init__(self, endpoint: Endpoint, number: int):
+        """`number` is its name in the log."""
+        self.endpoint, self.number = endpoint, number
+        self.wire: Wire | None = None
+        self.flights: dict[bytes, Flight] = {}
+        self.unsent: list[tuple[bytes, Errand | None]] = []
+        # messages written so far, and the place among them of each test that is not answered yet
+        self.sent = 0
+        self.probes: dict[bytes, int] = {}
+        self.over = False
+        # our end has been sent, and its server's is waited for
+        self.retired = False
+        # nothing new goes out on it
+        self.doubtful = False
+        self.opened_at = self.heard_at = self.used_at = endpoint.reach.now()
+        self.intake = Intake(isup.Reader(), isup.Malformed, self.opened_at)
+
+    @property
+    def up(self) -> bool:
+        return self.wire is not None and not self.wire.gone
+
+    @property
+    def usable(self) -> bool:
+        """It is up, or may come up yet."""
+        return self.wire is None or not self.wire.gone
+
+    def send(self, data: bytes, errand: Errand | None = None) -> int:
+        """The message's place on this connection."""
+        self.used_at = self.endpoint.reach.now()
+        self.sent += 1
+        if self.wire is None:
+            self.unsent.append((data, errand))
+        else:
+            self.wire.send(data, errand)
+        return self.sent
+
+    def probe(self) -> None:
+        """A test, whose answer shows that the server has read what was written before it."""
+        name = os.urandom(8)
+        self.probes[name] = self.send(isup.probe(name))
+
+    def withdraw(self, flight: Flight) -> None:
+        self.unsent = [entry for entry in self.unsent if entry[1] is not flight]
+        if self.wire is not None:
+            self.wire.withdraw(flight)
+
+
+class Endpoint:
+    """One media server as this node reaches it."""
+
+    def __init__(self, reach: Reach, server: Server, address: tuple[str, int]):
+        self.reach, self.server, self.address = reach, server, address
+        self.lines: list[Line] = []
+        self.standing: dict[bytes, Course] = {}
+        self.heard_at = reach.now()
+        # the server that stands at its address now
+        self.successor: Endpoint | None = None
+        # connections in a row that did not come up while nothing was heard on others, and since when
+        self.never_up = self.failing_since = 0
+        # when it was last asked for a sign
+        self.asked_at = 0
+        # a connection was reset by its peer, and none has come up since
+        self.was_reset = False
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -22,7 +22,8 @@
 from curlewshift.node import bulletin, configuration, isup
 from curlewshift.node.door import SWEEP, Door
 from curlewshift.node.follower import Follower
-from curlewshift.node.reach import Reach, Session
+from curlewshift.node.connections import Session
+from curlewshift.node.reach import Reach
 from curlewshift.node.wire import Listener
 from curlewshift.retries.endings import Ending
 from curlewshift.schedule.clock import Clock
@@ -42,6 +43,8 @@
 KILLED_AFTER, LONGEST_COUNTED = 0.7, 3.0
 # The process is over so long before that, and what is open then is closed in so long (s).
 ENDS_BEFORE, CLOSING_TAKES, ANSWERING_TAKES = 0.1, 0.25, 0.1
+# Servers that confirm nothing are waited for so long after that (s).
+TELLING_TAKES = 0.05
 # At its end, with nobody left to answer, it has so long to see out what is queued (s).
 FINISH_WITHIN = 1.5
 
@@ -137,7 +140,7 @@
                 await anyio.sleep(0.05)
         left = anyio.current_time() + FINISH_WITHIN
         await self.door.finish(min(answered_by, left), min(closed_by, left + CLOSING_TAKES))
-        await self.reach.finish()
+        await self.reach.finish(min(closed_by + TELLING_TAKES, anyio.current_time() + FINISH_WITHIN))
         self._tell_counts()
         self.log.info("ended", playing=len(self.desk.courses))
         self.tasks.cancel_scope.cancel()
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import os
 from collections import OrderedDict
-from dataclasses import dataclass
 
 import anyio
 
@@ -17,9 +15,11 @@
 from curlewshift.deployment import use_of
 from curlewshift.model import Outcome, Server
 from curlewshift.node import isup
-from curlewshift.node.releases import Release, Releases
-from curlewshift.node.wire import Errand, Intake, Wire, dial
+from curlewshift.node.connections import Endpoint, Flight, Line, Session
+from curlewshift.node.teardowns import Teardowns
+from curlewshift.node.wire import Wire, dial
 from curlewshift.retries.endings import Ending
+from curlewshift.teardown.pending import Copy
 
 MS = 1_000_000
 NS = 1_000_000_000
@@ -41,112 +41,16 @@
 TOLD_WITHIN = 2 * NS
 # A set-up that follows a release waits this long for the kernel to take it (ns).
 RELEASE_WRITTEN_WITHIN = 50 * MS
-# A release is heard once it has been out for so long on a connection that is still sound: saying so is free.
-HEARD_AFTER = NS // 5
 # Set-ups that were given up are kept to end what they set up all the same: so many, and for so long.
 MOST_GIVEN_UP, GIVEN_UP_FOR = 2000, 30 * NS
 # Set-ups moved to another connection because theirs ended before they left.
 MOST_MOVES = 3
 # Ends of sessions that nobody here held: what is handed over afterwards must not stand. So many are kept.
 MOST_OVER = 2000
-# At its end the node has so long to see out what servers are still to be told (s).
-FINISH_WITHIN = 0.5
 BEFORE = {isup.FULL: Outcome.FULL, isup.MOOT: Outcome.UNSENT, isup.ERROR: Outcome.ERROR}
 AFTER = {isup.OVER: Outcome.PLAYED, isup.CANCELLED: Outcome.CANCELLED}
 
 
-@dataclass(eq=False, slots=True)
-class Session:
-    """What a media server has set up. `cause` is why it is to end."""
-
-    id: bytes
-    server: Server
-    description: bytes = b""
-    cause: int = isup.OVER
-    since: int = 0
-    # its new rungs go out on one connection while that is sound, as two would not keep their order
-    line: Line | None = None
-    # when it was first released, 0 before
-    released_at: int = 0
-
-
-@dataclass(eq=False, slots=True)
-class Flight(Errand):
-    """One set-up on its way. `queued` while a connection has it to write, `handed` once the kernel has a byte of it."""
-
-    tune_in: TuneIn
-    id: bytes
-    reach: Reach
-    line: Line | None = None
-    queued: bool = False
-    handed: bool = False
-    moves: int = 0
-    sent_at: int = 0
-
-    def leaves(self) -> bool:
-        """Asked as its first byte is about to go out."""
-        self.queued = self.reach.leaves(self)
-        return self.queued
-
-
-class Line:
-    """One connection to a media server, from the first try to its end."""
-
-    def __init__(self, endpoint: Endpoint, number: int):
-        """`number` is its name in the log."""
-        self.endpoint, self.number = endpoint, number
-        self.wire: Wire | None = None
-        self.flights: dict[bytes, Flight] = {}
-        self.unsent: list[tuple[bytes, Errand | None]] = []
-        # releases on which nothing has come back yet, and when they went out; there may be several of one session
-        self.ending: dict[Ending, int] = {}
-        self.over = False
-        # our end has been sent, and its server's is waited for
-        self.retired = False
-        # nothing new goes out on it
-        self.doubtful = False
-        self.opened_at = self.heard_at = self.used_at = endpoint.reach.now()
-        self.intake = Intake(isup.Reader(), isup.Malformed, self.opened_at)
-
-    @property
-    def up(self) -> bool:
-        return self.wire is not None and not self.wire.gone
-
-    @property
-    def usable(self) -> bool:
-        """It is up, or may come up yet."""
-        return self.wire is None or not self.wire.gone
-
-    def send(self, data: bytes, errand: Errand | None = None) -> None:
-        self.used_at = self.endpoint.reach.now()
-        if self.wire is None:
-            self.unsent.append((data, errand))
-        else:
-            self.wire.send(data, errand)
-
-    def withdraw(self, flight: Flight) -> None:
-        self.unsent = [entry for entry in self.unsent if entry[1] is not flight]
-        if self.wire is not None:
-            self.wire.withdraw(flight)
-
-
-class Endpoint:
-    """One media server as this node reaches it."""
-
-    def __init__(self, reach: Reach, server: Server, address: tuple[str, int]):
-        self.reach, self.server, self.address = reach, server, address
-        self.lines: list[Line] = []
-        self.standing: dict[bytes, Course] = {}
-        self.probes: dict[bytes, int] = {}
-        self.heard_at = reach.now()
-        # the server that stands at its address now
-        self.successor: Endpoint | None = None
-        # connections in a row that did not come up while nothing was heard on others, and since when
-        self.never_up = self.failing_since = 0
-        # when it was last asked for a sign
-        self.asked_at = 0
-
-
 class Reach:
     """`ended(course, outcome, cause)` is told of sessions that have ended at their server, and `read_first(tune_in, then)`
     asked before a set-up leaves; see the node. Times are ns."""
@@ -161,7 +65,8 @@
         self.idle_for = int(idle_close * IDLE_PART)
         self.endpoints: dict[Server, Endpoint] = {}
         self.flights: dict[TuneIn, Flight] = {}
-        self.releases = Releases(clock)
+        self.teardowns = Teardowns(self, clock, log, counts)
+        self.pending = self.teardowns.pending
         self.given_up: OrderedDict[tuple[Server, bytes], TuneIn] = OrderedDict()
         self.over: OrderedDict[tuple[Server, bytes], int] = OrderedDict()
         self.count = self.opened = 0
@@ -177,6 +82,7 @@
                 # one that has gone: whoever answers there now knows nothing of it, but for what it was sent in its place
                 other.successor = endpoint
                 self._lost(other, "its address is another server's")
+                self.pending.moved(other.server, server)
                 other.address = None
         if endpoint.address != address:
             endpoint.address = address
@@ -189,6 +95,7 @@
 
     def _over_since(self, server: Server, at: int) -> None:
         endpoint = self.endpoints.get(server)
+        self.pending.server_gone(server, before=at)
         for id, course in list(endpoint.standing.items()) if endpoint is not None else ():
             if course.session.since < at:
                 del endpoint.standing[id]
@@ -229,8 +136,8 @@
         vw = flight.tune_in.course.vw
         flight.sent_at = self.now()
         wait = max(1, (flight.tune_in.until - self.now()) // MS)
-        line.send(isup.set_up(flight.id, vw.package.name, vw.title, wait, flight.tune_in.rung,
-                              flight.tune_in.course.offer.description), flight)
+        flight.number = line.send(isup.set_up(flight.id, vw.package.name, vw.title, wait, flight.tune_in.rung,
+                                              flight.tune_in.course.offer.description), flight)
 
     def leaves(self, flight: Flight) -> bool:
         """Whether this set-up goes out now, on its connection. Not if its viewer may have gone and nobody has read that yet;
@@ -246,18 +153,28 @@
             line.wire.ended_by_peer = True
             self._later(lambda: self._break(line, "its server has closed it"))
             return False
-        release = self.releases.before(flight.tune_in.server, flight.id)
-        if release is not None:
-            self.log.info("attempt-waits", session=flight.id.hex(), server=flight.tune_in.server.name,
-                          cause="a release is not written" if not release.written else "a release is not confirmed",
-                          connection=release.connection.number)
-            release.followers.append(lambda: self._go_on(flight))
-            if not release.written:
-                self.desk.timers.at(self.now() + RELEASE_WRITTEN_WITHIN, lambda: self._reset_unless_written(release))
+        if self._waits_for_a_release(flight):
             return False
         return not self.read_first(flight.tune_in, lambda: self._go_on(flight))
 
-    def _reset_unless_written(self, release: Release) -> None:
+    def _waits_for_a_release(self, flight: Flight) -> bool:
+        """Whether something that an earlier attempt of the same id may have left has to be over first."""
+        server = flight.tune_in.server
+        before = self.pending.before(server, flight.id)
+        if before is None:
+            return False
+        before.followers.append(lambda: self._go_on(flight))
+        if isinstance(before, Copy):
+            cause = "a release is not confirmed" if before.written else "a release is not written"
+            if not before.written:
+                self.desk.timers.at(self.now() + RELEASE_WRITTEN_WITHIN, lambda: self._reset_unless_written(before))
+        else:
+            cause = "a release has not been sent"
+            self._later(lambda: self.teardowns.hurry(before))
+        self.log.info("attempt-waits", session=flight.id.hex(), server=server.name, cause=cause)
+        return True
+
+    def _reset_unless_written(self, release: Copy) -> None:
         """A peer that takes no bytes must not hold up an attempt elsewhere; a reset lets nothing of what waits through."""
         if not release.written:
             if release.connection.wire is not None:
@@ -283,8 +200,7 @@
         if not flight.handed:
             line.withdraw(flight)
             return False
-        self._release(line, tune_in.server, flight.id, isup.OVER)
-        tune_in.course.vw.unconfirmed = self.releases.servers(flight.id)
+        self.teardowns.attempt_given_up(line, flight)
         if line.heard_at < flight.sent_at and self.now() >= tune_in.until:
             line.doubtful = True
         self.given_up[tune_in.server, flight.id] = tune_in
@@ -300,34 +216,11 @@
         line.send(isup.rung(session.id, rung))
 
     def end_session(self, ending: Ending) -> None:
+        """From now on it is seen to here: the desk need not try again."""
         endpoint = self.endpoints.get(ending.server)
-        if endpoint is None:
-            self._later(lambda: self.desk.session_ended(ending, True))
-            return
-        line = self._some_line(endpoint)
-        line.ending[ending] = self.now()
-        session = ending.session
-        session.released_at = session.released_at or self.now()
-        self._release(line, ending.server, session.id, session.cause, session.released_at)
-
-    def _release(self, line: Line, server: Server, id: bytes, cause: int, began_at: int = 0) -> None:
-        self.counts["release-sent"] += 1
-        if began_at and began_at != self.now():
-            self.counts["release-sent-again"] += 1
-            self.log.info("release-again", session=id.hex(), server=server.name, connection=line.number, cause=cause,
-                          after_ms=(self.now() - began_at) // MS)
-        line.send(isup.release(id, cause), self.releases.sent(server, id, line, cause, began_at))
-
-    def _release_again(self, release: Release) -> None:
-        """Its connection has ended, and its server may never have read it: what it set up would stand there for nobody."""
-        endpoint = self.endpoints.get(release.server)
         if endpoint is not None:
-            self._end_at(endpoint.successor or endpoint, release.id, release.cause, release.began_at)
-
-    def _end_at(self, endpoint: Endpoint, id: bytes, cause: int, released_at: int = 0) -> None:
-        if endpoint.address is not None:
-            session = Session(id, endpoint.server, cause=cause, released_at=released_at)
-            self._later(lambda: self.desk.orphaned(endpoint.server, session))
+            self.teardowns.session_over(endpoint, ending.session)
+        self._later(lambda: self.desk.session_ended(ending, True))
 
     def probe(self, server: Server) -> None:
         endpoint = self.endpoints.get(server)
@@ -335,9 +228,9 @@
             self._probe(endpoint, self._some_line(endpoint))
 
     def _probe(self, endpoint: Endpoint, line: Line) -> None:
-        name = os.urandom(8)
-        endpoint.probes[name] = self.now()
-        line.send(isup.probe(name))
+        self.counts["probe-sent"] += 1
+        line.probe()
+        self.pending.tested(line)
 
     def _later(self, call) -> None:
         """The desk is never told from within its own call."""
@@ -353,7 +246,7 @@
         if idle is not None:
             return idle
         if not sound or self.count < self.most_lines and len(endpoint.lines) < self._share():
-            return self._open(endpoint)
+            return self.open_connection(endpoint)
         return min(sound, key=lambda line: (len(line.flights), line.wire is None))
 
     def _share(self) -> int:
@@ -362,14 +255,14 @@
     def _some_line(self, endpoint: Endpoint) -> Line:
         lines = [line for line in endpoint.lines if line.usable]
         if not lines:
-            return self._open(endpoint)
+            return self.open_connection(endpoint)
         return max(lines, key=lambda line: (not line.doubtful, line.up, line.heard_at))
 
     def _keep_open(self, endpoint: Endpoint) -> None:
         if not endpoint.lines:
-            self._open(endpoint)
+            self.open_connection(endpoint)
 
-    def _open(self, endpoint: Endpoint) -> Line:
+    def open_connection(self, endpoint: Endpoint) -> Line:
         self.opened += 1
         line = Line(endpoint, self.opened)
         endpoint.lines.append(line)
@@ -394,8 +287,9 @@
             if line.over:
                 sock.close()
                 return
-            endpoint.never_up = 0
+            endpoint.never_up, endpoint.was_reset = 0, False
             line.wire = Wire(sock, self.tasks)
+            self.teardowns.connection_up(line)
             self._take_off(line)
             while data := await line.wire.receive():
                 self._read(line, data)
@@ -431,12 +325,19 @@
         self._gone(line)
         for flight in list(line.flights.values()):
             self._end(flight, Outcome.UNSENT if own else Outcome.UNREACHED)
-        if endpoint.probes and not any(other.up for other in endpoint.lines):
-            endpoint.probes.clear()
+        if line.probes and not any(other.up for other in endpoint.lines):
             self.desk.probed(endpoint.server, Outcome.UNREACHED)
-        self._endings_back(line)
-        if wrong is not None and not own and endpoint.standing and not any(other.up for other in endpoint.lines):
-            self._lost(endpoint, "refused")
+        if wrong is not None and not own and not any(other.up for other in endpoint.lines) and self._has_died(endpoint):
+            self.pending.server_gone(endpoint.server)
+            if endpoint.standing:
+                self._lost(endpoint, "refused")
+
+    def _has_died(self, endpoint: Endpoint) -> bool:
+        """Of a server that refuses connections: a process that lives may do so where it has too many, but resets none."""
+        return endpoint.was_reset or endpoint.address is None or not self._is_listed(endpoint)
+
+    def _is_listed(self, endpoint: Endpoint) -> bool:
+        return self.desk.roster.servers.get(endpoint.server.name) is endpoint.server
 
     def _gone(self, line: Line) -> None:
         if not line.over:
@@ -460,12 +361,11 @@
             line.wire.drop()
         by_peer = line.wire is not None and line.wire.ended_by_peer
         self._log_close(line, "its server has closed it" if by_peer else why)
+        if line.wire is not None and line.wire.reset_by_peer:
+            line.endpoint.was_reset = True
         for flight in list(line.flights.values()):
             if flight.handed:
-                if not by_peer:
-                    # the server may not have seen that the connection is closed when the next attempt comes
-                    self.releases.sent(flight.tune_in.server, flight.id, line, isup.OVER)
-                    flight.tune_in.course.vw.unconfirmed = self.releases.servers(flight.id)
+                self.teardowns.attempt_broken(line, flight, by_peer)
                 self._end(flight, Outcome.BROKEN)
             elif flight.moves >= MOST_MOVES or not self.desk.stands(flight.tune_in):
                 self._end(flight, Outcome.UNSENT)
@@ -473,17 +373,7 @@
                 flight.moves += 1
                 line.flights.pop(flight.id)
                 self._fly(flight)
-        tried_again = {ending.session.id for ending in line.ending}
-        self._endings_back(line)
-        all_read = by_peer and line.retired and not line.wire.reset_by_peer
-        for release in self.releases.connection_ended(line, by_peer, all_read):
-            if release.id not in tried_again:
-                self._release_again(release)
-
-    def _endings_back(self, line: Line) -> None:
-        ending, line.ending = line.ending, {}
-        for one in ending:
-            self._later(lambda one=one: self.desk.session_ended(one, False))
+        self.pending.connection_ended(line, by_peer)
 
     def _end(self, flight: Flight, outcome: Outcome, report: dict[str, float] | None = None) -> None:
         self.flights.pop(flight.tune_in, None)
@@ -529,13 +419,13 @@
         elif kind == isup.RELEASE:
             self._released(line, id, isup.cause_of(parameters), self._report(parameters))
         elif kind == isup.RELEASED:
-            self.counts["release-heard"] += 1
-            self.releases.heard(endpoint.server, id, line)
-            self._ending_heard(line, id)
+            self.pending.heard(endpoint.server, id, line)
         elif kind == isup.NOTE:
             self._note(endpoint, id, isup.text_of(parameters, isup.KIND), isup.text_of(parameters, isup.FIGURE))
         elif kind == isup.PROBED:
-            if endpoint.probes.pop(id, None) is not None:
+            number = line.probes.pop(id, None)
+            if number is not None:
+                self.pending.answered(line, number)
                 passed = isup.cause_of(parameters) == 1
                 self.desk.probed(endpoint.server, Outcome.PLAYED if passed else Outcome.ERROR, self._report(parameters))
         elif kind == isup.PROBE:
@@ -566,6 +456,7 @@
             return
         del line.flights[id]
         self.flights.pop(flight.tune_in, None)
+        self.pending.answered(line, flight.number)
         course = flight.tune_in.course
         self.desk.played(flight.tune_in, session, self._report(parameters))
         if course.session is session and course.vw.playing:
@@ -576,10 +467,11 @@
         endpoint = line.endpoint
         flight = line.flights.get(id)
         if flight is not None:
+            self.pending.answered(line, flight.number)
             self._end(flight, BEFORE.get(cause, Outcome.BROKEN), report)
             return
         given_up = self.given_up.pop((endpoint.server, id), None)
-        self._ending_heard(line, id)
+        self.pending.over(endpoint.server, id)
         if report:
             self.desk.told(endpoint.server, report)
         course = endpoint.standing.pop(id, None)
@@ -592,12 +484,6 @@
             line.send(isup.released(id))
             self.ended(course, AFTER.get(cause, Outcome.BROKEN), None if cause == isup.CANCELLED else cause)
 
-    def _ending_heard(self, line: Line, id: bytes) -> None:
-        for other in line.endpoint.lines:
-            for ending in [ending for ending in other.ending if ending.session.id == id]:
-                del other.ending[ending]
-                self._later(lambda ending=ending: self.desk.session_ended(ending, True))
-
     def _note(self, endpoint: Endpoint, id: bytes, name: str, figure: str) -> None:
         try:
             figure = float(figure)
@@ -630,46 +516,47 @@
             if cut_off:
                 self.desk.orphaned(endpoint.server, course.session)
             elif endpoint.successor is not None:
-                self._end_at(endpoint.successor, course.session.id, isup.OVER)
+                self.teardowns.session_over(endpoint.successor, Session(course.session.id, endpoint.successor.server))
         for line in list(endpoint.lines):
             self._break(line, why)
 
     # ---- looked after
 
-    async def finish(self) -> None:
-        """The node's end: what servers are to be told goes out, so far as their connections take it."""
-        with anyio.move_on_after(FINISH_WITHIN):
-            while any(line.wire is None and line.unsent or line.up and line.wire.waiting
-                      for endpoint in self.endpoints.values() for line in endpoint.lines):
-                await anyio.sleep(0.005)
+    async def finish(self, until: float) -> None:
+        """The node's end: what servers are to be told is told and confirmed, at the latest `until` then (anyio's clock)."""
+        self.teardowns.test_all()
+        while anyio.current_time() < until and (len(self.pending) or self._something_waits()):
+            await anyio.sleep(0.005)
+
+    def _something_waits(self) -> bool:
+        return any(line.up and line.wire.waiting for endpoint in self.endpoints.values() for line in endpoint.lines)
 
     def sweep(self) -> None:
         now = self.now()
-        self.releases.expire()
+        self.pending.expire()
         while self.given_up and next(iter(self.given_up.values())).until < now - GIVEN_UP_FOR:
             self.given_up.popitem(last=False)
         for endpoint in list(self.endpoints.values()):
             for line in list(endpoint.lines):
                 self._look_after(line, now)
-            for name in [name for name, at in endpoint.probes.items() if now - at > GIVEN_UP_FOR]:
-                del endpoint.probes[name]
+            if endpoint.server in self.pending.at:
+                self.teardowns.look_after(endpoint)
             if endpoint.standing:
                 self._keep_open(endpoint)
                 self._ask_for_sign(endpoint, now)
-            elif not endpoint.lines and self.desk.roster.servers.get(endpoint.server.name) is not endpoint.server:
+            elif not endpoint.lines and not self._is_listed(endpoint) and not self.pending.of(endpoint.server):
                 del self.endpoints[endpoint.server]
 
     def _look_after(self, line: Line, now: int) -> None:
         if line.intake.stuck(now, WHOLE_WITHIN, WHOLE_WITHIN):
             self._break(line, "half a message and no more")
             return
-        for ending, at in list(line.ending.items()):
-            if line.up and now - at > HEARD_AFTER:
-                del line.ending[ending]
-                self.desk.session_ended(ending, True)
         spare = len(line.endpoint.lines) > 1 or not line.endpoint.standing
+        if not spare or not line.up or line.flights:
+            return
         idle_for = self.idle_for if self.count < self.most_lines else min(IDLE_FOR, self.idle_for)
-        if spare and line.up and not line.flights and not line.ending and (line.doubtful or now - line.used_at > idle_for):
+        idle = now - line.used_at > idle_for and not self.teardowns.unconfirmed_on(line)
+        if line.doubtful or idle:
             self._retire(line)
 
     def _ask_for_sign(self, endpoint: Endpoint, now: int) -> None:
@@ -680,7 +567,7 @@
             endpoint.never_up = 0
             return
         if endpoint.never_up and all(line.up for line in endpoint.lines):
-            self._open(endpoint)
+            self.open_connection(endpoint)
         if now - endpoint.heard_at <= self.silent_for:
             endpoint.asked_at = 0
             return
@@ -690,4 +577,4 @@
         elif now - endpoint.asked_at > SIGN_WITHIN:
             if all(line.up and now - line.opened_at > self.silent_for for line in endpoint.lines):
                 endpoint.asked_at = now
-                self._probe(endpoint, self._open(endpoint))
+                self._probe(endpoint, self.open_connection(endpoint))
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -11,7 +11,7 @@
 import anyio
 
 from curlewshift.node import isup
-from curlewshift.node.reach import Session
+from curlewshift.node.connections import Session
 from curlewshift.rehearsal.processes import listens
 from tests.node_place import CLIP, Held, Media, Place, Plain
 from tests.sockets import story, until
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -141,7 +141,7 @@
                     viewer.tear_down(id)
                     await viewer.hear()
                 endpoint = place.node.reach.endpoints[place.node.fleet.servers[media.name]]
-                await until(lambda: len(endpoint.lines) == 2 and not any(line.ending for line in endpoint.lines))
+                await until(lambda: len(endpoint.lines) == 2 and not any(map(place.node.reach.teardowns.unconfirmed_on, endpoint.lines)))
                 with mock.patch.object(Wire, "_push", lambda wire: False):
                     viewer.ask(C, package=CLIP)
                     await until(lambda: place.node.reach.flights)
@@ -426,7 +426,7 @@
         viewer.tear_down(A)
         await viewer.hear()
         line = place.node.reach.endpoints[place.node.fleet.servers[place.medias[0].name]].lines[0]
-        await until(lambda: not place.node.desk.courses and not line.ending)
+        await until(lambda: not place.node.desk.courses and not place.node.reach.teardowns.unconfirmed_on(line))
         return line
 
     @story
--- a/tests/test_crossings_reloads.py
+++ b/tests/test_crossings_reloads.py
@@ -200,7 +200,7 @@
             for asked in (1, 2):
                 # time passes in which it has nothing to say: it is asked, and answers
                 endpoint.heard_at -= 3 * SECOND
-                await until(lambda: len(media.had(isup.PROBE)) == asked and not endpoint.probes)
+                await until(lambda: len(media.had(isup.PROBE)) == asked and not any(line.probes for line in endpoint.lines))
             never, _ = await self.vanished(place, media)
             # two seconds have passed since, of the eight that there are
             endpoint.heard_at -= 2 * SECOND
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -510,7 +510,7 @@
         await viewer.answer(id)
         await viewer.tear_down(id)
         line = next(iter(place.node.reach.endpoints.values())).lines[0]
-        await until(lambda: not place.node.desk.courses and not line.ending)
+        await until(lambda: not place.node.desk.courses and not place.node.reach.teardowns.unconfirmed_on(line))
         return line
 
     @story
