Each connection that may carry the end of a session is asked for a sign of its own

Cause: whether a server is alive was asked by server. While any of its connections was heard, another could lose every word, and a server says an end again only on the next connection that is opened, which nobody opened.

Evidence: test on a real process with a byte proxy; its client was told nothing in 8 s.

Change: a connection on which sessions were set up (or any, where that of a session is closed) is tested once it is silent for 5 s, or for the shorter term if the whole server is; unanswered for .5 s it takes nothing new and another is opened. Another is also opened where we closed a connection on which sessions stand.

Two tests of silent servers pretend that time has passed by moving the last moment of hearing; they move it for each connection too now, their bounds are unchanged.

--- a/curlewshift/node/connections.py
+++ b/curlewshift/node/connections.py
@@ -29,6 +29,8 @@
     since: int = 0
     # its new rungs go out on one connection while that is sound, as two would not keep their order
     line: Line | None = None
+    # its server tells its end here, while this connection is open
+    set_up_on: Line | None = None
 
 
 @dataclass(eq=False, slots=True)
@@ -70,6 +72,8 @@
         # nothing new goes out on it
         self.doubtful = False
         self.opened_at = self.heard_at = self.used_at = endpoint.reach.now()
+        # when it was last asked for a sign, 0 once it has given one
+        self.asked_at = 0
         self.intake = Intake(isup.Reader(), isup.Malformed, self.opened_at)
 
     @property
@@ -114,7 +118,7 @@
         self.successor: Endpoint | None = None
         # connections in a row that did not come up while nothing was heard on others, and since when
         self.never_up = self.failing_since = 0
-        # when it was last asked for a sign
-        self.asked_at = 0
+        # since when words of the server may have been lost with a connection, until another is opened
+        self.unheard_since = 0
         # a connection was reset by its peer, and none has come up since
         self.was_reset = False
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -363,6 +363,8 @@
         self._log_close(line, "its server has closed it" if by_peer else why)
         if line.wire is not None and line.wire.reset_by_peer:
             line.endpoint.was_reset = True
+        if not by_peer and any(course.session.set_up_on is line for course in line.endpoint.standing.values()):
+            line.endpoint.unheard_since = self.now()
         for flight in list(line.flights.values()):
             if flight.handed:
                 self.teardowns.attempt_broken(line, flight, by_peer)
@@ -460,7 +462,7 @@
         course = flight.tune_in.course
         self.desk.played(flight.tune_in, session, self._report(parameters))
         if course.session is session and course.vw.playing:
-            session.line = line
+            session.line = session.set_up_on = line
             endpoint.standing[id] = course
 
     def _released(self, line: Line, id: bytes, cause: int, report: dict[str, float]) -> None:
@@ -566,15 +568,44 @@
             self._lost(endpoint, "silent, and no connection comes up", cut_off=True)
             endpoint.never_up = 0
             return
-        if endpoint.never_up and all(line.up for line in endpoint.lines):
-            self.open_connection(endpoint)
-        if now - endpoint.heard_at <= self.silent_for:
-            endpoint.asked_at = 0
+        silent = now - endpoint.heard_at > self.silent_for
+        if (endpoint.never_up or endpoint.unheard_since or silent) and self._needs_another(endpoint, now):
+            self._probe(endpoint, self.open_connection(endpoint))
+        for line in list(endpoint.lines):
+            if now - line.heard_at > self.silent_for:
+                self._ask_line_for_sign(line, now)
+            else:
+                line.asked_at = 0
+
+    def _needs_another(self, endpoint: Endpoint, now: int) -> bool:
+        """Whether what the server has to say may have been lost with the connections that there were."""
+        lines = endpoint.lines
+        if not all(line.up for line in lines):
+            return False
+        newest = max(line.opened_at for line in lines)
+        if newest >= endpoint.unheard_since:
+            endpoint.unheard_since = 0
+        silent = all(line.doubtful and now - max(line.heard_at, newest) > self.silent_for for line in lines)
+        return bool(endpoint.never_up or endpoint.unheard_since) or silent
+
+    def _ask_line_for_sign(self, line: Line, now: int) -> None:
+        """A connection may lose its server's words while others to the same server go on. The server says them again on the next
+        one that is opened."""
+        endpoint = line.endpoint
+        if line.doubtful or not line.up or endpoint.heard_at > line.heard_at and now - line.heard_at <= LONGEST_SILENT:
             return
-        if not endpoint.asked_at:
-            endpoint.asked_at = now
-            self._probe(endpoint, self._some_line(endpoint))
-        elif now - endpoint.asked_at > SIGN_WITHIN:
-            if all(line.up and now - line.opened_at > self.silent_for for line in endpoint.lines):
-                endpoint.asked_at = now
+        if not line.asked_at:
+            if self._may_carry_an_end(line):
+                line.asked_at = now
+                self._probe(endpoint, line)
+        elif now - line.asked_at > SIGN_WITHIN:
+            self.log.info("connection-silent", server=endpoint.server.name, connection=line.number,
+                          silent_ms=(now - line.heard_at) // MS)
+            line.doubtful = True
+            if not any(other.opened_at >= line.asked_at for other in endpoint.lines):
                 self._probe(endpoint, self.open_connection(endpoint))
+
+    def _may_carry_an_end(self, line: Line) -> bool:
+        """A server tells the end of a session on the connection of its set-up, or, if that is closed, on any."""
+        used = {course.session.set_up_on for course in line.endpoint.standing.values()}
+        return line in used or any(one not in line.endpoint.lines for one in used)
--- a/tests/test_crossings_reloads.py
+++ b/tests/test_crossings_reloads.py
@@ -178,6 +178,13 @@
             await bulletin.tell(4, one)
             await until(lambda: not place.node.fleet.servers[one.name].open)
 
+    @staticmethod
+    def silent_for(endpoint, span):
+        """As if nothing had been heard of it on any connection for so long."""
+        endpoint.heard_at -= span
+        for line in endpoint.lines:
+            line.heard_at -= span
+
     async def vanished(self, place, media):
         """Its connections stay open and silent, and none comes up any more."""
         media.does = media.silent
@@ -199,11 +206,11 @@
             endpoint = place.node.reach.endpoints[place.node.fleet.servers[media.name]]
             for asked in (1, 2):
                 # time passes in which it has nothing to say: it is asked, and answers
-                endpoint.heard_at -= 3 * SECOND
+                self.silent_for(endpoint, 3 * SECOND)
                 await until(lambda: len(media.had(isup.PROBE)) == asked and not any(line.probes for line in endpoint.lines))
             never, _ = await self.vanished(place, media)
             # two seconds have passed since, of the eight that there are
-            endpoint.heard_at -= 2 * SECOND
+            self.silent_for(endpoint, 2 * SECOND)
             for line in endpoint.lines:
                 line.opened_at -= 2 * SECOND
             self.assertEqual((await viewer.hear(5.5)).fields["reason"], "cause=41")
@@ -225,7 +232,7 @@
                 await viewer.hear()
                 never, endpoint = await self.vanished(place, media)
                 # five seconds have passed since
-                endpoint.heard_at -= 5 * SECOND
+                self.silent_for(endpoint, 5 * SECOND)
                 for line in endpoint.lines:
                     line.opened_at -= 5 * SECOND
                 self.assertEqual((await viewer.hear(2.5)).fields["reason"], "cause=41")
