What a server may have set up before it closed a connection is released too, at a measured pace

Change: a close by the server opens a record as well; a further set-up of the id at that server still need not wait, its release goes out just before it on the same connection.

Plants of the soak follow the new package; end-once, end-queue-head, half-answer and answer-of-another are added.

--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -155,7 +155,10 @@
             return False
         if self._waits_for_a_release(flight):
             return False
-        return not self.read_first(flight.tune_in, lambda: self._go_on(flight))
+        if self.read_first(flight.tune_in, lambda: self._go_on(flight)):
+            return False
+        self.teardowns.set_up_again(line, flight)
+        return True
 
     def _waits_for_a_release(self, flight: Flight) -> bool:
         """Whether something that an earlier attempt of the same id may have left has to be over first."""
--- a/curlewshift/node/teardowns.py
+++ b/curlewshift/node/teardowns.py
@@ -40,10 +40,8 @@
         flight.tune_in.course.vw.unconfirmed = self.pending.servers_of(flight.id)
 
     def attempt_broken(self, line: Line, flight: Flight, by_peer: bool) -> None:
-        """Its connection has ended under it. Closed by the server in peace, the set-up is given up there and was not answered."""
-        if by_peer and not line.wire.reset_by_peer and not line.intake.partial:
-            return
-        record = self.pending.open(flight.tune_in.server, flight.id, isup.OVER, unhurried=by_peer)
+        """Its connection has ended under it. What was answered before that may stand, whether the answer came through or not."""
+        record = self.pending.open(flight.tune_in.server, flight.id, isup.OVER, closed_by_server=by_peer)
         if not by_peer:
             # the server may not have seen the close when the next attempt comes
             self.pending.said(record, line, line.sent)
@@ -62,11 +60,18 @@
         else:
             self._open_one(endpoint)
 
+    def set_up_again(self, line: Line, flight: Flight) -> None:
+        """A set-up leaves whose id may still stand there: its release goes out just before it, on the same connection."""
+        record = self.pending.find(flight.tune_in.server, flight.id)
+        if record is not None:
+            self._write(line, record)
+            self.pending.superseded(record)
+
     # ---- how it is told
 
     def connection_up(self, line: Line) -> None:
-        """All that waits for its server goes out on it first, in one write."""
-        records = self.pending.unsaid_on(line.endpoint.server, line)
+        """All that waits for its server goes out on it first, in one write; what a set-up is to follow goes just before that."""
+        records = [record for record in self.pending.unsaid_on(line.endpoint.server, line) if not self._goes_ahead(record, line)]
         if records:
             self._say(line, records)
 
@@ -108,6 +113,10 @@
 
     # ---- inside
 
+    @staticmethod
+    def _goes_ahead(record: PendingRelease, line: Line) -> bool:
+        return record.closed_by_server and not record.copies and record.id in line.flights
+
     def _write(self, line: Line, record: PendingRelease) -> None:
         self.counts["release-sent"] += 1
         if record.times_said:
--- a/curlewshift/soak/plants.py
+++ b/curlewshift/soak/plants.py
@@ -10,25 +10,51 @@
 
 from curlewshift.desk import desk
 from curlewshift.node import __main__ as start
-from curlewshift.node import node, reach, releases, rtsp
+from curlewshift.node import door, isup, node, reach, rtsp, teardowns
 from curlewshift.node.door import Door
 from curlewshift.node.follower import Follower
 from curlewshift.rules import Rules
+from curlewshift.teardown.pending import PendingReleases
 
 
-class NoReleases(releases.Releases):
+class WaitsForNoRelease(PendingReleases):
     """Lets a further attempt follow at once on another connection, behind a release that is still on its way."""
 
     def before(self, server, id):
         return None
 
 
-class ReleaseElsewhere(reach.Reach):
+class ReleaseElsewhere(teardowns.Teardowns):
     """Gives an attempt up on another connection than its own, and waits for nothing."""
 
-    def _release(self, line, server, id, cause):
+    def attempt_given_up(self, line, flight):
         other = next((one for one in line.endpoint.lines if one is not line and one.up), None)
-        (other or self._open(line.endpoint)).send(reach.isup.release(id, cause))
+        (other or self.reach.open_connection(line.endpoint)).send(isup.release(flight.id, isup.OVER))
+
+
+class SaysOnce(teardowns.Teardowns):
+    """Takes each release as heard once it is written."""
+
+    def connection_up(self, line):
+        for record in self.pending.of(line.endpoint.server):
+            if not record.times_said:
+                self._write(line, record)
+
+    def look_after(self, endpoint):
+        pass
+
+
+class OneEndAtATime(teardowns.Teardowns):
+    """Lets the oldest release that is not confirmed hold up all others to its server."""
+
+    def _write(self, line, record):
+        if record is self.pending.of(record.server)[0]:
+            super()._write(line, record)
+
+    def look_after(self, endpoint):
+        head = self.pending.of(endpoint.server)[0]
+        if head.next_at <= self.now():
+            self._say_again(endpoint, [head])
 
 
 class AnswersTwice(Door):
@@ -40,6 +66,30 @@
             line.wire.send(rtsp.answer(500, "1", asked.name))
 
 
+class HalfAnswers(Door):
+    """Cuts some answers off in their bodies, and keeps the connection."""
+
+    def answer(self, asked, answer, description=b""):
+        whole = rtsp.answer
+        if int(asked.name, 16) % 50 == 0 and description:
+            door.rtsp.answer = lambda *told, **more: whole(*told, **more)[:-7]
+        try:
+            super().answer(asked, answer, description)
+        finally:
+            door.rtsp.answer = whole
+
+
+class AnswersOfAnother(Door):
+    """Passes some descriptions on to whoever asked next."""
+
+    before = b""
+
+    def answer(self, asked, answer, description=b""):
+        given = self.before if int(asked.name, 16) % 50 == 0 and self.before and description else description
+        AnswersOfAnother.before = description or self.before
+        super().answer(asked, answer, given)
+
+
 class DropsOnDrain(node.Node):
     """Ends at once on SIGTERM, with what it has taken."""
 
@@ -104,9 +154,13 @@
 
 
 PLANTS: dict[str, Callable[[], None]] = {
-    "retry-before-release": lambda: setattr(reach, "Releases", NoReleases),
-    "release-on-another-connection": lambda: setattr(node, "Reach", ReleaseElsewhere),
+    "retry-before-release": lambda: setattr(teardowns, "PendingReleases", WaitsForNoRelease),
+    "release-on-another-connection": lambda: setattr(reach, "Teardowns", ReleaseElsewhere),
+    "end-once": lambda: setattr(reach, "Teardowns", SaysOnce),
+    "end-queue-head": lambda: setattr(reach, "Teardowns", OneEndAtATime),
     "answer-twice": lambda: setattr(node, "Door", AnswersTwice),
+    "half-answer": lambda: setattr(node, "Door", HalfAnswers),
+    "answer-of-another": lambda: setattr(node, "Door", AnswersOfAnother),
     "drop-on-drain": lambda: setattr(node, "Node", DropsOnDrain),
     "stale-list-after-outage": lambda: setattr(node, "Follower", StaleList),
     "serve-after-leaving": lambda: setattr(node, "Node", StaysAfterLeaving),
--- a/curlewshift/teardown/pending.py
+++ b/curlewshift/teardown/pending.py
@@ -29,6 +29,8 @@
 GIVEN_UP_AFTER_NS = 30 * SECOND_NS
 # Of a connection that broke by itself the server mostly knows: another is not opened for such a release alone before this.
 UNHURRIED_NS = 2 * SECOND_NS
+# Said again after the connections of earlier ones have ended: the first pause, doubled up to `PAUSE_NS`.
+FIRST_PAUSE_NS = SECOND_NS // 4
 # Records of one server, and of all; the oldest are dropped first, as their servers will have ended them soonest.
 MOST_AT_SERVER, MOST = 5_000, 20_000
 
@@ -85,6 +87,8 @@
     cause: int
     opened_at: int
     state: State = State.DUE
+    # the server has closed the connection of its set-up, so that at the most a session stands
+    closed_by_server: bool = False
     # the next step is due then
     next_at: int = 0
     times_said: int = 0
@@ -99,6 +103,11 @@
             follow()
 
 
+def _pause(times_said: int) -> int:
+    """Before a release is said again whose connection has ended."""
+    return min(PAUSE_NS, FIRST_PAUSE_NS << min(times_said - 2, 8))
+
+
 class PendingReleases:
     """All records of one node, by server and id. `counts` counts how records were closed."""
 
@@ -117,14 +126,15 @@
 
     # ---- records
 
-    def open(self, server: Server, id: bytes, cause: int, unhurried: bool = False) -> PendingRelease:
-        """The record of this id at this server; a new one is due at once, or later where it is `unhurried`."""
+    def open(self, server: Server, id: bytes, cause: int, closed_by_server: bool = False) -> PendingRelease:
+        """The record of this id at this server. A new one is due at once; later, where the server has closed its connection."""
         here = self.at.setdefault(server, {})
         record = here.get(id)
         if record is not None:
             return record
         now = self.now()
-        record = here[id] = PendingRelease(server, id, cause, now, next_at=now + UNHURRIED_NS if unhurried else now)
+        due_at = now + UNHURRIED_NS if closed_by_server else now
+        record = here[id] = PendingRelease(server, id, cause, now, closed_by_server=closed_by_server, next_at=due_at)
         self._track(record)
         if len(here) > MOST_AT_SERVER:
             self._drop(next(iter(here.values())), "shed")
@@ -133,6 +143,10 @@
             self._drop(min(oldest_of_each, key=lambda one: one.opened_at), "shed")
         return record
 
+    def find(self, server: Server, id: bytes) -> PendingRelease | None:
+        """The open record of this id at this server."""
+        return self.at.get(server, {}).get(id)
+
     def of(self, server: Server) -> list[PendingRelease]:
         """Open records of this server, the oldest first."""
         return list(self.at.get(server, {}).values())
@@ -187,7 +201,7 @@
         copies = [copy for record in self.by_id.get(id, ()) if record.server is server for copy in record.copies]
         if copies:
             self._confirm(next((copy for copy in copies if copy.connection is connection), copies[0]))
-        record = self.at.get(server, {}).get(id)
+        record = self.find(server, id)
         if record is not None:
             self._close(record, "heard")
 
@@ -201,10 +215,14 @@
 
     def over(self, server: Server, id: bytes) -> None:
         """The server says by itself that nothing stands there under this id."""
-        record = self.at.get(server, {}).get(id)
+        record = self.find(server, id)
         if record is not None:
             self._close(record, "over")
 
+    def superseded(self, record: PendingRelease) -> None:
+        """A set-up of the same id follows its release on the same connection: from now on what stands there is that one's."""
+        self._close(record, "superseded")
+
     def server_gone(self, server: Server, before: int | None = None) -> None:
         """What was opened `before` then died with the server's process."""
         for record in self.of(server):
@@ -223,7 +241,8 @@
         for copy in list(self.by_connection.get(connection, ())):
             record = copy.record
             if record.state is not State.CLOSED and record.copies[-1] is copy:
-                record.state, record.next_at = State.DUE, now
+                record.state = State.DUE
+                record.next_at = max(record.next_at, now + _pause(record.times_said)) if record.times_said > 1 else now
             if by_peer:
                 self._confirm(copy)
             copy.out()
@@ -238,7 +257,9 @@
         """What a set-up of this id at this server has to wait for: a record that was never said, or a copy."""
         for record in self.by_id.get(id, ()):
             if record.server is server:
-                return record.copies[0] if record.copies else record
+                if record.copies:
+                    return record.copies[0]
+                return None if record.closed_by_server else record
             unwritten = next((copy for copy in record.copies if not copy.written), None)
             if unwritten is not None:
                 return unwritten
