A set-up whose end came first on another connection is refused and not forwarded

Cause: what ends a request may come on any connection, two connections order nothing, and the TEARDOWN of an id that was not known was remembered for hand-overs alone.

The set-up gets 454, harmless to repeat. Test on real sockets: 200 and a set-up at the server before. A second test of the same candidate, what a client sent before its connection failed under a write, passes before as well: the kernel keeps it and it is read.

--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -336,6 +336,8 @@
             return
         if name in self.asked:
             raise Wrong("this session is open already", 455, named=False)
+        if self.torn_down.pop(name, None) is not None:
+            raise Wrong("its end came first, on another connection", 454)
         asked = self.asked[name] = Asked(name, line)
         line.waiting[name] = asked
         self.trail.taken(name, line)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -140,6 +140,39 @@
                 await until(lambda: media.had(isup.RELEASE), 1.0)
                 held.go.set()
 
+    @story
+    async def test_a_set_up_that_arrives_behind_its_own_end_on_another_connection_is_not_forwarded(self):
+        async with Place().up() as place:
+            media, viewer, other = place.medias[0], Plain(place.port), Plain(place.port)
+            other.tear_down(FIRST)
+            self.assertEqual((await other.hear()).status, 454)
+            viewer.ask(FIRST)
+            self.assertEqual((await viewer.hear()).status, 454)
+            self.assertEqual((media.had(isup.SET_UP), place.node.desk.courses), ([], {}))
+            viewer.close()
+            other.close()
+
+    @story
+    async def test_what_a_client_sent_before_its_connection_failed_under_a_write_is_read(self):
+        held = Held()
+        async with Place().up() as place:
+            with held.all():
+                media, viewer = place.medias[0], Plain(place.port)
+                for id in (FIRST, SECOND):
+                    viewer.ask(id)
+                await viewer.hear()
+                await viewer.hear()
+                await anyio.sleep(0.1)
+                line = next(iter(place.node.door.lines))
+                held.sockets.add(line.wire.socket)
+                viewer.tear_down(FIRST)
+                viewer.close()
+                for _ in range(3):
+                    line.wire.send(b"RTSP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    await anyio.sleep(0.02)
+                held.go.set()
+                await until(lambda: media.had(isup.RELEASE), 1.0)
+
     @story
     async def test_a_release_that_crosses_the_close_of_its_connection_ends_the_session(self):
         held = Held()
