A session whose answer its client never read is ended at its server

What callers saw: a session for nobody at a media server, where a client had closed its connection in the moment in which its answer was on the way (rule lost: left standing).

Cause: a session belongs to no connection, so the end of one said nothing. But a kernel resets a connection that is closed with something unread or given something after the close: a reset, or one that follows a close in peace within 50 ms, says that what was answered last has not been read.

Change: sessions answered within the second before such a reset are ended at their server, and their clients told on any other connection, should they have read the answer all the same. Two tests on real sockets fail before; one that a client which reads its answer and closes plays on passes before and after. Tests of node, crossings, reloads, calls, crowds, attempts pass.

--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 from typing import Callable
 
@@ -31,6 +31,9 @@
 SWEEP = 0.1
 # An answer is this long on its way to its viewer at the most; after that it would find nobody (ns).
 WAY_BACK = 10 * MS
+# A kernel resets a connection whose program has closed it with something unread, or that is given something after the close. So a
+# reset so long after an answer says that the client has not read it (ns); one that follows a close in peace comes within (s):
+RESET_WITHIN, RESET_FOLLOWS_WITHIN = NS, 0.05
 # A request that is past its time by so much has been forgotten by whoever should have answered (ns).
 OVERDUE = NS // 10
 # Releases that wait for a connection to go out on; more are dropped, oldest first.
@@ -45,6 +48,8 @@
 CAUSE = re.compile(r"(?:.*;)? *cause=([0-9]{1,3})")
 AT = re.compile(r"s-[0-9a-f]{8}")
 MOST_DESCRIPTION = 8 * 1024
+# The cause that a client is told whose answer was taken for unread: its session was cut.
+UNREAD_CAUSE = 41
 # Trying again is harmless after 453 and 503, and is not after the others.
 NO_ROOM, LEAVING, FAILED, BAD = 453, 503, 500, 400
 
@@ -94,6 +99,8 @@
         self.waiting: dict[str, Asked] = {}
         # viewings asked for here that stand: their ends are told here, and their viewers' next requests come here
         self.standing = 0
+        # those of them that were answered last, with the time of the answer
+        self.answered: deque[tuple[int, Asked]] = deque()
         # called once what is there to be read has been read
         self.after_reading: list[Callable[[], None]] = []
         # what comes on it cannot be read any more: it goes once all that is open on it is answered
@@ -169,10 +176,12 @@
             # waiting to be readable again, who sends without end is read in turn with the others
             while data := await wire.receive():
                 self._read(line, data)
+            # whoever closes has gone: nothing of his may be begun while this connection is being closed
+            self._left(line)
+            await self._end_unread(line)
         except Exception as fault:
             self.log.error("fault", what="a connection from viewers", cause=repr(fault), exc_info=fault)
         finally:
-            # whoever closes has gone: nothing of his may be begun while this connection is being closed
             self._left(line)
             await wire.close()
             self.gate.closed(line)
@@ -195,6 +204,21 @@
             if owed.line is line:
                 owed.line = None
 
+    async def _end_unread(self, line: Line) -> None:
+        """Its client has closed it: sessions whose answers it has not read are over, and should it have, it is told so elsewhere."""
+        since = self.node.now() - RESET_WITHIN
+        recent = [asked for at, asked in line.answered if at >= since and self.asked.get(asked.name) is asked]
+        if not recent or not line.wire.ended_by_peer or line.wire.ended_here:
+            return
+        if not await line.wire.was_reset(RESET_FOLLOWS_WITHIN):
+            return
+        for asked in recent:
+            if self.asked.get(asked.name) is asked:
+                self.log.info("answer-unread", session=asked.name, connection=line.number)
+                self._forget(asked)
+                self.node.released(asked.course, 0)
+                self._owe(asked.name, UNREAD_CAUSE, None)
+
     def _read(self, line: Line, data: bytes) -> None:
         if not line.spoilt:
             now = self.node.now()
@@ -403,12 +427,19 @@
                 return
             line.wire.send(rtsp.answer(200, "1", asked.name, description), queued)
             line.good, self.last_good = True, line
+            self._note_answered(line, asked)
         elif answer.kind is Kind.REFUSED:
             pause = f"X-Pause: {answer.wait // MS}\r\n" if answer.wait else ""
             line.wire.send(rtsp.answer(LEAVING if self.node.draining else NO_ROOM, "1", asked.name, fields=pause), queued)
         else:
             line.wire.send(rtsp.answer(FAILED, "1", asked.name), queued)
 
+    def _note_answered(self, line: Line, asked: Asked) -> None:
+        now = self.node.now()
+        while line.answered and line.answered[0][0] < now - RESET_WITHIN:
+            line.answered.popleft()
+        line.answered.append((now, asked))
+
     def _nobody_has(self, asked: Asked) -> None:
         """Its client had closed before the answer came, though nobody had read that."""
         if self.asked.get(asked.name) is asked:
--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -23,6 +23,8 @@
 READ = 64 * 1024
 # What waits when a connection is closed in peace has so long to go out, and its peer to close as well (s).
 ENDS_WITHIN = 0.5
+# A reset that follows a close is looked for this often (s).
+RESET_LOOK = 0.005
 # SO_LINGER with a time of zero (socket(7)).
 LINGER_ZERO = struct.pack("ii", 1, 0)
 ENDED = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
@@ -152,6 +154,8 @@
         self.ended_by_peer = False
         # by a reset, which says nothing of what the peer has read
         self.reset_by_peer = False
+        # this side has begun to close it in peace
+        self.ended_here = False
         # bytes, what they are for, and whether some of them have left
         self.waiting: deque[list] = deque()
         self.size = 0
@@ -198,6 +202,8 @@
                 if self.waiting and not self.gone and not self._push():
                     await anyio.wait_writable(self.socket)
         except ENDED:
+            if not self.gone:
+                self.ended_by_peer = self.reset_by_peer = True
             self.drop()
         finally:
             self.writing = False
@@ -252,6 +258,14 @@
             return data
         return b""
 
+    async def was_reset(self, within: float) -> bool:
+        """Whether the peer, which has closed the connection, resets it too within this time (s)."""
+        with anyio.move_on_after(within):
+            while not self.reset_by_peer and not self.gone:
+                self.reset_by_peer = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+                await anyio.sleep(RESET_LOOK)
+        return self.reset_by_peer
+
     def unread(self) -> bool:
         """Its peer has sent something, or closed or broken the connection, and nobody has read that yet."""
         return self._looked() is not None
@@ -276,6 +290,7 @@
         """Closed in peace: what waits goes out, then this side closes, and the other has a little time to do so as well."""
         if self.open:
             self.state = State.ENDING
+            self.ended_here = True
             self.tasks.start_soon(self._end_in_time)
             if not self.writing:
                 self._say_end()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -140,6 +140,44 @@
                 await until(lambda: media.had(isup.RELEASE), 1.0)
                 held.go.set()
 
+    async def over_after_close(self, closes):
+        """Whether a session is ended at its server whose client closes its connection like that, with the answer unread."""
+        async with Place().up() as place:
+            media, viewer, other = place.medias[0], Plain(place.port), Plain(place.port)
+            other.ask(SECOND)
+            await other.hear()
+            viewer.ask(FIRST)
+            await anyio.wait_readable(viewer.socket)
+            closes(viewer)
+            with anyio.move_on_after(1.0):
+                await until(lambda: media.had(isup.RELEASE))
+            ended = [id.hex() for id, _ in media.had(isup.RELEASE)]
+            told = (await other.hear()).fields["session"] if ended else ""
+            other.close()
+            return ended, told
+
+    @story
+    async def test_a_session_whose_client_closed_with_the_answer_unread_is_ended_and_told(self):
+        self.assertEqual(await self.over_after_close(lambda viewer: viewer.close()), ([FIRST], FIRST))
+
+    @story
+    async def test_a_session_whose_client_ended_its_half_and_then_closed_with_the_answer_unread_is_ended_and_told(self):
+        def in_two_steps(viewer):
+            viewer.socket.shutdown(socket.SHUT_WR)
+            viewer.close()
+
+        self.assertEqual(await self.over_after_close(in_two_steps), ([FIRST], FIRST))
+
+    @story
+    async def test_a_session_whose_client_closes_once_it_has_read_the_answer_plays_on(self):
+        async with Place().up() as place:
+            media, viewer = place.medias[0], Plain(place.port)
+            viewer.ask(FIRST)
+            await viewer.hear()
+            viewer.close()
+            await anyio.sleep(0.2)
+            self.assertEqual((len(place.node.desk.courses), media.had(isup.RELEASE)), (1, []))
+
     @story
     async def test_a_set_up_that_arrives_behind_its_own_end_on_another_connection_is_not_forwarded(self):
         async with Place().up() as place:
