--- a/curlewshift/retries/endings.py
+++ b/curlewshift/retries/endings.py
@@ -85,7 +85,8 @@
         if now - ending.since >= TRIED_FOR:
             self.given_up += 1
         else:
-            here.waiting.appendleft(ending)
+            # behind the others: one that nobody answers must not hold them up
+            here.waiting.append(ending)
         here.silent += 1
         here.rests_until = now + min(LONGEST_PAUSE, FIRST_PAUSE << min(here.silent - 1, 10))
         self._go_on(ending.server, here)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -104,6 +104,25 @@
             self.endings.answered(self.sent.pop(0))
         self.assertEqual((self.endings.done, len(self.endings)), (10, 0))
 
+    def test_an_ending_that_is_never_answered_holds_up_none_behind_it(self):
+        for number in range(9):
+            self.endings.end(self.server, number)
+        for ending in self.sent[:]:
+            self.endings.unanswered(ending)
+        # the server is back, and one of them fails for good
+        fails, done = self.sent[-1], set()
+        del self.sent[:]
+        for _ in range(32):
+            self.later(FIRST_PAUSE)
+            while self.sent:
+                ending = self.sent.pop()
+                if ending is fails:
+                    self.endings.unanswered(ending)
+                else:
+                    done.add(ending.session)
+                    self.endings.answered(ending)
+        self.assertEqual(len(done), 8)
+
     def test_a_silent_server_is_asked_for_one_at_a_time_and_ever_less_often(self):
         for number in range(6):
             self.endings.end(self.server, number)
