The end of a session that its client has closed its connection without reading is told elsewhere

What callers saw: none of the end of a session, where its client closed that connection in the moment in which the end was on the way. Cause: a release to a client counted as told with its first byte. A reset of the connection within a second says that it was not read (as for answers): it is owed again, on another connection. Test on real sockets: no word within 1 s before.

--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -99,8 +99,9 @@
         self.waiting: dict[str, Asked] = {}
         # viewings asked for here that stand: their ends are told here, and their viewers' next requests come here
         self.standing = 0
-        # those of them that were answered last, with the time of the answer
+        # those of them that were answered last, and the releases that were told here last, with the times
         self.answered: deque[tuple[int, Asked]] = deque()
+        self.told: deque[tuple[int, Owed]] = deque()
         # called once what is there to be read has been read
         self.after_reading: list[Callable[[], None]] = []
         # what comes on it cannot be read any more: it goes once all that is open on it is answered
@@ -205,14 +206,18 @@
                 owed.line = None
 
     async def _end_unread(self, line: Line) -> None:
-        """Its client has closed it: sessions whose answers it has not read are over, and should it have, it is told so elsewhere."""
+        """Its client has closed it: what it has not read is told elsewhere, and sessions whose answers it has not read are over."""
         since = self.node.now() - RESET_WITHIN
-        recent = [asked for at, asked in line.answered if at >= since and self.asked.get(asked.name) is asked]
-        if not recent or not line.wire.ended_by_peer or line.wire.ended_here:
+        answered = [asked for at, asked in line.answered if at >= since]
+        told = [owed for at, owed in line.told if at >= since]
+        if not (answered or told) or not line.wire.ended_by_peer or line.wire.ended_here:
             return
         if not await line.wire.was_reset(RESET_FOLLOWS_WITHIN):
             return
-        for asked in recent:
+        for owed in told:
+            self.log.info("release-unread", session=owed.name, connection=line.number)
+            self._owe(owed.name, owed.cause, None)
+        for asked in answered:
             if self.asked.get(asked.name) is asked:
                 self.log.info("answer-unread", session=asked.name, connection=line.number)
                 self._forget(asked)
@@ -427,18 +432,19 @@
                 return
             line.wire.send(rtsp.answer(200, "1", asked.name, description), queued)
             line.good, self.last_good = True, line
-            self._note_answered(line, asked)
+            self._note(line.answered, asked)
         elif answer.kind is Kind.REFUSED:
             pause = f"X-Pause: {answer.wait // MS}\r\n" if answer.wait else ""
             line.wire.send(rtsp.answer(LEAVING if self.node.draining else NO_ROOM, "1", asked.name, fields=pause), queued)
         else:
             line.wire.send(rtsp.answer(FAILED, "1", asked.name), queued)
 
-    def _note_answered(self, line: Line, asked: Asked) -> None:
+    def _note(self, recent: deque[tuple[int, object]], what: object) -> None:
+        """Keeps what a reset may show to be unread."""
         now = self.node.now()
-        while line.answered and line.answered[0][0] < now - RESET_WITHIN:
-            line.answered.popleft()
-        line.answered.append((now, asked))
+        while recent and recent[0][0] < now - RESET_WITHIN:
+            recent.popleft()
+        recent.append((now, what))
 
     def _nobody_has(self, asked: Asked) -> None:
         """Its client had closed before the answer came, though nobody had read that."""
@@ -470,6 +476,7 @@
         for owed in self.pending_releases.values():
             if owed.line is None or not owed.line.wire.open:
                 owed.line = line
+                self._note(line.told, owed)
                 line.wire.send(rtsp.release(owed.name, owed.cause), owed)
 
     def _good(self) -> Line | None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -178,6 +178,21 @@
             await anyio.sleep(0.2)
             self.assertEqual((len(place.node.desk.courses), media.had(isup.RELEASE)), (1, []))
 
+    @story
+    async def test_an_end_that_its_client_closed_without_reading_is_told_on_another_connection(self):
+        async with Place().up() as place:
+            media, viewer, other = place.medias[0], Plain(place.port), Plain(place.port)
+            for one, id in ((viewer, FIRST), (other, SECOND)):
+                one.ask(id)
+                await one.hear()
+            await anyio.sleep(1.1)
+            await media.lines[0].send(isup.release(bytes.fromhex(FIRST), isup.OVER))
+            await anyio.wait_readable(viewer.socket)
+            viewer.close()
+            told = await other.hear(within=1.0)
+            self.assertEqual((told.method, told.fields["session"]), ("TEARDOWN", FIRST))
+            other.close()
+
     @story
     async def test_a_set_up_that_arrives_behind_its_own_end_on_another_connection_is_not_forwarded(self):
         async with Place().up() as place:
