--- a/curlewshift/commands/soak.py
+++ b/curlewshift/commands/soak.py
@@ -50,6 +50,8 @@
     summary = play_all(chosen, seconds, faults, plant, out, at_once, click.echo)
     for rule, count in summary.looked_at.items():
         click.echo(f"{count:9,} cases  {rule}{'  (NOT EXERCISED)' if not count else ''}")
+    for why, count in summary.excused.items():
+        click.echo(f"{count:9,} excused: {why}")
     click.echo(
         f"{len(chosen)} seeds in {summary.wall_s} s: {len(summary.breaks)} with a broken rule, {len(summary.starved)} starved, "
         f"{len(summary.failed)} failed"
--- a/curlewshift/soak/judge.py
+++ b/curlewshift/soak/judge.py
@@ -13,17 +13,14 @@
 import msgspec
 
 from curlewshift.soak.plan import Plan
-from curlewshift.soak.records import Attempt, Ending, Life, Records, Request, ServerAttempt
+from curlewshift.soak.records import Attempt, Life, Records, Request, ServerAttempt
+from curlewshift.soak.session_rules import SessionRules
 
 PAGE_SLACK_S = 0.05
 # An attempt may begin this long after its client has left.
 AFTER_LEAVING_S = 0.1
 # A request has its answer at the latest this long after its time.
 ANSWERED_WITHIN_S = 0.5
-# The end of a session is told to its client within this of the server's word.
-TOLD_WITHIN_S = 1.0
-# A session whose client has ended it, or was never told of it, is over at its server within this.
-RELEASED_WITHIN_S = 8.0
 # After a failed or refused call to discovery a change counts as told this long after it could be reached.
 TOLD_AFTER_OUTAGE_S = 6.0
 # What arrives so long after SIGTERM is owed an answer before SIGKILL; the rest is lost with the process or answered.
@@ -50,6 +47,7 @@
     "ends told",
     "nothing left standing",
     "no crash",
+    "no fault logged",
     "limits",
     "ready again",
 )
@@ -68,6 +66,8 @@
     breaks: list[Break] = []
     # cases looked at, by rule
     looked_at: dict[str, int] = {}
+    # cases that the network alone explains, by excuse
+    excused: dict[str, int] = {}
     starved: bool = False
     loop_late_s: float = 0.0
 
@@ -105,27 +105,35 @@
             self._budget,
             self._after_leaving,
             self._unasked,
-            self._ends_told,
-            self._standing,
+            SessionRules(self).check,
             self._processes,
+            self._logs,
         ):
             check()
         self.verdict.breaks.sort(key=lambda one: one.at_s)
         return self.verdict
 
-    def _looked(self, rule: str) -> None:
+    def looked(self, rule: str) -> None:
         self.verdict.looked_at[rule] += 1
 
-    def _broken(self, rule: str, at: float, says: str, id: str = "") -> None:
+    def broken(self, rule: str, at: float, says: str, id: str = "") -> None:
         self.verdict.breaks.append(Break(rule, round(at - self.records.began_at, 3), says, id))
 
-    def _life_at(self, node: str, at: float) -> Life | None:
+    def excused(self, why: str) -> None:
+        """A case that is no break, for this reason."""
+        self.verdict.excused[why] = self.verdict.excused.get(why, 0) + 1
+
+    def request(self, id: str) -> Request | None:
+        """The first of this id."""
+        return next(iter(self.requests_of[id]), None)
+
+    def life_at(self, node: str, at: float) -> Life | None:
         return next(
             (life for life in self.lives_of[node] if life.started_at <= at and (life.ended_at is None or at <= life.ended_at)),
             None,
         )
 
-    def _last_moment(self) -> float:
+    def last_moment(self) -> float:
         return self.records.began_at + self.plan.seconds
 
     # ---- answers
@@ -133,24 +141,24 @@
     def _answers(self) -> None:
         rule = "answered once"
         for request in self.clear:
-            life = self._life_at(request.node, request.taken_at)
+            life = self.life_at(request.node, request.taken_at)
             if life is None or request.connected_at < life.started_at or self._crosses_a_close(request):
                 continue
-            self._looked(rule)
+            self.looked(rule)
             if len(request.answers) > 1:
-                self._broken(rule, request.answers[1].at, f"answered {len(request.answers)} times", request.id)
+                self.broken(rule, request.answers[1].at, f"answered {len(request.answers)} times", request.id)
             due = request.taken_at + request.wait_s + ANSWERED_WITHIN_S + self.slack_s
             if request.answers:
                 if request.answers[0].at > due and request.left_at is None:
-                    self._broken(rule, due, f"answered {request.answers[0].at - due:.3f} s late", request.id)
+                    self.broken(rule, due, f"answered {request.answers[0].at - due:.3f} s late", request.id)
             elif request.left_at is not None and request.left_how != "closed by the node":
                 continue
             elif life.ended_at is not None and life.ended_at <= due + 0.01:
                 self._lost_at_the_end(request, life)
             elif request.left_how == "closed by the node":
-                self._broken(rule, request.left_at, "its connection was closed without an answer", request.id)
-            elif due < self._last_moment():
-                self._broken(rule, due, "never answered", request.id)
+                self.broken(rule, request.left_at, "its connection was closed without an answer", request.id)
+            elif due < self.last_moment():
+                self.broken(rule, due, "never answered", request.id)
 
     def _crosses_a_close(self, request: Request) -> bool:
         """It came just before or after the node closed its connection and went nowhere: its client sends it again."""
@@ -172,7 +180,7 @@
         by_itself = not life.killed or life.exit_status == 0
         if by_itself or request.taken_at > terms[0] + STILL_ANSWERED_S:
             how = "ended by itself" if by_itself else "was killed"
-            self._broken(
+            self.broken(
                 "answered once",
                 request.taken_at,
                 f"came {request.taken_at - terms[0]:.3f} s after SIGTERM, unanswered when the process {how} "
@@ -186,9 +194,9 @@
         for request in self.clear:
             for answer in request.answers:
                 if answer.status == PLAYS:
-                    self._looked(rule)
+                    self.looked(rule)
                     if (request.id, answer.body) not in made:
-                        self._broken(rule, answer.at, f"served with {answer.body[:60]!r}, which no server made", request.id)
+                        self.broken(rule, answer.at, f"served with {answer.body[:60]!r}, which no server made", request.id)
 
     # ---- attempts
 
@@ -204,10 +212,10 @@
             for before, after in itertools.pairwise(attempts):
                 if before.server == after.server and before.node == after.node:
                     continue
-                self._looked(rule)
+                self.looked(rule)
                 ended = self._end_here(before)
                 if ended is None or after.first_byte_at < ended - self.slack_s:
-                    self._broken(rule, after.first_byte_at, f"out at {after.server} while out at {before.server}", id)
+                    self.broken(rule, after.first_byte_at, f"out at {after.server} while out at {before.server}", id)
 
     def _one_at_a_server(self) -> None:
         """At one server: in the order in which it read, with no slack, as it holds one thing under an id."""
@@ -217,9 +225,9 @@
             by_place[attempt.id, attempt.server].append(attempt)
         for (id, server), attempts in by_place.items():
             for before, after in itertools.pairwise(attempts):
-                self._looked(rule)
+                self.looked(rule)
                 if before.ended_at is None or after.taken_at < before.ended_at:
-                    self._broken(
+                    self.broken(
                         rule, after.taken_at, f"twice at {server}: connections {before.connection} and {after.connection}", id
                     )
 
@@ -230,10 +238,10 @@
             attempts = self.attempts_of[request.id]
             if service is None or service.effect == "safe" or not attempts:
                 continue
-            self._looked(rule)
+            self.looked(rule)
             for before, after in itertools.pairwise(attempts):
                 if not before.never_ran:
-                    self._broken(
+                    self.broken(
                         rule,
                         after.first_byte_at,
                         f"sent again to {after.server} after {before.server} may have run it",
@@ -241,7 +249,7 @@
                     )
             refused = [answer for answer in request.answers if answer.status in REFUSED]
             if refused and not all(attempt.never_ran for attempt in attempts):
-                self._broken(rule, refused[0].at, f"refused with {refused[0].status} though it may have run", request.id)
+                self.broken(rule, refused[0].at, f"refused with {refused[0].status} though it may have run", request.id)
 
     def _after_leaving(self) -> None:
         rule = "no attempt after leaving"
@@ -249,20 +257,20 @@
             if request.left_at is None:
                 continue
             for attempt in self.attempts_of[request.id]:
-                self._looked(rule)
+                self.looked(rule)
                 late = attempt.first_byte_at - request.left_at - AFTER_LEAVING_S
                 if late > self.records.loop_late_s:
-                    self._broken(
+                    self.broken(
                         rule, attempt.first_byte_at, f"began {late + AFTER_LEAVING_S:.3f} s after its client had left", request.id
                     )
 
     def _unasked(self) -> None:
         rule = "no attempt unasked"
         for attempt in self.records.attempts:
-            self._looked(rule)
+            self.looked(rule)
             bodies = [request.body for request in self.requests_of[attempt.id]]
             if attempt.body not in bodies:
-                self._broken(rule, attempt.first_byte_at, f"a set-up at {attempt.server} that no client sent", attempt.id)
+                self.broken(rule, attempt.first_byte_at, f"a set-up at {attempt.server} that no client sent", attempt.id)
 
     # ---- servers
 
@@ -275,11 +283,11 @@
         for attempt in self.records.attempts:
             if attempt.server not in told or attempt.first_byte_at < told[attempt.server]:
                 continue
-            self._looked(rule)
+            self.looked(rule)
             counts_from = self._counts_as_told(attempt.node, told[attempt.server])
             late = attempt.first_byte_at - counts_from - self.plan.grace_ms / 1000 - self.slack_s
             if late > 0:
-                self._broken(rule, attempt.first_byte_at, f"sent to {attempt.server} {late:.3f} s after the grace", attempt.id)
+                self.broken(rule, attempt.first_byte_at, f"sent to {attempt.server} {late:.3f} s after the grace", attempt.id)
 
     def _counts_as_told(self, node: str, at: float) -> float:
         """A change counts as told once it is in the list; what an outage hid does so a while after its end."""
@@ -297,14 +305,14 @@
             for first, at in enumerate(times):
                 if at - started > warm:
                     break
-                self._looked(rule)
+                self.looked(rule)
                 until = min(at + window, started + warm)
                 count = sum(at <= other < until for other in times[first:])
                 warmth = min(1.0, self.plan.start_capacity + (1 - self.plan.start_capacity) * max(0.0, at - started) / warm)
                 bears = self.plan.streams / warm * warmth * self.plan.fall_multiple * window
                 most = bears + 2 * sqrt(bears) + 2 if bears >= 30 else bears + 3 * sqrt(bears) + 3
                 if count > most:
-                    self._broken(rule, at, f"{server} got {count} in {window} s, {most:.0f} at the most")
+                    self.broken(rule, at, f"{server} got {count} in {window} s, {most:.0f} at the most")
                     break
 
     def _rungs(self) -> None:
@@ -313,14 +321,14 @@
             for request in self.requests_of[attempt.id][:1]:
                 service = self.classes.get(request.service_class)
                 if service is not None:
-                    self._looked(rule)
+                    self.looked(rule)
                     if not service.floor <= attempt.rung <= request.top:
-                        self._broken(rule, attempt.first_byte_at, f"rung {attempt.rung}", attempt.id)
+                        self.broken(rule, attempt.first_byte_at, f"rung {attempt.rung}", attempt.id)
         for at, id, rung in self.records.rungs:
             for request in self.requests_of[id][:1]:
-                self._looked(rule)
+                self.looked(rule)
                 if rung > request.top or rung < self.classes[request.service_class].floor:
-                    self._broken(rule, at, f"new rung {rung}", id)
+                    self.broken(rule, at, f"new rung {rung}", id)
 
     def _seats(self) -> None:
         """A seat is held from a set-up's first byte to the end of its attempt or session, as the node wrote or heard it."""
@@ -332,7 +340,7 @@
             service = self.classes.get(request.service_class) if request is not None and not request.ambiguous else None
             if service is None or not service.seats:
                 continue
-            life = self._life_at(attempt.node, attempt.first_byte_at)
+            life = self.life_at(attempt.node, attempt.first_byte_at)
             served = request.answers and request.answers[0].body == attempt.answer_body
             # an answer that crosses the giving up of its attempt holds no seat
             over = [] if served else [at for at, what in attempt.heard if what != "answer"]
@@ -348,9 +356,9 @@
             for at, change in sorted(changes):
                 count += change
                 if change > 0:
-                    self._looked(rule)
+                    self.looked(rule)
                     if count > self.classes[name].seats:
-                        self._broken(rule, at, f"{node} holds {count} of {title} in {name}")
+                        self.broken(rule, at, f"{node} holds {count} of {title} in {name}")
 
     def _session_ends(self) -> dict[tuple[str, str], list[float]]:
         """By node and id, each word that a session is over, and its end at its server."""
@@ -384,108 +392,37 @@
 
     def _over_budget(self, node: str, taken: list[float], further: list[float], free: int, share: float, window_s: float) -> None:
         for index, at in enumerate(further):
-            self._looked("budget")
+            self.looked("budget")
             made = sum(other > at - window_s for other in further[: index + 1])
             allowed = free + share * sum(at - window_s - self.slack_s <= other <= at for other in taken)
             if made > allowed:
-                self._broken("budget", at, f"{node} made {made} further attempts, {allowed:.1f} at the most")
-
-    # ---- sessions
-
-    def _ends_told(self) -> None:
-        rule = "ends told"
-        told: dict[tuple[str, str], float] = {}
-        for release in self.records.releases:
-            if release.to_client:
-                told.setdefault((release.node, release.id), release.at)
-        ended = {(one.node, one.id): one.at for one in self.records.client_releases}
-        for release in self.records.releases:
-            request = next(iter(self.requests_of[release.id]), None)
-            if (
-                release.to_client
-                or release.after_close
-                or request is None
-                or not request.answers
-                or request.answers[0].status != PLAYS
-            ):
-                continue
-            if release.server not in self._served_by(request):
-                continue
-            due = release.at + TOLD_WITHIN_S + self.slack_s
-            life = self._life_at(release.node, release.at)
-            if life is not self._life_at(request.node, request.taken_at):
-                continue
-            over = life is None or (life.ended_at is not None and life.ended_at < due) or due > self._last_moment()
-            if over or ended.get((release.node, release.id), due) < due or request.left_at is not None:
-                continue
-            self._looked(rule)
-            if told.get((release.node, release.id), NEVER) > due and self._has_connections(release.node, release.at, due):
-                self._broken(rule, release.at, "the end of its session was not told within a second", release.id)
-
-    def _served_by(self, request: Request) -> list[str]:
-        """The servers whose answer its client got."""
-        body = request.answers[0].body
-        return [attempt.server for attempt in self.attempts_of[request.id] if attempt.answer_body == body]
-
-    def _has_connections(self, node: str, since: float, until: float) -> bool:
-        """Whether a client was answered there shortly before and asked again after, so that some connection was open."""
-        return any(one.node == node and since - 1 < one.taken_at < until and one.answers for one in self.records.requests)
-
-    def _standing(self) -> None:
-        """What stands at a server for a client that is gone."""
-        rule = "nothing left standing"
-        over = {(one.node, one.id): one.at for one in self.records.client_releases}
-        for attempt in self.records.server_attempts:
-            if attempt.ending is not Ending.SET_UP:
-                continue
-            request = next(iter(self.requests_of[attempt.id]), None)
-            since = over.get((attempt.node, attempt.id))
-            if since is None and request is not None and request.left_at is not None:
-                since = request.left_at
-            if since is None or request is None or request.ambiguous:
-                continue
-            due = max(since, attempt.ended_at or since) + RELEASED_WITHIN_S + self.slack_s
-            life = self._life_at(attempt.node, request.taken_at)
-            if request.answers and request.left_at is not None and request.answers[0].at - request.left_at < CROSSES_CLOSE_S:
-                continue
-            if due > self._last_moment() or life is None or (life.ended_at is not None and life.ended_at < due):
-                continue
-            self._looked(rule)
-            if (attempt.session_ended_at is None or attempt.session_ended_at > due) and not self._lost_on_the_way(attempt, due):
-                self._broken(
-                    rule, due, f"stands at {attempt.server} {RELEASED_WITHIN_S:.0f} s after its client's end", attempt.id
-                )
-
-    def _lost_on_the_way(self, attempt: ServerAttempt, due: float) -> bool:
-        """Its release was written in time, and the network lost what was written on that connection."""
-        return any(
-            release.id == attempt.id
-            and release.server == attempt.server
-            and release.node == attempt.node
-            and release.at <= due
-            and release.lost
-            for release in self.records.node_releases
-        )
+                self.broken("budget", at, f"{node} made {made} further attempts, {allowed:.1f} at the most")
 
     # ---- processes
 
+    def _logs(self) -> None:
+        for life in self.records.lives:
+            self.looked("no fault logged")
+            for fault in life.faults:
+                self.broken("no fault logged", life.started_at, f"{life.node} logged {fault[:200]}")
+
     def _processes(self) -> None:
         ready, restarts = 0, 0
         first = {node: lives[0] for node, lives in self.lives_of.items()}
         for life in self.records.lives:
-            self._looked("no crash")
-            self._looked("limits")
+            self.looked("no crash")
+            self.looked("limits")
             asked = any(
                 signal.node == life.node and signal.what == "SIGTERM" and life.started_at <= signal.at <= (life.ended_at or NEVER)
                 for signal in self.records.signals
             )
             if life.ended_at is not None and not life.killed and not (asked and life.exit_status == 0):
-                self._broken("no crash", life.ended_at, f"{life.node} ended with status {life.exit_status}")
+                self.broken("no crash", life.ended_at, f"{life.node} ended with status {life.exit_status}")
             if life.memory_mb > MEMORY_MB or life.descriptors > self.plan.descriptors:
-                self._broken("limits", life.started_at, f"{life.node}: {life.memory_mb:.0f} MB, {life.descriptors} descriptors")
+                self.broken("limits", life.started_at, f"{life.node}: {life.memory_mb:.0f} MB, {life.descriptors} descriptors")
             if life is not first[life.node]:
                 restarts += 1
-                self._looked("ready again")
+                self.looked("ready again")
                 ready += life.ready_at is not None and life.ready_at - life.started_at <= READY_WITHIN_S
         if ready < READY_SHARE * restarts:
-            self._broken("ready again", self._last_moment(), f"{ready} of {restarts} restarted processes were ready in time")
+            self.broken("ready again", self.last_moment(), f"{ready} of {restarts} restarted processes were ready in time")
--- a/curlewshift/soak/media.py
+++ b/curlewshift/soak/media.py
@@ -253,6 +253,7 @@
         held.over = True
         if held.stands:
             held.seen.session_ended_at = at_s
+            held.seen.ended_by_itself = ending is not Ending.GIVEN_UP
         else:
             held.seen.ended_at, held.seen.ending = at_s, ending
         if self.held.get(held.seen.id) is held:
--- a/curlewshift/soak/processes.py
+++ b/curlewshift/soak/processes.py
@@ -15,6 +15,8 @@
 
 READY_WITHIN_S = 30.0
 LOOK_EVERY_S = 0.25
+# In a line of the node's log: an exception that it caught and went on from.
+FAULT = '"event":"fault"'
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -31,6 +33,12 @@
     def runs(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
+    def note_faults(self) -> None:
+        """What the node has logged of faults in itself, over all its lives, goes to the last."""
+        if self.log.exists() and self.life is not None:
+            lines = self.log.read_text(errors="replace").splitlines()
+            self.life.faults = [line for line in lines if FAULT in line]
+
     async def start(self) -> None:
         module = ["curlewshift.soak.plants", self.plant] if self.plant else ["curlewshift.node"]
         self.life = Life(self.name, anyio.current_time())
--- a/curlewshift/soak/proxy.py
+++ b/curlewshift/soak/proxy.py
@@ -125,6 +125,11 @@
         try:
             if link.shape.accept_late_s:
                 await anyio.sleep(link.shape.accept_late_s)
+            if self.lose_out and self.lose_back:
+                # a machine that is cut off is not reached by new connections, not even by their first packet
+                link.lost_out = link.lost_back = True
+                await self._hold(link)
+                return
             target = await _connect(self.target())
             if target is None:
                 reset(source)
@@ -142,6 +147,21 @@
                     anyio.notify_closing(sock)
                     sock.close()
 
+    async def _hold(self, link: Link) -> None:
+        """Keeps a connection open and silent until its source ends it."""
+        ended = False
+        while not ended:
+            try:
+                await anyio.wait_readable(link.source)
+                data = link.source.recv(READ_SIZE)
+            except BlockingIOError:
+                continue
+            except ENDED:
+                data = b""
+            ended = not data
+            if self.watches_source:
+                self._observe(link, True, data, anyio.current_time())
+
     async def _carry(self, link: Link, outward: bool) -> None:
         """One direction of a link: a reader that stamps each chunk, and a writer that sends it when it is due."""
         send, receive = anyio.create_memory_object_stream[tuple[float, bytes]](MOST_CHUNKS)
--- a/curlewshift/soak/records.py
+++ b/curlewshift/soak/records.py
@@ -82,8 +82,9 @@
     ending: Ending = Ending.OPEN
     # the description of its answer
     body: bytes | None = None
-    # the session that it set up, until it ended there
+    # the session that it set up, until it ended there; `ended_by_itself` if no release of the node's ended it
     session_ended_at: float | None = None
+    ended_by_itself: bool = False
 
 
 class Release(msgspec.Struct, omit_defaults=True):
@@ -117,7 +118,7 @@
     at: float
     # when the node knew that this connection had ended
     closed_at: float | None = None
-    # the network lost what was written on this connection
+    # the network lost what was written on this connection, at some time
     lost: bool = False
 
 
@@ -148,6 +149,8 @@
     killed: bool = False
     memory_mb: float = 0.0
     descriptors: int = 0
+    # the log's lines on faults in the program
+    faults: list[str] = []
 
 
 class Outage(msgspec.Struct, omit_defaults=True):
--- a/curlewshift/soak/run.py
+++ b/curlewshift/soak/run.py
@@ -38,6 +38,7 @@
     seconds: float
     breaks: dict[int, list[str]] = {}
     looked_at: dict[str, int] = {}
+    excused: dict[str, int] = {}
     starved: list[int] = []
     failed: list[int] = []
     not_looked_at: list[str] = []
@@ -124,6 +125,8 @@
         return f"seed {seed}: starved, not counted (the judge's loop was {verdict.loop_late_s:.2f} s late)"
     for rule, count in verdict.looked_at.items():
         summary.looked_at[rule] += count
+    for why, count in verdict.excused.items():
+        summary.excused[why] = summary.excused.get(why, 0) + count
     if not verdict.breaks:
         return f"seed {seed}: no rule broken"
     rules = Counter(broken.rule for broken in verdict.breaks)
--- a/curlewshift/soak/trial.py
+++ b/curlewshift/soak/trial.py
@@ -78,6 +78,7 @@
             finally:
                 for node in self.nodes.values():
                     node.kill()
+                    node.note_faults()
                 tasks.cancel_scope.cancel()
         for leg in self.server_legs:
             leg.finish()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,7 @@
     Ending,
     Life,
     Listed,
+    NodeRelease,
     Records,
     Release,
     Request,
@@ -187,6 +188,33 @@
         self.records.server_attempts[0].session_ended_at = 12.0
         self.assertEqual(self.rules(), ["nothing left standing"])
 
+    def test_an_attempt_that_served_nobody_may_not_stand_and_an_excuse_is_counted(self):
+        self.attempt("s-1", 1.01, [(1.3, "release")])
+        self.seen("s-1", 1.01, 1.05, Ending.SET_UP, body=BODY)
+        self.answered(1.4, 453)
+        self.assertEqual(self.rules(), ["nothing left standing"])
+        self.records.node_releases = [NodeRelease(REQUEST, "n0", "s-1", number, 1.3 + number, lost=True) for number in range(2)]
+        self.assertEqual(self.rules(), ["nothing left standing"])
+        self.records.node_releases.append(NodeRelease(REQUEST, "n0", "s-1", 2, 5.0, lost=True))
+        self.assertEqual(Judge(self.plan, self.records).judge().excused, {"lost on the way": 1})
+        self.assertEqual(self.rules(), [])
+
+    def test_an_end_that_its_server_could_not_tell_is_told_within_eight_seconds(self):
+        self.attempt("s-1", 1.01, [(1.05, "answer")], answer_body=BODY)
+        self.seen("s-1", 1.01, 1.05, Ending.SET_UP, body=BODY, session_ended_at=3.0, ended_by_itself=True)
+        self.answered(1.06, body=BODY)
+        self.records.requests.append(
+            Request("b2", "n0", 1, self.safe.name, "t", [0], 9, 1.0, b"x", 2.5, 2.0, answers=[Answer(2.6, 453)])
+        )
+        self.assertEqual(self.rules(), ["ends told"])
+        self.records.releases = [Release(REQUEST, "n0", 10.9, to_client=True)]
+        self.assertEqual(self.rules(), [])
+
+    def test_a_fault_in_a_nodes_log_is_a_break(self):
+        self.answered(1.1, 453)
+        self.records.lives[0].faults = ['{"event":"fault"}']
+        self.assertEqual(self.rules(), ["no fault logged"])
+
 
 class AShortRun(unittest.TestCase):
     def run_of(self, folder, *arguments):
