While an end may only be heard on a connection opened after it, one is opened each 5 s

Cause: a connection closed from here may be open to its server for good, which says the ends of the sessions set up on it there, and again only on the next connection that it sees opened. One was opened at once, before the session had ended, and none after.

Change: sessions whose connection was closed from here without the server's close being read are marked, and while one of them stands a connection is opened each 5 s, in place of an idle one. The test on a real process fails before (no word in 8 s). Tests of node, crossings, reloads, closing, order, crowds pass.

--- a/curlewshift/node/connections.py
+++ b/curlewshift/node/connections.py
@@ -31,6 +31,8 @@
     line: Line | None = None
     # its server tells its end here, while this connection is open
     set_up_on: Line | None = None
+    # that connection was closed from here and its server may not know: its word may go there for good
+    unheard: bool = False
 
 
 @dataclass(eq=False, slots=True)
@@ -120,5 +122,7 @@
         self.never_up = self.failing_since = 0
         # since when words of the server may have been lost with a connection, until another is opened
         self.unheard_since = 0
+        # sessions may stand whose ends are only heard on connections opened after them
+        self.words_lost = False
         # a connection was reset by its peer, and none has come up since
         self.was_reset = False
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -35,6 +35,8 @@
 # page wants viewers released 8 s after the end of a session of which nobody could tell.
 SIGN_WITHIN = NS // 2
 NEVER_UP = 2
+# While the end of a session may only be heard on a connection that is opened after it, one is opened this often.
+REOPENED_AFTER = 5 * NS
 # and for so long at the least: many at once may fail for one lost moment.
 FAILING_FOR = NS
 # A server that has restarted tells what is over on the next connection; after this it is taken as told.
@@ -366,8 +368,8 @@
         self._log_close(line, "its server has closed it" if by_peer else why)
         if line.wire is not None and line.wire.reset_by_peer:
             line.endpoint.was_reset = True
-        if not by_peer and any(course.session.set_up_on is line for course in line.endpoint.standing.values()):
-            line.endpoint.unheard_since = self.now()
+        if not by_peer:
+            self._note_unheard(line)
         for flight in list(line.flights.values()):
             if flight.handed:
                 self.teardowns.attempt_broken(line, flight, by_peer)
@@ -380,6 +382,14 @@
                 self._fly(flight)
         self.pending.connection_ended(line, by_peer)
 
+    def _note_unheard(self, line: Line) -> None:
+        """Its server may not know that it is closed, and say the ends of sessions there, unheard."""
+        endpoint = line.endpoint
+        for course in endpoint.standing.values():
+            if course.session.set_up_on is line:
+                course.session.unheard = endpoint.words_lost = True
+                endpoint.unheard_since = self.now()
+
     def _end(self, flight: Flight, outcome: Outcome, report: dict[str, float] | None = None) -> None:
         self.flights.pop(flight.tune_in, None)
         if flight.line is not None and flight.line.flights.get(flight.id) is flight:
@@ -572,7 +582,8 @@
             endpoint.never_up = 0
             return
         silent = now - endpoint.heard_at > self.silent_for
-        if (endpoint.never_up or endpoint.unheard_since or silent) and self._needs_another(endpoint, now):
+        if (endpoint.never_up or endpoint.words_lost or silent) and self._needs_another(endpoint, now):
+            self._retire_one(endpoint)
             self._probe(endpoint, self.open_connection(endpoint))
         for line in list(endpoint.lines):
             if now - line.heard_at > self.silent_for:
@@ -586,10 +597,18 @@
         if not all(line.up for line in lines):
             return False
         newest = max(line.opened_at for line in lines)
-        if newest >= endpoint.unheard_since:
-            endpoint.unheard_since = 0
-        silent = all(line.doubtful and now - max(line.heard_at, newest) > self.silent_for for line in lines)
-        return bool(endpoint.never_up or endpoint.unheard_since) or silent
+        if endpoint.never_up or newest < endpoint.unheard_since:
+            return True
+        if endpoint.words_lost and now - newest > REOPENED_AFTER:
+            endpoint.words_lost = any(course.session.unheard for course in endpoint.standing.values())
+            return endpoint.words_lost
+        return all(line.doubtful and now - max(line.heard_at, newest) > self.silent_for for line in lines)
+
+    def _retire_one(self, endpoint: Endpoint) -> None:
+        """An idle connection makes room for a new one."""
+        idle = [line for line in endpoint.lines if line.up and not line.flights and not self.teardowns.unconfirmed_on(line)]
+        if len(idle) > 1:
+            self._retire(min(idle, key=lambda line: line.heard_at))
 
     def _ask_line_for_sign(self, line: Line, now: int) -> None:
         """A connection may lose its server's words while others to the same server go on. The server says them again on the next
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -77,6 +77,22 @@
             self.assertEqual((told.method, told.fields["session"]), ("TEARDOWN", FIRST))
             viewer.close()
 
+    @story
+    async def test_an_end_said_on_a_connection_that_was_closed_here_unseen_is_told_to_the_client_in_time(self):
+        async with Proxied(1).process() as place:
+            server, viewer = Owing(place.medias[0]), Plain(place.port)
+            viewer.ask(FIRST)
+            await viewer.hear()
+            first = bytes.fromhex(FIRST)
+            place.link_of(server.stream_of[first]).lost_out = True
+            await server.stream_of[first].send(b"\xff" * 32)
+            await until(lambda: len(place.medias[0].lines) == 2)
+            await anyio.sleep(0.5)
+            place.tasks.start_soon(server.ends, first)
+            told = await viewer.hear(within=OVER_WITHIN_S)
+            self.assertEqual((told.method, told.fields["session"]), ("TEARDOWN", FIRST))
+            viewer.close()
+
 
 class AtTheEndOfTheProcess(unittest.TestCase):
     @story
