--- a/curlewshift/adapter/loop.py
+++ b/curlewshift/adapter/loop.py
@@ -75,8 +75,7 @@
             named.add(server.name)
             lines.append(Listed(server, row.text("readiness") == "on", row.time("up_since_ms", 0)))
         if kind != "Partial":
-            lines += [Listed(server, False, server.started)
-                      for server in self.servers.values() if server.name not in named]
+            lines += [Listed(server, False, server.started) for server in self.servers.values() if server.name not in named]
         self.rules.listed(lines, stale=kind == "Persisted")
 
     def on_query(self, fields):
@@ -157,16 +156,23 @@
         if package is None:
             raise Malformed(f"{fields.kind}: class={fields.text('class')!r} is not among the settings")
         return Viewing(
-            name=fields.whole("call"), title=fields.text("title", ""), mark=fields.key("path_key"),
-            package=package, ceiling=int(fields.number("ceiling_rung", package.top)), asked_at=self.clock,
+            name=fields.whole("call"),
+            title=fields.text("title", ""),
+            mark=fields.key("path_key"),
+            package=package,
+            ceiling=int(fields.number("ceiling_rung", package.top)),
+            asked_at=self.clock,
             expires=fields.time("expires_ms", 0) or self.clock + package.patience,
             holders=self.fleet.holders(int(fields.number("base", 0)), int(fields.number("span", 1 << 30))),
             expected=fields.time("predicted_ms", 0),
-            came_back=fields.flag("came_back"), moved=fields.flag("back_from_move"))
+            came_back=fields.flag("came_back"),
+            moved=fields.flag("back_from_move"),
+        )
 
     def _listed(self, row: Fields) -> Server:
-        return self.fleet.listed(row.text("server"), row.whole("position", 0), row.text("rack_zone", ""),
-                                 row.text("type", ""), row.number("heft", 1.0))
+        return self.fleet.listed(
+            row.text("server"), row.whole("position", 0), row.text("rack_zone", ""), row.text("type", ""), row.number("heft", 1.0)
+        )
 
 
 class Bench:
@@ -185,8 +191,7 @@
             self.failed.discard(who)
             seed = fields.whole("nonce64", 0)
             boot = boot_of(fields.text("boot_info"))
-            self._guarded(who, lambda: self.fronts.__setitem__(
-                who, Front(who, self.now, seed, boot, self.reply)))
+            self._guarded(who, lambda: self.fronts.__setitem__(who, Front(who, self.now, seed, boot, self.reply)))
             return
         front = self.fronts.get(who)
         if front is None:
@@ -209,8 +214,7 @@
             traceback.print_exc()
             self.fronts.pop(who, None)
             self.failed.add(who)
-            self.reply.append(f"fault\twho={who}\treason_text={type(error).__name__}: "
-                              f"{' '.join(str(error).split())}\n")
+            self.reply.append(f"fault\twho={who}\treason_text={type(error).__name__}: {' '.join(str(error).split())}\n")
 
 
 def serve(source, sink, errors) -> int:
--- a/curlewshift/baselines/baselines.py
+++ b/curlewshift/baselines/baselines.py
@@ -79,5 +79,9 @@
 
 
 BASELINES: dict[str, type[Rules]] = {
-    "random": RandomHolder, "least-reported": LeastReported, "two-choices": TwoChoices, "round-robin": RoundRobin,
-    "fixed-rung": FixedRung}
+    "random": RandomHolder,
+    "least-reported": LeastReported,
+    "two-choices": TwoChoices,
+    "round-robin": RoundRobin,
+    "fixed-rung": FixedRung,
+}
--- a/curlewshift/capacity/at_node.py
+++ b/curlewshift/capacity/at_node.py
@@ -34,8 +34,14 @@
 
 def each_delivery(size: Size, measured: Measured) -> list[tuple[str, Figure | None]]:
     """Cores for all deliveries of a node, were all of one kind."""
-    return [(kind, a_second(measured, name, size.deliveries_a_node)) for kind, name in (
-        ("set-ups, each with its end counted as one", BY_REQUEST), ("notices", BY_NOTICE), ("changes of rung", BY_RUNG))]
+    return [
+        (kind, a_second(measured, name, size.deliveries_a_node))
+        for kind, name in (
+            ("set-ups, each with its end counted as one", BY_REQUEST),
+            ("notices", BY_NOTICE),
+            ("changes of rung", BY_RUNG),
+        )
+    ]
 
 
 def told_at_once(size: Size, measured: Measured) -> Figure | None:
@@ -53,28 +59,90 @@
 def rows(size: Size, measured: Measured) -> list[Row]:
     idle = open_and_playing(size, measured, IDLE_BY, IDLE_RESTING, "s")
     found = [
-        Row("memory", FRONT, STATE, "connections held, one process", run_to(
-            measured, MEMORY_RESTING, size.connections_a_node, "connections"), None, WIRE),
-        Row("memory", FRONT, STATE, "viewings held, one process", run_to(
-            measured, MEMORY_BY, size.viewings_a_node, "viewings"), None, DESK),
-        Row("memory", FRONT, MEMORY, "one process, all connections with their viewings", open_and_playing(
-            size, measured, MEMORY_BY, MEMORY_RESTING, "MB"), size.guess("memory-a-node-GB") * 1000, DESK),
-        Row("memory", FRONT, MEMORY, "one process, the connections alone", carried(
-            measured, MEMORY_RESTING, size.connections_a_node, "MB"), size.guess("memory-a-node-GB") * 1000, WIRE),
+        Row(
+            "memory",
+            FRONT,
+            STATE,
+            "connections held, one process",
+            run_to(measured, MEMORY_RESTING, size.connections_a_node, "connections"),
+            None,
+            WIRE,
+        ),
+        Row(
+            "memory",
+            FRONT,
+            STATE,
+            "viewings held, one process",
+            run_to(measured, MEMORY_BY, size.viewings_a_node, "viewings"),
+            None,
+            DESK,
+        ),
+        Row(
+            "memory",
+            FRONT,
+            MEMORY,
+            "one process, all connections with their viewings",
+            open_and_playing(size, measured, MEMORY_BY, MEMORY_RESTING, "MB"),
+            size.guess("memory-a-node-GB") * 1000,
+            DESK,
+        ),
+        Row(
+            "memory",
+            FRONT,
+            MEMORY,
+            "one process, the connections alone",
+            carried(measured, MEMORY_RESTING, size.connections_a_node, "MB"),
+            size.guess("memory-a-node-GB") * 1000,
+            WIRE,
+        ),
         Row("idle", FRONT, PROCESSOR, "nothing asked, all viewings playing", idle and replace(idle, unit="cores"), 1.0, DESK),
-        Row("idle", FRONT, PROCESSOR, "nothing asked, the connections alone", a_second(
-            measured, IDLE_RESTING, size.connections_a_node), 1.0, DOOR),
+        Row(
+            "idle",
+            FRONT,
+            PROCESSOR,
+            "nothing asked, the connections alone",
+            a_second(measured, IDLE_RESTING, size.connections_a_node),
+            1.0,
+            DOOR,
+        ),
     ]
     for kind, figure in each_delivery(size, measured):
-        found.append(Row("workers", FRONT, PROCESSOR, f"{size.deliveries_a_node:,.0f} deliveries a second, were all {kind}",
-                         figure, 1.0, DESK))
-    found.append(Row("workers", FRONT, PROCESSOR, "the same on all cores of the machine, were all of the dearest kind", processes(
-        size, measured), size.guess("cores-a-node"), DESK))
+        found.append(
+            Row(
+                "workers",
+                FRONT,
+                PROCESSOR,
+                f"{size.deliveries_a_node:,.0f} deliveries a second, were all {kind}",
+                figure,
+                1.0,
+                DESK,
+            )
+        )
+    found.append(
+        Row(
+            "workers",
+            FRONT,
+            PROCESSOR,
+            "the same on all cores of the machine, were all of the dearest kind",
+            processes(size, measured),
+            size.guess("cores-a-node"),
+            DESK,
+        )
+    )
     told = f"{size.largest / size.nodes:,.0f} listeners of the largest topic told at once"
     found.append(Row("largest-topic", FRONT, PROCESSOR, told, told_at_once(size, measured), size.p99 * 1000, DESK))
     for kind, name in (("an answer", P99_BY_REQUEST), ("a notice", P99_BY_NOTICE)):
-        found.append(Row("p99", FRONT, MESSAGES, f"p99 of {kind} at {size.deliveries_a_node:,.0f} a second", carried(
-            measured, name, size.deliveries_a_node, "ms", beyond=False), size.p99 * 1000, DESK))
+        found.append(
+            Row(
+                "p99",
+                FRONT,
+                MESSAGES,
+                f"p99 of {kind} at {size.deliveries_a_node:,.0f} a second",
+                carried(measured, name, size.deliveries_a_node, "ms", beyond=False),
+                size.p99 * 1000,
+                DESK,
+            )
+        )
     return found + given.rows(size, measured) + worker_rows(size, measured)
 
 
@@ -83,8 +151,9 @@
     slope, figure = measured.slopes.get(name), wanted(value, unit)
     if slope is None:
         return figure
-    return replace(figure, files=(slope.file,), command=slope.command, measured_to=slope.measured_to, wanted_at=value,
-                   carried=unit)
+    return replace(
+        figure, files=(slope.file,), command=slope.command, measured_to=slope.measured_to, wanted_at=value, carried=unit
+    )
 
 
 def worker_rows(size: Size, measured: Measured) -> list[Row]:
@@ -93,15 +162,43 @@
     wanted_ = cores and replace(cores, value=float(ceil(cores.value)), unit="processes")
     each = wanted_ and replace(wanted_, value=size.connections_a_node / wanted_.value, error=0.0, unit="connections")
     return [
-        Row("workers", WORKER, STATE, "processes that the dearest kind of delivery takes", wanted_,
-            size.guess("cores-a-node"), None),
+        Row(
+            "workers",
+            WORKER,
+            STATE,
+            "processes that the dearest kind of delivery takes",
+            wanted_,
+            size.guess("cores-a-node"),
+            None,
+        ),
         Row("workers", WORKER, STATE, "connections of one process in so many", each, None, None),
-        Row("workers", WORKER, MESSAGES, "what the node's channel, list and configuration tell it on the machine", None, None,
-            None),
-        Row("workers", WORKER, PROCESSOR, "a second channel, list and copy, were each worker a node of its own",
-            _again(size, measured, PROCESSOR, wanted_), size.control_core, None),
-        Row("workers", WORKER, MEMORY, "a second channel, list and copy, were each worker a node of its own",
-            _again(size, measured, MEMORY, wanted_), size.control_memory, None),
+        Row(
+            "workers",
+            WORKER,
+            MESSAGES,
+            "what the node's channel, list and configuration tell it on the machine",
+            None,
+            None,
+            None,
+        ),
+        Row(
+            "workers",
+            WORKER,
+            PROCESSOR,
+            "a second channel, list and copy, were each worker a node of its own",
+            _again(size, measured, PROCESSOR, wanted_),
+            size.control_core,
+            None,
+        ),
+        Row(
+            "workers",
+            WORKER,
+            MEMORY,
+            "a second channel, list and copy, were each worker a node of its own",
+            _again(size, measured, MEMORY, wanted_),
+            size.control_memory,
+            None,
+        ),
     ]
 
 
--- a/curlewshift/capacity/figures.py
+++ b/curlewshift/capacity/figures.py
@@ -59,10 +59,16 @@
             raise ValueError(f"{self.unit} and {other.unit} do not add up")
         further = max(self, other, key=lambda one: one.factor)
         how = FROM_SIMULATED if {self.how, other.how} & {SIMULATED, FROM_SIMULATED} else WORKED_OUT
-        return replace(further, value=self.value + other.value, error=self.error + other.error, how=how,
-                       files=tuple(dict.fromkeys(self.files + other.files)), at_least=self.at_least or other.at_least,
-                       of_less=self.of_less or other.of_less,
-                       command=" ; ".join(dict.fromkeys(one for one in (self.command, other.command) if one)))
+        return replace(
+            further,
+            value=self.value + other.value,
+            error=self.error + other.error,
+            how=how,
+            files=tuple(dict.fromkeys(self.files + other.files)),
+            at_least=self.at_least or other.at_least,
+            of_less=self.of_less or other.of_less,
+            command=" ; ".join(dict.fromkeys(one for one in (self.command, other.command) if one)),
+        )
 
 
 def assumed(value: float, unit: str) -> Figure:
--- a/curlewshift/capacity/in_force.py
+++ b/curlewshift/capacity/in_force.py
@@ -32,6 +32,7 @@
         if figure is not None and figure.how == MEASURED and not figure.measured_to:
             figure = measured.of_run(file, figure, size.nodes)
         found.append(Row("configuration", CONTROL, MESSAGES, words, figure, size.in_force_within, DISTRIBUTION))
+
     if file is not None and measured.get(file, "versions"):
         nodes = measured.get(file, "nodes")
         for key, words in (("no_loss", "nothing lost"), ("loss", "5% of datagrams lost")):
@@ -41,13 +42,19 @@
             for when in ("while", "after"):
                 told = fault.get(f"change_{when}")
                 if told and not told.get("no_majority"):
-                    add(f"in force at all of {measured.get(file, 'nodes')}, a change {when} {fault['kind']}", longest(measured, file, told))
+                    add(
+                        f"in force at all of {measured.get(file, 'nodes')}, a change {when} {fault['kind']}",
+                        longest(measured, file, told),
+                    )
         file = measured.scale(size.nodes, "stretch") or file
         told = measured.get(file, "stretch")
         if told:
-            add(f"in force at all of {measured.get(file, 'nodes')}, slowest of {told['changes']} changes with {told['restarts']} restarts",
-                measured.figure(file, "stretch", "everywhere_worst_s", unit="s") if not told.get("not_everywhere") else
-                Figure(WAITED, "s", MEASURED, files=(file,), command=measured.command(file), at_least=True))
+            add(
+                f"in force at all of {measured.get(file, 'nodes')}, slowest of {told['changes']} changes with {told['restarts']} restarts",
+                measured.figure(file, "stretch", "everywhere_worst_s", unit="s")
+                if not told.get("not_everywhere")
+                else Figure(WAITED, "s", MEASURED, files=(file,), command=measured.command(file), at_least=True),
+            )
     else:
         add("time until in force everywhere", None)
     rehearsed = of_days(size, measured)
@@ -66,8 +73,18 @@
         return None
     worst = max(days, key=lambda one: one["configuration"]["in_force_max_s"])
     late = any(one["configuration"]["late"] or one["configuration"]["missing"] for one in days)
-    return Figure(worst["configuration"]["in_force_max_s"], "s", MEASURED, files=(file,), command=worst["command"], at_least=late,
-                  measured_to=REHEARSED, wanted_at=size.nodes, carried="fronts", of_less=True)
+    return Figure(
+        worst["configuration"]["in_force_max_s"],
+        "s",
+        MEASURED,
+        files=(file,),
+        command=worst["command"],
+        at_least=late,
+        measured_to=REHEARSED,
+        wanted_at=size.nodes,
+        carried="fronts",
+        of_less=True,
+    )
 
 
 def simulated(size: Size, measured: Measured) -> list[tuple[str, Figure | None]]:
@@ -77,11 +94,16 @@
         waits = measured.get(file, key, "last_node_s")
         if waits:
             value, late = max(WAITED if wait is None else wait for wait in waits), None in waits
-            found.append((f"in force everywhere, {words}: slowest of {len(waits)} changes", Figure(
-                value, "s", SIMULATED, files=(file,), command=measured.command(file), at_least=late)))
-    for words, way in (("in force in all of a zone that is back at once with empty disks",
-                        ("zone_returns_empty", "in_force_in_all_s")),
-                       ("in force everywhere after regions met", ("regions_apart", "in_force_everywhere_after_meeting_s"))):
+            found.append(
+                (
+                    f"in force everywhere, {words}: slowest of {len(waits)} changes",
+                    Figure(value, "s", SIMULATED, files=(file,), command=measured.command(file), at_least=late),
+                )
+            )
+    for words, way in (
+        ("in force in all of a zone that is back at once with empty disks", ("zone_returns_empty", "in_force_in_all_s")),
+        ("in force everywhere after regions met", ("regions_apart", "in_force_everywhere_after_meeting_s")),
+    ):
         if measured.get(file, way[0]):
             found.append((words, measured.figure(file, *way, unit="s")))
     return [(words, figure and measured.of_run(file, figure, size.nodes)) for words, figure in found]
--- a/curlewshift/capacity/measured.py
+++ b/curlewshift/capacity/measured.py
@@ -10,8 +10,23 @@
 from curlewshift.capacity.slopes import Slope, Spoilt, slope_of
 
 # The commands of files that do not say theirs.
-COMMANDS = {name: f"bin/curlewshift measure {name} --out F" for name in
-            ("fleet", "flood", "joins", "keys", "leases", "limits", "peers", "recovery", "shared", "wheel", "goodput", "versions")}
+COMMANDS = {
+    name: f"bin/curlewshift measure {name} --out F"
+    for name in (
+        "fleet",
+        "flood",
+        "joins",
+        "keys",
+        "leases",
+        "limits",
+        "peers",
+        "recovery",
+        "shared",
+        "wheel",
+        "goodput",
+        "versions",
+    )
+}
 WHOLE_FILE_SIMULATED = {"leases.json", "shared.json", "goodput.json", "versions.json"}
 
 NOT_GOOD = "a run whose own verdict is not good"
@@ -53,8 +68,7 @@
         simulated = file in WHOLE_FILE_SIMULATED or "emulated" in way
         return Figure(found * by, unit, SIMULATED if simulated else MEASURED, files=(file,), command=self.command(file))
 
-    def at_size(self, nodes: int, *way: str | int, unit: str, by: float = 1.0, file: str | None = None
-                ) -> Figure | None:
+    def at_size(self, nodes: int, *way: str | int, unit: str, by: float = 1.0, file: str | None = None) -> Figure | None:
         """The number at the end of a way in the scale run of so many nodes, or of one that is nearest; of a smaller one it is not
         carried: leases cost each node less where there are more, other parts cost more."""
         file = file or self.scale(nodes, *way)
--- a/curlewshift/capacity/options.py
+++ b/curlewshift/capacity/options.py
@@ -17,60 +17,98 @@
 # What there is for each key of a row: (option, what it costs). The first is what we would begin with.
 OPTIONS: dict[str, tuple[tuple[str, str], ...]] = {
     "configuration": (
-        ("epidemic push and pull of one order of versions, kept by a majority of the control machines",
-         "a new kind on the channel; some 50 bytes on each probe; stores on four machines"),
-        ("one tree from the control machines down",
-         "fewer bytes; a broken inner node leaves all below it waiting, and is repaired just when zones are lost"),
-        ("each node asks the control machines", "simple; four machines answer all, and a cut leaves a region with nobody")),
+        (
+            "epidemic push and pull of one order of versions, kept by a majority of the control machines",
+            "a new kind on the channel; some 50 bytes on each probe; stores on four machines",
+        ),
+        (
+            "one tree from the control machines down",
+            "fewer bytes; a broken inner node leaves all below it waiting, and is repaired just when zones are lost",
+        ),
+        ("each node asks the control machines", "simple; four machines answer all, and a cut leaves a region with nobody"),
+    ),
     "workers": (
-        ("one process for control (channel, list, configuration), several that serve, one port shared by the kernel",
-         "a way between processes for holders, counts and rights; a viewing's later requests have to find its process"),
-        ("several nodes a machine, each with a part of the connections", "nothing to build; control is spent as many times, and "
-         "the fleet has as many members more"),
-        ("another language for the door", "two programs; rules and desk stay where they are, and are most of what is spent")),
+        (
+            "one process for control (channel, list, configuration), several that serve, one port shared by the kernel",
+            "a way between processes for holders, counts and rights; a viewing's later requests have to find its process",
+        ),
+        (
+            "several nodes a machine, each with a part of the connections",
+            "nothing to build; control is spent as many times, and the fleet has as many members more",
+        ),
+        ("another language for the door", "two programs; rules and desk stay where they are, and are most of what is spent"),
+    ),
     "sharing": (
-        ("sums up by zone and region, answers down; a node says only what changed by more than a step",
-         "one more way until a count is known elsewhere, and who adds up a zone has all of it to answer; {told_each}"),
-        ("counts from media servers alone: each tells all who play on it what is asked of its link",
-         "nothing between nodes; as late as servers tell, and whoever joins meanwhile is not in it"),
-        ("each node tells only the links that are nearly full", "few bytes on a calm day and as many as now on a full one")),
+        (
+            "sums up by zone and region, answers down; a node says only what changed by more than a step",
+            "one more way until a count is known elsewhere, and who adds up a zone has all of it to answer; {told_each}",
+        ),
+        (
+            "counts from media servers alone: each tells all who play on it what is asked of its link",
+            "nothing between nodes; as late as servers tell, and whoever joins meanwhile is not in it",
+        ),
+        ("each node tells only the links that are nearly full", "few bytes on a calm day and as many as now on a full one"),
+    ),
     "idle": (
-        ("what is due, late or idle is found by an index (the wheel that is there), and no sweep looks at all connections",
-         "one timer moved for each message; `schedule/wheel.py` does that in some microseconds"),
-        ("sweep a part of the connections each time", "the same cost, later found: a sweep's period grows with connections")),
+        (
+            "what is due, late or idle is found by an index (the wheel that is there), and no sweep looks at all connections",
+            "one timer moved for each message; `schedule/wheel.py` does that in some microseconds",
+        ),
+        ("sweep a part of the connections each time", "the same cost, later found: a sweep's period grows with connections"),
+    ),
     "p99": (
         ("workers (above)", "as above"),
-        ("shed at the door by the line's length", "refusals while the processor is short; `overload/` counts late starts")),
+        ("shed at the door by the line's length", "refusals while the processor is short; `overload/` counts late starts"),
+    ),
     "membership": (
-        ("news of a zone as one claim (all of z3), and fewer copies where many are lost at once",
-         "a form for claims about many; a wrong one takes in 70 nodes"),
-        ("membership by zone, with a few of each zone in a fleet-wide one",
-         "others' nodes are known by their zone's word alone")),
+        (
+            "news of a zone as one claim (all of z3), and fewer copies where many are lost at once",
+            "a form for claims about many; a wrong one takes in 70 nodes",
+        ),
+        ("membership by zone, with a few of each zone in a fleet-wide one", "others' nodes are known by their zone's word alone"),
+    ),
     "list": (
-        ("a whole list in several frames, agreed with whoever tells it",
-         "a form that is not ours; until then a list past one frame comes at the start alone"),
-        ("take a list in slices between requests",
-         "a list that is half in force for some milliseconds, unless it is swapped at once"),
-        ("changes alone (there), and whole lists compared by digest first", "a start takes the whole list all the same")),
+        (
+            "a whole list in several frames, agreed with whoever tells it",
+            "a form that is not ours; until then a list past one frame comes at the start alone",
+        ),
+        (
+            "take a list in slices between requests",
+            "a list that is half in force for some milliseconds, unless it is swapped at once",
+        ),
+        ("changes alone (there), and whole lists compared by digest first", "a start takes the whole list all the same"),
+    ),
     "memory": (
-        ("less by connection: buffers made when something is half read, one object for connection and session",
-         "a rewrite of wire and door"),
-        ("larger machines", "money")),
+        (
+            "less by connection: buffers made when something is half read, one object for connection and session",
+            "a rewrite of wire and door",
+        ),
+        ("larger machines", "money"),
+    ),
     "control-together": (("each part above", "as above"),),
     "largest-topic": (
-        ("notices in slices, those who pay first; the rest within a stated second",
-         "a listener may play a second on a rung that is gone"),
-        ("workers (above): each tells its part", "as above")),
+        (
+            "notices in slices, those who pay first; the rest within a stated second",
+            "a listener may play a second on a rung that is gone",
+        ),
+        ("workers (above): each tells its part", "as above"),
+    ),
     "overload": (
         ("rounds up by the zone and region of nodes, the level down the same way", "one more second until a level is followed"),
-        ("a level only where it has changed, and with what goes anyway", "a lost word is told again only with the next change")),
+        ("a level only where it has changed, and with what goes anyway", "a lost word is told again only with the next change"),
+    ),
     "leases": (("a longer term for tasks that may wait", "a task stands still for as long when its holder is lost"),),
 }
 
 # What rests on what: a worker has one copy of the configuration with the others of its machine; who adds up for a zone, and
 # which node holds a shard, are configuration.
-RESTS = {"workers": ("configuration",), "sharing": ("configuration",), "shards-of-topics": ("configuration",),
-         "p99": ("workers",), "control-together": ("sharing",)}
+RESTS = {
+    "workers": ("configuration",),
+    "sharing": ("configuration",),
+    "shards-of-topics": ("configuration",),
+    "p99": ("workers",),
+    "control-together": ("sharing",),
+}
 
 
 @dataclass(frozen=True)
@@ -90,8 +128,10 @@
     def options(self, size: Size) -> list[tuple[str, str]]:
         links = size.guess("servers-played-on")
         each = supposed(links * ROW_BYTES / size.control_bytes, "s")
-        told_each = (f"with all that is granted and rows of {ROW_BYTES} bytes (assumed) each of {links:,.0f} links can be told "
-                     f"each {each.text()}")
+        told_each = (
+            f"with all that is granted and rows of {ROW_BYTES} bytes (assumed) each of {links:,.0f} links can be told "
+            f"each {each.text()}"
+        )
         return [(option, cost.format(told_each=told_each)) for option, cost in OPTIONS.get(self.key, ())]
 
 
@@ -105,8 +145,10 @@
             nothing.setdefault(row.key, row)
         elif verdict.startswith(OVER) and (row.key not in over or row.over_by > over[row.key].over_by):
             over[row.key] = row
-    found = [Shortfall(key, nothing.get(key), over.get(key), tuple(sorted(one for one in RESTS if key in RESTS[one])))
-             for key in dict.fromkeys([*nothing, *over])]
+    found = [
+        Shortfall(key, nothing.get(key), over.get(key), tuple(sorted(one for one in RESTS if key in RESTS[one])))
+        for key in dict.fromkeys([*nothing, *over])
+    ]
     return sorted(found, key=lambda one: one.rank)
 
 
--- a/curlewshift/capacity/size.py
+++ b/curlewshift/capacity/size.py
@@ -14,8 +14,19 @@
 SCHEMA = Path(__file__).parent / "size.xsd"
 SECONDS = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
 BYTES = {"kB/s": 1000.0, "MB/s": 1e6, "kbit/s": 125.0, "Mbit/s": 125_000.0}
-ASSUMED = ("servers", "servers-played-on", "viewings-a-connection", "cores-a-node", "memory-a-node-GB", "nodes-a-rack",
-           "configuration-kB", "come-again-within-s", "lease-word-bytes", "round-word-bytes", "level-word-bytes")
+ASSUMED = (
+    "servers",
+    "servers-played-on",
+    "viewings-a-connection",
+    "cores-a-node",
+    "memory-a-node-GB",
+    "nodes-a-rack",
+    "configuration-kB",
+    "come-again-within-s",
+    "lease-word-bytes",
+    "round-word-bytes",
+    "level-word-bytes",
+)
 DAY = 86_400.0
 
 
@@ -78,24 +89,44 @@
         if name not in assumed:
             wrong.append((root.sourceline, f"size: the assumption {name} is missing"))
     size = Size(
-        root.get("name"), int(fleet.get("nodes")), int(fleet.get("connections")), int(fleet.get("regions")),
-        int(fleet.get("zones")), int(topics.get("shards")), int(topics.get("largest-listeners")),
-        float(deliveries.get("a-second")), _seconds(deliveries.get("p99")), int(configuration.get("changes-a-day")),
-        _seconds(configuration.get("in-force-within")), float(control.get("core")), float(control.get("memory-MB")),
-        _bytes(control.get("bytes")), int(control.get("machines")), float(failures.get("machines-a-day")),
-        float(failures.get("restarts-a-day")), float(failures.get("rack-each-days")),
-        float(failures.get("zone-each-days")), _seconds(failures.get("regions-apart")), assumed)
+        root.get("name"),
+        int(fleet.get("nodes")),
+        int(fleet.get("connections")),
+        int(fleet.get("regions")),
+        int(fleet.get("zones")),
+        int(topics.get("shards")),
+        int(topics.get("largest-listeners")),
+        float(deliveries.get("a-second")),
+        _seconds(deliveries.get("p99")),
+        int(configuration.get("changes-a-day")),
+        _seconds(configuration.get("in-force-within")),
+        float(control.get("core")),
+        float(control.get("memory-MB")),
+        _bytes(control.get("bytes")),
+        int(control.get("machines")),
+        float(failures.get("machines-a-day")),
+        float(failures.get("restarts-a-day")),
+        float(failures.get("rack-each-days")),
+        float(failures.get("zone-each-days")),
+        _seconds(failures.get("regions-apart")),
+        assumed,
+    )
     for element, holds, words in (
-            (fleet, size.zones >= size.regions, f"fleet: {size.zones} zones cannot make {size.regions} regions"),
-            (fleet, size.nodes >= size.zones, f"fleet: {size.nodes} nodes cannot fill {size.zones} zones"),
-            (topics, size.largest <= size.connections * assumed.get("viewings-a-connection", (1, ""))[0],
-             f"topics: {size.largest} listeners are more than all viewings"),
-            (control, size.control_core > 0, "control: core should be above 0")):
+        (fleet, size.zones >= size.regions, f"fleet: {size.zones} zones cannot make {size.regions} regions"),
+        (fleet, size.nodes >= size.zones, f"fleet: {size.nodes} nodes cannot fill {size.zones} zones"),
+        (
+            topics,
+            size.largest <= size.connections * assumed.get("viewings-a-connection", (1, ""))[0],
+            f"topics: {size.largest} listeners are more than all viewings",
+        ),
+        (control, size.control_core > 0, "control: core should be above 0"),
+    ):
         if not holds:
             wrong.append((element.sourceline, words))
     for name, most, words in (
-            ("servers-played-on", assumed.get("servers", (0, ""))[0], "a node cannot play on more servers than there are"),
-            ("nodes-a-rack", size.nodes_a_zone, "a rack cannot hold more than a zone")):
+        ("servers-played-on", assumed.get("servers", (0, ""))[0], "a node cannot play on more servers than there are"),
+        ("nodes-a-rack", size.nodes_a_zone, "a rack cannot hold more than a zone"),
+    ):
         if assumed.get(name, (0, ""))[0] > most:
             wrong.append((next(one.sourceline for one in root.iterfind("assume") if one.get("name") == name), f"assume: {words}"))
     return size
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -18,10 +18,21 @@
 # is too scattered to be carried beyond its run: so few points do not show that it is straight.
 SCATTERED = 0.10
 # What a unit is in the first of its kind.
-UNITS = {"bytes": ("bytes", 1.0), "kB": ("bytes", 1e3), "MB": ("bytes", 1e6), "GB": ("bytes", 1e9),
-         "s": ("s", 1.0), "seconds": ("s", 1.0), "ms": ("s", 1e-3), "us": ("s", 1e-6),
-         "core": ("core", 1.0), "cores": ("core", 1.0),
-         "bytes/s": ("bytes/s", 1.0), "bytes a second": ("bytes/s", 1.0), "kB/s": ("bytes/s", 1e3)}
+UNITS = {
+    "bytes": ("bytes", 1.0),
+    "kB": ("bytes", 1e3),
+    "MB": ("bytes", 1e6),
+    "GB": ("bytes", 1e9),
+    "s": ("s", 1.0),
+    "seconds": ("s", 1.0),
+    "ms": ("s", 1e-3),
+    "us": ("s", 1e-6),
+    "core": ("core", 1.0),
+    "cores": ("core", 1.0),
+    "bytes/s": ("bytes/s", 1.0),
+    "bytes a second": ("bytes/s", 1.0),
+    "kB/s": ("bytes/s", 1e3),
+}
 
 
 class Spoilt(Exception):
@@ -100,8 +111,13 @@
         if self.bears_carrying:
             return self.each(unit, x).times(x, unit)
         found, fewest = self.at(x, unit), self.at(self.curve[0][0], unit)
-        return replace(found, value=found.value - fewest.value, error=found.error + fewest.error, how=WORKED_OUT,
-                       by=f"{found.by}, less that at {short(self.curve[0][0])}")
+        return replace(
+            found,
+            value=found.value - fewest.value,
+            error=found.error + fewest.error,
+            how=WORKED_OUT,
+            by=f"{found.by}, less that at {short(self.curve[0][0])}",
+        )
 
     def at(self, x: float, unit: str, beyond: bool = True) -> Figure:
         """What x of them cost. Without `beyond` nothing past the run is worked out, as of waits, which rise without end once a
@@ -111,8 +127,9 @@
         if repeats:
             return self._run(repeats, unit, x)
         if self.bears_carrying and (beyond or within):
-            return self._figure(self.line.intercept + self.line.slope * x,
-                                self.line.slope_error * abs(x) + self.line.worst, unit, x, False)
+            return self._figure(
+                self.line.intercept + self.line.slope * x, self.line.slope_error * abs(x) + self.line.worst, unit, x, False
+            )
         if not within:
             return self._figure(self.curve[-1][1], 0.0, unit, x, True)
         return self._figure(self._between(x), 0.0, unit, x, False)
@@ -127,8 +144,19 @@
         bent = "" if self.bears_carrying else "too scattered to carry: " if self.straight else "not straight: "
         by = f"{bent}by its last point" if least else "by its line" if self.straight else f"{bent}between its points"
         how = FROM_SIMULATED if self.simulated else WORKED_OUT
-        return Figure(in_unit(value, self.y_unit, unit), unit, how, in_unit(error, self.y_unit, unit), (self.file,),
-                      self.command, self.measured_to, x, self.x_unit, least, by)
+        return Figure(
+            in_unit(value, self.y_unit, unit),
+            unit,
+            how,
+            in_unit(error, self.y_unit, unit),
+            (self.file,),
+            self.command,
+            self.measured_to,
+            x,
+            self.x_unit,
+            least,
+            by,
+        )
 
     @property
     def curve(self) -> list[tuple[float, float]]:
@@ -149,8 +177,9 @@
         if not self.straight:
             return "not straight"
         unit, by = ("us", 1e6) if UNITS.get(self.y_unit, ("",))[0] == "s" else (self.y_unit, 1.0)
-        value, error = (in_unit(one, self.y_unit, "s") * by if unit == "us" else one
-                        for one in (self.line.slope, self.line.slope_error))
+        value, error = (
+            in_unit(one, self.y_unit, "s") * by if unit == "us" else one for one in (self.line.slope, self.line.slope_error)
+        )
         scattered = "" if self.bears_carrying else "; too scattered to carry"
         return f"{short(value)} ± {short(error)} {unit} each{scattered}"
 
@@ -161,6 +190,7 @@
 
     def no(words: str) -> Spoilt:
         return Spoilt(f"{file}: slope {name}: {words}")
+
     for key in ("name", "x", "y", "points", "fit", "command"):
         if not told.get(key):
             raise no(f"{key} is missing")
@@ -179,9 +209,18 @@
         raise no(f"its fit says {says:.5g} at {reach:g}, the line through its points {here:.5g}")
     x, notes = told["x"], told.get("notes") or ""
     unit = x.get("unit", "")
-    return Slope(name, file, told.get("of", ""), _plural(x["name"]) if unit in ("", "count") else x["name"],
-                 told["y"].get("unit", ""), points, line, bool(fit["straight"]), told["command"],
-                 notes if isinstance(notes, str) else "; ".join(notes))
+    return Slope(
+        name,
+        file,
+        told.get("of", ""),
+        _plural(x["name"]) if unit in ("", "count") else x["name"],
+        told["y"].get("unit", ""),
+        points,
+        line,
+        bool(fit["straight"]),
+        told["command"],
+        notes if isinstance(notes, str) else "; ".join(notes),
+    )
 
 
 def _plural(name: str) -> str:
--- a/curlewshift/capacity/tables.py
+++ b/curlewshift/capacity/tables.py
@@ -23,15 +23,18 @@
 def tables(size: Size, measured: Measured, root: Path) -> dict[str, str]:
     """Name to markdown, in the order of the page. `root` is the tree's: a mechanism that is not there carries nothing."""
     rows = all_rows(size, measured)
-    made = {"size": size_table(size), "questions": table(
-        ("word", "as read here", "the other way", "what changes then"), questions(size, measured))}
+    made = {
+        "size": size_table(size),
+        "questions": table(("word", "as read here", "the other way", "what changes then"), questions(size, measured)),
+    }
     for role in ROLES:
         made[role] = role_table([row for row in rows if row.role == role], root)
     made["failures"] = failures_table(size, measured)
     made["before"] = order_table(before(rows), root, size, options=False)
     made["order"] = order_table(rows, root, size)
-    made["open"] = table(("not measured", "role", "carried by"), [
-        (row.says, row.role, by(row, root)) for row in not_measured(rows, root)])
+    made["open"] = table(
+        ("not measured", "role", "carried by"), [(row.says, row.role, by(row, root)) for row in not_measured(rows, root)]
+    )
     made["slopes"] = slopes_table(measured)
     return made
 
@@ -42,19 +45,27 @@
 
 
 def size_table(size: Size) -> str:
-    rows = [(words, f"{short(value)} {unit}", how) for words, value, unit, how in (
-        ("front nodes", size.nodes, "", "wanted"), ("connections", size.connections, "", "wanted"),
-        ("connections a node", size.connections_a_node, "", "worked out"), ("shards of topics", size.shards, "", "wanted"),
-        ("listeners of the largest topic", size.largest, "", "wanted"),
-        ("deliveries a second", size.deliveries, "", "wanted"),
-        ("deliveries a second a node", size.deliveries_a_node, "", "worked out"), ("their p99", size.p99 * 1000, "ms", "wanted"),
-        ("regions, zones", size.regions, f", {size.zones}", "wanted"), ("nodes a zone", size.nodes_a_zone, "", "worked out"),
-        ("changes of configuration a day", size.changes_a_day, "", "wanted"),
-        ("each in force everywhere within", size.in_force_within, "s", "wanted"),
-        ("control a node: processor time", size.control_core * 100, "% of a core", "wanted"),
-        ("control a node: memory", size.control_memory, "MB", "wanted"),
-        ("control a node: bytes a second", size.control_bytes, "", "wanted"),
-        ("machines set aside for control", size.control_machines, "", "wanted"))]
+    rows = [
+        (words, f"{short(value)} {unit}", how)
+        for words, value, unit, how in (
+            ("front nodes", size.nodes, "", "wanted"),
+            ("connections", size.connections, "", "wanted"),
+            ("connections a node", size.connections_a_node, "", "worked out"),
+            ("shards of topics", size.shards, "", "wanted"),
+            ("listeners of the largest topic", size.largest, "", "wanted"),
+            ("deliveries a second", size.deliveries, "", "wanted"),
+            ("deliveries a second a node", size.deliveries_a_node, "", "worked out"),
+            ("their p99", size.p99 * 1000, "ms", "wanted"),
+            ("regions, zones", size.regions, f", {size.zones}", "wanted"),
+            ("nodes a zone", size.nodes_a_zone, "", "worked out"),
+            ("changes of configuration a day", size.changes_a_day, "", "wanted"),
+            ("each in force everywhere within", size.in_force_within, "s", "wanted"),
+            ("control a node: processor time", size.control_core * 100, "% of a core", "wanted"),
+            ("control a node: memory", size.control_memory, "MB", "wanted"),
+            ("control a node: bytes a second", size.control_bytes, "", "wanted"),
+            ("machines set aside for control", size.control_machines, "", "wanted"),
+        )
+    ]
     rows += [(name.replace("-", " "), short(value), f"assumed: {why}") for name, (value, why) in size.assumed.items()]
     return table(("what", "at this size", "whence"), [(a, b.replace(" ,", ",").strip(), c) for a, b, c in rows])
 
@@ -78,16 +89,31 @@
 
 
 def role_table(rows: list[Row], root: Path) -> str:
-    return table(("what", "needs", "figure", "carried by", "slope, limit", "verdict", "command"), [
-        (row.what, row.says, row.figure.text() if row.figure else NOT_MEASURED, by(row, root), slope_cell(row.figure),
-         row.verdict(root), command_cell((row.figure,))) for row in rows])
+    return table(
+        ("what", "needs", "figure", "carried by", "slope, limit", "verdict", "command"),
+        [
+            (
+                row.what,
+                row.says,
+                row.figure.text() if row.figure else NOT_MEASURED,
+                by(row, root),
+                slope_cell(row.figure),
+                row.verdict(root),
+                command_cell((row.figure,)),
+            )
+            for row in rows
+        ],
+    )
 
 
 def failures_table(size: Size, measured: Measured) -> str:
-    return table(("what fails", "how often", "who notices, how soon", "what moves", "what it costs the others", "what waits",
-                  "commands"),
-                 [(one.what, one.often, one.notices, one.moves, one.costs, one.waits, command_cell(one.of))
-                  for one in Failures(size, measured).all()])
+    return table(
+        ("what fails", "how often", "who notices, how soon", "what moves", "what it costs the others", "what waits", "commands"),
+        [
+            (one.what, one.often, one.notices, one.moves, one.costs, one.waits, command_cell(one.of))
+            for one in Failures(size, measured).all()
+        ],
+    )
 
 
 def order_table(rows: list[Row], root: Path, size: Size, options: bool = True) -> str:
@@ -96,8 +122,15 @@
         stands = [f"{NOTHING}: {one.nothing.says} ({one.nothing.role})"] if one.nothing else []
         stands += [f"{one.over.verdict(root)}: {one.over.says} ({one.over.role})"] if one.over else []
         said = "; ".join(f"**{option}** ({cost})" for option, cost in one.options(size)) or "none thought of yet"
-        made.append((str(place), words_of(one.key), "; ".join(stands), ", ".join(map(words_of, one.resting)) or "nothing",
-                     *([said] if options else [])))
+        made.append(
+            (
+                str(place),
+                words_of(one.key),
+                "; ".join(stands),
+                ", ".join(map(words_of, one.resting)) or "nothing",
+                *([said] if options else []),
+            )
+        )
     return table(("", "what", "how it stands", "what rests on it", *(["options, and what each costs"] if options else [])), made)
 
 
@@ -111,7 +144,17 @@
 
 
 def slopes_table(measured: Measured) -> str:
-    rows = [(one.name, one.of, one.fit(), f"{short(one.points[0][0])} to {short(one.measured_to)} {one.x_unit}", f"`{one.file}`",
-             measured.machine(one.file), f"`{one.command}`") for one in measured.slopes.values()]
+    rows = [
+        (
+            one.name,
+            one.of,
+            one.fit(),
+            f"{short(one.points[0][0])} to {short(one.measured_to)} {one.x_unit}",
+            f"`{one.file}`",
+            measured.machine(one.file),
+            f"`{one.command}`",
+        )
+        for one in measured.slopes.values()
+    ]
     heads = ("slope", "of", "fit", "measured", "file", "machine, and its load", "command")
     return table(heads, rows) if rows else "No slope is measured yet."
--- a/curlewshift/capture/against.py
+++ b/curlewshift/capture/against.py
@@ -88,12 +88,15 @@
             kind = kind_of(self.done, would)
             compared.kinds[kind] += 1
             if kind != "the same" and len(compared.examples) < KEPT_EXAMPLES:
-                compared.examples.append(f"at {(self.host.now() - self.born) / 1e9:.3f} s viewing {vw.name} of "
-                                         f"{vw.title!r}: {in_words(self.done)} here, {in_words(would)} there")
+                compared.examples.append(
+                    f"at {(self.host.now() - self.born) / 1e9:.3f} s viewing {vw.name} of "
+                    f"{vw.title!r}: {in_words(self.done)} here, {in_words(would)} there"
+                )
 
         def _tune_in(self, vw, server, rung):
             self.done = (server.name, rung)
             super()._tune_in(vw, server, rung)
+
     return Asked
 
 
--- a/curlewshift/capture/records.py
+++ b/curlewshift/capture/records.py
@@ -45,7 +45,7 @@
                 self.damage = f"{self.name}: cut off inside a record's head at byte {at}"
                 return
             length, checksum = HEAD.unpack_from(self.raw, at)
-            payload = self.raw[at + HEAD.size:at + HEAD.size + length]
+            payload = self.raw[at + HEAD.size : at + HEAD.size + length]
             if length > MOST_BYTES or len(payload) < length:
                 self.damage = f"{self.name}: cut off inside a record at byte {at}"
                 return
--- a/curlewshift/capture/replay.py
+++ b/curlewshift/capture/replay.py
@@ -77,8 +77,7 @@
 class Replay:
     """`viewing` is the number of one to explain; `rules` may be others than those that serve, to compare."""
 
-    def __init__(self, records: Iterable[list], viewing: int | None = None, until: int | None = None,
-                 rules: type[Rules] = Rules):
+    def __init__(self, records: Iterable[list], viewing: int | None = None, until: int | None = None, rules: type[Rules] = Rules):
         self.records = list(records)
         self.viewing, self.until, self.rules = viewing, until, rules
         self.position = 0
@@ -98,7 +97,8 @@
             calendar.peaks[peak["name"]] = Peak(**peak)
         self.position = 1
         self.desk = tapped(Desk, self._note)(
-            self.outside, terms, Roster(uplinks, titles), calendar=calendar, rules=self._rules(), **limits)
+            self.outside, terms, Roster(uplinks, titles), calendar=calendar, rules=self._rules(), **limits
+        )
         while self.position < len(self.records) and self.done.difference is None:
             record = self.records[self.position]
             if record[0] != TOLD:
@@ -117,8 +117,7 @@
         self.done.until = at
         before = self.position
         try:
-            getattr(self.desk, name)(*[self._thing(one) for one in args],
-                                     **{key: self._thing(one) for key, one in how.items()})
+            getattr(self.desk, name)(*[self._thing(one) for one in args], **{key: self._thing(one) for key, one in how.items()})
         except (Misuse, Nonsense):
             # the log has the same: it was told, and did nothing
             pass
@@ -192,12 +191,15 @@
                 lines = replay._why(self, vw)
                 super()._place(vw)
                 replay.done.explained += [*lines, replay._outcome(vw)]
+
         return Explained
 
     def _why(self, rules: Rules, vw) -> list[str]:
         when = (self.outside.at - self.began) / SECOND
-        lines = [f"at {when:.3f} s: viewing {vw.name} of {vw.title!r}, package {vw.package.name}, rungs "
-                 f"{vw.package.floor} to {min(vw.ceiling, vw.package.top)}, {vw.tune_ins} tune-ins so far"]
+        lines = [
+            f"at {when:.3f} s: viewing {vw.name} of {vw.title!r}, package {vw.package.name}, rungs "
+            f"{vw.package.floor} to {min(vw.ceiling, vw.package.top)}, {vw.tune_ins} tune-ins so far"
+        ]
         for server in vw.holders:
             lines.append("  " + self._of_holder(rules, vw, server))
         seats = vw.package.seats
@@ -208,15 +210,20 @@
     def _of_holder(self, rules: Rules, vw, server: Server) -> str:
         link = server.link
         held = sum(room for package, room in link.holds.items() if package is not vw.package)
-        said = [f"{server.name}: link of {link.size:.0f} kB/s, own use {link.own:.0f}, others "
-                f"{max(0.0, rules._others(link)):.0f}" + (f", held for other packages {held:.0f}" if held else "")]
+        said = [
+            f"{server.name}: link of {link.size:.0f} kB/s, own use {link.own:.0f}, others "
+            f"{max(0.0, rules._others(link)):.0f}" + (f", held for other packages {held:.0f}" if held else "")
+        ]
         if not server.open:
             said.append("told draining or gone")
         elif not rules._may_send(server):
             said.append("cold, full or failed: nothing may be sent now")
         else:
-            fits = [rung for rung in range(vw.package.floor, min(vw.ceiling, vw.package.top) + 1)
-                    if rules._room(server, vw.package.rates[rung], vw=vw) >= 0]
+            fits = [
+                rung
+                for rung in range(vw.package.floor, min(vw.ceiling, vw.package.top) + 1)
+                if rules._room(server, vw.package.rates[rung], vw=vw) >= 0
+            ]
             said.append(f"rungs up to {max(fits)} pass the test" if fits else "no rung passes the test")
         if rules._sick(server):
             said.append("in doubt after failures")
--- a/curlewshift/capture/retention.py
+++ b/curlewshift/capture/retention.py
@@ -23,8 +23,7 @@
     size: int
 
 
-def to_let_go(captures: list[Kept], writing: str, now: int, kept_for: int = KEPT_FOR,
-              most_bytes: int = MOST_BYTES) -> list[str]:
+def to_let_go(captures: list[Kept], writing: str, now: int, kept_for: int = KEPT_FOR, most_bytes: int = MOST_BYTES) -> list[str]:
     """Names, oldest first. A time in the future (the clock was set back) is no reason to go."""
     oldest_first = sorted(captures, key=lambda kept: (kept.last, kept.name))
     size = sum(kept.size for kept in captures)
--- a/curlewshift/capture/store.py
+++ b/curlewshift/capture/store.py
@@ -36,8 +36,9 @@
 class CaptureWriter:
     """`ended(why)` is called once, from the writer's thread or the noting one, if the capture ends before `close`."""
 
-    def __init__(self, folder: Path, ended: Callable[[str], None], budget: int = BUDGET, segment: int = SEGMENT,
-                 together: float = TOGETHER):
+    def __init__(
+        self, folder: Path, ended: Callable[[str], None], budget: int = BUDGET, segment: int = SEGMENT, together: float = TOGETHER
+    ):
         folder.mkdir(parents=True, exist_ok=True)
         self.folder, self.ended, self.budget, self.segment = folder, ended, budget, segment
         self.indexer = Indexer()
--- a/curlewshift/capture/tap.py
+++ b/curlewshift/capture/tap.py
@@ -25,12 +25,49 @@
 BEGAN, TOLD, DID = 0, 1, 2
 
 # Everything by which a desk is told something.
-ENTRIES = ("asked", "hung_up", "closed", "ceiling_told", "patched", "drain", "played", "failed", "lost", "server_lost",
-           "notes_broke", "restarted", "handed_over", "delivered", "told", "told_server", "session_ended", "probed",
-           "list_full", "list_change", "time", "announce", "cancel", "interrupted", "found", "not_found", "rung_found",
-           "came_back", "orphaned", "rights_held", "doubted", "counted", "seen_warm",
-           "further_held", "seats_held", "seats_over", "uplink_counted", "link_reported", "planned", "again_stopped",
-           "share_rights")
+ENTRIES = (
+    "asked",
+    "hung_up",
+    "closed",
+    "ceiling_told",
+    "patched",
+    "drain",
+    "played",
+    "failed",
+    "lost",
+    "server_lost",
+    "notes_broke",
+    "restarted",
+    "handed_over",
+    "delivered",
+    "told",
+    "told_server",
+    "session_ended",
+    "probed",
+    "list_full",
+    "list_change",
+    "time",
+    "announce",
+    "cancel",
+    "interrupted",
+    "found",
+    "not_found",
+    "rung_found",
+    "came_back",
+    "orphaned",
+    "rights_held",
+    "doubted",
+    "counted",
+    "seen_warm",
+    "further_held",
+    "seats_held",
+    "seats_over",
+    "uplink_counted",
+    "link_reported",
+    "planned",
+    "again_stopped",
+    "share_rights",
+)
 # Everything that it does.
 ACTS = ("tune_in", "withdraw", "tell", "end_session", "probe", "answer", "whole_list")
 
@@ -62,8 +99,7 @@
     if isinstance(thing, (Outcome, Result)):
         return ["outcome" if isinstance(thing, Outcome) else "result", thing.value]
     if isinstance(thing, Row):
-        return ["row", thing.server, thing.state, thing.started, thing.zone, thing.rack, thing.link, thing.streams,
-                thing.shelf]
+        return ["row", thing.server, thing.state, thing.started, thing.zone, thing.rack, thing.link, thing.streams, thing.shelf]
     if isinstance(thing, Peak):
         return ["peak", asdict(thing)]
     if isinstance(thing, (list, tuple)):
@@ -109,6 +145,7 @@
                 what = [self.ids.of(request), request.name, answer.kind.value, answer.cause, answer.wait]
             self.note([DID, name, what, bool(result)])
             return result
+
         return done
 
     def now(self) -> int:
@@ -132,9 +169,15 @@
             self.tap_ids, self.tap_depth = Ids(), 0
             self.tap_outside = Frozen(outside, note, self.tap_ids)
             limits = {name: how[name] for name in ("most_waiting", "most_keys") if name in how}
-            note([BEGAN, terms_out(terms), [roster.uplinks, {name: list(title.shelves)
-                                                             for name, title in roster.titles.items()}],
-                  [asdict(peak) for peak in (calendar.peaks.values() if calendar else ())], limits])
+            note(
+                [
+                    BEGAN,
+                    terms_out(terms),
+                    [roster.uplinks, {name: list(title.shelves) for name, title in roster.titles.items()}],
+                    [asdict(peak) for peak in (calendar.peaks.values() if calendar else ())],
+                    limits,
+                ]
+            )
             self.tap_outside.at = terms.now
             super().__init__(self.tap_outside, terms, roster, *args, calendar=calendar, **how)
 
@@ -156,8 +199,16 @@
                 return told(self, *args, **how)
             self.tap_outside.freeze()
             ids = self.tap_ids
-            note([TOLD, self.tap_outside.at, self.tap_outside.walls, name,
-                  [plain(ids, one) for one in args], {key: plain(ids, one) for key, one in how.items()}])
+            note(
+                [
+                    TOLD,
+                    self.tap_outside.at,
+                    self.tap_outside.walls,
+                    name,
+                    [plain(ids, one) for one in args],
+                    {key: plain(ids, one) for key, one in how.items()},
+                ]
+            )
             self.tap_depth += 1
             try:
                 result = told(self, *args, **how)
@@ -169,6 +220,7 @@
             elif isinstance(result, (Request, Course)):
                 ids.of(result)
             return result
+
         return noted
 
     for name in ENTRIES:
@@ -180,5 +232,3 @@
     out = {name: getattr(terms, name) for name in Terms.__slots__ if name != "packages"}
     out["packages"] = [{name: getattr(package, name) for name in type(package).__slots__} for package in terms.packages]
     return out
-
-
--- a/curlewshift/client/caller.py
+++ b/curlewshift/client/caller.py
@@ -60,8 +60,7 @@
 
     async def restart(self, fragment: str) -> str:
         """Begins another ICE session; returns the server's fragment. Raises `Wrong`, `Failed`."""
-        answered = await self._ask("PATCH", self.path, [("content-type", FRAGMENT), ("if-match", "*")],
-                                   fragment.encode())
+        answered = await self._ask("PATCH", self.path, [("content-type", FRAGMENT), ("if-match", "*")], fragment.encode())
         self.etag = answered.headers.get("etag", self.etag)
         return answered.body.decode()
 
@@ -112,8 +111,17 @@
         """A session that publishes (WHIP). See `ask`."""
         return await self.ask(PUBLISHES, package, title, offer, **how)
 
-    async def ask(self, way: str, package: str, title: str, offer: str, patience: float = 5.0, top: int | None = None,
-                  twice: bool = False, key: str | None = None) -> Session:
+    async def ask(
+        self,
+        way: str,
+        package: str,
+        title: str,
+        offer: str,
+        patience: float = 5.0,
+        top: int | None = None,
+        twice: bool = False,
+        key: str | None = None,
+    ) -> Session:
         """Asks until it plays, is refused for good, fails, or `patience` (s) has passed; one key for all tries.
 
         `twice`: setting it up twice does no harm, so that another front may be asked where one gave no answer.
@@ -136,9 +144,14 @@
     async def _try(self, plan: Plan, front: str, target: str, offer: str, key: str) -> Ask | Stop | Session:
         left = (plan.ends - time.monotonic_ns()) / NS
         try:
-            answered = await self._send(front, "POST", target, [
-                ("content-type", SDP), ("idempotency-key", key), ("prefer", f"wait={max(1, -int(-left // 1))}")],
-                offer.encode(), max(0.001, left))
+            answered = await self._send(
+                front,
+                "POST",
+                target,
+                [("content-type", SDP), ("idempotency-key", key), ("prefer", f"wait={max(1, -int(-left // 1))}")],
+                offer.encode(),
+                max(0.001, left),
+            )
         except NeverSent as wrong:
             return plan.unreached(str(wrong), time.monotonic_ns())
         except Broken as wrong:
@@ -147,8 +160,14 @@
             return plan.failed("no answer in the viewer's time")
         now = time.monotonic_ns()
         if answered.status == 201:
-            return Session(self, front, answered.headers.get("location", ""), answered.body.decode("utf-8", "replace"),
-                           answered.headers.get("etag", ""), links_of(answered.headers.get("link", "")))
+            return Session(
+                self,
+                front,
+                answered.headers.get("location", ""),
+                answered.body.decode("utf-8", "replace"),
+                answered.headers.get("etag", ""),
+                links_of(answered.headers.get("link", "")),
+            )
         if answered.status in (307, 308):
             return plan.redirected(_base(answered.headers.get("location", ""), front), now)
         if answered.status == 503:
@@ -161,8 +180,9 @@
         tls = (self.tls or ssl.create_default_context()) if secure else None
         token = self.token() if callable(self.token) else self.token
         bearer = [("authorization", f"Bearer {token}")] if token else []
-        return await ask(parts.hostname, parts.port or (443 if secure else 80), method, path, [*headers, *bearer], body,
-                         within, tls)
+        return await ask(
+            parts.hostname, parts.port or (443 if secure else 80), method, path, [*headers, *bearer], body, within, tls
+        )
 
 
 def links_of(header: str) -> dict[str, str]:
--- a/curlewshift/commands/authority.py
+++ b/curlewshift/commands/authority.py
@@ -20,6 +20,7 @@
 def authority_make(folder, name):
     """Make an authority in FOLDER."""
     from curlewshift.site.authority import NoAuthority, make_authority
+
     try:
         click.echo(make_authority(folder, name))
     except (NoAuthority, OSError) as wrong:
@@ -35,6 +36,7 @@
 def authority_issue(folder, hosts, out, days):
     """Sign a certificate for HOSTS (names or addresses) with the authority in FOLDER."""
     from curlewshift.site.authority import NoAuthority, issue
+
     try:
         click.echo("\n".join(str(path) for path in issue(folder, list(hosts), out, days)))
     except (NoAuthority, OSError) as wrong:
--- a/curlewshift/commands/capacity.py
+++ b/curlewshift/commands/capacity.py
@@ -25,6 +25,7 @@
     from curlewshift.capacity.page import NoPlace, differences, written
     from curlewshift.capacity.slopes import Spoilt
     from curlewshift.capacity.tables import tables
+
     try:
         made = tables(read_or_exit(read_size, size), measured_in(measured), ROOT)
         if name is not None:
@@ -52,6 +53,7 @@
 
 def measured_in(folder: Path):
     from curlewshift.capacity.measured import Measured
+
     return Measured(folder)
 
 
@@ -59,6 +61,7 @@
     """The size of a file. Raises `Mistakes` with all that is wrong, by line."""
     from curlewshift.capacity.size import SCHEMA, size_of
     from curlewshift.site.reading import Mistakes, read_xml
+
     wrong: list[tuple[int, str]] = []
     size = size_of(read_xml(path, SCHEMA), wrong)
     if wrong:
--- a/curlewshift/commands/capture.py
+++ b/curlewshift/commands/capture.py
@@ -17,6 +17,7 @@
 
 def segments_or_exit(log: Path) -> list[Path]:
     from curlewshift.capture.store import life_in, segments_of
+
     try:
         life = life_in(log)
         found = segments_of(life) if life.is_dir() else [life]
@@ -38,6 +39,7 @@
     from curlewshift.capture.index import Indexer
     from curlewshift.capture.records import NotALog
     from curlewshift.capture.store import index_of
+
     table, indexer, began = Table(), Indexer(), None
     for column in ("segment", "bytes", "records", "from", "to", "viewings"):
         table.add_column(column, justify="left" if column == "segment" else "right")
@@ -48,9 +50,14 @@
             click.echo(f"curlewshift: {wrong}", err=True)
             sys.exit(2)
         began = index.first if began is None else began
-        table.add_row(f"{segment.parent.name}/{segment.name}", str(segment.stat().st_size), str(index.records),
-                      f"{(index.first - began) / 1e9:.1f} s", f"{(index.last - began) / 1e9:.1f} s",
-                      str(len(index.viewings)))
+        table.add_row(
+            f"{segment.parent.name}/{segment.name}",
+            str(segment.stat().st_size),
+            str(index.records),
+            f"{(index.first - began) / 1e9:.1f} s",
+            f"{(index.last - began) / 1e9:.1f} s",
+            str(len(index.viewings)),
+        )
     Console(width=140).print(table)
 
 
@@ -65,6 +72,7 @@
     from curlewshift.capture.records import NotALog
     from curlewshift.capture.store import index_of, read_segment
     from curlewshift.capture.tap import BEGAN, TOLD
+
     indexer, began, at = Indexer(), None, 0
     try:
         for number, segment in enumerate(segments_or_exit(log)):
@@ -79,8 +87,7 @@
                 at = record[1] if record[0] == TOLD else at
                 told_of = indexer.add(record)
                 wanted = viewing is None or told_of == viewing
-                if record[0] != BEGAN and wanted and at >= began + since * 1e9 and (
-                        until is None or at <= began + until * 1e9):
+                if record[0] != BEGAN and wanted and at >= began + since * 1e9 and (until is None or at <= began + until * 1e9):
                     click.echo(in_words(record, began))
             if reading.damage:
                 click.echo(f"the capture ends early: {reading.damage}", err=True)
--- a/curlewshift/commands/check.py
+++ b/curlewshift/commands/check.py
@@ -12,5 +12,7 @@
 def check(site):
     """Read SITE and tell all that is wrong with it."""
     held = site_of(site)
-    click.echo(f"{site}: {len(held.doors)} fronts, {len(held.machines)} servers, {len(held.titles)} titles, "
-               f"{len(held.packages)} packages")
+    click.echo(
+        f"{site}: {len(held.doors)} fronts, {len(held.machines)} servers, {len(held.titles)} titles, "
+        f"{len(held.packages)} packages"
+    )
--- a/curlewshift/commands/common.py
+++ b/curlewshift/commands/common.py
@@ -16,6 +16,7 @@
 def read_or_exit(reader, path):
     """What the reader makes of the file; or all its mistakes on standard error, and exit 2."""
     from curlewshift.site.reading import Mistakes
+
     try:
         return reader(path)
     except Mistakes as mistakes:
@@ -25,6 +26,7 @@
 
 def site_of(path: Path):
     from curlewshift.site.site import read_site
+
     return read_or_exit(read_site, path)
 
 
@@ -33,6 +35,7 @@
     if name is None:
         return
     from curlewshift.front.spoilt import NAMES
+
     if name not in NAMES:
         click.echo(f"there is no sabotage {name!r}, but {', '.join(NAMES)}", err=True)
         sys.exit(2)
@@ -43,6 +46,7 @@
     was not asked for. As JSON it is printed
     here, and the command has done its work."""
     import json
+
     told = tell_front(state, {"do": what})[what]
     if told is None:
         click.echo(f"curlewshift: {missing}", err=True)
@@ -58,6 +62,7 @@
     """What the front, or control machine, answers; or its no, in words, and exit 2; exit 1 if none listens or answers within so
     long (s)."""
     from curlewshift.front.control import WITHIN, tell
+
     try:
         answer = run(tell, state, command, within or WITHIN)
     except TimeoutError:
--- a/curlewshift/commands/configuration.py
+++ b/curlewshift/commands/configuration.py
@@ -24,6 +24,7 @@
     """What the front or control machine at the state folder knows: newest, in force, lowest by zone, who lags or refuses."""
     from rich.console import Console
     from rich.table import Table
+
     told = shown_by_front(state, "configuration", "the settings have no <configuration>", as_json)
     table = Table(show_header=False)
     for name, value in told.items():
@@ -40,6 +41,7 @@
 
 def _table(title: str, rows: list[dict]):
     from rich.table import Table
+
     columns = list(dict.fromkeys(key for row in rows for key in row))
     table = Table(title=title.replace("_", " "), title_justify="left")
     for column in columns:
@@ -58,6 +60,7 @@
 def configuration_put(file, state, why, base, restarts):
     """Have FILE in force everywhere. It is checked first; what is wrong with it is told before anybody hears of it."""
     from curlewshift.control.commands import PUT_WITHIN
+
     try:
         content = file.read_text()
     except (OSError, UnicodeDecodeError) as wrong:
@@ -65,8 +68,11 @@
         sys.exit(2)
     if base is None:
         base = tell_front(state, {"do": "content"})["content"]["version"]
-    answer = tell_front(state, {"do": "put", "content": content, "base": base, "name": str(file), "why": why,
-                               "restarts": restarts}, PUT_WITHIN + 10)
+    answer = tell_front(
+        state,
+        {"do": "put", "content": content, "base": base, "name": str(file), "why": why, "restarts": restarts},
+        PUT_WITHIN + 10,
+    )
     click.echo(f"{answer['version']} is with a majority of the control machines, and is on its way to all")
     if answer["needs_restart"]:
         click.echo(f"in force at each front from its next start on: {answer['needs_restart']}")
@@ -78,6 +84,7 @@
 def configuration_diff(file, state):
     """The lines by which FILE differs from what is the newest at the state folder; exit 1 if any do."""
     from difflib import unified_diff
+
     held = tell_front(state, {"do": "content"})["content"]
     if held["text"] is None:
         click.echo("curlewshift: no version was put yet: each front has the file it was given", err=True)
--- a/curlewshift/commands/control.py
+++ b/curlewshift/commands/control.py
@@ -22,6 +22,7 @@
     from curlewshift.control.machine import Machine
     from curlewshift.logs import make_log
     from curlewshift.state.journal import Taken
+
     held = site_of(site)
     names = [machine.name for machine in held.control.machines] if held.control is not None else []
     if name not in names:
@@ -34,6 +35,7 @@
     kind = Machine
     if sabotage is not None:
         from curlewshift.front.spoilt_configured import MACHINES
+
         kind = MACHINES[sabotage]
     try:
         made = kind(site, held, name, state, secrets.randbits(32) if seed is None else seed, make_log(machine=name))
--- a/curlewshift/commands/experiment.py
+++ b/curlewshift/commands/experiment.py
@@ -20,14 +20,20 @@
 def rich_cells(held, found) -> None:
     from rich.console import Console
     from rich.table import Table
+
     table = Table(title=held.question)
     for column in ("levels", "measure", "median", "95%", "seeds", f"against {held.baseline}", "wrong"):
         table.add_column(column, justify="left" if column in ("levels", "measure") else "right")
     for cell in found:
-        table.add_row(", ".join(f"{name} {level}" for name, level in cell.levels), cell.measure, f"{cell.median:.3f}",
-                      f"{cell.low:.3f} to {cell.high:.3f}", str(cell.seeds),
-                      "" if cell.against is None else "{:+.3f} ({:+.3f} to {:+.3f})".format(*cell.against),
-                      str(cell.wrong or ""))
+        table.add_row(
+            ", ".join(f"{name} {level}" for name, level in cell.levels),
+            cell.measure,
+            f"{cell.median:.3f}",
+            f"{cell.low:.3f} to {cell.high:.3f}",
+            str(cell.seeds),
+            "" if cell.against is None else "{:+.3f} ({:+.3f} to {:+.3f})".format(*cell.against),
+            str(cell.wrong or ""),
+        )
     Console(width=150).print(table)
 
 
@@ -45,6 +51,7 @@
     from curlewshift.experiments.runner import carry_on, revision
     from curlewshift.experiments.store import Busy, RunStore
     from curlewshift.experiments.table import cells
+
     held = read_or_exit(read_experiment, file)
     try:
         kept = RunStore(store)
@@ -73,6 +80,7 @@
     from curlewshift.experiments.report import write_report
     from curlewshift.experiments.store import RunStore
     from curlewshift.experiments.table import cells
+
     held, kept = read_or_exit(read_experiment, file), RunStore(store, write=False)
     revisions = kept.revisions(held.name)
     if not revisions:
@@ -93,6 +101,7 @@
     from curlewshift.experiments.experiment import read_experiment
     from curlewshift.experiments.store import RunStore
     from curlewshift.experiments.table import interval
+
     held, kept = read_or_exit(read_experiment, file), RunStore(store, write=False)
     both = list(revisions or kept.revisions(held.name)[-2:])
     if len(both) < 2:
@@ -100,7 +109,10 @@
         sys.exit(2)
     before, after = (kept.done(held.name, one) for one in both)
     for name in held.measures:
-        pairs = [after[run][name] - figures[name] for run, figures in before.items()
-                 if run in after and "wrong" not in figures and "wrong" not in after[run] and name in figures]
+        pairs = [
+            after[run][name] - figures[name]
+            for run, figures in before.items()
+            if run in after and "wrong" not in figures and "wrong" not in after[run] and name in figures
+        ]
         middle, low, high = interval(pairs)
         click.echo(f"{name}: {both[1]} less {both[0]}: {middle:+.4f} ({low:+.4f} to {high:+.4f}) over {len(pairs)} pairs")
--- a/curlewshift/commands/front.py
+++ b/curlewshift/commands/front.py
@@ -30,6 +30,7 @@
     from curlewshift.limits.permits import BadKeys
     from curlewshift.logs import make_log
     from curlewshift.state.journal import Taken
+
     held, how = site_of(site), {}
     check_sabotage(sabotage)
     if state is not None:
@@ -37,6 +38,7 @@
     if held.configuration is not None:
         if sabotage is not None:
             from curlewshift.front.spoilt_configured import spoilt_begin
+
             how["begun"] = spoilt_begin(sabotage, site, held, state)
         else:
             how["begun"] = begin(site, held, state)
@@ -47,11 +49,18 @@
         where = f"{site}, as version {how['begun'].version} of it" if how and how["begun"].how == "disk" else site
         click.echo(f"{where}: there is no front {name!r}, but {', '.join(door.name for door in held.doors)}", err=True)
         sys.exit(2)
-    arguments = (held, number, secrets.randbits(32) if seed is None else seed, state,
-                 make_log(front=held.doors[number].name), life)
+    arguments = (
+        held,
+        number,
+        secrets.randbits(32) if seed is None else seed,
+        state,
+        make_log(front=held.doors[number].name),
+        life,
+    )
     try:
         if sabotage is not None:
             from curlewshift.front.spoilt import spoilt
+
             made = spoilt(sabotage, *arguments, led=led, **how)
         else:
             made = Front(*arguments, capture=capture, led=led, **how)
@@ -60,10 +69,12 @@
         sys.exit(2)
     if reserve is not None:
         from curlewshift.peaks.reserve import FixedReserve
+
         package, _, share = reserve.partition("=")
         made.desk.peaks.__class__ = FixedReserve
         made.desk.peaks.package, made.desk.peaks.share = made.desk.packages[package], float(share)
     if busy:
         from curlewshift.rehearsal.joins import fill_background
+
         fill_background(made.background, made.now())
     run(made.run)
--- a/curlewshift/commands/leases.py
+++ b/curlewshift/commands/leases.py
@@ -19,17 +19,25 @@
     """What the front at the state folder holds, since and until when, and why it holds nothing where it wants to."""
     from rich.console import Console
     from rich.table import Table
+
     told = shown_by_front(state, "leases", "the settings name no leases", as_json)
-    click.echo(f"{told['me']}" + (", a keeper" if told["keeper"] else "")
-               + (", still silent after its start" if told["silent"] else ""))
+    click.echo(
+        f"{told['me']}" + (", a keeper" if told["keeper"] else "") + (", still silent after its start" if told["silent"] else "")
+    )
     table = Table()
     for column in ("lease", "held here", "number", "since", "until", "keepers", "why not", "kept here for"):
         table.add_column(column)
     for row in told["leases"]:
-        table.add_row(row["lease"], "yes" if row["held_here"] else "", str(row["number"] or ""),
-                      "" if row["since_s"] is None else f"{row['since_s']} s ago",
-                      "" if row["until_s"] is None else f"in {row['until_s']} s", str(row["keepers_heard"] or ""),
-                      row["why_not"], row["kept_for"])
+        table.add_row(
+            row["lease"],
+            "yes" if row["held_here"] else "",
+            str(row["number"] or ""),
+            "" if row["since_s"] is None else f"{row['since_s']} s ago",
+            "" if row["until_s"] is None else f"in {row['until_s']} s",
+            str(row["keepers_heard"] or ""),
+            row["why_not"],
+            row["kept_for"],
+        )
     Console(width=150).print(table)
 
 
--- a/curlewshift/commands/leavers.py
+++ b/curlewshift/commands/leavers.py
@@ -14,14 +14,16 @@
 @click.option("--out", type=PATH, required=True, help="A folder for verdict, traffic, configuration and the node's log.")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--seconds", type=float, default=8.0, show_default=True, help="In which the viewers come; 60 at most.")
-@click.option("--viewers", type=int, default=800, show_default=True,
-              help="Connections, one to three requests each; 5000 at most.")
+@click.option(
+    "--viewers", type=int, default=800, show_default=True, help="Connections, one to three requests each; 5000 at most."
+)
 @click.option("--sabotage", default="", help="A node that is spoilt on purpose, to see it caught.")
 def leavers(out, seed, seconds, viewers, sabotage):
     """Count the attempts that begin over 0.1 s after their client has left. Exit 1 if there are any, if nothing could be judged,
     if somebody was not answered, or if the node logged a fault."""
     from curlewshift.rehearsal.node_day import NodeDay
     from curlewshift.rehearsal.node_spoilt import FAULTS
+
     if sabotage and sabotage not in FAULTS:
         click.echo(f"there is no sabotage {sabotage!r}, but {', '.join(FAULTS)}", err=True)
         sys.exit(2)
--- a/curlewshift/commands/limits.py
+++ b/curlewshift/commands/limits.py
@@ -18,15 +18,20 @@
     """Who is held back, by which limit and since when."""
     from rich.console import Console
     from rich.table import Table
+
     told = tell_front(state, {"do": "limits"})
-    click.echo(f"{told['connections']} connections of {told['most_connections']}, {told['dropped']} idle ones dropped, "
-               f"{told['none_left']} times none left")
+    click.echo(
+        f"{told['connections']} connections of {told['most_connections']}, {told['dropped']} idle ones dropped, "
+        f"{told['none_left']} times none left"
+    )
     if told["limits"] is None:
         click.echo("the settings bound no requests")
         return
     held = told["limits"]
-    click.echo(f"{held['in_work']} requests in work of {held['places']}, {held['waiting']} in line; refused so far: "
-               + (", ".join(f"{count} by {kind}" for kind, count in held["refused"].items()) or "none"))
+    click.echo(
+        f"{held['in_work']} requests in work of {held['places']}, {held['waiting']} in line; refused so far: "
+        + (", ".join(f"{count} by {kind}" for kind, count in held["refused"].items()) or "none")
+    )
     table = Table(title="held back now")
     for column in ("limit", "who", "for", "refused"):
         table.add_column(column)
--- a/curlewshift/commands/main.py
+++ b/curlewshift/commands/main.py
@@ -7,8 +7,33 @@
 import click
 
 # Each lies in the file of its name, under its name.
-NOUNS = ("authority", "capacity", "capture", "check", "configuration", "control", "experiment", "front", "leases", "leavers", "limits",
-         "measure", "node", "overload", "peak", "peers", "rehearse", "replay", "scale", "search", "shared", "slopes", "soak", "standin", "walk")
+NOUNS = (
+    "authority",
+    "capacity",
+    "capture",
+    "check",
+    "configuration",
+    "control",
+    "experiment",
+    "front",
+    "leases",
+    "leavers",
+    "limits",
+    "measure",
+    "node",
+    "overload",
+    "peak",
+    "peers",
+    "rehearse",
+    "replay",
+    "scale",
+    "search",
+    "shared",
+    "slopes",
+    "soak",
+    "standin",
+    "walk",
+)
 
 
 class Nouns(click.Group):
--- a/curlewshift/commands/measure.py
+++ b/curlewshift/commands/measure.py
@@ -17,6 +17,7 @@
 
 def keep(out: Path, figures: dict) -> None:
     import json
+
     text = json.dumps(figures, indent=1)
     out.write_text(text + "\n")
     click.echo(text)
@@ -28,6 +29,7 @@
 def measure_joins(out, count):
     """Joins through a front, plain and with TLS, beside the same joins straight at a stand-in."""
     from curlewshift.rehearsal.joins import measure_joins as measured
+
     keep(out, run(measured, count))
 
 
@@ -37,6 +39,7 @@
 def measure_fleet(out, count):
     """What a request and a whole list cost at 100 to 6,400 servers."""
     from curlewshift.rehearsal.fleet_cost import measure_fleet as measured
+
     keep(out, measured(count))
 
 
@@ -45,6 +48,7 @@
 def measure_keys(out):
     """What a key costs in the table beside a plain dictionary that is swept."""
     from curlewshift.rehearsal.key_cost import measure_keys as measured
+
     keep(out, measured())
 
 
@@ -53,6 +57,7 @@
 def measure_wheel(out):
     """What setting, taking back and telling timers costs on the wheel beside a heap."""
     from curlewshift.rehearsal.wheel_cost import measure_wheel as measured
+
     keep(out, measured())
 
 
@@ -61,6 +66,7 @@
 def measure_recovery(out):
     """How long a front that starts again takes to know what plays, by how many sessions there are."""
     from curlewshift.rehearsal.recovery_cost import measure_recovery as measured
+
     keep(out, run(measured))
 
 
@@ -69,6 +75,7 @@
 def measure_events(out):
     """What an event costs in the emulator's buckets beside a plain heap."""
     from curlewshift.emulator.queue_cost import measure_events as measured
+
     keep(out, measured())
 
 
@@ -84,6 +91,7 @@
     from curlewshift.standins.script import read_script
     from curlewshift.standins.traffic import read_traffic
     from curlewshift.verdict.verdict import judge
+
     held = read_or_exit(read_script, script)
     figures, there, here = figures_of(held.site), [], []
     for traffic in sorted(days.glob("*/traffic.jsonl")):
@@ -105,6 +113,7 @@
 def measure_flood(out):
     """What clients get while others flood the door, with limits and without, with few descriptors."""
     from curlewshift.rehearsal.flood import measure_flood as measured
+
     keep(out, run(measured))
 
 
@@ -113,6 +122,7 @@
 def measure_limits(out):
     """What a refusal costs beside a join, a million addresses in memory, and how far off the sketch is."""
     from curlewshift.rehearsal.limits_cost import measure_limits as measured
+
     keep(out, run(measured))
 
 
@@ -123,6 +133,7 @@
     """Whether fronts know each other rightly at 8 to 1,000 (simulated), and what that costs those who only serve."""
     from curlewshift.emulator.peer_figures import measure_peers_emulated
     from curlewshift.rehearsal.peers_cost import measure_service
+
     emulated = measure_peers_emulated()
     keep(out, {"emulated": emulated, "service": run(measure_service, count)})
 
@@ -132,6 +143,7 @@
 def measure_leases(out):
     """How soon a lease is taken up again, what leases cost in words, and whether two ever held one (simulated)."""
     from curlewshift.emulator.lease_figures import measure_leases as measured
+
     keep(out, measured())
 
 
@@ -143,6 +155,7 @@
     """Value served from half to ten times the load: shed as one, by each front alone, and not at all (simulated)."""
     from curlewshift.emulator.goodput import chart
     from curlewshift.emulator.goodput import measure_goodput as measured
+
     figures = measured(workers)
     keep(out, figures)
     if chart_at is not None:
@@ -154,13 +167,18 @@
 def measure_shared(out):
     """What sharing costs a front in bytes and datagrams, by the number of fronts and servers (simulated)."""
     from curlewshift.emulator.sharing_bytes import measure_shared as measured
+
     keep(out, measured())
 
 
 @measure.command("versions")
 @click.option("--out", type=PATH, required=True, help="A JSON file for the figures; what it has of others is kept.")
-@click.option("--only", "names", multiple=True, help="One of no_loss, loss_of_5_percent, zone_returns_empty, regions_apart, "
-                                                     "stretch, histories; may be given more than once.")
+@click.option(
+    "--only",
+    "names",
+    multiple=True,
+    help="One of no_loss, loss_of_5_percent, zone_returns_empty, regions_apart, stretch, histories; may be given more than once.",
+)
 @click.option("--histories", "many", type=click.IntRange(1, 1_000_000), default=10_000, help="Random histories.")
 @click.option("--workers", type=click.IntRange(0, 512), default=0, help="Processes; all cores but one if not said.")
 def measure_versions(out, names, many, workers):
@@ -168,9 +186,12 @@
     import json
     import os
     from curlewshift.emulator.version_figures import measure_versions as measured
+
     began = [round(load, 1) for load in os.getloadavg()]
     told = measured(workers, names, many)
     before = json.loads(out.read_text()) if out.exists() else {}
     # what else ran, as the machine's load tells it: simulated times do not depend on it, those of the runs do
-    loads = before.get("load", {}) | {", ".join(names) or "all": {"before": began, "after": [round(load, 1) for load in os.getloadavg()]}}
+    loads = before.get("load", {}) | {
+        ", ".join(names) or "all": {"before": began, "after": [round(load, 1) for load in os.getloadavg()]}
+    }
     keep(out, {**before, **told, "load": loads})
--- a/curlewshift/commands/node.py
+++ b/curlewshift/commands/node.py
@@ -9,4 +9,5 @@
 def node():
     """Run the front node that NODE_CONFIG describes, until SIGTERM."""
     from curlewshift.node.__main__ import main
+
     main()
--- a/curlewshift/commands/peak.py
+++ b/curlewshift/commands/peak.py
@@ -21,13 +21,13 @@
     from datetime import datetime
 
     from curlewshift.site.reading import span
+
     try:
         if text.startswith("+"):
             return time.time_ns() + span(text[1:])
         return int(datetime.fromisoformat(text).timestamp() * 1e9)
     except (ValueError, AttributeError, KeyError, OverflowError):
-        raise click.BadParameter(f"{text!r} is neither a date and time, such as 2027-01-31T17:00+01:00, nor +10min") \
-            from None
+        raise click.BadParameter(f"{text!r} is neither a date and time, such as 2027-01-31T17:00+01:00, nor +10min") from None
 
 
 @peak.command("announce")
@@ -43,13 +43,27 @@
 def peak_announce(name, state, package, starts, ends, rate, most, lasts, why):
     """Announce the peak NAME. Tell every front."""
     from curlewshift.site.reading import span
+
     try:
         length = span(lasts)
     except (AttributeError, KeyError, ValueError):
         raise click.BadParameter(f"{lasts!r} is no time with its unit, such as 20s") from None
-    tell_front(state, {"do": "announce", "why": why, "peak": {
-        "name": name, "package": package, "starts": moment(starts), "ends": moment(ends), "rate": rate, "most": most,
-        "lasts": length}})
+    tell_front(
+        state,
+        {
+            "do": "announce",
+            "why": why,
+            "peak": {
+                "name": name,
+                "package": package,
+                "starts": moment(starts),
+                "ends": moment(ends),
+                "rate": rate,
+                "most": most,
+                "lasts": length,
+            },
+        },
+    )
 
 
 @peak.command("cancel")
@@ -69,12 +83,23 @@
 
     from rich.console import Console
     from rich.table import Table
+
     table = Table()
     for column in ("peak", "package", "starts", "ends", "a second", "most", "phase", "held here", "who", "why"):
         table.add_column(column)
     for row in tell_front(state, {"do": "peaks"})["peaks"]:
-        times = [datetime.fromtimestamp(row[name] / 1e9).astimezone().isoformat(timespec="seconds")
-                 for name in ("starts", "ends")]
-        table.add_row(row["name"], row["package"], *times, f"{row['rate']:g}", f"{row['most']:.0%}", row["phase"],
-                      f"{row['held_here']} kB/s", row["who"], row["why"])
+        times = [
+            datetime.fromtimestamp(row[name] / 1e9).astimezone().isoformat(timespec="seconds") for name in ("starts", "ends")
+        ]
+        table.add_row(
+            row["name"],
+            row["package"],
+            *times,
+            f"{row['rate']:g}",
+            f"{row['most']:.0%}",
+            row["phase"],
+            f"{row['held_here']} kB/s",
+            row["who"],
+            row["why"],
+        )
     Console(width=200).print(table)
--- a/curlewshift/commands/rehearse.py
+++ b/curlewshift/commands/rehearse.py
@@ -18,8 +18,12 @@
 @click.option("--trouble", help="Kinds with commas between, at drawn times, instead of the script's own.")
 @click.option("--seed", type=int, help="Instead of the script's.")
 @click.option("--sabotage", help="Spoil the fronts on purpose, to see the rule caught.")
-@click.option("--hold", type=click.Choice(["announced", "none", "reserve"]), default="announced",
-              help="Whether fronts hear of what the script announces, or keep a fixed reserve all day instead.")
+@click.option(
+    "--hold",
+    type=click.Choice(["announced", "none", "reserve"]),
+    default="announced",
+    help="Whether fronts hear of what the script announces, or keep a fixed reserve all day instead.",
+)
 @click.option("--capture", is_flag=True, help="Capture every life of every front, and replay each at the end.")
 @click.option("--forget", is_flag=True, help="Killed fronts lose what they knew of sessions, as a baseline.")
 def rehearse(script, out, trouble, seed, sabotage, hold, capture, forget):
@@ -32,8 +36,10 @@
     from curlewshift.rehearsal.table import verdict_tables
     from curlewshift.standins.script import read_script
     from curlewshift.standins.traffic import read_traffic
+
     if trouble is not None:
         from curlewshift.rehearsal.mix import mixed_script
+
         try:
             script = mixed_script(script or EXAMPLES / "bad-day.xml", trouble.split(","), seed or 1, out)
         except (ValueError, OSError) as wrong:
@@ -43,15 +49,21 @@
         raise click.UsageError("a SCRIPT or --trouble is needed")
     held = read_or_exit(read_script, script)
     check_sabotage(sabotage)
-    with Progress(TextColumn("{task.description}"), BarColumn(), TextColumn("{task.completed:.0f}/{task.total:.0f} s"),
-                  console=Console(stderr=True)) as bar:
+    with Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        TextColumn("{task.completed:.0f}/{task.total:.0f} s"),
+        console=Console(stderr=True),
+    ) as bar:
         task = bar.add_task("rehearsing", total=held.lasts)
 
         def told(done, of):
             bar.update(task, completed=done, total=of)
+
         try:
-            verdict = run(Rehearsal(held, script, out, held.seed if seed is None else seed, sabotage, told, hold, capture,
-                                      forget).run)
+            verdict = run(
+                Rehearsal(held, script, out, held.seed if seed is None else seed, sabotage, told, hold, capture, forget).run
+            )
         except* StartFailed as failed:
             click.echo(f"curlewshift: {failed.exceptions[0]}", err=True)
             sys.exit(1)
@@ -72,12 +84,19 @@
     """Which promises of all fronts together the day broke."""
     bounds, leases = verdict.get("bounds", {}), verdict.get("leases", {})
     attempts = verdict["attempts_after_leaving"]
-    return [name for name, broken in (
-        ("nothing begun for who has left", attempts["late"] or attempts["unjoined"]),
-        ("members", verdict.get("members", {}).get("broken")), ("pace of cold servers", bounds.get("overdrawn")),
-        ("further tune-ins of all fronts", bounds.get("further", {}).get("overdrawn")),
-        ("seats over all fronts", bounds.get("seats", {}).get("overdrawn")),
-        ("service beside a front with a bad path", bounds.get("beside_bad_path", {}).get("broken")),
-        ("one at a time", leases.get("overlaps")), ("acts of who was followed", leases.get("outlived")),
-        ("versions of the configuration", verdict.get("configuration", {}).get("broken")),
-        ("shedding as one", verdict.get("shed", {}).get("broken"))) if broken]
+    return [
+        name
+        for name, broken in (
+            ("nothing begun for who has left", attempts["late"] or attempts["unjoined"]),
+            ("members", verdict.get("members", {}).get("broken")),
+            ("pace of cold servers", bounds.get("overdrawn")),
+            ("further tune-ins of all fronts", bounds.get("further", {}).get("overdrawn")),
+            ("seats over all fronts", bounds.get("seats", {}).get("overdrawn")),
+            ("service beside a front with a bad path", bounds.get("beside_bad_path", {}).get("broken")),
+            ("one at a time", leases.get("overlaps")),
+            ("acts of who was followed", leases.get("outlived")),
+            ("versions of the configuration", verdict.get("configuration", {}).get("broken")),
+            ("shedding as one", verdict.get("shed", {}).get("broken")),
+        )
+        if broken
+    ]
--- a/curlewshift/commands/replay.py
+++ b/curlewshift/commands/replay.py
@@ -20,6 +20,7 @@
     from curlewshift.capture.records import NotALog
     from curlewshift.capture.replay import Replay
     from curlewshift.capture.store import read_capture
+
     try:
         records, damage = read_capture(log)
         compared = Compared()
@@ -29,8 +30,7 @@
     except AttributeError as wrong:
         if against is None:
             raise
-        click.echo(f"curlewshift: {against} knows other facts than the rules do now, and cannot be asked: {wrong}",
-                   err=True)
+        click.echo(f"curlewshift: {against} knows other facts than the rules do now, and cannot be asked: {wrong}", err=True)
         sys.exit(2)
     except (OSError, NotALog, NoSuchPolicy, ValueError, LookupError) as wrong:
         click.echo(f"curlewshift: {wrong}", err=True)
@@ -43,8 +43,10 @@
         click.echo(f"the capture ends early: {damage}", err=True)
     click.echo(f"{done.told} things told, {done.did} done in answer, over {(done.until - again.began) / 1e9:.1f} s")
     if against is not None:
-        click.echo(f"{compared.placings} placings against {against}: " + (", ".join(
-            f"{count} {kind}" for kind, count in compared.kinds.most_common()) or "none"))
+        click.echo(
+            f"{compared.placings} placings against {against}: "
+            + (", ".join(f"{count} {kind}" for kind, count in compared.kinds.most_common()) or "none")
+        )
         for example in compared.examples:
             click.echo("  " + example)
     if done.difference is not None:
--- a/curlewshift/commands/scale.py
+++ b/curlewshift/commands/scale.py
@@ -39,8 +39,29 @@
 @click.option("--joins", type=click.IntRange(0, 100_000), default=400, help="Compared each way; 0: none.")
 @click.option("--out", type=PATH, required=True, help="A folder for figures.json, chart.svg and logs.")
 @click.option("--spoil", default="", hidden=True)
-def scale_run(nodes, real, processes, relays, regions, zones, seconds, seed, loss, faults, parts, sharing, leasing, servers, links,
-              viewings, changes, change_every, joins, out, spoil):
+def scale_run(
+    nodes,
+    real,
+    processes,
+    relays,
+    regions,
+    zones,
+    seconds,
+    seed,
+    loss,
+    faults,
+    parts,
+    sharing,
+    leasing,
+    servers,
+    links,
+    viewings,
+    changes,
+    change_every,
+    joins,
+    out,
+    spoil,
+):
     """Play hollow nodes beside real ones and tell what each spent, by subsystem, and how soon they agreed.
 
     Exit 0: it played to its end and the verdict is good; 1: it is not, or something fell; 2: it does not fit this machine."""
@@ -50,13 +71,30 @@
     from curlewshift.scale.plan import Load, Plan, Unfit
     from curlewshift.scale.report import draw, tables
     from curlewshift.scale.run import ScaleRun, write_figures
+
     all_parts = [part for part in PARTS if part == "membership" or part in parts]
     hollow = nodes - real
-    shares, asks = ((hollow if said is None else min(said, hollow)) if part in parts else 0
-                    for part, said in (("sharing", sharing), ("leases", leasing)))
-    plan = Plan(nodes, real, processes, relays, regions, zones, seconds, seed, loss, all_parts, list(faults),
-                Load(servers, links, viewings, sharing=shares, leasing=asks), changes=changes,
-                change_every=change_every, spoil=spoil)
+    shares, asks = (
+        (hollow if said is None else min(said, hollow)) if part in parts else 0
+        for part, said in (("sharing", sharing), ("leases", leasing))
+    )
+    plan = Plan(
+        nodes,
+        real,
+        processes,
+        relays,
+        regions,
+        zones,
+        seconds,
+        seed,
+        loss,
+        all_parts,
+        list(faults),
+        Load(servers, links, viewings, sharing=shares, leasing=asks),
+        changes=changes,
+        change_every=change_every,
+        spoil=spoil,
+    )
     try:
         plan.check()
     except Unfit as why:
@@ -70,12 +108,14 @@
         import anyio
 
         from curlewshift.standins.running import until_told
+
         told = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(until_told, tasks)
             told = await played.run()
             tasks.cancel_scope.cancel()
         return told
+
     try:
         figures = run_task(until_ended)
     except* RunFailed as wrong:
@@ -99,6 +139,7 @@
 def scale_hollow(folder, process):
     """A process of hollow nodes of the run in FOLDER."""
     from curlewshift.scale.hollow import run_hollow
+
     run_task(run_hollow, folder, process)
 
 
@@ -108,4 +149,5 @@
 def scale_relay(folder, part):
     """A relay of the run in FOLDER."""
     from curlewshift.scale.relay import run_relay
+
     run_task(run_relay, folder, part)
--- a/curlewshift/commands/search.py
+++ b/curlewshift/commands/search.py
@@ -24,18 +24,26 @@
     from curlewshift.search.search import shrunk
     from curlewshift.search.writing import write_found
     from curlewshift.standins.script import read_script
+
     held = read_or_exit(read_script, script)
     check_sabotage(sabotage or None)
     with Progress(console=Console(stderr=True)) as bar:
         task = bar.add_task("searching", total=tries)
-        found = searched(held, tries, seed, wrong=sabotage, progress=lambda done, of, best: bar.update(
-            task, completed=done, description=f"worst so far {best.badness:.3f}"))
+        found = searched(
+            held,
+            tries,
+            seed,
+            wrong=sabotage,
+            progress=lambda done, of, best: bar.update(task, completed=done, description=f"worst so far {best.badness:.3f}"),
+        )
     if not found.is_find:
         click.echo(f"nothing found in {tries} days; the worst is {found.gap:.3f} under an oracle's {held.site.name}")
         sys.exit(0)
     found = shrunk(found, wrong=sabotage)
     write_found(found, out)
-    click.echo(f"{out}: service {found.service:.3f}, {found.gap:.3f} under an oracle's; broken: "
-               f"{', '.join(found.broken) or found.runaway or 'nothing'}; "
-               f"{len(found.script.troubles)} troubles: {', '.join(one.kind for one in found.script.troubles)}")
+    click.echo(
+        f"{out}: service {found.service:.3f}, {found.gap:.3f} under an oracle's; broken: "
+        f"{', '.join(found.broken) or found.runaway or 'nothing'}; "
+        f"{len(found.script.troubles)} troubles: {', '.join(one.kind for one in found.script.troubles)}"
+    )
     sys.exit(1)
--- a/curlewshift/commands/slopes.py
+++ b/curlewshift/commands/slopes.py
@@ -29,6 +29,7 @@
     storm, sharing, membership, or all of them, which takes most of an hour."""
     from curlewshift.scale.fits import TooFew
     from curlewshift.scale.slopes import KINDS, NoRoom, Run, check_room, kept, measured
+
     if name != "all" and name not in KINDS:
         click.echo(f"curlewshift: there is no slope {name!r}, but all, " + ", ".join(KINDS), err=True)
         sys.exit(2)
@@ -39,22 +40,26 @@
         # once: it still has to go through the ends of its processes
         signal.signal(signal.SIGTERM, signal.SIG_IGN)
         sys.exit(143)
+
     before = signal.signal(signal.SIGTERM, broken_off)
     try:
         for kind in wanted:
             check_room(kind, sizes or kind.sizes)
         for kind in wanted:
             click.echo(f"{kind.name}: {kind.what}", err=True)
-            run = Run(sizes or kind.sizes, seed, out, lambda text: click.echo(text, err=True), rounds, min(4.0, 2 * seconds),
-                      seconds)
+            run = Run(
+                sizes or kind.sizes, seed, out, lambda text: click.echo(text, err=True), rounds, min(4.0, 2 * seconds), seconds
+            )
             said = f"--sizes {','.join(map(str, run.sizes))} --seed {seed} --rounds {rounds} --seconds {seconds:g}"
             told = measured(kind, run, f"bin/curlewshift slopes {kind.name} --out DIR {said}")
             click.echo(f"{kept(told, kind, out)}")
             for slope in told["slopes"]:
                 line = slope["fit"]
-                click.echo(f"  {slope['name']}: {line['intercept']:.4g} + {line['slope']:.4g} +- {line['slope_error']:.2g} "
-                           f"{slope['y']['unit']} for each {slope['x']['name']}, worst {line['worst_residual']:.2g}, "
-                           f"{'straight' if line['straight'] else 'NOT straight'}")
+                click.echo(
+                    f"  {slope['name']}: {line['intercept']:.4g} + {line['slope']:.4g} +- {line['slope_error']:.2g} "
+                    f"{slope['y']['unit']} for each {slope['x']['name']}, worst {line['worst_residual']:.2g}, "
+                    f"{'straight' if line['straight'] else 'NOT straight'}"
+                )
     except (NoRoom, TooFew) as wrong:
         click.echo(f"curlewshift: {wrong}", err=True)
         sys.exit(2)
--- a/curlewshift/commands/standin.py
+++ b/curlewshift/commands/standin.py
@@ -19,6 +19,7 @@
 def standin_server(site, traffic, setup_work):
     """All media servers of SITE and its list, where the site says, until interrupted."""
     from curlewshift.standins.running import run_site
+
     run(run_site, site_of(site), traffic, setup_work / 1000)
 
 
@@ -27,6 +28,7 @@
 def standin_list(site):
     """The server list of SITE alone, all servers held to be up, until interrupted."""
     from curlewshift.standins.running import run_list
+
     run(run_list, site_of(site))
 
 
@@ -38,6 +40,7 @@
     """The servers and list of a rehearsal: tells the list's port, then reads when the day begins."""
     from curlewshift.standins.running import run_fleet
     from curlewshift.standins.script import read_script
+
     run(run_fleet, read_or_exit(read_script, script), seed, traffic)
 
 
@@ -50,5 +53,6 @@
     """What all datagrams between fronts of a rehearsal pass: tells its ports, then reads when the day begins."""
     from curlewshift.standins.relay import run_relay
     from curlewshift.standins.script import read_script
+
     named = [(name, int(port)) for name, _, port in (one.partition("=") for one in fronts)]
     run(run_relay, read_or_exit(read_script, script), named, seed, traffic)
--- a/curlewshift/commands/walk.py
+++ b/curlewshift/commands/walk.py
@@ -7,20 +7,27 @@
 import click
 
 
-KINDS = {"paid": dict(paid=True), "free": dict(paid=False), "seats": dict(paid=False, seats=1, clients=2),
-         "paid-seats": dict(paid=True, seats=1, clients=2)}
+KINDS = {
+    "paid": dict(paid=True),
+    "free": dict(paid=False),
+    "seats": dict(paid=False, seats=1, clients=2),
+    "paid-seats": dict(paid=True, seats=1, clients=2),
+}
 
 
 def _walk_between_fronts(of: str, depth: int, fault: str | None, rounds: bool) -> None:
     """Over the fastest, slowest and true clock at each in turn."""
     from itertools import permutations
+
     if of == "budgets":
         from curlewshift.walk import budgets as world
+
         faults = {name: {"loans": loans} for name, loans in world.FAULTS.items()}
         walked = world.walk_budgets
     else:
         from curlewshift.emulator.lease_histories import FAULTS as faults
         from curlewshift.walk import leases as world
+
         walked = world.walk_rounds if rounds else world.walk_leases
     if fault is not None and fault not in faults:
         click.echo(f"there is no fault {fault!r}, but {', '.join(faults)}", err=True)
@@ -43,6 +50,7 @@
 def _walk_versions(depth: int, fault: str | None, rounds: bool, courses: int | None, length: int, seed: int) -> None:
     from curlewshift.emulator.version_histories import FAULTS
     from curlewshift.walk.versions import long_courses, walk_versions
+
     if fault is not None and fault not in FAULTS:
         click.echo(f"there is no fault {fault!r}, but {', '.join(FAULTS)}", err=True)
         sys.exit(2)
@@ -63,17 +71,29 @@
         for step in done.course:
             click.echo("  " + " ".join(str(part) for part in step), err=True)
         sys.exit(1)
-    click.echo(f"{states} courses by chance, each of {length} steps, {steps} steps" if courses is not None else
-               f"{states} states to a depth of {depth}, from stores that vote and from blank ones, {steps} steps")
+    click.echo(
+        f"{states} courses by chance, each of {length} steps, {steps} steps"
+        if courses is not None
+        else f"{states} states to a depth of {depth}, from stores that vote and from blank ones, {steps} steps"
+    )
 
 
 @click.command()
 @click.argument("kind", type=click.Choice(list(KINDS)), required=False)
-@click.option("--of", "of", type=click.Choice(["viewings", "budgets", "leases", "versions"]), default="viewings",
-              help="Viewings at a front, rights that fronts lend each other, leases, or versions of the configuration.")
-@click.option("--fault", help="With --of budgets, leases or versions: plant this fault, and see a shortest course that breaks the promise.")
+@click.option(
+    "--of",
+    "of",
+    type=click.Choice(["viewings", "budgets", "leases", "versions"]),
+    default="viewings",
+    help="Viewings at a front, rights that fronts lend each other, leases, or versions of the configuration.",
+)
+@click.option(
+    "--fault", help="With --of budgets, leases or versions: plant this fault, and see a shortest course that breaks the promise."
+)
 @click.option("--depth", type=click.IntRange(0, 16), default=5, help="Steps of each course.")
-@click.option("--rounds", is_flag=True, help="With --of leases or versions: each step a whole try, for courses of several tenures.")
+@click.option(
+    "--rounds", is_flag=True, help="With --of leases or versions: each step a whole try, for courses of several tenures."
+)
 @click.option("--courses", type=click.IntRange(1, 1_000_000), help="With --of versions, instead: so many long courses by chance.")
 @click.option("--length", type=click.IntRange(1, 1000), default=60, help="Steps of each long course.")
 @click.option("--settle-all", is_flag=True, help="Look at what comes of each state, and not of the last ones alone.")
@@ -95,6 +115,7 @@
 
     def make():
         return World(Budgets(), **KINDS[kind])
+
     if crashes is not None:
         done = crash_points(make, crashes, 24, seed)
         click.echo(f"{done.runs} courses, killed at {done.points} points; {done.taken_up} sessions were taken up after")
--- a/curlewshift/control/commands.py
+++ b/curlewshift/control/commands.py
@@ -71,9 +71,13 @@
             return _no(wrong)
         if not machine.leases.fence():
             writer = machine.leases.writer()
-            why = ("no control machine may make versions now: none holds the lease, or no majority of them is to be had"
-                   if not writer else f"versions are made at {writer} now" if writer != machine.name else
-                   "the lease under which this machine made versions is over, and its next is on its way")
+            why = (
+                "no control machine may make versions now: none holds the lease, or no majority of them is to be had"
+                if not writer
+                else f"versions are made at {writer} now"
+                if writer != machine.name
+                else "the lease under which this machine made versions is over, and its next is on its way"
+            )
             return {**_no(why), "writer": writer}
         return {**await machine.wire.put(content, command.base, min(command.within, PUT_WITHIN)), "needs_restart": wrong}
 
--- a/curlewshift/control/machine.py
+++ b/curlewshift/control/machine.py
@@ -76,8 +76,14 @@
 
     def show(self) -> dict:
         held = self.asker.tries.get(LEASE)
-        return {"me": self.order[self.me], "writer": self.writer(), "number": self.fence(), "silent": self.keeper.silent(),
-                "promised_by": len(held.promised) if held is not None else 0, "needed": self.asker.majority}
+        return {
+            "me": self.order[self.me],
+            "writer": self.writer(),
+            "number": self.fence(),
+            "silent": self.keeper.silent(),
+            "promised_by": len(held.promised) if held is not None else 0,
+            "needed": self.asker.majority,
+        }
 
 
 class Machine:
@@ -97,11 +103,22 @@
             if record.damage:
                 log.error("record-damaged", cause=record.damage)
         self.peers = PeerWire(site.name, site.control.machines[me], site.peers, self.clock, log, Random(chance.random()))
-        self.leases = self.leases_class(self.peers.channel, self.clock, names, me, names, site.control.terms, log,
-                                        Random(chance.random()))
+        self.leases = self.leases_class(
+            self.peers.channel, self.clock, names, me, names, site.control.terms, log, Random(chance.random())
+        )
         self.wire = self.distribution_class(
-            self.peers.channel, self, name, places_of(site), distribution_of(site), self.leases.fence, self.clock, log,
-            Random(chance.random()), copy, vote)
+            self.peers.channel,
+            self,
+            name,
+            places_of(site),
+            distribution_of(site),
+            self.leases.fence,
+            self.clock,
+            log,
+            Random(chance.random()),
+            copy,
+            vote,
+        )
         self.commands = Commands(self, state / "control")
 
     async def run(self, ready=None) -> None:
--- a/curlewshift/deployment.py
+++ b/curlewshift/deployment.py
@@ -38,23 +38,39 @@
     for index, row in enumerate(settings.get("classes") or []):
         scale = _nth(extra.get("scale_by_class") or [], index, 1.0)
         top = min(_nth(extra.get("top_by_class") or [], index, len(ladder) - 1), len(ladder) - 1)
-        packages.append(Package(
-            name=row["name"], value=row.get("gain", 1.0), join_target=ns(row, "goal_time_ms"),
-            patience=ns(row, "give_up_ms"), paid_at_setup=row.get("effect", "unsafe") != "safe",
-            rates=tuple(rate * scale for rate in ladder),
-            floor=_nth(extra.get("floor_by_class") or [], index, 0), top=top,
-            seats=_nth(extra.get("class_seats") or [], index, 0)))
+        packages.append(
+            Package(
+                name=row["name"],
+                value=row.get("gain", 1.0),
+                join_target=ns(row, "goal_time_ms"),
+                patience=ns(row, "give_up_ms"),
+                paid_at_setup=row.get("effect", "unsafe") != "safe",
+                rates=tuple(rate * scale for rate in ladder),
+                floor=_nth(extra.get("floor_by_class") or [], index, 0),
+                top=top,
+                seats=_nth(extra.get("class_seats") or [], index, 0),
+            )
+        )
     longest = ns(bounds, "max_retry_after_ms") if bounds.get("retry_after") else 0
     return Terms(
-        now=now, seed=seed, me=settings.get("my_number") or 0, fronts=settings.get("balancers") or 1,
+        now=now,
+        seed=seed,
+        me=settings.get("my_number") or 0,
+        fronts=settings.get("balancers") or 1,
         packages=packages,
         racks_told="x1" in (part("telemetry").get("fields") or []),
         told_late=ns(extra, "told_late_ms"),
-        max_tune_ins=bounds.get("max_attempts") or 1, probes=bool(bounds.get("probes")), longest_wait=longest,
-        warm_within=ns(duty, "warm_within_ms"), start_capacity=duty.get("start_capacity") or 0.0,
-        fall_multiple=duty.get("fall_multiple") or 0.0, fall_within=ns(duty, "fall_ms"),
+        max_tune_ins=bounds.get("max_attempts") or 1,
+        probes=bool(bounds.get("probes")),
+        longest_wait=longest,
+        warm_within=ns(duty, "warm_within_ms"),
+        start_capacity=duty.get("start_capacity") or 0.0,
+        fall_multiple=duty.get("fall_multiple") or 0.0,
+        fall_within=ns(duty, "fall_ms"),
         free_further=duty.get("free_resends") if duty.get("look_back_ms") else None,
-        further_share=duty.get("budget_share") or 0.0, look_back=ns(duty, "look_back_ms"))
+        further_share=duty.get("budget_share") or 0.0,
+        look_back=ns(duty, "look_back_ms"),
+    )
 
 
 def use_of(report: dict[str, float]) -> tuple[float | None, float | None]:
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -47,8 +47,16 @@
 
 
 class Desk:
-    def __init__(self, outside: Outside, terms: Terms, roster: Roster | Fleet, rules: type[Rules] = Rules,
-                 most_waiting: int = MOST_WAITING, most_keys: int = MOST_ENDED, calendar: Calendar | None = None):
+    def __init__(
+        self,
+        outside: Outside,
+        terms: Terms,
+        roster: Roster | Fleet,
+        rules: type[Rules] = Rules,
+        most_waiting: int = MOST_WAITING,
+        most_keys: int = MOST_ENDED,
+        calendar: Calendar | None = None,
+    ):
         self.outside, self.roster = outside, roster
         self.packages = {package.name: package for package in terms.packages}
         self.courses: dict[Viewing, Course] = {}
@@ -66,9 +74,21 @@
 
     # ---- requests at the door
 
-    def asked(self, name: str, package: str, title: str, ceiling: int | None = None, patience: int = 0,
-              key: str | None = None, offer: object = None, came_back: bool = False, holders: Iterable | None = None,
-              mark: int | None = None, arrived: int | None = None, expected: int = 0) -> Request:
+    def asked(
+        self,
+        name: str,
+        package: str,
+        title: str,
+        ceiling: int | None = None,
+        patience: int = 0,
+        key: str | None = None,
+        offer: object = None,
+        came_back: bool = False,
+        holders: Iterable | None = None,
+        mark: int | None = None,
+        arrived: int | None = None,
+        expected: int = 0,
+    ) -> Request:
         """A viewer wants to play a title; it is answered through `Outside.answer`, perhaps before this returns.
 
         `patience` (ns) is how long it will wait, if that is less than the package's, from when it `arrived`. Where the
@@ -97,8 +117,18 @@
         if top < pack.floor:
             raise Misuse(f"package {package!r} is not played under rung {pack.floor}, the request allows {top} at most")
         self.names += 1
-        vw = Viewing(self.names, title, mark_of(key or name) if mark is None else mark, pack, top, now, now + lasts,
-                     holders, expected=expected, came_back=came_back)
+        vw = Viewing(
+            self.names,
+            title,
+            mark_of(key or name) if mark is None else mark,
+            pack,
+            top,
+            now,
+            now + lasts,
+            holders,
+            expected=expected,
+            came_back=came_back,
+        )
         self.peaks.came(pack, now, holders)
         course = Course(vw, offer, requests=[request], errands=Errands(self.outside.tell))
         if key is not None:
@@ -239,8 +269,17 @@
         """It is not the process that it was when this front last heard of it: it may be as cold as one that starts now."""
         self.rules.listed([Listed(server, server.open, max(self.outside.now(), server.started))], False)
 
-    def plays_at(self, package: str, title: str, ceiling: int, server: Server, session: object, holders: Iterable,
-                 mark: int, expected: int = 0) -> Course:
+    def plays_at(
+        self,
+        package: str,
+        title: str,
+        ceiling: int,
+        server: Server,
+        session: object,
+        holders: Iterable,
+        mark: int,
+        expected: int = 0,
+    ) -> Course:
         """A viewing that this front is told it has at a server, on a rung yet to be told. It counts whatever there is
         room for, as it plays. Raises `Unknown`."""
         pack = self.packages.get(package)
@@ -252,8 +291,17 @@
         self.rules.handed_over(course.vw, server)
         return course
 
-    def handed_over(self, package: str, title: str, ceiling: int, server: Server, session: object,
-                    rung: int, key: str | None = None, offer: object = None) -> Course:
+    def handed_over(
+        self,
+        package: str,
+        title: str,
+        ceiling: int,
+        server: Server,
+        session: object,
+        rung: int,
+        key: str | None = None,
+        offer: object = None,
+    ) -> Course:
         """A viewing that plays already, from before this front started; `key` is its client's. Raises `Misuse`."""
         pack, held = self.packages.get(package), self.roster.titles.get(title)
         if pack is None or held is None:
@@ -274,8 +322,9 @@
         self._plays_already(course, server, rung)
         return course
 
-    def _standing(self, pack: Package, title: str, mark: int, ceiling: int, holders: Iterable, session: object,
-                  expected: int = 0) -> Course:
+    def _standing(
+        self, pack: Package, title: str, mark: int, ceiling: int, holders: Iterable, session: object, expected: int = 0
+    ) -> Course:
         now = self.outside.now()
         vw = Viewing(self.names, title, mark, pack, ceiling, now, now + pack.patience, holders, expected=expected)
         course = Course(vw, None, session=session, errands=Errands(self.outside.tell))
@@ -358,8 +407,11 @@
     def seats_over(self, package: str, title: str, count: int) -> None:
         """So many seats are in this front's hands no more: the newest viewings on them end."""
         pack = self.packages[package]
-        playing = [course for course in self.courses.values() if course.vw.package is pack and course.vw.title == title
-                   and course.vw.playing]
+        playing = [
+            course
+            for course in self.courses.values()
+            if course.vw.package is pack and course.vw.title == title and course.vw.playing
+        ]
         for course in playing[-count:]:
             self.closed(course)
 
@@ -445,8 +497,7 @@
         if pack is None or title not in self.roster.titles or self.keys.find(key, self.outside.now()) is not None:
             return
         self.names += 1
-        vw = Viewing(self.names, title, mark_of(key), pack, pack.top, self.outside.now(), until, (), over=True,
-                     may_have_run=True)
+        vw = Viewing(self.names, title, mark_of(key), pack, pack.top, self.outside.now(), until, (), over=True, may_have_run=True)
         course = Course(vw, offer, errands=Errands(self.outside.tell))
         course.held = self.keys.hold(key, (offer, pack, title), course)
         self.doubts[key] = course
@@ -475,8 +526,7 @@
         """It plays nowhere that is known of, and may have run all the same."""
         course = self.doubts.pop(key, None)
         if course is not None:
-            self._answer_all(course, Answer(
-                Kind.FAILED, "the front was restarted while it was set up; it may have run"))
+            self._answer_all(course, Answer(Kind.FAILED, "the front was restarted while it was set up; it may have run"))
             self.keys.ended(course.held, course.vw.expires)
 
     def _doubt_lasts(self, course: Course) -> None:
@@ -580,8 +630,17 @@
             self.courses.pop(old)
             self.names += 1
             expires = min(request.expires for request in waiting)
-            course.vw = Viewing(self.names, old.title, old.mark, old.package, old.ceiling, self.outside.now(),
-                                expires, old.holders, came_back=True)
+            course.vw = Viewing(
+                self.names,
+                old.title,
+                old.mark,
+                old.package,
+                old.ceiling,
+                self.outside.now(),
+                expires,
+                old.holders,
+                came_back=True,
+            )
             self.waiting -= 1
             self._open(course, waiting[0])
 
--- a/curlewshift/distribution/giving.py
+++ b/curlewshift/distribution/giving.py
@@ -52,7 +52,7 @@
         if total > 1:
             self.askers[asker] = now
         wanted = missing if name == packing else list(range(total))
-        for index in wanted[:self.terms.window]:
+        for index in wanted[: self.terms.window]:
             if index >= total:
                 break
             data = piece(packed, index)
--- a/curlewshift/distribution/library.py
+++ b/curlewshift/distribution/library.py
@@ -19,6 +19,5 @@
         digest = digest_of(content)
         self.contents.pop(digest, None)
         self.contents[digest] = content
-        while len(self.contents) > 2 and (len(self.contents) > KEPT
-                                          or sum(map(len, self.contents.values())) > MOST_BYTES):
+        while len(self.contents) > 2 and (len(self.contents) > KEPT or sum(map(len, self.contents.values())) > MOST_BYTES):
             del self.contents[next(iter(self.contents))]
--- a/curlewshift/distribution/pieces.py
+++ b/curlewshift/distribution/pieces.py
@@ -40,8 +40,9 @@
 
 @lru_cache(maxsize=16)
 def packed_difference(content: bytes, base: bytes) -> bytes:
-    figures = zstandard.ZstdCompressionParameters.from_level(LEVEL, source_size=len(content), dict_size=len(base),
-                                                             enable_ldm=len(content) > 1 << 20)
+    figures = zstandard.ZstdCompressionParameters.from_level(
+        LEVEL, source_size=len(content), dict_size=len(base), enable_ldm=len(content) > 1 << 20
+    )
     return zstandard.ZstdCompressor(dict_data=_dictionary(base), compression_params=figures).compress(content)
 
 
@@ -57,7 +58,7 @@
 
 
 def piece(packed: bytes, index: int) -> bytes:
-    return packed[index * PIECE:(index + 1) * PIECE]
+    return packed[index * PIECE : (index + 1) * PIECE]
 
 
 def pieces_of(packed: bytes) -> int:
--- a/curlewshift/distribution/reports.py
+++ b/curlewshift/distribution/reports.py
@@ -96,8 +96,16 @@
     lowest = min((report.version for report in reports.values()), key=lambda version: version.number)
     late = sorted(name for name, report in reports.items() if newest.over(report.version))
     refusing = sorted((name, report.why) for name, report in reports.items() if report.refused != NONE)
-    return ZoneSum(zone, len(reports), newest, len(reports) - len(late), lowest, late[:most_named], len(refusing),
-                   [(name, why[:120]) for name, why in refusing[:2]])
+    return ZoneSum(
+        zone,
+        len(reports),
+        newest,
+        len(reports) - len(late),
+        lowest,
+        late[:most_named],
+        len(refusing),
+        [(name, why[:120]) for name, why in refusing[:2]],
+    )
 
 
 @dataclass(slots=True)
@@ -119,7 +127,18 @@
 
     def show(self) -> list[dict]:
         now = self.outside.now()
-        return [{"zone": zone, "nodes": heard.told.nodes, "newest": heard.told.newest.text, "at_newest": heard.told.at_newest,
-                 "lowest": heard.told.lowest.text, "late": heard.told.late, "refusing": heard.told.refusing,
-                 "whys": [list(pair) for pair in heard.told.whys], "by": heard.by,
-                 "told_s_ago": round((now - heard.at) / 1e9, 1)} for zone, heard in sorted(self.zones.items())]
+        return [
+            {
+                "zone": zone,
+                "nodes": heard.told.nodes,
+                "newest": heard.told.newest.text,
+                "at_newest": heard.told.at_newest,
+                "lowest": heard.told.lowest.text,
+                "late": heard.told.late,
+                "refusing": heard.told.refusing,
+                "whys": [list(pair) for pair in heard.told.whys],
+                "by": heard.by,
+                "told_s_ago": round((now - heard.at) / 1e9, 1),
+            }
+            for zone, heard in sorted(self.zones.items())
+        ]
--- a/curlewshift/distribution/store.py
+++ b/curlewshift/distribution/store.py
@@ -130,8 +130,7 @@
         elif self.noted.get(store, (0, 0, 0)) >= noted or self._keep(noted={**self.noted, store: noted}):
             self._answer(writer, ballot)
 
-    def enter(self, writer: str, ballot: Ballot, record: int, noted: dict[str, Noted], version: Version,
-              founding: bool) -> None:
+    def enter(self, writer: str, ballot: Ballot, record: int, noted: dict[str, Noted], version: Version, founding: bool) -> None:
         """It votes from here on, with what a majority of the others has; `founding`: there is nothing anywhere."""
         void = founding and (self.taken != NONE or self.chosen != NONE)
         if record != self.number or void or not founding and not self.blank:
@@ -142,8 +141,14 @@
         content = b"" if version == NONE else self.outside.content_of(version)
         if content is None:
             self.outside.fetch_for_store(version, writer)
-        elif self._keep(blank=False, promised=ballot, noted=noted, taken=version, content=content,
-                        taken_at=NO_BALLOT if version == NONE else ballot):
+        elif self._keep(
+            blank=False,
+            promised=ballot,
+            noted=noted,
+            taken=version,
+            content=content,
+            taken_at=NO_BALLOT if version == NONE else ballot,
+        ):
             self._answer(writer, ballot)
 
     def learned(self, version: Version) -> None:
@@ -168,8 +173,16 @@
         for name, value in now.items():
             setattr(self, name, value)
         packed = zstandard.ZstdCompressor(level=3).compress(self.content) if self.content else b""
-        record = Record(FORM, self.number, tuple(self.promised), tuple(self.taken_at), tuple(self.taken), tuple(self.chosen),
-                        self.noted, packed)
+        record = Record(
+            FORM,
+            self.number,
+            tuple(self.promised),
+            tuple(self.taken_at),
+            tuple(self.taken),
+            tuple(self.chosen),
+            self.noted,
+            packed,
+        )
         record.sum = digest_of(ENCODER.encode(record))
         try:
             self.outside.keep_vote(ENCODER.encode(record))
--- a/curlewshift/distribution/writer.py
+++ b/curlewshift/distribution/writer.py
@@ -22,8 +22,9 @@
     def prepare(self, store: str, ballot: Ballot) -> None: ...
     def take(self, store: str, ballot: Ballot, record: int, version: Version) -> None: ...
     def note(self, store: str, ballot: Ballot, record: int, of: str, noted: Noted) -> None: ...
-    def enter(self, store: str, ballot: Ballot, record: int, noted: dict[str, Noted], version: Version,
-              founding: bool) -> None: ...
+    def enter(
+        self, store: str, ballot: Ballot, record: int, noted: dict[str, Noted], version: Version, founding: bool
+    ) -> None: ...
     def content_of(self, version: Version) -> bytes | None: ...
     def hold_content(self, content: bytes) -> None: ...
     def fetch_for_writer(self, version: Version, stores: list[str]) -> None: ...
@@ -116,8 +117,14 @@
     def vouches(self) -> bool:
         """Whether a majority answered it of late: what is newest here then is the newest there was."""
         tenure, now = self.tenure, self.outside.now()
-        return tenure is not None and tenure.decided and tenure.is_chosen and tenure.outbid_by is None and self.majority <= sum(
-            now - at <= 2 * self.terms.again for store, at in tenure.answered.items() if store in self._voters())
+        return (
+            tenure is not None
+            and tenure.decided
+            and tenure.is_chosen
+            and tenure.outbid_by is None
+            and self.majority
+            <= sum(now - at <= 2 * self.terms.again for store, at in tenure.answered.items() if store in self._voters())
+        )
 
     # ---- the course of a tenure
 
@@ -145,8 +152,11 @@
     def _voters(self) -> list[str]:
         """Stores whose answer counts: not blank, and of the record that the others know."""
         noted = self._noted()
-        return [store for store, stand in self.tenure.stands.items()
-                if not stand.blank and noted.get(store, (0, 0, stand.record))[2] == stand.record]
+        return [
+            store
+            for store, stand in self.tenure.stands.items()
+            if not stand.blank and noted.get(store, (0, 0, stand.record))[2] == stand.record
+        ]
 
     def _go_on(self, again: bool = False) -> None:
         """What is lost goes out anew where `again`; else only what has just become due: answers must not breed words."""
@@ -192,8 +202,7 @@
         if tenure.value == NONE:
             return
         if self.outside.content_of(tenure.value) is None:
-            self.outside.fetch_for_writer(tenure.value, [store for store in voters
-                                                         if tenure.stands[store].taken == tenure.value])
+            self.outside.fetch_for_writer(tenure.value, [store for store in voters if tenure.stands[store].taken == tenure.value])
             return
         for store in voters:
             if store not in tenure.votes and again and self._may_act():
@@ -238,8 +247,12 @@
             return
         if (put.base or NONE.text) != tenure.value.text:
             self.wanted = None
-            put.done(refused(f"somebody was quicker: the newest is {tenure.value.text}, "
-                             f"and this change was made upon {put.base or NONE.text}"))
+            put.done(
+                refused(
+                    f"somebody was quicker: the newest is {tenure.value.text}, "
+                    f"and this change was made upon {put.base or NONE.text}"
+                )
+            )
             return
         tenure.count += 1
         put.version = tenure.value = Version(tenure.ballot.fence, tenure.count, digest_of(put.content))
@@ -254,8 +267,14 @@
         if put.version is None:
             put.done(refused(f"not made: {why}"))
         else:
-            put.done({"ok": False, "unknown": True, "wrong": f"its fate is not known: {put.version.text} may yet come into force "
-                                                             f"({why}); look at what is newest before trying again"})
+            put.done(
+                {
+                    "ok": False,
+                    "unknown": True,
+                    "wrong": f"its fate is not known: {put.version.text} may yet come into force "
+                    f"({why}); look at what is newest before trying again",
+                }
+            )
 
     def why_not(self) -> str:
         """In words, what keeps it from making a version now."""
@@ -267,8 +286,9 @@
         voters = self._voters()
         if len(voters) < self.majority:
             blank = sorted(store for store, stand in tenure.stands.items() if stand.blank)
-            return (f"{len(voters)} of {len(self.terms.stores)} stores answer and vote, {self.majority} are needed"
-                    + (f"; without a record: {', '.join(blank)}" if blank else ""))
+            return f"{len(voters)} of {len(self.terms.stores)} stores answer and vote, {self.majority} are needed" + (
+                f"; without a record: {', '.join(blank)}" if blank else ""
+            )
         return f"{len(tenure.votes)} of {len(self.terms.stores)} stores have {tenure.value.text}, {self.majority} are needed"
 
 
--- a/curlewshift/emulator/agreement.py
+++ b/curlewshift/emulator/agreement.py
@@ -21,10 +21,12 @@
     samples = [event for event in events if event["ev"] == "use" and day["begins"] <= event["at"] <= ends]
     setups = sum(event["ev"] == "setup" for event in events)
     return {
-        "service": verdict["service"], "refused_part": answers[503] / max(1, sum(answers.values())),
+        "service": verdict["service"],
+        "refused_part": answers[503] / max(1, sum(answers.values())),
         "mean_rung": mean(event["rung"] for event in samples if event["playing"]) if samples else 0.0,
         "use": mean(event["asked"] / event["gives"] for event in samples) if samples else 0.0,
-        "tune_ins_a_request": setups / max(1, verdict["requests"])}
+        "tune_ins_a_request": setups / max(1, verdict["requests"]),
+    }
 
 
 def agreement(sockets: list[dict[str, float]], emulated: list[dict[str, float]]) -> dict[str, dict]:
@@ -33,7 +35,11 @@
     for name, bound in BOUNDS.items():
         there, here = [one[name] for one in sockets], [one[name] for one in emulated]
         difference = median(here) - median(there)
-        told[name] = {"sockets": [round(value, 3) for value in (median(there), min(there), max(there))],
-                      "emulated": [round(value, 3) for value in (median(here), min(here), max(here))],
-                      "difference": round(difference, 3), "bound": bound, "agrees": abs(difference) <= bound}
+        told[name] = {
+            "sockets": [round(value, 3) for value in (median(there), min(there), max(there))],
+            "emulated": [round(value, 3) for value in (median(here), min(here), max(here))],
+            "difference": round(difference, 3),
+            "bound": bound,
+            "agrees": abs(difference) <= bound,
+        }
     return told
--- a/curlewshift/emulator/front.py
+++ b/curlewshift/emulator/front.py
@@ -74,10 +74,12 @@
         desk = Desk
         if wrong:
             from curlewshift.emulator.wrongs import wronged
+
             desk, rules, terms = wronged(wrong, terms, rules)
         self.calendar = Calendar(terms.packages)
-        self.desk = desk(self, terms, Roster(site.uplinks, site.titles), rules=rules, most_waiting=site.most_waiting,
-                         calendar=self.calendar)
+        self.desk = desk(
+            self, terms, Roster(site.uplinks, site.titles), rules=rules, most_waiting=site.most_waiting, calendar=self.calendar
+        )
         self.shared = EmulatedSharing(self, seed) if world.shared is not None else None
         self.sheds = EmulatedOverload(self, seed) if world.shedding is not None else None
         if hasattr(self.desk.rules, "sees"):
@@ -183,14 +185,18 @@
         flight.sent, flight.machine = True, machine
         flight.setup = SetUp(self.name, request, tune_in.number, vw.package.name, vw.title, rung, mark, None)
         flight.setup.answer = lambda how, session: self.world.from_server(
-            self, machine, self._answered, tune_in, flight, how, session)
+            self, machine, self._answered, tune_in, flight, how, session
+        )
         self.world.to_server(self, machine, self._arrives, flight)
         if self.wrong == "double-tune-in" and vw.name % 3 == 0:
             others = [server for server in vw.holders if server is not tune_in.server and server.open]
             other = self.world.machines.get(others[0].name) if others else None
             if other is not None:
-                twin = Flight(SetUp(self.name, request, tune_in.number + 1, vw.package.name, vw.title, rung, "",
-                                    lambda how, session: None), other, True)
+                twin = Flight(
+                    SetUp(self.name, request, tune_in.number + 1, vw.package.name, vw.title, rung, "", lambda how, session: None),
+                    other,
+                    True,
+                )
                 self.world.to_server(self, other, self._arrives, twin)
 
     @staticmethod
@@ -251,30 +257,42 @@
                 done[0] = True
                 if self.alive:
                     back(result)
+
         if machine is None or machine.dead:
             self.world.queue.at(self.now() + 2 * self.world.way(self, machine), answered, None)
             return
         self.world.queue.at(self.now() + PATIENT, answered, None)
-        self.world.to_server(self, machine, lambda machine: machine.when_thawed(
-            lambda: self.world.from_server(self, machine, answered, there(machine))))
+        self.world.to_server(
+            self,
+            machine,
+            lambda machine: machine.when_thawed(lambda: self.world.from_server(self, machine, answered, there(machine))),
+        )
 
     def tell(self, errand) -> None:
         course = errand.course
         if course in self.tokens:
             self._note(self.book.changed(self.tokens[course], "rung", errand.rung))
-        self._call(course.vw.server, lambda machine: machine.layer(course.session, errand.rung),
-                   lambda result: self.desk.told_server(
-                       errand, Result.UNANSWERED if result is None else Result.DONE if result else Result.REFUSED))
+        self._call(
+            course.vw.server,
+            lambda machine: machine.layer(course.session, errand.rung),
+            lambda result: self.desk.told_server(
+                errand, Result.UNANSWERED if result is None else Result.DONE if result else Result.REFUSED
+            ),
+        )
 
     def end_session(self, ending) -> None:
         def there(machine):
             machine.end(ending.session, "deleted", tell=False)
             return True
+
         self._call(ending.server, there, lambda result: self.desk.session_ended(ending, bool(result)))
 
     def probe(self, server: Server) -> None:
-        self._call(server, lambda machine: dict(zip(("link", "uplink"), machine.report)),
-                   lambda result: self.desk.probed(server, Outcome.SILENT if result is None else Outcome.PLAYED, result))
+        self._call(
+            server,
+            lambda machine: dict(zip(("link", "uplink"), machine.report)),
+            lambda result: self.desk.probed(server, Outcome.SILENT if result is None else Outcome.PLAYED, result),
+        )
 
     def answer(self, request: Request, answer: Answer) -> None:
         if answer.kind is Kind.PLAYS:
@@ -322,17 +340,29 @@
                 self.recovery.unanswered(server)
             else:
                 self.recovery.listed(server, *told)
-        self._call(server, lambda machine: (machine.boot, [
-            Found(one.path, one.life, one.rung, one.mark) for one in machine.sessions.values()
-            if front_of(one.life) == self.door]), back)
+
+        self._call(
+            server,
+            lambda machine: (
+                machine.boot,
+                [
+                    Found(one.path, one.life, one.rung, one.mark)
+                    for one in machine.sessions.values()
+                    if front_of(one.life) == self.door
+                ],
+            ),
+            back,
+        )
 
     def adopt(self, server: Server, paths: list[str]) -> None:
-        self._call(server, lambda machine: machine.adopt(paths, self.name), lambda taken: (
-            self.recovery.unanswered(server) if taken is None else self.recovery.adopted(server, taken)))
+        self._call(
+            server,
+            lambda machine: machine.adopt(paths, self.name),
+            lambda taken: self.recovery.unanswered(server) if taken is None else self.recovery.adopted(server, taken),
+        )
 
     def taken_up(self, one: Remembered, server: Server):
-        course = self.desk.handed_over(one.package, one.title, one.ceiling, server, one.path, one.rung, one.key,
-                                       Offer(one.offer))
+        course = self.desk.handed_over(one.package, one.title, one.ceiling, server, one.path, one.rung, one.key, Offer(one.offer))
         self.tokens[course] = one.token
         self.world.viewers.taken_up(self, course, one.path)
         return course
--- a/curlewshift/emulator/goodput.py
+++ b/curlewshift/emulator/goodput.py
@@ -44,41 +44,84 @@
     tally, figures = world.viewers.tally, figures_of(script.site)
     worth = {package.name: package.value / package.rates[package.floor] for package in script.site.packages}
     begins = world.begins
-    shed = judge_shed(traffic, figures, worth, terms.floor,
-                      [(begins + int(LOST_AT * NS), begins + int((LOST_AT + LOST_FOR) * NS))] if storm else [])
+    shed = judge_shed(
+        traffic,
+        figures,
+        worth,
+        terms.floor,
+        [(begins + int(LOST_AT * NS), begins + int((LOST_AT + LOST_FOR) * NS))] if storm else [],
+    )
     further = sum(event["ev"] == "setup" and event["number"] > 1 for event in traffic)
-    return {"way": way, "load": load, "fronts": fronts, "seed": seed, "goodput": (tally.served - tally.spoilt) / LASTS,
-            "served_share": tally.served / tally.value, "asks_a_viewing": shed["asks_a_viewing"], "out_of_order": shed["out_of_order"],
-            "refused": tally.refused / max(1, tally.asks), "join_p99_ms": tally.join_us.get_value_at_percentile(99) / 1000,
-            "further_a_server_s": further / SERVERS / LASTS, "storm_over_s": (shed["storm_over_s"] or [0.0])[0],
-            "worst_package": min(shed["served"].values()), "shed_at_all": bool(world.levels),
-            "broken": sorted(number for number, rule in judge(traffic, figures)["rules"].items() if rule["broken"])}
+    return {
+        "way": way,
+        "load": load,
+        "fronts": fronts,
+        "seed": seed,
+        "goodput": (tally.served - tally.spoilt) / LASTS,
+        "served_share": tally.served / tally.value,
+        "asks_a_viewing": shed["asks_a_viewing"],
+        "out_of_order": shed["out_of_order"],
+        "refused": tally.refused / max(1, tally.asks),
+        "join_p99_ms": tally.join_us.get_value_at_percentile(99) / 1000,
+        "further_a_server_s": further / SERVERS / LASTS,
+        "storm_over_s": (shed["storm_over_s"] or [0.0])[0],
+        "worst_package": min(shed["served"].values()),
+        "shed_at_all": bool(world.levels),
+        "broken": sorted(number for number, rule in judge(traffic, figures)["rules"].items() if rule["broken"]),
+    }
 
 
 def together(runs: list[dict]) -> dict:
     """Medians over seeds; what was broken is listed and never averaged."""
-    told = {name: round(median(run[name] for run in runs), 4) for name in (
-        "goodput", "served_share", "asks_a_viewing", "out_of_order", "refused", "join_p99_ms", "further_a_server_s",
-        "storm_over_s", "worst_package")}
-    return {**told, "seeds": len(runs), "shed_in": sum(run["shed_at_all"] for run in runs),
-            "broken": sorted({rule for run in runs for rule in run["broken"]})}
+    told = {
+        name: round(median(run[name] for run in runs), 4)
+        for name in (
+            "goodput",
+            "served_share",
+            "asks_a_viewing",
+            "out_of_order",
+            "refused",
+            "join_p99_ms",
+            "further_a_server_s",
+            "storm_over_s",
+            "worst_package",
+        )
+    }
+    return {
+        **told,
+        "seeds": len(runs),
+        "shed_in": sum(run["shed_at_all"] for run in runs),
+        "broken": sorted({rule for run in runs for rule in run["broken"]}),
+    }
 
 
 def measure_goodput(workers: int = 0) -> dict:
     tasks = [(way, load, 8, seed, False) for way in WAYS for load in LOADS for seed in range(1, SEEDS + 1)]
     tasks += [("oracle", 2.0, 8, seed, False) for seed in range(1, SEEDS + 1)]
     tasks += [(way, 2.0, 8, seed, True) for way in WAYS for seed in range(1, SEEDS + 1)]
-    tasks += [(way, load, fronts, seed, False) for fronts, loads, seeds in LARGER for way in WAYS for load in loads
-              for seed in range(1, seeds + 1)]
+    tasks += [
+        (way, load, fronts, seed, False)
+        for fronts, loads, seeds in LARGER
+        for way in WAYS
+        for load in loads
+        for seed in range(1, seeds + 1)
+    ]
     with ProcessPoolExecutor(workers or max(1, (os.cpu_count() or 2) - 1)) as pool:
         # the longest first
         runs = list(pool.map(one_run, sorted(tasks, key=lambda task: -task[1] * task[2])))
     kinds: dict[tuple, list[dict]] = {}
     for task, run in zip(sorted(tasks, key=lambda task: -task[1] * task[2]), runs):
         kinds.setdefault((task[2], task[4], task[1], task[0]), []).append(run)
-    return {"simulated": True, "servers": SERVERS, "lasts_s": LASTS, "longest_wait_s": LONGEST_WAIT // NS, "runs": [
-        {"fronts": fronts, "half_the_servers_lost": storm, "load": load, "way": way, **together(found)}
-        for (fronts, storm, load, way), found in sorted(kinds.items())]}
+    return {
+        "simulated": True,
+        "servers": SERVERS,
+        "lasts_s": LASTS,
+        "longest_wait_s": LONGEST_WAIT // NS,
+        "runs": [
+            {"fronts": fronts, "half_the_servers_lost": storm, "load": load, "way": way, **together(found)}
+            for (fronts, storm, load, way), found in sorted(kinds.items())
+        ],
+    }
 
 
 def chart(figures: dict) -> str:
@@ -86,8 +129,10 @@
     import io
 
     import matplotlib
+
     matplotlib.use("svg")
     from matplotlib import pyplot
+
     matplotlib.rcParams["svg.hashsalt"] = "goodput"
     picture, panel = pyplot.subplots(figsize=(8, 4))
     for way in WAYS:
--- a/curlewshift/emulator/lease_figures.py
+++ b/curlewshift/emulator/lease_figures.py
@@ -28,8 +28,10 @@
         self.loss, self.doubled, self.late = 0.0, 0.0, 5 * MS
 
     def holder(self, lease: str):
-        return next((front for front in self.fronts if front.alive and front.paused_until <= self.now
-                     and front.asker.may_act(lease)), None)
+        return next(
+            (front for front in self.fronts if front.alive and front.paused_until <= self.now and front.asker.may_act(lease)),
+            None,
+        )
 
     def until_held(self, lease: str, most: int = 60 * SECOND) -> int:
         began = self.now
@@ -79,10 +81,12 @@
 
 def cut_off(history: Quiet, number: int | None) -> None:
     """Words to and from this front are lost; None: from nobody's."""
+
     def say(sender, to, part, what, words):
         if to != sender.number and number in (sender.number, to):
             return
         LeaseHistory.say(history, sender, to, part, what, words)
+
     history.say = say
 
 
@@ -98,9 +102,13 @@
     before = history.words
     history.run(16 * SECOND)
     held = sum(history.holder(lease) is not None for lease in history.names[:50])
-    return {"leases": leases, "fronts": fronts, "words_a_second": round((history.words - before) / 6, 1),
-            "words_a_second_a_lease": round((history.words - before) / 6 / leases, 2),
-            "held_of_50": held}
+    return {
+        "leases": leases,
+        "fronts": fronts,
+        "words_a_second": round((history.words - before) / 6, 1),
+        "words_a_second_a_lease": round((history.words - before) / 6 / leases, 2),
+        "held_of_50": held,
+    }
 
 
 def some(seeds: range) -> tuple[int, list[int]]:
@@ -124,9 +132,15 @@
         for kind, parts in befell.items():
             took = sorted(gap for part in parts for gap in part.result())
             told[f"without_holder_after_{kind}_terms"] = {
-                "times": len(took), "median": round(took[len(took) // 2], 2), "p99": round(took[int(len(took) * 0.99)], 2)}
+                "times": len(took),
+                "median": round(took[len(took) // 2], 2),
+                "p99": round(took[int(len(took) * 0.99)], 2),
+            }
         told["sizes"] = [one.result() for one in sizes]
         ended = [one.result() for one in runs]
-        told["histories"] = {"run": HISTORIES, "tenures": sum(tenures for tenures, _ in ended),
-                             "two_holders": [seed for _, found in ended for seed in found]}
+        told["histories"] = {
+            "run": HISTORIES,
+            "tenures": sum(tenures for tenures, _ in ended),
+            "two_holders": [seed for _, found in ended for seed in found],
+        }
     return told
--- a/curlewshift/emulator/lease_histories.py
+++ b/curlewshift/emulator/lease_histories.py
@@ -36,8 +36,14 @@
         history = self.history
         self.life += 1
         self.alive, self.paused_until = True, 0
-        self.asker = history.askers(self, self.number, self.life, list(range(history.keepers_count)), self.history.terms,
-                                    Random(f"{history.seed} {self.number} {self.life}"))
+        self.asker = history.askers(
+            self,
+            self.number,
+            self.life,
+            list(range(history.keepers_count)),
+            self.history.terms,
+            Random(f"{history.seed} {self.number} {self.life}"),
+        )
         self.keeper = history.keepers(self, self.history.terms)
         for lease in history.names:
             self.asker.want(lease)
@@ -80,8 +86,16 @@
 class LeaseHistory:
     terms = TERMS
 
-    def __init__(self, seed: int, fronts: int = 0, keepers: int = 0, leases: int = 0, asker: type[Asker] = Asker,
-                 keeper: type[Keeper] = Keeper, troubled: bool = True):
+    def __init__(
+        self,
+        seed: int,
+        fronts: int = 0,
+        keepers: int = 0,
+        leases: int = 0,
+        asker: type[Asker] = Asker,
+        keeper: type[Keeper] = Keeper,
+        troubled: bool = True,
+    ):
         self.seed, self.chance, self.now = seed, Random(f"leases {seed}"), 0
         chance = self.chance
         self.askers, self.keepers = asker, keeper
@@ -145,8 +159,9 @@
     def _look(self) -> None:
         """Who may act at this moment: it is asked of each as it would ask itself before an act."""
         for lease in self.names:
-            holders = [front for front in self.fronts if front.alive and front.paused_until <= self.now
-                       and front.asker.may_act(lease)]
+            holders = [
+                front for front in self.fronts if front.alive and front.paused_until <= self.now and front.asker.may_act(lease)
+            ]
             if len(holders) > 1:
                 raise TwoHolders(f"{lease}: {' and '.join(str(front.number) for front in holders)} at {self.now / 1e9:.3f} s")
             if holders:
@@ -197,6 +212,7 @@
 
 # ---- planted faults
 
+
 class NoSilenceAfterStart(Keeper):
     def __init__(self, outside, terms):
         super().__init__(outside, terms)
@@ -252,6 +268,11 @@
         return held.fence if held is not None and held.until else 0
 
 
-FAULTS = {"no-silence-after-start": dict(keeper=NoSilenceAfterStart), "drift-ignored": dict(keeper=DriftIgnored),
-          "majority-of-two": dict(asker=MajorityOfTwo), "renew-after-end": dict(asker=RenewAfterEnd),
-          "fence-not-raised": dict(asker=FenceNotRaised), "act-without-look": dict(asker=ActWithoutLook)}
+FAULTS = {
+    "no-silence-after-start": dict(keeper=NoSilenceAfterStart),
+    "drift-ignored": dict(keeper=DriftIgnored),
+    "majority-of-two": dict(asker=MajorityOfTwo),
+    "renew-after-end": dict(asker=RenewAfterEnd),
+    "fence-not-raised": dict(asker=FenceNotRaised),
+    "act-without-look": dict(asker=ActWithoutLook),
+}
--- a/curlewshift/emulator/machine.py
+++ b/curlewshift/emulator/machine.py
@@ -124,8 +124,7 @@
     # ---- set-ups
 
     def asked(self, setup: SetUp) -> None:
-        setup.facts = dict(server=self.name, boot=self.boot, front=setup.life, request=setup.request,
-                           number=setup.number)
+        setup.facts = dict(server=self.name, boot=self.boot, front=setup.life, request=setup.request, number=setup.number)
         self.world.seen("setup", package=setup.package, title=setup.title, rung=setup.rung, **setup.facts)
         if falls_over(self.arrivals, self.world.queue.now, self.born, self.machine.streams, self.duties):
             # it falls over, and what is in work with it
@@ -150,8 +149,11 @@
     def _begin(self, setup: SetUp) -> None:
         if setup.gone:
             return
-        if self.draining or len(self.sessions) + len(self.at_work) + len(self.waiting) >= self.machine.streams or (
-                len(self.at_work) + len(self.waiting) >= MOST_QUEUED):
+        if (
+            self.draining
+            or len(self.sessions) + len(self.at_work) + len(self.waiting) >= self.machine.streams
+            or (len(self.at_work) + len(self.waiting) >= MOST_QUEUED)
+        ):
             self._over(setup, "turned-away")
             setup.answer("full", None)
         elif self.fails_fast:
@@ -191,13 +193,22 @@
         self.names += 1
         rate = self.world.ladder[setup.package][setup.rung]
         session = setup.session = Session(
-            f"/session/{self.boot}{self.names}", setup.life, setup.request, setup.package, setup.title, setup.rung, rate,
-            self.chance.uniform(0.88, 1.12), setup.mark, self, unwatched_since=self.world.queue.now)
+            f"/session/{self.boot}{self.names}",
+            setup.life,
+            setup.request,
+            setup.package,
+            setup.title,
+            setup.rung,
+            rate,
+            self.chance.uniform(0.88, 1.12),
+            setup.mark,
+            self,
+            unwatched_since=self.world.queue.now,
+        )
         self.sessions[session.path] = session
         self.by_life[setup.life] += 1
         self.link.asked += rate * session.truth
-        self.world.seen("session", session=session.path, package=setup.package, title=setup.title, rung=setup.rung,
-                        **setup.facts)
+        self.world.seen("session", session=session.path, package=setup.package, title=setup.title, rung=setup.rung, **setup.facts)
         self._over(setup, "answered")
         setup.answer("plays", session)
 
@@ -232,8 +243,16 @@
         for path in paths:
             session = self.sessions.get(path)
             if session is not None and front_of(session.life) == front_of(life):
-                self.world.seen("adopted", server=self.name, boot=self.boot, session=path, front=life,
-                                before=session.life, package=session.package, title=session.title)
+                self.world.seen(
+                    "adopted",
+                    server=self.name,
+                    boot=self.boot,
+                    session=path,
+                    front=life,
+                    before=session.life,
+                    package=session.package,
+                    title=session.title,
+                )
                 self.by_life[session.life] -= 1
                 session.life = life
                 self.by_life[life] += 1
--- a/curlewshift/emulator/oracle.py
+++ b/curlewshift/emulator/oracle.py
@@ -24,8 +24,7 @@
             return
         best = max(able, key=lambda server: (self._true_room(server), server.mark))
         room = self._true_room(best)
-        fits = [rung for rung in range(vw.package.floor, min(vw.ceiling, vw.package.top) + 1)
-                if vw.package.rates[rung] <= room]
+        fits = [rung for rung in range(vw.package.floor, min(vw.ceiling, vw.package.top) + 1) if vw.package.rates[rung] <= room]
         if fits:
             self._tune_in(vw, best, max(fits))
         elif room > -0.05 * best.link.size:
@@ -36,7 +35,8 @@
     def _able(self, server: Server) -> bool:
         machine = self.sees.machines.get(server.name)
         return machine is not None and not (
-            machine.dead or machine.frozen or machine.draining or machine.fails_fast or machine.loses_answers)
+            machine.dead or machine.frozen or machine.draining or machine.fails_fast or machine.loses_answers
+        )
 
     def _true_room(self, server: Server) -> float:
         link = self.sees.machines[server.name].link
--- a/curlewshift/emulator/peer_figures.py
+++ b/curlewshift/emulator/peer_figures.py
@@ -45,10 +45,15 @@
     fleet.run(15)
     fleet.links.parted, fleet.calls = lambda a, b: False, []
     healed = fleet.until(fleet.agreed, 60)
-    return {"fronts": size, "kills": KILLS[size], "detected_median_periods": round(took[len(took) // 2], 2),
-            "detected_p99_periods": round(took[int(len(took) * 0.99)], 2), "bytes_a_second_a_front": round(quiet, 1),
-            "agreed_after_cut_periods": None if healed is None else round(healed * NS / PERIOD, 1),
-            "called_gone_after_cut": len(fleet.calls)}
+    return {
+        "fronts": size,
+        "kills": KILLS[size],
+        "detected_median_periods": round(took[len(took) // 2], 2),
+        "detected_p99_periods": round(took[int(len(took) * 0.99)], 2),
+        "bytes_a_second_a_front": round(quiet, 1),
+        "agreed_after_cut_periods": None if healed is None else round(healed * NS / PERIOD, 1),
+        "called_gone_after_cut": len(fleet.calls),
+    }
 
 
 def calm(task: tuple[int, bool, bool]) -> dict:
@@ -61,8 +66,13 @@
     fleet.start_settled()
     minutes = HARD_MINUTES if hard else CALM_MINUTES
     fleet.run(60 * minutes)
-    return {"hard": hard, "lifeguard": lifeguard, "member_minutes": CALM_FRONTS * minutes, "false_gone": len(fleet.calls),
-            "suspicions": fleet.suspicions}
+    return {
+        "hard": hard,
+        "lifeguard": lifeguard,
+        "member_minutes": CALM_FRONTS * minutes,
+        "false_gone": len(fleet.calls),
+        "suspicions": fleet.suspicions,
+    }
 
 
 def some_histories(seeds: range) -> list[tuple[int, float | None]]:
@@ -73,22 +83,29 @@
     """Everything simulated, spread over processes."""
     with ProcessPoolExecutor(workers or max(1, (os.cpu_count() or 2) - 1)) as pool:
         sizes = [pool.submit(of_size, size) for size in reversed(SIZES)]
-        calms = [pool.submit(calm, (seed, lifeguard, hard)) for seed in range(CALM_RUNS) for lifeguard in (True, False)
-                 for hard in (False, True)]
+        calms = [
+            pool.submit(calm, (seed, lifeguard, hard))
+            for seed in range(CALM_RUNS)
+            for lifeguard in (True, False)
+            for hard in (False, True)
+        ]
         runs = [pool.submit(some_histories, range(at, at + AT_ONCE)) for at in range(0, HISTORIES, AT_ONCE)]
         told: dict = {"simulated": True, "period_ms": PERIOD // MS, "sizes": [one.result() for one in reversed(sizes)]}
         flat = {row["fronts"]: row["bytes_a_second_a_front"] for row in told["sizes"]}
         told["bytes_1000_over_32"] = round(flat[1000] / flat[32], 2)
         for hard in (False, True):
             for lifeguard in (True, False):
-                rows = [row for row in (one.result() for one in calms)
-                        if row["hard"] is hard and row["lifeguard"] is lifeguard]
+                rows = [row for row in (one.result() for one in calms) if row["hard"] is hard and row["lifeguard"] is lifeguard]
                 told[f"{'a_tenth_hears_badly' if hard else 'loss_of_5_percent'}_{'with' if lifeguard else 'without'}"] = {
-                    name: sum(row[name] for row in rows) for name in ("member_minutes", "false_gone", "suspicions")}
+                    name: sum(row[name] for row in rows) for name in ("member_minutes", "false_gone", "suspicions")
+                }
         ended = [pair for one in runs for pair in one.result()]
         took = sorted(after for _, after in ended if after is not None)
-        told["histories"] = {"run": len(ended), "not_agreed": [seed for seed, after in ended if after is None],
-                             "agreed_median_periods": round(took[len(took) // 2], 1),
-                             "agreed_p99_periods": round(took[int(len(took) * 0.99)], 1),
-                             "agreed_longest_periods": round(took[-1], 1)}
+        told["histories"] = {
+            "run": len(ended),
+            "not_agreed": [seed for seed, after in ended if after is None],
+            "agreed_median_periods": round(took[len(took) // 2], 1),
+            "agreed_p99_periods": round(took[int(len(took) * 0.99)], 1),
+            "agreed_longest_periods": round(took[-1], 1),
+        }
     return told
--- a/curlewshift/emulator/peer_histories.py
+++ b/curlewshift/emulator/peer_histories.py
@@ -15,8 +15,23 @@
 # Periods of trouble, and of quiet after it: the last one of many waits nine for an answer and then 18 for a suspect.
 TROUBLED, QUIET = 60, 60
 SEEDS = 2
-KINDS = ("kill", "kill", "start", "start", "pause", "go-on", "cut", "one-way", "heal", "loss", "clean", "step", "rate",
-         "leave", "twin")
+KINDS = (
+    "kill",
+    "kill",
+    "start",
+    "start",
+    "pause",
+    "go-on",
+    "cut",
+    "one-way",
+    "heal",
+    "loss",
+    "clean",
+    "step",
+    "rate",
+    "leave",
+    "twin",
+)
 
 
 def manners(**more) -> Manners:
--- a/curlewshift/emulator/peers.py
+++ b/curlewshift/emulator/peers.py
@@ -24,8 +24,7 @@
 class Links:
     """What befalls datagrams; shares from 0 to 1. `parted(a, b)` tells whether a's words do not reach b."""
 
-    def __init__(self, loss: float = 0.0, doubled: float = 0.0, spoilt: float = 0.0, late: float = 0.0,
-                 late_by: int = 0):
+    def __init__(self, loss: float = 0.0, doubled: float = 0.0, spoilt: float = 0.0, late: float = 0.0, late_by: int = 0):
         self.loss, self.doubled, self.spoilt, self.late, self.late_by = loss, doubled, spoilt, late, late_by
         self.parted: Callable[[int, int], bool] = lambda a, b: False
         # datagrams to these fronts are lost by this share besides: machines that are slow to read
@@ -75,9 +74,18 @@
     def start(self) -> None:
         self.lives += 1
         self.paused, self.waiting = False, []
-        self.channel = Channel(self, "emulated", self.name, self.address, self.now() // MS * 1024 + self.lives,
-                               self.fleet.seeds, self.fleet.manners, self.fleet.most_bytes,
-                               Random(f"{self.fleet.seed} {self.number} {self.lives}"), self.fleet.membership)
+        self.channel = Channel(
+            self,
+            "emulated",
+            self.name,
+            self.address,
+            self.now() // MS * 1024 + self.lives,
+            self.fleet.seeds,
+            self.fleet.manners,
+            self.fleet.most_bytes,
+            Random(f"{self.fleet.seed} {self.number} {self.lives}"),
+            self.fleet.membership,
+        )
         self.channel.start()
 
     def kill(self) -> None:
@@ -100,8 +108,16 @@
 class PeerFleet:
     """`size` fronts, the first `seeds` of which are named to all. `run(s)` lets time pass."""
 
-    def __init__(self, size: int, seed: int, manners: Manners, seeds: int = 3, most_bytes: int = 128 * 1024,
-                 links: Links | None = None, membership: type[Membership] = Membership):
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        manners: Manners,
+        seeds: int = 3,
+        most_bytes: int = 128 * 1024,
+        links: Links | None = None,
+        membership: type[Membership] = Membership,
+    ):
         self.queue, self.chance, self.seed = Buckets(BORN), Random(seed), seed
         self.manners, self.most_bytes, self.membership = manners, most_bytes, membership
         self.links = links or Links()
@@ -140,7 +156,7 @@
             return
         if links.spoilt and chance.random() < links.spoilt:
             at = chance.randrange(len(data))
-            data = data[:at] + bytes((data[at] ^ 1 << chance.randrange(8),)) + data[at + 1:]
+            data = data[:at] + bytes((data[at] ^ 1 << chance.randrange(8),)) + data[at + 1 :]
         for _ in range(2 if links.doubled and chance.random() < links.doubled else 1):
             way = chance.uniform(*WAY)
             if links.late and chance.random() < links.late:
@@ -163,8 +179,7 @@
         alive = self.alive()
         names = {post.name for post in alive}
         views = {post.channel.membership.views.whole for post in alive}
-        return len(views) == 1 and {member.name for member in alive[0].channel.membership.ring} == (
-            names - {alive[0].name})
+        return len(views) == 1 and {member.name for member in alive[0].channel.membership.ring} == (names - {alive[0].name})
 
     def until(self, what: Callable[[], bool], seconds: float, step: float = 0.1) -> float | None:
         """Seconds until that was so; None if it was not within the time given."""
--- a/curlewshift/emulator/queue_cost.py
+++ b/curlewshift/emulator/queue_cost.py
@@ -19,6 +19,7 @@
         if left[0] > 0:
             left[0] -= 1
             queue.at(queue.now + int(chance.expovariate(1 / (200 * MS))), happens)
+
     for _ in range(open_at_once):
         queue.at(chance.randrange(200 * MS), happens)
     began = time.perf_counter()
@@ -30,6 +31,12 @@
     rows = []
     for open_at_once in (100, 10_000, 200_000):
         buckets, heap = one(Buckets(), open_at_once), one(Heap(), open_at_once)
-        rows.append({"waiting": open_at_once, "buckets_us": round(buckets, 2), "heap_us": round(heap, 2),
-                     "ratio": round(buckets / heap, 2)})
+        rows.append(
+            {
+                "waiting": open_at_once,
+                "buckets_us": round(buckets, 2),
+                "heap_us": round(heap, 2),
+                "ratio": round(buckets / heap, 2),
+            }
+        )
     return {"events": EVENTS, "rows": rows}
--- a/curlewshift/emulator/seat_histories.py
+++ b/curlewshift/emulator/seat_histories.py
@@ -56,8 +56,13 @@
         self.told: dict[str, list] = {}
         self.wanted_at: dict[tuple[str, str], int] = {}
         self.viewings, self.out = ({key: [] for key in self.history.rights} for _ in range(2))
-        self.pool: Pool = self.pool_class(self, self.history.terms, [TITLE], {
-            _package(key): count for key, count in self.history.rights.items()}, self.history.kind)
+        self.pool: Pool = self.pool_class(
+            self,
+            self.history.terms,
+            [TITLE],
+            {_package(key): count for key, count in self.history.rights.items()},
+            self.history.kind,
+        )
         self.loans = self.pool.loans
         for key, names in before.items():
             for name in names:
@@ -101,8 +106,11 @@
     def _seat_left(self, key: str) -> bool:
         """As in rules.py: what nothing was ever told of is this front's own, all of it."""
         now = self.now()
-        seats = self.history.rights[key] if key not in self.told else sum(
-            count for since, until, count in self.told[key] if since <= now < until)
+        seats = (
+            self.history.rights[key]
+            if key not in self.told
+            else sum(count for since, until, count in self.told[key] if since <= now < until)
+        )
         return self.seats_in_use(_package(key), TITLE) < seats
 
     def tries(self, key: str) -> bool:
@@ -250,6 +258,7 @@
 
 # ---- planted faults
 
+
 class SeatsForEver(StandingLoans):
     """Keeps a lent seat for as long as its viewer likes, whether its loan was renewed or not."""
 
@@ -308,5 +317,10 @@
     front_class = UntoldFront
 
 
-FAULTS = {"seats-for-ever": SeatsForEver, "seats-lent-in-use": SeatsLentInUse, "seats-survive-restart": SeatsSurviveRestart,
-          "seats-forgotten": SeatsForgotten, "seats-by-the-clock": SeatsByTheClock}
+FAULTS = {
+    "seats-for-ever": SeatsForEver,
+    "seats-lent-in-use": SeatsLentInUse,
+    "seats-survive-restart": SeatsSurviveRestart,
+    "seats-forgotten": SeatsForgotten,
+    "seats-by-the-clock": SeatsByTheClock,
+}
--- a/curlewshift/emulator/shared.py
+++ b/curlewshift/emulator/shared.py
@@ -44,8 +44,16 @@
         order = [door.name for door in self.world.site.doors]
         me = order.index(front.door)
         self.life = front.now()
-        self.sharing = Sharing(self, order, me, self.life, self.shares.terms, self.world.site.duties.warm_within, self.chance,
-                               self.world.site.together.patient(lambda name: front.desk.packages[name].patience))
+        self.sharing = Sharing(
+            self,
+            order,
+            me,
+            self.life,
+            self.shares.terms,
+            self.world.site.duties.warm_within,
+            self.chance,
+            self.world.site.together.patient(lambda name: front.desk.packages[name].patience),
+        )
         front.desk.share_rights()
         self.world.queue.at(front.now() + self.chance.randrange(self.shares.terms.every), self._round)
 
--- a/curlewshift/emulator/sharing_bytes.py
+++ b/curlewshift/emulator/sharing_bytes.py
@@ -29,8 +29,10 @@
         self.clock, self.names = 1000 * NS, [f"front-{n}" for n in range(fronts)]
         chance = Random(1)
         racks = [Rack(n, Link(1e5), name=f"rack-{n}") for n in range(-(-servers // RACK))]
-        self.fleet = [Server(f"10.0.{n // 250}.{n % 250}:8100", chance.getrandbits(32), f"z{n % 3}", 40, racks[n // RACK], Link(1e4))
-                      for n in range(servers)]
+        self.fleet = [
+            Server(f"10.0.{n // 250}.{n % 250}:8100", chance.getrandbits(32), f"z{n % 3}", 40, racks[n // RACK], Link(1e4))
+            for n in range(servers)
+        ]
         for server in chance.sample(self.fleet, min(PLAYS_ON, servers)):
             server.link.own = server.rack.link.own = 700.0
         self.bytes = self.datagrams = 0
@@ -50,7 +52,9 @@
 
     def _weighs(self, what: int, **more) -> None:
         body = ENCODER.encode(Body(what, 10_000, self.clock, **more))
-        frame = encode(Frame("site", "front-0", "10.1.0.1", 8181, 1_800_000_000_000_000, 3, 100_000, KIND, 0, "", 2**63, [], body))
+        frame = encode(
+            Frame("site", "front-0", "10.1.0.1", 8181, 1_800_000_000_000_000, 3, 100_000, KIND, 0, "", 2**63, [], body)
+        )
         self.bytes += len(frame)
         self.datagrams += 1
 
@@ -85,6 +89,13 @@
     rows = []
     for fronts, servers in SIZES:
         done = Among(fronts, servers).run()
-        rows.append({"fronts": fronts, "servers": servers, "plays_on": min(PLAYS_ON, servers),
-                     "bytes_a_second": round(done.bytes / SECONDS), "datagrams_a_second": round(done.datagrams / SECONDS)})
+        rows.append(
+            {
+                "fronts": fronts,
+                "servers": servers,
+                "plays_on": min(PLAYS_ON, servers),
+                "bytes_a_second": round(done.bytes / SECONDS),
+                "datagrams_a_second": round(done.datagrams / SECONDS),
+            }
+        )
     return {"simulated": True, "largest_body": 1200 - PLAIN, "sizes": rows}
--- a/curlewshift/emulator/shed_wrongs.py
+++ b/curlewshift/emulator/shed_wrongs.py
@@ -50,5 +50,9 @@
             return False
 
 
-FAULTS = {"shed-at-random": ShedAtRandom, "own-level-only": OwnLevelOnly, "synchronised-return": SynchronisedReturn,
-          "no-floor": NoFloor}
+FAULTS = {
+    "shed-at-random": ShedAtRandom,
+    "own-level-only": OwnLevelOnly,
+    "synchronised-return": SynchronisedReturn,
+    "no-floor": NoFloor,
+}
--- a/curlewshift/emulator/sizes.py
+++ b/curlewshift/emulator/sizes.py
@@ -15,9 +15,21 @@
 RACK = 20
 
 
-def made_up(fronts: int, servers: int, viewings: float, lasts: float, load: float, seed: int = 1, watches: float = 20.0,
-            troubles: list[Trouble] = (), come_again: float = 0.8, free_further: int | None = None,
-            further_share: float = 0.0, told_late: float = 0.5, copies: int = 4) -> Script:
+def made_up(
+    fronts: int,
+    servers: int,
+    viewings: float,
+    lasts: float,
+    load: float,
+    seed: int = 1,
+    watches: float = 20.0,
+    troubles: list[Trouble] = (),
+    come_again: float = 0.8,
+    free_further: int | None = None,
+    further_share: float = 0.0,
+    told_late: float = 0.5,
+    copies: int = 4,
+) -> Script:
     """`viewings` come over `lasts` (s). Links are as large as it takes for the mean rung's rate of all of them to ask
     for `load` of what there is; a title lies on `copies` servers. Raises `ValueError` for sizes that are none."""
     if min(fronts, servers, viewings, lasts, load, watches) <= 0:
@@ -28,22 +40,47 @@
     mean_rate = sum(LADDER) / len(LADDER)
     link = max(4 * LADDER[-1], playing * mean_rate / servers / load)
     streams = max(12, int(3 * playing / servers / load))
-    machines = [Machine(f"s{n}", "127.0.0.1", 20_000 + n % 40_000, f"r{n // RACK}", f"z{n // RACK % 3}", link, streams, 2)
-                for n in range(servers)]
+    machines = [
+        Machine(f"s{n}", "127.0.0.1", 20_000 + n % 40_000, f"r{n // RACK}", f"z{n // RACK % 3}", link, streams, 2)
+        for n in range(servers)
+    ]
     racks = {machine.rack for machine in machines}
     per_rack = {rack: sum(machine.rack == rack for machine in machines) for rack in racks}
     copies = min(copies, servers)
-    titles = {f"t{n}": tuple(machines[m].shelf for m in chance.sample(range(servers), copies))
-              for n in range(max(3, servers))}
+    titles = {f"t{n}": tuple(machines[m].shelf for m in chance.sample(range(servers), copies)) for n in range(max(3, servers))}
     packages = [
         Package("receipt", 3.0, NS, 4 * NS, False, LADDER, 1, 3, 0),
         Package("review", 2.0, NS, 5 * NS, True, LADDER, 0, 3, 0),
-        Package("lesson", 1.0, 3 * NS // 2, 4 * NS, False, LADDER, 0, 3, 0)]
+        Package("lesson", 1.0, 3 * NS // 2, 4 * NS, False, LADDER, 0, 3, 0),
+    ]
     duties = Duties(
-        way_back=150 * MS, longest_wait=2 * NS, most_tune_ins=3, grace=2 * NS, warm_within=8 * NS, start_capacity=0.4,
-        fall_multiple=2.0, fall_within=NS, free_further=free_further, further_share=further_share, look_back=10 * NS,
-        told_late=int(told_late * NS), told_every=3 * NS, probes=False, uplinks=True)
-    site = Site("made up", [Door(f"f{n}", "127.0.0.1", 1 + n) for n in range(fronts)], ("127.0.0.1", 1), packages,
-                {rack: 0.9 * link * per_rack[rack] for rack in sorted(racks)}, machines, titles, duties, 2000, 64)
+        way_back=150 * MS,
+        longest_wait=2 * NS,
+        most_tune_ins=3,
+        grace=2 * NS,
+        warm_within=8 * NS,
+        start_capacity=0.4,
+        fall_multiple=2.0,
+        fall_within=NS,
+        free_further=free_further,
+        further_share=further_share,
+        look_back=10 * NS,
+        told_late=int(told_late * NS),
+        told_every=3 * NS,
+        probes=False,
+        uplinks=True,
+    )
+    site = Site(
+        "made up",
+        [Door(f"f{n}", "127.0.0.1", 1 + n) for n in range(fronts)],
+        ("127.0.0.1", 1),
+        packages,
+        {rack: 0.9 * link * per_rack[rack] for rack in sorted(racks)},
+        machines,
+        titles,
+        duties,
+        2000,
+        64,
+    )
     wishes = [Wish("receipt", 0.3, watches), Wish("review", 0.2, watches), Wish("lesson", 0.5, watches)]
     return Script(Path("made-up.xml"), site, lasts, seed, each_second, come_again, 0.0, 0.0, wishes, list(troubles), [])
--- a/curlewshift/emulator/version_figures.py
+++ b/curlewshift/emulator/version_figures.py
@@ -38,10 +38,16 @@
         last.append(times[-1] if took is not None else None)
         cost.append(sum(after[name][0] - before[name][0] for name in after) / len(after) / CHANGE_EACH)
     every.sort()
-    return {"loss": loss, "nodes": nodes, "changes": CHANGES, "first_version_everywhere_s": first if first is None else round(first, 2),
-            "in_force_median_s": round(every[len(every) // 2], 2), "in_force_p99_s": round(every[int(len(every) * 0.99)], 2),
-            "last_node_s": [None if one is None else round(one, 2) for one in last],
-            "sent_bytes_a_second_mean": round(sum(cost) / len(cost))}
+    return {
+        "loss": loss,
+        "nodes": nodes,
+        "changes": CHANGES,
+        "first_version_everywhere_s": first if first is None else round(first, 2),
+        "in_force_median_s": round(every[len(every) // 2], 2),
+        "in_force_p99_s": round(every[int(len(every) * 0.99)], 2),
+        "last_node_s": [None if one is None else round(one, 2) for one in last],
+        "sent_bytes_a_second_mean": round(sum(cost) / len(cost)),
+    }
 
 
 def by_node(before: dict, after: dict, posts: list, seconds: float, what: str) -> dict:
@@ -71,9 +77,14 @@
     after = fleet.spent()
     seconds = (fleet.queue.now - began) / NS
     others = [post for post in fleet.nodes if post not in zone]
-    return {"returned": len(zone), "in_force_in_all_s": None if took is None else round(took, 2), "over_s": round(seconds, 1),
-            **by_node(before, after, others, seconds, "others"), **by_node(before, after, zone, seconds, "returned"),
-            **by_node(before, after, fleet.stores, seconds, "stores")}
+    return {
+        "returned": len(zone),
+        "in_force_in_all_s": None if took is None else round(took, 2),
+        "over_s": round(seconds, 1),
+        **by_node(before, after, others, seconds, "others"),
+        **by_node(before, after, zone, seconds, "returned"),
+        **by_node(before, after, fleet.stores, seconds, "stores"),
+    }
 
 
 def regions_apart(seconds: int = APART_S, nodes: int = NODES) -> dict:
@@ -89,9 +100,13 @@
     before, began = fleet.spent(), fleet.queue.now
     took = fleet.until(fleet.everywhere, 120)
     after, lasted = fleet.spent(), max(0.1, (fleet.queue.now - began) / NS)
-    return {"apart_s": seconds, "changes_meanwhile": APART_CHANGES, "had_it_before_they_met": len(here),
-            "in_force_everywhere_after_meeting_s": None if took is None else round(took, 2),
-            **by_node(before, after, fleet.nodes, lasted, "until_then")}
+    return {
+        "apart_s": seconds,
+        "changes_meanwhile": APART_CHANGES,
+        "had_it_before_they_met": len(here),
+        "in_force_everywhere_after_meeting_s": None if took is None else round(took, 2),
+        **by_node(before, after, fleet.nodes, lasted, "until_then"),
+    }
 
 
 def stretch(nodes: int = NODES) -> dict:
@@ -115,14 +130,27 @@
     after = fleet.spent()
     busy = by_node(before, after, fleet.nodes, seconds, "nodes")
     a_change = (busy["nodes_own_sent_mean"] - alone["quiet_own_sent_mean"]) * seconds / STRETCH_CHANGES
-    return {"changes": STRETCH_CHANGES, "restarts": STRETCH_RESTARTS, "seconds": round(seconds, 1), **alone, **busy,
-            **by_node(before, after, fleet.stores, seconds, "stores"), "own_bytes_a_change_a_node": round(a_change),
-            "own_at_910_changes_a_day_bytes_a_second": round(alone["quiet_own_sent_mean"] + a_change * 910 / 86_400, 1),
-            "not_everywhere_at_the_next_change": late, "everywhere_at_the_end": took is not None}
-
-
-SCENARIOS = {"no_loss": lambda: changes(0.0), "loss_of_5_percent": lambda: changes(0.05), "zone_returns_empty": zone_returns,
-             "regions_apart": regions_apart, "stretch": stretch}
+    return {
+        "changes": STRETCH_CHANGES,
+        "restarts": STRETCH_RESTARTS,
+        "seconds": round(seconds, 1),
+        **alone,
+        **busy,
+        **by_node(before, after, fleet.stores, seconds, "stores"),
+        "own_bytes_a_change_a_node": round(a_change),
+        "own_at_910_changes_a_day_bytes_a_second": round(alone["quiet_own_sent_mean"] + a_change * 910 / 86_400, 1),
+        "not_everywhere_at_the_next_change": late,
+        "everywhere_at_the_end": took is not None,
+    }
+
+
+SCENARIOS = {
+    "no_loss": lambda: changes(0.0),
+    "loss_of_5_percent": lambda: changes(0.05),
+    "zone_returns_empty": zone_returns,
+    "regions_apart": regions_apart,
+    "stretch": stretch,
+}
 
 
 def scenario(name: str) -> dict:
@@ -158,21 +186,31 @@
     parts = [run.result() for run in runs]
     ended = [one for part in parts for one in part["ended"]]
     took = sorted(after for _, after, _ in ended if after is not None)
-    return {"run": len(ended), "broken": [(seed, wrong) for seed, _, wrong in ended if wrong],
-            "not_agreed": [seed for seed, after, wrong in ended if after is None and not wrong],
-            "agreed_after_last_trouble_median_s": round(took[len(took) // 2], 1),
-            "agreed_p99_s": round(took[int(len(took) * 0.99)], 1), "agreed_longest_s": round(took[-1], 1),
-            **{name: sum(part[name] for part in parts) for name in ("changes", "takes", "restarts", "ok", "unknown", "refused")},
-            "planted_caught_of": min(FAULTY, many), "planted_caught": {fault: run.result() for fault, run in faults.items()}}
+    return {
+        "run": len(ended),
+        "broken": [(seed, wrong) for seed, _, wrong in ended if wrong],
+        "not_agreed": [seed for seed, after, wrong in ended if after is None and not wrong],
+        "agreed_after_last_trouble_median_s": round(took[len(took) // 2], 1),
+        "agreed_p99_s": round(took[int(len(took) * 0.99)], 1),
+        "agreed_longest_s": round(took[-1], 1),
+        **{name: sum(part[name] for part in parts) for name in ("changes", "takes", "restarts", "ok", "unknown", "refused")},
+        "planted_caught_of": min(FAULTY, many),
+        "planted_caught": {fault: run.result() for fault, run in faults.items()},
+    }
 
 
 def measure_versions(workers: int = 0, names: tuple[str, ...] = (), many: int = HISTORIES) -> dict:
     """What is not named is not run; nothing named: everything."""
     names = names or (*SCENARIOS, "histories")
     content, base = site_file(NODES, 1), site_file(NODES)
-    told: dict = {"simulated": True, "nodes": NODES, "zones": ZONES, "content_bytes": len(content),
-                  "packed_whole_bytes": len(packed_whole(content)),
-                  "packed_difference_bytes": len(packed_difference(content, base))}
+    told: dict = {
+        "simulated": True,
+        "nodes": NODES,
+        "zones": ZONES,
+        "content_bytes": len(content),
+        "packed_whole_bytes": len(packed_whole(content)),
+        "packed_difference_bytes": len(packed_difference(content, base)),
+    }
     with ProcessPoolExecutor(workers or max(1, (os.cpu_count() or 2) - 1)) as pool:
         runs = {name: pool.submit(scenario, name) for name in names if name in SCENARIOS}
         if "histories" in names:
--- a/curlewshift/emulator/version_histories.py
+++ b/curlewshift/emulator/version_histories.py
@@ -25,8 +25,25 @@
 EVERY = 200 * MS
 # How late membership tells that one has gone, and that one is in.
 GONE_AFTER, IN_AFTER = 3 * NS, 500 * MS
-KINDS = ("kill", "kill", "start", "start", "pause", "cut", "region", "heal", "links", "clean", "spoil", "wipe", "lease", "lease",
-         "two-leases", "same-fence", "full-disk")
+KINDS = (
+    "kill",
+    "kill",
+    "start",
+    "start",
+    "pause",
+    "cut",
+    "region",
+    "heal",
+    "links",
+    "clean",
+    "spoil",
+    "wipe",
+    "lease",
+    "lease",
+    "two-leases",
+    "same-fence",
+    "full-disk",
+)
 
 
 class Wrong(Exception):
@@ -89,8 +106,19 @@
             self.number = (0, 0)
         history = self.history
         self.lane = Lane(self)
-        self.wire = history.wire(self.lane, self, self.name, history.places, history.terms, lambda: self.fence, self, history.log,
-                                 Random(f"{history.seed} {self.name} {self.lives}"), self.copy, self.vote)
+        self.wire = history.wire(
+            self.lane,
+            self,
+            self.name,
+            history.places,
+            history.terms,
+            lambda: self.fence,
+            self,
+            history.log,
+            Random(f"{history.seed} {self.name} {self.lives}"),
+            self.copy,
+            self.vote,
+        )
 
     # ---- the wire's host
 
@@ -142,8 +170,10 @@
         self.parted = lambda a, b: False
         stores = [f"c{n}" for n in range(chance.choice((3, 3, 4, 5)))]
         zones = chance.randint(2, 4)
-        self.places = {name: (f"r{n % zones // 2}", f"z{n % zones}")
-                       for n, name in enumerate(stores + [f"n{n}" for n in range(nodes or chance.randint(3, 30))])}
+        self.places = {
+            name: (f"r{n % zones // 2}", f"z{n % zones}")
+            for n, name in enumerate(stores + [f"n{n}" for n in range(nodes or chance.randint(3, 30))])
+        }
         self.terms = DistributionTerms(tuple(stores))
         self.peers = {name: Peer(name) for name in self.places}
         self.processes = {name: Process(self, name, place, name in stores) for name, place in self.places.items()}
@@ -205,8 +235,10 @@
     def agreed(self) -> bool:
         newest = self.newest()
         text = newest.text if newest is not None else "file"
-        return all(process.wire.copy.held.text == text and (process.wire.version == text or process.wire.copy.why_refused)
-                   for process in self.processes.values())
+        return all(
+            process.wire.copy.held.text == text and (process.wire.version == text or process.wire.copy.why_refused)
+            for process in self.processes.values()
+        )
 
     # ---- words
 
@@ -224,7 +256,7 @@
         word = DECODER.decode(body)
         if type(word) is Piece and word.data:
             at = self.chance.randrange(len(word.data))
-            word.data = word.data[:at] + bytes((word.data[at] ^ 1 << self.chance.randrange(8),)) + word.data[at + 1:]
+            word.data = word.data[:at] + bytes((word.data[at] ^ 1 << self.chance.randrange(8),)) + word.data[at + 1 :]
             return ENCODER.encode(word)
         return body
 
@@ -387,6 +419,7 @@
                 self.ok_versions.append(told["version"])
                 if told["version"] not in [version.text for version in self.chosen.values()]:
                     self._wrong(f"put answered ok, and no majority has {told['version']}")
+
         wire.begin_put(content, base, 4 * NS, done)
 
     # ---- the judge
@@ -451,6 +484,7 @@
 
 # ---- planted faults
 
+
 class NoMajority(Writer):
     """Tells as soon as one store has it."""
 
@@ -533,10 +567,16 @@
     return type("Planted", (DistributionWire,), classes)
 
 
-FAULTS = {"no-majority": dict(writer=NoMajority), "old-over-new": dict(copy=OldOverNew), "half-in-force": dict(copy=HalfInForce),
-          "digest-unchecked": dict(copy=DigestUncheckedCopy, fetch=DigestUncheckedFetch),
-          "blank-votes": dict(store=BlankVotes), "unnoted-let-in": dict(writer=UnnotedLetIn), "by-number": dict(writer=ByNumber),
-          "base-unchecked": dict(writer=BaseUnchecked)}
+FAULTS = {
+    "no-majority": dict(writer=NoMajority),
+    "old-over-new": dict(copy=OldOverNew),
+    "half-in-force": dict(copy=HalfInForce),
+    "digest-unchecked": dict(copy=DigestUncheckedCopy, fetch=DigestUncheckedFetch),
+    "blank-votes": dict(store=BlankVotes),
+    "unnoted-let-in": dict(writer=UnnotedLetIn),
+    "by-number": dict(writer=ByNumber),
+    "base-unchecked": dict(writer=BaseUnchecked),
+}
 
 
 def planted(fault: str) -> type[DistributionWire]:
--- a/curlewshift/emulator/versions.py
+++ b/curlewshift/emulator/versions.py
@@ -21,13 +21,30 @@
 def site_file(fronts: int, changed: int = 0) -> bytes:
     """Settings with so many fronts named; with another `changed` one attribute differs."""
     chance = Random(1)
-    rows = [f'    <front name="{chance.choice("abcdefgh")}{chance.randrange(10**5)}-{n}" listen="10.{chance.randrange(256)}.'
-            f'{chance.randrange(256)}.{chance.randrange(256)}:8443" peers-listen="10.{chance.randrange(256)}.'
-            f'{chance.randrange(256)}.{chance.randrange(256)}:8181" zone="z{n % 9}"/>' for n in range(fronts)]
-    packages = [f'    <package name="p{n}" value="{n % 3 + 1}" join-target="{800 + 100 * n}ms" patience="4s"/>' for n in range(12)]
+    rows = [
+        f'    <front name="{chance.choice("abcdefgh")}{chance.randrange(10**5)}-{n}" listen="10.{chance.randrange(256)}.'
+        f'{chance.randrange(256)}.{chance.randrange(256)}:8443" peers-listen="10.{chance.randrange(256)}.'
+        f'{chance.randrange(256)}.{chance.randrange(256)}:8181" zone="z{n % 9}"/>'
+        for n in range(fronts)
+    ]
+    packages = [
+        f'    <package name="p{n}" value="{n % 3 + 1}" join-target="{800 + 100 * n}ms" patience="4s"/>' for n in range(12)
+    ]
     packages[0] = f'    <package name="p0" value="3" join-target="{800 + changed}ms" patience="4s"/>'
-    return "\n".join(['<?xml version="1.0" encoding="UTF-8"?>', '<site name="large">', '  <fronts most-waiting="500">', *rows,
-                      '  </fronts>', '  <packages>', *packages, '  </packages>', '</site>', '']).encode()
+    return "\n".join(
+        [
+            '<?xml version="1.0" encoding="UTF-8"?>',
+            '<site name="large">',
+            '  <fronts most-waiting="500">',
+            *rows,
+            "  </fronts>",
+            "  <packages>",
+            *packages,
+            "  </packages>",
+            "</site>",
+            "",
+        ]
+    ).encode()
 
 
 class OneMemory(Library):
@@ -67,8 +84,19 @@
         super().start()
         fleet, life = self.fleet, self.lives
         self._count_own(self.channel)
-        self.wire = EmulatedWire(self.channel, self, self.name, fleet.places, fleet.terms, lambda: self.fence, self, fleet.log,
-                                 Random(f"{fleet.seed} {self.name} {life}"), self.copy, self.vote)
+        self.wire = EmulatedWire(
+            self.channel,
+            self,
+            self.name,
+            fleet.places,
+            fleet.terms,
+            lambda: self.fence,
+            self,
+            fleet.log,
+            Random(f"{fleet.seed} {self.name} {life}"),
+            self.copy,
+            self.vote,
+        )
         fleet.queue.at(fleet.queue.now + fleet.chance.randrange(EVERY), self._round, life)
 
     def _round(self, life: int) -> None:
@@ -90,7 +118,9 @@
                 body = rider()
                 self.own += len(body)
                 return body
+
             rides(counted_rider, heard)
+
         channel.say, channel.rides = counted, ridden
 
     def post(self, address: tuple[str, int], data: bytes) -> None:
@@ -129,8 +159,9 @@
         self.seeds = [post.address for post in self.posts[:3]]
         self.zone_of = [number % zones for number in range(size + stores)]
         self.region_of = [zone * regions // zones for zone in self.zone_of]
-        self.places = {post.name: (f"r{region}", f"z{zone}") for post, region, zone in
-                       zip(self.posts, self.region_of, self.zone_of)}
+        self.places = {
+            post.name: (f"r{region}", f"z{zone}") for post, region, zone in zip(self.posts, self.region_of, self.zone_of)
+        }
         self.terms = DistributionTerms(tuple(post.name for post in self.stores))
         self.fences = self.changes = 0
         # version -> when each node took it; when it was asked for, and when it was answered
@@ -173,6 +204,7 @@
                 raise RuntimeError(f"a change was not made: {told['wrong']}")
             self.last = told["version"]
             self.asked[self.last], self.answered[self.last] = asked, self.queue.now
+
         wire.begin_put(site_file(self.fronts, self.changes), wire.version, int(within * NS), done)
 
     def everywhere(self) -> bool:
--- a/curlewshift/emulator/viewers.py
+++ b/curlewshift/emulator/viewers.py
@@ -13,8 +13,7 @@
 
 from curlewshift.desk.course import Answer, Kind
 from curlewshift.standins.script import Part, drawn_part, pressure
-from curlewshift.standins.viewers import (
-    ASKS_ON, FOR_LINES, HANGS_UP_AFTER, LEAVES_AFTER, MEDIA_WITHIN, MOST_VISITS, PAUSE)
+from curlewshift.standins.viewers import ASKS_ON, FOR_LINES, HANGS_UP_AFTER, LEAVES_AFTER, MEDIA_WITHIN, MOST_VISITS, PAUSE
 
 NS = 1_000_000_000
 STATUS = {Kind.PLAYS: 201, Kind.REFUSED: 503, Kind.FAILED: 502}
@@ -32,8 +31,24 @@
 class Visit:
     """One request, sent again where it broke off; `answer` is the first that was heard."""
 
-    __slots__ = ("viewer", "request", "door", "key", "asked_at", "front", "at_desk", "waits", "answer", "session", "course",
-                 "asks_on", "tail", "hangs_up", "leaves", "over")
+    __slots__ = (
+        "viewer",
+        "request",
+        "door",
+        "key",
+        "asked_at",
+        "front",
+        "at_desk",
+        "waits",
+        "answer",
+        "session",
+        "course",
+        "asks_on",
+        "tail",
+        "hangs_up",
+        "leaves",
+        "over",
+    )
 
     def __init__(self, viewer: Viewer, request: str, door: int):
         self.viewer, self.request, self.door, self.key = viewer, request, door, f"{request} key"
@@ -92,14 +107,23 @@
         now = self.world.queue.now
         crowd, package = drawn_part(rate, more, self.draw.random())
         wishes = self.script.wishes
-        wish = next((one for one in wishes if one.package == package), None) or wishes[
-            min(len(wishes) - 1, int(numpy.searchsorted(self.shares, self.draw.random(), "right")))]
+        wish = (
+            next((one for one in wishes if one.package == package), None)
+            or wishes[min(len(wishes) - 1, int(numpy.searchsorted(self.shares, self.draw.random(), "right")))]
+        )
         title = crowd or self.titles[min(len(self.titles) - 1, int(numpy.searchsorted(self.upto, self.draw.random(), "right")))]
         pack = self.packages[wish.package]
         top = pack.top if self.draw.random() < 0.75 else max(pack.floor, pack.top - 1)
         self.names += 1
-        viewer = Viewer(f"v{self.names}", wish, pack, title, top, int(self.draw.exponential(wish.watches) * NS),
-                        Random(int(self.draw.integers(2**62))))
+        viewer = Viewer(
+            f"v{self.names}",
+            wish,
+            pack,
+            title,
+            top,
+            int(self.draw.exponential(wish.watches) * NS),
+            Random(int(self.draw.integers(2**62))),
+        )
         viewer.began = now
         self.tally.viewings += 1
         self.tally.value += pack.value
@@ -123,8 +147,12 @@
         front = self.world.fronts[visit.door]
         if front is None or not front.alive:
             self.tally.unreached += 1
-            self.world.seen("unreached", request=visit.request + visit.tail, viewing=visit.viewer.name,
-                            front=self.world.site.doors[visit.door].name)
+            self.world.seen(
+                "unreached",
+                request=visit.request + visit.tail,
+                viewing=visit.viewer.name,
+                front=self.world.site.doors[visit.door].name,
+            )
             self.world.queue.at(self.world.queue.now + self.world.way(), self._nobody, visit)
             return
         visit.front, visit.waits, visit.asked_at = front, True, self.world.queue.now
@@ -132,13 +160,21 @@
         self.tally.second((visit.asked_at - self.world.begins) // NS)[0] += 1
         name, package = visit.request + visit.tail, visit.viewer.package
         self.waiting[name] = visit
-        self.world.seen("ask", request=name, viewing=visit.viewer.name, front=front.door, package=package.name,
-                        title=visit.viewer.title, patience=package.patience)
+        self.world.seen(
+            "ask",
+            request=name,
+            viewing=visit.viewer.name,
+            front=front.door,
+            package=package.name,
+            title=visit.viewer.title,
+            patience=package.patience,
+        )
         self.world.queue.at(visit.asked_at + self.world.way(), self._arrives, visit, name, front)
         self.world.queue.at(visit.asked_at + package.patience, self._gives_up, visit, name)
         if visit.leaves:
-            self.world.queue.at(visit.asked_at + int(visit.viewer.chance.uniform(*LEAVES_AFTER) * NS), self._hangs_up,
-                                visit, name)
+            self.world.queue.at(
+                visit.asked_at + int(visit.viewer.chance.uniform(*LEAVES_AFTER) * NS), self._hangs_up, visit, name
+            )
         elif visit.tail == "h":
             self.world.queue.at(visit.asked_at + int(HANGS_UP_AFTER * NS), self._hangs_up, visit, name)
 
@@ -213,8 +249,7 @@
         if visit is None or visit.front is not front:
             return
         package, now = visit.viewer.package, self.world.queue.now
-        self.world.seen("answer", request=name, viewing=visit.viewer.name, front=front.door,
-                        status=STATUS[answer.kind])
+        self.world.seen("answer", request=name, viewing=visit.viewer.name, front=front.door, status=STATUS[answer.kind])
         if not visit.waits:
             # one answer too many
             return
@@ -307,8 +342,12 @@
     def _ended(self, visit: Visit, how: str, wait: int) -> None:
         viewer, now = visit.viewer, self.world.queue.now
         visit.over = True
-        again = how in ("refused", "broke", "unreached") and viewer.visits < MOST_VISITS and viewer.ends_in > NS and (
-            viewer.chance.random() < self.script.come_again)
+        again = (
+            how in ("refused", "broke", "unreached")
+            and viewer.visits < MOST_VISITS
+            and viewer.ends_in > NS
+            and (viewer.chance.random() < self.script.come_again)
+        )
         if not again or now > self.ends:
             return
         self.tally.again += 1
