--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -38,8 +38,19 @@
 # Fronts get so long to hear of all servers before the day begins (s).
 SETTLE = 1.5
 # What an earlier day left in the folder; a front that found it would go on from there.
-LEFT_OVER = ("*/peaks.db*", "*/intents.log*", "*/sessions.log*", "*/list.json", "*/shared.json", "*/configuration*", "*/vote*", "captures/*/*/*.*", "*.jsonl", "*.log",
-             "verdict.json")
+LEFT_OVER = (
+    "*/peaks.db*",
+    "*/intents.log*",
+    "*/sessions.log*",
+    "*/list.json",
+    "*/shared.json",
+    "*/configuration*",
+    "*/vote*",
+    "captures/*/*/*.*",
+    "*.jsonl",
+    "*.log",
+    "verdict.json",
+)
 # After the last arrival viewings run out, but no longer than this (s).
 RUN_OUT = 6.0
 # A front that holds a lease acts within so long (s).
@@ -59,15 +70,21 @@
 def figures_of(site: Site) -> Figures:
     duties, packages = site.duties, site.packages
     return Figures(
-        grace=duties.grace, warm_within=duties.warm_within, start_capacity=duties.start_capacity,
-        fall_multiple=duties.fall_multiple, fall_within=duties.fall_within, free_further=duties.free_further,
-        further_share=duties.further_share, look_back=duties.look_back,
+        grace=duties.grace,
+        warm_within=duties.warm_within,
+        start_capacity=duties.start_capacity,
+        fall_multiple=duties.fall_multiple,
+        fall_within=duties.fall_within,
+        free_further=duties.free_further,
+        further_share=duties.further_share,
+        look_back=duties.look_back,
         patience={package.name: package.patience for package in packages},
         join_target={package.name: package.join_target for package in packages},
         value={package.name: package.value for package in packages},
         paid={package.name for package in packages if package.paid_at_setup},
         floor={package.name: package.floor for package in packages},
-        seats={package.name: package.seats for package in packages})
+        seats={package.name: package.seats for package in packages},
+    )
 
 
 class FrontProcess(MemberProcess):
@@ -79,8 +96,18 @@
 
     async def start(self) -> None:
         self.another_life()
-        arguments = ["front", str(self.day.out / "site.xml"), "--name", self.name, "--life", self.life, "--state",
-                     str(self.state), "--seed", str(self.day.seed * 1000 + self.number * 100 + self.lives)]
+        arguments = [
+            "front",
+            str(self.day.out / "site.xml"),
+            "--name",
+            self.name,
+            "--life",
+            self.life,
+            "--state",
+            str(self.state),
+            "--seed",
+            str(self.day.seed * 1000 + self.number * 100 + self.lives),
+        ]
         if self.day.capture:
             arguments += ["--capture", str(self.day.out / "captures" / self.life)]
         if self.day.hold == "reserve":
@@ -98,9 +125,18 @@
 class Rehearsal:
     """`progress(done, of)` is told seconds of the day."""
 
-    def __init__(self, script: Script, script_path: Path, out: Path, seed: int, sabotage: str | None,
-                 progress: Callable[[float, float], None], hold: str = "announced", capture: bool = False,
-                 forget: bool = False):
+    def __init__(
+        self,
+        script: Script,
+        script_path: Path,
+        out: Path,
+        seed: int,
+        sabotage: str | None,
+        progress: Callable[[float, float], None],
+        hold: str = "announced",
+        capture: bool = False,
+        forget: bool = False,
+    ):
         self.script, self.script_path, self.out = script, script_path, out
         self.seed, self.sabotage, self.progress, self.hold = seed, sabotage, progress, hold
         self.capture, self.forget = capture, forget
@@ -154,8 +190,7 @@
             if child is not None:
                 child.process.stdin.write(f"{begins}\n".encode())
                 child.process.stdin.flush()
-        viewers = Viewers(self.script.site, self.script, [("127.0.0.1", port) for port in ports], self.seed,
-                          self.traffic)
+        viewers = Viewers(self.script.site, self.script, [("127.0.0.1", port) for port in ports], self.seed, self.traffic)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._tell_progress, begins)
             if self.hold == "announced" and self.script.announced:
@@ -188,8 +223,11 @@
                 await child.ended()
 
     async def _start_fleet(self) -> int:
-        self.fleet = Child(["standin", "fleet", str(self.script_path), "--traffic", str(self.out / "servers.jsonl"),
-                            "--seed", str(self.seed)], self.out / "fleet.log", talks=True)
+        self.fleet = Child(
+            ["standin", "fleet", str(self.script_path), "--traffic", str(self.out / "servers.jsonl"), "--seed", str(self.seed)],
+            self.out / "fleet.log",
+            talks=True,
+        )
         return int((await self._first_line(self.fleet, "the stand-in servers", "fleet.log"))["list"])
 
     async def _first_line(self, child: Child, what: str, log: str) -> dict:
@@ -205,8 +243,20 @@
         doors = [*site.doors, *(site.control.machines if site.control is not None else [])]
         ports = free_ports(len(doors), Random(os.getpid() + 1), socket.SOCK_DGRAM)
         named = [f"--front={door.name}={port}" for door, port in zip(doors, ports)]
-        self.relay = Child(["standin", "relay", str(self.script_path), "--traffic", str(self.out / "peers.jsonl"),
-                            "--seed", str(self.seed), *named], self.out / "relay.log", talks=True)
+        self.relay = Child(
+            [
+                "standin",
+                "relay",
+                str(self.script_path),
+                "--traffic",
+                str(self.out / "peers.jsonl"),
+                "--seed",
+                str(self.seed),
+                *named,
+            ],
+            self.out / "relay.log",
+            talks=True,
+        )
         reach = await self._first_line(self.relay, "the relay between fronts", "relay.log")
         return [(port, reach[door.name]) for door, port in zip(doors, ports)]
 
@@ -214,9 +264,21 @@
         """Each front is told, as an operator would. `begins` is Unix time."""
         starts = begins + int(announced.at * NS)
         for front in self.fronts:
-            answer = await tell(front.state, {"do": "announce", "why": "the rehearsal's script", "peak": {
-                "name": announced.name, "package": announced.package, "starts": starts,
-                "ends": starts + int(announced.lasts * NS), "rate": announced.rate, "most": announced.most}})
+            answer = await tell(
+                front.state,
+                {
+                    "do": "announce",
+                    "why": "the rehearsal's script",
+                    "peak": {
+                        "name": announced.name,
+                        "package": announced.package,
+                        "starts": starts,
+                        "ends": starts + int(announced.lasts * NS),
+                        "rate": announced.rate,
+                        "most": announced.most,
+                    },
+                },
+            )
             if not answer["ok"]:
                 raise StartFailed(f"{front.name} does not take the peak {announced.name}: {answer['wrong']}")
 
@@ -246,8 +308,15 @@
                 except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
                     continue
                 for row in peaks:
-                    self.traffic.seen("held", front=front.name, peak=row["name"], package=row["package"],
-                                      phase=row["phase"], needs=row["needs"], room=row["held_here"])
+                    self.traffic.seen(
+                        "held",
+                        front=front.name,
+                        peak=row["name"],
+                        package=row["package"],
+                        phase=row["phase"],
+                        needs=row["needs"],
+                        room=row["held_here"],
+                    )
             await anyio.sleep(1)
 
     async def _watch_members(self, front: FrontProcess) -> None:
@@ -257,8 +326,15 @@
             told = None if front.paused else await front.ask({"do": "peers"})
             if told is not None and told["ok"] and told["peers"] and front.life == life and not front.paused:
                 peers = told["peers"]
-                self.traffic.seen("view", front=front.name, life=life, asked=asked, me=peers["life"], sent=peers["sent_a_second"], members=[
-                    [row["name"], row["life"], row["rank"], row["for_s"]] for row in peers["members"]])
+                self.traffic.seen(
+                    "view",
+                    front=front.name,
+                    life=life,
+                    asked=asked,
+                    me=peers["life"],
+                    sent=peers["sent_a_second"],
+                    members=[[row["name"], row["life"], row["rank"], row["for_s"]] for row in peers["members"]],
+                )
             await anyio.sleep(WATCH_MEMBERS)
 
     # ---- what befalls fronts
@@ -310,8 +386,13 @@
     async def _stop_in_act(self, lasts: float, count: int) -> None:
         """Holders of leases are stopped in the very middle of an act, and go on after others have begun."""
         told = [(front, await front.ask({"do": "leases"})) for front in self.fronts if not front.paused]
-        holders = [front for front, answer in told if answer and answer.get("leases") and any(
-            row["held_here"] and row["lease"].startswith("probe/") for row in answer["leases"]["leases"])]
+        holders = [
+            front
+            for front, answer in told
+            if answer
+            and answer.get("leases")
+            and any(row["held_here"] and row["lease"].startswith("probe/") for row in answer["leases"]["leases"])
+        ]
         async with anyio.create_task_group() as tasks:
             for front in holders[:count]:
                 tasks.start_soon(front.stop_in_act, lasts, STOPS_WITHIN)
@@ -353,8 +434,11 @@
         site = self.script.site
         begins = next(event["begins"] for event in events if event["ev"] == "day")
         worth = {package.name: package.value / package.rates[package.floor] for package in site.packages}
-        losses = [(begins + int(trouble.at * NS), begins + int((trouble.at + trouble.lasts) * NS))
-                  for trouble in self.script.troubles if trouble.kind == "crash"]
+        losses = [
+            (begins + int(trouble.at * NS), begins + int((trouble.at + trouble.lasts) * NS))
+            for trouble in self.script.troubles
+            if trouble.kind == "crash"
+        ]
         return judge_shed(events, figures_of(site), worth, site.overload.floor, losses)
 
     def _together(self) -> frozenset[str]:
@@ -367,6 +451,10 @@
         for folder in sorted((self.out / "captures").iterdir()):
             records, damage = read_capture(folder)
             run = Replay(records).run()
-            told[folder.name] = {"told": run.told, "did": run.did, "cut_off": damage,
-                                 "difference": str(run.difference) if run.difference else ""}
+            told[folder.name] = {
+                "told": run.told,
+                "did": run.did,
+                "cut_off": damage,
+                "difference": str(run.difference) if run.difference else "",
+            }
         return told
--- a/curlewshift/rehearsal/table.py
+++ b/curlewshift/rehearsal/table.py
@@ -4,21 +4,37 @@
 
 from rich.table import Table
 
-RULES = {"1": "each request answered once, in time", "2": "no set-up twice", "3": "drains kept",
-         "4": "cold servers spared", "5": "floors and seats kept", "6": "further tune-ins within budget"}
+RULES = {
+    "1": "each request answered once, in time",
+    "2": "no set-up twice",
+    "3": "drains kept",
+    "4": "cold servers spared",
+    "5": "floors and seats kept",
+    "6": "further tune-ins within budget",
+}
 
 
 def verdict_tables(verdict: dict) -> list[Table]:
     counts = Table(title="requests and sessions")
     counts.add_column("")
     counts.add_column("count", justify="right")
-    for name in ("requests", "answers", "duplicates", "unanswered", "late", "tune_ins_per_request_max", "torn_down",
-                 "left_standing", "recovered", "orphans_left", "service"):
+    for name in (
+        "requests",
+        "answers",
+        "duplicates",
+        "unanswered",
+        "late",
+        "tune_ins_per_request_max",
+        "torn_down",
+        "left_standing",
+        "recovered",
+        "orphans_left",
+        "service",
+    ):
         counts.add_row(name.replace("_", " "), str(verdict[name]))
     for name in ("left", "looked_at", "late", "latest_ms", "says"):
         counts.add_row("attempts after leaving: " + name.replace("_", " "), str(verdict["attempts_after_leaving"][name]))
-    for name in ("false_gone", "not_forgotten", "old_life_taken", "malformed_taken", "agreed_after_s",
-                 "detected_periods_p99"):
+    for name in ("false_gone", "not_forgotten", "old_life_taken", "malformed_taken", "agreed_after_s", "detected_periods_p99"):
         if "members" in verdict:
             counts.add_row("members: " + name.replace("_", " "), str(verdict["members"][name]))
     for name in ("checked", "overdrawn", "used_share"):
--- a/curlewshift/rehearsal/wheel_cost.py
+++ b/curlewshift/rehearsal/wheel_cost.py
@@ -59,7 +59,15 @@
     rows = []
     for taken_back in (0.0, 0.5, 0.95):
         wheel, heap = one(Wheel(0, 10 * MS), taken_back), one(Heap(0), taken_back)
-        rows.append({"taken_back": taken_back, "wheel": wheel, "heap": heap, "ratios": {
-            "time": round(wheel["us_a_timer"] / heap["us_a_timer"], 2),
-            "held": round(wheel["held_at_the_end"] / heap["held_at_the_end"], 2)}})
+        rows.append(
+            {
+                "taken_back": taken_back,
+                "wheel": wheel,
+                "heap": heap,
+                "ratios": {
+                    "time": round(wheel["us_a_timer"] / heap["us_a_timer"], 2),
+                    "held": round(wheel["held_at_the_end"] / heap["held_at_the_end"], 2),
+                },
+            }
+        )
     return {"timers": STEPS, "rows": rows}
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -211,8 +211,11 @@
 
     def _ask(self, vw: Viewing) -> int:
         """Against fronts so many that each hears of few servers, and fills links that are short already."""
-        unheard = [server for server in self._open_to(vw)
-                   if self.host.now() - server.link.told_at > NEWS_FRESH and not self._sick(server)]
+        unheard = [
+            server
+            for server in self._open_to(vw)
+            if self.host.now() - server.link.told_at > NEWS_FRESH and not self._sick(server)
+        ]
         unheard.sort(key=lambda server: (self._room(server), shared_order(vw, server)), reverse=True)
         for server in unheard[:PROBES]:
             if not server.asking:
@@ -237,7 +240,8 @@
                 times.popleft()
         free = self.free_further if self.further_rights is None else self._in_hand(self.further_rights)
         left = not vw.tune_ins or (
-            not self.again_stopped and len(self.further) + 1 <= free + self.further_share * len(self.taken))
+            not self.again_stopped and len(self.further) + 1 <= free + self.further_share * len(self.taken)
+        )
         if not left:
             self.further_wanted_at = self.host.now()
         return left
@@ -281,8 +285,15 @@
             if rung is None or sick and (vw.package.paid_at_setup or server.out):
                 continue
             # a set-up waits until an earlier one at the same server has provably ended, which a hung one never says
-            rank = (server not in vw.unconfirmed, bound, not sick, not self._silent(server), server not in vw.tried,
-                    self._room(server, vw=vw) // (ROOM_STEP * server.link.size), shared_order(vw, server))
+            rank = (
+                server not in vw.unconfirmed,
+                bound,
+                not sick,
+                not self._silent(server),
+                server not in vw.tried,
+                self._room(server, vw=vw) // (ROOM_STEP * server.link.size),
+                shared_order(vw, server),
+            )
             if rank > best_rank:
                 best, best_rank, best_rung = server, rank, rung
         if best is None:
@@ -496,8 +507,7 @@
         held = self._held(link, vw) if link.holds else 0.0
         return link.size - self._use(link) - held - rate - bound * self.spread * sqrt(squares)
 
-    def _room(self, server: Server, rate: float = 0.0, bound: float = BOUND,
-              vw: Viewing | None = None) -> float:
+    def _room(self, server: Server, rate: float = 0.0, bound: float = BOUND, vw: Viewing | None = None) -> float:
         return min(self._left(server.link, rate, bound, vw), self._left(server.rack.link, rate, bound, vw))
 
     def _short(self, link: Link) -> bool:
--- a/curlewshift/running.py
+++ b/curlewshift/running.py
@@ -8,6 +8,7 @@
 
 def run(task, *arguments):
     import anyio
+
     try:
         return anyio.run(task, *arguments)
     except KeyboardInterrupt:
--- a/curlewshift/scale/faults.py
+++ b/curlewshift/scale/faults.py
@@ -29,8 +29,10 @@
             self.struck = {place.name for place in plan.places if place.zone == zone and place.kind != "control"}
         elif kind == "regions-apart":
             self.struck = self.everyone
-            self.groups = [{place.name for place in plan.places if place.region == region}
-                           for region in sorted({place.region for place in plan.places})]
+            self.groups = [
+                {place.name for place in plan.places if place.region == region}
+                for region in sorted({place.region for place in plan.places})
+            ]
         elif kind == "restart-some":
             hollow = [place.name for place in plan.named("hollow") if place.process != 1]
             self.struck = set(chance.sample(hollow, min(len(hollow), max(FEWEST, round(SOME * len(hollow))))))
--- a/curlewshift/scale/figures.py
+++ b/curlewshift/scale/figures.py
@@ -102,7 +102,8 @@
     told["all"] = {
         "bytes_a_second": spread([sum(stretch.bytes_of(name, part) for part in parts) for name in names], 1),
         "datagrams_a_second": spread([sum(stretch.bytes_of(name, part, 0) for part in parts) for name in names], 2),
-        "handed_bytes_a_second": spread([stretch.handed(name) for name in names], 1)}
+        "handed_bytes_a_second": spread([stretch.handed(name) for name in names], 1),
+    }
     if cores:
         told["all"]["core"] = spread([sum(parts.values()) for parts in cores.values()], 6)
     return told
--- a/curlewshift/scale/fits.py
+++ b/curlewshift/scale/fits.py
@@ -35,8 +35,14 @@
     by: str
 
     def told(self) -> dict:
-        return {"intercept": rounded(self.intercept), "slope": rounded(self.slope), "slope_error": rounded(self.slope_error),
-                "worst_residual": rounded(self.worst_residual), "straight": self.straight, "by": self.by}
+        return {
+            "intercept": rounded(self.intercept),
+            "slope": rounded(self.slope),
+            "slope_error": rounded(self.slope_error),
+            "worst_residual": rounded(self.worst_residual),
+            "straight": self.straight,
+            "by": self.by,
+        }
 
 
 def fit(points: list[tuple[float, float]]) -> Fit:
@@ -56,16 +62,21 @@
     floor = 1e-12 * (abs(mean) + abs(slope))
     bent, bend = _bent(us, rests, uu, left, floor, abs(slope))
     off, step = _off(us, rests, floor, abs(slope))
-    return Fit(mean - slope * middle / span, slope / span, sqrt(left / (count - 2) / uu) / span, max(map(abs, rests)),
-               not (bent or off), f"{bend}; {step}; not straight where one of them is under {100 * CHANCE:g}% and over "
-               f"{100 * BEND:g}% of the rise")
+    return Fit(
+        mean - slope * middle / span,
+        slope / span,
+        sqrt(left / (count - 2) / uu) / span,
+        max(map(abs, rests)),
+        not (bent or off),
+        f"{bend}; {step}; not straight where one of them is under {100 * CHANCE:g}% and over {100 * BEND:g}% of the rise",
+    )
 
 
 def _bent(us: list[float], rests: list[float], uu: float, left: float, floor: float, rise: float) -> tuple[bool, str]:
     """The quadratic term against its error."""
     count = len(us)
     # what is new in the square: of no mean and at a right angle to u
-    square, skew = uu / count, sum(u ** 3 for u in us) / uu
+    square, skew = uu / count, sum(u**3 for u in us) / uu
     qs = [u * u - square - skew * u for u in us]
     qq = sum(q * q for q in qs)
     curve = sum(q * rest for q, rest in zip(qs, rests)) / qq
@@ -87,16 +98,19 @@
     return _judged("lack of fit", lack, len(by_size) - 2, pure, len(us) - len(by_size), most, floor, rise)
 
 
-def _judged(name: str, found: float, of: int, noise: float, free: int, size: float, floor: float,
-            rise: float) -> tuple[bool, str]:
+def _judged(
+    name: str, found: float, of: int, noise: float, free: int, size: float, floor: float, rise: float
+) -> tuple[bool, str]:
     noise = max(0.0, noise)
     if size <= floor:
         ratio = 0.0
     else:
         ratio = found / of / (noise / free) if noise > free * floor * floor else inf
     chance, part = f_tail(ratio, of, free), size / max(rise, floor, 1e-300)
-    return (chance < CHANCE and part > BEND,
-            f"{name}: F({of}, {free}) {ratio:.3g}, chance {100 * chance:.2g}%, {100 * part:.1f}% of the rise")
+    return (
+        chance < CHANCE and part > BEND,
+        f"{name}: F({of}, {free}) {ratio:.3g}, chance {100 * chance:.2g}%, {100 * part:.1f}% of the rise",
+    )
 
 
 def f_tail(ratio: float, of: int, free: int) -> float:
@@ -121,8 +135,10 @@
     d = 1.0 / (d if abs(d) > tiny else tiny)
     value = d
     for m in range(1, 300):
-        for term in (m * (b - m) * x / ((a + 2 * m - 1) * (a + 2 * m)),
-                     -(a + m) * (a + b + m) * x / ((a + 2 * m) * (a + 2 * m + 1))):
+        for term in (
+            m * (b - m) * x / ((a + 2 * m - 1) * (a + 2 * m)),
+            -(a + m) * (a + b + m) * x / ((a + 2 * m) * (a + 2 * m + 1)),
+        ):
             d, c = 1.0 + term * d, 1.0 + term / c
             d = 1.0 / (d if abs(d) > tiny else tiny)
             c = c if abs(c) > tiny else tiny
--- a/curlewshift/scale/fleet.py
+++ b/curlewshift/scale/fleet.py
@@ -19,11 +19,15 @@
 
 SERVERS = 4
 START_WITHIN = 60.0
-SITE = """<site name="scale">
+SITE = (
+    """<site name="scale">
   <fronts most-waiting="1000">{fronts}
     <peers seeds="{seeds}" period="{period}"/>{more}
   </fronts>
-""" + BEHIND + "{control}</site>\n"
+"""
+    + BEHIND
+    + "{control}</site>\n"
+)
 
 
 class RunFailed(Exception):
@@ -45,7 +49,8 @@
         self.state.mkdir(parents=True, exist_ok=True)
         self.child = self.fleet.child(
             ["front", str(self.fleet.out / f"{self.site}.xml"), "--name", self.name, "--seed", "1", "--state", str(self.state)],
-            f"{self.site}-{self.name}")
+            f"{self.site}-{self.name}",
+        )
         if not await listens(self.port, START_WITHIN):
             raise RunFailed(f"front {self.name} does not listen; see {self.fleet.out / f'{self.site}-{self.name}.log'}")
         self.open = True
@@ -121,8 +126,9 @@
         self.plan.lay_out()
         write_plan(self.out, self.plan)
         for part in range(self.plan.relays):
-            self.relays.append(self._spoken(["scale", "relay", str(self.out), str(part)], f"relay-{part}", tasks,
-                                             partial(self.heard, part)))
+            self.relays.append(
+                self._spoken(["scale", "relay", str(self.out), str(part)], f"relay-{part}", tasks, partial(self.heard, part))
+            )
         reach: dict[str, int] = {}
         for relay in self.relays:
             reach |= (await self._told(relay))["reach"]
@@ -152,15 +158,17 @@
         """Of the fleet, and of as many fronts that know each other alone, to be compared with; the ports of list and servers."""
         real = self.plan.named("real")
         ports = free_ports(2 * len(real) + SERVERS + 1, Random(os.getpid()))
-        doors, apart, service = ports[:len(real)], ports[len(real):2 * len(real)], ports[2 * len(real):]
+        doors, apart, service = ports[: len(real)], ports[len(real) : 2 * len(real)], ports[2 * len(real) :]
         door_of = {place.name: port for place, port in zip(real, doors)}
-        self._write_site("site", [(place, door_of.get(place.name, 9), place.listen, place.reach)
-                                  for place in self.plan.places], *service)
+        self._write_site(
+            "site", [(place, door_of.get(place.name, 9), place.listen, place.reach) for place in self.plan.places], *service
+        )
         self.real = {place.name: RealFront(self, "site", place.name, door_of[place.name]) for place in real}
         if self.wants_apart and real:
             self.apart = [RealFront(self, "apart", place.name, port) for place, port in zip(real, apart)]
-            self._write_site("apart", [(place, port, udp, udp) for place, port, udp in zip(real, apart, self.plan.apart)],
-                             *service)
+            self._write_site(
+                "apart", [(place, port, udp, udp) for place, port, udp in zip(real, apart, self.plan.apart)], *service
+            )
         return service
 
     async def _start_service(self, ports: list[int]) -> None:
@@ -177,25 +185,41 @@
 
     def _write_site(self, name: str, rows: list[tuple], list_port: int, *servers: int) -> None:
         def peer(place: Place, listen: int, reach: int) -> str:
-            return (f'name="{place.name}" peers-listen="127.0.0.1:{listen}" peers-reach="127.0.0.1:{reach}" '
-                    f'region="{place.region}" zone="{place.zone}"')
-        fronts = "".join(f'\n    <front listen="127.0.0.1:{port}" {peer(place, listen, reach)}/>'
-                         for place, port, listen, reach in rows if place.kind != "control")
-        control = "".join(f"\n    <machine {peer(place, listen, reach)}/>"
-                          for place, _, listen, reach in rows if place.kind == "control")
-        machines = "".join(f'<server shelf="s{n}" listen="127.0.0.1:{port}" link="9000MB/s" streams="100000"/>'
-                           for n, port in enumerate(servers))
+            return (
+                f'name="{place.name}" peers-listen="127.0.0.1:{listen}" peers-reach="127.0.0.1:{reach}" '
+                f'region="{place.region}" zone="{place.zone}"'
+            )
+
+        fronts = "".join(
+            f'\n    <front listen="127.0.0.1:{port}" {peer(place, listen, reach)}/>'
+            for place, port, listen, reach in rows
+            if place.kind != "control"
+        )
+        control = "".join(
+            f"\n    <machine {peer(place, listen, reach)}/>" for place, _, listen, reach in rows if place.kind == "control"
+        )
+        machines = "".join(
+            f'<server shelf="s{n}" listen="127.0.0.1:{port}" link="9000MB/s" streams="100000"/>' for n, port in enumerate(servers)
+        )
         more = "<sharing/>" if "sharing" in self.plan.parts else ""
         leasing = [place.name for place in self.plan.named("hollow") if place.leases and place.process != 1]
         if leasing and name == "site":
-            more += f'<leases keepers="{" ".join(leasing[::max(1, len(leasing) // KEEPERS)][:KEEPERS])}" tasks="probe"/>'
+            more += f'<leases keepers="{" ".join(leasing[:: max(1, len(leasing) // KEEPERS)][:KEEPERS])}" tasks="probe"/>'
         if "distribution" in self.plan.parts and control:
             more += "<configuration/>"
         seeds = [f"c{n}" for n in range(CONTROL)] if name == "site" else [row[0].name for row in rows[:2]]
-        (self.out / f"{name}.xml").write_text(SITE.format(
-            fronts=fronts, seeds=" ".join(seeds), period=f"{self.plan.period * 1000:g}ms", more=more, list=list_port,
-            control=f"\n  <control>{control}\n  </control>" if control else "", servers=machines,
-            shelves=" ".join(f"s{n}" for n in range(len(servers)))))
+        (self.out / f"{name}.xml").write_text(
+            SITE.format(
+                fronts=fronts,
+                seeds=" ".join(seeds),
+                period=f"{self.plan.period * 1000:g}ms",
+                more=more,
+                list=list_port,
+                control=f"\n  <control>{control}\n  </control>" if control else "",
+                servers=machines,
+                shelves=" ".join(f"s{n}" for n in range(len(servers))),
+            )
+        )
 
     # ---- what is done to nodes
 
@@ -221,6 +245,7 @@
 
         async def one(at: int) -> None:
             answers[at] = await spoken[at].ask({"do": do})
+
         async with anyio.create_task_group() as tasks:
             for at in range(len(spoken)):
                 tasks.start_soon(one, at)
--- a/curlewshift/scale/hollow.py
+++ b/curlewshift/scale/hollow.py
@@ -64,18 +64,32 @@
         return {"ok": False, "wrong": "no control machine held the lease", "took_s": within}
 
     def mark(self) -> dict:
-        return {"at": time.monotonic(), "core": time.process_time_ns(), "memory_kB": memory_of(os.getpid()),
-                "empty_kB": self.empty, "nodes": {name: node.meter.read() for name, node in self.nodes.items()},
-                "errors": [error for node in self.nodes.values() for error in node.log.errors],
-                "lines": sum(node.log.lines for node in self.nodes.values()),
-                "stalls": sum(node.wire.channel.membership.steady.stalls for node in self.nodes.values()),
-                "unsent": sum(node.wire.unsent for node in self.nodes.values())}
+        return {
+            "at": time.monotonic(),
+            "core": time.process_time_ns(),
+            "memory_kB": memory_of(os.getpid()),
+            "empty_kB": self.empty,
+            "nodes": {name: node.meter.read() for name, node in self.nodes.items()},
+            "errors": [error for node in self.nodes.values() for error in node.log.errors],
+            "lines": sum(node.log.lines for node in self.nodes.values()),
+            "stalls": sum(node.wire.channel.membership.steady.stalls for node in self.nodes.values()),
+            "unsent": sum(node.wire.unsent for node in self.nodes.values()),
+        }
 
     def weigh(self) -> dict[str, float]:
         """kB of one node's own objects by subsystem: what hangs on each and on none before it."""
         node = next(iter(self.nodes.values()))
-        known = {id(node), id(node.disk), id(node.places), id(node.site), id(node.plan), id(node.wire),
-                 id(node.log), id(node.clock), id(node.meter)}
+        known = {
+            id(node),
+            id(node.disk),
+            id(node.places),
+            id(node.site),
+            id(node.plan),
+            id(node.wire),
+            id(node.log),
+            id(node.clock),
+            id(node.meter),
+        }
         for part in node.parts.values():
             known.add(id(part))
         told = {}
--- a/curlewshift/scale/meter.py
+++ b/curlewshift/scale/meter.py
@@ -40,6 +40,7 @@
 
     def metered(self, name: str, call: Callable) -> Callable:
         """The same call, on this subsystem's account."""
+
         @wraps(call)
         def counted(*arguments, **more):
             self._turn()
@@ -49,6 +50,7 @@
             finally:
                 self._turn()
                 self.open.pop()
+
         return counted
 
     def sent(self, size: int) -> None:
--- a/curlewshift/scale/node.py
+++ b/curlewshift/scale/node.py
@@ -79,12 +79,15 @@
         self.load, self.chance, self.now = load, chance, now
         marks = Random("marks")
         racks = [Rack(number, Link(1e6), name=f"rack-{number}") for number in range(-(-load.servers // load.rack))]
-        self.servers = [Server(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:8100", marks.getrandbits(32), "", 40,
-                               racks[n // load.rack], Link(1e5)) for n in range(load.servers)]
+        self.servers = [
+            Server(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:8100", marks.getrandbits(32), "", 40, racks[n // load.rack], Link(1e5))
+            for n in range(load.servers)
+        ]
         self.played = chance.sample(self.servers, load.links)
         self.usual = load.viewings * load.rate / max(1, load.links)
-        self.rules = SimpleNamespace(servers=self.servers, rights_of=lambda server: 3, further_wanted_at=0, seat_wanted_at={},
-                                     seats={})
+        self.rules = SimpleNamespace(
+            servers=self.servers, rights_of=lambda server: 3, further_wanted_at=0, seat_wanted_at={}, seats={}
+        )
         self.packages: dict = {}
         self.told = 0
 
@@ -124,8 +127,11 @@
         self.plan, self.site, self.place = plan, site, place
         machines = {machine.name: machine for machine in site.control.machines}
         machine = machines.get(place.name)
-        self.door = site.doors[site.door(place.name)] if machine is None else Door(
-            machine.name, "", 0, machine.peers_listen, machine.peers_reach)
+        self.door = (
+            site.doors[site.door(place.name)]
+            if machine is None
+            else Door(machine.name, "", 0, machine.peers_listen, machine.peers_reach)
+        )
         self.stores = list(machines)
         self.places = {one.name: (one.region, one.zone) for one in plan.places}
         self.clock, self.log = Clock(), CountedLog()
@@ -140,28 +146,58 @@
 
     def _make(self) -> None:
         wire = DeafWire if f"deaf={self.place.name}" in self.plan.spoil.split() else CountedWire
-        self.wire = wire(self.site.name, self.door, self.site.peers, self.clock, self.log,
-                         Random(self.chance.random()))
+        self.wire = wire(self.site.name, self.door, self.site.peers, self.clock, self.log, Random(self.chance.random()))
         channel, metered = self.wire.channel, self.meter.metered
         self.wire.meter = self.meter
         self.parts: dict[str, object] = {"membership": channel}
-        self.desk = HollowDesk(self.plan.load if self.place.shares else Load(0, 0, 0), Random(self.chance.random()),
-                               self.clock.now)
+        self.desk = HollowDesk(
+            self.plan.load if self.place.shares else Load(0, 0, 0), Random(self.chance.random()), self.clock.now
+        )
         self.shared = self.leased = self.distributed = None
         order, chance = [door.name for door in self.site.doors], Random(self.chance.random())
         if self.place.shares:
-            self.shared = SharedWire(channel, self.desk, order, order.index(self.place.name), self.site.sharing,
-                                     self.site.together, self.site.duties.warm_within, self.clock.now, self.log, chance)
+            self.shared = SharedWire(
+                channel,
+                self.desk,
+                order,
+                order.index(self.place.name),
+                self.site.sharing,
+                self.site.together,
+                self.site.duties.warm_within,
+                self.clock.now,
+                self.log,
+                chance,
+            )
             self.share = metered("sharing", self.shared.sharing.time)
             self.shared.sharing.time = self._round
         if self.place.kind == "control":
-            self.leased = MachineLeases(channel, self.clock, self.stores, self.stores.index(self.place.name), self.stores,
-                                      self.site.control.terms, self.log, chance)
+            self.leased = MachineLeases(
+                channel,
+                self.clock,
+                self.stores,
+                self.stores.index(self.place.name),
+                self.stores,
+                self.site.control.terms,
+                self.log,
+                chance,
+            )
             self.fence = self.leased.fence
         elif self.place.leases:
             wants = self.site.leases
-            self.leased = LeaseWire(channel, self, order, order.index(self.place.name), wants.keepers, wants.terms,
-                                    wants.shards, wants.probe_each, self.log, chance, wants.tasks, wants.orphans_after)
+            self.leased = LeaseWire(
+                channel,
+                self,
+                order,
+                order.index(self.place.name),
+                wants.keepers,
+                wants.terms,
+                wants.shards,
+                wants.probe_each,
+                self.log,
+                chance,
+                wants.tasks,
+                wants.orphans_after,
+            )
         if self.leased is not None:
             # a control machine's has its own time, a front's that of its tasks
             rounds = self.leased if self.place.kind == "control" else self.leased.tasks
@@ -170,8 +206,19 @@
                     setattr(owner, name, metered("leases", getattr(owner, name)))
         if "distribution" in self.plan.parts:
             terms = DistributionTerms(tuple(self.stores), self.site.configuration.give_bytes)
-            self.distributed = DistributionWire(channel, self, self.place.name, self.places, terms, self.fence, self.clock,
-                                                self.log, chance, self.disk.get("copy"), self.disk.get("vote"))
+            self.distributed = DistributionWire(
+                channel,
+                self,
+                self.place.name,
+                self.places,
+                terms,
+                self.fence,
+                self.clock,
+                self.log,
+                chance,
+                self.disk.get("copy"),
+                self.disk.get("vote"),
+            )
             self.distributed.time = metered("distribution", self.distributed.time)
         for name in ("shared", "leased", "distributed"):
             if getattr(self, name) is not None:
--- a/curlewshift/scale/plan.py
+++ b/curlewshift/scale/plan.py
@@ -87,11 +87,15 @@
     def check(self) -> None:
         """Raises `Unfit`."""
         if not 1 <= self.regions <= self.zones <= self.nodes:
-            raise Unfit(f"{self.nodes} nodes in {self.zones} zones of {self.regions} regions: each region has a zone, and each "
-                        "zone a node")
+            raise Unfit(
+                f"{self.nodes} nodes in {self.zones} zones of {self.regions} regions: each region has a zone, and each "
+                "zone a node"
+            )
         if self.real > self.nodes - self.processes:
-            raise Unfit(f"{self.nodes} nodes, {self.real} of them real, leave less than one hollow node for each of "
-                        f"{self.processes} processes")
+            raise Unfit(
+                f"{self.nodes} nodes, {self.real} of them real, leave less than one hollow node for each of "
+                f"{self.processes} processes"
+            )
         if 0 < self.load.leasing <= KEEPERS:
             raise Unfit(f"{self.load.leasing} nodes with leases are too few for {KEEPERS} keepers and one that asks alone")
         if self.load.links > self.load.servers:
@@ -115,8 +119,13 @@
     def memory(self) -> float:
         """kB that the run is expected to take."""
         hollow = self.nodes + CONTROL - self.real
-        return ((self.processes + 2) * A_PROCESS + self.relays * A_RELAY + 2 * self.real * A_FRONT
-                + hollow * (A_NODE + A_MEMBER * self.nodes) + self.load.sharing * self.load.servers * A_SERVER)
+        return (
+            (self.processes + 2) * A_PROCESS
+            + self.relays * A_RELAY
+            + 2 * self.real * A_FRONT
+            + hollow * (A_NODE + A_MEMBER * self.nodes)
+            + self.load.sharing * self.load.servers * A_SERVER
+        )
 
     def lay_out(self) -> None:
         """Nodes in their places, with free ports: real ones in zones in turn, control machines in regions in turn."""
@@ -128,19 +137,23 @@
         for turn in range(self.real):
             of_zone = [number for number in range(self.nodes) if zone_of[number] == turn % self.zones and number not in real]
             real.add(of_zone[0] if of_zone else next(number for number in range(self.nodes) if number not in real))
-        self.places = [Place(f"n{number:04}", "real" if number in real else "hollow", *self._labels(zone_of[number]),
-                             ports.pop()) for number in range(self.nodes)]
+        self.places = [
+            Place(f"n{number:04}", "real" if number in real else "hollow", *self._labels(zone_of[number]), ports.pop())
+            for number in range(self.nodes)
+        ]
         # last: fronts that share are numbered without them
-        self.places += [Place(f"c{number}", "control", *self._labels(number * self.zones // CONTROL), ports.pop(), 0)
-                        for number in range(CONTROL)]
+        self.places += [
+            Place(f"c{number}", "control", *self._labels(number * self.zones // CONTROL), ports.pop(), 0)
+            for number in range(CONTROL)
+        ]
         hollow = [place for place in self.places if place.kind == "hollow"]
         # control machines in a process of their own (0), one node alone (1), the others in turn
         for number, place in enumerate(hollow):
             place.process = 1 if number == 0 else 2 + (number - 1) % self.processes
         drawn = [hollow[0], *chance.sample(hollow[1:], len(hollow) - 1)]
-        for place in drawn[:self.load.sharing]:
+        for place in drawn[: self.load.sharing]:
             place.shares = True
-        for place in drawn[:self.load.leasing]:
+        for place in drawn[: self.load.leasing]:
             place.leases = True
 
     def _labels(self, zone: int) -> tuple[str, str]:
--- a/curlewshift/scale/relay.py
+++ b/curlewshift/scale/relay.py
@@ -43,8 +43,9 @@
 
     def __init__(self, folder: Path, part: int):
         plan = self.plan = read_plan(folder)
-        super().__init__([(place.name, place.listen) for place in plan.places[part::plan.relays]], plan.seed * 100 + part,
-                         Traffic(None))
+        super().__init__(
+            [(place.name, place.listen) for place in plan.places[part :: plan.relays]], plan.seed * 100 + part, Traffic(None)
+        )
         self.name_at = {place.listen: place.name for place in plan.places}
         self.region = {place.name: place.region for place in plan.places}
         self.zone = {place.name: place.zone for place in plan.places}
@@ -127,9 +128,15 @@
         while True:
             await anyio.sleep(TELLS_EVERY)
             gone = list(self.gone.values())
-            say({"tick": time.monotonic(), "shown": {name: self.shown[name] for name in self.news}, "gone": gone[told:],
-                 "bytes": sum(row[1] for row in self.said.values()),
-                 "news": sum(row[0] for (_, kind), row in self.said.items() if kind in NEWS)})
+            say(
+                {
+                    "tick": time.monotonic(),
+                    "shown": {name: self.shown[name] for name in self.news},
+                    "gone": gone[told:],
+                    "bytes": sum(row[1] for row in self.said.values()),
+                    "news": sum(row[0] for (_, kind), row in self.said.items() if kind in NEWS),
+                }
+            )
             self.news.clear()
             told = len(gone)
 
@@ -140,8 +147,15 @@
         said: dict[str, dict[int, list[int]]] = {}
         for (sender, kind), row in self.said.items():
             said.setdefault(sender, {})[kind] = row
-        return {"at": time.monotonic(), "said": said, "handed": self.handed_to, "lost": self.lost, "cut": self.cut,
-                "spoilt": self.spoilt, "core": time.process_time_ns()}
+        return {
+            "at": time.monotonic(),
+            "said": said,
+            "handed": self.handed_to,
+            "lost": self.lost,
+            "cut": self.cut,
+            "spoilt": self.spoilt,
+            "core": time.process_time_ns(),
+        }
 
 
 async def run_relay(folder: Path, part: int) -> None:
--- a/curlewshift/scale/report.py
+++ b/curlewshift/scale/report.py
@@ -13,16 +13,27 @@
         spent.add_column(column, justify="left" if column == "part" else "right")
     for part, row in figures["a_node"].items():
         size, count, core = (row.get(name, {}) for name in ("bytes_a_second", "datagrams_a_second", "core"))
-        spent.add_row(part, *(_told(one) for one in (size.get("mean"), size.get("worst"), count.get("mean"))),
-                      *(_share(one) for one in (core.get("mean"), core.get("worst"))), _told(row.get("memory_kB")))
+        spent.add_row(
+            part,
+            *(_told(one) for one in (size.get("mean"), size.get("worst"), count.get("mean"))),
+            *(_share(one) for one in (core.get("mean"), core.get("worst"))),
+            _told(row.get("memory_kB")),
+        )
     befell = Table(title="faults")
     for column in ("fault", "struck", "known after s", "agreed after s", "bytes/s while", "after", "worst", "core after"):
         befell.add_column(column, justify="left" if column == "fault" else "right")
     for fault in figures["faults"]:
         during, after = fault["while"]["all"], fault["after"]["all"]
-        befell.add_row(fault["kind"], str(fault["struck"]), _told(fault["known_s"]), _told(fault["converged_s"]),
-                       _told(during["bytes_a_second"]["mean"]), _told(after["bytes_a_second"]["mean"]),
-                       _told(after["bytes_a_second"]["worst"]), _share(after.get("core", {}).get("mean")))
+        befell.add_row(
+            fault["kind"],
+            str(fault["struck"]),
+            _told(fault["known_s"]),
+            _told(fault["converged_s"]),
+            _told(during["bytes_a_second"]["mean"]),
+            _told(after["bytes_a_second"]["mean"]),
+            _told(after["bytes_a_second"]["worst"]),
+            _share(after.get("core", {}).get("mean")),
+        )
     verdict = Table(title="verdict, from the relays and the real nodes' doors")
     verdict.add_column("")
     verdict.add_column("", justify="right")
@@ -43,14 +54,17 @@
     """Writes an SVG: bytes a second a node over the run, as the relays saw them, with the stretches. `seen` is what they had
     carried in all at each second."""
     import matplotlib
+
     matplotlib.use("svg")
     from matplotlib import pyplot
+
     figure, panel = pyplot.subplots(figsize=(11, 4))
     seconds = sorted(seen)
     if seconds:
         begins = seconds[0]
-        rates = [max(0.0, (seen[later] - seen[earlier]) / (later - earlier) / nodes)
-                 for earlier, later in zip(seconds, seconds[1:])]
+        rates = [
+            max(0.0, (seen[later] - seen[earlier]) / (later - earlier) / nodes) for earlier, later in zip(seconds, seconds[1:])
+        ]
         panel.plot([second - begins for second in seconds[1:]], rates, color="#2b5c8a")
         for number, (name, begun, ended) in enumerate(stretches):
             panel.axvspan(begun - begins, ended - begins, color="#b0655a" if number % 2 else "#3a7d44", alpha=0.12)
--- a/curlewshift/scale/run.py
+++ b/curlewshift/scale/run.py
@@ -36,8 +36,9 @@
 class ScaleRun:
     """`progress(words)` is told what is being done. `joins`: how many each way are compared, 0 for none."""
 
-    def __init__(self, plan: Plan, out: Path, progress: Callable[[str], None], joins: int = 400,
-                 agree_within: float = AGREE_WITHIN):
+    def __init__(
+        self, plan: Plan, out: Path, progress: Callable[[str], None], joins: int = 400, agree_within: float = AGREE_WITHIN
+    ):
         self.plan, self.out, self.progress, self.joins, self.agree_within = plan, out, progress, joins, agree_within
         self.judge = Judge(plan.period)
         self.fleet = Fleet(plan, out, self._heard, apart=joins > 0)
@@ -67,22 +68,48 @@
             raise RunFailed("; ".join(str(one) or repr(one) for one in wrong.exceptions)) from None
         plan, memory = self.plan, machine_memory()
         return {
-            "command": "scale run", "machine": {
-                "cores": os.cpu_count(), "memory_GiB": round(2 * memory[0] / 2**20, 1),
+            "command": "scale run",
+            "machine": {
+                "cores": os.cpu_count(),
+                "memory_GiB": round(2 * memory[0] / 2**20, 1),
                 "load_before": [round(one, 1) for one in load_before],
-                "load_after": [round(one, 1) for one in os.getloadavg()]},
-            "nodes": plan.nodes, "seed": plan.seed, "seconds": plan.seconds, "model": self._model(), **self.figures}
+                "load_after": [round(one, 1) for one in os.getloadavg()],
+            },
+            "nodes": plan.nodes,
+            "seed": plan.seed,
+            "seconds": plan.seconds,
+            "model": self._model(),
+            **self.figures,
+        }
 
     def _model(self) -> dict:
         plan, load = self.plan, self.plan.load
-        return {"real": plan.real, "control": CONTROL, "processes": plan.processes, "relays": plan.relays,
-                "regions": plan.regions, "zones": plan.zones, "period_s": plan.period, "loss": plan.loss,
-                "ways": "all datagrams of peers pass relays, within a zone at once",
-                "between_zones_s": plan.late[0], "between_regions_s": plan.late[1], "parts": plan.parts,
-                "sharing": {"nodes": load.sharing, "servers": load.servers, "links_played_on": load.links,
-                            "viewings_a_node": load.viewings, "kB_a_viewing": load.rate} if load.sharing else None,
-                "leasing_nodes": load.leasing, "spoil": plan.spoil,
-                "left_out": "door, desk and logs of hollow nodes; tasks' own work at servers"}
+        return {
+            "real": plan.real,
+            "control": CONTROL,
+            "processes": plan.processes,
+            "relays": plan.relays,
+            "regions": plan.regions,
+            "zones": plan.zones,
+            "period_s": plan.period,
+            "loss": plan.loss,
+            "ways": "all datagrams of peers pass relays, within a zone at once",
+            "between_zones_s": plan.late[0],
+            "between_regions_s": plan.late[1],
+            "parts": plan.parts,
+            "sharing": {
+                "nodes": load.sharing,
+                "servers": load.servers,
+                "links_played_on": load.links,
+                "viewings_a_node": load.viewings,
+                "kB_a_viewing": load.rate,
+            }
+            if load.sharing
+            else None,
+            "leasing_nodes": load.leasing,
+            "spoil": plan.spoil,
+            "left_out": "door, desk and logs of hollow nodes; tasks' own work at servers",
+        }
 
     # ---- what is watched throughout
 
@@ -121,8 +148,9 @@
         fleet = self.fleet
         relays = await fleet.asked_of_all(fleet.relays, "mark")
         hollow = await fleet.asked_of_all(list(fleet.hollow.values()), "mark")
-        return Mark(time.monotonic(), relays, dict(zip(fleet.hollow, hollow)),
-                    {name: front.core() for name, front in fleet.real.items()})
+        return Mark(
+            time.monotonic(), relays, dict(zip(fleet.hollow, hollow)), {name: front.core() for name, front in fleet.real.items()}
+        )
 
     # ---- the parts of a run
 
@@ -143,23 +171,29 @@
         memory = await self._memory(quiet)
         fronts, shared = self._front_names(), self._shared_processes()
         self.figures = {
-            "joined_s": joined, "settled_s": round(settling.lasted, 2), "settling": a_node(settling, fronts, shared),
+            "joined_s": joined,
+            "settled_s": round(settling.lasted, 2),
+            "settling": a_node(settling, fronts, shared),
             "a_node": a_node(quiet, fronts, shared, memory["by_part"]),
-            "control": {**a_node(quiet, [place.name for place in plan.named("control")], [0]),
-                        "memory_kB": memory["control_kB"]},
-            "memory": memory, "alone": self._alone(quiet), "relay_core": spread(
-                [(after - before) / 1e9 / quiet.lasted
-                 for before, after in zip(quiet.begun.relay_core, quiet.ended.relay_core)], 3)}
+            "control": {**a_node(quiet, [place.name for place in plan.named("control")], [0]), "memory_kB": memory["control_kB"]},
+            "memory": memory,
+            "alone": self._alone(quiet),
+            "relay_core": spread(
+                [(after - before) / 1e9 / quiet.lasted for before, after in zip(quiet.begun.relay_core, quiet.ended.relay_core)],
+                3,
+            ),
+        }
         for part in ("sharing", "leasing"):
             some = [place.name for place in plan.places if (place.shares if part == "sharing" else place.leases)]
             if some and len(some) < len(plan.named("hollow")):
                 self.figures[f"a_{part}_node"] = a_node(quiet, some, [1, *self._shared_processes()])
         if fleet.real:
             self.figures["real_node"] = {
-                "core": spread(list(quiet.real_core().values()), 5), "bytes_a_second": spread(
-                    [sum(quiet.bytes_of(name, part) for part in quiet.parts()) for name in fleet.real], 1),
+                "core": spread(list(quiet.real_core().values()), 5),
+                "bytes_a_second": spread([sum(quiet.bytes_of(name, part) for part in quiet.parts()) for name in fleet.real], 1),
                 "memory_kB": spread([front.memory() for front in fleet.real.values()], 0),
-                "own_count": await self._real_counts(quiet)}
+                "own_count": await self._real_counts(quiet),
+            }
             if self.joins:
                 self.progress("joins at a real node, and at one apart")
                 self.figures["joins"] = await compare_joins(fleet, self.joins)
@@ -200,8 +234,10 @@
     async def _changes(self, everyone: set[str]) -> dict:
         """One after the other while nothing befalls them, then with a twentieth of all datagrams lost."""
         self.progress("changes of the configuration, without loss and with 5%")
-        told = {"first": await self.versions.change("first", everyone),
-                "no_loss": await self.versions.several("no loss", self.plan.in_a_row, everyone)}
+        told = {
+            "first": await self.versions.change("first", everyone),
+            "no_loss": await self.versions.several("no loss", self.plan.in_a_row, everyone),
+        }
         await self.fleet.ways(loss=LOST)
         told["loss"] = await self.versions.several("5% lost", self.plan.in_a_row, everyone)
         await self.fleet.ways(loss=self.plan.loss)
@@ -226,13 +262,17 @@
         self.stretches.append(("changes", stretch.begun.at, stretch.ended.at))
         rows = [row for row in self.versions.made if row["when"] == "stretch"]
         waits = sorted(row["everywhere_s"] for row in rows if row.get("everywhere_s") is not None)
-        return {"changes": len(rows), "restarts": plan.changes // 5, "lasted_s": round(stretch.lasted, 1),
-                "everywhere_median_s": waits[len(waits) // 2] if waits else None,
-                "everywhere_worst_s": waits[-1] if waits else None,
-                "not_everywhere": len(rows) - len(waits),
-                "a_node": a_node(stretch, self._front_names(), self._shared_processes()),
-                "control": a_node(stretch, [place.name for place in plan.named("control")], [0]),
-                "real_core": spread(list(stretch.real_core().values()), 5)}
+        return {
+            "changes": len(rows),
+            "restarts": plan.changes // 5,
+            "lasted_s": round(stretch.lasted, 1),
+            "everywhere_median_s": waits[len(waits) // 2] if waits else None,
+            "everywhere_worst_s": waits[-1] if waits else None,
+            "not_everywhere": len(rows) - len(waits),
+            "a_node": a_node(stretch, self._front_names(), self._shared_processes()),
+            "control": a_node(stretch, [place.name for place in plan.named("control")], [0]),
+            "real_core": spread(list(stretch.real_core().values()), 5),
+        }
 
     async def _restart(self, name: str) -> None:
         await self.fleet.hollow_do("stop", {name})
@@ -265,8 +305,11 @@
         sound = [name for name in self._front_names() if name not in fault.struck or fault.kind == "regions-apart"]
         told = {"kind": fault.kind, "struck": len(fault.struck), "known_s": known, "converged_s": converged, **told}
         for key, stretch in (("while", Stretch(begun, middle)), ("after", Stretch(middle, ended))):
-            told[key] = {"lasted_s": round(stretch.lasted, 2), "most_bytes_in_a_second": self._most(stretch),
-                         **a_node(stretch, sound, self._shared_processes())}
+            told[key] = {
+                "lasted_s": round(stretch.lasted, 2),
+                "most_bytes_in_a_second": self._most(stretch),
+                **a_node(stretch, sound, self._shared_processes()),
+            }
         return {**told, "bytes_a_second": told["after"]["all"]["bytes_a_second"]}
 
     async def _change_in(self, fault: Fault) -> dict:
@@ -299,10 +342,13 @@
             grown.append((mark["memory_kB"] - mark["empty_kB"]) / len(mark["nodes"]))
         mine = quiet.ended.hollow[0]
         weighed = await self.fleet.hollow[1].ask({"do": "weigh"})
-        return {"a_node_kB": spread(grown, 1), "a_process_empty_kB": round(quiet.ended.hollow[1]["empty_kB"]),
-                # one control machine, were it alone in its process
-                "control_kB": round(mine["empty_kB"] + (mine["memory_kB"] - mine["empty_kB"]) / CONTROL),
-                "by_part": weighed["memory_kB"]}
+        return {
+            "a_node_kB": spread(grown, 1),
+            "a_process_empty_kB": round(quiet.ended.hollow[1]["empty_kB"]),
+            # one control machine, were it alone in its process
+            "control_kB": round(mine["empty_kB"] + (mine["memory_kB"] - mine["empty_kB"]) / CONTROL),
+            "by_part": weighed["memory_kB"],
+        }
 
     def _alone(self, quiet: Stretch) -> dict:
         """Processor time of a node that has its interpreter for itself, beside the mean of those that share one."""
@@ -315,9 +361,13 @@
             mean = sum(parts.get(part, 0.0) for parts in shared) / len(shared)
             told[part] = {"alone": round(alone[part], 6), "shared": round(mean, 6)}
         whole = sum(alone.values()), sum(sum(parts.values()) for parts in shared) / len(shared)
-        return {"by_part": told, "alone": round(whole[0], 6), "shared": round(whole[1], 6),
-                "alone_over_shared": round(whole[0] / max(1e-9, whole[1]), 3),
-                "nodes_a_process": round(len(shared) / len(self._shared_processes()), 1)}
+        return {
+            "by_part": told,
+            "alone": round(whole[0], 6),
+            "shared": round(whole[1], 6),
+            "alone_over_shared": round(whole[0] / max(1e-9, whole[1]), 3),
+            "nodes_a_process": round(len(shared) / len(self._shared_processes()), 1),
+        }
 
     async def _real_counts(self, quiet: Stretch) -> dict:
         """What a real node says it sends, fading over ten seconds, beside what was seen of it in the stretch."""
@@ -325,8 +375,11 @@
         for name, front in self.fleet.real.items():
             peers = await front.peers()
             if peers is not None:
-                told[name] = {"says": peers["sent_a_second"], "members": peers["size"], "seen": round(
-                    sum(quiet.bytes_of(name, part) for part in quiet.parts()))}
+                told[name] = {
+                    "says": peers["sent_a_second"],
+                    "members": peers["size"],
+                    "seen": round(sum(quiet.bytes_of(name, part) for part in quiet.parts())),
+                }
         return told
 
     # ---- the end
@@ -345,7 +398,8 @@
                 seen = [sum(row[at] for row in end.said.get(name, {}).values()) for at in (0, 1)]
                 own_all, seen_all = own_all + own[1], seen_all + seen[1]
                 if any(off(one, other) > MAY_BE_OFF for one, other in zip(own, seen)) and (
-                        abs(own[0] - seen[0]) > LAST_MOMENT or abs(own[1] - seen[1]) > LAST_MOMENT * 1200):
+                    abs(own[0] - seen[0]) > LAST_MOMENT or abs(own[1] - seen[1]) > LAST_MOMENT * 1200
+                ):
                     liars[name] = {"own": own, "seen": seen}
         errors = [error for mark in end.hollow.values() for error in mark["errors"]]
         false_gone = judge.false_gone()
@@ -353,22 +407,35 @@
         verdict = {
             "agreed": joined is not None and all(fault["converged_s"] is not None for fault in faults),
             "known_while_they_lasted": all(fault["known_s"] is not None for fault in faults if fault["kind"] != "restart-some"),
-            "false_gone": len(false_gone), "false_gone_examples": false_gone[:5],
-            "counters_off": len(liars), "counters_off_examples": dict(list(liars.items())[:5]),
-            "own_bytes_over_seen": round(own_all / max(1, seen_all), 4), "dropped_at_sockets": dropped, "not_sent": sum(
-                mark["unsent"] for mark in end.hollow.values()),
-            "errors": errors[:5], "stalls": sum(mark["stalls"] for mark in end.hollow.values()), "served": viewers.told()}
+            "false_gone": len(false_gone),
+            "false_gone_examples": false_gone[:5],
+            "counters_off": len(liars),
+            "counters_off_examples": dict(list(liars.items())[:5]),
+            "own_bytes_over_seen": round(own_all / max(1, seen_all), 4),
+            "dropped_at_sockets": dropped,
+            "not_sent": sum(mark["unsent"] for mark in end.hollow.values()),
+            "errors": errors[:5],
+            "stalls": sum(mark["stalls"] for mark in end.hollow.values()),
+            "served": viewers.told(),
+        }
         if self.versions is not None:
             verdict["versions"] = self.versions.verdict()
             # nothing is made where no majority is
             made = [fault["change_while"] for fault in faults if fault.get("change_while", {}).get("no_majority")]
             verdict["versions"]["made_without_majority"] = sum(row["ok"] for row in made)
-        verdict["ok"] = (verdict["agreed"] and verdict["known_while_they_lasted"] and not false_gone and not liars
-                         and not errors and viewers.played == viewers.asked)
+        verdict["ok"] = (
+            verdict["agreed"]
+            and verdict["known_while_they_lasted"]
+            and not false_gone
+            and not liars
+            and not errors
+            and viewers.played == viewers.asked
+        )
         if self.versions is not None:
             told = verdict["versions"]
-            verdict["ok"] = verdict["ok"] and not any(told[name] for name in (
-                "not_made", "not_everywhere", "regressions", "forks", "made_without_majority"))
+            verdict["ok"] = verdict["ok"] and not any(
+                told[name] for name in ("not_made", "not_everywhere", "regressions", "forks", "made_without_majority")
+            )
         return verdict
 
 
--- a/curlewshift/scale/slopes.py
+++ b/curlewshift/scale/slopes.py
@@ -48,8 +48,18 @@
         """As docs/measured/ keeps it. Raises `fits.TooFew`."""
         x, y = ({"name": name, "unit": unit} for name, unit in (self.x, self.y))
         points = [[size, rounded(figure, 6)] for size, figure in self.points]
-        return {"name": self.name, "of": self.of, "x": x, "y": y, "command": command, "machine": machine, "points": points,
-                "fit": fit(self.points).told(), "measured_to": max(size for size, _ in self.points), "notes": self.notes}
+        return {
+            "name": self.name,
+            "of": self.of,
+            "x": x,
+            "y": y,
+            "command": command,
+            "machine": machine,
+            "points": points,
+            "fit": fit(self.points).told(),
+            "measured_to": max(size for size, _ in self.points),
+            "notes": self.notes,
+        }
 
 
 @dataclass
@@ -99,12 +109,15 @@
     if len(set(sizes)) < 4:
         raise NoRoom(f"{kind.name}: {len(set(sizes))} sizes, four at the least tell a slope from a bend")
     if most + OTHERS > descriptors:
-        raise NoRoom(f"{kind.name}: {most} connections and {OTHERS} others want more descriptors than the {descriptors} "
-                     "there are")
+        raise NoRoom(
+            f"{kind.name}: {most} connections and {OTHERS} others want more descriptors than the {descriptors} there are"
+        )
     wanted = EMPTY + most * A_CONNECTION
     if wanted > memory * MEMORY_PART:
-        raise NoRoom(f"{kind.name}: some {wanted / GIB:.1f} GiB are wanted, half of the machine's memory is "
-                     f"{memory * MEMORY_PART / GIB:.1f}")
+        raise NoRoom(
+            f"{kind.name}: some {wanted / GIB:.1f} GiB are wanted, half of the machine's memory is "
+            f"{memory * MEMORY_PART / GIB:.1f}"
+        )
 
 
 def yardstick() -> float:
@@ -120,14 +133,21 @@
 def measured(kind: Kind, run: Run, command: str) -> dict:
     """Raises `NoRoom` before anything is started."""
     from importlib import import_module
+
     check_room(kind, run.sizes)
     place, _, name = kind.measure.rpartition(".")
     before, yard = os.getloadavg()[0], yardstick()
     with tempfile.TemporaryDirectory(dir=run.folder) as folder:
         slopes = getattr(import_module(f"curlewshift.scale.{place}"), name)(
-            Run(run.sizes, run.seed, Path(folder), run.say, run.rounds, run.rest, run.lasts))
-    machine = {"cores": os.cpu_count(), "memory_GiB": round(machine_memory() / GIB, 1), "load_before": round(before, 2),
-               "load_after": round(os.getloadavg()[0], 2), "yardstick_s": [round(yard, 3), round(yardstick(), 3)]}
+            Run(run.sizes, run.seed, Path(folder), run.say, run.rounds, run.rest, run.lasts)
+        )
+    machine = {
+        "cores": os.cpu_count(),
+        "memory_GiB": round(machine_memory() / GIB, 1),
+        "load_before": round(before, 2),
+        "load_after": round(os.getloadavg()[0], 2),
+        "yardstick_s": [round(yard, 3), round(yardstick(), 3)],
+    }
     return {"slopes": [slope.told(command, machine) for slope in slopes]}
 
 
@@ -149,23 +169,66 @@
     return 0
 
 
-KINDS = {kind.name: kind for kind in (
-    Kind("idle", "memory and idle processor time, by connection and by viewing", (1000, 2000, 4000, 6000, 8000),
-         "slopes_idle.measure_idle", _itself),
-    Kind("crowded", "idle processor time past the mark from which resting connections are dropped",
-         (6000, 8000, 9500, 10_500, 11_500), "slopes_idle.measure_crowded", _itself),
-    Kind("requests", "processor time and p99 by set-ups a second", (25, 50, 100, 200, 400), "slopes_asked.measure_requests",
-         _few),
-    Kind("notices", "processor time and p99 by ends passed on to viewers a second", (25, 50, 100, 200, 400),
-         "slopes_asked.measure_notices", _few),
-    Kind("rungs", "processor time by changes of rung a second", (50, 100, 200, 400, 800), "slopes_asked.measure_rungs", _few),
-    Kind("restart", "a start until ready, by servers on the list and by classes", (100, 500, 1000, 2000, 4000),
-         "slopes_list.measure_restart", _none),
-    Kind("list", "memory and idle processor time by servers on the list", (100, 500, 1000, 2000, 4000),
-         "slopes_list.measure_list", _few),
-    Kind("storm", "clients that come again at once", (500, 1000, 2000, 4000, 8000), "slopes_storm.measure_storm", _itself),
-    Kind("sharing", "bytes and processor time of sharing by links played on, simulated", (20, 40, 80, 160, 320, 640),
-         "slopes_control.measure_sharing", _none),
-    Kind("membership", "bytes of membership by nodes, at rest and after losses, simulated", (70, 210, 420, 630),
-         "slopes_control.measure_membership", _none),
-)}
+KINDS = {
+    kind.name: kind
+    for kind in (
+        Kind(
+            "idle",
+            "memory and idle processor time, by connection and by viewing",
+            (1000, 2000, 4000, 6000, 8000),
+            "slopes_idle.measure_idle",
+            _itself,
+        ),
+        Kind(
+            "crowded",
+            "idle processor time past the mark from which resting connections are dropped",
+            (6000, 8000, 9500, 10_500, 11_500),
+            "slopes_idle.measure_crowded",
+            _itself,
+        ),
+        Kind(
+            "requests",
+            "processor time and p99 by set-ups a second",
+            (25, 50, 100, 200, 400),
+            "slopes_asked.measure_requests",
+            _few,
+        ),
+        Kind(
+            "notices",
+            "processor time and p99 by ends passed on to viewers a second",
+            (25, 50, 100, 200, 400),
+            "slopes_asked.measure_notices",
+            _few,
+        ),
+        Kind("rungs", "processor time by changes of rung a second", (50, 100, 200, 400, 800), "slopes_asked.measure_rungs", _few),
+        Kind(
+            "restart",
+            "a start until ready, by servers on the list and by classes",
+            (100, 500, 1000, 2000, 4000),
+            "slopes_list.measure_restart",
+            _none,
+        ),
+        Kind(
+            "list",
+            "memory and idle processor time by servers on the list",
+            (100, 500, 1000, 2000, 4000),
+            "slopes_list.measure_list",
+            _few,
+        ),
+        Kind("storm", "clients that come again at once", (500, 1000, 2000, 4000, 8000), "slopes_storm.measure_storm", _itself),
+        Kind(
+            "sharing",
+            "bytes and processor time of sharing by links played on, simulated",
+            (20, 40, 80, 160, 320, 640),
+            "slopes_control.measure_sharing",
+            _none,
+        ),
+        Kind(
+            "membership",
+            "bytes of membership by nodes, at rest and after losses, simulated",
+            (70, 210, 420, 630),
+            "slopes_control.measure_membership",
+            _none,
+        ),
+    )
+}
--- a/curlewshift/scale/slopes_asked.py
+++ b/curlewshift/scale/slopes_asked.py
@@ -58,8 +58,9 @@
     return sorted(waits)[int(len(waits) * 0.99)] / NS
 
 
-def _paced(stands: Stands, node, seconds: float, warm: float, often: float, call: Callable[[], None],
-           begin: Callable[[], None]) -> float:
+def _paced(
+    stands: Stands, node, seconds: float, warm: float, often: float, call: Callable[[], None], begin: Callable[[], None]
+) -> float:
     """Processor time a second at this pace, after a while in which it comes about."""
     pace = Pace(stands, often, call)
     try:
@@ -81,9 +82,15 @@
 
 def measure_requests(run: Run) -> list[Slope]:
     """Set-ups that play, each torn down half a second later."""
-    used = Slope("processor-time-by-request", ("set-ups a second", "1/s"), ("processor time a second", "seconds"),
-                 notes=[f"{CONNECTIONS} connections; each set-up plays and is torn down {LASTS / NS:g} s later, so that one "
-                        "end is in it", "every answer was 200 unless told otherwise"])
+    used = Slope(
+        "processor-time-by-request",
+        ("set-ups a second", "1/s"),
+        ("processor time a second", "seconds"),
+        notes=[
+            f"{CONNECTIONS} connections; each set-up plays and is torn down {LASTS / NS:g} s later, so that one end is in it",
+            "every answer was 200 unless told otherwise",
+        ],
+    )
     late = Slope("p99-by-request", used.x, ("from set-up to its answer, p99", "seconds"), notes=[WAITS])
     for number in range(run.rounds):
         with place(run, MEDIAS) as (stands, node, crowd):
@@ -96,23 +103,28 @@
                     id = ends.popleft()[1]
                     if id in crowd.playing:
                         crowd.tear_down(id)
+
             stands.loop.each_turn.append(tear_down)
             for size in run.sizes:
-                share = _paced(stands, node, run.lasts, 1.0, size,
-                               lambda: crowd.ask(stands.chance.choice(viewers)), crowd.answers.clear)
+                share = _paced(
+                    stands, node, run.lasts, 1.0, size, lambda: crowd.ask(stands.chance.choice(viewers)), crowd.answers.clear
+                )
                 done, answers = len(crowd.answers) / run.lasts, list(crowd.answers)
                 stands.loop.until(lambda: not crowd.asked and not crowd.playing, 30, "what was asked is answered and ended")
                 refused = sum(status != 200 for _, status in answers)
                 if abs(done - size) > LATE * size:
                     used.notes.append(f"round {number + 1}: at {size} a second asked, {done:.0f} were answered")
                 if refused:
-                    used.notes.append(f"round {number + 1}: at {size} a second {refused} of {len(answers)} were refused "
-                                      "or failed")
+                    used.notes.append(
+                        f"round {number + 1}: at {size} a second {refused} of {len(answers)} were refused or failed"
+                    )
                 wait = p99([waited for waited, _ in answers])
                 used.points.append((size, share))
                 late.points.append((size, wait))
-                run.say(f"requests, round {number + 1}: {size} a second asked, {done:.0f} answered: {100 * share:.1f}% of a "
-                        f"core, p99 {1000 * wait:.1f} ms, {refused} not 200")
+                run.say(
+                    f"requests, round {number + 1}: {size} a second asked, {done:.0f} answered: {100 * share:.1f}% of a "
+                    f"core, p99 {1000 * wait:.1f} ms, {refused} not 200"
+                )
     used.notes += _profiled(run, sorted(run.sizes)[len(run.sizes) // 2])
     return [used, late]
 
@@ -132,11 +144,18 @@
 
 def measure_notices(run: Run) -> list[Slope]:
     """Ends that media servers tell, each passed on to its viewer: the notices that a node passes on."""
-    used = Slope("processor-time-by-notice", ("notices passed on a second", "1/s"), ("processor time a second", "seconds"),
-                 notes=[f"{CONNECTIONS} connections; a notice is a media server's release that goes to the viewer as a "
-                        "TEARDOWN, and is confirmed to the server; the viewings that end were set up before"])
-    late = Slope("p99-by-notice", used.x, ("from a media server's release to its viewer's TEARDOWN, p99", "seconds"),
-                 notes=[WAITS])
+    used = Slope(
+        "processor-time-by-notice",
+        ("notices passed on a second", "1/s"),
+        ("processor time a second", "seconds"),
+        notes=[
+            f"{CONNECTIONS} connections; a notice is a media server's release that goes to the viewer as a "
+            "TEARDOWN, and is confirmed to the server; the viewings that end were set up before"
+        ],
+    )
+    late = Slope(
+        "p99-by-notice", used.x, ("from a media server's release to its viewer's TEARDOWN, p99", "seconds"), notes=[WAITS]
+    )
     for number in range(run.rounds):
         for size in run.sizes:
             with place(run, MEDIAS) as (stands, node, crowd):
@@ -153,23 +172,30 @@
                         media, id = left.pop()
                         out[id.hex()] = time.monotonic_ns()
                         media.release(id)
+
                 share = _paced(stands, node, run.lasts, 0.5, size, release, waits.clear)
                 done = len(waits) / run.lasts
                 stands.loop.until(lambda: not out, 10, "each notice is passed on")
             used.points.append((size, share))
             late.points.append((size, p99(waits)))
-            run.say(f"notices, round {number + 1}: {size} a second told, {done:.0f} passed on: {100 * share:.1f}% of a core, "
-                    f"p99 {1000 * p99(waits):.1f} ms")
+            run.say(
+                f"notices, round {number + 1}: {size} a second told, {done:.0f} passed on: {100 * share:.1f}% of a core, "
+                f"p99 {1000 * p99(waits):.1f} ms"
+            )
     return [used, late]
 
 
 def measure_rungs(run: Run) -> list[Slope]:
     """Changes of rung: a media server says that it delivers too little, and the rules step viewings down a round later."""
-    used = Slope("processor-time-by-change-of-rung", ("changes of rung told to media servers a second", "1/s"),
-                 ("processor time a second", "seconds"),
-                 notes=[f"{CHANGED} viewings; media servers tell once a second of short delivery, and the round of the rules "
-                        "answers it", "the node passes changes to media servers; viewers see them in the media and are told "
-                        "nothing"])
+    used = Slope(
+        "processor-time-by-change-of-rung",
+        ("changes of rung told to media servers a second", "1/s"),
+        ("processor time a second", "seconds"),
+        notes=[
+            f"{CHANGED} viewings; media servers tell once a second of short delivery, and the round of the rules answers it",
+            "the node passes changes to media servers; viewers see them in the media and are told nothing",
+        ],
+    )
     for number in range(run.rounds):
         for size in run.sizes:
             with place(run, CHANGED_ON) as (stands, node, crowd):
@@ -189,6 +215,7 @@
                         # so much short that so many changes of one rung make it up
                         owed = size / servers * (RUNGS[1] - RUNGS[0])
                         media.note(b"kept_up", b"%.4f" % max(0.01, 1 - owed / max(1.0, _asks(media))))
+
                 stands.loop.each_turn.append(each_second)
                 _turns(stands, 1.5)
                 before = stands.rungs
--- a/curlewshift/scale/slopes_control.py
+++ b/curlewshift/scale/slopes_control.py
@@ -22,11 +22,17 @@
 
 def measure_sharing(run: Run) -> list[Slope]:
     by = ("links played on", "count")
-    notes = [f"simulated: {FRONTS} fronts, {SERVERS} servers, {SECONDS} s of virtual time; what one front sends, and its "
-             "answers as the one that adds up"]
+    notes = [
+        f"simulated: {FRONTS} fronts, {SERVERS} servers, {SECONDS} s of virtual time; what one front sends, and its "
+        "answers as the one that adds up"
+    ]
     bytes_ = Slope("sharing-bytes-by-links", by, ("bytes a second sent", "bytes/s"), notes=notes)
-    time_ = Slope("sharing-time-by-links", by, ("processor time a second", "seconds"),
-                  notes=[*notes, "decisions and encoding; without sockets, and without reading what others send"])
+    time_ = Slope(
+        "sharing-time-by-links",
+        by,
+        ("processor time a second", "seconds"),
+        notes=[*notes, "decisions and encoding; without sockets, and without reading what others send"],
+    )
     for number in range(run.rounds):
         for size in run.sizes:
             among = playing_on(size)
@@ -35,8 +41,10 @@
             used = (time.process_time() - began) / SECONDS
             bytes_.points.append((size, among.bytes / SECONDS))
             time_.points.append((size, used))
-            run.say(f"sharing, round {number + 1}: {size} links: {among.bytes / SECONDS / 1000:.1f} kB a second, "
-                    f"{among.datagrams / SECONDS:.0f} datagrams, {100 * used:.1f}% of a core")
+            run.say(
+                f"sharing, round {number + 1}: {size} links: {among.bytes / SECONDS / 1000:.1f} kB a second, "
+                f"{among.datagrams / SECONDS:.0f} datagrams, {100 * used:.1f}% of a core"
+            )
     return [bytes_, time_]
 
 
@@ -52,11 +60,15 @@
 def measure_membership(run: Run) -> list[Slope]:
     by, y = ("nodes", "count"), ("bytes a second a node, sent", "bytes/s")
     why = f"simulated, period 1 s; {ZONES} zones, {REGIONS} regions"
-    slopes = {name: Slope(f"membership-bytes-{name}", by, y, notes=[f"{why}; {what}"]) for name, what in (
-        ("quiet", f"over {QUIET} s of nothing"),
-        ("zone-lost", f"over the {AFTER_LOSS} s after a zone was lost, a node that is left"),
-        ("regions-apart", f"over {APART} s of regions apart, after all were there again"),
-        ("agreed-again", f"over the {AFTER} s after the regions had agreed again"))}
+    slopes = {
+        name: Slope(f"membership-bytes-{name}", by, y, notes=[f"{why}; {what}"])
+        for name, what in (
+            ("quiet", f"over {QUIET} s of nothing"),
+            ("zone-lost", f"over the {AFTER_LOSS} s after a zone was lost, a node that is left"),
+            ("regions-apart", f"over {APART} s of regions apart, after all were there again"),
+            ("agreed-again", f"over the {AFTER} s after the regions had agreed again"),
+        )
+    }
     took = Slope("membership-agreed-after-apart", by, ("from the regions' meeting until all agree", "seconds"), notes=[why])
     for number in range(run.rounds):
         for size in run.sizes:
@@ -64,8 +76,9 @@
             for name, slope in slopes.items():
                 slope.points.append((size, rows[name]))
             took.points.append((size, rows["took"]))
-            run.say(f"membership, round {number + 1}: {size} nodes: "
-                    + ", ".join(f"{name} {row:.0f}" for name, row in rows.items()))
+            run.say(
+                f"membership, round {number + 1}: {size} nodes: " + ", ".join(f"{name} {row:.0f}" for name, row in rows.items())
+            )
     return [*slopes.values(), took]
 
 
--- a/curlewshift/scale/slopes_crowd.py
+++ b/curlewshift/scale/slopes_crowd.py
@@ -81,13 +81,14 @@
             f"SETUP rtsp://media/{self.chance.randrange(1000):016x} RTSP/1.0\r\nCSeq: 1\r\nSession: {id}\r\nX-Cos: lesson\r\n"
             f"X-Timer-Ms: {PATIENCE}\r\nX-Legs: home:{self.chance.randrange(self.homes)};copies:{COPIES};top:9;"
             f"viewer:{self.chance.getrandbits(64):016x}"
-            f"{';again:1' if again else ''}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+            f"{';again:1' if again else ''}\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
         return id
 
     def tear_down(self, id: str) -> None:
         viewer = self.playing.pop(id)
-        viewer.say(f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\n"
-                   "Content-Length: 0\r\n\r\n".encode())
+        viewer.say(f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\nContent-Length: 0\r\n\r\n".encode())
 
     def heard(self, viewer: Viewer, message: rtsp.Message) -> None:
         id = message.fields.get("session", "")
--- a/curlewshift/scale/slopes_idle.py
+++ b/curlewshift/scale/slopes_idle.py
@@ -24,8 +24,11 @@
 # three quarters of the rest connections that rest are dropped.
 FOR_SERVERS, FOR_OTHERS, CROWDED = 0.4, 16, 0.75
 MOST_LINES = 8
-BY = {"connection": "connections, each greeted once, nothing played", "viewing": f"viewings that play, on {FEW} connections",
-      "connection-with-viewing": "connections with one viewing that plays on each"}
+BY = {
+    "connection": "connections, each greeted once, nothing played",
+    "viewing": f"viewings that play, on {FEW} connections",
+    "connection-with-viewing": "connections with one viewing that plays on each",
+}
 MEASURED_BY = tuple(BY)
 
 
@@ -63,11 +66,15 @@
                     share, rss = node.share(run.lasts), node.rss()
                     memory.points.append((size, rss))
                     idle.points.append((size, share))
-                    run.say(f"idle by {by}, round {number + 1}: {size}: {rss / 1e6:.1f} MB, {100 * share:.2f}% of a core, "
-                            f"{node.descriptors()} descriptors, {crowd.dropped} dropped")
+                    run.say(
+                        f"idle by {by}, round {number + 1}: {size}: {rss / 1e6:.1f} MB, {100 * share:.2f}% of a core, "
+                        f"{node.descriptors()} descriptors, {crowd.dropped} dropped"
+                    )
                 if crowd.dropped:
-                    idle.notes.append(f"round {number + 1}: {crowd.dropped} connections were dropped by the node, which lets "
-                                      f"{most} rest with {run.descriptors} descriptors")
+                    idle.notes.append(
+                        f"round {number + 1}: {crowd.dropped} connections were dropped by the node, which lets "
+                        f"{most} rest with {run.descriptors} descriptors"
+                    )
         slopes += [memory, idle]
     said = _profiled(run, min(max(run.sizes), most))
     for slope in slopes:
@@ -87,9 +94,15 @@
 def measure_crowded(run: Run) -> list[Slope]:
     """Idle processor time past the mark from which a node drops connections that rest, while those dropped come again."""
     most = resting_most(run.descriptors)
-    idle = Slope("idle-time-crowded", ("connections that want to rest", "count"), ("processor time a second", "seconds"),
-                 notes=[f"the node is told of {run.descriptors} descriptors, and drops who rests while over {most} are open",
-                        "who is dropped connects again at once: the accepts are in the figure"])
+    idle = Slope(
+        "idle-time-crowded",
+        ("connections that want to rest", "count"),
+        ("processor time a second", "seconds"),
+        notes=[
+            f"the node is told of {run.descriptors} descriptors, and drops who rests while over {most} are open",
+            "who is dropped connects again at once: the accepts are in the figure",
+        ],
+    )
     for number in range(run.rounds):
         with place(run) as (stands, node, _):
             crowd = Returning(stands.loop, node.port, stands.chance)
@@ -138,8 +151,11 @@
     """The functions with most time of their own: share, file and line, name, calls."""
     stats = pstats.Stats(str(profile)).stats
     # a wait for events is no work
-    rows = [(own, f"{Path(file).parent.name}/{Path(file).name}:{line}" if line else "built in", name, calls)
-            for (file, line, name), (_, calls, own, _, _) in stats.items() if "poll" not in name]
+    rows = [
+        (own, f"{Path(file).parent.name}/{Path(file).name}:{line}" if line else "built in", name, calls)
+        for (file, line, name), (_, calls, own, _, _) in stats.items()
+        if "poll" not in name
+    ]
     rows.sort(reverse=True)
     whole = sum(own for own, *_ in rows) or 1.0
     return [f"{100 * own / whole:.0f}% {where} {name}, {calls} calls" for own, where, name, calls in rows[:most]]
--- a/curlewshift/scale/slopes_list.py
+++ b/curlewshift/scale/slopes_list.py
@@ -20,14 +20,19 @@
     slopes = []
     for by, what in (("servers", "servers on the list that it is told at its start"), ("classes", "classes of its settings")):
         wall = Slope(f"restart-by-{by}", (what, "count"), ("from its start until it is ready", "seconds"), notes=[WALL])
-        used = Slope(f"restart-time-by-{by}", wall.x, ("processor time until it is ready", "seconds"),
-                     notes=[f"the other is {SERVERS if by == 'classes' else CLASSES}; size of the file in bytes by size: "])
+        used = Slope(
+            f"restart-time-by-{by}",
+            wall.x,
+            ("processor time until it is ready", "seconds"),
+            notes=[f"the other is {SERVERS if by == 'classes' else CLASSES}; size of the file in bytes by size: "],
+        )
         for number in range(run.rounds):
             for size in run.sizes:
                 stands, node = Stands(MEDIAS, run.seed), None
                 try:
-                    node = RealNode(run.folder, stands, run.descriptors, cells=CELLS,
-                                    **{"servers": SERVERS, "classes": CLASSES, by: size})
+                    node = RealNode(
+                        run.folder, stands, run.descriptors, cells=CELLS, **{"servers": SERVERS, "classes": CLASSES, by: size}
+                    )
                     wait = node.ready()
                     wall.points.append((size, wait))
                     used.points.append((size, node.processor_ns() / 1e9))
@@ -37,8 +42,9 @@
                     if node is not None:
                         node.kill()
                     stands.loop.close()
-                run.say(f"restart by {by}, round {number + 1}: {size}: {wait:.2f} s, {used.points[-1][1]:.2f} s of processor "
-                        "time")
+                run.say(
+                    f"restart by {by}, round {number + 1}: {size}: {wait:.2f} s, {used.points[-1][1]:.2f} s of processor time"
+                )
         slopes += [wall, used]
     return slopes
 
@@ -46,9 +52,11 @@
 def measure_list(run: Run) -> list[Slope]:
     """Memory and idle processor time by servers on the list; a few viewings play on a few of them."""
     by = ("servers on the list", "count")
-    notes = [f"{WATCHING} connections with one viewing each on {MEDIAS} of the servers; the others are listed as leaving, so "
-             "that nothing is sent to them",
-             "a list by the bulletin has 606 servers at the most in its one frame of 16 KiB; this one is of the start"]
+    notes = [
+        f"{WATCHING} connections with one viewing each on {MEDIAS} of the servers; the others are listed as leaving, so "
+        "that nothing is sent to them",
+        "a list by the bulletin has 606 servers at the most in its one frame of 16 KiB; this one is of the start",
+    ]
     memory = Slope("memory-by-servers", by, ("resident memory", "bytes"), notes=notes)
     idle = Slope("idle-time-by-servers", by, ("processor time a second, nothing asked", "seconds"), notes=notes)
     for number in range(run.rounds):
--- a/curlewshift/scale/slopes_node.py
+++ b/curlewshift/scale/slopes_node.py
@@ -28,24 +28,67 @@
 def settings(classes: int = 2, cells: int = 8) -> dict:
     """Links and places so large that nothing is refused for want of room: what a request costs is asked, not where it goes."""
     rows = [dict(name="lesson", effect="safe", gain=1.0, goal_time_ms=800, give_up_ms=PATIENCE)]
-    rows += [dict(name=f"clip{number}", effect="unsafe", gain=2.0, goal_time_ms=800, give_up_ms=PATIENCE)
-             for number in range(1, classes)]
+    rows += [
+        dict(name=f"clip{number}", effect="unsafe", gain=2.0, goal_time_ms=800, give_up_ms=PATIENCE)
+        for number in range(1, classes)
+    ]
     return dict(
-        balancers=1, my_number=0, areas=["a"], flavors=["box"], classes=rows,
-        bounds=dict(connect_timeout_ms=250, idle_close_ms=30_000, max_attempts=3, retry_after=True, max_retry_after_ms=2000,
-                    streams_per_conn=32, probes=True),
-        extra=dict(cells=cells, cabinets=max(1, cells // 16), kb_per_weight=1e9, rack_kb=1e11, rung_kb=RUNGS,
-                   kind_streams=[1_000_000], told_every_ms=1000),
-        telemetry=dict(fields=["x0"]), obligations={})
+        balancers=1,
+        my_number=0,
+        areas=["a"],
+        flavors=["box"],
+        classes=rows,
+        bounds=dict(
+            connect_timeout_ms=250,
+            idle_close_ms=30_000,
+            max_attempts=3,
+            retry_after=True,
+            max_retry_after_ms=2000,
+            streams_per_conn=32,
+            probes=True,
+        ),
+        extra=dict(
+            cells=cells,
+            cabinets=max(1, cells // 16),
+            kb_per_weight=1e9,
+            rack_kb=1e11,
+            rung_kb=RUNGS,
+            kind_streams=[1_000_000],
+            told_every_ms=1000,
+        ),
+        telemetry=dict(fields=["x0"]),
+        obligations={},
+    )
 
 
 def rows_of(stands: Stands, servers: int, cells: int) -> list[dict]:
     """Those that stand, and others on the list that nobody is sent to: their state is `leaving`."""
-    rows = [dict(id=media.name, addr=f"127.0.0.1:{media.port}", zone="a", kind="box", cell=number % cells, state="active",
-                 weight=1.0, started_ms=0) for number, media in enumerate(stands.medias)]
-    rows += [dict(id=f"s-{number + 1:08x}", addr=f"127.1.{number >> 8}.{number & 255}:9", zone="a", kind="box",
-                  cell=number % cells, state="leaving", weight=1.0, started_ms=0)
-             for number in range(len(rows), servers)]
+    rows = [
+        dict(
+            id=media.name,
+            addr=f"127.0.0.1:{media.port}",
+            zone="a",
+            kind="box",
+            cell=number % cells,
+            state="active",
+            weight=1.0,
+            started_ms=0,
+        )
+        for number, media in enumerate(stands.medias)
+    ]
+    rows += [
+        dict(
+            id=f"s-{number + 1:08x}",
+            addr=f"127.1.{number >> 8}.{number & 255}:9",
+            zone="a",
+            kind="box",
+            cell=number % cells,
+            state="leaving",
+            weight=1.0,
+            started_ms=0,
+        )
+        for number in range(len(rows), servers)
+    ]
     return rows
 
 
@@ -53,15 +96,28 @@
     """`python -m curlewshift.node` with NODE_CONFIG. `descriptors` is what it is told that it may have open; there are as
     many cells as media servers unless said."""
 
-    def __init__(self, folder: Path, stands: Stands, descriptors: int, servers: int = 0, classes: int = 2, cells: int = 0,
-                 profile: Path | None = None):
+    def __init__(
+        self,
+        folder: Path,
+        stands: Stands,
+        descriptors: int,
+        servers: int = 0,
+        classes: int = 2,
+        cells: int = 0,
+        profile: Path | None = None,
+    ):
         self.folder, self.stands = folder, stands
         cells = cells or len(stands.medias)
         self.port = free_ports(1, Random(os.getpid() * 1000 + time.monotonic_ns() % 1000))[0]
-        told = dict(name="n0", listen=f"127.0.0.1:{self.port}", seed="0f", limits=dict(sockets=descriptors),
-                    bulletin=f"127.0.0.1:{stands.bulletin.port}", settings=settings(classes, cells),
-                    known=dict(no=1, items=[dict(no=1, roster=dict(version=0, full=True,
-                                                                   servers=rows_of(stands, servers, cells)))]))
+        told = dict(
+            name="n0",
+            listen=f"127.0.0.1:{self.port}",
+            seed="0f",
+            limits=dict(sockets=descriptors),
+            bulletin=f"127.0.0.1:{stands.bulletin.port}",
+            settings=settings(classes, cells),
+            known=dict(no=1, items=[dict(no=1, roster=dict(version=0, full=True, servers=rows_of(stands, servers, cells)))]),
+        )
         self.path = folder / "config.json"
         self.path.write_text(json.dumps(told))
         self.log = folder / "node.log"
@@ -76,9 +132,15 @@
         try:
             with open(self.log, "wb") as log:
                 self.process = subprocess.Popen(
-                    [sys.executable, *self.program], cwd=ROOT, env={**os.environ, "NODE_CONFIG": str(self.path)},
-                    stdin=subprocess.DEVNULL, stdout=log, stderr=log, start_new_session=True,
-                    preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_UNBLOCK, ends))
+                    [sys.executable, *self.program],
+                    cwd=ROOT,
+                    env={**os.environ, "NODE_CONFIG": str(self.path)},
+                    stdin=subprocess.DEVNULL,
+                    stdout=log,
+                    stderr=log,
+                    start_new_session=True,
+                    preexec_fn=lambda: signal.pthread_sigmask(signal.SIG_UNBLOCK, ends),
+                )
         finally:
             signal.pthread_sigmask(signal.SIG_SETMASK, before)
 
--- a/curlewshift/scale/slopes_profiled.py
+++ b/curlewshift/scale/slopes_profiled.py
@@ -18,6 +18,7 @@
     def end(*_) -> None:
         profile.disable()
         profile.dump_stats(out)
+
     signal.signal(signal.SIGUSR1, lambda *_: profile.enable())
     signal.signal(signal.SIGUSR2, end)
     main()
--- a/curlewshift/scale/slopes_stands.py
+++ b/curlewshift/scale/slopes_stands.py
@@ -91,6 +91,7 @@
                     self.rungs += 1
             if out:
                 self.say(sock, out)
+
         return take
 
     def _tell(self, now: int) -> None:
--- a/curlewshift/scale/slopes_storm.py
+++ b/curlewshift/scale/slopes_storm.py
@@ -63,8 +63,10 @@
             return
         self.refused += 1
         pause = message.fields.get("x-pause", "")
-        self.at(time.monotonic_ns() + (int(pause) * 1_000_000 if pause.isdigit() and int(pause) else PAUSE),
-                lambda: viewer in self.viewers and self.ask(viewer, again=True))
+        self.at(
+            time.monotonic_ns() + (int(pause) * 1_000_000 if pause.isdigit() and int(pause) else PAUSE),
+            lambda: viewer in self.viewers and self.ask(viewer, again=True),
+        )
 
     def left(self, viewer: Viewer) -> None:
         super().left(viewer)
@@ -77,9 +79,15 @@
 
 def measure_storm(run: Run) -> list[Slope]:
     by = ("clients that come again at once", "count")
-    over = Slope("storm-until-all-play", by, ("from the storm's begin until the last plays", "seconds"), notes=[
-        "on a node that has just become ready; each client comes on a connection of its own, after a pause where it is refused",
-        WAITS])
+    over = Slope(
+        "storm-until-all-play",
+        by,
+        ("from the storm's begin until the last plays", "seconds"),
+        notes=[
+            "on a node that has just become ready; each client comes on a connection of its own, after a pause where it is refused",
+            WAITS,
+        ],
+    )
     late = Slope("storm-p99", by, ("from the storm's begin until a client plays, p99", "seconds"), notes=[WAITS])
     used = Slope("storm-time", by, ("processor time of the node for the whole storm", "seconds"))
     for number in range(run.rounds):
@@ -93,9 +101,12 @@
             over.points.append((size, took))
             late.points.append((size, p99(storm.waits)))
             used.points.append((size, spent))
-            used.notes.append(f"round {number + 1}, {size}: {size / took:.0f} a second, {storm.refused} refusals, "
-                              f"{storm.dropped} dropped")
-            run.say(f"storm, round {number + 1}: {size} clients: all play after {took:.2f} s ({size / took:.0f} a second), p99 "
-                    f"{p99(storm.waits):.2f} s, {spent:.2f} s of processor time, {storm.refused} refusals, {storm.dropped} "
-                    f"dropped; {resting_most(run.descriptors)} may rest")
+            used.notes.append(
+                f"round {number + 1}, {size}: {size / took:.0f} a second, {storm.refused} refusals, {storm.dropped} dropped"
+            )
+            run.say(
+                f"storm, round {number + 1}: {size} clients: all play after {took:.2f} s ({size / took:.0f} a second), p99 "
+                f"{p99(storm.waits):.2f} s, {spent:.2f} s of processor time, {storm.refused} refusals, {storm.dropped} "
+                f"dropped; {resting_most(run.descriptors)} may rest"
+            )
     return [over, late, used]
--- a/curlewshift/scale/versions.py
+++ b/curlewshift/scale/versions.py
@@ -59,17 +59,22 @@
     async def everywhere(self, number: tuple[int, int], names: set[str], since: float) -> dict:
         while True:
             # real ones count once they show versions at all
-            there = [name for name in names & self.judge.running
-                     if name not in self.fleet.real or name in self.judge.versions.highest]
+            there = [
+                name for name in names & self.judge.running if name not in self.fleet.real or name in self.judge.versions.highest
+            ]
             times, missing = self.judge.versions.reached(number, there)
             if not missing or time.monotonic() - since > EVERYWHERE_WITHIN:
                 break
             await anyio.sleep(LOOK)
         waits = sorted(max(0.0, at - since) for at in times)
-        return {"nodes": len(there), "missing": len(missing), "missing_examples": missing[:3],
-                "everywhere_s": round(waits[-1], 2) if waits and not missing else None,
-                "median_s": round(waits[len(waits) // 2], 2) if waits else None,
-                "p99_s": round(waits[min(len(waits) - 1, int(0.99 * len(waits)))], 2) if waits else None}
+        return {
+            "nodes": len(there),
+            "missing": len(missing),
+            "missing_examples": missing[:3],
+            "everywhere_s": round(waits[-1], 2) if waits and not missing else None,
+            "median_s": round(waits[len(waits) // 2], 2) if waits else None,
+            "p99_s": round(waits[min(len(waits) - 1, int(0.99 * len(waits)))], 2) if waits else None,
+        }
 
     async def several(self, when: str, count: int, names: set[str]) -> list[dict]:
         return [await self.change(when, names) for _ in range(count)]
@@ -81,15 +86,23 @@
             took |= answer
         for row in self.made:
             if row["ok"]:
-                at = [next((at for text, at in mine if number_in(text) >= number_in(row["version"])), None)
-                      for mine in took.values()]
+                at = [
+                    next((at for text, at in mine if number_in(text) >= number_in(row["version"])), None)
+                    for mine in took.values()
+                ]
                 waits = [one - row["since"] for one in at if one is not None]
                 row["own_last_s"] = round(max(waits), 2) if waits else None
             del row["since"]
 
     def verdict(self) -> dict:
         seen, waits = self.judge.versions, [row["everywhere_s"] for row in self.made if row["ok"]]
-        return {"changes": len(self.made), "not_made": sum(not row["ok"] for row in self.made),
-                "in_force_worst_s": max((wait for wait in waits if wait is not None), default=None),
-                "not_everywhere": sum(wait is None for wait in waits), "regressions": len(seen.regressions),
-                "regressions_examples": seen.regressions[:3], "forks": len(seen.forks), "forks_examples": seen.forks}
+        return {
+            "changes": len(self.made),
+            "not_made": sum(not row["ok"] for row in self.made),
+            "in_force_worst_s": max((wait for wait in waits if wait is not None), default=None),
+            "not_everywhere": sum(wait is None for wait in waits),
+            "regressions": len(seen.regressions),
+            "regressions_examples": seen.regressions[:3],
+            "forks": len(seen.forks),
+            "forks_examples": seen.forks,
+        }
--- a/curlewshift/scale/viewers.py
+++ b/curlewshift/scale/viewers.py
@@ -59,8 +59,13 @@
             return 0
 
     def told(self) -> dict:
-        return {"asked": self.asked, "played": self.played, "while_down": self.down, "wrong": self.wrong,
-                "longest_s": round(self.longest, 3)}
+        return {
+            "asked": self.asked,
+            "played": self.played,
+            "while_down": self.down,
+            "wrong": self.wrong,
+            "longest_s": round(self.longest, 3),
+        }
 
 
 async def compare_joins(fleet: Fleet, count: int) -> dict:
@@ -70,8 +75,8 @@
     for turn in range(TURNS):
         for way in sorted(ways, reverse=bool(turn % 2)):
             turns[way].append(await one_way(ways[way].port, ways[way].child.process.pid, max(16, count // TURNS)))
-    figures = {way: {name: sorted(turn[name] for turn in parts)[TURNS // 2] for name in parts[0]}
-               for way, parts in turns.items()}
-    ratios = {name: round(figures["with"][name] / figures["without"][name], 3)
-              for name in ("p50_us", "p99_us", "joins_a_second_a_core")}
+    figures = {way: {name: sorted(turn[name] for turn in parts)[TURNS // 2] for name in parts[0]} for way, parts in turns.items()}
+    ratios = {
+        name: round(figures["with"][name] / figures["without"][name], 3) for name in ("p50_us", "p99_us", "joins_a_second_a_core")
+    }
     return {"joins_each_way": count, **figures, "with_over_without": ratios}
--- a/curlewshift/schedule/background.py
+++ b/curlewshift/schedule/background.py
@@ -52,16 +52,16 @@
 class Background:
     """`clock()` is for measuring slices (ns); `told(job, cost)` hears of one that took too long."""
 
-    def __init__(self, now: int, clock: Callable[[], int], told: Callable[[Job, int], None], budget: int = BUDGET,
-                 saved: int = SAVED):
+    def __init__(
+        self, now: int, clock: Callable[[], int], told: Callable[[Job, int], None], budget: int = BUDGET, saved: int = SAVED
+    ):
         self.clock, self.told, self.budget, self.saved = clock, told, budget, saved
         self.wheel = Wheel(now, MS)
         self.ready: dict[int, list[tuple[int, int, Job]]] = {}
         self.number = 0
         self.left, self.left_at = float(saved), now
 
-    def add(self, name: str, work: Callable[[], object], at: int, priority: int = 1, every: int = 0,
-            within: int = SECOND) -> Job:
+    def add(self, name: str, work: Callable[[], object], at: int, priority: int = 1, every: int = 0, within: int = SECOND) -> Job:
         job = Job(name, work, priority, every, within)
         self._set(job, at)
         return job
--- a/curlewshift/search/search.py
+++ b/curlewshift/search/search.py
@@ -64,8 +64,11 @@
 def mutated(script: Script, chance: Random) -> Script:
     """Another day near this one."""
     troubles = [replace(trouble) for trouble in script.troubles]
-    ways = ["add"] * (len(troubles) < MOST_TROUBLES) + ["drop", "move", "stretch", "widen", "grow"] * bool(troubles) + [
-        "seed", "press"]
+    ways = (
+        ["add"] * (len(troubles) < MOST_TROUBLES)
+        + ["drop", "move", "stretch", "widen", "grow"] * bool(troubles)
+        + ["seed", "press"]
+    )
     way = chance.choice(ways)
     one = chance.choice(troubles) if troubles else None
     if way == "add":
@@ -88,8 +91,9 @@
     return replace(script, troubles=sorted(troubles, key=lambda trouble: trouble.at))
 
 
-def search(script: Script, tries: int, seed: int, rules: type[Rules] = Rules, wrong: str = "",
-           progress=lambda done, of, best: None) -> Found:
+def search(
+    script: Script, tries: int, seed: int, rules: type[Rules] = Rules, wrong: str = "", progress=lambda done, of, best: None
+) -> Found:
     """The worst day met in so many."""
     chance = Random(seed)
     best = look(replace(script, troubles=[]), rules, wrong)
@@ -112,6 +116,7 @@
         if wanted or found.runaway:
             return bool(wanted & set(day.broken)) or bool(found.runaway and day.runaway)
         return day.gap >= max(GAP * KEEPS, KEEPS * found.gap)
+
     changed = True
     while changed and tries < most_tries:
         changed = False
@@ -128,8 +133,7 @@
 
 def milder_days(script: Script) -> list[Script]:
     """Each one step milder: fewer troubles first, then shorter, rarer and smaller ones."""
-    found = [replace(script, troubles=[one for one in script.troubles if one is not trouble])
-             for trouble in script.troubles]
+    found = [replace(script, troubles=[one for one in script.troubles if one is not trouble]) for trouble in script.troubles]
     for number, trouble in enumerate(script.troubles):
         for what, value, least in (("lasts", trouble.lasts, 1.0), ("part", trouble.part, 0.1), ("size", trouble.size, 1.0)):
             less = round(value * 0.6, 2)
--- a/curlewshift/search/writing.py
+++ b/curlewshift/search/writing.py
@@ -13,20 +13,38 @@
 def write_found(found: Found, path: Path) -> None:
     """`path` names the script; its site is named from there."""
     script = found.script
-    root = etree.Element("rehearsal", site=os.path.relpath(script.site_path.resolve(), path.parent.resolve()),
-                         lasts=f"{script.lasts:g}s", seed=str(script.seed))
+    root = etree.Element(
+        "rehearsal",
+        site=os.path.relpath(script.site_path.resolve(), path.parent.resolve()),
+        lasts=f"{script.lasts:g}s",
+        seed=str(script.seed),
+    )
     if found.broken or found.runaway:
         words = f"breaks {', '.join(found.broken) or 'off: ' + found.runaway}"
     else:
         words = f"service {found.service:.3f}, {found.gap:.3f} under an oracle's"
     root.append(etree.Comment(f" Found by search and shrunk; simulated: {words} "))
-    viewers = etree.SubElement(root, "viewers", {
-        "each-second": f"{script.each_second:g}", "come-again": f"{script.come_again:g}",
-        "hang-up-and-retry": f"{script.hang_up:g}", "hang-up-and-leave": f"{script.leave:g}"})
+    viewers = etree.SubElement(
+        root,
+        "viewers",
+        {
+            "each-second": f"{script.each_second:g}",
+            "come-again": f"{script.come_again:g}",
+            "hang-up-and-retry": f"{script.hang_up:g}",
+            "hang-up-and-leave": f"{script.leave:g}",
+        },
+    )
     for wish in script.wishes:
         etree.SubElement(viewers, "wants", package=wish.package, share=f"{wish.share:g}", watches=f"{wish.watches:g}s")
     for trouble in script.troubles:
-        etree.SubElement(root, "trouble", kind=trouble.kind, at=f"{trouble.at:g}s", lasts=f"{trouble.lasts:g}s",
-                         part=f"{trouble.part:g}", size=f"{trouble.size:g}")
+        etree.SubElement(
+            root,
+            "trouble",
+            kind=trouble.kind,
+            at=f"{trouble.at:g}s",
+            lasts=f"{trouble.lasts:g}s",
+            part=f"{trouble.part:g}",
+            size=f"{trouble.size:g}",
+        )
     path.parent.mkdir(parents=True, exist_ok=True)
     etree.ElementTree(root).write(str(path), encoding="utf-8", xml_declaration=True, pretty_print=True)
--- a/curlewshift/sharing/budgets.py
+++ b/curlewshift/sharing/budgets.py
@@ -112,8 +112,9 @@
 
     loans_class = StandingLoans
 
-    def __init__(self, sharing, terms: SharingTerms, titles: list[str], seats: dict[str, int],
-                 loans_class: type[Loans] | None = None):
+    def __init__(
+        self, sharing, terms: SharingTerms, titles: list[str], seats: dict[str, int], loans_class: type[Loans] | None = None
+    ):
         self.seats = seats
         self.named = {f"{SEAT}{package} {title}": (package, title) for package in seats for title in titles}
         self.wanted_at: dict[str, int] = {}
--- a/curlewshift/sharing/evidence.py
+++ b/curlewshift/sharing/evidence.py
@@ -56,8 +56,9 @@
                 continue
             if held is None and len(words) >= MOST_WITNESSES:
                 continue
-            words[front] = Seen(life, number, max(0.0, min(good, MOST_OF_ONE)), max(0.0, min(bad, MOST_OF_ONE)),
-                                max(0, lasting), now)
+            words[front] = Seen(
+                life, number, max(0.0, min(good, MOST_OF_ONE)), max(0.0, min(bad, MOST_OF_ONE)), max(0, lasting), now
+            )
 
     def lean(self, server: str, front: str, now: int) -> tuple[float, float]:
         """Good and bad of one witness, faded to now."""
--- a/curlewshift/sharing/loans.py
+++ b/curlewshift/sharing/loans.py
@@ -80,9 +80,14 @@
         """What is in this front's hands as the rules have it: from when, until when (ns of the clock), how many."""
         own, reading = self.own_from(key), self.outside.now()
         since = self.steady.reading_of(own) if own > self.steady.last else 0
-        return [(since, FOR_EVER, self.outside.part(key)), *(
-            (0, self.usable_until(until), count) for until, count, _ in self.borrowed.get(key, {}).values()
-            if self.usable_until(until) > reading)]
+        return [
+            (since, FOR_EVER, self.outside.part(key)),
+            *(
+                (0, self.usable_until(until), count)
+                for until, count, _ in self.borrowed.get(key, {}).values()
+                if self.usable_until(until) > reading
+            ),
+        ]
 
     def usable_until(self, until: int) -> int:
         """Until when something may be begun on a loan that lasts so long."""
@@ -177,7 +182,7 @@
         for key in self.wanted:
             if key in asked_for or any(until > now for until, _, _ in self.borrowed.get(key, {}).values()):
                 continue
-            for lender in [one for one in owners(key) if one != self.me][:self.terms.most_asks]:
+            for lender in [one for one in owners(key) if one != self.me][: self.terms.most_asks]:
                 if len(asks.setdefault(lender, [])) < MOST_KEYS:
                     asks[lender].append(key)
         for lender, keys in asks.items():
--- a/curlewshift/sharing/sharing.py
+++ b/curlewshift/sharing/sharing.py
@@ -76,8 +76,17 @@
 
     loans_class, seats_class, evidence_class = Loans, StandingLoans, Evidence
 
-    def __init__(self, outside: Outside, order: list[str], me: int, life: int, terms: SharingTerms, warm_within: int,
-                 chance: Random, together: Together = Together()):
+    def __init__(
+        self,
+        outside: Outside,
+        order: list[str],
+        me: int,
+        life: int,
+        terms: SharingTerms,
+        warm_within: int,
+        chance: Random,
+        together: Together = Together(),
+    ):
         self.outside, self.order, self.me, self.life, self.terms = outside, order, me, life, terms
         self.warm_within, self.chance = warm_within, chance
         self.number_of = {name: number for number, name in enumerate(order)}
@@ -239,11 +248,16 @@
             together.setdefault(picked(key, everyone), []).append((key, value))
         for adder, rows in together.items():
             for at in range(0, len(rows), MOST_USES):
-                part = rows[at:at + MOST_USES]
+                part = rows[at : at + MOST_USES]
                 if adder == self.name:
                     counts.heard(self.name, self.life, self.counts.round, part, now)
-                    counts.told(self.name, self.life, self.counts.round * 1000 + at, counts.sums(
-                        self.name, [key for key, _ in part], now), now)
+                    counts.told(
+                        self.name,
+                        self.life,
+                        self.counts.round * 1000 + at,
+                        counts.sums(self.name, [key for key, _ in part], now),
+                        now,
+                    )
                 else:
                     self.outside.tell_use(adder, part)
 
@@ -298,19 +312,22 @@
         self.evidence.heard(self.name, self.life, self.counts.round, rows, now)
         # the bad first, then in turn: all are told some time
         rows.sort(key=lambda row: row[2] < 0.5)
-        bad = [row for row in rows if row[2] >= 0.5][:MOST_ROWS // 2]
-        well = rows[len(bad):]
+        bad = [row for row in rows if row[2] >= 0.5][: MOST_ROWS // 2]
+        well = rows[len(bad) :]
         if well:
             start = self.counts.round * (MOST_ROWS - len(bad)) % len(well)
-            bad += (well[start:] + well[:start])[:MOST_ROWS - len(bad)]
+            bad += (well[start:] + well[:start])[: MOST_ROWS - len(bad)]
         if bad and names:
             for name in self.chance.sample(names, min(TELL_EVIDENCE_TO, len(names))):
                 self.outside.tell_seen(name, bad)
 
     def _seen_here(self, now: int) -> list[tuple[str, float, float, int]]:
         """What this front has seen itself; what the list says of a server's start is every front's to read."""
-        return [(server.name, round(watch.good, 2), round(watch.bad, 2), now - watch.since if watch.since >= 0 else 0)
-                for server, watch in self.watches.items() if watch.good + watch.bad > 0.2]
+        return [
+            (server.name, round(watch.good, 2), round(watch.bad, 2), now - watch.since if watch.since >= 0 else 0)
+            for server, watch in self.watches.items()
+            if watch.good + watch.bad > 0.2
+        ]
 
     def seen_told(self, by: str, life: int, number: int, rows: list[tuple[str, float, float, int]]) -> None:
         self.learned_of.add(by)
@@ -357,14 +374,19 @@
         rows = sorted(self._seen_here(self._now()), key=lambda row: row[2] < 0.5)[:MOST_KNOWN]
         for at in range(0, max(1, len(rows)), MOST_ROWS):
             # one that has seen nothing says so too
-            self.outside.tell_seen(by, rows[at:at + MOST_ROWS])
+            self.outside.tell_seen(by, rows[at : at + MOST_ROWS])
 
     def snapshot(self) -> dict:
         """What is worth knowing after a restart, as plain data with ages (ns): no rights, they are a life's own."""
         now = self.steady.last
-        return {"counts": [[key, value, now - at] for key, (value, at) in self.counts.others.items()],
-                "seen": [[server, front, word.life, word.number, word.good, word.bad, now - word.at]
-                         for server, words in self.evidence.words.items() for front, word in words.items()]}
+        return {
+            "counts": [[key, value, now - at] for key, (value, at) in self.counts.others.items()],
+            "seen": [
+                [server, front, word.life, word.number, word.good, word.bad, now - word.at]
+                for server, words in self.evidence.words.items()
+                for front, word in words.items()
+            ],
+        }
 
     def restore(self, kept: dict, away: int) -> None:
         """A snapshot of an earlier life, so long (ns) ago. It dates from before this start: it doubts, and proves nothing warm."""
--- a/curlewshift/sharing/standing.py
+++ b/curlewshift/sharing/standing.py
@@ -105,5 +105,5 @@
             for at in range(0, len(keys), MOST_KEYS):
                 if len(self.out) < MOST_OUT:
                     number = next(self.numbers)
-                    self.out[number] = (lender, now, frozenset(keys[at:at + MOST_KEYS]))
-                    self.outside.ask(lender, number, keys[at:at + MOST_KEYS])
+                    self.out[number] = (lender, now, frozenset(keys[at : at + MOST_KEYS]))
+                    self.outside.ask(lender, number, keys[at : at + MOST_KEYS])
--- a/curlewshift/signalling/conditions.py
+++ b/curlewshift/signalling/conditions.py
@@ -20,7 +20,7 @@
         # a weak tag never matches in If-Match
         if not found[1]:
             tags.add(f'"{found[2]}"')
-        rest = rest[found.end():].lstrip()
+        rest = rest[found.end() :].lstrip()
         if rest:
             if not rest.startswith(","):
                 return None
--- a/curlewshift/signalling/fragments.py
+++ b/curlewshift/signalling/fragments.py
@@ -12,7 +12,8 @@
 MOST_CANDIDATES = 200
 # RFC 8839, 5.1: foundation, component, transport, priority, address, port, typ, and extensions by pairs
 CANDIDATE = re.compile(
-    r"[A-Za-z0-9+/]{1,32} [0-9]{1,5} [A-Za-z0-9-]+ [0-9]{1,10} \S+ [0-9]{1,5} typ [a-z0-9-]+( \S+ \S+)*", re.ASCII)
+    r"[A-Za-z0-9+/]{1,32} [0-9]{1,5} [A-Za-z0-9-]+ [0-9]{1,10} \S+ [0-9]{1,5} typ [a-z0-9-]+( \S+ \S+)*", re.ASCII
+)
 
 
 @dataclass(slots=True)
@@ -99,5 +100,3 @@
         lines += [f"a=candidate:{candidate}" for candidate in candidates]
         lines += ["a=end-of-candidates"] * ended
     return "\r\n".join(lines) + "\r\n"
-
-
--- a/curlewshift/signalling/sdp.py
+++ b/curlewshift/signalling/sdp.py
@@ -145,12 +145,25 @@
 
 def offer_text(ufrag: str, pwd: str, fingerprint: str, way: str = PLAYS) -> str:
     """An offer of one video section."""
-    return _text([
-        "v=0", f"o=- {int.from_bytes(ufrag.encode()[:6], 'big')} 1 IN IP4 127.0.0.1", "s=-", "t=0 0",
-        "a=group:BUNDLE 0", "m=video 9 UDP/TLS/RTP/SAVPF 96", "c=IN IP4 0.0.0.0", "a=mid:0",
-        f"a={DIRECTIONS[way][0]}",
-        f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}", f"a=fingerprint:{fingerprint}", "a=setup:actpass", "a=rtcp-mux",
-        "a=rtpmap:96 VP8/90000"])
+    return _text(
+        [
+            "v=0",
+            f"o=- {int.from_bytes(ufrag.encode()[:6], 'big')} 1 IN IP4 127.0.0.1",
+            "s=-",
+            "t=0 0",
+            "a=group:BUNDLE 0",
+            "m=video 9 UDP/TLS/RTP/SAVPF 96",
+            "c=IN IP4 0.0.0.0",
+            "a=mid:0",
+            f"a={DIRECTIONS[way][0]}",
+            f"a=ice-ufrag:{ufrag}",
+            f"a=ice-pwd:{pwd}",
+            f"a=fingerprint:{fingerprint}",
+            "a=setup:actpass",
+            "a=rtcp-mux",
+            "a=rtpmap:96 VP8/90000",
+        ]
+    )
 
 
 def answer_text(offer: Description, ufrag: str, pwd: str, fingerprint: str, host: str, port: int) -> str:
@@ -160,8 +173,15 @@
     for media in offer.media:
         lines += [f"m={media.kind} 9 UDP/TLS/RTP/SAVPF 96", "c=IN IP4 0.0.0.0"]
         lines += [f"a=mid:{mid}" for mid in media.attributes.get("mid", [])]
-        lines += ["a=recvonly" if "sendonly" in media.attributes else "a=sendonly", f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}", f"a=fingerprint:{fingerprint}",
-                  "a=setup:passive", "a=rtcp-mux", f"a=candidate:1 1 tcp 2105458943 {host} {port} typ host tcptype passive"]
+        lines += [
+            "a=recvonly" if "sendonly" in media.attributes else "a=sendonly",
+            f"a=ice-ufrag:{ufrag}",
+            f"a=ice-pwd:{pwd}",
+            f"a=fingerprint:{fingerprint}",
+            "a=setup:passive",
+            "a=rtcp-mux",
+            f"a=candidate:1 1 tcp 2105458943 {host} {port} typ host tcptype passive",
+        ]
     return _text(lines)
 
 
--- a/curlewshift/site/authority.py
+++ b/curlewshift/site/authority.py
@@ -37,14 +37,19 @@
 
 
 def _key_bytes(key: ec.EllipticCurvePrivateKey) -> bytes:
-    return key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8,
-                             serialization.NoEncryption())
+    return key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
 
 
 def _builder(subject: str, issuer: x509.Name, key, days: float, now: datetime.datetime) -> x509.CertificateBuilder:
-    return (x509.CertificateBuilder().subject_name(_name(subject)).issuer_name(issuer).public_key(key)
-            .serial_number(x509.random_serial_number()).not_valid_before(now - datetime.timedelta(minutes=5))
-            .not_valid_after(now + datetime.timedelta(days=days)))
+    return (
+        x509.CertificateBuilder()
+        .subject_name(_name(subject))
+        .issuer_name(issuer)
+        .public_key(key)
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(minutes=5))
+        .not_valid_after(now + datetime.timedelta(days=days))
+    )
 
 
 def make_authority(folder: Path, name: str) -> Path:
@@ -58,7 +63,8 @@
         .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
         .add_extension(x509.KeyUsage(False, False, False, False, False, True, True, False, False), critical=True)
         .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False)
-        .sign(key, hashes.SHA256()))
+        .sign(key, hashes.SHA256())
+    )
     _write(folder / "authority.key", _key_bytes(key))
     _write(folder / "authority.pem", certificate.public_bytes(serialization.Encoding.PEM))
     return folder / "authority.pem"
@@ -78,7 +84,8 @@
         .add_extension(x509.BasicConstraints(ca=False, path_length=None), critical=True)
         .add_extension(x509.ExtendedKeyUsage([ExtendedKeyUsageOID.SERVER_AUTH]), critical=False)
         .add_extension(x509.AuthorityKeyIdentifier.from_issuer_public_key(signer.public_key()), critical=False)
-        .sign(signer, hashes.SHA256()))
+        .sign(signer, hashes.SHA256())
+    )
     pem, secret = out.with_name(out.name + ".pem"), out.with_name(out.name + ".key")
     _write(secret, _key_bytes(key))
     _write(pem, certificate.public_bytes(serialization.Encoding.PEM))
--- a/curlewshift/site/changes.py
+++ b/curlewshift/site/changes.py
@@ -24,10 +24,21 @@
 ALIKE = ("name", "doors", "peers", "sharing", "together", "leases", "control", "configuration")
 # Where a field is in the file, and what it is called there.
 PLACES = {
-    "name": ".", "doors": "fronts/front", "list_at": "list", "most_connections": "fronts", "published": "packages",
-    "token_keys": "fronts/tokens", "tls": "fronts/tls", "authority": "fronts/servers-tls", "peers": "fronts/peers",
-    "sharing": "fronts/sharing", "together": "fronts/sharing", "leases": "fronts/leases", "overload": "fronts/overload",
-    "control": "control", "configuration": "fronts/configuration",
+    "name": ".",
+    "doors": "fronts/front",
+    "list_at": "list",
+    "most_connections": "fronts",
+    "published": "packages",
+    "token_keys": "fronts/tokens",
+    "tls": "fronts/tls",
+    "authority": "fronts/servers-tls",
+    "peers": "fronts/peers",
+    "sharing": "fronts/sharing",
+    "together": "fronts/sharing",
+    "leases": "fronts/leases",
+    "overload": "fronts/overload",
+    "control": "control",
+    "configuration": "fronts/configuration",
 }
 
 
@@ -66,8 +77,11 @@
 
 def unalike(running: Site, new: Site, root) -> Refusals:
     """Of the same, what cannot be in force even by one restart after another: all have to be stopped."""
-    wrong = {(_line(root, PLACES[name]), f"{PLACES[name].rpartition('/')[2].replace('.', 'site')}: needs all members stopped at once")
-             for name in ALIKE if getattr(running, name) != getattr(new, name)}
+    wrong = {
+        (_line(root, PLACES[name]), f"{PLACES[name].rpartition('/')[2].replace('.', 'site')}: needs all members stopped at once")
+        for name in ALIKE
+        if getattr(running, name) != getattr(new, name)
+    }
     return sorted(wrong)
 
 
@@ -110,9 +124,17 @@
         name = field.name
         if getattr(running.duties, name) == getattr(new.duties, name):
             continue
-        place = ("answers" if name in ("way_back", "longest_wait", "most_tune_ins") else "drains" if name == "grace" else
-                 "further-tune-ins" if name in ("free_further", "further_share", "look_back") else
-                 "news" if name in ("told_late", "told_every", "probes", "uplinks") else "cold-servers")
+        place = (
+            "answers"
+            if name in ("way_back", "longest_wait", "most_tune_ins")
+            else "drains"
+            if name == "grace"
+            else "further-tune-ins"
+            if name in ("free_further", "further_share", "look_back")
+            else "news"
+            if name in ("told_late", "told_every", "probes", "uplinks")
+            else "cold-servers"
+        )
         line = _line(root, f"obligations/{place}")
         if name not in OF_DUTIES:
             yield line, f"{place}: {name.replace('_', '-')} needs a restart"
@@ -127,5 +149,8 @@
     if running.overload is None or new.overload is None:
         return False
     ours, theirs = running.overload, new.overload
-    return all(getattr(ours, field.name) == getattr(theirs, field.name) for field in fields(ours)
-               if field.name not in ("longest_wait", "look_back"))
+    return all(
+        getattr(ours, field.name) == getattr(theirs, field.name)
+        for field in fields(ours)
+        if field.name not in ("longest_wait", "look_back")
+    )
--- a/curlewshift/site/places.py
+++ b/curlewshift/site/places.py
@@ -13,5 +13,6 @@
 
 
 def distribution_of(site: Site) -> DistributionTerms:
-    return DistributionTerms(stores=tuple(machine.name for machine in site.control.machines),
-                             give_bytes=site.configuration.give_bytes)
+    return DistributionTerms(
+        stores=tuple(machine.name for machine in site.control.machines), give_bytes=site.configuration.give_bytes
+    )
--- a/curlewshift/site/reading.py
+++ b/curlewshift/site/reading.py
@@ -73,8 +73,10 @@
 
 def types_of(schema) -> dict[tuple[str, str], str]:
     """The type's name, or the words allowed, of each attribute by element and attribute."""
-    words = {kind.get("name"): ", ".join(value.get("value") for value in kind.iter(XS + "enumeration"))
-             for kind in schema.iter(XS + "simpleType")}
+    words = {
+        kind.get("name"): ", ".join(value.get("value") for value in kind.iter(XS + "enumeration"))
+        for kind in schema.iter(XS + "simpleType")
+    }
     types = {}
     for element in schema.iter(XS + "element"):
         for attribute in element.iterfind(f"{XS}complexType/{XS}attribute"):
@@ -86,12 +88,18 @@
 # What the schema's library says of the other mistakes, and how it is said to people.
 WORDS = (
     (r"Element '(.+?)': The attribute '(.+?)' is required", lambda element, name: f"{element}: {name} is missing"),
-    (r"Element '(.+?)', attribute '(.+?)': The attribute '.+?' is not allowed",
-     lambda element, name: f"{element}: there is no {name} here"),
-    (r"Element '(.+?)': This element is not expected\. Expected is (?:one of )?\( (.+?) \)",
-     lambda came, names: f"expected {names.replace(', ', ' or ')} here, but {came} came"),
-    (r"Element '(.+?)': Missing child element\(s\)\. Expected is (?:one of )?\( (.+?) \)",
-     lambda element, names: f"{element}: {names.replace(', ', ' or ')} is missing inside"),
+    (
+        r"Element '(.+?)', attribute '(.+?)': The attribute '.+?' is not allowed",
+        lambda element, name: f"{element}: there is no {name} here",
+    ),
+    (
+        r"Element '(.+?)': This element is not expected\. Expected is (?:one of )?\( (.+?) \)",
+        lambda came, names: f"expected {names.replace(', ', ' or ')} here, but {came} came",
+    ),
+    (
+        r"Element '(.+?)': Missing child element\(s\)\. Expected is (?:one of )?\( (.+?) \)",
+        lambda element, names: f"{element}: {names.replace(', ', ' or ')} is missing inside",
+    ),
     (r"Element '(.+?)': Duplicate key-sequence \['(.+?)'\]", lambda element, name: f"{element}: {name!r} is there twice"),
 )
 
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -151,12 +151,24 @@
     def terms(self, now: int, seed: int, me: int) -> Terms:
         duties = self.duties
         return Terms(
-            now=now, seed=seed, me=me, fronts=len(self.doors), packages=self.packages, racks_told=duties.uplinks,
-            told_late=duties.told_late, max_tune_ins=duties.most_tune_ins, probes=duties.probes,
-            longest_wait=duties.longest_wait, warm_within=duties.warm_within,
-            start_capacity=duties.start_capacity, fall_multiple=duties.fall_multiple,
-            fall_within=duties.fall_within, free_further=duties.free_further,
-            further_share=duties.further_share, look_back=duties.look_back)
+            now=now,
+            seed=seed,
+            me=me,
+            fronts=len(self.doors),
+            packages=self.packages,
+            racks_told=duties.uplinks,
+            told_late=duties.told_late,
+            max_tune_ins=duties.most_tune_ins,
+            probes=duties.probes,
+            longest_wait=duties.longest_wait,
+            warm_within=duties.warm_within,
+            start_capacity=duties.start_capacity,
+            fall_multiple=duties.fall_multiple,
+            fall_within=duties.fall_within,
+            free_further=duties.free_further,
+            further_share=duties.further_share,
+            look_back=duties.look_back,
+        )
 
 
 @dataclass(slots=True)
@@ -191,9 +203,18 @@
             wrong.append((rung.sourceline, f"rung: rates have to rise, {higher:g} kB/s follows {lower:g} kB/s"))
     packages = [_package(element, ladder, wrong) for element in root.iterfind("packages/package")]
     machines = [
-        Machine(element.get("shelf"), *host_port(element.get("listen")), rack.get("name"), rack.get("zone", ""),
-                rate(element.get("link")), int(element.get("streams")), int(element.get("cores", "2")))
-        for rack in root.iterfind("racks/rack") for element in rack.iterfind("server")]
+        Machine(
+            element.get("shelf"),
+            *host_port(element.get("listen")),
+            rack.get("name"),
+            rack.get("zone", ""),
+            rate(element.get("link")),
+            int(element.get("streams")),
+            int(element.get("cores", "2")),
+        )
+        for rack in root.iterfind("racks/rack")
+        for element in rack.iterfind("server")
+    ]
     shelves, titles = {machine.shelf for machine in machines}, {}
     for element in root.iterfind("catalogue/title"):
         named = tuple(element.get("shelves").split())
@@ -207,9 +228,16 @@
             wrong.append((element.sourceline, f"{element.tag}: port {port} is not from 1 to 65535"))
     duties = _duties(root.find("obligations"), wrong)
     fronts = root.find("fronts")
-    doors = [Door(front.get("name"), *host_port(front.get("listen")), *_peer_places(front, wrong),
-                  front.get("region", ""), front.get("zone", ""))
-             for front in fronts.iterfind("front")]
+    doors = [
+        Door(
+            front.get("name"),
+            *host_port(front.get("listen")),
+            *_peer_places(front, wrong),
+            front.get("region", ""),
+            front.get("zone", ""),
+        )
+        for front in fronts.iterfind("front")
+    ]
     control = _control(root, doors, wrong)
     peers = _peers(fronts, doors, control, wrong)
     sharing = _sharing(fronts, duties, wrong)
@@ -220,18 +248,30 @@
     if wrong:
         raise Mistakes(path, wrong)
     return Site(
-        name=root.get("name"), list_at=host_port(root.find("list").get("address")),
-        doors=doors, peers=peers, sharing=sharing, together=together, leases=leases, overload=overload,
-        control=control, configuration=configuration,
+        name=root.get("name"),
+        list_at=host_port(root.find("list").get("address")),
+        doors=doors,
+        peers=peers,
+        sharing=sharing,
+        together=together,
+        leases=leases,
+        overload=overload,
+        control=control,
+        configuration=configuration,
         packages=packages,
-        machines=machines, titles=titles, duties=duties,
+        machines=machines,
+        titles=titles,
+        duties=duties,
         uplinks={rack.get("name"): rate(rack.get("uplink")) for rack in root.iterfind("racks/rack")},
         most_waiting=int(fronts.get("most-waiting", "2000")),
         most_connections=int(fronts.get("most-connections-to-a-server", "64")),
-        published=frozenset(element.get("name") for element in root.iterfind("packages/package")
-                            if element.get("published") in ("true", "1")),
-        **_files(Path(path).parent, fronts), limits=_limits(fronts, packages, duties, wrong),
-        ice_servers=tuple(_ice_link(element) for element in fronts.iterfind("ice-server")))
+        published=frozenset(
+            element.get("name") for element in root.iterfind("packages/package") if element.get("published") in ("true", "1")
+        ),
+        **_files(Path(path).parent, fronts),
+        limits=_limits(fronts, packages, duties, wrong),
+        ice_servers=tuple(_ice_link(element) for element in fronts.iterfind("ice-server")),
+    )
 
 
 def _peer_places(front, wrong: list[tuple[int, str]]) -> tuple:
@@ -270,8 +310,12 @@
     for one in root.iter("front", "machine"):
         zone, region = one.get("zone"), one.get("region", "")
         if zone and region_of.setdefault(zone, region) != region:
-            wrong.append((one.sourceline, f"{one.tag}: zone {zone!r} lies in region {region_of[zone]!r} by another line, and in "
-                                          f"{region!r} by this one"))
+            wrong.append(
+                (
+                    one.sourceline,
+                    f"{one.tag}: zone {zone!r} lies in region {region_of[zone]!r} by another line, and in {region!r} by this one",
+                )
+            )
     return Control(machines, _lease_terms("control", element, wrong))
 
 
@@ -310,8 +354,11 @@
     period = span(element.get("period", "1s"))
     if not SHORTEST_PERIOD <= period <= LONGEST_PERIOD:
         wrong.append((line, "peers: period should be from 100ms to 1min"))
-    more = {name: span(element.get(said)) for name, said in (
-        ("answer_within", "answer-within"), ("forget_after", "forget-after")) if element.get(said)}
+    more = {
+        name: span(element.get(said))
+        for name, said in (("answer_within", "answer-within"), ("forget_after", "forget-after"))
+        if element.get(said)
+    }
     if more.get("answer_within", 0) * 2 > period:
         wrong.append((line, "peers: answer-within is half a period at most, as others are asked in the other half"))
     if more.get("forget_after", 20 * period) < 20 * period:
@@ -319,8 +366,11 @@
     most_bytes = int(rate(element.get("most-bytes", "128kB/s")) * 1000)
     if most_bytes < 4000:
         wrong.append((line, "peers: most-bytes under 4kB/s leaves no room for news"))
-    return Peers([at[name] for name in seeds if at.get(name)],
-                 usual_manners(period, most_members=int(element.get("most-members", "4096")), **more), most_bytes)
+    return Peers(
+        [at[name] for name in seeds if at.get(name)],
+        usual_manners(period, most_members=int(element.get("most-members", "4096")), **more),
+        most_bytes,
+    )
 
 
 def _rounds(what: str, every: int, drift: float, line: int, wrong: list[tuple[int, str]]) -> None:
@@ -346,8 +396,9 @@
     return SharingTerms(term, drift, max(duties.fall_within, SECOND // 100), every)
 
 
-def _together(fronts, sharing: SharingTerms | None, duties: Duties, packages: list[Package], titles: dict,
-              wrong: list[tuple[int, str]]) -> Together:
+def _together(
+    fronts, sharing: SharingTerms | None, duties: Duties, packages: list[Package], titles: dict, wrong: list[tuple[int, str]]
+) -> Together:
     element = fronts.find("sharing")
     named = set(element.get("together", "").split()) if element is not None else set()
     if not named:
@@ -362,8 +413,14 @@
     term, lingers = span(element.get("seat-term", "6s")), span(element.get("seats-linger", "10s"))
     if term < 8 * sharing.every:
         wrong.append((line, "sharing: a seat-term under eight rounds leaves no time to renew"))
-    return Together(duties.free_further if "further-tune-ins" in named else None, duties.look_back,
-                    seats if "seats" in named else {}, list(titles), term, lingers)
+    return Together(
+        duties.free_further if "further-tune-ins" in named else None,
+        duties.look_back,
+        seats if "seats" in named else {},
+        list(titles),
+        term,
+        lingers,
+    )
 
 
 def _leases(fronts, doors: list[Door], wrong: list[tuple[int, str]]) -> Leases | None:
@@ -408,16 +465,26 @@
         wrong.append((line, "overload: every should be from 100ms to 5s"))
     if floor > 0.5:
         wrong.append((line, "overload: a floor over 0.5 lets in more than half of everything whatever is short"))
-    return OverloadTerms(every, floor, duties.longest_wait, share, float(element.get("again-free", "10")),
-                         duties.look_back or 10 * SECOND, len(doors), 3 * every)
+    return OverloadTerms(
+        every,
+        floor,
+        duties.longest_wait,
+        share,
+        float(element.get("again-free", "10")),
+        duties.look_back or 10 * SECOND,
+        len(doors),
+        3 * every,
+    )
 
 
 def _files(folder: Path, fronts) -> dict:
     """Files are named from where the settings are."""
     tokens, tls, servers = (fronts.find(name) for name in ("tokens", "tls", "servers-tls"))
-    return {"token_keys": folder / tokens.get("keys") if tokens is not None else None,
-            "tls": (folder / tls.get("certificate"), folder / tls.get("key")) if tls is not None else None,
-            "authority": folder / servers.get("authority") if servers is not None else None}
+    return {
+        "token_keys": folder / tokens.get("keys") if tokens is not None else None,
+        "tls": (folder / tls.get("certificate"), folder / tls.get("key")) if tls is not None else None,
+        "authority": folder / servers.get("authority") if servers is not None else None,
+    }
 
 
 def _limits(fronts, packages: list[Package], duties: Duties, wrong: list[tuple[int, str]]) -> Bounds | None:
@@ -427,11 +494,18 @@
 
     def pace(name: str) -> float:
         return float(element.get(name, "0/s").removesuffix("/s"))
+
     return Bounds(
-        pace("from-source"), pace("from-holder"), pace("from-build"), pace("for-package"),
-        span(element.get("burst", "5s")) / SECOND, duties.longest_wait,
+        pace("from-source"),
+        pace("from-holder"),
+        pace("from-build"),
+        pace("for-package"),
+        span(element.get("burst", "5s")) / SECOND,
+        duties.longest_wait,
         # two tune-ins have to fit into what is left
-        min(package.join_target for package in packages) // 4, int(fronts.get("most-waiting", "2000")))
+        min(package.join_target for package in packages) // 4,
+        int(fronts.get("most-waiting", "2000")),
+    )
 
 
 def _ice_link(element) -> str:
@@ -451,25 +525,39 @@
     if patience < target:
         wrong.append((line, f"package {name}: patience is shorter than the join target"))
     scale = float(element.get("scale", "1"))
-    return Package(name=name, value=float(element.get("value")), join_target=target, patience=patience,
-                   paid_at_setup=element.get("paid-at-setup") in ("true", "1"),
-                   rates=tuple(rung * scale for rung in ladder), floor=floor, top=top,
-                   seats=int(element.get("seats", "0")))
+    return Package(
+        name=name,
+        value=float(element.get("value")),
+        join_target=target,
+        patience=patience,
+        paid_at_setup=element.get("paid-at-setup") in ("true", "1"),
+        rates=tuple(rung * scale for rung in ladder),
+        floor=floor,
+        top=top,
+        seats=int(element.get("seats", "0")),
+    )
 
 
 def _duties(element, wrong: list[tuple[int, str]]) -> Duties:
     answers, drains, cold, news = (element.find(name) for name in ("answers", "drains", "cold-servers", "news"))
     further = element.find("further-tune-ins")
     duties = Duties(
-        way_back=span(answers.get("way-back")), longest_wait=span(answers.get("longest-wait")),
-        most_tune_ins=int(answers.get("most-tune-ins")), grace=span(drains.get("grace")),
-        warm_within=span(cold.get("warm-within")), start_capacity=float(cold.get("start-capacity")),
-        fall_multiple=float(cold.get("fall-multiple")), fall_within=span(cold.get("fall-within")),
+        way_back=span(answers.get("way-back")),
+        longest_wait=span(answers.get("longest-wait")),
+        most_tune_ins=int(answers.get("most-tune-ins")),
+        grace=span(drains.get("grace")),
+        warm_within=span(cold.get("warm-within")),
+        start_capacity=float(cold.get("start-capacity")),
+        fall_multiple=float(cold.get("fall-multiple")),
+        fall_within=span(cold.get("fall-within")),
         free_further=int(further.get("free")) if further is not None else None,
         further_share=float(further.get("share")) if further is not None else 0.0,
         look_back=span(further.get("within")) if further is not None else 0,
-        told_late=span(news.get("told-late")), told_every=span(news.get("told-every")),
-        probes=news.get("probes") in ("true", "1"), uplinks=news.get("uplinks") in ("true", "1"))
+        told_late=span(news.get("told-late")),
+        told_every=span(news.get("told-every")),
+        probes=news.get("probes") in ("true", "1"),
+        uplinks=news.get("uplinks") in ("true", "1"),
+    )
     if duties.warm_within and not duties.start_capacity:
         wrong.append((cold.sourceline, "cold-servers: a start-capacity of 0 would never let a server be tried"))
     return duties
--- a/curlewshift/standins/fleet.py
+++ b/curlewshift/standins/fleet.py
@@ -62,8 +62,9 @@
 
 
 class Fleet:
-    def __init__(self, site: Site, seed: int, traffic: Traffic, own_ports: bool = False, setup_work: float = SETUP_WORK,
-                 tidy: bool = True):
+    def __init__(
+        self, site: Site, seed: int, traffic: Traffic, own_ports: bool = False, setup_work: float = SETUP_WORK, tidy: bool = True
+    ):
         """`own_ports`: the servers listen where the site says, and not wherever there is a port. `setup_work` (s) is
         what one set-up takes of a core. `tidy`: they end by themselves what is left to them."""
         self.tidy = tidy
@@ -104,8 +105,17 @@
             listener = (await anyio.create_tcp_listener(local_host=host, local_port=port)).listeners[0]
         else:
             port, listener = await self.ports.listener()
-        server = place.server = MediaServer(place.machine, f"{host}:{port}", place.link, self.ladder, self.site.duties,
-                                            born, Random(self.chance.random()), self.traffic, self.setup_work)
+        server = place.server = MediaServer(
+            place.machine,
+            f"{host}:{port}",
+            place.link,
+            self.ladder,
+            self.site.duties,
+            born,
+            Random(self.chance.random()),
+            self.traffic,
+            self.setup_work,
+        )
         server.tidy = self.tidy
         self.tasks.start_soon(self._live, place, server, listener)
         if tell:
@@ -120,8 +130,7 @@
     def _row(self, server: MediaServer, state: str) -> ListRow:
         started = (time.time_ns() - time.monotonic_ns() + server.born) // MS
         machine = server.machine
-        return ListRow(server.name, state, started, machine.zone, machine.rack, machine.link, machine.streams,
-                       machine.shelf)
+        return ListRow(server.name, state, started, machine.zone, machine.rack, machine.link, machine.streams, machine.shelf)
 
     # ---- troubles
 
@@ -134,8 +143,9 @@
     async def _befall(self, trouble: Trouble, begins: float, chance: Random) -> None:
         await anyio.sleep(max(0.0, begins + trouble.at - time.monotonic()))
         struck = self._struck(trouble, chance)
-        self.traffic.seen("trouble", kind=trouble.kind, lasts=trouble.lasts, size=trouble.size,
-                          servers=[place.server.name for place in struck])
+        self.traffic.seen(
+            "trouble", kind=trouble.kind, lasts=trouble.lasts, size=trouble.size, servers=[place.server.name for place in struck]
+        )
         await getattr(self, "_" + trouble.kind.replace("-", "_"))(trouble, struck, chance)
         for place in struck:
             place.busy = False
@@ -166,6 +176,7 @@
 
     async def _vanish(self, trouble, struck, chance):
         """No reset and no answer; the list knows that the process is gone. What is left is reset when it comes back."""
+
         async def one(place):
             place.server.freeze()
             self.list.knows(self._row(place.server, "off"))
@@ -174,6 +185,7 @@
             old.die()
             await anyio.sleep(0.1)
             await self._start(place, time.monotonic_ns(), old.name)
+
         async with anyio.create_task_group() as tasks:
             for place in struck:
                 tasks.start_soon(one, place)
--- a/curlewshift/standins/relay.py
+++ b/curlewshift/standins/relay.py
@@ -55,8 +55,12 @@
     async def play(self, script: Script, begins: float) -> None:
         for trouble in script.troubles:
             if trouble.kind in OF_PEERS:
-                self.tasks.start_soon(self._befall, trouble, begins, [machine.name for machine in
-                                                                          script.site.control.machines] if script.site.control else [])
+                self.tasks.start_soon(
+                    self._befall,
+                    trouble,
+                    begins,
+                    [machine.name for machine in script.site.control.machines] if script.site.control else [],
+                )
 
     async def _befall(self, trouble: Trouble, begins: float, machines: list[str]) -> None:
         await anyio.sleep(max(0.0, begins + trouble.at - time.monotonic()))
@@ -109,7 +113,7 @@
                 spoilt = True
         if spoilt:
             at = self.chance.randrange(len(data))
-            data = data[:at] + bytes((data[at] ^ self.chance.randrange(1, 256),)) + data[at + 1:]
+            data = data[:at] + bytes((data[at] ^ self.chance.randrange(1, 256),)) + data[at + 1 :]
         for copy in range(copies):
             if wait or copy:
                 self.tasks.start_soon(self._later, wait + copy * self.chance.uniform(0, 0.2), to, data, spoilt)
--- a/curlewshift/standins/running.py
+++ b/curlewshift/standins/running.py
@@ -39,8 +39,21 @@
 async def run_list(site: Site) -> None:
     told = ServerList(Random(1), Traffic(None))
     long_ago = int((time.time() - 3600) * 1000)
-    told.begin([ListRow(f"{machine.host}:{machine.port}", "on", long_ago, machine.zone, machine.rack, machine.link,
-                        machine.streams, machine.shelf) for machine in site.machines])
+    told.begin(
+        [
+            ListRow(
+                f"{machine.host}:{machine.port}",
+                "on",
+                long_ago,
+                machine.zone,
+                machine.rack,
+                machine.link,
+                machine.streams,
+                machine.shelf,
+            )
+            for machine in site.machines
+        ]
+    )
     host, port = site.list_at
     listener = (await anyio.create_tcp_listener(local_host=host, local_port=port)).listeners[0]
     async with anyio.create_task_group() as tasks:
@@ -77,8 +90,13 @@
         used: dict[str, float] = {}
         for session in sessions:
             used[session.package] = used.get(session.package, 0.0) + session.rate * session.truth
-        traffic.seen("use", asked=round(sum(link.asked for link in links)), gives=round(sum(link.gives() for link in links)),
-                     fullest=round(max(link.use() for link in links), 3), playing=len(rungs),
-                     used={package: round(rate) for package, rate in used.items()},
-                     rung=round(sum(rungs) / len(rungs), 3) if rungs else 0)
+        traffic.seen(
+            "use",
+            asked=round(sum(link.asked for link in links)),
+            gives=round(sum(link.gives() for link in links)),
+            fullest=round(max(link.use() for link in links), 3),
+            playing=len(rungs),
+            used={package: round(rate) for package, rate in used.items()},
+            rung=round(sum(rungs) / len(rungs), 3) if rungs else 0,
+        )
         await anyio.sleep(1)
--- a/curlewshift/standins/script.py
+++ b/curlewshift/standins/script.py
@@ -12,16 +12,43 @@
 NS = 1_000_000_000
 # What a trouble is where the script does not say: lasts (s), part of the servers or fronts, size.
 USUAL = {
-    "burst": (6, 1.0, 2.0), "crowd": (6, 1.0, 1.0), "crash": (5, 0.2, 1.0), "vanish": (6, 0.2, 1.0),
-    "hang": (4, 0.2, 1.0), "slow": (6, 0.25, 3.0), "neighbour": (8, 0.4, 0.5), "fast-errors": (4, 0.2, 1.0),
-    "answer-lost": (4, 0.2, 1.0), "deploy": (15, 0.6, 1.0), "preempt": (5, 0.2, 1.0), "front-crash": (2, 0.34, 1.0),
-    "front-roll": (9, 1.0, 1.0), "cold-restart": (1, 0.2, 1.0), "list-stuck": (5, 1.0, 1.0), "notes-late": (6, 1.0, 3.0),
-    "peak": (10, 1.0, 2.0), "pause": (3, 0.2, 1.0), "clock-rate": (8, 0.2, 1.01), "clock-step": (1, 0.2, 600.0),
-    "bad-path": (6, 0.125, 1.0), "pause-in-act": (5, 0.125, 1.0),
-    "cut": (5, 0.5, 1.0), "one-way": (5, 0.2, 1.0), "loss": (6, 1.0, 0.15), "late": (6, 1.0, 3.0),
-    "doubled": (6, 1.0, 0.3), "reordered": (6, 1.0, 0.3), "spoilt": (6, 1.0, 0.2),
-    "put": (1, 1.0, 1.0), "bad-put": (1, 1.0, 1.0), "writer-pause": (5, 1.0, 1.0), "writer-crash": (3, 1.0, 1.0),
-    "control-lost": (3, 1.0, 1.0), "control-cut": (6, 1.0, 1.0), "front-lost": (1, 0.2, 1.0), "front-spoilt": (1, 0.2, 1.0),
+    "burst": (6, 1.0, 2.0),
+    "crowd": (6, 1.0, 1.0),
+    "crash": (5, 0.2, 1.0),
+    "vanish": (6, 0.2, 1.0),
+    "hang": (4, 0.2, 1.0),
+    "slow": (6, 0.25, 3.0),
+    "neighbour": (8, 0.4, 0.5),
+    "fast-errors": (4, 0.2, 1.0),
+    "answer-lost": (4, 0.2, 1.0),
+    "deploy": (15, 0.6, 1.0),
+    "preempt": (5, 0.2, 1.0),
+    "front-crash": (2, 0.34, 1.0),
+    "front-roll": (9, 1.0, 1.0),
+    "cold-restart": (1, 0.2, 1.0),
+    "list-stuck": (5, 1.0, 1.0),
+    "notes-late": (6, 1.0, 3.0),
+    "peak": (10, 1.0, 2.0),
+    "pause": (3, 0.2, 1.0),
+    "clock-rate": (8, 0.2, 1.01),
+    "clock-step": (1, 0.2, 600.0),
+    "bad-path": (6, 0.125, 1.0),
+    "pause-in-act": (5, 0.125, 1.0),
+    "cut": (5, 0.5, 1.0),
+    "one-way": (5, 0.2, 1.0),
+    "loss": (6, 1.0, 0.15),
+    "late": (6, 1.0, 3.0),
+    "doubled": (6, 1.0, 0.3),
+    "reordered": (6, 1.0, 0.3),
+    "spoilt": (6, 1.0, 0.2),
+    "put": (1, 1.0, 1.0),
+    "bad-put": (1, 1.0, 1.0),
+    "writer-pause": (5, 1.0, 1.0),
+    "writer-crash": (3, 1.0, 1.0),
+    "control-lost": (3, 1.0, 1.0),
+    "control-cut": (6, 1.0, 1.0),
+    "front-lost": (1, 0.2, 1.0),
+    "front-spoilt": (1, 0.2, 1.0),
     "slow-accept": (1.5, 0.25, 1.0),
 }
 # What befalls datagrams between fronts, by the relay that all of them pass.
@@ -156,7 +183,9 @@
         if trouble.kind in OF_PEERS and site.peers is None:
             wrong.append((element.sourceline, f"trouble {trouble.kind}: {site_path.name} has no peers that it could befall"))
         if trouble.kind in (*OF_CONFIGURATION, "control-cut") and site.configuration is None:
-            wrong.append((element.sourceline, f"trouble {trouble.kind}: {site_path.name} has no <configuration> that it could befall"))
+            wrong.append(
+                (element.sourceline, f"trouble {trouble.kind}: {site_path.name} has no <configuration> that it could befall")
+            )
         if trouble.kind in ("loss", "doubled", "reordered", "spoilt") and trouble.size > 1:
             wrong.append((element.sourceline, f"trouble {trouble.kind}: size is the share of datagrams, at most 1"))
         if trouble.kind == "clock-rate" and not 0.9 <= trouble.size <= 1.1:
@@ -166,12 +195,29 @@
     for element in root.iterfind("announce"):
         if element.get("package") not in known:
             wrong.append((element.sourceline, f"announce: {site_path.name} has no package {element.get('package')!r}"))
-        announced.append(Announced(element.get("name"), element.get("package"), span(element.get("at")) / NS,
-                                   span(element.get("lasts")) / NS, float(element.get("rate")),
-                                   float(element.get("most", "0.5"))))
+        announced.append(
+            Announced(
+                element.get("name"),
+                element.get("package"),
+                span(element.get("at")) / NS,
+                span(element.get("lasts")) / NS,
+                float(element.get("rate")),
+                float(element.get("most", "0.5")),
+            )
+        )
     if wrong:
         raise Mistakes(path, wrong)
-    return Script(site_path, site, lasts / NS, int(root.get("seed", "1")), each_second,
-                  float(viewers.get("come-again")), float(viewers.get("hang-up-and-retry", "0")),
-                  float(viewers.get("hang-up-and-leave", "0")), wishes, troubles, announced,
-                  root.get("servers-tidy", "true") in ("true", "1"))
+    return Script(
+        site_path,
+        site,
+        lasts / NS,
+        int(root.get("seed", "1")),
+        each_second,
+        float(viewers.get("come-again")),
+        float(viewers.get("hang-up-and-retry", "0")),
+        float(viewers.get("hang-up-and-leave", "0")),
+        wishes,
+        troubles,
+        announced,
+        root.get("servers-tidy", "true") in ("true", "1"),
+    )
--- a/curlewshift/standins/server.py
+++ b/curlewshift/standins/server.py
@@ -19,7 +19,16 @@
 
 from curlewshift.exchange.server import Exchange, Line, PeerGone
 from curlewshift.signalling.bodies import (
-    TURNED_AWAY, BadBody, LayerChoice, Note, SessionList, SessionNames, SessionRow, decode, encode)
+    TURNED_AWAY,
+    BadBody,
+    LayerChoice,
+    Note,
+    SessionList,
+    SessionNames,
+    SessionRow,
+    decode,
+    encode,
+)
 from curlewshift.signalling.conditions import refusal
 from curlewshift.signalling.events import CONTENT_TYPE, KEEP_ALIVE, Event, encode_event
 from curlewshift.signalling.fragments import CONTENT_TYPE as FRAGMENT
@@ -97,8 +106,18 @@
 class MediaServer:
     """One life of one machine. `born` is nanoseconds of the monotonic clock, long ago for a warm one."""
 
-    def __init__(self, machine: Machine, name: str, link: LinkModel, ladder: dict[str, tuple[float, ...]],
-                 duties: Duties, born: int, chance: Random, traffic: Traffic, setup_work: float = SETUP_WORK):
+    def __init__(
+        self,
+        machine: Machine,
+        name: str,
+        link: LinkModel,
+        ladder: dict[str, tuple[float, ...]],
+        duties: Duties,
+        born: int,
+        chance: Random,
+        traffic: Traffic,
+        setup_work: float = SETUP_WORK,
+    ):
         self.machine, self.name, self.link, self.ladder = machine, name, link, ladder
         self.duties, self.born, self.chance, self.traffic = duties, born, chance, traffic
         self.setup_work = setup_work
@@ -227,13 +246,14 @@
         while True:
             now = time.monotonic_ns()
             self._reckon()
-            self.history.append((now, self.link.use(), self.link.uplink.asked() / self.link.uplink.size,
-                                 self.link.share()))
+            self.history.append((now, self.link.use(), self.link.uplink.asked() / self.link.uplink.size, self.link.share()))
             if now / NS - last_report >= REPORT_EVERY:
                 last_report = now / NS
                 noise = self.chance.uniform(1 - NOISE, 1 + NOISE)
-                self.report = {"link": self.link.use() * noise,
-                               "uplink": self.link.uplink.asked() / self.link.uplink.size * noise}
+                self.report = {
+                    "link": self.link.use() * noise,
+                    "uplink": self.link.uplink.asked() / self.link.uplink.size * noise,
+                }
             if self.thaw.is_set():
                 for session in list(self.sessions.values()) if self.tidy else ():
                     if not session.watchers and now - session.unwatched_since > WATCHED_WITHIN * NS:
@@ -284,8 +304,13 @@
 
     async def _setup(self, exchange: Exchange, way: str, package: str, title: str, first_byte: int) -> None:
         headers = exchange.headers
-        facts = dict(server=self.name, boot=self.boot, front=headers.get("x-front", ""),
-                     request=headers.get("x-request-id", ""), number=int(headers.get("x-tune-in", "0")))
+        facts = dict(
+            server=self.name,
+            boot=self.boot,
+            front=headers.get("x-front", ""),
+            request=headers.get("x-request-id", ""),
+            number=int(headers.get("x-tune-in", "0")),
+        )
         layer = int(exchange.query.get("layer", "0"))
         self.traffic.seen("setup", package=package, title=title, rung=layer, first_byte=first_byte, **facts)
         closed = False
@@ -295,6 +320,7 @@
             if not closed:
                 closed = True
                 self.traffic.seen("setup-over", how=how, **facts)
+
         exchange.on_hang_up(lambda: over("gone"))
         try:
             await self._set_up(exchange, way, package, title, layer, facts, over)
@@ -322,8 +348,9 @@
             return
         if self.draining or len(self.sessions) + self.queued >= self.machine.streams or self.queued >= MOST_QUEUED:
             over("turned-away")
-            await exchange.problem(503, "it drains" if self.draining else "it is full", TURNED_AWAY,
-                                   [(HEADER, encode_load(self.report))])
+            await exchange.problem(
+                503, "it drains" if self.draining else "it is full", TURNED_AWAY, [(HEADER, encode_load(self.report))]
+            )
             return
         if self.fails_fast:
             over("error")
@@ -343,19 +370,38 @@
         if exchange.line.gone and not self.stubborn:
             # whoever asked has gone: no media will ever flow
             raise PeerGone
-        session = Session(secrets.token_hex(8), secrets.token_hex(4), facts["front"], facts["request"], package, title, layer, rates[layer],
-                          self.chance.uniform(0.88, 1.12), offer.first("ice-ufrag", offer.media[0]))
+        session = Session(
+            secrets.token_hex(8),
+            secrets.token_hex(4),
+            facts["front"],
+            facts["request"],
+            package,
+            title,
+            layer,
+            rates[layer],
+            self.chance.uniform(0.88, 1.12),
+            offer.first("ice-ufrag", offer.media[0]),
+        )
         self.sessions[session.name] = self.media[session.ufrag] = session
         self._reckon()
         self.traffic.seen("session", session=session.name, package=package, title=title, rung=layer, **facts)
         over("answered")
-        answer = answer_text(offer, session.ufrag, secrets.token_hex(12), FINGERPRINT, self.machine.host,
-                             int(self.name.rpartition(":")[2]))
+        answer = answer_text(
+            offer, session.ufrag, secrets.token_hex(12), FINGERPRINT, self.machine.host, int(self.name.rpartition(":")[2])
+        )
         session.viewing = exchange.headers.get("x-viewing", "")
         session.answer = answer if session.viewing else ""
         try:
-            await exchange.answer(201, [("content-type", SDP), ("location", f"/session/{session.name}"),
-                                        ("etag", session.etag), (HEADER, encode_load(self.report))], answer.encode())
+            await exchange.answer(
+                201,
+                [
+                    ("content-type", SDP),
+                    ("location", f"/session/{session.name}"),
+                    ("etag", session.etag),
+                    (HEADER, encode_load(self.report)),
+                ],
+                answer.encode(),
+            )
         except PeerGone:
             self._end(session, "its answer was not taken", tell=False)
             raise
@@ -385,8 +431,7 @@
             return
         session.rung, session.rate = rung, self.ladder[session.package][rung]
         self._reckon()
-        self.traffic.seen("layer", server=self.name, session=name, rung=rung, front=session.front,
-                          package=session.package)
+        self.traffic.seen("layer", server=self.name, session=name, rung=rung, front=session.front, package=session.package)
         await exchange.answer(204)
 
     async def _patch(self, exchange: Exchange, name: str) -> None:
@@ -412,8 +457,11 @@
             await exchange.answer(204)
             return
         session.restarts, session.theirs = session.restarts + 1, fragment.ufrag
-        await exchange.answer(200, [("content-type", FRAGMENT), ("etag", session.etag)],
-                              fragment_text(session.ufrag, secrets.token_hex(12)).encode())
+        await exchange.answer(
+            200,
+            [("content-type", FRAGMENT), ("etag", session.etag)],
+            fragment_text(session.ufrag, secrets.token_hex(12)).encode(),
+        )
 
     async def _delete(self, exchange: Exchange, session: Session | None) -> None:
         """Ended by its front, or for one that is gone by who may do so for all: then it has to be that one's still."""
@@ -431,8 +479,11 @@
     def _left_behind(self, away: int) -> list[Session]:
         """Sessions whose front has not been there for so long (ns), and that nobody watches."""
         now = time.monotonic_ns()
-        return [session for session in self.sessions.values() if not session.watchers
-                and now - max(session.began, self._heard_of(session.front)) > away]
+        return [
+            session
+            for session in self.sessions.values()
+            if not session.watchers and now - max(session.began, self._heard_of(session.front)) > away
+        ]
 
     async def _tell_sessions(self, exchange: Exchange) -> None:
         """What plays here for any life of the front that asks; or, to who may act for all, what fronts that are gone left."""
@@ -441,13 +492,18 @@
             if not self._passes(exchange.headers.get("x-fence", ""), exchange.headers.get("x-front", "")):
                 await exchange.answer(412, [])
                 return
-            left = [SessionRow(f"/session/{session.name}", session.front, session.rung)
-                    for session in self._left_behind(int(away) * 1_000_000)]
+            left = [
+                SessionRow(f"/session/{session.name}", session.front, session.rung)
+                for session in self._left_behind(int(away) * 1_000_000)
+            ]
             await exchange.answer(200, JSON, encode(SessionList(self.boot, left)))
             return
         front = front_of(exchange.query.get("front", ""))
-        rows = [SessionRow(f"/session/{session.name}", session.front, session.rung, session.viewing, session.etag,
-                           session.answer) for session in self.sessions.values() if front_of(session.front) == front]
+        rows = [
+            SessionRow(f"/session/{session.name}", session.front, session.rung, session.viewing, session.etag, session.answer)
+            for session in self.sessions.values()
+            if front_of(session.front) == front
+        ]
         await exchange.answer(200, JSON, encode(SessionList(self.boot, rows)))
 
     async def _adopt(self, exchange: Exchange) -> None:
@@ -462,8 +518,16 @@
         for path in wanted:
             session = self.sessions.get(path.removeprefix("/session/"))
             if session is not None and front_of(session.front) == front_of(life):
-                self.traffic.seen("adopted", server=self.name, boot=self.boot, session=session.name, front=life,
-                                  before=session.front, package=session.package, title=session.title)
+                self.traffic.seen(
+                    "adopted",
+                    server=self.name,
+                    boot=self.boot,
+                    session=session.name,
+                    front=life,
+                    before=session.front,
+                    package=session.package,
+                    title=session.title,
+                )
                 session.front = life
                 taken.append(path)
         await exchange.answer(200, JSON, encode(SessionNames(taken)))
--- a/curlewshift/standins/viewers.py
+++ b/curlewshift/standins/viewers.py
@@ -16,8 +16,7 @@
 
 from curlewshift.exchange.client import Answered, Broken, Call, NeverSent, ask, connect
 from curlewshift.signalling.bodies import BadBody, Problem, decode
-from curlewshift.signalling.sdp import (
-    PLAYS, PUBLISHES, BadDescription, candidate_of, offer_text, parse)
+from curlewshift.signalling.sdp import PLAYS, PUBLISHES, BadDescription, candidate_of, offer_text, parse
 from curlewshift.site.site import Site
 from curlewshift.standins.script import Script, Wish, drawn_part, pressure
 from curlewshift.standins.traffic import Traffic, bytes_come
@@ -76,8 +75,7 @@
         rate, more = pressure(self.script, now, self.titles)
         return rate + sum(part for part, _, _ in more), *drawn_part(rate, more, self.chance.random())
 
-    async def _view(self, viewing: str, chance: Random, crowd: str | None, peak: str | None,
-                    ends: float) -> None:
+    async def _view(self, viewing: str, chance: Random, crowd: str | None, peak: str | None, ends: float) -> None:
         of_peak = [wish for wish in self.script.wishes if wish.package == peak]
         wish = of_peak[0] if of_peak else chance.choices(self.script.wishes, [wish.share for wish in self.script.wishes])[0]
         title = crowd or chance.choices(self.titles, [1 / rank for rank in range(1, len(self.titles) + 1)])[0]
@@ -96,8 +94,9 @@
                 return
             await anyio.sleep(pause)
 
-    async def _visit(self, request: str, viewing: str, wish: Wish, title: str, top: int, lasts: float,
-                     chance: Random) -> tuple[str, float]:
+    async def _visit(
+        self, request: str, viewing: str, wish: Wish, title: str, top: int, lasts: float, chance: Random
+    ) -> tuple[str, float]:
         """One request, and what comes of it: how it ended, and how long the viewer was told to stay away (s)."""
         door, package = chance.randrange(len(self.doors)), self.packages[wish.package]
         ufrag, pwd = secrets.token_hex(4), secrets.token_hex(12)
@@ -130,8 +129,7 @@
                 return "refused", 0.0
         return "failed", 0.0
 
-    async def _ask(self, request, viewing, door, package, title, top, key, offer, hangs_up=False,
-                   lingers=0.0) -> Answered | None:
+    async def _ask(self, request, viewing, door, package, title, top, key, offer, hangs_up=False, lingers=0.0) -> Answered | None:
         patience = self.packages[package].patience
         facts = dict(request=request, viewing=viewing, front=self.site.doors[door].name)
         way = PUBLISHES if package in self.site.published else PLAYS
@@ -140,8 +138,12 @@
             call = await connect(*self.doors[door], 1.0)
             self.traffic.seen("ask", package=package, title=title, patience=patience, **facts)
             with anyio.move_on_after(patience / NS) as waiting:
-                answered = await call.ask("POST", f"/{way}/{package}/{title}?top={top}", [
-                    ("content-type", SDP), ("x-request-id", request), ("idempotency-key", key), ("x-viewing", viewing)], offer)
+                answered = await call.ask(
+                    "POST",
+                    f"/{way}/{package}/{title}?top={top}",
+                    [("content-type", SDP), ("x-request-id", request), ("idempotency-key", key), ("x-viewing", viewing)],
+                    offer,
+                )
             if waiting.cancelled_caught:
                 self.traffic.seen("gave-up", **facts)
                 return None
@@ -159,7 +161,13 @@
         finally:
             if call is not None:
                 call.say_no_more()
-                self.traffic.seen("left", how="shut-down" if lingers else "closed", answered=answered is not None, came=bytes_come(call.stream.extra(SocketAttribute.raw_socket)), **facts)
+                self.traffic.seen(
+                    "left",
+                    how="shut-down" if lingers else "closed",
+                    answered=answered is not None,
+                    came=bytes_come(call.stream.extra(SocketAttribute.raw_socket)),
+                    **facts,
+                )
                 with anyio.CancelScope(shield=True):
                     await anyio.sleep(lingers)
                 await call.close()
--- a/curlewshift/state/book.py
+++ b/curlewshift/state/book.py
@@ -45,14 +45,27 @@
 _LENGTH = len(fields(Remembered))
 
 
-def remembered(course: Course, token: str, holder: str | None, path: str, etag: str = "", ufrag: str = "",
-               answer: str = "") -> Remembered:
+def remembered(
+    course: Course, token: str, holder: str | None, path: str, etag: str = "", ufrag: str = "", answer: str = ""
+) -> Remembered:
     """A viewing that plays, as it has to be known after a kill."""
     vw, offer = course.vw, course.offer
     return Remembered(
-        token, holder, course.held.key if course.held is not None else None, offer.identity if offer else "",
-        offer.way if offer else "", vw.package.name, vw.title, vw.ceiling, vw.rung, vw.server.name, path, etag, ufrag,
-        answer)
+        token,
+        holder,
+        course.held.key if course.held is not None else None,
+        offer.identity if offer else "",
+        offer.way if offer else "",
+        vw.package.name,
+        vw.title,
+        vw.ceiling,
+        vw.rung,
+        vw.server.name,
+        path,
+        etag,
+        ufrag,
+        answer,
+    )
 
 
 class Book:
@@ -107,7 +120,8 @@
         """All that is open, as the records of a log that begins again."""
         self.records = len(self.open) + len(self.boots)
         return [[BOOT, server, boot] for server, boot in self.boots.items()] + [
-            [BEGAN, *astuple(session)] for session in self.open.values()]
+            [BEGAN, *astuple(session)] for session in self.open.values()
+        ]
 
     def _record(self, record: list[Any]) -> list[Any]:
         self.records += 1
--- a/curlewshift/state/intents.py
+++ b/curlewshift/state/intents.py
@@ -46,8 +46,7 @@
     course, vw = tune_in.course, tune_in.course.vw
     if not vw.package.paid_at_setup or course.held is None:
         return None
-    return Intent(course.held.key, course.offer.identity, course.offer.way, vw.package.name, vw.title,
-                  tune_in.server.name, until)
+    return Intent(course.held.key, course.offer.identity, course.offer.way, vw.package.name, vw.title, tune_in.server.name, until)
 
 
 class Intents:
--- a/curlewshift/state/journal.py
+++ b/curlewshift/state/journal.py
@@ -42,7 +42,7 @@
     """Whether a whole record begins anywhere in these bytes."""
     for at in range(len(raw) - HEAD.size):
         length, checksum = HEAD.unpack_from(raw, at)
-        payload = raw[at + HEAD.size:at + HEAD.size + length]
+        payload = raw[at + HEAD.size : at + HEAD.size + length]
         if 0 < length == len(payload) and zlib.crc32(payload) == checksum:
             return True
     return False
@@ -76,7 +76,7 @@
             os.replace(self.path, self.path.with_name(self.path.name + ".damaged"))
             return None
         self.records = list(reading)
-        if reading.damage and holds_a_record(raw[reading.whole + 1:]):
+        if reading.damage and holds_a_record(raw[reading.whole + 1 :]):
             # a kill tears the last record alone: what has whole ones behind it was damaged by something else, and is
             # kept for a person to look at
             self.path.with_name(self.path.name + ".damaged").write_bytes(raw)
--- a/curlewshift/state/peaks.py
+++ b/curlewshift/state/peaks.py
@@ -43,8 +43,10 @@
             version = self.db.execute("PRAGMA user_version").fetchone()[0]
             if version > VERSION:
                 raise sqlite3.DatabaseError(f"written by a later version ({version})")
-            self.db.execute("CREATE TABLE IF NOT EXISTS peaks (name TEXT PRIMARY KEY, package TEXT, starts INTEGER, "
-                            "ends INTEGER, rate REAL, most REAL, lasts INTEGER, who TEXT, why TEXT)")
+            self.db.execute(
+                "CREATE TABLE IF NOT EXISTS peaks (name TEXT PRIMARY KEY, package TEXT, starts INTEGER, "
+                "ends INTEGER, rate REAL, most REAL, lasts INTEGER, who TEXT, why TEXT)"
+            )
             self.db.execute("CREATE TABLE IF NOT EXISTS changes (at INTEGER, what TEXT, name TEXT, who TEXT, why TEXT)")
             self.db.execute(f"PRAGMA user_version={VERSION}")
         except sqlite3.DatabaseError:
@@ -58,8 +60,10 @@
     def announced(self, peak: Peak, at: int) -> None:
         """Raises `sqlite3.Error` if it could not be kept."""
         with self._whole():
-            self.db.execute(f"INSERT INTO peaks ({', '.join(COLUMNS)}) VALUES ({', '.join('?' * len(COLUMNS))})",
-                            [getattr(peak, column) for column in COLUMNS])
+            self.db.execute(
+                f"INSERT INTO peaks ({', '.join(COLUMNS)}) VALUES ({', '.join('?' * len(COLUMNS))})",
+                [getattr(peak, column) for column in COLUMNS],
+            )
             self.db.execute("INSERT INTO changes VALUES (?, 'announced', ?, ?, ?)", (at, peak.name, peak.who, peak.why))
 
     def cancelled(self, name: str, at: int, who: str, why: str) -> None:
--- a/curlewshift/state/setting_up.py
+++ b/curlewshift/state/setting_up.py
@@ -16,8 +16,9 @@
 WRITE, SEND = "write", "send"
 
 
-def setting_up(desk, tune_in: TuneIn, intents: Intents | None, intent: Intent | None) -> Generator[
-        tuple[str, list[Any] | None], bool, Outcome | None]:
+def setting_up(
+    desk, tune_in: TuneIn, intents: Intents | None, intent: Intent | None
+) -> Generator[tuple[str, list[Any] | None], bool, Outcome | None]:
     """Yields `(WRITE, record)`, to be flushed and answered with whether it was kept, then `(SEND, None)`, once. If it
     ends before that it returns how the tune-in ended; no byte has gone out then. `intent` is None for what need not be
     known after a kill."""
--- a/curlewshift/tasks/listing.py
+++ b/curlewshift/tasks/listing.py
@@ -21,8 +21,10 @@
     def now(self) -> int: ...
     def list_held(self) -> tuple[str, int]:
         """Epoch and generation of the list as this front has it."""
+
     def tell_list(self, number: int, epoch: str, generation: int, news: object | None) -> None:
         """To all others: that this is what there is, with news that lead there if they fit."""
+
     def take_news(self, news: object) -> None: ...
     def read_list(self, itself: bool) -> None:
         """Whether this front reads the list itself from now on."""
--- a/curlewshift/tasks/planning.py
+++ b/curlewshift/tasks/planning.py
@@ -23,6 +23,7 @@
     def front_names(self) -> list[str]: ...
     def asked_for(self) -> dict[str, float]:
         """Asks a second at this front, by package of a peak that is on the calendar."""
+
     def tell_asked(self, to: str, asked: dict[str, float]) -> None: ...
     def tell_plan(self, number: int, package: str, parts: dict[str, float]) -> None: ...
     def planned(self, package: str, part: float, until: int) -> None: ...
@@ -49,8 +50,9 @@
         self.heard[self.me] = now, self.outside.asked_for()
         self.heard = {name: told for name, told in self.heard.items() if now - told[0] <= LASTS}
         for package in {package for _, asked in self.heard.values() for package in asked}:
-            parts = divided(self.outside.front_names(), {
-                name: asked.get(package, 0.0) for name, (_, asked) in self.heard.items()})
+            parts = divided(
+                self.outside.front_names(), {name: asked.get(package, 0.0) for name, (_, asked) in self.heard.items()}
+            )
             self.outside.tell_plan(number, package, parts)
             self.plan_told(number, package, parts)
 
--- a/curlewshift/verdict/attempts.py
+++ b/curlewshift/verdict/attempts.py
@@ -30,8 +30,17 @@
     events = sorted(events, key=lambda event: event["at"])
     waits, stops = _waits(events, known_as), _stops(events)
     left = sum(how is not None and not answered for spans in waits.values() for _, _, _, how, answered in spans)
-    told = {"left": left, "attempts": 0, "looked_at": 0, "after": 0, "late": 0, "latest_ms": 0.0, "unjoined": 0,
-            "ways": {}, "examples": []}
+    told = {
+        "left": left,
+        "attempts": 0,
+        "looked_at": 0,
+        "after": 0,
+        "late": 0,
+        "latest_ms": 0.0,
+        "unjoined": 0,
+        "ways": {},
+        "examples": [],
+    }
     for setup in events:
         if setup["ev"] != "setup" or "first_byte" not in setup:
             continue
@@ -43,8 +52,9 @@
         told["looked_at"] += any(how is not None and not answered for _, _, _, how, answered in spans)
         if any(since <= first < until for since, until, _, _, _ in spans):
             continue
-        ended, front, how = max(((until, front, how) for _, until, front, how, _ in spans if until <= first),
-                                default=(0, "", None))
+        ended, front, how = max(
+            ((until, front, how) for _, until, front, how, _ in spans if until <= first), default=(0, "", None)
+        )
         if how is None:
             # its first byte was there before its client had asked: it is somebody else's
             told["unjoined"] += 1
@@ -56,8 +66,9 @@
         if late > LATE:
             told["late"] += 1
             if len(told["examples"]) < KEPT_EXAMPLES:
-                told["examples"].append(f"{setup['request']} began at {setup['server']} {late / MS:.0f} ms after its client had "
-                                        f"left ({how})")
+                told["examples"].append(
+                    f"{setup['request']} began at {setup['server']} {late / MS:.0f} ms after its client had left ({how})"
+                )
     told["says"] = _says(told)
     told["clean"] = told["says"] == "clean"
     return told
--- a/curlewshift/verdict/bounds.py
+++ b/curlewshift/verdict/bounds.py
@@ -41,14 +41,16 @@
     for boot in day.by_kind["boot"]:
         if boot["at"] - boot["born"] >= figures.warm_within:
             continue
-        bears = int(figures.start_capacity / figures.warm_within * figures.fall_multiple * figures.fall_within
-                    * boot["streams"])
-        setups = [one for one in arrivals[boot["server"], boot["boot"]]
-                  if one["at"] < boot["born"] + figures.warm_within and knew(one, boot)]
+        bears = int(figures.start_capacity / figures.warm_within * figures.fall_multiple * figures.fall_within * boot["streams"])
+        setups = [
+            one
+            for one in arrivals[boot["server"], boot["boot"]]
+            if one["at"] < boot["born"] + figures.warm_within and knew(one, boot)
+        ]
         told["cold_starts"] += 1
         worst: list[dict] = []
         for index, setup in enumerate(setups):
-            inside = [one for one in setups[:index + 1] if one["at"] > setup["at"] - window]
+            inside = [one for one in setups[: index + 1] if one["at"] > setup["at"] - window]
             told["checked"] += 1
             worst = max(worst, inside, key=len)
         came += len(worst)
@@ -56,8 +58,10 @@
         if len(worst) > bears:
             told["overdrawn"] += 1
             if len(told["examples"]) < KEPT_EXAMPLES:
-                told["examples"].append(f"{boot['server']} got {len(worst)} set-ups in a window that bears {bears}, of "
-                                        + " ".join(one["front"] for one in worst))
+                told["examples"].append(
+                    f"{boot['server']} got {len(worst)} set-ups in a window that bears {bears}, of "
+                    + " ".join(one["front"] for one in worst)
+                )
     told["used_share"] = round(came / could, 3) if could else 0.0
     return told
 
@@ -93,8 +97,11 @@
         over, session = day.end_of(setup), sessions.get(Day._tune_in(setup))
         end = over["at"] if over else setup["at"]
         if session is not None and over and over["how"] == "answered":
-            end = min(day.session_end(session), closed.get(setup["request"], 2**63),
-                      day.died.get((setup["server"], setup["boot"]), 2**63))
+            end = min(
+                day.session_end(session),
+                closed.get(setup["request"], 2**63),
+                day.died.get((setup["server"], setup["boot"]), 2**63),
+            )
         told["checked"] += 1
         changes[setup["package"], setup["title"]] += [(setup["at"], 1), (max(setup["at"], end - APART), -1)]
     for (package, title), rows in changes.items():
@@ -121,8 +128,11 @@
         for package in set(package_of.values()):
             parts = []
             for start, end in ((event["at"] - (until - since), event["at"]), (since, until)):
-                mine = [status for at, front, request, status in answers if start <= at < end
-                        and front not in event["fronts"] and package_of.get(request) == package]
+                mine = [
+                    status
+                    for at, front, request, status in answers
+                    if start <= at < end and front not in event["fronts"] and package_of.get(request) == package
+                ]
                 parts.append((sum(status != 201 for status in mine) / len(mine) if mine else 0.0, len(mine)))
             (before, some), (while_it, others) = parts
             told["packages"][package] = {"before": round(before, 3), "while": round(while_it, 3), "asks": others}
--- a/curlewshift/verdict/configuration.py
+++ b/curlewshift/verdict/configuration.py
@@ -43,9 +43,12 @@
     lives = [event for event in events if event["ev"] == "live"]
     puts = [event for event in events if event["ev"] == "put"]
     told: list[str] = []
-    result = {"versions": len({event["version"] for event in lives} - {FILE}), "puts": len(puts),
-              "refused_puts": sum(not put["ok"] and not put["unknown"] for put in puts),
-              "unknown_puts": sum(put["unknown"] for put in puts)}
+    result = {
+        "versions": len({event["version"] for event in lives} - {FILE}),
+        "puts": len(puts),
+        "refused_puts": sum(not put["ok"] and not put["unknown"] for put in puts),
+        "unknown_puts": sum(put["unknown"] for put in puts),
+    }
     result.update(_in_force(events, lives, puts, over, told))
     result["regressions"] = _regressions(events, lives, told)
     result["forks"] = _forks(events, lives, told)
@@ -59,8 +62,12 @@
     told += [f"{front} has a bad file in force" for front in sorted(showed)]
     result["bad_puts"], result["bad_taken"] = len(bad), len(wrong) + len(showed)
     result["known"] = _known(events, lives)
-    result["broken"] = bool(result["versions"] == 0 or result["late"] or result["missing"] or any(result[name] for name in (
-        "regressions", "forks", "half", "early", "unfounded", "bad_taken")))
+    result["broken"] = bool(
+        result["versions"] == 0
+        or result["late"]
+        or result["missing"]
+        or any(result[name] for name in ("regressions", "forks", "half", "early", "unfounded", "bad_taken"))
+    )
     result["examples"] = told[:KEPT_EXAMPLES]
     return result
 
@@ -106,11 +113,15 @@
                 told.append(f"{front} had {put['version']} in force {wait / SECOND:.1f} s after it could")
     waits.sort()
     made.sort()
-    return {"in_force_counted": len(waits), "late": late, "missing": missing,
-            "in_force_median_s": round(waits[len(waits) // 2], 2) if waits else None,
-            "in_force_p99_s": round(waits[min(len(waits) - 1, int(len(waits) * 0.99))], 2) if waits else None,
-            "in_force_max_s": round(waits[-1], 2) if waits else None,
-            "after_made_p99_s": round(made[min(len(made) - 1, int(len(made) * 0.99))], 2) if made else None}
+    return {
+        "in_force_counted": len(waits),
+        "late": late,
+        "missing": missing,
+        "in_force_median_s": round(waits[len(waits) // 2], 2) if waits else None,
+        "in_force_p99_s": round(waits[min(len(waits) - 1, int(len(waits) * 0.99))], 2) if waits else None,
+        "in_force_max_s": round(waits[-1], 2) if waits else None,
+        "after_made_p99_s": round(made[min(len(made) - 1, int(len(made) * 0.99))], 2) if made else None,
+    }
 
 
 def _regressions(events, lives, told: list[str]) -> int:
@@ -133,8 +144,13 @@
     """All [fence, count, digest] anywhere in a decoded body."""
     if not isinstance(value, list):
         return []
-    if len(value) == 3 and isinstance(value[0], int) and isinstance(value[1], int) and isinstance(value[2], bytes) \
-            and len(value[2]) == 32:
+    if (
+        len(value) == 3
+        and isinstance(value[0], int)
+        and isinstance(value[1], int)
+        and isinstance(value[2], bytes)
+        and len(value[2]) == 32
+    ):
         return [(value[0], value[1], value[2])]
     return [version for part in value for version in _versions_in(part)]
 
@@ -189,7 +205,11 @@
             if before["version"] != after["version"] or before["version"] not in marks:
                 continue
             for door in doors[life]:
-                if before["at"] <= door["asked"] and door["at"] <= after["asked"] and set(door["marks"]) != {marks[before["version"]]}:
+                if (
+                    before["at"] <= door["asked"]
+                    and door["at"] <= after["asked"]
+                    and set(door["marks"]) != {marks[before["version"]]}
+                ):
                     half += 1
                     told.append(f"the door of {life} shows {door['marks']} with {before['version']} in force")
     return half
@@ -231,7 +251,9 @@
         if event["ev"] == "machine" and event["zones"]:
             zones = event["zones"]
             told[event["front"]] = {
-                "nodes": sum(zone["nodes"] for zone in zones), "at_newest": sum(zone["at_newest"] for zone in zones),
+                "nodes": sum(zone["nodes"] for zone in zones),
+                "at_newest": sum(zone["at_newest"] for zone in zones),
                 "refusing": sum(zone["refusing"] for zone in zones),
-                "lowest": min((zone["lowest"] for zone in zones), key=number_of)}
+                "lowest": min((zone["lowest"] for zone in zones), key=number_of),
+            }
     return {"fronts": len(last), "in_force_at_end": sorted(set(last.values())), "told": told}
--- a/curlewshift/verdict/leases.py
+++ b/curlewshift/verdict/leases.py
@@ -34,7 +34,16 @@
     for event in sorted(events, key=lambda event: event["at"]):
         if event["ev"] == "act" and event["at"] <= over:
             acts[event["lease"]].append(event)
-    told = {"acts": 0, "handovers": 0, "overlaps": 0, "outlived": 0, "refused_stale": 0, "longest_gap_s": 0.0, "holders": 0, "examples": []}
+    told = {
+        "acts": 0,
+        "handovers": 0,
+        "overlaps": 0,
+        "outlived": 0,
+        "refused_stale": 0,
+        "longest_gap_s": 0.0,
+        "holders": 0,
+        "examples": [],
+    }
     fronts = set()
     for lease, rows in acts.items():
         accepted = [row for row in rows if row["accepted"]]
@@ -44,8 +53,9 @@
         for row in accepted:
             tenures[row["number"]].append(row)
             fronts.add(row["front"])
-        spans = sorted((rows[0]["at"], rows[-1]["at"], number, {row["front"] for row in rows})
-                       for number, rows in tenures.items())
+        spans = sorted(
+            (rows[0]["at"], rows[-1]["at"], number, {row["front"] for row in rows}) for number, rows in tenures.items()
+        )
         told["handovers"] += max(0, len(spans) - 1)
         for _, _, number, holders in spans:
             if len(holders) > 1:
@@ -54,17 +64,22 @@
         for (began, ended, number, holders), (after, _, later, others) in zip(spans, spans[1:]):
             if after <= ended or later < number:
                 told["overlaps"] += 1
-                told["examples"].append(f"{lease}: {'/'.join(others)} acted by {later} {(ended - after) / 1e6:.0f} ms before "
-                                        f"the last of {'/'.join(holders)} by {number}")
+                told["examples"].append(
+                    f"{lease}: {'/'.join(others)} acted by {later} {(ended - after) / 1e6:.0f} ms before "
+                    f"the last of {'/'.join(holders)} by {number}"
+                )
         for row in rows:
             if not row["accepted"]:
                 later = min((span[0] for span in spans if span[2] > row["number"]), default=row["at"])
                 late = row["at"] - later
-                if late > ON_ITS_WAY and not any(since <= row["at"] and until >= row["at"] - ON_ITS_WAY
-                                                 for since, until in stopped[row["front"].rpartition(".")[0]]):
+                if late > ON_ITS_WAY and not any(
+                    since <= row["at"] and until >= row["at"] - ON_ITS_WAY
+                    for since, until in stopped[row["front"].rpartition(".")[0]]
+                ):
                     told["outlived"] += 1
-                    told["examples"].append(f"{lease}: {row['front']} still acted by {row['number']} {late / 1e6:.0f} ms after "
-                                            "a later one had begun")
+                    told["examples"].append(
+                        f"{lease}: {row['front']} still acted by {row['number']} {late / 1e6:.0f} ms after a later one had begun"
+                    )
         times = [row["at"] for row in accepted]
         told["longest_gap_s"] = max([told["longest_gap_s"], *((b - a) / SECOND for a, b in zip(times, times[1:]))])
     told["longest_gap_s"], told["holders"] = round(told["longest_gap_s"], 2), len(fronts)
@@ -79,8 +94,9 @@
     taken = {event["session"] for event in events if event["ev"] == "adopted"}
     ends = {event["session"]: event["at"] for event in events if event["ev"] == "session-end"}
     died = {(event["server"], event["boot"]): event["at"] for event in events if event["ev"] == "dead"}
-    over = max((event["at"] for event in events if event["ev"] == "day-over"), default=max(
-        (event["at"] for event in events), default=0))
+    over = max(
+        (event["at"] for event in events if event["ev"] == "day-over"), default=max((event["at"] for event in events), default=0)
+    )
     stood = []
     for event in events:
         if event["ev"] == "session" and event["front"] in killed and event["session"] not in taken:
@@ -89,5 +105,9 @@
             if event["at"] <= since < until:
                 stood.append((until - since) / SECOND)
     stood.sort()
-    return {"left": len(stood), "seconds": round(sum(stood), 1), "median_s": round(stood[len(stood) // 2], 2) if stood else 0.0,
-            "longest_s": round(stood[-1], 2) if stood else 0.0}
+    return {
+        "left": len(stood),
+        "seconds": round(sum(stood), 1),
+        "median_s": round(stood[len(stood) // 2], 2) if stood else 0.0,
+        "longest_s": round(stood[-1], 2) if stood else 0.0,
+    }
--- a/curlewshift/verdict/members.py
+++ b/curlewshift/verdict/members.py
@@ -67,7 +67,7 @@
                 began = open_troubles.pop((event["kind"], tuple(event["fronts"])))
                 self.ends.append(at)
                 # a cut befalls both sides: each is gone to the other
-                for front in (event["fronts"] if event["kind"] == "one-way" else sorted(born)):
+                for front in event["fronts"] if event["kind"] == "one-way" else sorted(born):
                     self.spans[front].append((began, at))
         for front, (began, life) in born.items():
             self.up[front].append((began, 2**63, life))
@@ -89,12 +89,22 @@
     events = [event for event in events if event["at"] <= over]
     views = [event for event in events if event["ev"] == "view"]
     fates = Fates(events, period)
-    told = {**_false_gone(views, fates), **_detection(views, fates, period), **_agreement(views, fates, over),
-            **_forgetting(views, fates, forget_after, period), **_taken(events)}
+    told = {
+        **_false_gone(views, fates),
+        **_detection(views, fates, period),
+        **_agreement(views, fates, over),
+        **_forgetting(views, fates, forget_after, period),
+        **_taken(events),
+    }
     told["datagrams"] = sum(event["ev"] == "peer-heard" for event in events)
     told["bytes_a_second"] = _median([view["sent"] for view in views])
-    told["broken"] = bool(told["false_gone"] or told["malformed_taken"] or told["old_life_taken"] or told["not_forgotten"]
-                          or told["agreed_after_s"] is None)
+    told["broken"] = bool(
+        told["false_gone"]
+        or told["malformed_taken"]
+        or told["old_life_taken"]
+        or told["not_forgotten"]
+        or told["agreed_after_s"] is None
+    )
     return told
 
 
@@ -127,17 +137,24 @@
                 if view["at"] < ended:
                     if held is not None and held[2] in ("alive", "suspect"):
                         before[view["front"]] = held[1]
-                elif view["front"] in before and view["front"] not in seen and (
-                        held is None or held[2] in ("gone", "left") or held[1] > before[view["front"]]):
+                elif (
+                    view["front"] in before
+                    and view["front"] not in seen
+                    and (held is None or held[2] in ("gone", "left") or held[1] > before[view["front"]])
+                ):
                     seen.add(view["front"])
                     if fates.sound(view["front"], view["at"]):
                         took.append((view["at"] - ended) / period)
-            unseen += sum(other not in seen and fates.sound(other, ended) and fates.sound(other, ended + fates.shows_on)
-                          for other in before)
+            unseen += sum(
+                other not in seen and fates.sound(other, ended) and fates.sound(other, ended + fates.shows_on) for other in before
+            )
     took.sort()
-    return {"detected": len(took), "not_detected": unseen,
-            "detected_periods_median": round(_median(took), 2),
-            "detected_periods_p99": round(took[min(len(took) - 1, int(len(took) * 0.99))], 2) if took else None}
+    return {
+        "detected": len(took),
+        "not_detected": unseen,
+        "detected_periods_median": round(_median(took), 2),
+        "detected_periods_p99": round(took[min(len(took) - 1, int(len(took) * 0.99))], 2) if took else None,
+    }
 
 
 def _agreement(views: list[dict], fates: Fates, over: int) -> dict:
@@ -171,8 +188,11 @@
         for key in rows:
             began = since.setdefault(key, view["at"])
             # a front that was stopped meanwhile has not counted that time
-            stopped = sum(min(until, view["at"]) - max(at, began) for at, until in fates.stopped[view["front"]]
-                          if at < view["at"] and until > began)
+            stopped = sum(
+                min(until, view["at"]) - max(at, began)
+                for at, until in fates.stopped[view["front"]]
+                if at < view["at"] and until > began
+            )
             if view["at"] - began - stopped > forget_after + FORGETS_WITHIN * period:
                 late.add(key)
     return {"not_forgotten": len(late)}
