--- a/curlewshift/verdict/phases.py
+++ b/curlewshift/verdict/phases.py
@@ -16,8 +16,12 @@
     target, and their ratio. A viewing belongs to the phase in which it was first asked for. `starts` and `ends` are
     seconds of the day; `recovering` is the ten seconds after the end."""
     day = next(event for event in events if event["ev"] == "day")
-    borders = {"before": (0.0, starts), "during": (starts, ends), "recovering": (ends, ends + BACK_WITHIN / SECOND),
-               "after": (ends + BACK_WITHIN / SECOND, 1e9)}
+    borders = {
+        "before": (0.0, starts),
+        "during": (starts, ends),
+        "recovering": (ends, ends + BACK_WITHIN / SECOND),
+        "after": (ends + BACK_WITHIN / SECOND, 1e9),
+    }
     asks = {event["request"]: event for event in events if event["ev"] == "ask"}
     served = set()
     for event in events:
@@ -27,10 +31,18 @@
     told: dict = defaultdict(dict)
     for package, value in figures.value.items():
         for phase, (begin, end) in borders.items():
-            wanted = [event["viewing"] for event in events if event["ev"] == "viewing" and event["package"] == package
-                      and begin <= (event["at"] - day["begins"]) / SECOND < end]
+            wanted = [
+                event["viewing"]
+                for event in events
+                if event["ev"] == "viewing"
+                and event["package"] == package
+                and begin <= (event["at"] - day["begins"]) / SECOND < end
+            ]
             got = sum(viewing in served for viewing in wanted)
-            told[package][phase] = {"viewings": len(wanted), "asked": round(value * len(wanted), 3),
-                                    "answered": round(value * got, 3),
-                                    "service": round(got / len(wanted), 4) if wanted else None}
+            told[package][phase] = {
+                "viewings": len(wanted),
+                "asked": round(value * len(wanted), 3),
+                "answered": round(value * got, 3),
+                "service": round(got / len(wanted), 4) if wanted else None,
+            }
     return dict(told)
--- a/curlewshift/verdict/shed.py
+++ b/curlewshift/verdict/shed.py
@@ -21,8 +21,9 @@
 ENOUGH = 30
 
 
-def judge_shed(events: list[dict], figures: Figures, worth: dict[str, float], floor: float,
-               returns: list[tuple[int, int]] = ()) -> dict:
+def judge_shed(
+    events: list[dict], figures: Figures, worth: dict[str, float], floor: float, returns: list[tuple[int, int]] = ()
+) -> dict:
     """`worth` is each package's value for the room it takes at the least, `floor` the part of each that is let in whatever is
     short. `returns` are when a loss of servers began and when they were back (ns)."""
     asks = {event["request"]: event for event in events if event["ev"] == "ask"}
@@ -47,22 +48,37 @@
     out = _out_of_order(asks, let_in, refused, worth, floor)
     share = out / len(refused) if refused else 0.0
     starved = _starved(asks, let_in)
-    told = {"refused": len(refused), "out_of_order": round(share, 4), "asks_a_viewing": round(len(asks) / max(1, len(viewings)), 3),
-            "served": {package: round(got[package] / count, 3) for package, count in asked.items()},
-            "value_served": round(sum(figures.value[package] * count for package, count in got.items()), 1),
-            "value_asked": round(sum(figures.value[package] * count for package, count in asked.items()), 1),
-            "storm_over_s": [storm_over(events, began, back) for began, back in returns],
-            "came_together": round(_came_together(events, refused), 2), "starved": starved,
-            "went_round": round(_went_round(events, asks), 4), "unordered": _unordered(asked, got, worth)}
-    told["broken"] = (bool(starved) or told["unordered"] or share > MOST_OUT_OF_ORDER or told["came_together"] > MOST_TOGETHER
-                      or told["went_round"] > MOST_WENT_ROUND)
+    told = {
+        "refused": len(refused),
+        "out_of_order": round(share, 4),
+        "asks_a_viewing": round(len(asks) / max(1, len(viewings)), 3),
+        "served": {package: round(got[package] / count, 3) for package, count in asked.items()},
+        "value_served": round(sum(figures.value[package] * count for package, count in got.items()), 1),
+        "value_asked": round(sum(figures.value[package] * count for package, count in asked.items()), 1),
+        "storm_over_s": [storm_over(events, began, back) for began, back in returns],
+        "came_together": round(_came_together(events, refused), 2),
+        "starved": starved,
+        "went_round": round(_went_round(events, asks), 4),
+        "unordered": _unordered(asked, got, worth),
+    }
+    told["broken"] = (
+        bool(starved)
+        or told["unordered"]
+        or share > MOST_OUT_OF_ORDER
+        or told["came_together"] > MOST_TOGETHER
+        or told["went_round"] > MOST_WENT_ROUND
+    )
     return told
 
 
 def _out_of_order(asks: dict, let_in, refused: list, worth: dict[str, float], floor: float) -> float:
     """Refusals in each moment that could have been let in, had those of less worth been refused that were let in beyond their
     floor. Of a package's few the floor lets in one more or less by chance."""
-    came, got, lost = defaultdict(lambda: defaultdict(int)), defaultdict(lambda: defaultdict(int)), defaultdict(lambda: defaultdict(int))
+    came, got, lost = (
+        defaultdict(lambda: defaultdict(int)),
+        defaultdict(lambda: defaultdict(int)),
+        defaultdict(lambda: defaultdict(int)),
+    )
     for ask in asks.values():
         came[ask["at"] // MOMENT][ask["package"]] += 1
     for package, rows in let_in.items():
@@ -73,8 +89,9 @@
     out = 0.0
     for moment, packages in lost.items():
         for package, count in packages.items():
-            instead = sum(max(0.0, got[moment][other] - 1 - floor * came[moment][other]) for other in worth
-                          if worth[other] < worth[package])
+            instead = sum(
+                max(0.0, got[moment][other] - 1 - floor * came[moment][other]) for other in worth if worth[other] < worth[package]
+            )
             out += min(count, instead)
     return out
 
--- a/curlewshift/verdict/verdict.py
+++ b/curlewshift/verdict/verdict.py
@@ -91,8 +91,11 @@
         # a process that is stopped can neither read nor answer
         self.stopped: dict[str, list[tuple[int, int]]] = defaultdict(list)
         for event in self.by_kind["front-paused"]:
-            goes_on = [other["at"] for other in self.by_kind["front-goes-on"]
-                       if other["life"] == event["life"] and other["at"] >= event["at"]]
+            goes_on = [
+                other["at"]
+                for other in self.by_kind["front-goes-on"]
+                if other["life"] == event["life"] and other["at"] >= event["at"]
+            ]
             self.stopped[event["front"]].append((event["at"], min(goes_on, default=2**63)))
         # tune-ins as their servers saw them
         self.over = {self._tune_in(event): event for event in self.by_kind["setup-over"]}
@@ -159,13 +162,20 @@
     cold_spared(day, rules["4"])
     terms_kept(day, rules["5"])
     budget_kept(day, rules["6"])
-    return {**counts, "service": service(day), **sessions_ended(day), **taken_up(day),
-            "tune_ins_per_request_max": max((len(setups) for setups in day.setups.values()), default=0), "rules": {number: rule.told() for number, rule in rules.items()},
-            "troubles": sorted({event["kind"] for event in day.by_kind["trouble"]})}
+    return {
+        **counts,
+        "service": service(day),
+        **sessions_ended(day),
+        **taken_up(day),
+        "tune_ins_per_request_max": max((len(setups) for setups in day.setups.values()), default=0),
+        "rules": {number: rule.told() for number, rule in rules.items()},
+        "troubles": sorted({event["kind"] for event in day.by_kind["trouble"]}),
+    }
 
 
 # ---- rule 1
 
+
 def answered_once(day: Day, rule: Rule) -> dict:
     answers: dict[str, list[dict]] = defaultdict(list)
     for event in day.by_kind["answer"]:
@@ -186,16 +196,21 @@
         elif not got and request not in left and not day.excused(ask["front"], ask["at"], until):
             unanswered += 1
             rule.breaks(f"{request} at {ask['front']} got no answer")
-    return {"requests": len(day.by_kind["ask"]), "answers": answered, "duplicates": duplicates,
-            "unanswered": unanswered, "late": late}
+    return {
+        "requests": len(day.by_kind["ask"]),
+        "answers": answered,
+        "duplicates": duplicates,
+        "unanswered": unanswered,
+        "late": late,
+    }
 
 
 # ---- rule 2
 
+
 def set_up_once(day: Day, rule: Rule) -> None:
     """Never two out at once; and a paid one neither resent nor refused where an earlier one may have run."""
-    refused = {same_request(event["request"]): event["at"] for event in day.by_kind["answer"]
-               if event["status"] == 503}
+    refused = {same_request(event["request"]): event["at"] for event in day.by_kind["answer"] if event["status"] == 503}
     for request, setups in day.setups.items():
         paid = setups[0]["package"] in day.figures.paid
         if paid or len(setups) > 1:
@@ -216,6 +231,7 @@
 
 # ---- rule 3
 
+
 def drains_kept(day: Day, rule: Rule) -> None:
     told: dict[tuple[str, str], list[tuple[int, bool]]] = defaultdict(list)
     names: dict[str, set[str]] = defaultdict(set)
@@ -241,6 +257,7 @@
 
 # ---- rule 4
 
+
 def cold_spared(day: Day, rule: Rule) -> None:
     """For each cold start: any window with more set-ups than it bears, most of them by fronts that had to know."""
     figures = day.figures
@@ -251,21 +268,21 @@
     for boot in day.by_kind["boot"]:
         if boot["at"] - boot["born"] >= figures.warm_within:
             continue
-        setups = [setup for setup in arrivals[boot["server"], boot["boot"]]
-                  if setup["at"] < boot["born"] + figures.warm_within]
+        setups = [setup for setup in arrivals[boot["server"], boot["boot"]] if setup["at"] < boot["born"] + figures.warm_within]
         if not setups:
             continue
         rule.applied += 1
         times = [setup["at"] for setup in setups]
         for index, setup in enumerate(setups):
-            window = setups[bisect_left(times, setup["at"] - figures.fall_within + 1):index + 1]
+            window = setups[bisect_left(times, setup["at"] - figures.fall_within + 1) : index + 1]
             age = setup["at"] - boot["born"]
             warm = figures.start_capacity + (1 - figures.start_capacity) * age / figures.warm_within
             bears = figures.fall_multiple * boot["streams"] / figures.warm_within * warm * figures.fall_within
             knowing = sum(knew(one, boot) for one in window)
             if len(window) > max(1.0, bears) and knowing * 2 > len(window):
-                rule.breaks(f"{boot['server']} took {len(window)} set-ups where it bears {bears:.1f}, "
-                            f"{knowing} of fronts that knew")
+                rule.breaks(
+                    f"{boot['server']} took {len(window)} set-ups where it bears {bears:.1f}, {knowing} of fronts that knew"
+                )
                 break
 
 
@@ -298,11 +315,13 @@
         witness = any(earlier < end <= at - APART for end in saw[key])
         listed = any(boot["at"] < told_at <= at - APART for told_at in told[key])
         return heard or witness or listed
+
     return knew
 
 
 # ---- rule 5
 
+
 def terms_kept(day: Day, rule: Rule) -> None:
     figures = day.figures
     for event in [*day.by_kind["setup"], *day.by_kind["layer"]]:
@@ -341,8 +360,10 @@
             """Until when a life of a front may hold there what it has: to the end of either, or what it is told."""
             life, told = day.life.get(front), dropped[front, server]
             after = bisect_left(told, since)
-            return min(day.died.get((server, boot), 2**63), life.ended if life else 2**63,
-                       told[after] if after < len(told) else 2**63)
+            return min(
+                day.died.get((server, boot), 2**63), life.ended if life else 2**63, told[after] if after < len(told) else 2**63
+            )
+
         end = over["at"] if over else setup["at"]
         if session is not None and over and over["how"] == "answered":
             end = gone
@@ -365,6 +386,7 @@
 
 # ---- rule 6
 
+
 def budget_kept(day: Day, rule: Rule) -> None:
     figures = day.figures
     if figures.free_further is None:
@@ -393,6 +415,7 @@
 
 # ---- sessions that nobody was told of
 
+
 def sessions_ended(day: Day) -> dict:
     """Sessions set up for requests that never heard of them: `torn_down` by their front, or `left_standing` until
     the server ended them itself. What a server that hung or died could not hear is its front's fault no more, nor is
@@ -433,19 +456,22 @@
             worth = day.figures.value[session["package"]]
             # its viewer had left while no front was there to hear of it
             left_alone = day.session_ends.get(session["session"], {}).get("why") == "nobody watches"
-            on = (same_request(session["request"]) in closed or left_alone or ended - life.ended >= WENT_ON
-                  or ended >= last)
+            on = same_request(session["request"]) in closed or left_alone or ended - life.ended >= WENT_ON or ended >= last
             playing, value = playing + 1, value + worth
             went_on, kept_value = went_on + on, kept_value + worth * on
         after = [other.began for other in day.lives[life.front] if other.began >= life.ended]
         if after and session["session"] not in adopted and server not in day.hung:
             left += ended > min(after) + TAKEN_UP_WITHIN
-    return {"recovered": len(adopted), "orphans_left": left, "over_kills": {
-        "playing": playing, "went_on": went_on, "value": value, "value_kept": kept_value}}
+    return {
+        "recovered": len(adopted),
+        "orphans_left": left,
+        "over_kills": {"playing": playing, "went_on": went_on, "value": value, "value_kept": kept_value},
+    }
 
 
 # ---- service
 
+
 def service(day: Day) -> float:
     """Value answered by a start within the join target over the value asked for; who comes again is one viewing."""
     asked = {event["viewing"]: event["package"] for event in day.by_kind["viewing"]}
--- a/curlewshift/walk/budgets.py
+++ b/curlewshift/walk/budgets.py
@@ -72,7 +72,11 @@
     def copied(self) -> BudgetWorld:
         other = copy(self)
         other.clocks, other.lives, other.network, other.uses = (
-            list(self.clocks), list(self.lives), list(self.network), list(self.uses))
+            list(self.clocks),
+            list(self.lives),
+            list(self.network),
+            list(self.uses),
+        )
         other.fronts = []
         for number, front in enumerate(self.fronts):
             twin = copy(front)
@@ -80,7 +84,11 @@
             twin.steady = copy(front.steady)
             twin.steady.due = front.steady.due
             twin.lent, twin.wanted, twin.used, twin.out = (
-                dict(front.lent), dict(front.wanted), dict(front.used), dict(front.out))
+                dict(front.lent),
+                dict(front.wanted),
+                dict(front.used),
+                dict(front.out),
+            )
             twin.done = dict(front.done)
             twin.borrowed = {key: dict(held) for key, held in front.borrowed.items()}
             twin.numbers = copy(front.numbers)
@@ -94,18 +102,39 @@
             steady = front.steady.last
             # what a borrower wants and has used is asked of nobody here
             until, *loan = front.lent.get(KEY, (0,))
-            lends = (max(0, until - steady), tuple(loan) if until > steady else (), min(9, steady - front.used.get(KEY, -9))
-                     ) if front.me == LENDER else ()
-            fronts.append((
-                max(0, front.quiet_until - steady), lends,
-                tuple(sorted((lender, until - now, number) for lender, (until, _, number)
-                             in front.borrowed.get(KEY, {}).items() if until > now)),
-                bool(front.done), tuple(sorted((now - ask[1], number) for number, ask in front.out.items() if now - ask[1] < TERMS.term))))
-        recent = tuple(sorted((self.tick - tick, who) for tick, who, clock in self.uses
-                              if (self.tick - tick) * UNITS < TRUE_WINDOW))
-        return tuple(fronts), tuple(self.network), recent, sum(self.lives), tuple(
-            sum(self.clocks[who] - clock < TERMS.window for _, one, clock in self.uses if one == who)
-            for who in range(len(self.rates)))
+            lends = (
+                (max(0, until - steady), tuple(loan) if until > steady else (), min(9, steady - front.used.get(KEY, -9)))
+                if front.me == LENDER
+                else ()
+            )
+            fronts.append(
+                (
+                    max(0, front.quiet_until - steady),
+                    lends,
+                    tuple(
+                        sorted(
+                            (lender, until - now, number)
+                            for lender, (until, _, number) in front.borrowed.get(KEY, {}).items()
+                            if until > now
+                        )
+                    ),
+                    bool(front.done),
+                    tuple(sorted((now - ask[1], number) for number, ask in front.out.items() if now - ask[1] < TERMS.term)),
+                )
+            )
+        recent = tuple(
+            sorted((self.tick - tick, who) for tick, who, clock in self.uses if (self.tick - tick) * UNITS < TRUE_WINDOW)
+        )
+        return (
+            tuple(fronts),
+            tuple(self.network),
+            recent,
+            sum(self.lives),
+            tuple(
+                sum(self.clocks[who] - clock < TERMS.window for _, one, clock in self.uses if one == who)
+                for who in range(len(self.rates))
+            ),
+        )
 
     # ---- what can happen
 
@@ -153,7 +182,7 @@
 
     def send(self, message: tuple) -> None:
         if message not in self.network:
-            self.network = [*self.network, message][-self.messages:]
+            self.network = [*self.network, message][-self.messages :]
 
     def may(self, number: int) -> bool:
         """As the rules count: so many in the window by its own clock as there are parts in its hands."""
@@ -171,13 +200,15 @@
             raise Broken(f"{together} uses within one window of a budget of {RIGHTS}")
 
 
-def walk_budgets(depth: int, rates: tuple[int, ...] = (3, 4, 5), loans: type[Loans] = Loans, most: int = 10**9,
-                 messages: int = MOST_MESSAGES) -> Walked:
+def walk_budgets(
+    depth: int, rates: tuple[int, ...] = (3, 4, 5), loans: type[Loans] = Loans, most: int = 10**9, messages: int = MOST_MESSAGES
+) -> Walked:
     return explore(BudgetWorld(rates, loans, messages), depth, most)
 
 
 # ---- planted faults: each has to give a shortest course that breaks the sum
 
+
 class RightGivenTwice(Loans):
     """Lends what it has lent already."""
 
@@ -205,4 +236,3 @@
 
 
 FAULTS = {"right-given-twice": RightGivenTwice, "no-term": NoTerm, "rights-survive-restart": RightsSurviveRestart}
-
--- a/curlewshift/walk/leases.py
+++ b/curlewshift/walk/leases.py
@@ -75,8 +75,9 @@
 class LeaseWorld:
     """`rates`: units of the askers' clocks a tick, then of the keepers', which run alike."""
 
-    def __init__(self, rates: tuple[int, int, int], asker: type[Asker] = Asker, keeper: type[Keeper] = Keeper,
-                 keepers: int = KEEPERS):
+    def __init__(
+        self, rates: tuple[int, int, int], asker: type[Asker] = Asker, keeper: type[Keeper] = Keeper, keepers: int = KEEPERS
+    ):
         self.rates = (*rates[:2], *[rates[2]] * keepers)
         self.kinds, self.size = (asker, keeper), keepers
         self.clocks = [1000] * (ASKERS + keepers)
@@ -103,7 +104,12 @@
     def copied(self) -> LeaseWorld:
         other = copy(self)
         other.clocks, other.lives, other.asks, other.stale, other.back = (
-            list(self.clocks), list(self.lives), dict(self.asks), dict(self.stale), list(self.back))
+            list(self.clocks),
+            list(self.lives),
+            dict(self.asks),
+            dict(self.stale),
+            list(self.back),
+        )
         other.askers, other.keepers = [], []
         for number, asker in enumerate(self.askers):
             twin = copy(asker)
@@ -132,30 +138,64 @@
         ballots |= {words[2] for _, _, words in self.back}
         rank = {ballot: (index, ballot.front) for index, ballot in enumerate(sorted(ballots))}
 
-        askers = tuple((
-            rank[held.ballot], held.asked_at >= 0, held.proposing, held.renews, max(0, held.until - now),
-            held.proposed_at - now if held.proposing else 0, held.fence - self.ticks if held.until > now or held.proposing else 0,
-            rank[self.stale[number][1]] if number in self.stale else ())
-            for number, (held, now) in enumerate((asker.tries[LEASE], self.clocks[number])
-                                                 for number, asker in enumerate(self.askers)))
+        askers = tuple(
+            (
+                rank[held.ballot],
+                held.asked_at >= 0,
+                held.proposing,
+                held.renews,
+                max(0, held.until - now),
+                held.proposed_at - now if held.proposing else 0,
+                held.fence - self.ticks if held.until > now or held.proposing else 0,
+                rank[self.stale[number][1]] if number in self.stale else (),
+            )
+            for number, (held, now) in enumerate(
+                (asker.tries[LEASE], self.clocks[number]) for number, asker in enumerate(self.askers)
+            )
+        )
 
         def of(keeper: int) -> tuple:
             """All that is known of one keeper, by anyone: keepers with the same are the same, so that their order says nothing."""
             one = self.keepers[keeper]
             kept, steady = one.leases.get(LEASE), one.steady.last
-            own = (max(0, one.silent_until - steady),) if kept is None else (
-                max(0, one.silent_until - steady), rank[kept.promised], rank[kept.accepted], kept.holder,
-                max(0, kept.until - steady), kept.fence - self.ticks)
+            own = (
+                (max(0, one.silent_until - steady),)
+                if kept is None
+                else (
+                    max(0, one.silent_until - steady),
+                    rank[kept.promised],
+                    rank[kept.accepted],
+                    kept.holder,
+                    max(0, kept.until - steady),
+                    kept.fence - self.ticks,
+                )
+            )
             heard = []
             for number, asker in enumerate(self.askers):
                 held, ask = asker.tries[LEASE], self.asks.get((number, keeper))
                 told = held.promised.get(keeper) if held.asked_at >= 0 and not held.proposing else None
-                heard.append(((told[0], rank[told[1]]) if told else (), held.proposing and keeper in held.accepted,
-                              (ask[0], rank[ask[1]]) if ask else ()))
-            back = tuple(sorted((to, what, rank[words[2]], words[3:5] if what == "promise" else ())
-                                for to, what, words in self.back if words[0] == keeper))
+                heard.append(
+                    (
+                        (told[0], rank[told[1]]) if told else (),
+                        held.proposing and keeper in held.accepted,
+                        (ask[0], rank[ask[1]]) if ask else (),
+                    )
+                )
+            back = tuple(
+                sorted(
+                    (to, what, rank[words[2]], words[3:5] if what == "promise" else ())
+                    for to, what, words in self.back
+                    if words[0] == keeper
+                )
+            )
             return own, tuple(heard), back
-        return askers, tuple(sorted((of(keeper) for keeper in range(self.size)), key=repr)), self.restarts, self.latest_fence - self.ticks
+
+        return (
+            askers,
+            tuple(sorted((of(keeper) for keeper in range(self.size)), key=repr)),
+            self.restarts,
+            self.latest_fence - self.ticks,
+        )
 
     # ---- what can happen
 
@@ -272,11 +312,22 @@
     return [tuple(one for one in range(size) if mask >> one & 1) for mask in range(1 << size)]
 
 
-def walk_leases(depth: int, rates: tuple[int, int, int] = (3, 4, 5), asker: type[Asker] = Asker,
-                keeper: type[Keeper] = Keeper, most: int = 10**9) -> Walked:
+def walk_leases(
+    depth: int,
+    rates: tuple[int, int, int] = (3, 4, 5),
+    asker: type[Asker] = Asker,
+    keeper: type[Keeper] = Keeper,
+    most: int = 10**9,
+) -> Walked:
     return explore(LeaseWorld(rates, asker, keeper), depth, most)
 
 
-def walk_rounds(depth: int, rates: tuple[int, int, int] = (3, 4, 5), asker: type[Asker] = Asker,
-                keeper: type[Keeper] = Keeper, most: int = 10**9, keepers: int = KEEPERS) -> Walked:
+def walk_rounds(
+    depth: int,
+    rates: tuple[int, int, int] = (3, 4, 5),
+    asker: type[Asker] = Asker,
+    keeper: type[Keeper] = Keeper,
+    most: int = 10**9,
+    keepers: int = KEEPERS,
+) -> Walked:
     return explore(LeaseRounds(rates, asker, keeper, keepers), depth, most)
--- a/curlewshift/walk/versions.py
+++ b/curlewshift/walk/versions.py
@@ -126,8 +126,7 @@
 class VersionWorld:
     tenures_most, puts_most, restarts_most, lost_most = MOST_TENURES, MOST_PUTS, MOST_RESTARTS, MOST_LOST
 
-    def __init__(self, writer: type[Writer] = Writer, store: type[Store] = Store, node: type[Copy] = Copy,
-                 blank: bool = False):
+    def __init__(self, writer: type[Writer] = Writer, store: type[Store] = Store, node: type[Copy] = Copy, blank: bool = False):
         self.kinds = (writer, store, node)
         self.fences, self.latest_fence, self.lives = [0] * WRITERS, 0, [1] * WRITERS
         self.tenures = self.puts = self.restarts = self.lost = self.records = 0
@@ -162,8 +161,22 @@
 
     def copied(self) -> VersionWorld:
         other = copy(self)
-        for name in ("fences", "lives", "words", "stale", "back", "contents", "bases", "numbers", "votes", "chosen", "told",
-                     "records_kept", "disks", "floors"):
+        for name in (
+            "fences",
+            "lives",
+            "words",
+            "stale",
+            "back",
+            "contents",
+            "bases",
+            "numbers",
+            "votes",
+            "chosen",
+            "told",
+            "records_kept",
+            "disks",
+            "floors",
+        ):
             setattr(other, name, copy(getattr(self, name)))
         other.writers = []
         for number, writer in enumerate(self.writers):
@@ -189,20 +202,58 @@
         return other
 
     def state(self) -> tuple:
-        writers = tuple((self.fences[number], self._put_state(writer), () if writer.tenure is None else (
-            writer.tenure.ballot, tuple(sorted((name, repr(stand)) for name, stand in writer.tenure.stands.items())),
-            writer.tenure.decided, writer.tenure.value, writer.tenure.is_chosen, tuple(sorted(writer.tenure.votes)),
-            writer.tenure.count, tuple(sorted(writer.tenure.letting.items())), writer.tenure.outbid_by))
-            for number, writer in enumerate(self.writers))
-        stores = tuple((store.number, store.blank, store.promised, store.taken_at, store.taken, store.chosen,
-                        tuple(sorted(store.noted.items()))) for store in self.stores.values())
+        writers = tuple(
+            (
+                self.fences[number],
+                self._put_state(writer),
+                ()
+                if writer.tenure is None
+                else (
+                    writer.tenure.ballot,
+                    tuple(sorted((name, repr(stand)) for name, stand in writer.tenure.stands.items())),
+                    writer.tenure.decided,
+                    writer.tenure.value,
+                    writer.tenure.is_chosen,
+                    tuple(sorted(writer.tenure.votes)),
+                    writer.tenure.count,
+                    tuple(sorted(writer.tenure.letting.items())),
+                    writer.tenure.outbid_by,
+                ),
+            )
+            for number, writer in enumerate(self.writers)
+        )
+        stores = tuple(
+            (
+                store.number,
+                store.blank,
+                store.promised,
+                store.taken_at,
+                store.taken,
+                store.chosen,
+                tuple(sorted(store.noted.items())),
+            )
+            for store in self.stores.values()
+        )
         # nodes are alike
         nodes = tuple(sorted((node.held, node.newest, disk is None) for node, disk in zip(self.nodes, self.disks)))
-        return (writers, stores, nodes, tuple(sorted((key, repr(words)) for key, words in self.words.items())),
-                tuple(sorted((key, repr(words)) for key, words in self.stale.items())),
-                tuple(sorted(map(repr, self.back))), tuple(sorted(self.told)), tuple(sorted(self.bases.items())),
-                tuple(sorted((key, tuple(sorted(held))) for key, held in self.votes.items())),
-                self.latest_fence, self.tenures, self.puts, self.restarts, self.lost, self.records, tuple(self.lives))
+        return (
+            writers,
+            stores,
+            nodes,
+            tuple(sorted((key, repr(words)) for key, words in self.words.items())),
+            tuple(sorted((key, repr(words)) for key, words in self.stale.items())),
+            tuple(sorted(map(repr, self.back))),
+            tuple(sorted(self.told)),
+            tuple(sorted(self.bases.items())),
+            tuple(sorted((key, tuple(sorted(held))) for key, held in self.votes.items())),
+            self.latest_fence,
+            self.tenures,
+            self.puts,
+            self.restarts,
+            self.lost,
+            self.records,
+            tuple(self.lives),
+        )
 
     @staticmethod
     def _put_state(writer: Writer) -> tuple:
@@ -356,12 +407,18 @@
     def steps(self) -> list[tuple]:
         found = [("stale", *key) for key in self.stale]
         for number in range(WRITERS):
-            goes_on = (["on"] if self.fences[number] else [])
+            goes_on = ["on"] if self.fences[number] else []
             if self.tenures < self.tenures_most:
                 goes_on += ["new"] + ["same"] * (0 < self.latest_fence != self.fences[number])
             puts = (False, True) if self.puts < self.puts_most and self.writers[number].wanted is None else (False,)
-            found += [("round", number, how, put, heard, most) for how in goes_on for put in puts
-                      for heard in subsets() if len(heard) > 1 for most in (3, MOST_WORDS)]
+            found += [
+                ("round", number, how, put, heard, most)
+                for how in goes_on
+                for put in puts
+                for heard in subsets()
+                if len(heard) > 1
+                for most in (3, MOST_WORDS)
+            ]
         return found + [step for step in self._rare() if step[0] not in ("tenure", "same", "put")]
 
     def take(self, step: tuple) -> None:
@@ -389,13 +446,21 @@
     return [tuple(name for index, name in enumerate(STORES) if mask >> index & 1) for mask in range(1 << len(STORES))]
 
 
-def walk_versions(depth: int, rounds: bool = False, blank: bool = False, writer: type[Writer] = Writer,
-                  store: type[Store] = Store, copy: type[Copy] = Copy, most: int = 10**9) -> Walked:
+def walk_versions(
+    depth: int,
+    rounds: bool = False,
+    blank: bool = False,
+    writer: type[Writer] = Writer,
+    store: type[Store] = Store,
+    copy: type[Copy] = Copy,
+    most: int = 10**9,
+) -> Walked:
     return explore((VersionRounds if rounds else VersionWorld)(writer, store, copy, blank), depth, most)
 
 
-def long_courses(count: int, length: int, seed: int = 1, writer: type[Writer] = Writer, store: type[Store] = Store,
-                 copy: type[Copy] = Copy) -> Walked:
+def long_courses(
+    count: int, length: int, seed: int = 1, writer: type[Writer] = Writer, store: type[Store] = Store, copy: type[Copy] = Copy
+) -> Walked:
     """By chance, and beyond any walk: courses of so many steps with more of everything, in small and in large steps in turn."""
     chance, steps = Random(seed), 0
     for number in range(count):
--- a/curlewshift/walk/world.py
+++ b/curlewshift/walk/world.py
@@ -113,12 +113,29 @@
         self.tokens: dict[object, str] = {}
         package = world.package
         terms = Terms(
-            now=world.clock, seed=1, me=0, fronts=1, packages=[package], racks_told=True, told_late=SECOND // 2,
-            max_tune_ins=3, probes=False, longest_wait=SECOND, warm_within=10 * SECOND, start_capacity=0.5,
-            fall_multiple=2.0, fall_within=SECOND, free_further=None, further_share=0.0, look_back=0)
+            now=world.clock,
+            seed=1,
+            me=0,
+            fronts=1,
+            packages=[package],
+            racks_told=True,
+            told_late=SECOND // 2,
+            max_tune_ins=3,
+            probes=False,
+            longest_wait=SECOND,
+            warm_within=10 * SECOND,
+            start_capacity=0.5,
+            fall_multiple=2.0,
+            fall_within=SECOND,
+            free_further=None,
+            further_share=0.0,
+            look_back=0,
+        )
         self.desk = world.desk_class(self, terms, Roster({"r": 1e9}, {"t": SERVERS}))
-        rows = [Row(place.name, "drain" if place.told_off else "on", SECOND, "z", "r", 1e6, 50, place.name)
-                for place in world.places.values()]
+        rows = [
+            Row(place.name, "drain" if place.told_off else "on", SECOND, "z", "r", 1e6, 50, place.name)
+            for place in world.places.values()
+        ]
         self.desk.list_full("e", 0, rows, stale=number > 1)
         self.generation = 0
         self.book.restore(world.book_log)
@@ -171,8 +188,7 @@
         self.world.questions.append((self.name, "adopt", server, tuple(paths)))
 
     def taken_up(self, one: Remembered, server):
-        course = self.desk.handed_over(one.package, one.title, one.ceiling, server, one.path, one.rung, one.key,
-                                       Offer(one.offer))
+        course = self.desk.handed_over(one.package, one.title, one.ceiling, server, one.path, one.rung, one.key, Offer(one.offer))
         self.tokens[course] = one.token
         return course
 
@@ -187,8 +203,7 @@
     """`desk_class`, `steps` and `recovery_off` are for planting faults. `paid` clients' package is paid at set-up; with
     `seats` there is one place for all clients."""
 
-    def __init__(self, budgets: Budgets, paid: bool = True, seats: int = 0, clients: int = 1, desk_class=Desk,
-                 steps=setting_up):
+    def __init__(self, budgets: Budgets, paid: bool = True, seats: int = 0, clients: int = 1, desk_class=Desk, steps=setting_up):
         self.budgets, self.desk_class, self.steps = budgets, desk_class, steps
         self.package = Package("p", 1.0, 4 * SECOND, 6 * SECOND, paid, (100.0, 200.0), 0, 1, seats)
         self.clock = BORN
@@ -214,13 +229,19 @@
 
     def goes_out(self, front: Front, tune_in: TuneIn) -> None:
         course = tune_in.course
-        if any(one.life == front.name and one.tune_in.course is course and one.stage != "over" and not one.let_go
-               for one in self.flights):
+        if any(
+            one.life == front.name and one.tune_in.course is course and one.stage != "over" and not one.let_go
+            for one in self.flights
+        ):
             raise Breach("2: two tune-ins of one viewing are out")
         client = next(client.name for client in self.clients if client.key == course.held.key)
-        flight = Flight(tune_in, front.name, client, self.steps(front.desk, tune_in, front.intents,
-                                                                        intent_of(tune_in, course.vw.expires)),
-                        self.places[tune_in.server.name].boot)
+        flight = Flight(
+            tune_in,
+            front.name,
+            client,
+            self.steps(front.desk, tune_in, front.intents, intent_of(tune_in, course.vw.expires)),
+            self.places[tune_in.server.name].boot,
+        )
         self.flights.append(flight)
         self._step(flight, None)
 
@@ -241,8 +262,12 @@
             raise Breach(f"3: {flight.client} is sent to {place.name}, which was told to drain")
         if self.package.paid_at_setup:
             for other in self.flights:
-                if other is not flight and other.tune_in.course.held.key == key and not other.never_ran and (
-                        other.stage != "write"):
+                if (
+                    other is not flight
+                    and other.tune_in.course.held.key == key
+                    and not other.never_ran
+                    and (other.stage != "write")
+                ):
                     raise Breach(f"2: {flight.client} is sent again though it may have run")
         flight.stage = "sent"
         self._check_seats()
@@ -250,8 +275,7 @@
     def _check_seats(self) -> None:
         if not self.package.seats or self.front is None:
             return
-        out = sum(one.life == self.front.name and one.stage in ("sent", "ran") and not one.let_go
-                  for one in self.flights)
+        out = sum(one.life == self.front.name and one.stage in ("sent", "ran") and not one.let_go for one in self.flights)
         held = sum(course.vw.playing for course in self.front.desk.courses.values())
         if out + held > self.package.seats:
             raise Breach(f"5: {held} held and {out} out where there are {self.package.seats} seats")
@@ -267,8 +291,11 @@
             raise Breach(f"1: {request.name} is answered too late")
         self.answers[request] = answer
         client = next(client for client in self.clients if request.name.startswith(client.name))
-        if answer.kind is Kind.REFUSED and self.package.paid_at_setup and any(
-                one.client == client.name and one.stage != "write" and not one.never_ran for one in self.flights):
+        if (
+            answer.kind is Kind.REFUSED
+            and self.package.paid_at_setup
+            and any(one.client == client.name and one.stage != "write" and not one.never_ran for one in self.flights)
+        ):
             raise Breach(f"2: {request.name} is refused though it may have run")
         if answer.kind is Kind.FAILED:
             self.failed_told.add((client.name, front.name))
@@ -348,8 +375,9 @@
                 found.append(("a server is told to drain",))
         if budgets.deaths:
             for name, place in self.places.items():
-                if place.sessions or any(one.stage in ("sent", "ran") and one.tune_in.server.name == name
-                                         for one in self.flights):
+                if place.sessions or any(
+                    one.stage in ("sent", "ran") and one.tune_in.server.name == name for one in self.flights
+                ):
                     found.append(("a server dies", name))
         return found
 
@@ -403,8 +431,7 @@
     # ---- and happens
 
     def do(self, what: str, number: object = None) -> None:
-        getattr(self, "_" + what.replace(" ", "_").replace(",", "").replace("'", ""))(
-            *(() if number is None else (number,)))
+        getattr(self, "_" + what.replace(" ", "_").replace(",", "").replace("'", ""))(*(() if number is None else (number,)))
         self._look()
 
     def _its_intent_is_kept(self, number: int) -> None:
@@ -423,8 +450,13 @@
         self.paths += 1
         flight.stage = "ran"
         flight.session = place.sessions[f"/{self.paths}"] = Session(
-            f"/{self.paths}", flight.life, mark_of(key) if self.package.paid_at_setup else "", flight.client,
-            flight.tune_in.rung, too_late=not self._alive(flight))
+            f"/{self.paths}",
+            flight.life,
+            mark_of(key) if self.package.paid_at_setup else "",
+            flight.client,
+            flight.tune_in.rung,
+            too_late=not self._alive(flight),
+        )
 
     def _the_server_turns_it_away(self, number: int) -> None:
         self.budgets.full -= 1
@@ -476,8 +508,9 @@
         _, what, server, paths = self.questions.pop(0)
         place = self.places[server.name]
         if what == "list":
-            self.front.recovery.listed(server, str(place.boot), [
-                Found(one.path, one.life, one.rung, one.mark) for one in place.sessions.values()])
+            self.front.recovery.listed(
+                server, str(place.boot), [Found(one.path, one.life, one.rung, one.mark) for one in place.sessions.values()]
+            )
         else:
             self.front.recovery.adopted(server, self._adopt(place, paths))
 
@@ -526,8 +559,7 @@
         place.told_off = True
         front = self.front
         front.generation += 1
-        front.desk.list_change("e", front.generation - 1, front.generation, [
-            Row("s1", "drain", SECOND, "z", "r", 1e6, 50, "s1")])
+        front.desk.list_change("e", front.generation - 1, front.generation, [Row("s1", "drain", SECOND, "z", "r", 1e6, 50, "s1")])
 
     def _a_server_dies(self, name: str) -> None:
         self.budgets.deaths -= 1
@@ -548,8 +580,12 @@
     def rest(self, at_most: int = LONGEST_REST) -> None:
         """Until something comes of it."""
         ends, before = self.clock + at_most, self._events()
-        while self.front is not None and self.front.wake_at is not None and self.front.wake_at <= ends and (
-                self._events() == before):
+        while (
+            self.front is not None
+            and self.front.wake_at is not None
+            and self.front.wake_at <= ends
+            and (self._events() == before)
+        ):
             self.clock, self.front.wake_at = max(self.clock, self.front.wake_at), None
             self.front.desk.time()
             self.front.recovery.time()
@@ -562,22 +598,33 @@
             self.front.recovery.time()
 
     def _events(self) -> tuple:
-        return (len(self.answers), len(self.flights), len(self.endings), len(self.questions),
-                sum(flight.let_go for flight in self.flights))
+        return (
+            len(self.answers),
+            len(self.flights),
+            len(self.endings),
+            len(self.questions),
+            sum(flight.let_go for flight in self.flights),
+        )
 
     def _look(self) -> None:
         """After each step: rungs that were told are taken at once, and nobody is kept waiting."""
         while self.errands:
             name, errand = self.errands.pop(0)
-            session = self.places[errand.course.vw.server.name].sessions.get(errand.course.session) \
-                if errand.course.vw.server else None
+            session = (
+                self.places[errand.course.vw.server.name].sessions.get(errand.course.session) if errand.course.vw.server else None
+            )
             if session is not None and errand.rung is not None:
                 session.rung = errand.rung
             self.front.desk.told_server(errand, Result.DONE)
         for client in self.clients:
             for life, request in zip(client.lives, client.asks):
-                if request is not None and request.answer is None and not request.gone and self.front is not None and (
-                        life == self.front.name and self.clock > request.expires):
+                if (
+                    request is not None
+                    and request.answer is None
+                    and not request.gone
+                    and self.front is not None
+                    and (life == self.front.name and self.clock > request.expires)
+                ):
                     raise Breach(f"1: {request.name} got no answer")
         self._check_seats()
 
@@ -588,11 +635,23 @@
             self.start()
         ends = self.clock + SETTLES
         while self.clock < ends:
-            favourable = [one for one in self.choices() if one[0] in (
-                "its intent is kept", "the server runs it", "its answer arrives", "an ending is done",
-                "a question is answered")]
-            let_go = [("nobody takes its answer", number) for number, flight in enumerate(self.flights)
-                      if flight.stage == "ran" and flight.let_go]
+            favourable = [
+                one
+                for one in self.choices()
+                if one[0]
+                in (
+                    "its intent is kept",
+                    "the server runs it",
+                    "its answer arrives",
+                    "an ending is done",
+                    "a question is answered",
+                )
+            ]
+            let_go = [
+                ("nobody takes its answer", number)
+                for number, flight in enumerate(self.flights)
+                if flight.stage == "ran" and flight.let_go
+            ]
             if let_go or favourable:
                 self.do(*(let_go or favourable)[0])
             else:
@@ -616,26 +675,88 @@
     def mark(self) -> str:
         """Two worlds with the same mark go on alike."""
         front = self.front
-        inside = "" if front is None else repr((
-            front.name, front.wake_at, [(course.vw.title, course.vw.playing, course.vw.over, course.vw.tune_ins,
-                                         course.vw.server and course.vw.server.name, course.vw.rung, course.vw.expires,
-                                         course.session, course.answer and course.answer.kind.value)
-                                        for course in front.desk.courses.values()],
-            [(key, held.until, held.course.answer and held.course.answer.kind.value)
-             for key, held in front.desk.keys.held.items()],
-            sorted(front.desk.doubts), front.recovery.over, [(at.server.name, at.out, at.done, at.tries,
-                                                             at.adopting is not None)
-                                                            for at in front.recovery.at.values()],
-            [(server.name, server.open, server.out, server.failed, round(server.trouble, 3), server.trouble_at,
-              server.full_until, server.cold_until, len(server.sent)) for server in front.desk.rules.servers],
-            len(front.desk.endings), sorted(front.intents.open), sorted(front.book.open)))
-        return repr((
-            self.clock, self.lives, self.paths, self.budgets, inside, self.book_log, self.intents_log, self.behind,
-            [(place.boot, place.told_off, sorted((one.path, one.life, one.rung) for one in place.sessions.values()))
-             for place in self.places.values()],
-            [(one.stage, one.let_go, one.never_ran, one.life, one.tune_in.server.name, one.tune_in.outcome,
-              one.session and one.session.path) for one in self.flights],
-            [ending.session for _, ending in self.endings], [(what, server.name, paths)
-                                                             for _, what, server, paths in self.questions],
-            [[(life, request.gone, request.answer and request.answer.kind.value, request.expires)
-              for life, request in zip(client.lives, client.asks)] for client in self.clients]))
+        inside = (
+            ""
+            if front is None
+            else repr(
+                (
+                    front.name,
+                    front.wake_at,
+                    [
+                        (
+                            course.vw.title,
+                            course.vw.playing,
+                            course.vw.over,
+                            course.vw.tune_ins,
+                            course.vw.server and course.vw.server.name,
+                            course.vw.rung,
+                            course.vw.expires,
+                            course.session,
+                            course.answer and course.answer.kind.value,
+                        )
+                        for course in front.desk.courses.values()
+                    ],
+                    [
+                        (key, held.until, held.course.answer and held.course.answer.kind.value)
+                        for key, held in front.desk.keys.held.items()
+                    ],
+                    sorted(front.desk.doubts),
+                    front.recovery.over,
+                    [(at.server.name, at.out, at.done, at.tries, at.adopting is not None) for at in front.recovery.at.values()],
+                    [
+                        (
+                            server.name,
+                            server.open,
+                            server.out,
+                            server.failed,
+                            round(server.trouble, 3),
+                            server.trouble_at,
+                            server.full_until,
+                            server.cold_until,
+                            len(server.sent),
+                        )
+                        for server in front.desk.rules.servers
+                    ],
+                    len(front.desk.endings),
+                    sorted(front.intents.open),
+                    sorted(front.book.open),
+                )
+            )
+        )
+        return repr(
+            (
+                self.clock,
+                self.lives,
+                self.paths,
+                self.budgets,
+                inside,
+                self.book_log,
+                self.intents_log,
+                self.behind,
+                [
+                    (place.boot, place.told_off, sorted((one.path, one.life, one.rung) for one in place.sessions.values()))
+                    for place in self.places.values()
+                ],
+                [
+                    (
+                        one.stage,
+                        one.let_go,
+                        one.never_ran,
+                        one.life,
+                        one.tune_in.server.name,
+                        one.tune_in.outcome,
+                        one.session and one.session.path,
+                    )
+                    for one in self.flights
+                ],
+                [ending.session for _, ending in self.endings],
+                [(what, server.name, paths) for _, what, server, paths in self.questions],
+                [
+                    [
+                        (life, request.gone, request.answer and request.answer.kind.value, request.expires)
+                        for life, request in zip(client.lives, client.asks)
+                    ]
+                    for client in self.clients
+                ],
+            )
+        )
--- a/tests/desk_fake.py
+++ b/tests/desk_fake.py
@@ -10,7 +10,8 @@
 PACKAGES = [
     package(name="clip", value=3.0, floor=1, seats=2),
     package(name="paid", value=2.0, paid_at_setup=True),
-    package(name="lesson", value=1.0, join_target=SECOND * 3 // 2)]
+    package(name="lesson", value=1.0, join_target=SECOND * 3 // 2),
+]
 FREE, SHARE, SPAN = 2, 0.2, 10 * SECOND
 
 
@@ -26,9 +27,24 @@
         self.sent, self.ran, self.taken, self.further, self.cold = [], set(), [], [], {}
         self.broken = []
         facts = dict(
-            now=self.clock, seed=5, me=0, fronts=1, packages=PACKAGES, racks_told=True, told_late=500 * MS,
-            max_tune_ins=3, probes=False, longest_wait=2 * SECOND, warm_within=10 * SECOND, start_capacity=0.5,
-            fall_multiple=2.0, fall_within=SECOND, free_further=FREE, further_share=SHARE, look_back=SPAN)
+            now=self.clock,
+            seed=5,
+            me=0,
+            fronts=1,
+            packages=PACKAGES,
+            racks_told=True,
+            told_late=500 * MS,
+            max_tune_ins=3,
+            probes=False,
+            longest_wait=2 * SECOND,
+            warm_within=10 * SECOND,
+            start_capacity=0.5,
+            fall_multiple=2.0,
+            fall_within=SECOND,
+            free_further=FREE,
+            further_share=SHARE,
+            look_back=SPAN,
+        )
         how = {key: changed.pop(key) for key in ("most_waiting", "most_keys", "calendar") if key in changed}
         titles = {"t1": ("a", "b"), "t2": ("b", "c", "d"), "t3": ("a", "b", "c", "d")}
         self.desk = Desk(self, Terms(**{**facts, **changed}), Roster({"r": 1e6}, titles), **how)
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -25,8 +25,17 @@
 
 
 def package(**changed):
-    facts = dict(name="clip", value=1.0, join_target=SECOND, patience=4 * SECOND, paid_at_setup=False,
-                 rates=(100.0, 200.0, 400.0), floor=0, top=2, seats=0)
+    facts = dict(
+        name="clip",
+        value=1.0,
+        join_target=SECOND,
+        patience=4 * SECOND,
+        paid_at_setup=False,
+        rates=(100.0, 200.0, 400.0),
+        floor=0,
+        top=2,
+        seats=0,
+    )
     return Package(**{**facts, **changed})
 
 
@@ -36,9 +45,24 @@
     def __init__(self, count=2, size=1000.0, uplink=1e6, warm=True, **changed):
         self.host = FakeHost()
         facts = dict(
-            now=self.host.clock, seed=7, me=0, fronts=1, packages=[],
-            racks_told=True, told_late=500 * MS, max_tune_ins=3, probes=False, longest_wait=2 * SECOND,
-            warm_within=10 * SECOND, start_capacity=0.5, fall_multiple=2.0, fall_within=SECOND, free_further=None, further_share=0.0, look_back=0)
+            now=self.host.clock,
+            seed=7,
+            me=0,
+            fronts=1,
+            packages=[],
+            racks_told=True,
+            told_late=500 * MS,
+            max_tune_ins=3,
+            probes=False,
+            longest_wait=2 * SECOND,
+            warm_within=10 * SECOND,
+            start_capacity=0.5,
+            fall_multiple=2.0,
+            fall_within=SECOND,
+            free_further=None,
+            further_share=0.0,
+            look_back=0,
+        )
         self.rules = Rules(self.host, Terms(**{**facts, **changed}))
         self.rack = Rack(0, Link(uplink))
         self.servers = [Server(f"s{n}", n + 1, "a", 20, self.rack, Link(size)) for n in range(count)]
@@ -65,8 +89,9 @@
     def viewing(self, pack=None, ceiling=2, title="t"):
         self.names += 1
         pack = pack or package()
-        return Viewing(self.names, title, self.names, pack, ceiling, self.host.clock,
-                       self.host.clock + pack.patience, self.servers)
+        return Viewing(
+            self.names, title, self.names, pack, ceiling, self.host.clock, self.host.clock + pack.patience, self.servers
+        )
 
     def want(self, **how):
         vw = self.viewing(**how)
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -23,8 +23,17 @@
 # A file that takes longer has hung (s).
 LONGEST = 900
 # Those that take longest begin first, so that the last to end is not one of them.
-LONGEST_FIRST = ("test_sharing.py", "test_rehearsal.py", "test_together.py", "test_front.py", "test_leases.py", "test_scale.py",
-                 "test_attempts.py", "test_distribution.py", "test_sessions.py")
+LONGEST_FIRST = (
+    "test_sharing.py",
+    "test_rehearsal.py",
+    "test_together.py",
+    "test_front.py",
+    "test_leases.py",
+    "test_scale.py",
+    "test_attempts.py",
+    "test_distribution.py",
+    "test_sessions.py",
+)
 
 
 class Unusable(Exception):
@@ -111,8 +120,10 @@
 def shared_out(folder=ROOT / "tests", top=ROOT):
     """Each file of the folder in a process of its own, so many at once; what each says comes whole, when it has ended. `top` is
     where its modules' names begin."""
-    files = sorted((path.name for path in folder.glob("test_*.py")), key=lambda name: (
-        LONGEST_FIRST.index(name) if name in LONGEST_FIRST else len(LONGEST_FIRST), name))
+    files = sorted(
+        (path.name for path in folder.glob("test_*.py")),
+        key=lambda name: (LONGEST_FIRST.index(name) if name in LONGEST_FIRST else len(LONGEST_FIRST), name),
+    )
     slots, ran, failed = Queue(), 0, []
     for slot in range(AT_ONCE):
         slots.put(slot)
@@ -122,14 +133,21 @@
         slot = slots.get()
         first = FIRST_PORT + slot * PORTS_EACH
         try:
-            done = subprocess.run([sys.executable, __file__, "-s", folder, "-t", top, "-p", name], cwd=ROOT, text=True,
-                                  stdout=subprocess.PIPE, stderr=subprocess.STDOUT, timeout=LONGEST,
-                                  env={**os.environ, "CURLEWSHIFT_PORTS": f"{first}-{first + PORTS_EACH}"})
+            done = subprocess.run(
+                [sys.executable, __file__, "-s", folder, "-t", top, "-p", name],
+                cwd=ROOT,
+                text=True,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                timeout=LONGEST,
+                env={**os.environ, "CURLEWSHIFT_PORTS": f"{first}-{first + PORTS_EACH}"},
+            )
             return name, done.returncode, done.stdout
         except subprocess.TimeoutExpired as late:
             return name, 1, f"{late.stdout or ''}\n{name} did not end within {LONGEST} s\n"
         finally:
             slots.put(slot)
+
     with ThreadPoolExecutor(AT_ONCE) as pool:
         for over in as_completed([pool.submit(play, name) for name in files]):
             name, code, said = over.result()
@@ -138,8 +156,10 @@
             if code or not found:
                 failed.append(name)
             print(f"== {name}\n{said.rstrip()}", flush=True)
-    print(f"\n{len(files)} files, {ran} tests in {time.monotonic() - began:.0f} s" + (
-        f", not passed: {', '.join(sorted(failed))}" if failed else ", all passed"))
+    print(
+        f"\n{len(files)} files, {ran} tests in {time.monotonic() - began:.0f} s"
+        + (f", not passed: {', '.join(sorted(failed))}" if failed else ", all passed")
+    )
     return 1 if failed or not ran else 0
 
 
@@ -150,8 +170,9 @@
         print(f"KNOWN-RED.txt: {wrong}", file=sys.stderr)
         return 1
     runner = unittest.TextTestRunner(resultclass=type("Listed", (Result,), {"listed": listed}))
-    ran = unittest.main(module=None, argv=["bin/test", "discover", "-s", "tests", "-t", ".", *arguments],
-                        testRunner=runner, exit=False)
+    ran = unittest.main(
+        module=None, argv=["bin/test", "discover", "-s", "tests", "-t", ".", *arguments], testRunner=runner, exit=False
+    )
     if not ran.result.testsRun:
         print("no test ran", file=sys.stderr)
         return 1
--- a/tests/node_place.py
+++ b/tests/node_place.py
@@ -56,8 +56,14 @@
         if kind == isup.RELEASE:
             await line.send(isup.released(id))
         if kind == isup.SET_UP:
-            await line.send(isup.encode(isup.ANSWER, id, (isup.DESCRIPTION, b"plays " + parameters[isup.DESCRIPTION]),
-                                        (isup.REPORT, b"x0:0.5;novel:7")))
+            await line.send(
+                isup.encode(
+                    isup.ANSWER,
+                    id,
+                    (isup.DESCRIPTION, b"plays " + parameters[isup.DESCRIPTION]),
+                    (isup.REPORT, b"x0:0.5;novel:7"),
+                )
+            )
         elif kind == isup.PROBE:
             await line.send(isup.encode(isup.PROBED, id, (isup.CAUSE, b"\1"), (isup.REPORT, b"x0:0.5")))
 
@@ -66,9 +72,11 @@
 
     def says(self, data):
         """Each set-up gets these bytes; `ID` in them is its id."""
+
         async def does(line, kind, id, parameters):
             if kind == isup.SET_UP:
                 await line.send(data.replace(b"IDIDIDID", id))
+
         self.does = does
 
     def had(self, kind):
@@ -98,20 +106,35 @@
         self.lines.remove(stream)
 
     async def tell(self, number, *medias, kind=2):
-        payload = b"".join(struct.pack(">I4sHBBBHIQ", int(one.name[2:], 16), bytes((127, 0, 0, 1)), one.port, one.state, 0, 0,
-                                       one.cell, 1000, one.started) for one in medias)
+        payload = b"".join(
+            struct.pack(
+                ">I4sHBBBHIQ",
+                int(one.name[2:], 16),
+                bytes((127, 0, 0, 1)),
+                one.port,
+                one.state,
+                0,
+                0,
+                one.cell,
+                1000,
+                one.started,
+            )
+            for one in medias
+        )
         await self.lines[-1].send(struct.pack(">IQB", 9 + len(payload), number, kind) + payload)
 
 
 def set_up(id, package=LESSON, body=b"offer", patience=2000, more="", legs=""):
-    return (f"SETUP rtsp://media/00000000000000aa RTSP/1.0\r\nCSeq: 1\r\nSession: {id}\r\nX-Cos: {package}\r\n"
-            f"X-Timer-Ms: {patience}\r\nX-Legs: home:0;copies:4;top:1;viewer:00000000b4d65521{legs}\r\n{more}"
-            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    return (
+        f"SETUP rtsp://media/00000000000000aa RTSP/1.0\r\nCSeq: 1\r\nSession: {id}\r\nX-Cos: {package}\r\n"
+        f"X-Timer-Ms: {patience}\r\nX-Legs: home:0;copies:4;top:1;viewer:00000000b4d65521{legs}\r\n{more}"
+        f"Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
 
 
 def torn_down(id, reason=""):
-    return (f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\n{reason}"
-            "Content-Length: 0\r\n\r\n".encode())
+    return f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\n{reason}Content-Length: 0\r\n\r\n".encode()
 
 
 class Viewer:
@@ -200,6 +223,7 @@
             if self.dials:
                 await self.up.wait()
             return sock
+
         self.up = anyio.Event()
         with mock.patch.object(wire.anyio, "wait_readable", read), mock.patch("curlewshift.node.reach.dial", dialled):
             yield self
@@ -214,19 +238,54 @@
         self.idle_close_ms = idle_close_ms
 
     def told(self):
-        rows = [dict(id=one.name, addr=f"127.0.0.1:{one.port}", zone="a", kind="box", cell=one.cell, state="active",
-                     weight=1.0, started_ms=0) for one in self.medias]
-        classes = [dict(name=LESSON, effect="safe", gain=1.0, goal_time_ms=800, give_up_ms=2000),
-                   dict(name=CLIP, effect="unsafe", gain=2.0, goal_time_ms=800, give_up_ms=2000)]
+        rows = [
+            dict(
+                id=one.name,
+                addr=f"127.0.0.1:{one.port}",
+                zone="a",
+                kind="box",
+                cell=one.cell,
+                state="active",
+                weight=1.0,
+                started_ms=0,
+            )
+            for one in self.medias
+        ]
+        classes = [
+            dict(name=LESSON, effect="safe", gain=1.0, goal_time_ms=800, give_up_ms=2000),
+            dict(name=CLIP, effect="unsafe", gain=2.0, goal_time_ms=800, give_up_ms=2000),
+        ]
         settings = dict(
-            balancers=1, my_number=0, areas=["a"], flavors=["box"], classes=classes,
-            bounds=dict(connect_timeout_ms=250, idle_close_ms=self.idle_close_ms, max_attempts=3, retry_after=True,
-                        max_retry_after_ms=2000, streams_per_conn=32, probes=True),
-            extra=dict(cells=4, cabinets=1, kb_per_weight=100000, rack_kb=1e6, rung_kb=[100, 200], kind_streams=[100],
-                       told_every_ms=1000), telemetry=dict(fields=["x0"]), obligations=self.duties)
-        return dict(name="n0", listen=f"127.0.0.1:{self.port}", seed="0f", limits=dict(sockets=self.sockets),
-                    bulletin=f"127.0.0.1:{self.bulletin.port}", settings=settings,
-                    known=dict(no=1, items=[dict(no=1, roster=dict(version=0, full=True, servers=rows))]), **self.changed)
+            balancers=1,
+            my_number=0,
+            areas=["a"],
+            flavors=["box"],
+            classes=classes,
+            bounds=dict(
+                connect_timeout_ms=250,
+                idle_close_ms=self.idle_close_ms,
+                max_attempts=3,
+                retry_after=True,
+                max_retry_after_ms=2000,
+                streams_per_conn=32,
+                probes=True,
+            ),
+            extra=dict(
+                cells=4, cabinets=1, kb_per_weight=100000, rack_kb=1e6, rung_kb=[100, 200], kind_streams=[100], told_every_ms=1000
+            ),
+            telemetry=dict(fields=["x0"]),
+            obligations=self.duties,
+        )
+        return dict(
+            name="n0",
+            listen=f"127.0.0.1:{self.port}",
+            seed="0f",
+            limits=dict(sockets=self.sockets),
+            bulletin=f"127.0.0.1:{self.bulletin.port}",
+            settings=settings,
+            known=dict(no=1, items=[dict(no=1, roster=dict(version=0, full=True, servers=rows))]),
+            **self.changed,
+        )
 
     @contextlib.asynccontextmanager
     async def around(self):
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -56,18 +56,43 @@
         self.traffic = Seen()
         ports = free_ports(servers + 2, random.Random())
         facts = dict(
-            way_back=100 * MS, longest_wait=2 * SECOND, most_tune_ins=3, grace=2 * SECOND, warm_within=SECOND,
-            start_capacity=0.5, fall_multiple=20.0, fall_within=SECOND, free_further=None, further_share=0.0,
-            look_back=0, told_late=200 * MS, told_every=SECOND, probes=False, uplinks=True)
+            way_back=100 * MS,
+            longest_wait=2 * SECOND,
+            most_tune_ins=3,
+            grace=2 * SECOND,
+            warm_within=SECOND,
+            start_capacity=0.5,
+            fall_multiple=20.0,
+            fall_within=SECOND,
+            free_further=None,
+            further_share=0.0,
+            look_back=0,
+            told_late=200 * MS,
+            told_every=SECOND,
+            probes=False,
+            uplinks=True,
+        )
         self.duties = Duties(**{**facts, **duties})
         self.packages = [
             package(name="clip", join_target=SECOND, patience=patience, floor=1),
             package(name="paid", join_target=SECOND, patience=patience, paid_at_setup=True),
-            package(name="camera", join_target=SECOND, patience=patience, seats=2)]
+            package(name="camera", join_target=SECOND, patience=patience, seats=2),
+        ]
         machines = [Machine(f"s{n}", "127.0.0.1", port, "r", "z", 10_000.0, 50, 4) for n, port in enumerate(ports[2:])]
-        self.site = Site("test", [Door("f", "127.0.0.1", ports[0])], ("127.0.0.1", ports[1]), self.packages,
-                         {"r": 1e6}, machines, {"t": tuple(machine.shelf for machine in machines)}, self.duties, 100, 64,
-                         frozenset({"camera"}), **(site or {}))
+        self.site = Site(
+            "test",
+            [Door("f", "127.0.0.1", ports[0])],
+            ("127.0.0.1", ports[1]),
+            self.packages,
+            {"r": 1e6},
+            machines,
+            {"t": tuple(machine.shelf for machine in machines)},
+            self.duties,
+            100,
+            64,
+            frozenset({"camera"}),
+            **(site or {}),
+        )
         self.list = ServerList(random.Random(1), self.traffic)
         self.uplink = Uplink(1e6)
         self.servers = {}
@@ -76,16 +101,23 @@
 
     def row(self, machine, state="on", started=None):
         started = int(time.time() * 1000) - 3600_000 if started is None else started
-        return ListRow(f"127.0.0.1:{machine.port}", state, started, "z", "r", machine.link, machine.streams,
-                       machine.shelf)
+        return ListRow(f"127.0.0.1:{machine.port}", state, started, "z", "r", machine.link, machine.streams, machine.shelf)
 
     async def start_server(self, machine, cold=False):
         link = LinkModel(machine.link, self.uplink)
         self.uplink.links.append(link)
         born = time.monotonic_ns() - (0 if cold else 3600 * SECOND)
-        server = MediaServer(machine, f"127.0.0.1:{machine.port}", link,
-                             {pack.name: pack.rates for pack in self.packages}, self.duties, born, random.Random(len(self.uplink.links)),
-                             self.traffic, setup_work=0.005)
+        server = MediaServer(
+            machine,
+            f"127.0.0.1:{machine.port}",
+            link,
+            {pack.name: pack.rates for pack in self.packages},
+            self.duties,
+            born,
+            random.Random(len(self.uplink.links)),
+            self.traffic,
+            setup_work=0.005,
+        )
         listener = (await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=machine.port)).listeners[0]
         self.tasks.start_soon(server.run, listener)
         self.servers[machine.shelf] = server
@@ -95,6 +127,7 @@
     async def up(self, state=None, follow=True):
         """All of it running, with the front having heard of every server and its notes."""
         from curlewshift.exchange.server import serve
+
         async with anyio.create_task_group() as self.tasks:
             for machine in self.site.machines:
                 await self.start_server(machine)
@@ -119,8 +152,7 @@
         """One request for a viewing on a connection of its own; its whole answer."""
         call = await self.call()
         try:
-            return await call.ask("POST", f"/whep/{pack}/{title}{query}", [SDP, *headers],
-                                  an_offer() if offer is None else offer)
+            return await call.ask("POST", f"/whep/{pack}/{title}{query}", [SDP, *headers], an_offer() if offer is None else offer)
         finally:
             await call.close()
 
@@ -141,7 +173,9 @@
 
 def story(test):
     """An async test method as an ordinary one."""
+
     def run(self):
         anyio.run(test, self)
+
     run.__name__, run.__doc__ = test.__name__, test.__doc__
     return run
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -35,8 +35,12 @@
         self.path.write_text(json.dumps({**place.told(), "name": f"n{number}", "listen": f"127.0.0.1:{self.port}"}))
 
     def start(self):
-        self.process = subprocess.Popen([sys.executable, "-m", "curlewshift.node"], cwd=ROOT, stderr=subprocess.DEVNULL,
-                                        env={**os.environ, "NODE_CONFIG": str(self.path)})
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "curlewshift.node"],
+            cwd=ROOT,
+            stderr=subprocess.DEVNULL,
+            env={**os.environ, "NODE_CONFIG": str(self.path)},
+        )
 
     def kill(self):
         if self.process is not None:
@@ -65,6 +69,7 @@
     async def test_nine_in_ten_processes_that_were_killed_are_ready_in_time_with_the_bulletin_there_or_not_and_then_serve(self):
         took, answers = [], []
         async with Place(2, sockets=200).around() as place:
+
             async def restarted(number):
                 life = Life(place, number)
                 try:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -71,7 +71,9 @@
         day = Day().ask(0, "a").left(200, "a").ask(0, "b").attempt(10, "b")
         self.assertEqual(day.told("left", "clean", "says"), (1, False, "no attempt was made for who left: not tried"))
         day = Day().ask(0, "a").attempt(10, "a").left(200, "a").attempt(20, "x")
-        self.assertEqual(day.told("late", "unjoined", "clean", "says"), (0, 1, False, "1 attempts belong to no client that was seen"))
+        self.assertEqual(
+            day.told("late", "unjoined", "clean", "says"), (0, 1, False, "1 attempts belong to no client that was seen")
+        )
 
     def test_one_who_comes_again_under_its_id_waits_again_and_only_until_it_leaves_again(self):
         day = Day().ask(0, "v1.0h").left(100, "v1.0h").ask(110, "v1.0").attempt(900, "v1.0h")
@@ -158,6 +160,7 @@
             waits.append(call)
             await go.wait()
             return call
+
         with mock.patch.object(reach, "connect", held):
             yield
 
@@ -172,6 +175,7 @@
             while not go.is_set() and time.monotonic() < ends:
                 time.sleep(0.005)
             return add(*args)
+
         with mock.patch.object(Journal, "add", held):
             yield
 
@@ -223,21 +227,44 @@
 class AtTheNodeInService(unittest.TestCase):
     """`curlewshift leavers`, as users start it: the node is a process of its own, sound or deaf to a way to leave."""
 
-    FAULTS = {"deaf-to-ends": ("closed", "reset", "shut-down"), "deaf-to-cancels": ("cancelled",),
-              "deaf-to-leaving": ("closed", "reset", "shut-down", "cancelled")}
+    FAULTS = {
+        "deaf-to-ends": ("closed", "reset", "shut-down"),
+        "deaf-to-cancels": ("cancelled",),
+        "deaf-to-leaving": ("closed", "reset", "shut-down", "cancelled"),
+    }
 
     def test_a_sound_one_begins_nothing_late_and_one_deaf_to_a_way_to_leave_is_caught_by_that_way(self):
         with tempfile.TemporaryDirectory() as folder:
             first, last = PORTS
             part = (last - first) // (1 + len(self.FAULTS))
-            runs = {sabotage: subprocess.Popen(
-                [sys.executable, "-m", "curlewshift", "leavers", "--seconds", "1.5", "--viewers", "200", "--out",
-                 str(Path(folder) / (sabotage or "sound")), "--sabotage", sabotage], cwd=ROOT, stdout=subprocess.PIPE,
-                env={**os.environ, "CURLEWSHIFT_PORTS": f"{first + number * part}-{first + (number + 1) * part}"},
-                stderr=subprocess.PIPE, text=True) for number, sabotage in enumerate(("", *self.FAULTS))}
+            runs = {
+                sabotage: subprocess.Popen(
+                    [
+                        sys.executable,
+                        "-m",
+                        "curlewshift",
+                        "leavers",
+                        "--seconds",
+                        "1.5",
+                        "--viewers",
+                        "200",
+                        "--out",
+                        str(Path(folder) / (sabotage or "sound")),
+                        "--sabotage",
+                        sabotage,
+                    ],
+                    cwd=ROOT,
+                    stdout=subprocess.PIPE,
+                    env={**os.environ, "CURLEWSHIFT_PORTS": f"{first + number * part}-{first + (number + 1) * part}"},
+                    stderr=subprocess.PIPE,
+                    text=True,
+                )
+                for number, sabotage in enumerate(("", *self.FAULTS))
+            }
             told = {sabotage: run.communicate(timeout=60) for sabotage, run in runs.items()}
-            verdicts = {sabotage: json.loads((Path(folder) / (sabotage or "sound") / "verdict.json").read_text())
-                        for sabotage in runs}
+            verdicts = {
+                sabotage: json.loads((Path(folder) / (sabotage or "sound") / "verdict.json").read_text()) for sabotage in runs
+            }
         sound = verdicts.pop("")
         judged = sound["attempts_after_leaving"]
         self.assertEqual((judged["late"], judged["unjoined"], judged["clean"], sound["unanswered"]), (0, 0, True, 0), told[""])
@@ -251,8 +278,13 @@
                 self.assertGreater(judged["ways"].get(how, 0), 0, (sabotage, judged))
 
     def test_a_sabotage_that_nobody_knows_ends_with_2(self):
-        run = subprocess.run([sys.executable, "-m", "curlewshift", "leavers", "--out", "/dev/null", "--sabotage", "sleepy"],
-                             cwd=ROOT, capture_output=True, text=True, timeout=60)
+        run = subprocess.run(
+            [sys.executable, "-m", "curlewshift", "leavers", "--out", "/dev/null", "--sabotage", "sleepy"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         self.assertEqual((run.returncode, "deaf-to-ends" in run.stderr), (2, True))
 
 
--- a/tests/test_background.py
+++ b/tests/test_background.py
@@ -18,6 +18,7 @@
             self.done.append(name)
             left[0] -= 1
             return left[0] > 0
+
         return one
 
     def until(self, at, step=MS):
@@ -34,7 +35,7 @@
 
     def test_all_together_stay_within_the_budget_of_each_second(self):
         for number in range(5):
-            self.background.add(str(number), self.work(str(number), cost=MS // 2, slices=10 ** 9), 0)
+            self.background.add(str(number), self.work(str(number), cost=MS // 2, slices=10**9), 0)
         self.until(10 * SECOND)
         # 20 ms a second, and 10 ms that were saved
         self.assertLessEqual(len(self.done) * MS // 2, 10 * 20 * MS + 10 * MS + MS)
@@ -55,7 +56,7 @@
         self.assertGreater(self.done.count("huge"), 4)
 
     def test_nothing_starves_behind_what_never_ends(self):
-        self.background.add("greedy", self.work("greedy", cost=SLICE, slices=10 ** 9), 0, priority=0)
+        self.background.add("greedy", self.work("greedy", cost=SLICE, slices=10**9), 0, priority=0)
         self.background.add("patient", self.work("patient"), 0, priority=5)
         self.until(4 * AGES)
         self.assertNotIn("patient", self.done)
@@ -77,8 +78,7 @@
         self.background.cancel(job)
         self.background.cancel(ready)
         mine = []
-        mine.append(self.background.add("self", lambda: (self.done.append("self"), self.background.cancel(mine[0])),
-                                        0, every=MS))
+        mine.append(self.background.add("self", lambda: (self.done.append("self"), self.background.cancel(mine[0])), 0, every=MS))
         self.until(SECOND)
         self.assertEqual(self.done, ["self"])
 
@@ -86,6 +86,7 @@
         def fails():
             self.clock += MS
             raise ValueError("a story's")
+
         self.background.add("fails", fails, 0)
         self.background.add("works", self.work("works"), 0)
         with self.assertRaises(ValueError):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -40,8 +40,20 @@
     # the library's line, not that of the code under test
     line = linear_regression(*zip(*points))
     fit = {"intercept": line.intercept, "slope": line.slope, "slope_error": 0.0, "straight": not bend}
-    return {"slopes": [{"name": name, "of": "front node", "x": {"name": x, "unit": "count"}, "y": {"name": "y", "unit": unit},
-                        "command": f"bin/curlewshift slopes {name}", "points": points, "fit": fit, "notes": []}]}
+    return {
+        "slopes": [
+            {
+                "name": name,
+                "of": "front node",
+                "x": {"name": x, "unit": "count"},
+                "y": {"name": "y", "unit": unit},
+                "command": f"bin/curlewshift slopes {name}",
+                "points": points,
+                "fit": fit,
+                "notes": [],
+            }
+        ]
+    }
 
 
 class InAFolder(unittest.TestCase):
@@ -80,7 +92,7 @@
             for place, line in enumerate(block[3].rstrip("\n").split("\n"), first):
                 spoilt = re.sub(r"\d", lambda digit: str((int(digit[0]) + 1) % 10), line, count=1)
                 if spoilt != line:
-                    wrong = differences("\n".join([*lines[:place], spoilt, *lines[place + 1:]]), made)
+                    wrong = differences("\n".join([*lines[:place], spoilt, *lines[place + 1 :]]), made)
                     self.assertEqual([(at, stands) for at, stands, _ in wrong], [(place + 1, spoilt)])
                     tried += 1
         self.assertGreater(tried, 60)
@@ -150,24 +162,27 @@
 
     def test_both_files_are_read(self):
         size = read_size(USUAL)
-        self.assertEqual((size.nodes, size.zones, size.p99, size.in_force_within, size.control_bytes, size.regions_apart),
-                         (630, 9, 0.18, 18.0, 4000.0, 600.0))
+        self.assertEqual(
+            (size.nodes, size.zones, size.p99, size.in_force_within, size.control_bytes, size.regions_apart),
+            (630, 9, 0.18, 18.0, 4000.0, 600.0),
+        )
         self.assertEqual(read_size(USUAL.with_name("two-hundred.xml")).nodes, 200)
 
     def test_a_spoilt_one_is_refused_in_words_with_file_and_line(self):
         for change, at, words in (
-                (('nodes="630"', 'nodes="many"'), "<fleet", "fleet: nodes should be a whole number above 0, but is 'many'"),
-                (('zones="9"', 'zones="2"'), "<fleet", "2 zones cannot make 3 regions"),
-                (('nodes="630"', 'nodes="8"'), "<fleet", "8 nodes cannot fill 9 zones"),
-                (('p99="180ms"', 'p99="180"'), "<deliveries", "p99 should be a time with its unit"),
-                (('core="0.034"', 'core="3.4"'), "<control", "core should be a number from 0 to 1"),
-                (('core="0.034"', 'core="0"'), "<control", "core should be above 0"),
-                (('bytes="4kB/s"', ""), "<control", "control: bytes is missing"),
-                (('largest-listeners="2700000"', 'largest-listeners="44000000"'), "<topics", "more than all viewings"),
-                (('name="servers" value="2000"', 'name="servers" value="200"'), 'name="servers-played-on"', "more servers than"),
-                (('name="servers" ', 'name="cores-a-node" '), 'name="cores-a-node"', "cores-a-node"),
-                (('name="nodes-a-rack" value="10"', 'name="nodes-a-rack" value="71"'), 'name="nodes-a-rack"', "more than a zone"),
-                (('name="lease-word-bytes"', 'name="lease-bytes"'), 'name="lease-word-bytes"', "lease-bytes")):
+            (('nodes="630"', 'nodes="many"'), "<fleet", "fleet: nodes should be a whole number above 0, but is 'many'"),
+            (('zones="9"', 'zones="2"'), "<fleet", "2 zones cannot make 3 regions"),
+            (('nodes="630"', 'nodes="8"'), "<fleet", "8 nodes cannot fill 9 zones"),
+            (('p99="180ms"', 'p99="180"'), "<deliveries", "p99 should be a time with its unit"),
+            (('core="0.034"', 'core="3.4"'), "<control", "core should be a number from 0 to 1"),
+            (('core="0.034"', 'core="0"'), "<control", "core should be above 0"),
+            (('bytes="4kB/s"', ""), "<control", "control: bytes is missing"),
+            (('largest-listeners="2700000"', 'largest-listeners="44000000"'), "<topics", "more than all viewings"),
+            (('name="servers" value="2000"', 'name="servers" value="200"'), 'name="servers-played-on"', "more servers than"),
+            (('name="servers" ', 'name="cores-a-node" '), 'name="cores-a-node"', "cores-a-node"),
+            (('name="nodes-a-rack" value="10"', 'name="nodes-a-rack" value="71"'), 'name="nodes-a-rack"', "more than a zone"),
+            (('name="lease-word-bytes"', 'name="lease-bytes"'), 'name="lease-word-bytes"', "lease-bytes"),
+        ):
             with self.subTest(change=change):
                 told = self.wrong(change)
                 self.assertIn(words, told)
@@ -184,11 +199,18 @@
     """A small size whose figures can be had by head: 10 nodes, 1,000 connections each, in 2 zones and 2 regions."""
 
     def small(self):
-        return read_size(self.size(
-            ('nodes="630" connections="43000000" regions="3" zones="9"', 'nodes="10" connections="10000" regions="2" zones="2"'),
-            ('largest-listeners="2700000"', 'largest-listeners="5000"'), ('a-second="8200000"', 'a-second="20000"'),
-            ('"nodes-a-rack" value="10"', '"nodes-a-rack" value="2"'),
-            ('"memory-a-node-GB" value="16"', '"memory-a-node-GB" value="0.005"')))
+        return read_size(
+            self.size(
+                (
+                    'nodes="630" connections="43000000" regions="3" zones="9"',
+                    'nodes="10" connections="10000" regions="2" zones="2"',
+                ),
+                ('largest-listeners="2700000"', 'largest-listeners="5000"'),
+                ('a-second="8200000"', 'a-second="20000"'),
+                ('"nodes-a-rack" value="10"', '"nodes-a-rack" value="2"'),
+                ('"memory-a-node-GB" value="16"', '"memory-a-node-GB" value="0.005"'),
+            )
+        )
 
     def row(self, measured, says, what=None):
         return next(row for row in all_rows(self.small(), measured) if says in row.says and what in (None, row.what))
@@ -241,8 +263,10 @@
 
     def test_connections_without_a_viewing_count_by_their_own_slope(self):
         size = read_size(self.size(('"viewings-a-connection" value="1"', '"viewings-a-connection" value="0.5"')))
-        measured = self.files(slope_a=line_file("memory-by-connection-with-viewing", 1_000_000, 9_000),
-                              slope_b=line_file("memory-by-connection", 1_000_000, 2_000))
+        measured = self.files(
+            slope_a=line_file("memory-by-connection-with-viewing", 1_000_000, 9_000),
+            slope_b=line_file("memory-by-connection", 1_000_000, 2_000),
+        )
         row = next(row for row in all_rows(size, measured) if "all connections with their viewings" in row.says)
         self.assertAlmostEqual(row.figure.value, 1 + (43e6 / 630 / 2) * 0.011, places=3)
 
@@ -253,36 +277,60 @@
         self.assertEqual(self.small().deliveries_a_node, 2000)
 
     def test_time_until_in_force_is_of_the_run_and_of_the_simulation(self):
-        told = {"nodes": 630, "no_loss": {"last_node_s": [2.0, 3.0]}, "loss_of_5_percent": {"last_node_s": [2.0, None]},
-                "zone_returns_empty": {"in_force_in_all_s": 19.8, "others_sent_worst": 5000}}
+        told = {
+            "nodes": 630,
+            "no_loss": {"last_node_s": [2.0, 3.0]},
+            "loss_of_5_percent": {"last_node_s": [2.0, None]},
+            "zone_returns_empty": {"in_force_in_all_s": 19.8, "others_sent_worst": 5000},
+        }
         measured = self.files(versions=told)
-        for words, verdict in (("nothing lost: slowest of 2 changes, simulated", "within: ×0.17 of 18 s"),
-                               ("5% of datagrams lost: slowest of 2 changes, sim", "over: at least ×3.33 of 18 s"),
-                               ("all of a zone that is back at once", "over: ×1.1 of 18 s"),
-                               ("of the others the one that sends most", "over: ×1.25 of 4,000 bytes/s")):
+        for words, verdict in (
+            ("nothing lost: slowest of 2 changes, simulated", "within: ×0.17 of 18 s"),
+            ("5% of datagrams lost: slowest of 2 changes, sim", "over: at least ×3.33 of 18 s"),
+            ("all of a zone that is back at once", "over: ×1.1 of 18 s"),
+            ("of the others the one that sends most", "over: ×1.25 of 4,000 bytes/s"),
+        ):
             self.assertEqual(self.row(measured, words).verdict(ROOT), verdict, words)
         self.assertIn("not measured", self.row(measured, "time until in force everywhere").verdict(ROOT))
-        self.assertIn("in a smaller run", self.row(self.files(versions={**told, "nodes": 5}), "nothing lost: slowest of 2 changes, s"
-                                                   ).verdict(ROOT))
-        made, late, lost = ({"ok": True, "everywhere_s": 4.0}, {"ok": True, "everywhere_s": 20.0}, {"ok": True, "everywhere_s": None})
-        run = {"nodes": 24, "versions": {"no_loss": [made, made], "loss": [made, lost]}, "faults": [
-            {"kind": "zone-lost", "change_while": late, "change_after": {"ok": False, "refused": ["no majority"]}},
-            {"kind": "regions-apart", "change_while": {"ok": False, "no_majority": True}, "change_after": made}],
-            "stretch": {"changes": 100, "restarts": 20, "everywhere_worst_s": 9.0, "not_everywhere": 1}}
+        self.assertIn(
+            "in a smaller run",
+            self.row(self.files(versions={**told, "nodes": 5}), "nothing lost: slowest of 2 changes, s").verdict(ROOT),
+        )
+        made, late, lost = (
+            {"ok": True, "everywhere_s": 4.0},
+            {"ok": True, "everywhere_s": 20.0},
+            {"ok": True, "everywhere_s": None},
+        )
+        run = {
+            "nodes": 24,
+            "versions": {"no_loss": [made, made], "loss": [made, lost]},
+            "faults": [
+                {"kind": "zone-lost", "change_while": late, "change_after": {"ok": False, "refused": ["no majority"]}},
+                {"kind": "regions-apart", "change_while": {"ok": False, "no_majority": True}, "change_after": made},
+            ],
+            "stretch": {"changes": 100, "restarts": 20, "everywhere_worst_s": 9.0, "not_everywhere": 1},
+        }
         measured = self.files(scale_24=run)
         for words, verdict in (
-                ("nothing lost: slowest of 2 changes", "within: ×0.22 of 18 s"), ("5% of datagrams lost", "over: at least ×3.33 of 18 s"),
-                ("a change while zone-lost", "over: ×1.11 of 18 s"), ("a change after zone-lost", "over: at least ×3.33 of 18 s"),
-                ("a change after regions-apart", "within: ×0.22 of 18 s"),
-                ("slowest of 100 changes with 20 restarts", "over: at least ×3.33 of 18 s")):
+            ("nothing lost: slowest of 2 changes", "within: ×0.22 of 18 s"),
+            ("5% of datagrams lost", "over: at least ×3.33 of 18 s"),
+            ("a change while zone-lost", "over: ×1.11 of 18 s"),
+            ("a change after zone-lost", "over: at least ×3.33 of 18 s"),
+            ("a change after regions-apart", "within: ×0.22 of 18 s"),
+            ("slowest of 100 changes with 20 restarts", "over: at least ×3.33 of 18 s"),
+        ):
             self.assertEqual(self.row(measured, words).verdict(ROOT), verdict, words)
         # a minority's refusal is no change that was late
         self.assertFalse([row for row in all_rows(self.small(), measured) if "while regions-apart" in row.says])
 
     def test_rehearsed_days_count_by_the_slowest_that_no_sabotage_spoilt(self):
         def day(most, sabotage=None, late=0):
-            return {"sabotage": sabotage, "command": "bin/curlewshift rehearse D", "configuration": {
-                "in_force_max_s": most, "late": late, "missing": 0}}
+            return {
+                "sabotage": sabotage,
+                "command": "bin/curlewshift rehearse D",
+                "configuration": {"in_force_max_s": most, "late": late, "missing": 0},
+            }
+
         row = self.row(self.files(configuration_day={"days": [day(8.0), day(10.0), day(50.0, "half-in-force")]}), "rehearsed day")
         self.assertEqual((row.figure.value, row.figure.command), (10.0, "bin/curlewshift rehearse D"))
         self.assertEqual(row.verdict(ROOT), "not known: ×0.56 of 18 s in a smaller run, and not carried")
@@ -308,7 +356,8 @@
     def test_deliveries_of_the_dearest_kind_make_the_processes_and_listeners_at_once_their_wait(self):
         measured = self.files(
             slope_a=line_file("processor-time-by-request", 0.0, 0.004, unit="seconds", x="set-ups a second"),
-            slope_b=line_file("processor-time-by-notice", 0.0, 0.001, unit="seconds", x="notices a second"))
+            slope_b=line_file("processor-time-by-notice", 0.0, 0.001, unit="seconds", x="notices a second"),
+        )
         rows = {row.says: row for row in all_rows(self.small(), measured)}
         self.assertAlmostEqual(rows["2,000 deliveries a second, were all notices"].figure.value, 2.0)
         dear = rows["the same on all cores of the machine, were all of the dearest kind"]
@@ -318,9 +367,14 @@
         self.assertEqual(rows["500 listeners of the largest topic told at once"].verdict(ROOT), "over: ×2.78 of 180 ms")
 
     def test_a_slope_whose_fit_is_not_that_of_its_points_is_refused(self):
-        for spoil in (lambda one: one["points"][2].__setitem__(1, 9e6), lambda one: one["fit"].update(slope=9_100),
-                      lambda one: one["fit"].update(intercept=0), lambda one: one["points"].pop(),
-                      lambda one: one.pop("command"), lambda one: one["fit"].pop("straight")):
+        for spoil in (
+            lambda one: one["points"][2].__setitem__(1, 9e6),
+            lambda one: one["fit"].update(slope=9_100),
+            lambda one: one["fit"].update(intercept=0),
+            lambda one: one["points"].pop(),
+            lambda one: one.pop("command"),
+            lambda one: one["fit"].pop("straight"),
+        ):
             told = line_file("memory-by-connection", 1_000_000, 9_000)
             slope_of(told["slopes"][0], "slope-memory.json")
             spoil(told["slopes"][0])
@@ -333,19 +387,43 @@
         size = read_size(USUAL)
 
         def weighs(kind, body):
-            return len(encode(Frame("site", "front-000", "10.1.0.1", 8181, 1_800_000_000_000_000, 3, 100_000, kind, 0, "", 2**63,
-                                    [], msgspec.msgpack.encode(body))))
+            return len(
+                encode(
+                    Frame(
+                        "site",
+                        "front-000",
+                        "10.1.0.1",
+                        8181,
+                        1_800_000_000_000_000,
+                        3,
+                        100_000,
+                        kind,
+                        0,
+                        "",
+                        2**63,
+                        [],
+                        msgspec.msgpack.encode(body),
+                    )
+                )
+            )
+
         ballot = (1_800_000_000_000_000, 100, 3)
-        words = [weighs(leasing.KIND, leasing.Body(1, "probe/3", ballot)),
-                 weighs(leasing.KIND, leasing.Body(4, "probe/3", ballot, 1_800_000_000_000, 3, ballot))]
+        words = [
+            weighs(leasing.KIND, leasing.Body(1, "probe/3", ballot)),
+            weighs(leasing.KIND, leasing.Body(4, "probe/3", ballot, 1_800_000_000_000, 3, ballot)),
+        ]
         self.assertLessEqual(words[0], size.guess("lease-word-bytes"))
         self.assertLessEqual(size.guess("lease-word-bytes"), words[1])
-        rounds = [weighs(overloaded.KIND, overloaded.Body(100_000, "zone-3", -1, "", [(n * 50, 3.5) for n in range(many)], 30.5, 2.5))
-                  for many in (3, 20)]
+        rounds = [
+            weighs(overloaded.KIND, overloaded.Body(100_000, "zone-3", -1, "", [(n * 50, 3.5) for n in range(many)], 30.5, 2.5))
+            for many in (3, 20)
+        ]
         self.assertLess(rounds[0], size.guess("round-word-bytes"))
         self.assertLess(size.guess("round-word-bytes"), rounds[1])
-        self.assertEqual(weighs(overloaded.KIND, overloaded.Body(100_000, "zone-3", 512, "served of what was let in")),
-                         size.guess("level-word-bytes"))
+        self.assertEqual(
+            weighs(overloaded.KIND, overloaded.Body(100_000, "zone-3", 512, "served of what was let in")),
+            size.guess("level-word-bytes"),
+        )
 
     def test_the_configuration_that_is_assumed_is_as_large_as_a_site_file_of_so_many_fronts(self):
         for name, nodes in (("two-years", 630), ("two-hundred", 200)):
@@ -367,11 +445,15 @@
 
     def test_a_scale_run_fills_the_rows_of_control_and_all_parts_have_to_be_there_for_the_sum(self):
         part = {"bytes_a_second": {"mean": 1500.0, "worst": 3000.0}, "core": {"mean": 0.01, "worst": 0.02}, "memory_kB": 2000}
-        told = {"command": "bin/curlewshift scale", "nodes": 24, "a_node": {
-            name: part for name in ("membership", "sharing", "leases")}}
+        told = {
+            "command": "bin/curlewshift scale",
+            "nodes": 24,
+            "a_node": {name: part for name in ("membership", "sharing", "leases")},
+        }
         measured = self.files(scale_630=told, scale_24=told, scale_8=told)
-        self.assertEqual((measured.scale(10), measured.scale(630), measured.scale(1000)),
-                         ("scale-24.json", "scale-630.json", "scale-630.json"))
+        self.assertEqual(
+            (measured.scale(10), measured.scale(630), measured.scale(1000)), ("scale-24.json", "scale-630.json", "scale-630.json")
+        )
         self.assertEqual(self.row(measured, "control: membership", MEMORY).figure.value, 2.0)
         self.assertIsNone(self.row(measured, "control: all four together out").figure)
         told["a_node"]["distribution"] = part
@@ -393,16 +475,22 @@
         self.assertEqual(row.verdict(ROOT), "not known: ×0.1 of 4,000 bytes/s in a smaller run, and not carried")
         self.assertEqual(row.figure.text(), "400 bytes/s (measured)")
         told |= {"nodes": 630, "verdict": {"ok": False}}
-        self.assertEqual(self.row(self.files(scale_630=told), words).verdict(ROOT),
-                         "not known: ×0.1 of 4,000 bytes/s in a run whose own verdict is not good, and not carried")
+        self.assertEqual(
+            self.row(self.files(scale_630=told), words).verdict(ROOT),
+            "not known: ×0.1 of 4,000 bytes/s in a run whose own verdict is not good, and not carried",
+        )
 
     def test_what_the_nearest_run_left_out_is_of_the_next_that_has_it(self):
         part = {"bytes_a_second": {"mean": 100.0}}
         fault = {"kind": "zone-lost", "known_s": 1.0, "while": {"lasted_s": 15.0, "all": part}}
         near = {"nodes": 8, "a_node": {"membership": part}, "stretch": None, "faults": [fault]}
-        far = {"nodes": 4, "a_node": {"leases": {"bytes_a_second": {"mean": 50.0}}}, "stretch": {
-            "changes": 5, "restarts": 1, "everywhere_worst_s": 3.0, "a_node": {"all": part}}, "faults": [
-            {**fault, "known_s": 9.0}, {**fault, "kind": "regions-apart", "known_s": 4.0}], "versions": {"no_loss": []}}
+        far = {
+            "nodes": 4,
+            "a_node": {"leases": {"bytes_a_second": {"mean": 50.0}}},
+            "stretch": {"changes": 5, "restarts": 1, "everywhere_worst_s": 3.0, "a_node": {"all": part}},
+            "faults": [{**fault, "known_s": 9.0}, {**fault, "kind": "regions-apart", "known_s": 4.0}],
+            "versions": {"no_loss": []},
+        }
         measured = self.files(scale_8=near, scale_4=far)
         self.assertEqual(self.row(measured, "control: leases out").figure.measured_to, 4)
         self.assertEqual(self.row(measured, "control: membership out").figure.measured_to, 8)
@@ -414,8 +502,9 @@
     def test_sharing_counts_by_its_slope_where_a_run_left_it_out(self):
         part = {"bytes_a_second": {"mean": 100.0}}
         told = {"nodes": 24, "a_node": {name: part for name in ("membership", "leases", "distribution")}}
-        measured = self.files(scale_24=told, slope_sharing=line_file(
-            "sharing-bytes-by-links", 1000, 10, unit="bytes/s", xs=(100, 200, 400, 640)))
+        measured = self.files(
+            scale_24=told, slope_sharing=line_file("sharing-bytes-by-links", 1000, 10, unit="bytes/s", xs=(100, 200, 400, 640))
+        )
         self.assertAlmostEqual(self.row(measured, "all four together out").figure.value, 300 + 7400)
 
     def test_what_comes_again_is_shared_by_those_that_are_left(self):
@@ -428,9 +517,11 @@
 
     def test_verdicts(self):
         def verdict(value, error=0.0, bound=100.0, by=Mechanism("curlewshift/node/wire.py", "class Wire"), least=False):
-            figure = None if value is None else Figure(
-                value, "MB", "worked out", error, measured_to=1, wanted_at=2, at_least=least)
+            figure = (
+                None if value is None else Figure(value, "MB", "worked out", error, measured_to=1, wanted_at=2, at_least=least)
+            )
             return Row("memory", FRONT, MEMORY, "x", figure, bound, by).verdict(ROOT)
+
         self.assertEqual(verdict(50), "within: ×0.5 of 100 MB")
         self.assertEqual(verdict(95, 10), "within, but not by its error: ×0.95 of 100 MB")
         self.assertEqual(verdict(250, least=True), "over: at least ×2.5 of 100 MB")
@@ -445,12 +536,23 @@
 
         def row(key, value, by):
             return Row(key, FRONT, MEMORY, key, Figure(value, "MB", "measured"), 10.0, by)
-        rows = [row("idle", 20, wire), row("list", 500, wire), row("memory", 5, wire), row("sharing", 900, wire),
-                row("sharing", 800, wire), row("workers", 1, None), row("configuration", 1, None), row("sharing", 90, None)]
+
+        rows = [
+            row("idle", 20, wire),
+            row("list", 500, wire),
+            row("memory", 5, wire),
+            row("sharing", 900, wire),
+            row("sharing", 800, wire),
+            row("workers", 1, None),
+            row("configuration", 1, None),
+            row("sharing", 90, None),
+        ]
         self.assertEqual([one.key for one in shortfalls(rows, ROOT)], ["configuration", "sharing", "workers", "list", "idle"])
         self.assertEqual(shortfalls(rows, ROOT)[1].over.figure.value, 900)
         self.assertIn("configuration", RESTS["workers"])
 
     def test_figures_are_told_in_as_many_places_as_count(self):
-        self.assertEqual([short(one) for one in (0, 0.03412, 1.5, 21.64, 142.2, 68253.97, 43e6, 3.8e-6)],
-                         ["0", "0.0341", "1.5", "21.6", "142", "68,254", "43,000,000", "3.8e-06"])
+        self.assertEqual(
+            [short(one) for one in (0, 0.03412, 1.5, 21.64, 142.2, 68253.97, 43e6, 3.8e-6)],
+            ["0", "0.0341", "1.5", "21.6", "142", "68,254", "43,000,000", "3.8e-06"],
+        )
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -34,8 +34,14 @@
         courses = list(desk.courses.values())
         if what < 4:
             try:
-                requests.append(outside.ask(chance.choice(["clip", "paid", "lesson"]), chance.choice(["t1", "t2", "t3"]),
-                                            chance.choice([None, None, "k1", "k2"]), chance.choice(["o1", "o1", "o2"])))
+                requests.append(
+                    outside.ask(
+                        chance.choice(["clip", "paid", "lesson"]),
+                        chance.choice(["t1", "t2", "t3"]),
+                        chance.choice([None, None, "k1", "k2"]),
+                        chance.choice(["o1", "o1", "o2"]),
+                    )
+                )
             except KeyReused:
                 pass
         elif what < 8 and outside.out:
@@ -52,8 +58,14 @@
                 if chance.random() < 0.2:
                     desk.delivered(server, chance.random())
         elif what == 11:
-            outside.change(outside.row(f"s{chance.randrange(4)}", chance.choice(["on", "on", "fading"]),
-                                       "abcd"[chance.randrange(4)], chance.choice([SECOND, outside.clock])))
+            outside.change(
+                outside.row(
+                    f"s{chance.randrange(4)}",
+                    chance.choice(["on", "on", "fading"]),
+                    "abcd"[chance.randrange(4)],
+                    chance.choice([SECOND, outside.clock]),
+                )
+            )
         elif what == 12 and outside.ending:
             desk.session_ended(outside.ending.pop(), chance.random() < 0.7)
         else:
@@ -72,8 +84,9 @@
             read = list(Reading(logged(records)))
             runs = [Replay(read).run() for _ in range(3)]
             self.assertEqual([str(run.difference) for run in runs], ["None"] * 3, seed)
-            self.assertEqual({(run.told, run.did) for run in runs},
-                             {(sum(row[0] == TOLD for row in read), sum(row[0] == DID for row in read))})
+            self.assertEqual(
+                {(run.told, run.did) for run in runs}, {(sum(row[0] == TOLD for row in read), sum(row[0] == DID for row in read))}
+            )
             self.assertGreater(runs[0].did, 50)
 
     def test_with_a_peak_on_the_calendar_and_the_wall_set(self):
@@ -81,6 +94,7 @@
         with mock.patch.object(desk_fake, "Desk", tapped(Desk, records.append)):
             outside = FakeOutside(calendar=Calendar(PACKAGES))
         from tests.test_peaks import peak
+
         outside.desk.announce(peak(starts=outside.wall() + SECOND, ends=outside.wall() + 9 * SECOND))
         outside.later(3 * SECOND)
         for number in range(20):
@@ -109,6 +123,7 @@
         class Other(Rules):
             def _room(self, server, rate=0.0, bound=3.09, vw=None):
                 return -super()._room(server, rate, bound, vw)
+
         run = Replay(records, rules=Other).run()
         self.assertIn(run.difference.what, ("tune_in", "answer"))
         self.assertNotEqual(run.difference.logged, run.difference.came)
@@ -204,7 +219,7 @@
         reading = Reading(bytes(raw), "log")
         read = list(reading)
         self.assertLess(len(read), len(records))
-        self.assertEqual(read, list(Reading(logged(records)))[:len(read)])
+        self.assertEqual(read, list(Reading(logged(records)))[: len(read)])
         self.assertIn("log: ", reading.damage)
 
     def test_what_is_no_log_is_said_to_be_none(self):
@@ -213,6 +228,5 @@
                 Reading(raw)
 
 
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_captures_kept.py
+++ b/tests/test_captures_kept.py
@@ -43,8 +43,13 @@
 
 
 def replayed(hash_seed, which="sound"):
-    return subprocess.Popen([sys.executable, "-c", REPLAY, which, *map(str, CAPTURES)], cwd=ROOT, text=True,
-                            stdout=subprocess.PIPE, env={**os.environ, "PYTHONHASHSEED": str(hash_seed)})
+    return subprocess.Popen(
+        [sys.executable, "-c", REPLAY, which, *map(str, CAPTURES)],
+        cwd=ROOT,
+        text=True,
+        stdout=subprocess.PIPE,
+        env={**os.environ, "PYTHONHASHSEED": str(hash_seed)},
+    )
 
 
 class KeptOnes(unittest.TestCase):
@@ -95,8 +100,7 @@
         now = 100 * DAY
         lives = [Kept(str(number), now - number * DAY, 10) for number in range(10)]
         self.assertEqual(to_let_go(lives, "9", now, kept_for=5 * DAY), ["8", "7", "6"])
-        self.assertEqual(to_let_go(lives, "0", now, 1000 * DAY, most_bytes=35),
-                         ["9", "8", "7", "6", "5", "4", "3"])
+        self.assertEqual(to_let_go(lives, "0", now, 1000 * DAY, most_bytes=35), ["9", "8", "7", "6", "5", "4", "3"])
         self.assertEqual(to_let_go(lives, "9", now, 1000 * DAY, most_bytes=5)[-1], "0")
 
     def test_a_clock_set_back_lets_nothing_go(self):
@@ -112,9 +116,7 @@
             (folder / "a" / "notes.txt").write_text("mine")
             (folder / "other").mkdir()
             self.assertEqual(let_go(folder, "b"), ["a"])
-            self.assertEqual(sorted(path.name for path in folder.rglob("*")),
-                             ["000001.capture", "a", "b", "notes.txt", "other"])
-
+            self.assertEqual(sorted(path.name for path in folder.rglob("*")), ["000001.capture", "a", "b", "notes.txt", "other"])
 
     def test_a_new_life_lets_go_of_what_is_too_old(self):
         with tempfile.TemporaryDirectory() as name:
@@ -156,8 +158,9 @@
         self.assertEqual(sum(index.records for index in told), len(self.records))
         again = Indexer()
         of_viewings = [again.add(record) for record in self.records]
-        self.assertEqual({viewing for index in told for viewing in index.viewings},
-                         {viewing for viewing in of_viewings if viewing is not None})
+        self.assertEqual(
+            {viewing for index in told for viewing in index.viewings}, {viewing for viewing in of_viewings if viewing is not None}
+        )
         self.assertTrue(all(before.last <= after.first for before, after in zip(told, told[1:])))
 
     def test_an_index_that_is_lost_or_damaged_is_made_again(self):
@@ -184,6 +187,7 @@
         packed = segment.read_bytes()
         plain = segment.with_suffix(".capture")
         from curlewshift.capture.store import read_segment
+
         plain.write_bytes(read_segment(segment).raw)
         segment.unlink()
         segment.with_suffix(".new").write_bytes(packed[:100])
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -27,6 +27,7 @@
 class Nouns(unittest.TestCase):
     def test_every_noun_has_its_file_and_a_word_of_help(self):
         from curlewshift.commands.main import NOUNS
+
         for noun in NOUNS:
             self.assertTrue(main.get_command(None, noun).get_short_help_str(), noun)
         self.assertIsNone(main.get_command(None, "cluster"))
@@ -59,18 +60,45 @@
         self.assertEqual((none.exit_code, "the settings name no peers" in none.output), (2, True))
 
     def test_leases_tell_why_none_is_held(self):
-        rows = [{"lease": "probe/0", "held_here": True, "number": 17, "since_s": 1.0, "until_s": 2.0, "keepers_heard": 3,
-                 "why_not": "", "kept_for": ""},
-                {"lease": "probe/1", "held_here": False, "number": 0, "since_s": None, "until_s": None, "keepers_heard": 0,
-                 "why_not": "1 of 3 keepers answered, 2 needed", "kept_for": "f2"}]
+        rows = [
+            {
+                "lease": "probe/0",
+                "held_here": True,
+                "number": 17,
+                "since_s": 1.0,
+                "until_s": 2.0,
+                "keepers_heard": 3,
+                "why_not": "",
+                "kept_for": "",
+            },
+            {
+                "lease": "probe/1",
+                "held_here": False,
+                "number": 0,
+                "since_s": None,
+                "until_s": None,
+                "keepers_heard": 0,
+                "why_not": "1 of 3 keepers answered, 2 needed",
+                "kept_for": "f2",
+            },
+        ]
         told = {"leases": {"me": "f1", "keeper": True, "silent": True, "leases": rows}}
         output = " ".join(self.shown(told, "leases", "show").output.split())
         for words in ("f1, a keeper, still silent after its start", "17", "in 2.0 s", "2 needed"):
             self.assertIn(words, output)
 
     def test_overload_tells_who_is_shed_and_why(self):
-        zone = {"zone": "a", "level": 70, "of": 192, "why": "40% of what was let in found no room", "for_s": 3.0, "full": 0.9,
-                "shed": {"cheap": 0.95, "dear": 0.0}, "told": 70, "adds_up": False}
+        zone = {
+            "zone": "a",
+            "level": 70,
+            "of": 192,
+            "why": "40% of what was let in found no room",
+            "for_s": 3.0,
+            "full": 0.9,
+            "shed": {"cheap": 0.95, "dear": 0.0},
+            "told": 70,
+            "adds_up": False,
+        }
         told = {"overload": {"me": "f1", "zones": [zone], "shed": {"cheap": 12}, "let_in": 30, "further_left": 1.5}}
         output = " ".join(self.shown(told, "overload", "show").output.split())
         for words in ("f1: let in 30, shed 12 of cheap", "95% of cheap", "70 of 192", "90%"):
--- a/tests/test_configured.py
+++ b/tests/test_configured.py
@@ -40,9 +40,15 @@
     <machine name="c3" peers-listen="127.0.0.1:8193"/>
   </control>
 </site>"""
-FLEET = ((EXAMPLES / "fleet-site.xml").read_text()
-         .replace("  </fronts>", '    <configuration give-bytes="16kB/s" start-within="2s"/>\n'
-                  '    <limits from-source="200/s" burst="2s"/>\n  </fronts>').replace("</site>", CONTROL))
+FLEET = (
+    (EXAMPLES / "fleet-site.xml")
+    .read_text()
+    .replace(
+        "  </fronts>",
+        '    <configuration give-bytes="16kB/s" start-within="2s"/>\n    <limits from-source="200/s" burst="2s"/>\n  </fronts>',
+    )
+    .replace("</site>", CONTROL)
+)
 
 
 class InAFolder(unittest.TestCase):
@@ -65,8 +71,10 @@
         site = read_site(self.path)
         self.assertEqual([machine.name for machine in site.control.machines], ["c1", "c2", "c3"])
         self.assertEqual(site.control.machines[0].peers_reach, ("127.0.0.1", 8191))
-        self.assertEqual((site.control.terms.term, site.configuration.give_bytes, site.configuration.start_within),
-                         (2_000_000_000, 16_000, 2_000_000_000))
+        self.assertEqual(
+            (site.control.terms.term, site.configuration.give_bytes, site.configuration.start_within),
+            (2_000_000_000, 16_000, 2_000_000_000),
+        )
         self.assertEqual((site.doors[0].region, site.doors[0].zone, site.doors[1].zone), ("south", "s1", ""))
         self.path.write_text((EXAMPLES / "fleet-site.xml").read_text())
         site = read_site(self.path)
@@ -74,16 +82,17 @@
 
     def test_what_cannot_be_is_told_with_its_line(self):
         for old, new, words in (
-                (CONTROL, "</site>", "there is no <control> with the machines"),
-                ('<machine name="c3" peers-listen="127.0.0.1:8193"/>', "", "machine is missing inside"),
-                ('name="c2"', 'name="f2"', "machine: a front has the name 'f2' already"),
-                ('name="c2"', 'name="c1"', "machine: 'c1' is there twice"),
-                ('name="c2"', 'name="c2" region="west" zone="n1"', "zone 'n1' lies in region 'north' by another line, and in 'west'"),
-                ("127.0.0.1:8193", "c3.example:8193", "machine: peers-listen should be an address in numbers"),
-                ('term="2s"', 'term="1s"', "control: a term under eight rounds"),
-                ("16kB/s", "0.5kB/s", "give-bytes under 1kB/s"),
-                ('start-within="2s"', 'start-within="2min"', "1min at most"),
-                ('seeds="f1', 'seeds="c9', "no front 'c9' to be a seed")):
+            (CONTROL, "</site>", "there is no <control> with the machines"),
+            ('<machine name="c3" peers-listen="127.0.0.1:8193"/>', "", "machine is missing inside"),
+            ('name="c2"', 'name="f2"', "machine: a front has the name 'f2' already"),
+            ('name="c2"', 'name="c1"', "machine: 'c1' is there twice"),
+            ('name="c2"', 'name="c2" region="west" zone="n1"', "zone 'n1' lies in region 'north' by another line, and in 'west'"),
+            ("127.0.0.1:8193", "c3.example:8193", "machine: peers-listen should be an address in numbers"),
+            ('term="2s"', 'term="1s"', "control: a term under eight rounds"),
+            ("16kB/s", "0.5kB/s", "give-bytes under 1kB/s"),
+            ('start-within="2s"', 'start-within="2min"', "1min at most"),
+            ('seeds="f1', 'seeds="c9', "no front 'c9' to be a seed"),
+        ):
             self.path.write_bytes(self.site((old, new)))
             with self.assertRaises(Mistakes) as found:
                 read_site(self.path)
@@ -123,39 +132,54 @@
         return refusals(read_site(self.path), site_of(self.path, root), root)
 
     def test_values_patience_limits_titles_and_obligations_may(self):
-        self.assertEqual(self.refused(
-            ('name="receipt" value="3" join-target="1s" patience="4s" floor="1" seats="4"',
-             'name="receipt" value="4" join-target="1.1s" patience="5s" floor="0" seats="9" top="2"'),
-            ('longest-wait="2s" most-tune-ins="3"', 'longest-wait="3s" most-tune-ins="4"'),
-            ('from-source="200/s"', 'from-source="20/s" for-package="50/s"'), ('uplink="13MB/s"', 'uplink="12MB/s"'),
-            ('name="t01"', 'name="t99"'), ('free="6"', 'free="7"'), ('most-waiting="500"', 'most-waiting="400"')), [])
+        self.assertEqual(
+            self.refused(
+                (
+                    'name="receipt" value="3" join-target="1s" patience="4s" floor="1" seats="4"',
+                    'name="receipt" value="4" join-target="1.1s" patience="5s" floor="0" seats="9" top="2"',
+                ),
+                ('longest-wait="2s" most-tune-ins="3"', 'longest-wait="3s" most-tune-ins="4"'),
+                ('from-source="200/s"', 'from-source="20/s" for-package="50/s"'),
+                ('uplink="13MB/s"', 'uplink="12MB/s"'),
+                ('name="t01"', 'name="t99"'),
+                ('free="6"', 'free="7"'),
+                ('most-waiting="500"', 'most-waiting="400"'),
+            ),
+            [],
+        )
 
     def test_what_needs_a_restart_is_told_with_its_line(self):
         lines = FLEET.splitlines()
 
         def line(what):
             return next(number for number, one in enumerate(lines, 1) if what in one)
+
         for old, new, at, words in (
-                ('floor="1"', 'floor="2"', "receipt", "package receipt: a higher floor needs a restart"),
-                ('paid-at-setup="true"', 'paid-at-setup="false"', 'name="review"', "paid-at-setup needs a restart"),
-                ('name="review"', 'name="preview"', "<packages", "to add, take away or reorder"),
-                ('rate="650kB/s"', 'rate="660kB/s"', 'name="receipt"', "the ladder or scale needs a restart"),
-                ("127.0.0.1:8082", "127.0.0.1:8099", "<front ", "front: needs all members stopped at once"),
-                ("127.0.0.1:8090", "127.0.0.1:8091", "<list", "list: needs a restart"),
-                ('period="500ms"', 'period="400ms"', "<peers", "peers: needs all members stopped at once"),
-                ("16kB/s", "17kB/s", "<configuration", "configuration: needs all members stopped at once"),
-                ("127.0.0.1:8193", "127.0.0.1:8194", "<control", "control: needs all members stopped at once"),
-                ('warm-within="8s"', 'warm-within="9s"', "<cold-servers", "cold-servers: warm-within needs a restart"),
-                ('told-late="500ms"', 'told-late="400ms"', "<news", "news: told-late needs a restart"),
-                ('<limits from-source="200/s" burst="2s"/>', "", "<fronts", "limits: to begin or to end them")):
+            ('floor="1"', 'floor="2"', "receipt", "package receipt: a higher floor needs a restart"),
+            ('paid-at-setup="true"', 'paid-at-setup="false"', 'name="review"', "paid-at-setup needs a restart"),
+            ('name="review"', 'name="preview"', "<packages", "to add, take away or reorder"),
+            ('rate="650kB/s"', 'rate="660kB/s"', 'name="receipt"', "the ladder or scale needs a restart"),
+            ("127.0.0.1:8082", "127.0.0.1:8099", "<front ", "front: needs all members stopped at once"),
+            ("127.0.0.1:8090", "127.0.0.1:8091", "<list", "list: needs a restart"),
+            ('period="500ms"', 'period="400ms"', "<peers", "peers: needs all members stopped at once"),
+            ("16kB/s", "17kB/s", "<configuration", "configuration: needs all members stopped at once"),
+            ("127.0.0.1:8193", "127.0.0.1:8194", "<control", "control: needs all members stopped at once"),
+            ('warm-within="8s"', 'warm-within="9s"', "<cold-servers", "cold-servers: warm-within needs a restart"),
+            ('told-late="500ms"', 'told-late="400ms"', "<news", "news: told-late needs a restart"),
+            ('<limits from-source="200/s" burst="2s"/>', "", "<fronts", "limits: to begin or to end them"),
+        ):
             told = self.refused((old, new))
             self.assertTrue(any(words in said for _, said in told), (new, told))
             self.assertIn(line(at), [number for number, said in told if words in said], (new, told))
 
     def test_what_fronts_share_needs_a_restart(self):
         shared = (EXAMPLES / "bounds-site.xml").read_text()
-        words = "".join(said for _, said in self.refused(('free="', 'free="1'), ('<title name="t01"', '<title name="t77"'),
-                                                        ('seats="1"', 'seats="3"'), before=shared))
+        words = "".join(
+            said
+            for _, said in self.refused(
+                ('free="', 'free="1'), ('<title name="t01"', '<title name="t77"'), ('seats="1"', 'seats="3"'), before=shared
+            )
+        )
         for said in ("share their budget", "seats of each title", "fronts share them"):
             self.assertIn(said, words)
         shedding = (EXAMPLES / "overload-site.xml").read_text()
@@ -180,7 +204,7 @@
         record.write(b"content")
         whole = record.path.read_bytes()
         for at in range(len(whole)):
-            record.path.write_bytes(whole[:at] + bytes((whole[at] ^ 1,)) + whole[at + 1:])
+            record.path.write_bytes(whole[:at] + bytes((whole[at] ^ 1,)) + whole[at + 1 :])
             self.assertIsNone(record.read(), at)
             self.assertIn("spoilt", record.damage)
             self.assertFalse(record.path.exists())
@@ -197,16 +221,18 @@
         self.assertEqual(record.read(), b"one")
 
 
-SMALL = (EXAMPLES / "small-site.xml").read_text().replace(
-    "  </fronts>", '    <limits from-source="100/s" burst="2s"/>\n  </fronts>')
+SMALL = (
+    (EXAMPLES / "small-site.xml").read_text().replace("  </fronts>", '    <limits from-source="100/s" burst="2s"/>\n  </fronts>')
+)
 QUIET = structlog.wrap_logger(structlog.ReturnLogger())
 SECOND = 1_000_000_000
 
 
 def kept(content, number=7, of=None):
     """What a wire keeps of this content, under the digest `of` another."""
-    return ENCODER.encode(Kept(1, tuple(Version(number, 1, digest_of(of or content))),
-                               zstandard.ZstdCompressor().compress(content)))
+    return ENCODER.encode(
+        Kept(1, tuple(Version(number, 1, digest_of(of or content))), zstandard.ZstdCompressor().compress(content))
+    )
 
 
 class Stumbles(Swap):
@@ -229,31 +255,46 @@
         self.front.reach = mock.Mock()
         self.configured = self.front.configured = Configured(self.front, Begun(self.path, self.front.site), None)
         now = self.front.now()
-        self.front.desk.list_full("e", 1, [Row(f"h{n}", "on", now - 3600 * SECOND, "z", "r1", 4200.0, 24, f"s{n}")
-                                           for n in range(1, 13)])
+        self.front.desk.list_full(
+            "e", 1, [Row(f"h{n}", "on", now - 3600 * SECOND, "z", "r1", 4200.0, 24, f"s{n}") for n in range(1, 13)]
+        )
 
     def take(self, *changes, version="7.1-abc", text=SMALL):
         return self.configured.take_configuration(version, self.site(*changes, text=text))
 
     def state(self):
         desk = self.front.desk
-        return (self.configured.live(), {name: ([server.name for server in title.holders], title.shelves)
-                                         for name, title in desk.roster.titles.items()},
-                {shelf: [title.name for title in titles] for shelf, titles in desk.roster.on_shelf.items()},
-                [rack.link.size for rack in desk.roster.racks.values()], desk.rules.wait, desk.rules.free_further,
-                self.front.door.admission.bounds, self.front.site.duties, self.front.site.titles)
+        return (
+            self.configured.live(),
+            {name: ([server.name for server in title.holders], title.shelves) for name, title in desk.roster.titles.items()},
+            {shelf: [title.name for title in titles] for shelf, titles in desk.roster.on_shelf.items()},
+            [rack.link.size for rack in desk.roster.racks.values()],
+            desk.rules.wait,
+            desk.rules.free_further,
+            self.front.door.admission.bounds,
+            self.front.site.duties,
+            self.front.site.titles,
+        )
 
     def test_what_decides_has_the_new_values_and_the_same_objects(self):
         front = self.front
         packages, holders = list(front.desk.packages.values()), front.desk.roster.titles["t01"].holders
         # t01 goes to one shelf that it had, t02 away, t99 comes
         shelves = front.site.titles["t01"]
-        self.assertIsNone(self.take(
-            ('name="receipt" value="3" join-target="1s" patience="4s"', 'name="receipt" value="5" join-target="2s" patience="6s"'),
-            ('longest-wait="2s" most-tune-ins="3"', 'longest-wait="500ms" most-tune-ins="7"'), ('free="6"', 'free="9"'),
-            ('from-source="100/s" burst="2s"', 'from-source="10/s" for-package="40/s" burst="3s"'),
-            ('uplink="13MB/s"', 'uplink="11MB/s"'), ('<title name="t02"', '<title name="t99"'),
-            (f'<title name="t01" shelves="{" ".join(shelves)}"', f'<title name="t01" shelves="{shelves[0]}"')))
+        self.assertIsNone(
+            self.take(
+                (
+                    'name="receipt" value="3" join-target="1s" patience="4s"',
+                    'name="receipt" value="5" join-target="2s" patience="6s"',
+                ),
+                ('longest-wait="2s" most-tune-ins="3"', 'longest-wait="500ms" most-tune-ins="7"'),
+                ('free="6"', 'free="9"'),
+                ('from-source="100/s" burst="2s"', 'from-source="10/s" for-package="40/s" burst="3s"'),
+                ('uplink="13MB/s"', 'uplink="11MB/s"'),
+                ('<title name="t02"', '<title name="t99"'),
+                (f'<title name="t01" shelves="{" ".join(shelves)}"', f'<title name="t01" shelves="{shelves[0]}"'),
+            )
+        )
         live = self.configured.live()
         self.assertEqual(live["packages"]["receipt"]["patience"], 6 * SECOND)
         self.assertEqual((live["longest_wait"], live["most_tune_ins"], live["version"]), (SECOND // 2, 7, "7.1-abc"))
@@ -265,8 +306,10 @@
         self.assertIs(front.desk.roster.titles["t01"].holders, holders)
         self.assertEqual([server.name for server in holders], [f"h{shelves[0][1:]}"])
         self.assertNotIn("t02", front.desk.roster.titles)
-        self.assertEqual({server.name for server in front.desk.roster.titles["t99"].holders},
-                         {f"h{shelf[1:]}" for shelf in front.site.titles["t99"]})
+        self.assertEqual(
+            {server.name for server in front.desk.roster.titles["t99"].holders},
+            {f"h{shelf[1:]}" for shelf in front.site.titles["t99"]},
+        )
         # and the list goes on telling of both
         front.desk.list_change("e", 1, 2, [Row(f"h{shelves[0][1:]}", "off")])
         self.assertEqual(holders, [])
@@ -306,17 +349,25 @@
     def test_a_refused_one_changes_nothing_and_is_told_with_file_and_line(self):
         before = self.state()
         for changes, words in (
-                ([('patience="4s"', 'patience="9s"'), ('floor="1"', 'floor="2"')], r"site\.xml:\d+: package receipt: a higher floor"),
-                ([('patience="4s"', 'patience="4"')], r"site\.xml:\d+: package: patience should be a time"),
-                ([("</site>", "")], r"site\.xml:\d+: this is not XML")):
+            ([('patience="4s"', 'patience="9s"'), ('floor="1"', 'floor="2"')], r"site\.xml:\d+: package receipt: a higher floor"),
+            ([('patience="4s"', 'patience="4"')], r"site\.xml:\d+: package: patience should be a time"),
+            ([("</site>", "")], r"site\.xml:\d+: this is not XML"),
+        ):
             self.assertRegex(self.take(*changes), words)
         self.assertEqual(self.state(), before)
 
     def test_a_fault_at_any_step_takes_all_back(self):
-        before, changes = self.state(), [
-            ('patience="4s"', 'patience="9s"'), ('longest-wait="2s"', 'longest-wait="1s"'), ('uplink="13MB/s"', 'uplink="11MB/s"'),
-            ('from-source="100/s"', 'from-source="10/s" for-package="40/s"'), ('<title name="t02"', '<title name="t99"'),
-            ('<title name="t01" shelves="', '<title name="t01" shelves="s12 ')]
+        before, changes = (
+            self.state(),
+            [
+                ('patience="4s"', 'patience="9s"'),
+                ('longest-wait="2s"', 'longest-wait="1s"'),
+                ('uplink="13MB/s"', 'uplink="11MB/s"'),
+                ('from-source="100/s"', 'from-source="10/s" for-package="40/s"'),
+                ('<title name="t02"', '<title name="t99"'),
+                ('<title name="t01" shelves="', '<title name="t01" shelves="s12 '),
+            ],
+        )
         steps = Swap()
         in_service(self.front, read_site(self.path, self.site(*changes, text=SMALL)), steps)
         self.assertEqual(self.state(), before, "planning changes nothing")
@@ -349,10 +400,16 @@
 
     def test_from_the_file_and_why_where_it_is_not(self):
         newer = self.site(('patience="4s"', 'patience="4.5s"'))
-        for data, words in ((None, "nothing is on the disk"), (b"rubbish", "cannot be used"), (kept(newer, of=b"other"), "digest"),
-                            (kept(newer.replace(b'value="3"', b'value="x"')), "site.xml:")):
+        for data, words in (
+            (None, "nothing is on the disk"),
+            (b"rubbish", "cannot be used"),
+            (kept(newer, of=b"other"), "digest"),
+            (kept(newer.replace(b'value="3"', b'value="x"')), "site.xml:"),
+        ):
             begun = self.begun(data)
-            self.assertEqual((begun.how, begun.version, begun.copy, begun.site.packages[0].patience), ("file", "file", None, 4 * SECOND))
+            self.assertEqual(
+                (begun.how, begun.version, begun.copy, begun.site.packages[0].patience), ("file", "file", None, 4 * SECOND)
+            )
             self.assertIn(words, begun.cause)
         path = self.folder / "configuration"
         self.begun(kept(newer))
@@ -372,10 +429,16 @@
         text = FLEET
         for name in range(3, 9):
             text = "\n".join(line for line in text.splitlines() if f'<front name="f{name}"' not in line)
-        text = text.replace('seeds="f1 f2 f3" period="500ms" forget-after="10s"', 'seeds="c1 c2" period="200ms" forget-after="10s"')
+        text = text.replace(
+            'seeds="f1 f2 f3" period="500ms" forget-after="10s"', 'seeds="c1 c2" period="200ms" forget-after="10s"'
+        )
         text = "\n".join(line for line in text.splitlines() if '<front name="f2"' not in line)
-        for old, new in (("127.0.0.1:8081", tcp[0]), ("127.0.0.1:8090", tcp[1]), ("127.0.0.1:8181", udp[0]),
-                         *((f"127.0.0.1:819{n}", udp[n]) for n in (1, 2, 3))):
+        for old, new in (
+            ("127.0.0.1:8081", tcp[0]),
+            ("127.0.0.1:8090", tcp[1]),
+            ("127.0.0.1:8181", udp[0]),
+            *((f"127.0.0.1:819{n}", udp[n]) for n in (1, 2, 3)),
+        ):
             text = text.replace(old, f"127.0.0.1:{new}")
         self.text = text.replace('start-within="2s"', 'start-within="300ms"')
         self.path.write_text(self.text)
@@ -391,6 +454,7 @@
         async def run():
             with scope:
                 await machine.run()
+
         tasks.start_soon(run)
         return scope
 
@@ -410,14 +474,19 @@
                 others = [name for name in machines if name != writer]
 
                 async def put(text, at=writer, base="file"):
-                    return await tell(self.folder / at, {"do": "put", "content": text, "base": base, "name": "new.xml",
-                                                         "why": "a test"}, 12)
+                    return await tell(
+                        self.folder / at, {"do": "put", "content": text, "base": base, "name": "new.xml", "why": "a test"}, 12
+                    )
+
                 newer = self.text.replace('patience="4s"', 'patience="4700ms"', 1)
                 await until(lambda: machines[others[0]].leases.writer() == writer)
                 told = await put(newer, at=others[0])
                 self.assertEqual((told["ok"], told["wrong"]), (False, f"versions are made at {writer} now"))
-                for text, words in ((newer.replace('value="3"', 'value="x"', 1), "new.xml:"), ("<site", "this is not XML"),
-                                    (newer.replace('floor="1"', 'floor="2"', 1), "a higher floor needs a restart")):
+                for text, words in (
+                    (newer.replace('value="3"', 'value="x"', 1), "new.xml:"),
+                    ("<site", "this is not XML"),
+                    (newer.replace('floor="1"', 'floor="2"', 1), "a higher floor needs a restart"),
+                ):
                     told = await put(text)
                     self.assertFalse(told["ok"])
                     self.assertIn(words, told["wrong"])
@@ -431,20 +500,38 @@
                 # what needs a restart is taken by one, if its operator says so, and refused until then
                 told = await put(newer.replace('floor="1"', 'floor="2"', 1), base=told["version"])
                 self.assertFalse(told["ok"])
-                for text, ok in ((newer.replace('floor="1"', 'floor="2"', 1), True), (newer.replace('period="200ms"', 'period="300ms"'), False)):
-                    later = await tell(self.folder / writer, {"do": "put", "content": text, "base": front.configured.version,
-                                                              "name": "new.xml", "why": "a test", "restarts": True}, 12)
+                for text, ok in (
+                    (newer.replace('floor="1"', 'floor="2"', 1), True),
+                    (newer.replace('period="200ms"', 'period="300ms"'), False),
+                ):
+                    later = await tell(
+                        self.folder / writer,
+                        {
+                            "do": "put",
+                            "content": text,
+                            "base": front.configured.version,
+                            "name": "new.xml",
+                            "why": "a test",
+                            "restarts": True,
+                        },
+                        12,
+                    )
                     self.assertEqual(later["ok"], ok, later)
                     if ok:
                         self.assertIn("a higher floor needs a restart", later["needs_restart"])
                         restarted = later["version"]
                 await until(lambda: (state / "configuration-next").exists())
                 told = {"version": front.configured.version}
-                self.assertEqual((front.desk.packages["receipt"].floor, front.configured.show()["refused"][0]["version"]),
-                                 (1, restarted))
+                self.assertEqual(
+                    (front.desk.packages["receipt"].floor, front.configured.show()["refused"][0]["version"]), (1, restarted)
+                )
                 # and whoever made it sees who refuses, and why
-                await until(lambda: any(zone["refusing"] == 1 and "a higher floor" in str(zone["whys"])
-                                        for zone in machines[writer].wire.show()["zones"]))
+                await until(
+                    lambda: any(
+                        zone["refusing"] == 1 and "a higher floor" in str(zone["whys"])
+                        for zone in machines[writer].wire.show()["zones"]
+                    )
+                )
                 after = begin(self.path, read_site(self.path), state)
                 self.assertEqual((after.how, after.version, after.site.packages[0].floor), ("disk", restarted, 2))
                 (state / "configuration-next").unlink()
@@ -488,8 +575,15 @@
         self.events.append({"at": int(at * SECOND), "ev": ev, **facts})
 
     def live(self, at, front, version, *marks, life=1):
-        self.seen(at, "live", front=front, life=f"{front}.{life}", asked=int(at * SECOND) - 1000, version=version,
-                  marks=list(marks) * (1 if len(marks) > 1 else 3))
+        self.seen(
+            at,
+            "live",
+            front=front,
+            life=f"{front}.{life}",
+            asked=int(at * SECOND) - 1000,
+            version=version,
+            marks=list(marks) * (1 if len(marks) > 1 else 3),
+        )
 
     def said(self, at, front, body, kind=20):
         frame = Frame("s", front, "127.0.0.1", 1, 1, 1, 1, kind, body=msgspec.msgpack.encode(body))
@@ -518,7 +612,9 @@
     def test_a_good_day(self):
         self.day()
         told = self.judged()
-        self.assertEqual((told["broken"], told["versions"], told["in_force_p99_s"], told["in_force_counted"]), (False, 1, 1.5, 2), told)
+        self.assertEqual(
+            (told["broken"], told["versions"], told["in_force_p99_s"], told["in_force_counted"]), (False, 1, 1.5, 2), told
+        )
 
     def test_each_wrong(self):
         def fork():
@@ -543,15 +639,21 @@
             self.live(10, "f1", self.v1, 1)
 
         for name, plant, many in (
-                ("regressions", lambda: self.live(12, "f1", "file", 0), 1),
-                ("regressions", lambda: self.live(12, "f1", "file", 0, life=2), 1),
-                ("half", lambda: self.live(12, "f1", self.v1, 1, 0, 1), 1), ("half", door, 1),
-                ("forks", fork, 1), ("forks", lambda: self.live(12, "f1", f"5.1-{self.D2.hex()[:12]}", 1), 1),
-                ("forks", lambda: self.live(12, "f2", self.v1, 300), 1), ("early", early, 1), ("unfounded", refused_and_yet, 1),
-                ("late", late, 1), ("missing", never, 1),
-                ("bad_taken", lambda: self.seen(12, "bad-put", mark=700, what="rule", ok=True, wrong=""), 1),
-                ("bad_taken", lambda: self.seen(12, "bad-put", mark=700, what="rule", ok=False, wrong="it is wrong"), 1),
-                ("bad_taken", lambda: self.seen(8, "bad-put", mark=1, what="rule", ok=False, wrong="a.xml:7: wrong"), 2)):
+            ("regressions", lambda: self.live(12, "f1", "file", 0), 1),
+            ("regressions", lambda: self.live(12, "f1", "file", 0, life=2), 1),
+            ("half", lambda: self.live(12, "f1", self.v1, 1, 0, 1), 1),
+            ("half", door, 1),
+            ("forks", fork, 1),
+            ("forks", lambda: self.live(12, "f1", f"5.1-{self.D2.hex()[:12]}", 1), 1),
+            ("forks", lambda: self.live(12, "f2", self.v1, 300), 1),
+            ("early", early, 1),
+            ("unfounded", refused_and_yet, 1),
+            ("late", late, 1),
+            ("missing", never, 1),
+            ("bad_taken", lambda: self.seen(12, "bad-put", mark=700, what="rule", ok=True, wrong=""), 1),
+            ("bad_taken", lambda: self.seen(12, "bad-put", mark=700, what="rule", ok=False, wrong="it is wrong"), 1),
+            ("bad_taken", lambda: self.seen(8, "bad-put", mark=1, what="rule", ok=False, wrong="a.xml:7: wrong"), 2),
+        ):
             self.events = []
             self.setUp()
             self.day()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -124,6 +124,7 @@
 
         async def breaks(media):
             await media.lines[0].aclose()
+
         for leaves in (lambda viewer: viewer.close(), lambda viewer: viewer.tear_down(A)):
             for ends in (refuses, breaks):
                 self.assertEqual(await self.after_the_first(leaves, ends), 1)
@@ -141,7 +142,9 @@
                     viewer.tear_down(id)
                     await viewer.hear()
                 endpoint = place.node.reach.endpoints[place.node.fleet.servers[media.name]]
-                await until(lambda: len(endpoint.lines) == 2 and not any(map(place.node.reach.teardowns.unconfirmed_on, endpoint.lines)))
+                await until(
+                    lambda: len(endpoint.lines) == 2 and not any(map(place.node.reach.teardowns.unconfirmed_on, endpoint.lines))
+                )
                 with mock.patch.object(Wire, "_push", lambda wire: False):
                     viewer.ask(C, package=CLIP)
                     await until(lambda: place.node.reach.flights)
@@ -167,6 +170,7 @@
             def fails_once(request):
                 place.node.desk.gave_up = gave_up
                 raise RuntimeError("a fault of the test")
+
             place.node.desk.gave_up = fails_once
             viewer.close()
             await until(lambda: place.medias[0].had(isup.RELEASE) and not place.node.door.lines)
@@ -187,6 +191,7 @@
                 answer(*args)
                 answers.append(args)
                 door.gate.make_room()
+
             door.answer = and_then_room_is_made
             viewer = await place.viewer()
             self.assertEqual((await viewer.answer(A)).status, 200)
@@ -311,8 +316,10 @@
                 viewer = Plain(place.port)
                 [told] = await self.told(place, viewer, viewer.close)
                 self.assertEqual(told["session"], C)
-                self.assertEqual([step.split(" ", 1)[1] for step in told["steps"]],
-                                 ["taken", f"attempt 1 at {place.medias[0].name}", "answer queued"])
+                self.assertEqual(
+                    [step.split(" ", 1)[1] for step in told["steps"]],
+                    ["taken", f"attempt 1 at {place.medias[0].name}", "answer queued"],
+                )
                 self.assertFalse(place.node.door.trail.trodden)
 
     @story
@@ -350,8 +357,9 @@
             viewer.ask(A, body=b"second")
             self.assertEqual((await viewer.hear()).body, b"plays second")
             told = [parameters for _, parameters in media.had(isup.SET_UP)]
-            self.assertEqual([(one[isup.CLASS], one[isup.DESCRIPTION]) for one in told],
-                             [(b"clip", b"first"), (b"lesson", b"second")])
+            self.assertEqual(
+                [(one[isup.CLASS], one[isup.DESCRIPTION]) for one in told], [(b"clip", b"first"), (b"lesson", b"second")]
+            )
             self.assertEqual([course.vw.expected for course in place.node.desk.courses.values()], [0])
             viewer.close()
 
@@ -456,6 +464,7 @@
             def drained_after(tune_in):
                 send(tune_in)
                 tune_in.server.open = False
+
             node.reach.tune_in = drained_after
             viewer.ask(B, package=CLIP)
             self.assertEqual((await viewer.hear()).status, 453)
@@ -585,6 +594,7 @@
                 late[0].ask(B)
                 early.ask(C)
                 await finish(door, *by)
+
             with mock.patch.object(Door, "finish", with_a_late_one):
                 os.kill(os.getpid(), signal.SIGTERM)
                 await self.ended(place)
@@ -650,7 +660,6 @@
             await self.ended(place)
             viewer.close()
 
-
     @story
     async def test_a_signal_during_the_start_ends_it_once_it_has_started(self):
         async with Place().around() as place:
@@ -659,6 +668,7 @@
             def and_is_told_to_end(listener, *args):
                 opened(listener, *args)
                 os.kill(os.getpid(), signal.SIGTERM)
+
             with mock.patch.object(Listener, "__init__", and_is_told_to_end), anyio.fail_after(8):
                 await node.run()
             self.assertTrue(node.draining)
@@ -671,6 +681,7 @@
             async def run():
                 await node.run()
                 ended.set()
+
             place.tasks.start_soon(run)
             await until(lambda: node.ready)
             answer = node.door.answer
@@ -678,6 +689,7 @@
             def and_is_cut_short(*args):
                 answer(*args)
                 node.tasks.cancel_scope.cancel()
+
             node.door.answer = and_is_cut_short
             viewer = Plain(place.port)
             viewer.ask(A)
@@ -782,6 +794,7 @@
                 raise OSError(errno.EMFILE, "no descriptor left")
             taken.append(socket.socket())
             return taken[-1]
+
         with mock.patch("curlewshift.node.follower._socket", only_one):
             async with Place().up() as place:
                 for again in range(3):
@@ -791,17 +804,21 @@
         self.assertGreaterEqual(len(taken), 4)
 
     @story
-    async def test_idle_clients_fill_every_place_while_the_list_is_down_and_then_it_is_found_servers_reached_and_clients_taken(self):
+    async def test_idle_clients_fill_every_place_while_the_list_is_down_and_then_it_is_found_servers_reached_and_clients_taken(
+        self,
+    ):
         """A real process whose kernel gives it fewer descriptors than its settings say."""
         async with Place(2, sockets=200).around() as place:
             process = await anyio.open_process(
-                [sys.executable, "-c", FEW], env={**os.environ, "NODE_CONFIG": str(place.path)}, stderr=subprocess.PIPE)
+                [sys.executable, "-c", FEW], env={**os.environ, "NODE_CONFIG": str(place.path)}, stderr=subprocess.PIPE
+            )
             logged = []
 
             async def logs():
                 with contextlib.suppress(anyio.ClosedResourceError):
                     async for piece in process.stderr:
                         logged.append(piece)
+
             place.tasks.start_soon(logs)
             idle = []
             try:
--- a/tests/test_crossings_reloads.py
+++ b/tests/test_crossings_reloads.py
@@ -27,8 +27,19 @@
     place.bulletin.port = other.port
     told = place.told()
     if medias:
-        rows = [dict(id=one.name, addr=f"127.0.0.1:{one.port}", zone="a", kind="box", cell=one.cell, weight=1.0, started_ms=0,
-                     state=("active", "leaving", "left")[one.state]) for one in medias]
+        rows = [
+            dict(
+                id=one.name,
+                addr=f"127.0.0.1:{one.port}",
+                zone="a",
+                kind="box",
+                cell=one.cell,
+                weight=1.0,
+                started_ms=0,
+                state=("active", "leaving", "left")[one.state],
+            )
+            for one in medias
+        ]
         told["known"]["items"].append(dict(no=no, roster=dict(version=1, full=full, servers=rows)))
         told["known"]["no"] = no
     place.path.write_text(json.dumps(told))
@@ -87,7 +98,9 @@
                 for line in list(place.bulletin.lines):
                     await place.bulletin.tell(2, one)
                 await quiet(lambda: node.fleet.servers[one.name].open)
-                self.assertLessEqual(len([call for call in node.log.info.call_args_list if call.args == ("list",)]), len(told) + 2)
+                self.assertLessEqual(
+                    len([call for call in node.log.info.call_args_list if call.args == ("list",)]), len(told) + 2
+                )
 
     @story
     async def test_moved_while_a_server_drains_its_session_plays_on_and_its_end_is_told(self):
@@ -150,6 +163,7 @@
             def and_is_told_anew(listener, *args):
                 opened(listener, *args)
                 moved(place, other, 0)
+
             with mock.patch.object(Listener, "__init__", and_is_told_anew):
                 place.tasks.start_soon(node.run)
                 await until(lambda: other.asked == [1])
@@ -171,7 +185,9 @@
             for number in (2, 3):
                 await bulletin.tell(number, place.medias[1])
             one.state = 1
-            with mock.patch.object(bulletin.lines[0], "send", lambda data: type(bulletin.lines[0]).send(bulletin.lines[0], data[:20])):
+            with mock.patch.object(
+                bulletin.lines[0], "send", lambda data: type(bulletin.lines[0]).send(bulletin.lines[0], data[:20])
+            ):
                 await bulletin.tell(4, one)
             await until(lambda: bulletin.asked == [1, 3], 4)
             await until(lambda: len(bulletin.lines) == 1)
@@ -225,6 +241,7 @@
             posted = told(self)
             posted["settings"]["extra"]["told_every_ms"] = 60_000
             return posted
+
         with mock.patch.object(Place, "told", seldom):
             async with place.up():
                 viewer, media = Plain(place.port), place.medias[0]
@@ -255,6 +272,7 @@
 
                 async def gather(data):
                     pieces.append(data)
+
                 with mock.patch.object(line, "send", gather):
                     await bulletin.tell(9, stays, kind=1)
                 for byte in pieces[0]:
@@ -263,8 +281,7 @@
                 await until(lambda: place.node.follower.last == 9)
                 held.up.set()
                 self.assertEqual((await viewer.hear()).status, 200)
-            self.assertEqual({media.name: len(ids) for media, ids in zip(place.medias, sent(place))},
-                             {stays.name: 1, picked: 0})
+            self.assertEqual({media.name: len(ids) for media, ids in zip(place.medias, sent(place))}, {stays.name: 1, picked: 0})
             self.assertEqual(bulletin.asked, [1])
             viewer.close()
 
@@ -366,6 +383,7 @@
             async def dies(line, kind, id, parameters):
                 if kind == isup.SET_UP:
                     await reset(line)
+
             for media in place.medias:
                 media.does = dies
             viewer.ask(A, package=CLIP)
@@ -390,6 +408,7 @@
                 taken.append(await again.listeners[0].accept())
                 await again.aclose()
                 await reset(taken[0])
+
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(takes_one)
                 await media.listener.aclose()
@@ -415,6 +434,7 @@
                 if first and first[0] is media:
                     return
                 await media.plays(line, kind, id, parameters)
+
             for media in place.medias:
                 media.does = lambda *told, media=media: silent_if_first(media, *told)
             viewer.ask(A, patience=2000)
@@ -448,5 +468,6 @@
             self.assertEqual(place.node.desk.endings.done, len(ids))
             viewer.close()
 
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -120,8 +120,11 @@
         self.assertEqual((self.outside.answers[again].kind, self.outside.torn), (Kind.PLAYS, []))
 
     def test_and_starts_anew_only_where_nothing_can_have_run(self):
-        for pack, outcome, sent, answered in (("paid", Outcome.BROKEN, 0, True), ("paid", Outcome.FULL, 1, False),
-                                              ("lesson", Outcome.BROKEN, 1, False)):
+        for pack, outcome, sent, answered in (
+            ("paid", Outcome.BROKEN, 0, True),
+            ("paid", Outcome.FULL, 1, False),
+            ("lesson", Outcome.BROKEN, 1, False),
+        ):
             with self.subTest(pack=pack, outcome=outcome):
                 outside = FakeOutside()
                 outside.desk.hung_up(outside.ask(pack, key="k"))
@@ -232,8 +235,9 @@
         outside.desk.list_full("", -1, [outside.row(f"s{n}", shelf="abcd"[n]) for n in range(4)], stale=True)
         for _ in range(40):
             outside.ask()
-        in_one_instant = {server: sum(tune_in.server is server for tune_in in outside.out)
-                          for server in outside.desk.rules.servers}
+        in_one_instant = {
+            server: sum(tune_in.server is server for tune_in in outside.out) for server in outside.desk.rules.servers
+        }
         self.assertLessEqual(max(in_one_instant.values()), 2)
 
     def test_a_server_that_moves_racks_takes_its_claims_along(self):
@@ -298,6 +302,7 @@
 
     def looks(self, fleet):
         from curlewshift.desk.roster import Roster
+
         outside = FakeOutside(servers=0)
         titles = {"t": tuple(f"s{n}" for n in range(5))}
         desk = outside.desk
@@ -310,6 +315,7 @@
             nonlocal looks
             looks += 1
             return may_send(server)
+
         desk.rules._may_send = counted
         desk.asked("q", "lesson", "t", offer="o")
         return looks
--- a/tests/test_desk_histories.py
+++ b/tests/test_desk_histories.py
@@ -5,8 +5,7 @@
 from collections import defaultdict
 
 from hypothesis import HealthCheck, Phase, settings, strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine, invariant, precondition, rule, run_state_machine_as_test)
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule, run_state_machine_as_test
 
 from curlewshift.desk.desk import KeyReused
 from curlewshift.desk.errands import Result
@@ -27,16 +26,19 @@
 
     # ---- what can happen
 
-    @rule(pack=st.sampled_from(["clip", "paid", "lesson"]), title=st.sampled_from(["t1", "t2", "t3"]),
-          key=st.sampled_from([None, None, "k1", "k2", "k3"]), offer=st.sampled_from(["o1", "o1", "o1", "o2"]))
+    @rule(
+        pack=st.sampled_from(["clip", "paid", "lesson"]),
+        title=st.sampled_from(["t1", "t2", "t3"]),
+        key=st.sampled_from([None, None, "k1", "k2", "k3"]),
+        offer=st.sampled_from(["o1", "o1", "o1", "o2"]),
+    )
     def asked(self, pack, title, key, offer):
         try:
             self.requests.append(self.outside.ask(pack, title, key, offer))
         except KeyReused:
             pass
 
-    @rule(pack=st.sampled_from(["clip", "paid", "lesson"]), title=st.sampled_from(["t1", "t2", "t3"]),
-          count=st.integers(2, 6))
+    @rule(pack=st.sampled_from(["clip", "paid", "lesson"]), title=st.sampled_from(["t1", "t2", "t3"]), count=st.integers(2, 6))
     def a_crowd_asks(self, pack, title, count):
         self.requests += [self.outside.ask(pack, title) for _ in range(count)]
 
@@ -146,8 +148,7 @@
 
     @invariant()
     def seats_are_kept(self):
-        held = [(course.vw.title, course.vw.package) for course in self.desk.courses.values()
-                if course.vw.server is not None]
+        held = [(course.vw.title, course.vw.package) for course in self.desk.courses.values() if course.vw.server is not None]
         for title, pack in set(held):
             assert not pack.seats or held.count((title, pack)) <= pack.seats
 
@@ -155,10 +156,15 @@
     def the_books_agree(self):
         assert self.desk.waiting == sum(request.answer is None and not request.gone for request in self.requests)
         assert len(self.outside.out) == sum(course.tune_in is not None for course in self.desk.courses.values())
-        waiting = sum(errand.patch is not None for course in self.desk.courses.values()
-                      for errand in [*course.errands.waiting, course.errands.out] if errand is not None)
-        out_of_ended = sum(errand.patch is not None and errand.course.vw not in self.desk.courses
-                           for errand in self.outside.errands)
+        waiting = sum(
+            errand.patch is not None
+            for course in self.desk.courses.values()
+            for errand in [*course.errands.waiting, course.errands.out]
+            if errand is not None
+        )
+        out_of_ended = sum(
+            errand.patch is not None and errand.course.vw not in self.desk.courses for errand in self.outside.errands
+        )
         assert len(self.patched) + waiting + out_of_ended == self.patches, "each patch is told of once"
         for server in self.desk.roster.servers.values():
             rates = sum(vw.held_rate for vw in self.desk.courses if vw.server is server)
@@ -166,8 +172,7 @@
             assert server.out == sum(tune_in.server is server for tune_in in self.outside.out)
 
 
-HOW = settings(max_examples=120, stateful_step_count=60, deadline=None, derandomize=True,
-                                     suppress_health_check=list(HealthCheck))
+HOW = settings(max_examples=120, stateful_step_count=60, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
 History.TestCase.settings = HOW
 Histories = History.TestCase
 
@@ -180,6 +185,7 @@
             def __init__(self):
                 super().__init__()
                 spoil(self.desk)
+
         with self.assertRaises(AssertionError) as found:
             run_state_machine_as_test(Spoilt, settings=settings(HOW, phases=[Phase.generate], max_examples=2000))
         self.assertIn(what, "\n".join([str(found.exception), *traceback.format_exception(found.exception)]))
@@ -187,35 +193,42 @@
     def test_an_answer_forgotten(self):
         def spoil(desk):
             desk._overdue = desk.abort = lambda *what: None
+
         self.finds(spoil, "nobody_waits_past_patience")
 
     def test_a_paid_viewing_resent(self):
         def spoil(desk):
             failed = desk.failed
             desk.failed = lambda tune_in, outcome, report=None: failed(tune_in, Outcome.UNREACHED, report)
+
         self.finds(spoil, "a paid viewing is")
 
     def test_a_drain_not_heard(self):
         def spoil(desk):
             may_send = desk.rules._may_send
             desk.rules._may_send = lambda server: not server.open or may_send(server)
+
         self.finds(spoil, "closed")
 
     def test_a_late_session_left_standing(self):
         def spoil(desk):
             desk.endings.end = lambda server, session: None
+
         self.finds(spoil, "something_is_said_late_or_twice")
 
     def test_a_seat_given_back_too_early(self):
         def spoil(desk):
             desk.rules.seats = defaultdict(int)
             desk.rules._attach = lambda vw, server: (setattr(vw, "server", server), desk.rules._rate(vw, vw.rung))
+
         self.finds(spoil, "seats_are_kept")
 
     def test_a_budget_not_kept(self):
         def spoil(desk):
             desk.rules.free_further = float("inf")
+
         self.finds(spoil, "over the budget")
 
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -10,8 +10,7 @@
 from curlewshift.distribution.fetching import Fetch
 from curlewshift.distribution.giving import Giver
 from curlewshift.distribution.library import Library
-from curlewshift.distribution.pieces import (
-    PIECE, Spoilt, name_of, packed_difference, packed_whole, piece, pieces_of, unpacked)
+from curlewshift.distribution.pieces import PIECE, Spoilt, name_of, packed_difference, packed_whole, piece, pieces_of, unpacked
 from curlewshift.distribution.reports import Report, aggregator_of, summed
 from curlewshift.distribution.store import Store
 from curlewshift.distribution.terms import DistributionTerms
@@ -509,6 +508,7 @@
         async def begins():
             with anyio.fail_after(2):
                 await wire.start_from_peers(0.15)
+
         anyio.run(begins)
         self.assertEqual(wire.version, "file")
 
@@ -535,8 +535,10 @@
         self.assertEqual({fleet.places[name][1] for name in gave}, {fleet.places[post.name][1]})
         fleet.run(35)
         rows = fleet.stores[0].wire.show()["zones"]
-        self.assertEqual([(row["zone"], row["nodes"], row["at_newest"], row["lowest"]) for row in rows],
-                         [(zone, 6, 6, fleet.last) for zone in ("z0", "z1", "z2")])
+        self.assertEqual(
+            [(row["zone"], row["nodes"], row["at_newest"], row["lowest"]) for row in rows],
+            [(zone, 6, 6, fleet.last) for zone in ("z0", "z1", "z2")],
+        )
 
     def test_a_small_fleet_has_a_change_in_force_within_the_bound_also_with_loss(self):
         told = changes(0.05, nodes=45)
@@ -545,10 +547,16 @@
 
 class Reporting(unittest.TestCase):
     def test_a_zones_sum_names_lowest_late_and_refusing(self):
-        reports = {"a": Report(version(2), NONE, ""), "b": Report(version(1), version(2), "line 3"), "c": Report(version(2), NONE, "")}
+        reports = {
+            "a": Report(version(2), NONE, ""),
+            "b": Report(version(1), version(2), "line 3"),
+            "c": Report(version(2), NONE, ""),
+        }
         told = summed("z", reports, 4)
-        self.assertEqual((told.nodes, told.at_newest, told.lowest, told.late, told.refusing, told.whys),
-                         (3, 2, version(1), ["b"], 1, [("b", "line 3")]))
+        self.assertEqual(
+            (told.nodes, told.at_newest, told.lowest, told.late, told.refusing, told.whys),
+            (3, 2, version(1), ["b"], 1, [("b", "line 3")]),
+        )
         self.assertIsNone(summed("z", {}, 4))
 
     def test_who_adds_up_is_the_same_at_all_and_moves_only_when_it_is_gone(self):
@@ -569,7 +577,9 @@
     def test_planted_faults_break_histories(self):
         for fault in ("no-majority", "old-over-new", "half-in-force", "digest-unchecked", "base-unchecked"):
             wire = planted(fault)
-            self.assertTrue(any(wrong for seed in range(40) for _, _, wrong in histories(range(seed, seed + 1), wire=wire)), fault)
+            self.assertTrue(
+                any(wrong for seed in range(40) for _, _, wrong in histories(range(seed, seed + 1), wire=wire)), fault
+            )
 
     def test_small_worlds_are_sound_and_planted_faults_break_them(self):
         for rounds, blank, depth in ((False, False, 4), (False, True, 4), (True, False, 2)):
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -54,10 +54,20 @@
         self.assertLess(forgot["over_kills"]["value_kept"], 0.6 * forgot["over_kills"]["value"])
 
     def test_one_seed_makes_one_run_in_any_process(self):
-        code = ("import sys; from tests.test_emulator import *; v, w = a_day(); "
-                "print(json.dumps([w.events, w.queue.now, v['service'], v['requests']]))")
-        told = {subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True,
-                               env={**os.environ, "PYTHONHASHSEED": str(seed)}).stdout for seed in (1, 2)}
+        code = (
+            "import sys; from tests.test_emulator import *; v, w = a_day(); "
+            "print(json.dumps([w.events, w.queue.now, v['service'], v['requests']]))"
+        )
+        told = {
+            subprocess.run(
+                [sys.executable, "-c", code],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                env={**os.environ, "PYTHONHASHSEED": str(seed)},
+            ).stdout
+            for seed in (1, 2)
+        }
         self.assertEqual(len(told), 1)
         verdict, world = a_day()
         self.assertEqual(json.loads(told.pop()), [world.events, world.queue.now, verdict["service"], verdict["requests"]])
@@ -75,8 +85,17 @@
 
 class Planted(unittest.TestCase):
     def test_each_fault_that_the_rehearsal_catches_is_caught_here(self):
-        wanted = {"lose-answer": "1", "answer-twice": "1", "resend-paid": "2", "ignore-drain": "3", "push-cold": "4",
-                  "under-floor": "5", "over-seats": "5", "overspend-budget": "6", "double-tune-in": "2"}
+        wanted = {
+            "lose-answer": "1",
+            "answer-twice": "1",
+            "resend-paid": "2",
+            "ignore-drain": "3",
+            "push-cold": "4",
+            "under-floor": "5",
+            "over-seats": "5",
+            "overspend-budget": "6",
+            "double-tune-in": "2",
+        }
         for wrong, rule in wanted.items():
             # of eight days the first alone has no title asked for beyond its seats since turns at cold servers changed
             self.assertIn(rule, broken(a_day(seed=2 if wrong == "over-seats" else 1, wrong=wrong)[0]), wrong)
@@ -99,6 +118,7 @@
                 if len(order) < 3000:
                     for _ in range(chance.choice((0, 1, 1, 2))):
                         queue.at(queue.now + chance.choice((0, 1, 10**5, 10**6, 3 * 10**8)), happens, len(order))
+
             for number in range(50):
                 queue.at(chance.randrange(10**9), happens, number)
             queue.run(10**10)
@@ -116,8 +136,10 @@
 
     def test_a_run_that_never_ends_is_told(self):
         for queue in (Buckets(), Heap()):
+
             def again(queue=queue):
                 queue.at(queue.now, again)
+
             queue.at(0, again)
             with self.assertRaises(Runaway):
                 queue.run(10, 1000)
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -49,12 +49,13 @@
 
     def test_what_is_wrong_is_told_with_its_line(self):
         for old, new, line, words in (
-                ('levels="0.5 2"', 'levels="0.5 much"', 3, "'much' is no number"),
-                ('levels="0.5 2"', 'levels="0 1"', 3, "out of bounds"),
-                ("rules random", "rules best", 4, "there is no policy 'best'"),
-                ('name="load"', 'name="weather"', 3, "weather"),
-                ('baseline="rules"', 'baseline="none"', 1, "is no level"),
-                ('levels="0.5 2"', 'levels="2 2"', 3, "all different")):
+            ('levels="0.5 2"', 'levels="0.5 much"', 3, "'much' is no number"),
+            ('levels="0.5 2"', 'levels="0 1"', 3, "out of bounds"),
+            ("rules random", "rules best", 4, "there is no policy 'best'"),
+            ('name="load"', 'name="weather"', 3, "weather"),
+            ('baseline="rules"', 'baseline="none"', 1, "is no level"),
+            ('levels="0.5 2"', 'levels="2 2"', 3, "all different"),
+        ):
             with self.assertRaises(Mistakes) as wrong:
                 self.read(SMALL.replace(old, new))
             self.assertIn(f":{line}: ", str(wrong.exception))
@@ -168,6 +169,7 @@
 
     def test_milder_days_are_milder(self):
         import random
+
         day, chance = self.base, random.Random(2)
         for _ in range(40):
             day = mutated(day, chance)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -46,14 +46,17 @@
     async def test_what_is_wrong_with_a_request_is_said_and_costs_no_tune_in(self):
         async with SmallSite().up() as site:
             for status, words, how in (
-                    (404, "no package 'nope'", dict(pack="nope")), (404, "no title 'nope'", dict(title="nope")),
-                    (400, "line 1: expected 'v=0'", dict(offer=b"v=1\n")), (400, "UTF-8", dict(offer=b"v=0\xff")),
-                    (400, "top has to be the number", dict(query="?top=x")), (422, "under rung 1", dict(query="?top=0")),
-                    (400, "Idempotency-Key", dict(headers=[("idempotency-key", "x" * 500)]))):
+                (404, "no package 'nope'", dict(pack="nope")),
+                (404, "no title 'nope'", dict(title="nope")),
+                (400, "line 1: expected 'v=0'", dict(offer=b"v=1\n")),
+                (400, "UTF-8", dict(offer=b"v=0\xff")),
+                (400, "top has to be the number", dict(query="?top=x")),
+                (422, "under rung 1", dict(query="?top=0")),
+                (400, "Idempotency-Key", dict(headers=[("idempotency-key", "x" * 500)])),
+            ):
                 answered = await site.ask(**how)
                 body = json.loads(answered.body)
-                self.assertEqual((answered.status, answered.headers["content-type"]),
-                                 (status, "application/problem+json"))
+                self.assertEqual((answered.status, answered.headers["content-type"]), (status, "application/problem+json"))
                 self.assertEqual((body["status"], words in body["detail"]), (status, True), body)
             call = await site.call()
             self.assertEqual((await call.ask("POST", "/whep/clip/t", [("content-type", "text/html")], b"x")).status, 415)
@@ -68,6 +71,7 @@
 
             async def ask():
                 answers.append(await site.ask("paid", [("idempotency-key", "k")], offer))
+
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(ask)
                 await until(lambda: site.traffic.all("setup"))
@@ -213,6 +217,7 @@
 
             async def ask():
                 answers.append((await site.ask()).status)
+
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(ask)
                 await until(lambda: site.traffic.all("setup"))
@@ -231,8 +236,10 @@
 class Sockets(unittest.TestCase):
     """What peers do to connections."""
 
-    HEAD = (b"POST /whep/clip/t HTTP/1.1\r\nhost: x\r\ncontent-type: application/sdp\r\n"
-            b"content-length: %d\r\nconnection: close\r\n\r\n")
+    HEAD = (
+        b"POST /whep/clip/t HTTP/1.1\r\nhost: x\r\ncontent-type: application/sdp\r\n"
+        b"content-length: %d\r\nconnection: close\r\n\r\n"
+    )
 
     @story
     async def test_a_byte_at_a_time_is_served_and_a_head_that_never_ends_is_cut_off(self):
@@ -255,9 +262,12 @@
     async def test_too_much_and_malformed_are_said_to_be(self):
         async with SmallSite(servers=1).up() as site:
             for status, data in (
-                    (413, self.HEAD % 10_000_000 + b"x" * 200_000), (431, b"GET / HTTP/1.1\r\nx: " + b"y" * 40_000),
-                    (400, b"hello\r\n\r\n"), (400, b"GET / HTTP/1.1\r\n\r\n"), (400, b"POST / HTTP/1.1\r\nhost: x\r\n"
-                                                                              b"content-length: many\r\n\r\n")):
+                (413, self.HEAD % 10_000_000 + b"x" * 200_000),
+                (431, b"GET / HTTP/1.1\r\nx: " + b"y" * 40_000),
+                (400, b"hello\r\n\r\n"),
+                (400, b"GET / HTTP/1.1\r\n\r\n"),
+                (400, b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: many\r\n\r\n"),
+            ):
                 got = await site.raw(data)
                 self.assertTrue(got.startswith(b"HTTP/1.1 %d " % status), got[:300])
                 self.assertIn(b"application/problem+json", got)
@@ -278,6 +288,7 @@
             await stream.receive()
             await stream.send(b"HTTP/1.1 201 Created\r\ncontent-length: 50\r\n\r\nhalf")
             await stream.aclose()
+
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         async with anyio.create_task_group() as tasks:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -15,15 +15,24 @@
 
 STEADY = settings(derandomize=True, deadline=None, max_examples=300)
 FRAGMENT = fragment_text("abcd", "p" * 22, ["1 1 udp 2113929471 192.0.2.1 50000 typ host"], ended=True)
-REQUEST = (b"POST /whep/clip/t?top=2 HTTP/1.1\r\nhost: x\r\ncontent-type: application/sdp\r\nprefer: wait=1\r\n"
-           b"idempotency-key: k\r\nauthorization: Bearer x\r\ncontent-length: %d\r\n\r\n")
+REQUEST = (
+    b"POST /whep/clip/t?top=2 HTTP/1.1\r\nhost: x\r\ncontent-type: application/sdp\r\nprefer: wait=1\r\n"
+    b"idempotency-key: k\r\nauthorization: Bearer x\r\ncontent-length: %d\r\n\r\n"
+)
 
 
 class Texts(unittest.TestCase):
     @STEADY
-    @given(st.one_of(st.text(max_size=300), st.builds(
-        lambda at, what: FRAGMENT[:at] + what + FRAGMENT[at + len(what):], st.integers(0, len(FRAGMENT)),
-        st.text(max_size=9))))
+    @given(
+        st.one_of(
+            st.text(max_size=300),
+            st.builds(
+                lambda at, what: FRAGMENT[:at] + what + FRAGMENT[at + len(what) :],
+                st.integers(0, len(FRAGMENT)),
+                st.text(max_size=9),
+            ),
+        )
+    )
     def test_fragments(self, text):
         try:
             fragment = parse_fragment(text)
@@ -33,9 +42,13 @@
             self.assertTrue(fragment.ufrag and fragment.pwd)
 
     def test_a_fragment_says_what_it_lacks(self):
-        for change, wrong in ((("a=ice-ufrag:abcd\r\n", ""), "ice-ufrag"), (("a=mid:0\r\n", ""), "no a=mid"),
-                              (("typ host", "typ"), "RFC 8839"), (("m=video", "\r\n\r\nhello"), "letter=value"),
-                              (("a=end-of-candidates", "a=end-of-candidates\r\na=candidate:1"), "after the end")):
+        for change, wrong in (
+            (("a=ice-ufrag:abcd\r\n", ""), "ice-ufrag"),
+            (("a=mid:0\r\n", ""), "no a=mid"),
+            (("typ host", "typ"), "RFC 8839"),
+            (("m=video", "\r\n\r\nhello"), "letter=value"),
+            (("a=end-of-candidates", "a=end-of-candidates\r\na=candidate:1"), "after the end"),
+        ):
             with self.subTest(change=change), self.assertRaises(BadDescription) as found:
                 parse_fragment(FRAGMENT.replace(*change))
             self.assertIn(wrong, str(found.exception))
@@ -67,7 +80,7 @@
         if how == 0:
             return bytes(raw[:at])
         if how == 1:
-            return bytes(raw[:at] + raw[at + chance.randrange(1, 60):])
+            return bytes(raw[:at] + raw[at + chance.randrange(1, 60) :])
         if how == 2:
             for _ in range(chance.randrange(1, 30)):
                 raw[chance.randrange(len(raw))] = chance.randrange(256)
@@ -89,12 +102,15 @@
                 with anyio.move_on_after(3):
                     got = await site.raw(data, end=True)
                     statuses.extend(int(part[:3]) for part in got.split(b"HTTP/1.1 ")[1:] if part[:3].isdigit())
+
             async with anyio.create_task_group() as tasks:
                 slots = anyio.CapacityLimiter(40)
                 for _ in range(400):
+
                     async def slot(data=self.garbled(chance)):
                         async with slots:
                             await one(data)
+
                     tasks.start_soon(slot)
             self.assertEqual(faults, [])
             self.assertEqual([status for status in statuses if status >= 500 and status != 503], [])
@@ -112,9 +128,22 @@
             for _ in range(150):
                 method = chance.choice(["GET", "POST", "PATCH", "DELETE", "OPTIONS", "HEAD", "PUT", "BREW"])
                 path = "/" + "/".join(chance.choice(words) for _ in range(chance.randrange(4)))
-                headers = [(name, chance.choice(["", "1", "\"x\"", "application/sdp", "wait=9", "Bearer x", "*"]))
-                           for name in chance.sample(["content-type", "if-match", "prefer", "authorization", "accept",
-                                                      "idempotency-key", "x-request-id", "last-event-id"], 3)]
+                headers = [
+                    (name, chance.choice(["", "1", '"x"', "application/sdp", "wait=9", "Bearer x", "*"]))
+                    for name in chance.sample(
+                        [
+                            "content-type",
+                            "if-match",
+                            "prefer",
+                            "authorization",
+                            "accept",
+                            "idempotency-key",
+                            "x-request-id",
+                            "last-event-id",
+                        ],
+                        3,
+                    )
+                ]
                 body = chance.choice([b"", b"{}", b"[1]", b"v=0", b"\xff\xfe", b"a" * 5000])
                 head = f"{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
                 head += "".join(f"{name}: {value}\r\n" for name, value in headers)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -34,8 +34,9 @@
     def run_with(self, *listed):
         """Whether a run of the sample passes, and what it says."""
         said = io.StringIO()
-        kind = type("Listed", (known_red.Result,), {"listed": {
-            f"{THIS}.Sample.{name}": ("its cause", "its issue") for name in listed}})
+        kind = type(
+            "Listed", (known_red.Result,), {"listed": {f"{THIS}.Sample.{name}": ("its cause", "its issue") for name in listed}}
+        )
         tests = unittest.TestLoader().loadTestsFromTestCase(Sample)
         return unittest.TextTestRunner(said, resultclass=kind).run(tests).wasSuccessful(), said.getvalue()
 
@@ -59,9 +60,15 @@
         self.assertEqual(known_red.read(line + "\n"), {f"{THIS}.Sample.test_broken": ("its cause", "1")})
         names = [name for name in unittest.TestLoader().getTestCaseNames(KnownRed)][:4]
         self.assertEqual(len(names), 4)
-        for text in (f"{THIS}.Sample.test_gone | its cause | 1", "nowhere.at.all | its cause | 1", f"{THIS} | its cause | 1",
-                     f"{THIS}.Sample.test_broken | its cause", f"{THIS}.Sample.test_broken | | 1", line + line,
-                     "".join(f"{THIS}.KnownRed.{name} | its cause | 1\n" for name in names)):
+        for text in (
+            f"{THIS}.Sample.test_gone | its cause | 1",
+            "nowhere.at.all | its cause | 1",
+            f"{THIS} | its cause | 1",
+            f"{THIS}.Sample.test_broken | its cause",
+            f"{THIS}.Sample.test_broken | | 1",
+            line + line,
+            "".join(f"{THIS}.KnownRed.{name} | its cause | 1\n" for name in names),
+        ):
             with self.assertRaises(known_red.Unusable, msg=text):
                 known_red.read(text)
 
@@ -70,7 +77,8 @@
         with tempfile.TemporaryDirectory() as folder, contextlib.redirect_stdout(io.StringIO()) as said:
             for name, body in files.items():
                 (Path(folder) / f"test_{name}.py").write_text(
-                    f"import os\nimport unittest\n\nclass A(unittest.TestCase):\n    def test_a(self):\n        {body}\n")
+                    f"import os\nimport unittest\n\nclass A(unittest.TestCase):\n    def test_a(self):\n        {body}\n"
+                )
             return known_red.shared_out(Path(folder), Path(folder)), said.getvalue()
 
     def test_files_that_several_processes_share_each_count_and_any_that_fails_is_named(self):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -32,8 +32,9 @@
         return self
 
     def holder(self):
-        return next((front for front in self.fronts if front.alive and front.paused_until <= self.now
-                     and front.asker.may_act("l0")), None)
+        return next(
+            (front for front in self.fronts if front.alive and front.paused_until <= self.now and front.asker.may_act("l0")), None
+        )
 
 
 class Holding(unittest.TestCase):
@@ -178,8 +179,13 @@
 
     def test_each_planted_fault_has_a_shortest_course(self):
         for name, (rates, depth, keepers) in {
-                "no-silence-after-start": ((3, 4, 5), 3, 3), "drift-ignored": ((3, 4, 5), 4, 3), "majority-of-two": ((3, 4, 5), 2, 5),
-                "renew-after-end": ((3, 4, 5), 3, 3), "fence-not-raised": ((3, 4, 5), 3, 3), "act-without-look": ((3, 4, 5), 3, 3)}.items():
+            "no-silence-after-start": ((3, 4, 5), 3, 3),
+            "drift-ignored": ((3, 4, 5), 4, 3),
+            "majority-of-two": ((3, 4, 5), 2, 5),
+            "renew-after-end": ((3, 4, 5), 3, 3),
+            "fence-not-raised": ((3, 4, 5), 3, 3),
+            "act-without-look": ((3, 4, 5), 3, 3),
+        }.items():
             done = walk_rounds(depth, rates, keepers=keepers, **FAULTS[name])
             self.assertEqual((bool(done.breach), len(done.course)), (True, depth), name)
 
@@ -261,8 +267,12 @@
 
 class Judging(unittest.TestCase):
     def acts(self, *rows):
-        return judge_leases([{"ev": "act", "at": at * SECOND, "front": front, "lease": "l", "number": number, "accepted": well}
-                             for at, front, number, well in rows])
+        return judge_leases(
+            [
+                {"ev": "act", "at": at * SECOND, "front": front, "lease": "l", "number": number, "accepted": well}
+                for at, front, number, well in rows
+            ]
+        )
 
     def test_one_after_the_other_is_well_and_a_stale_act_that_was_refused_too(self):
         told = self.acts((1, "a", 1, True), (2, "a", 1, True), (4, "b", 2, True), (5, "a", 1, False), (6, "b", 2, True))
@@ -272,8 +282,10 @@
         told = self.acts((1, "a.1", 1, True), (2, "b.1", 2, True), (4, "a.1", 1, False))
         self.assertEqual((told["overlaps"], told["outlived"]), (0, 1))
         events = [{"ev": "front-paused", "at": SECOND, "front": "a"}, {"ev": "front-goes-on", "at": 4 * SECOND, "front": "a"}]
-        events += [{"ev": "act", "at": at * SECOND, "front": front, "lease": "l", "number": number, "accepted": well}
-                   for at, front, number, well in ((1, "a.1", 1, True), (2, "b.1", 2, True), (4, "a.1", 1, False))]
+        events += [
+            {"ev": "act", "at": at * SECOND, "front": front, "lease": "l", "number": number, "accepted": well}
+            for at, front, number, well in ((1, "a.1", 1, True), (2, "b.1", 2, True), (4, "a.1", 1, False))
+        ]
         self.assertEqual(judge_leases(events)["outlived"], 0)
 
     def test_between_each_other_with_one_number_or_a_lower_one_after_is_not(self):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -172,8 +172,21 @@
 class AtTheDoor(unittest.TestCase):
     def admission(self, most=8, source=0.0, holder=0.0, in_line=SECOND, **more):
         self.told = []
-        bounds = Bounds(**{**dict(source=source, holder=holder, build=0.0, package=0.0, burst=2.0,
-                                  longest_wait=4 * SECOND, in_line=in_line, most=most), **more})
+        bounds = Bounds(
+            **{
+                **dict(
+                    source=source,
+                    holder=holder,
+                    build=0.0,
+                    package=0.0,
+                    burst=2.0,
+                    longest_wait=4 * SECOND,
+                    in_line=in_line,
+                    most=most,
+                ),
+                **more,
+            }
+        )
         return Admission(bounds, 1, 0, self.told.append)
 
     def test_known_checkers_behind_the_flooders_address_are_not_held_back(self):
@@ -289,8 +302,9 @@
 
 
 class OnSockets(unittest.TestCase):
-    LIMITS = Bounds(source=3.0, holder=0.0, build=0.0, package=0.0, burst=2.0, longest_wait=2 * SECOND,
-                    in_line=SECOND // 4, most=100)
+    LIMITS = Bounds(
+        source=3.0, holder=0.0, build=0.0, package=0.0, burst=2.0, longest_wait=2 * SECOND, in_line=SECOND // 4, most=100
+    )
 
     @story
     async def test_a_flood_is_refused_with_429_and_advice_and_costs_no_tune_in(self):
@@ -329,6 +343,7 @@
                     left[0] -= 1
                     raise OSError(errno.EMFILE, "too many open files")
                 return await sound()
+
             with mock.patch.object(listener, "accept", accept):
                 # the accept that is under way ends with this one
                 self.assertEqual((await site.ask()).status, 201)
@@ -350,8 +365,9 @@
 
     @story
     async def test_who_hangs_up_in_line_frees_its_place(self):
-        bounds = Bounds(source=0.0, holder=0.0, build=0.0, package=0.0, burst=2.0, longest_wait=SECOND,
-                        in_line=10 * SECOND, most=1)
+        bounds = Bounds(
+            source=0.0, holder=0.0, build=0.0, package=0.0, burst=2.0, longest_wait=SECOND, in_line=10 * SECOND, most=1
+        )
         async with SmallSite(site={"limits": bounds}).up() as site:
             for server in site.servers.values():
                 server.setup_work = 0.3
@@ -359,6 +375,7 @@
 
             async def one():
                 first.append(await site.ask())
+
             site.tasks.start_soon(one)
             admission = site.front.door.admission
             await until(lambda: admission.in_work == 1)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -84,9 +84,15 @@
     @story
     async def test_lost_spoilt_cut_reset_or_an_error_it_fails_and_goes_nowhere_else(self):
         cut = isup.encode(isup.ANSWER, b"IDIDIDID", (isup.DESCRIPTION, b"d"))[:14]
-        for says in (b"", b"\xff\xff\xff", cut, isup.encode(isup.ANSWER, b"IDIDIDID"),
-                     isup.release(b"IDIDIDID", isup.ERROR), isup.release(b"IDIDIDID", isup.RESET),
-                     isup.release(b"IDIDIDID", 99)):
+        for says in (
+            b"",
+            b"\xff\xff\xff",
+            cut,
+            isup.encode(isup.ANSWER, b"IDIDIDID"),
+            isup.release(b"IDIDIDID", isup.ERROR),
+            isup.release(b"IDIDIDID", isup.RESET),
+            isup.release(b"IDIDIDID", 99),
+        ):
             async with Place(2).up() as place:
                 answer, sent = await self.paid(place, says, says)
                 self.assertIn(answer.status, FAILED, says)
@@ -97,6 +103,7 @@
     async def test_a_connection_that_ends_under_it_may_have_run_it(self):
         async def hangs_up(line, kind, id, parameters):
             await line.aclose()
+
         async with Place(2).up() as place:
             answer, sent = await self.paid(place, hangs_up, hangs_up)
             self.assertEqual((answer.status, sum(sent)), (500, 1))
@@ -124,9 +131,14 @@
             for id in (A, B, C):
                 await viewer.ask(id, package=CLIP)
             await until(lambda: len(media.had(isup.SET_UP)) == 3)
-            shared = max(media.lines, key=lambda line: sum(
-                flight.line.wire is not None and flight.line.wire.socket.getsockname()[1]
-                == line.extra(anyio.abc.SocketAttribute.remote_port) for flight in place.node.reach.flights.values()))
+            shared = max(
+                media.lines,
+                key=lambda line: sum(
+                    flight.line.wire is not None
+                    and flight.line.wire.socket.getsockname()[1] == line.extra(anyio.abc.SocketAttribute.remote_port)
+                    for flight in place.node.reach.flights.values()
+                ),
+            )
             await shared.send(b"\0\2no")
             self.assertEqual([(await viewer.hear(0.5)).status for _ in range(2)], [500, 500])
 
@@ -154,8 +166,10 @@
     async def test_a_request_that_nobody_answered_in_its_time_is_answered_all_the_same_once_and_told_of(self):
         async with Place().up() as place:
             place.medias[0].does = place.medias[0].silent
-            with mock.patch.object(place.node.desk.timers, "run", lambda now: None), \
-                    mock.patch.object(place.node.door.log, "error") as told:
+            with (
+                mock.patch.object(place.node.desk.timers, "run", lambda now: None),
+                mock.patch.object(place.node.door.log, "error") as told,
+            ):
                 viewer = await place.viewer()
                 answer = await viewer.answer(A, package=CLIP, patience=300)
             self.assertEqual((answer.status, told.call_args.args), (500, ("unanswered",)))
@@ -243,11 +257,11 @@
                 send(tune_in)
                 if len(picked) == 1:
                     tune_in.server.open = False
+
             node.reach.tune_in = drained_first
             viewer = await place.viewer()
             self.assertEqual((await viewer.answer(A, package=CLIP)).status, 200)
-            self.assertEqual([len(media.had(isup.SET_UP)) for media in place.medias
-                              if media.name == picked[0].name], [0])
+            self.assertEqual([len(media.had(isup.SET_UP)) for media in place.medias if media.name == picked[0].name], [0])
 
 
 class TheList(unittest.TestCase):
@@ -279,6 +293,7 @@
                 await anyio.sleep(2.0)
                 if line in place.bulletin.lines:
                     await place.bulletin.tell(2, one)
+
             seen = []
             with anyio.fail_after(6):
                 while place.node.fleet.servers[one.name].open:
@@ -334,8 +349,13 @@
     def test_without_a_configuration_it_exits_2_with_one_plain_line(self):
         for path in ("", "/nowhere/config.json"):
             for start in (("curlewshift.node",), ("curlewshift", "node")):
-                ran = subprocess.run([sys.executable, "-m", *start], env={**os.environ, "NODE_CONFIG": path},
-                                     capture_output=True, text=True, timeout=30)
+                ran = subprocess.run(
+                    [sys.executable, "-m", *start],
+                    env={**os.environ, "NODE_CONFIG": path},
+                    capture_output=True,
+                    text=True,
+                    timeout=30,
+                )
                 self.assertEqual((ran.returncode, ran.stderr.count("\n"), ran.stdout), (2, 1, ""))
 
 
@@ -357,31 +377,39 @@
 
     def test_what_makes_no_sense_is_refused_in_a_line_that_names_the_field(self):
         for field, change in {
-                "limits.sockets": lambda told, settings: told["limits"].update(sockets=0),
-                "my_number": lambda told, settings: settings.update(my_number=1),
-                "balancers": lambda told, settings: settings.update(balancers=-1),
-                "classes[1].give_up_ms": lambda told, settings: settings["classes"][1].update(give_up_ms=-5),
-                "classes[0].name": lambda told, settings: settings["classes"][0].update(name=""),
-                "classes[0].gain": lambda told, settings: settings["classes"][0].update(gain="much"),
-                "classes": lambda told, settings: settings["classes"].append(settings["classes"][0]),
-                "bounds.max_attempts": lambda told, settings: settings["bounds"].update(max_attempts=1.5),
-                "bounds.connect_timeout_ms": lambda told, settings: settings["bounds"].update(connect_timeout_ms=True),
-                "bounds": lambda told, settings: settings.update(bounds=7),
-                "extra.rung_kb": lambda told, settings: settings["extra"].update(rung_kb=[200, 100]),
-                "extra.rung_kb[1]": lambda told, settings: settings["extra"].update(rung_kb=[100, float("nan")]),
-                "extra.floor_by_class[0]": lambda told, settings: settings["extra"].update(floor_by_class=[2]),
-                "extra.floor_by_class[1]": lambda told, settings: settings["extra"].update(
-                    floor_by_class=[0, 1], top_by_class=[1, 0]),
-                "extra.cells": lambda told, settings: settings["extra"].update(cells=-4),
-                "obligations.fall_ms": lambda told, settings: settings.update(obligations=dict(fall_ms=-1))}.items():
+            "limits.sockets": lambda told, settings: told["limits"].update(sockets=0),
+            "my_number": lambda told, settings: settings.update(my_number=1),
+            "balancers": lambda told, settings: settings.update(balancers=-1),
+            "classes[1].give_up_ms": lambda told, settings: settings["classes"][1].update(give_up_ms=-5),
+            "classes[0].name": lambda told, settings: settings["classes"][0].update(name=""),
+            "classes[0].gain": lambda told, settings: settings["classes"][0].update(gain="much"),
+            "classes": lambda told, settings: settings["classes"].append(settings["classes"][0]),
+            "bounds.max_attempts": lambda told, settings: settings["bounds"].update(max_attempts=1.5),
+            "bounds.connect_timeout_ms": lambda told, settings: settings["bounds"].update(connect_timeout_ms=True),
+            "bounds": lambda told, settings: settings.update(bounds=7),
+            "extra.rung_kb": lambda told, settings: settings["extra"].update(rung_kb=[200, 100]),
+            "extra.rung_kb[1]": lambda told, settings: settings["extra"].update(rung_kb=[100, float("nan")]),
+            "extra.floor_by_class[0]": lambda told, settings: settings["extra"].update(floor_by_class=[2]),
+            "extra.floor_by_class[1]": lambda told, settings: settings["extra"].update(
+                floor_by_class=[0, 1], top_by_class=[1, 0]
+            ),
+            "extra.cells": lambda told, settings: settings["extra"].update(cells=-4),
+            "obligations.fall_ms": lambda told, settings: settings.update(obligations=dict(fall_ms=-1)),
+        }.items():
             self.assertIn(f"'{field}'", self.refused(change), field)
 
     @story
     async def test_one_that_names_little_more_than_its_classes_serves(self):
         place = Place()
         told = place.told
-        place.told = lambda: {**told(), "settings": {
-            **{key: told()["settings"][key] for key in ("areas", "flavors")}, "classes": [{"name": "lesson"}], "extra": {"cells": 4}}}
+        place.told = lambda: {
+            **told(),
+            "settings": {
+                **{key: told()["settings"][key] for key in ("areas", "flavors")},
+                "classes": [{"name": "lesson"}],
+                "extra": {"cells": 4},
+            },
+        }
         async with place.up():
             viewer = await place.viewer()
             await viewer.stream.send(set_up(A).replace(b"top:1", b"top:0"))
@@ -449,6 +477,7 @@
                     if kind == isup.SET_UP:
                         arrivals.setdefault(media.name, []).append(anyio.current_time())
                     await media.plays(line, kind, id, parameters)
+
                 media.does = noted
             await place.bulletin.tell(3, *zone)
             servers = place.node.fleet.servers
@@ -543,8 +572,7 @@
             with anyio.fail_after(8):
                 for _ in range(4 * most):
                     held.append(await place.viewer())
-                    await held[-1].stream.send(
-                        b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
+                    await held[-1].stream.send(b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
                     self.assertEqual((await held[-1].hear(1.0)).status, 200)
             self.assertLessEqual(len(place.node.door.lines), most)
             self.assertEqual((await (await place.viewer()).answer(A)).status, 200)
@@ -565,12 +593,24 @@
                 await viewer.stream.send(bad)
                 got = await viewer.hear(2.5)
                 self.assertTrue(got is None or 400 <= got.status < 500 and got.status not in REFUSED, (bad[:250], got))
-            for bad in (b"\x91\xf5noise", b"SETUP rtsp://media/a RTSP/1.0\r\nX: " + b"y" * 40_000, *(
-                    (say % one).encode() for one in (
-                        "", figures % (A, "0" * 16), figures % (B, "0" * 15), "Session: x\r\n",
-                        f"Session: {B}\r\n" + figures % (C, "0" * 16), figures.replace("900", "-5") % (B, "0" * 16),
+
+            for bad in (
+                b"\x91\xf5noise",
+                b"SETUP rtsp://media/a RTSP/1.0\r\nX: " + b"y" * 40_000,
+                *(
+                    (say % one).encode()
+                    for one in (
+                        "",
+                        figures % (A, "0" * 16),
+                        figures % (B, "0" * 15),
+                        "Session: x\r\n",
+                        f"Session: {B}\r\n" + figures % (C, "0" * 16),
+                        figures.replace("900", "-5") % (B, "0" * 16),
                         figures.replace("lesson", "lesson_x") % (B, "0" * 16),
-                        figures.replace("home:0", "home:9999") % (B, "0" * 16)))):
+                        figures.replace("home:0", "home:9999") % (B, "0" * 16),
+                    )
+                ),
+            ):
                 await told(bad)
             self.assertEqual(len(media.had(isup.SET_UP)), 1)
             await media.lines[0].send(ANSWER.replace(b"IDIDIDID", bytes.fromhex(A)))
--- a/tests/test_node_calls.py
+++ b/tests/test_node_calls.py
@@ -62,8 +62,10 @@
         """The answer to a viewing at a node that is refused these calls, and which of them it made."""
         async with Place().around() as place:
             process = await anyio.open_process(
-                [sys.executable, "-c", REFUSING, *planted], env={**os.environ, "NODE_CONFIG": str(place.path)},
-                stderr=subprocess.PIPE)
+                [sys.executable, "-c", REFUSING, *planted],
+                env={**os.environ, "NODE_CONFIG": str(place.path)},
+                stderr=subprocess.PIPE,
+            )
             try:
                 with anyio.fail_after(20):
                     async for line in process.stderr:
--- a/tests/test_node_crowds.py
+++ b/tests/test_node_crowds.py
@@ -122,8 +122,10 @@
             heard = [await viewer.hear(), await viewer.hear()]
             viewer.say(third[-1:])
             heard.append(await viewer.hear())
-            self.assertEqual({(one.status, one.fields["session"], one.body) for one in heard},
-                             {(200, A, b"plays \r\n\r\nSETUP one"), (200, B, b"plays offer"), (200, C, b"plays offer")})
+            self.assertEqual(
+                {(one.status, one.fields["session"], one.body) for one in heard},
+                {(200, A, b"plays \r\n\r\nSETUP one"), (200, B, b"plays offer"), (200, C, b"plays offer")},
+            )
             self.assertEqual(len(media.had(isup.SET_UP)), 3)
             viewer.close()
 
@@ -196,8 +198,8 @@
                 await anyio.sleep(0.2)
                 viewer.say(data[100:])
                 await until(lambda: not place.node.door.lines)
-            with mock.patch.object(place.node.door, "finish", with_the_rest), \
-                    mock.patch("curlewshift.node.node.STILL_COME", 0.2):
+
+            with mock.patch.object(place.node.door, "finish", with_the_rest), mock.patch("curlewshift.node.node.STILL_COME", 0.2):
                 os.kill(os.getpid(), signal.SIGTERM)
                 heard = await viewer.hear()
                 self.assertEqual((heard.status, heard.fields["session"]), (503, A))
@@ -237,6 +239,7 @@
                 if kind == isup.SET_UP:
                     arrivals.append(anyio.current_time())
                 await cold.plays(line, kind, id, parameters)
+
             cold.does = noted
             async with self.nodes(place, 30) as nodes:
                 viewers = [Plain(port) for _, port in nodes]
@@ -246,6 +249,7 @@
 
                 def few():
                     return not arrivals or sum(len(media.had(isup.SET_UP)) for media in place.medias) <= 5
+
                 while len(ids[0]) < 12 or few() and anyio.current_time() < asked_until:
                     for number, (viewer, own) in enumerate(zip(viewers, ids)):
                         own.append(f"{number:08x}{len(own):08x}")
@@ -262,7 +266,7 @@
                 # a tenth of 200 places at the start and twice that is the fall: so many in a second, and chance beside
                 self.assertTrue(arrivals)
                 most = max(sum(at <= one < at + 1 for one in arrivals) for at in arrivals)
-                self.assertLessEqual(most, 40 + 2 * 40 ** 0.5 + 2)
+                self.assertLessEqual(most, 40 + 2 * 40**0.5 + 2)
                 for viewer in viewers:
                     viewer.close()
 
@@ -272,14 +276,16 @@
 
     @contextlib.asynccontextmanager
     async def started(self, place):
-        process = await anyio.open_process([sys.executable, "-m", "curlewshift.node"],
-                                           env={**os.environ, "NODE_CONFIG": str(place.path)}, stderr=subprocess.PIPE)
+        process = await anyio.open_process(
+            [sys.executable, "-m", "curlewshift.node"], env={**os.environ, "NODE_CONFIG": str(place.path)}, stderr=subprocess.PIPE
+        )
         logged = []
 
         async def logs():
             with contextlib.suppress(anyio.ClosedResourceError):
                 async for piece in process.stderr:
                     logged.append(piece)
+
         place.tasks.start_soon(logs)
         try:
             await until(lambda: b'"event":"open"' in b"".join(logged), 20)
