--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -117,8 +117,9 @@
 
     def __init__(self, size=4, zones=("a", "b"), overload=Overload):
         self.clock, self.sides = 1000 * SECOND, None
-        self.servers_ = [SimpleNamespace(zone=zone, open=True, link=SimpleNamespace(size=100.0), room=True)
-                         for zone in zones for _ in range(4)]
+        self.servers_ = [
+            SimpleNamespace(zone=zone, open=True, link=SimpleNamespace(size=100.0), room=True) for zone in zones for _ in range(4)
+        ]
         self.ends = [End(self, number, overload) for number in range(size)]
 
     def zone(self, name):
@@ -188,8 +189,15 @@
     def crowd(self, fleet, count, holders, front=None):
         """So many asks in one second, at one front or round over all."""
         self.names = getattr(self, "names", 0) + count
-        return [(one % len(fleet.ends) if front is None else front, (CHEAP, CHEAP, USUAL, DEAR)[one // 4 % 4], holders,
-                 f"w{self.names + one}") for one in range(count)]
+        return [
+            (
+                one % len(fleet.ends) if front is None else front,
+                (CHEAP, CHEAP, USUAL, DEAR)[one // 4 % 4],
+                holders,
+                f"w{self.names + one}",
+            )
+            for one in range(count)
+        ]
 
     def overloaded(self, fleet, seconds=15, count=400, room=80, front=None, zone="a"):
         fleet.full(zone)
@@ -212,7 +220,10 @@
         def let_in(fault):
             fleet = Fleet(overload=fault)
             self.overloaded(fleet)
-            return [{who for who in range(300) if not end.overload.asked(CHEAP, fleet.zone("a"), f"n{who}")} for end in fleet.ends]
+            return [
+                {who for who in range(300) if not end.overload.asked(CHEAP, fleet.zone("a"), f"n{who}")} for end in fleet.ends
+            ]
+
         sound, own, none = (let_in(fault) for fault in (Overload, FAULTS["own-level-only"], FAULTS["no-floor"]))
         self.assertEqual(len({frozenset(one) for one in sound}), 1)
         self.assertEqual(len({frozenset(one) for one in own}), 4)
@@ -347,6 +358,7 @@
                 again.spends(0)
                 made += 1
             return made
+
         self.assertEqual([freely(fronts) for fronts in (1, 4, 8)], [8, 2, 1])
 
     def test_a_crowd_that_is_refused_does_not_come_back_together(self):
@@ -363,6 +375,7 @@
                 advice.began(0)
             waits = [advice.wait(f"v{n}", 0) for n in range(refused)]
             return sum(waits[-20:]) / 20
+
         self.assertGreater(mean(200, 100), 2 * mean(20, 100))
 
     def test_who_ignores_advice_is_told_to_stay_away_for_longer_each_time(self):
@@ -386,8 +399,10 @@
         world = World(script, 1, traffic, shedding=Shedding(terms, together=how == "one", overload=overload) if how else None)
         world.run()
         from curlewshift.rehearsal.rehearse import figures_of
+
         worth = {pack.name: pack.value / pack.rates[pack.floor] for pack in script.site.packages}
         from curlewshift.verdict.verdict import judge
+
         verdict = judge(traffic, figures_of(script.site))
         self.assertEqual([number for number, rule in verdict["rules"].items() if rule["broken"]], [])
         return judge_shed(traffic, figures_of(script.site), worth, terms.floor), world.viewers.tally
@@ -457,9 +472,22 @@
             self.assertTrue(site.front.desk.rules.again_stopped)
 
 
-FIGURES = Figures(grace=0, warm_within=0, start_capacity=0, fall_multiple=0, fall_within=0, free_further=None, further_share=0.0,
-                  look_back=0, patience={}, join_target={"dear": SECOND, "cheap": SECOND}, value={"dear": 3.0, "cheap": 1.0},
-                  paid=set(), floor={}, seats={})
+FIGURES = Figures(
+    grace=0,
+    warm_within=0,
+    start_capacity=0,
+    fall_multiple=0,
+    fall_within=0,
+    free_further=None,
+    further_share=0.0,
+    look_back=0,
+    patience={},
+    join_target={"dear": SECOND, "cheap": SECOND},
+    value={"dear": 3.0, "cheap": 1.0},
+    paid=set(),
+    floor={},
+    seats={},
+)
 
 
 class Judging(unittest.TestCase):
@@ -468,9 +496,11 @@
         events = []
         for number, (at, viewing, pack, status) in enumerate(asks):
             facts = dict(request=f"{viewing}.{number}", viewing=viewing, front=f"f{number % 2}", package=pack, title="t")
-            events += [{"ev": "viewing", "at": int(at * SECOND), "viewing": viewing, "package": pack},
-                       {"ev": "ask", "at": int(at * SECOND), **facts},
-                       {"ev": "answer", "at": int(at * SECOND) + MS, "status": status, **facts}]
+            events += [
+                {"ev": "viewing", "at": int(at * SECOND), "viewing": viewing, "package": pack},
+                {"ev": "ask", "at": int(at * SECOND), **facts},
+                {"ev": "answer", "at": int(at * SECOND) + MS, "status": status, **facts},
+            ]
         return judge_shed(events, FIGURES, {"dear": 3.0, "cheap": 1.0}, 0.05)
 
     def test_refused_while_less_worth_is_let_in_beyond_its_floor_is_out_of_order(self):
@@ -482,13 +512,17 @@
 
     def test_where_much_is_refused_and_the_dear_fare_no_better_it_is_told(self):
         def day(dear, cheap):
-            return self.day(*[(n / 3, f"d{n}", "dear", 201 if n < dear else 503) for n in range(40)],
-                            *[(n / 3, f"c{n}", "cheap", 201 if n < cheap else 503) for n in range(40)])["unordered"]
+            return self.day(
+                *[(n / 3, f"d{n}", "dear", 201 if n < dear else 503) for n in range(40)],
+                *[(n / 3, f"c{n}", "cheap", 201 if n < cheap else 503) for n in range(40)],
+            )["unordered"]
+
         self.assertEqual((day(10, 10), day(20, 10), day(35, 30)), (True, False, False))
 
     def test_a_package_of_which_nobody_is_let_in_for_a_while_starves(self):
         def day(let_in):
             return self.day(*[(n / 20, f"c{n}", "cheap", 201 if n % 50 == 7 and let_in else 503) for n in range(400)])["starved"]
+
         self.assertEqual((day(False), day(True)), (["cheap"], []))
 
     def test_who_comes_back_in_crowds_is_told(self):
--- a/tests/test_peaks.py
+++ b/tests/test_peaks.py
@@ -21,8 +21,9 @@
 
 
 def peak(**changed):
-    facts = dict(name="month-end", package="clip", starts=2000 * SECOND, ends=2060 * SECOND, rate=5.0, most=0.5,
-                 lasts=10 * SECOND)
+    facts = dict(
+        name="month-end", package="clip", starts=2000 * SECOND, ends=2060 * SECOND, rate=5.0, most=0.5, lasts=10 * SECOND
+    )
     return Peak(**{**facts, **changed})
 
 
@@ -34,10 +35,16 @@
 
     def test_nonsense_is_refused_in_plain_words(self):
         for words, changed in (
-                ("ends before it starts", dict(ends=1999 * SECOND)), ("over already", dict(starts=1, ends=2)),
-                ("24 hours at most", dict(ends=2000 * SECOND + 25 * 60 * MINUTE)), ("no package 'opera'", dict(package="opera")),
-                ("above 0", dict(rate=0.0)), ("above 0", dict(rate=float("nan"))), ("the rest is for the others", dict(most=1.0)),
-                ("needs a name", dict(name="")), ("less than nothing", dict(lasts=-1))):
+            ("ends before it starts", dict(ends=1999 * SECOND)),
+            ("over already", dict(starts=1, ends=2)),
+            ("24 hours at most", dict(ends=2000 * SECOND + 25 * 60 * MINUTE)),
+            ("no package 'opera'", dict(package="opera")),
+            ("above 0", dict(rate=0.0)),
+            ("above 0", dict(rate=float("nan"))),
+            ("the rest is for the others", dict(most=1.0)),
+            ("needs a name", dict(name="")),
+            ("less than nothing", dict(lasts=-1)),
+        ):
             self.assertIn(words, self.refused(**changed))
 
     def test_a_name_twice_and_too_much_together_are_refused(self):
@@ -230,8 +237,11 @@
         self.outside.later(10 * SECOND)
         self.announce(SECOND, rate=0.5, most=0.8)
         self.outside.later(2 * SECOND)
-        holds = {server.name: server.link.holds.get(self.clip, 0.0) + sum(
-            vw.held_rate for vw in server.link.playing if vw.package is self.clip) for server in self.desk.rules.servers}
+        holds = {
+            server.name: server.link.holds.get(self.clip, 0.0)
+            + sum(vw.held_rate for vw in server.link.playing if vw.package is self.clip)
+            for server in self.desk.rules.servers
+        }
         self.assertGreater(holds["s0"] + holds["s1"], 2 * (holds["s2"] + holds["s3"]))
 
     def test_without_a_calendar_no_link_is_looked_at(self):
@@ -281,8 +291,9 @@
         store.cancelled("month-end", 6, "bob", "moved")
         again = PeakStore(self.path)
         self.assertEqual(again.read(), [])
-        self.assertEqual(again.changes(), [(5, "announced", "month-end", "ann", "month end"),
-                                           (6, "cancelled", "month-end", "bob", "moved")])
+        self.assertEqual(
+            again.changes(), [(5, "announced", "month-end", "ann", "month end"), (6, "cancelled", "month-end", "bob", "moved")]
+        )
 
     def test_a_torn_tail_loses_what_was_not_confirmed_alone(self):
         store = PeakStore(self.path)
@@ -309,16 +320,23 @@
         with tempfile.TemporaryDirectory() as folder:
             state = Path(folder)
             starts = 4_000_000_000 * SECOND
-            command = {"do": "announce", "why": "month end", "peak": {
-                "name": "m", "package": "clip", "starts": starts, "ends": starts + MINUTE, "rate": 2.0}}
+            command = {
+                "do": "announce",
+                "why": "month end",
+                "peak": {"name": "m", "package": "clip", "starts": starts, "ends": starts + MINUTE, "rate": 2.0},
+            }
             async with SmallSite(servers=1).up(state) as site:
                 await until((state / "control").exists)
                 self.assertEqual((state / "control").stat().st_mode & 0o77, 0)
                 self.assertEqual(await tell(state, command), {"ok": True})
-                for wrong, words in ((command, "cancel it first"), ({**command, "why": " "}, "say why"),
-                                     ({"do": "dance", "why": "x"}, "no command 'dance'"), ({"do": 3}, "no command"),
-                                     ({**command, "peak": {"name": "x"}}, "no peak"),
-                                     ({"do": "cancel", "name": "z", "why": "x"}, "no peak 'z'")):
+                for wrong, words in (
+                    (command, "cancel it first"),
+                    ({**command, "why": " "}, "say why"),
+                    ({"do": "dance", "why": "x"}, "no command 'dance'"),
+                    ({"do": 3}, "no command"),
+                    ({**command, "peak": {"name": "x"}}, "no peak"),
+                    ({"do": "cancel", "name": "z", "why": "x"}, "no peak 'z'"),
+                ):
                     answer = await tell(state, wrong)
                     self.assertEqual((answer["ok"], words in answer["wrong"]), (False, True), answer)
                 rows = (await tell(state, {"do": "peaks"}))["peaks"]
@@ -335,8 +353,10 @@
             state = Path(folder)
 
             async def peak_command(*words):
-                return await anyio.run_process([sys.executable, "-m", "curlewshift", "peak", *words, "--state", folder],
-                                               cwd=ROOT, check=False)
+                return await anyio.run_process(
+                    [sys.executable, "-m", "curlewshift", "peak", *words, "--state", folder], cwd=ROOT, check=False
+                )
+
             nobody = await peak_command("list")
             self.assertEqual(nobody.returncode, 1)
             async with SmallSite(servers=1).up(state):
@@ -363,10 +383,17 @@
 
                 def full(*what):
                     raise sqlite3.OperationalError("database or disk is full")
+
                 site.front.control.store.announced = full
                 starts = 4_000_000_000 * SECOND
-                answer = await tell(state, {"do": "announce", "why": "x", "peak": {
-                    "name": "m", "package": "clip", "starts": starts, "ends": starts + MINUTE, "rate": 2.0}})
+                answer = await tell(
+                    state,
+                    {
+                        "do": "announce",
+                        "why": "x",
+                        "peak": {"name": "m", "package": "clip", "starts": starts, "ends": starts + MINUTE, "rate": 2.0},
+                    },
+                )
                 self.assertEqual((answer["ok"], site.front.calendar.peaks), (False, {}))
                 self.assertIn("disk is full", answer["wrong"])
 
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -33,8 +33,14 @@
         small = SmallSite(site={"peers": peers})
         small.site.doors[0].peers_listen = small.site.doors[0].peers_reach = ("127.0.0.1", ports[0])
         async with small.up() as site:
-            other = PeerWire("test", Door("g", "", 0, ("127.0.0.1", ports[1]), ("127.0.0.1", ports[1])), peers, LedClock(),
-                             structlog.wrap_logger(structlog.ReturnLogger()), Random(1))
+            other = PeerWire(
+                "test",
+                Door("g", "", 0, ("127.0.0.1", ports[1]), ("127.0.0.1", ports[1])),
+                peers,
+                LedClock(),
+                structlog.wrap_logger(structlog.ReturnLogger()),
+                Random(1),
+            )
             site.tasks.start_soon(other.run)
             known, channel = site.front.peers.channel.membership, site.front.peers.channel
             await until(lambda: known.size == 2 and other.channel.membership.size == 2)
@@ -98,17 +104,32 @@
 
     def rehearse(self, *more):
         return subprocess.Popen(
-            [sys.executable, "-m", "curlewshift", "rehearse", str(self.folder / "day.xml"), "--out",
-             str(self.folder / "-".join(["out", *more[1:2]])), *more], cwd=ROOT, stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE, text=True)
+            [
+                sys.executable,
+                "-m",
+                "curlewshift",
+                "rehearse",
+                str(self.folder / "day.xml"),
+                "--out",
+                str(self.folder / "-".join(["out", *more[1:2]])),
+                *more,
+            ],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
 
     def test_a_short_day_of_faults_between_processes_and_one_in_which_nobody_contradicts(self):
         kept, spoilt = self.rehearse(), self.rehearse("--sabotage", "deaf-incarnation")
         told = [run.communicate(timeout=120) for run in (kept, spoilt)]
         verdict = json.loads((self.folder / "out" / "verdict.json").read_text())
         members = verdict["members"]
-        self.assertEqual((kept.returncode, [rule["broken"] for rule in verdict["rules"].values()], members["broken"]),
-                         (0, [0] * 6, False), (told, members))
+        self.assertEqual(
+            (kept.returncode, [rule["broken"] for rule in verdict["rules"].values()], members["broken"]),
+            (0, [0] * 6, False),
+            (told, members),
+        )
         self.assertGreater(verdict["requests"], 40)
         self.assertGreater(members["spoilt"], 5)
         self.assertGreater(members["detected"], 0)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -61,11 +61,14 @@
             self.assertTrue(higher.over(lower) and not lower.over(higher))
 
     @settings(max_examples=60, deadline=None)
-    @given(some.lists(some.tuples(some.integers(1, 3), some.integers(0, 3), some.integers(0, 3)), min_size=1, max_size=8),
-           some.randoms(use_true_random=False))
+    @given(
+        some.lists(some.tuples(some.integers(1, 3), some.integers(0, 3), some.integers(0, 3)), min_size=1, max_size=8),
+        some.randoms(use_true_random=False),
+    )
     def test_views_merge_to_the_same_in_any_order_and_however_often(self, told, chance):
-        claims = [Claim("x", "10.9.9.9", 1, life, incarnation, rank, ("a",) if rank == 1 else ())
-                  for life, incarnation, rank in told]
+        claims = [
+            Claim("x", "10.9.9.9", 1, life, incarnation, rank, ("a",) if rank == 1 else ()) for life, incarnation, rank in told
+        ]
         first = Claim("x", "10.9.9.9", 1, 1, 0, 0)
         ends = set()
         for _ in range(2):
@@ -189,8 +192,10 @@
         made.until(lambda: earlier.membership.superseded, 5)
         made.run(3)
         self.assertTrue(earlier.membership.superseded)
-        self.assertEqual({post.channel.membership.members["f2"].life for post in made.posts if post.number != 2},
-                         {twin.channel.membership.me.life})
+        self.assertEqual(
+            {post.channel.membership.members["f2"].life for post in made.posts if post.number != 2},
+            {twin.channel.membership.me.life},
+        )
         twin.kill()
         self.assertIsNotNone(made.until(lambda: not earlier.membership.superseded, 30))
         self.assertIsNotNone(made.until(made.agreed, 10))
@@ -204,8 +209,7 @@
 
     def test_a_datagram_of_an_earlier_life_changes_nothing_and_is_not_answered(self):
         made = fleet(3)
-        old = encode(Frame("emulated", "f1", *made.posts[1].address, made.posts[1].channel.membership.me.life, 9, 5_000, 1,
-                           77))
+        old = encode(Frame("emulated", "f1", *made.posts[1].address, made.posts[1].channel.membership.me.life, 9, 5_000, 1, 77))
         made.posts[1].kill()
         made.posts[1].start()
         made.until(made.agreed, 5)
@@ -309,7 +313,7 @@
     def test_no_byte_may_be_changed_unseen(self, data):
         good = encode(self.frame())
         at, by = data.draw(some.integers(0, len(good) - 1)), data.draw(some.integers(1, 255))
-        self.refused(good[:at] + bytes((good[at] ^ by,)) + good[at + 1:])
+        self.refused(good[:at] + bytes((good[at] ^ by,)) + good[at + 1 :])
 
     @settings(max_examples=200, deadline=None)
     @given(some.binary(max_size=1500))
@@ -386,22 +390,29 @@
     def day(self, *views, more=()):
         events = [{"ev": "front-up", "at": 0, "front": f"f{n}", "life": f"f{n}.1"} for n in (1, 2, 3)]
         for second, front, rows in views:
-            events.append({"ev": "view", "at": second * NS, "asked": second * NS, "front": front, "me": 1, "sent": 1,
-                           "members": rows})
+            events.append(
+                {"ev": "view", "at": second * NS, "asked": second * NS, "front": front, "me": 1, "sent": 1, "members": rows}
+            )
         return [*events, *more, {"ev": "day-over", "at": 100 * NS}]
 
     def everyone(self, second, **other):
-        return [(second, f"f{n}", [[f"f{m}", 1, other.get(f"f{n}f{m}", "alive"), 1.0] for m in (1, 2, 3) if m != n])
-                for n in (1, 2, 3)]
+        return [
+            (second, f"f{n}", [[f"f{m}", 1, other.get(f"f{n}f{m}", "alive"), 1.0] for m in (1, 2, 3) if m != n])
+            for n in (1, 2, 3)
+        ]
 
     def test_who_is_called_gone_for_nothing_is_counted_once_and_who_was_killed_is_not(self):
         quiet = judge_members(self.day(*self.everyone(50), *self.everyone(60)), NS, 60 * NS)
         self.assertEqual((quiet["false_gone"], quiet["agreed_after_s"] is None, quiet["broken"]), (0, False, False))
-        wrong = judge_members(self.day(*self.everyone(50, f1f2="gone"), *self.everyone(51, f1f2="gone"),
-                                       *self.everyone(60)), NS, 60 * NS)
+        wrong = judge_members(
+            self.day(*self.everyone(50, f1f2="gone"), *self.everyone(51, f1f2="gone"), *self.everyone(60)), NS, 60 * NS
+        )
         self.assertEqual((wrong["false_gone"], wrong["broken"]), (1, True))
-        killed = self.day(*self.everyone(50), *self.everyone(60, f1f2="gone", f3f2="gone"), more=[
-            {"ev": "front-down", "at": 55 * NS, "front": "f2", "life": "f2.1", "how": "killed"}])
+        killed = self.day(
+            *self.everyone(50),
+            *self.everyone(60, f1f2="gone", f3f2="gone"),
+            more=[{"ev": "front-down", "at": 55 * NS, "front": "f2", "life": "f2.1", "how": "killed"}],
+        )
         told = judge_members(killed, NS, 60 * NS)
         self.assertEqual((told["false_gone"], told["detected"], told["not_detected"]), (0, 2, 0))
         self.assertEqual(told["detected_periods_p99"], 5)
@@ -421,19 +432,35 @@
 
         def answers(at, front, to, probe):
             return {"ev": "peer-said", "at": at * NS, "front": front, "to": to, "data": said(front, 1, 2, probe)}
+
         def speaks(at):
             return {"ev": "peer-said", "at": at * NS, "front": "f1", "to": "f3", "data": said("f1", 1, 1, 99)}
-        clean = [speaks(49), heard(50, "f1", said("f2", 1, 1, 7)), answers(51, "f1", "f2", 7), heard(52, "f1", said("f2", 2, 1, 8)),
-                 heard(53, "f1", said("f2", 1, 1, 9))]
+
+        clean = [
+            speaks(49),
+            heard(50, "f1", said("f2", 1, 1, 7)),
+            answers(51, "f1", "f2", 7),
+            heard(52, "f1", said("f2", 2, 1, 8)),
+            heard(53, "f1", said("f2", 1, 1, 9)),
+        ]
         told = judge_members(self.day(*self.everyone(60), more=clean), NS, 60 * NS)
         self.assertEqual((told["old_life"], told["old_life_taken"], told["malformed_taken"]), (1, 0, 0))
-        bad = [*clean, answers(54, "f1", "f2", 9), heard(55, "f1", said("f2", 2, 1, 10), spoilt=True),
-               answers(56, "f1", "f2", 10)]
+        bad = [
+            *clean,
+            answers(54, "f1", "f2", 9),
+            heard(55, "f1", said("f2", 2, 1, 10), spoilt=True),
+            answers(56, "f1", "f2", 10),
+        ]
         told = judge_members(self.day(*self.everyone(60), more=bad), NS, 60 * NS)
         self.assertEqual((told["old_life_taken"], told["malformed_taken"]), (1, 1))
         # handed to the port of a front that starts, before it is open, a datagram is heard by nobody
-        started = [{"ev": "front-up", "at": 49 * NS, "front": "f1", "life": "f1.2"}, heard(50, "f1", said("f2", 2, 1, 8)),
-                   speaks(51), heard(52, "f1", said("f2", 1, 1, 9)), answers(53, "f1", "f2", 9)]
+        started = [
+            {"ev": "front-up", "at": 49 * NS, "front": "f1", "life": "f1.2"},
+            heard(50, "f1", said("f2", 2, 1, 8)),
+            speaks(51),
+            heard(52, "f1", said("f2", 1, 1, 9)),
+            answers(53, "f1", "f2", 9),
+        ]
         told = judge_members(self.day(*self.everyone(60), more=started), NS, 60 * NS)
         self.assertEqual((told["old_life"], told["old_life_taken"]), (0, 0))
 
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -32,8 +32,18 @@
     def front(self, me):
         """One that starts now and remembers nothing."""
         streams = 120
-        story = Story(count=1, warm=False, me=me, fronts=self.fronts, seed=self.random.random(), size=1e9, warm_within=WARM,
-                      fall_within=WINDOW, fall_multiple=1.0, start_capacity=self.budget * WARM / WINDOW / streams)
+        story = Story(
+            count=1,
+            warm=False,
+            me=me,
+            fronts=self.fronts,
+            seed=self.random.random(),
+            size=1e9,
+            warm_within=WARM,
+            fall_within=WINDOW,
+            fall_multiple=1.0,
+            start_capacity=self.budget * WARM / WINDOW / streams,
+        )
         # its clock and the server's start come from the world
         story.host.clock = self.now + self.apart[me]
         story.rules.born = story.rules.unproven_at = story.host.clock
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -22,9 +22,27 @@
 
 
 def remembered(token="tk", server="s0", path="/session/1", pack="lesson", title="t1", rung=1, key="k", **more):
-    return Remembered(**{**dict(
-        token=token, holder=None, key=key, offer="offer", way="whep", package=pack, title=title, ceiling=2, rung=rung,
-        server=server, path=path, etag='"e"', ufrag="u", answer="v=0"), **more})
+    return Remembered(
+        **{
+            **dict(
+                token=token,
+                holder=None,
+                key=key,
+                offer="offer",
+                way="whep",
+                package=pack,
+                title=title,
+                ceiling=2,
+                rung=rung,
+                server=server,
+                path=path,
+                etag='"e"',
+                ufrag="u",
+                answer="v=0",
+            ),
+            **more,
+        }
+    )
 
 
 class Restart:
@@ -46,7 +64,8 @@
 
     def taken_up(self, one, server):
         course = self.courses[one.token] = self.fake.desk.handed_over(
-            one.package, one.title, one.ceiling, server, one.path, one.rung, one.key, one.offer)
+            one.package, one.title, one.ceiling, server, one.path, one.rung, one.key, one.offer
+        )
         return course
 
     def session_of(self, found, doubt):
@@ -57,8 +76,7 @@
 
     def tells(self, server, *rows, boot="b"):
         self.asked.remove(server)
-        self.recovery.listed(self.fake.server(server), boot, [
-            Found(path, life, rung, doubt) for path, life, rung, doubt in rows])
+        self.recovery.listed(self.fake.server(server), boot, [Found(path, life, rung, doubt) for path, life, rung, doubt in rows])
 
     def takes(self, server, *paths):
         self.adopting = [one for one in self.adopting if one[0] != server]
@@ -232,8 +250,12 @@
     def test_the_log_and_its_snapshot_remember_the_same(self):
         book = Book()
         records = [book.began(remembered(token=str(n))) for n in range(9)] + [
-            book.changed("3", "rung", 2), book.changed("4", "etag", '"x"'), book.ended("5"), book.boot("s0", "b1"),
-            book.boot("s0", "b2")]
+            book.changed("3", "rung", 2),
+            book.changed("4", "etag", '"x"'),
+            book.ended("5"),
+            book.boot("s0", "b1"),
+            book.boot("s0", "b2"),
+        ]
         self.assertIsNone(book.changed("3", "rung", 2), "what has not changed is not written")
         self.assertIsNone(book.ended("5"))
         whole = book.snapshot()
@@ -265,10 +287,10 @@
         """The front dies without a word, and its next life begins."""
         site.front.tasks.cancel_scope.cancel()
         await anyio.sleep(0.05)
-        await until(lambda: not any(listener.open for server in site.servers.values()
-                                    for listener in server.listeners.values()))
-        site.front = Front(site.site, 0, 2, self.state if state is None else state,
-                           structlog.wrap_logger(structlog.ReturnLogger()))
+        await until(lambda: not any(listener.open for server in site.servers.values() for listener in server.listeners.values()))
+        site.front = Front(
+            site.site, 0, 2, self.state if state is None else state, structlog.wrap_logger(structlog.ReturnLogger())
+        )
         opened = anyio.Event()
         site.tasks.start_soon(site.front.run, opened.set)
         await opened.wait()
@@ -283,10 +305,18 @@
             await until(lambda: front.recovery.over)
             self.assertEqual((front.recovery.kept, front.recovery.orphans), (2, 0))
             self.assertEqual({name for server in site.servers.values() for name in server.sessions}, sessions)
-            self.assertEqual({session.front for server in site.servers.values()
-                              for session in server.sessions.values()}, {front.name})
-            changed = await ask("127.0.0.1", site.port, "POST", kept.headers["location"] + "/layer",
-                                [("content-type", "application/json")], b'{"encodingId":"1"}', within=2)
+            self.assertEqual(
+                {session.front for server in site.servers.values() for session in server.sessions.values()}, {front.name}
+            )
+            changed = await ask(
+                "127.0.0.1",
+                site.port,
+                "POST",
+                kept.headers["location"] + "/layer",
+                [("content-type", "application/json")],
+                b'{"encodingId":"1"}',
+                within=2,
+            )
             self.assertEqual(changed.status, 204)
             ended = await ask("127.0.0.1", site.port, "DELETE", closed.headers["location"], within=2)
             self.assertEqual(ended.status, 200)
@@ -315,6 +345,7 @@
                 except Exception:
                     # its front dies under it
                     pass
+
             site.tasks.start_soon(first)
             await until(lambda: site.traffic.all("ran"))
             server.stubborn = True
@@ -330,8 +361,10 @@
     @story
     async def test_a_disk_that_takes_no_more_ends_the_book_and_not_the_front(self):
         async with SmallSite().up(self.state) as site:
+
             def full(record, flush):
                 raise NotKept("no space left")
+
             site.front.keeper.journal.add = full
             self.assertEqual((await site.ask()).status, 201)
             await until(lambda: site.front.keeper.over)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -32,9 +32,21 @@
 
     def rehearse(self, *more):
         return subprocess.Popen(
-            [sys.executable, "-m", "curlewshift", "rehearse", str(self.folder / "day.xml"), "--out",
-             str(self.folder / "-".join(["out", *more[1:2]])), *more], cwd=ROOT, stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE, text=True)
+            [
+                sys.executable,
+                "-m",
+                "curlewshift",
+                "rehearse",
+                str(self.folder / "day.xml"),
+                "--out",
+                str(self.folder / "-".join(["out", *more[1:2]])),
+                *more,
+            ],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
 
     def test_a_short_day_keeps_the_rules_and_a_spoilt_one_is_caught(self):
         kept, spoilt = self.rehearse(), self.rehearse("--sabotage", "lose-answer")
@@ -53,9 +65,12 @@
 
     def test_any_mix_of_troubles_is_drawn_by_its_seed_and_replayed(self):
         from curlewshift.rehearsal.mix import mixed_script
+
         base = self.folder / "day.xml"
-        first, again, other = (mixed_script(base, ["hang", "front-crash"], seed, self.folder / name).read_text()
-                               for name, seed in (("a", 1), ("b", 1), ("c", 2)))
+        first, again, other = (
+            mixed_script(base, ["hang", "front-crash"], seed, self.folder / name).read_text()
+            for name, seed in (("a", 1), ("b", 1), ("c", 2))
+        )
         self.assertEqual(first, again)
         self.assertNotEqual(first, other.replace('seed="2"', 'seed="1"'))
         with self.assertRaises(ValueError):
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -18,8 +18,13 @@
 class Wheels(unittest.TestCase):
     """The wheel tells what a sorted list would."""
 
-    STEPS = st.lists(st.tuples(st.sampled_from(["add", "cancel", "pass"]), st.one_of(
-        st.integers(0, 300), st.integers(0, 10 ** 5), st.integers(0, 10 ** 9), st.integers(0, 10 ** 12))), max_size=60)
+    STEPS = st.lists(
+        st.tuples(
+            st.sampled_from(["add", "cancel", "pass"]),
+            st.one_of(st.integers(0, 300), st.integers(0, 10**5), st.integers(0, 10**9), st.integers(0, 10**12)),
+        ),
+        max_size=60,
+    )
 
     @STEADY
     @given(STEPS, st.sampled_from([1, 7, 1000]))
@@ -43,7 +48,7 @@
     def test_nothing_comes_twice_and_nothing_that_was_taken_back(self):
         wheel = Wheel(0, 10)
         entry = wheel.add(55, "a")
-        self.assertEqual((wheel.due(54), wheel.due(55), wheel.due(10 ** 9)), ([], ["a"], []))
+        self.assertEqual((wheel.due(54), wheel.due(55), wheel.due(10**9)), ([], ["a"], []))
         self.assertFalse(wheel.cancel(entry))
 
 
@@ -51,10 +56,10 @@
     def test_a_key_in_work_outlives_any_time_and_an_ended_one_its_time_alone(self):
         table = KeyTable(0)
         held = table.hold("k", "m", "c")
-        self.assertIs(table.find("k", 10 ** 15), held)
-        table.ended(held, 10 ** 15 + SECOND)
-        self.assertIs(table.find("k", 10 ** 15 + SECOND - 1), held)
-        self.assertIsNone(table.find("k", 10 ** 15 + SECOND))
+        self.assertIs(table.find("k", 10**15), held)
+        table.ended(held, 10**15 + SECOND)
+        self.assertIs(table.find("k", 10**15 + SECOND - 1), held)
+        self.assertIsNone(table.find("k", 10**15 + SECOND))
         self.assertEqual((len(table), table.ended_count), (0, 0))
 
     def test_the_ended_are_bounded_and_those_due_first_go_first(self):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -106,6 +106,7 @@
         def full(story):
             for _ in range(12):
                 story.rules.link_told(story.servers[0], 1.12)
+
         # each knows of its own viewing and a link told over its size: a few have to step, not all
         self.assertTrue(1 <= self.steps(60, full) <= 30)
 
@@ -178,7 +179,7 @@
     def test_a_tune_in_that_times_out_leaves_room_for_another(self):
         story = Story()
         vw = story.want()
-        (_, first, until), = story.host.all("tune_in")
+        ((_, first, until),) = story.host.all("tune_in")
         self.assertLess(until, vw.asked_at + vw.package.join_target * 0.6)
         story.host.clock = until
         story.rules.ended(vw, Outcome.SILENT, False)
@@ -188,7 +189,7 @@
         story = Story()
         story.list(*story.servers, open=False)
         vw = story.want()
-        (blocked, wait), = story.host.all("block")
+        ((blocked, wait),) = story.host.all("block")
         self.assertIs(blocked, vw)
         self.assertTrue(SECOND // 2 < wait <= SECOND)
 
@@ -208,8 +209,14 @@
 
     def test_a_paid_set_up_is_repeated_only_on_proof_that_it_never_ran(self):
         paid = package(paid_at_setup=True)
-        for outcome, acts in ((Outcome.UNREACHED, 2), (Outcome.FULL, 2), (Outcome.SILENT, 1), (Outcome.ERROR, 1),
-                              (Outcome.BROKEN, 1), (Outcome.CANCELLED, 1)):
+        for outcome, acts in (
+            (Outcome.UNREACHED, 2),
+            (Outcome.FULL, 2),
+            (Outcome.SILENT, 1),
+            (Outcome.ERROR, 1),
+            (Outcome.BROKEN, 1),
+            (Outcome.CANCELLED, 1),
+        ):
             story = Story()
             vw = story.want(pack=paid)
             self.assertEqual(story.host.all("tune_in")[0][2], vw.expires)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -30,8 +30,20 @@
 
 
 def made(nodes=24, real=2, **more):
-    usual = dict(processes=1, relays=1, regions=2, zones=4, seconds=1.0, seed=1, loss=0.0, parts=["membership"], faults=[],
-                 load=Load(0, 0, 0), period=0.25, in_a_row=0)
+    usual = dict(
+        processes=1,
+        relays=1,
+        regions=2,
+        zones=4,
+        seconds=1.0,
+        seed=1,
+        loss=0.0,
+        parts=["membership"],
+        faults=[],
+        load=Load(0, 0, 0),
+        period=0.25,
+        in_a_row=0,
+    )
     return Plan(nodes, real, **{**usual, **more})
 
 
@@ -165,6 +177,7 @@
         def outer():
             meter.sent(7)
             meter.metered("sharing", inner)()
+
         meter.metered("membership", outer)()
         self.assertEqual(meter.read(), {"membership": [60, 1, 7], "sharing": [40, 1, 50]})
 
@@ -176,10 +189,17 @@
 
     def test_a_stretch_is_the_difference_of_two_marks(self):
         def mark(at, kinds, core, whole):
-            return Mark(at, [{"said": {"a": kinds}, "handed": {"a": [0, 0], "b": [0, 0]}, "core": 0}],
-                        {2: {"core": whole, "nodes": {"a": {"membership": [core, 0, 0]}, "b": {}}}}, {})
-        stretch = Stretch(mark(10.0, {"1": [4, 400], "16": [1, 900]}, 1_000_000_000, 4_000_000_000),
-                          mark(12.0, {"1": [8, 800], "2": [2, 100], "16": [3, 1900]}, 2_000_000_000, 8_000_000_000))
+            return Mark(
+                at,
+                [{"said": {"a": kinds}, "handed": {"a": [0, 0], "b": [0, 0]}, "core": 0}],
+                {2: {"core": whole, "nodes": {"a": {"membership": [core, 0, 0]}, "b": {}}}},
+                {},
+            )
+
+        stretch = Stretch(
+            mark(10.0, {"1": [4, 400], "16": [1, 900]}, 1_000_000_000, 4_000_000_000),
+            mark(12.0, {"1": [8, 800], "2": [2, 100], "16": [3, 1900]}, 2_000_000_000, 8_000_000_000),
+        )
         told = a_node(stretch, ["a", "b"], [2])
         self.assertEqual(told["membership"]["bytes_a_second"], {"mean": 125.0, "worst": 250.0})
         self.assertEqual(told["sharing"]["datagrams_a_second"], {"mean": 0.5, "worst": 1.0})
@@ -235,8 +255,26 @@
 
     def test_the_command_says_so_in_a_line(self):
         with tempfile.TemporaryDirectory() as name:
-            told = subprocess.run([sys.executable, "-m", "curlewshift", "scale", "run", "--nodes", "5000", "--processes", "180",
-                                   "--real", "20", "--out", f"{name}/out"], cwd=ROOT, capture_output=True, text=True)
+            told = subprocess.run(
+                [
+                    sys.executable,
+                    "-m",
+                    "curlewshift",
+                    "scale",
+                    "run",
+                    "--nodes",
+                    "5000",
+                    "--processes",
+                    "180",
+                    "--real",
+                    "20",
+                    "--out",
+                    f"{name}/out",
+                ],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+            )
             self.assertEqual((told.returncode, told.stderr.count("\n")), (2, 1), told.stderr)
             self.assertIn("does not begin", told.stderr)
             self.assertFalse(Path(name, "out").exists())
@@ -250,9 +288,12 @@
             return figures
 
     def test_a_cut_of_24_hollow_and_2_real_is_known_and_healed(self):
-        told = self.play(made(nodes=26, faults=["regions-apart"], parts=["membership", "leases", "distribution"],
-                              load=Load(0, 0, 0, leasing=24)),
-                         agree_within=30.0)
+        told = self.play(
+            made(
+                nodes=26, faults=["regions-apart"], parts=["membership", "leases", "distribution"], load=Load(0, 0, 0, leasing=24)
+            ),
+            agree_within=30.0,
+        )
         verdict, (fault,) = told["verdict"], told["faults"]
         self.assertTrue(verdict["ok"], verdict)
         self.assertGreater(verdict["served"]["played"], 0)
@@ -274,9 +315,30 @@
 
     def test_broken_off_it_ends_its_own(self):
         with tempfile.TemporaryDirectory() as name:
-            run = subprocess.Popen([sys.executable, "-m", "curlewshift", "scale", "run", "--nodes", "12", "--real", "0",
-                                    "--processes", "1", "--relays", "1", "--out", name, "--seconds", "60"], cwd=ROOT,
-                                   stderr=subprocess.PIPE, text=True)
+            run = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "curlewshift",
+                    "scale",
+                    "run",
+                    "--nodes",
+                    "12",
+                    "--real",
+                    "0",
+                    "--processes",
+                    "1",
+                    "--relays",
+                    "1",
+                    "--out",
+                    name,
+                    "--seconds",
+                    "60",
+                ],
+                cwd=ROOT,
+                stderr=subprocess.PIPE,
+                text=True,
+            )
             try:
                 line = run.stderr.readline()
                 self.assertIn("processes", line)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -60,12 +60,16 @@
             session = await OneSession.of(site)
             self.assertEqual((await session.patch(session.etag)).status, 204)
             patched, held = site.traffic.all("patch")[0], site.traffic.all("session")[0]
-            self.assertEqual((patched["server"], patched["session"], patched["candidates"]),
-                             (held["server"], held["session"], 1))
+            self.assertEqual((patched["server"], patched["session"], patched["candidates"]), (held["server"], held["session"], 1))
             for status, if_match, fragment, kind in (
-                    (428, None, None, FRAGMENT), (412, '"other"', None, FRAGMENT), (400, "untagged", None, FRAGMENT),
-                    (412, f"W/{session.etag}", None, FRAGMENT), (415, session.etag, None, "text/plain"),
-                    (400, session.etag, "a=ice-ufrag:x", FRAGMENT), (400, session.etag, "hello", FRAGMENT)):
+                (428, None, None, FRAGMENT),
+                (412, '"other"', None, FRAGMENT),
+                (400, "untagged", None, FRAGMENT),
+                (412, f"W/{session.etag}", None, FRAGMENT),
+                (415, session.etag, None, "text/plain"),
+                (400, session.etag, "a=ice-ufrag:x", FRAGMENT),
+                (400, session.etag, "hello", FRAGMENT),
+            ):
                 answered = await session.patch(if_match, fragment, kind)
                 self.assertEqual(answered.status, status, (if_match, fragment, kind))
                 self.assertEqual(answered.headers["content-type"], "application/problem+json")
@@ -106,6 +110,7 @@
 
             async def patch():
                 statuses.append((await session.patch(session.etag)).status)
+
             async with anyio.create_task_group() as tasks:
                 for _ in range(3):
                     tasks.start_soon(patch)
@@ -147,6 +152,7 @@
             async def listen():
                 async for piece in call.pieces():
                     events.extend(reader.feed(piece))
+
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(listen)
                 await until(lambda: events)
@@ -166,6 +172,7 @@
 
             def offer():
                 return offer_text(secrets.token_hex(4), secrets.token_hex(12), FINGERPRINT, PUBLISHES)
+
             sessions = [await caller.publish("camera", "t", offer(), patience=1) for _ in range(2)]
             server = next(iter(site.front.desk.roster.servers.values()))
             self.assertEqual(server.link.own, 2 * site.packages[2].rates[2])
@@ -232,6 +239,7 @@
 
             async def one():
                 answers.append((await site.ask("paid")).status)
+
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(one)
                 await until(lambda: site.traffic.all("setup"))
@@ -273,6 +281,7 @@
                 async def one(again):
                     answered = await site.ask(pack, key, offer)
                     answers.setdefault(number, []).append((answered.status, answered.headers.get("location")))
+
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(one, False)
                     if number % 2:
@@ -291,13 +300,16 @@
                     server.redirects = True
                     await anyio.sleep(0.1)
                     server.redirects = False
+
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(troubles)
                 slots = anyio.CapacityLimiter(60)
                 for number in range(1334):
+
                     async def slot(number=number):
                         async with slots:
                             await ask_twice(number)
+
                     tasks.start_soon(slot)
             self.assertEqual(sum(map(len, answers.values())), 1334 + 667)
             for number, got in answers.items():
@@ -306,8 +318,7 @@
             ran = {}
             for event in site.traffic.all("ran"):
                 ran.setdefault(event["request"], []).append(event)
-            paid_twice = [request for request, events in ran.items()
-                          if len(events) > 1 and mine[int(request[1:])] == "paid"]
+            paid_twice = [request for request, events in ran.items() if len(events) > 1 and mine[int(request[1:])] == "paid"]
             self.assertEqual(paid_twice, [])
             self.assertGreater(sum(got[0][0] == 201 for got in answers.values()), 600)
 
@@ -326,6 +337,7 @@
                 elif mode[0] == "redirect":
                     mode[0] = "refuse"
                     await exchange.answer(307, [("location", f"http://127.0.0.1:{site.port}/whep/clip/t")])
+
             listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             site.tasks.start_soon(serve, listener.listeners[0], front, lambda fault: None)
@@ -348,6 +360,7 @@
             async def relent():
                 await anyio.sleep(0.3)
                 site.servers["s0"].draining = False
+
             site.tasks.start_soon(relent)
             await (await caller.play("clip", "t", an_offer().decode())).close()
             self.assertGreater(time.monotonic() - began, 0.6)
@@ -363,8 +376,12 @@
                 for script, how in (("watch.py", ("clip", "t")), ("publish.py", ("camera", "t"))):
                     ran = await anyio.run_process(
                         [sys.executable, str(root / "examples" / script), f"http://127.0.0.1:{site.port}", *how],
-                        cwd=root, check=False, env={"PYTHONPATH": str(root)})
+                        cwd=root,
+                        check=False,
+                        env={"PYTHONPATH": str(root)},
+                    )
                     self.assertEqual(ran.returncode, 0, ran.stderr.decode())
+
         anyio.run(story)
 
     def test_the_caller_without_async(self):
@@ -378,8 +395,12 @@
 
 def token(row=SECRET, **claims):
     facts = {"sub": "desk-1", "exp": time.time() + 60, **claims}
-    return jwt.encode({name: value for name, value in facts.items() if value is not None},
-                      base64.urlsafe_b64decode(row["k"] + "="), "HS256", headers={"kid": row["kid"]})
+    return jwt.encode(
+        {name: value for name, value in facts.items() if value is not None},
+        base64.urlsafe_b64decode(row["k"] + "="),
+        "HS256",
+        headers={"kid": row["kid"]},
+    )
 
 
 class Tokens(unittest.TestCase):
@@ -396,24 +417,46 @@
         none = jwt.encode({"sub": "x", "exp": time.time() + 60}, None, "none", headers={"kid": "one"})
         for shown in (None, "", "Basic eDp5", "Bearer "):
             self.assertEqual(self.refused(shown), (401, ""))
-        for shown in ("x", "a.b.c", none, token(OTHER), token({**SECRET, "k": OTHER["k"]}), token(exp=time.time() - 60),
-                      token(exp=None), token(exp="soon"), token(nbf=time.time() + 99), token(sub=None), "x" * 9000,
-                      token(addresses=["nowhere"]), token(packages=5)):
+        for shown in (
+            "x",
+            "a.b.c",
+            none,
+            token(OTHER),
+            token({**SECRET, "k": OTHER["k"]}),
+            token(exp=time.time() - 60),
+            token(exp=None),
+            token(exp="soon"),
+            token(nbf=time.time() + 99),
+            token(sub=None),
+            "x" * 9000,
+            token(addresses=["nowhere"]),
+            token(packages=5),
+        ):
             self.assertEqual(self.refused(f"Bearer {shown}"), (401, "invalid_token"), shown[:60])
 
     def test_a_permit_is_for_what_it_says(self):
         permits = Permits(read_keys(json.dumps({"keys": [SECRET]}).encode()))
         permit = permits.read(f"Bearer {token(packages=['clip'], titles=['t'], addresses=['127.0.0.0/8'])}", self.now)
         allow(permit, "clip", "t", False, "127.0.0.9")
-        for wanted in (("paid", "t", False, "127.0.0.9"), ("clip", "u", False, "127.0.0.9"),
-                       ("clip", "t", True, "127.0.0.9"), ("clip", "t", False, "192.0.2.1")):
+        for wanted in (
+            ("paid", "t", False, "127.0.0.9"),
+            ("clip", "u", False, "127.0.0.9"),
+            ("clip", "t", True, "127.0.0.9"),
+            ("clip", "t", False, "192.0.2.1"),
+        ):
             with self.assertRaises(NoPermit) as found:
                 allow(permit, *wanted)
             self.assertEqual(found.exception.status, 403)
 
     def test_bad_keys_are_told_and_change_nothing(self):
-        for raw in (b"", b"{}", b'{"keys":[]}', b'{"keys":[{"kty":"RSA","kid":"a"}]}', b'{"keys":[{"kty":"oct"}]}',
-                    b'{"keys":[{"kty":"oct","kid":"a","k":"c2hvcnQ"}]}'):
+        for raw in (
+            b"",
+            b"{}",
+            b'{"keys":[]}',
+            b'{"keys":[{"kty":"RSA","kid":"a"}]}',
+            b'{"keys":[{"kty":"oct"}]}',
+            b'{"keys":[{"kty":"oct","kid":"a","k":"c2hvcnQ"}]}',
+        ):
             with self.assertRaises(BadKeys):
                 read_keys(raw)
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -247,8 +247,12 @@
 
 class CountsOfUse(unittest.TestCase):
     @settings(max_examples=80, deadline=None)
-    @given(some.lists(some.tuples(some.sampled_from("abc"), some.integers(1, 2), some.integers(1, 4), some.floats(0, 9)),
-                      max_size=10), some.randoms(use_true_random=False))
+    @given(
+        some.lists(
+            some.tuples(some.sampled_from("abc"), some.integers(1, 2), some.integers(1, 4), some.floats(0, 9)), max_size=10
+        ),
+        some.randoms(use_true_random=False),
+    )
     def test_last_words_merge_to_the_same_in_any_order_grouping_and_number(self, words, chance):
         # one word of a life and number is one word
         words = list({word[:3]: word for word in words}.values())
@@ -261,6 +265,7 @@
 
         def seen(counts):
             return {name: (word.life, word.number, word.value) for name, word in counts.words.get("k", {}).items()}
+
         order = words * 2
         chance.shuffle(order)
         whole = seen(heard(words))
@@ -345,6 +350,7 @@
             for number, (front, good, bad, lasting) in enumerate(said):
                 evidence.heard(front, 1, 1, [("s", good, bad, lasting)], SECOND)
             return evidence.warm("s", 8 * SECOND, since, SECOND)
+
         long, short = 60 * SECOND, 5 * SECOND
         self.assertTrue(warm([("a", 3, 0, long), ("b", 2, 0, long)]))
         self.assertFalse(warm([("a", 3, 0, long)]))
@@ -354,8 +360,10 @@
         self.assertFalse(warm([("a", 3, 0, long), ("b", 2, 0, long)], since=2 * SECOND))
 
     def test_words_merge_in_any_order(self):
-        chance, words = random.Random(1), [(front, life, number, float(number)) for front in "ab" for life in (1, 2)
-                                           for number in (1, 2, 3)]
+        chance, words = (
+            random.Random(1),
+            [(front, life, number, float(number)) for front in "ab" for life in (1, 2) for number in (1, 2, 3)],
+        )
         ends = set()
         for _ in range(20):
             chance.shuffle(words)
@@ -416,8 +424,20 @@
         ends = []
         for post in fleet.posts:
             desk = FakeOutside(servers=1, fronts=2).desk
-            ends.append(SharedWire(post.channel, desk, ["f0", "f1"], post.number, TERMS, Together(), 8 * SECOND, post.now, mock.Mock(),
-                                   random.Random(post.number)))
+            ends.append(
+                SharedWire(
+                    post.channel,
+                    desk,
+                    ["f0", "f1"],
+                    post.number,
+                    TERMS,
+                    Together(),
+                    8 * SECOND,
+                    post.now,
+                    mock.Mock(),
+                    random.Random(post.number),
+                )
+            )
         return fleet, ends
 
     def rounds(self, fleet, ends, seconds):
@@ -438,16 +458,26 @@
             owner, wanting = (one, other) if one.sharing.part("s0") else (other, one)
             wanting.servers()[0].wanted_at = 1
             self.rounds(fleet, (one, other), 1)
-            self.assertEqual((sum(count for since, until, count in wanting.servers()[0].rights if since <= wanting.now()),
-                              owner.sharing.loans.given), (1, 1))
+            self.assertEqual(
+                (
+                    sum(count for since, until, count in wanting.servers()[0].rights if since <= wanting.now()),
+                    owner.sharing.loans.given,
+                ),
+                (1, 1),
+            )
             shown = next(row for row in owner.show()["servers"] if row["server"] == "s0")
             self.assertEqual((shown["rights"], shown["own"], shown["lent_to"]), (0, 1, wanting.sharing.name))
 
     def test_what_is_malformed_is_counted_and_costs_nothing_else(self):
         fleet, (one, other) = self.pair()
         to = one.channel.membership.members["f1"]
-        for body in (b"", b"\xc1", msgspec.msgpack.encode([9, 1, 1]), msgspec.msgpack.encode([4, 1, 1, [], [], [["s", -1.0]]]),
-                     msgspec.msgpack.encode([4, 1, 1, [], [], [["s", float("nan")]]])):
+        for body in (
+            b"",
+            b"\xc1",
+            msgspec.msgpack.encode([9, 1, 1]),
+            msgspec.msgpack.encode([4, 1, 1, [], [], [["s", -1.0]]]),
+            msgspec.msgpack.encode([4, 1, 1, [], [], [["s", float("nan")]]]),
+        ):
             one.channel.say(to, KIND, body)
         self.rounds(fleet, (one, other), 1)
         self.assertEqual((other.malformed, other.channel.membership.size), (5, 2))
@@ -534,6 +564,7 @@
     def test_half_the_servers_lost_and_back_cold_under_sharing_fronts_breaks_no_bound(self):
         from curlewshift.rehearsal.rehearse import figures_of
         from curlewshift.verdict.verdict import judge
+
         troubles = [Trouble("crash", 8, 3, 0.5, 1.0), Trouble("front-crash", 12, 1, 0.3, 1.0)]
         traffic = []
         script = made_up(16, 12, 1200, 30, 0.9, 1, 20.0, troubles)
--- a/tests/test_signalling.py
+++ b/tests/test_signalling.py
@@ -5,8 +5,7 @@
 from curlewshift.signalling.bodies import BadBody, ListNews, Note, decode, encode
 from curlewshift.signalling.events import Event, Reader, TooLong, encode_event
 from curlewshift.signalling.loads import decode_load, encode_load
-from curlewshift.signalling.sdp import (
-    BadDescription, answer_text, candidate_of, checked_offer, identity, offer_text, parse)
+from curlewshift.signalling.sdp import BadDescription, answer_text, candidate_of, checked_offer, identity, offer_text, parse
 
 FINGERPRINT = "sha-256 " + ":".join(["A5"] * 32)
 OFFER = offer_text("abcd", "p" * 22, FINGERPRINT)
@@ -29,12 +28,19 @@
 
     def test_what_is_wrong_is_said_with_its_line(self):
         for change, line, wrong in (
-                (("v=0", "v=1"), 1, "expected 'v=0'"), (("a=rtcp-mux\r\n", ""), 6, "a=rtcp-mux"),
-                (("a=recvonly", "a=sendonly"), 6, "recvonly"), (("p" * 22, "p" * 21), 6, "ice-pwd"),
-                (("a=setup:actpass", "a=setup:holdconn"), 6, "a=setup"), (("abcd", "ab d"), 6, "ice-ufrag"),
-                (("sha-256 A5", "sha-256 G5"), 6, "fingerprint"), (("m=video 9", "m=video 70000"), 6, "no port"),
-                (("UDP/TLS/RTP/SAVPF", "RTP/AVP"), 6, "SAVPF"), (("t=0 0", "t"), 4, "letter=value"),
-                (("t=0 0\r\n", ""), 0, "the time line"), (("a=mid", "\r\na=mid"), 8, "empty line")):
+            (("v=0", "v=1"), 1, "expected 'v=0'"),
+            (("a=rtcp-mux\r\n", ""), 6, "a=rtcp-mux"),
+            (("a=recvonly", "a=sendonly"), 6, "recvonly"),
+            (("p" * 22, "p" * 21), 6, "ice-pwd"),
+            (("a=setup:actpass", "a=setup:holdconn"), 6, "a=setup"),
+            (("abcd", "ab d"), 6, "ice-ufrag"),
+            (("sha-256 A5", "sha-256 G5"), 6, "fingerprint"),
+            (("m=video 9", "m=video 70000"), 6, "no port"),
+            (("UDP/TLS/RTP/SAVPF", "RTP/AVP"), 6, "SAVPF"),
+            (("t=0 0", "t"), 4, "letter=value"),
+            (("t=0 0\r\n", ""), 0, "the time line"),
+            (("a=mid", "\r\na=mid"), 8, "empty line"),
+        ):
             with self.subTest(change=change), self.assertRaises(BadDescription) as found:
                 checked_offer(OFFER.replace(*change))
             self.assertIn(wrong, str(found.exception))
@@ -42,8 +48,14 @@
                 self.assertTrue(str(found.exception).startswith(f"line {line}:"), found.exception)
 
     @STEADY
-    @given(st.one_of(st.text(max_size=400), st.builds(
-        lambda at, what: OFFER[:at] + what + OFFER[at + len(what):], st.integers(0, len(OFFER)), st.text(max_size=9))))
+    @given(
+        st.one_of(
+            st.text(max_size=400),
+            st.builds(
+                lambda at, what: OFFER[:at] + what + OFFER[at + len(what) :], st.integers(0, len(OFFER)), st.text(max_size=9)
+            ),
+        )
+    )
     def test_nothing_that_is_sent_breaks_the_reading(self, text):
         try:
             identity(checked_offer(text))
@@ -62,8 +74,7 @@
             got += reader.feed(raw[:cut])
             raw = raw[cut:]
         got += reader.feed(raw)
-        self.assertEqual([(event.kind, event.data) for event in got],
-                         [(event.kind, event.data) for event in self.EVENTS])
+        self.assertEqual([(event.kind, event.data) for event in got], [(event.kind, event.data) for event in self.EVENTS])
         self.assertEqual(reader.last_id, "8")
 
     def test_an_event_without_end_ends_the_stream(self):
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -41,62 +41,87 @@
         self.assertEqual((terms.fronts, terms.me, terms.free_further, terms.look_back), (3, 2, 6, 10_000_000_000))
 
     def test_all_mistakes_are_told_at_once_with_their_lines(self):
-        told = self.wrong(('join-target="1s" patience="4s"', 'join-target="1" patience="4s"'),
-                          ('uplink="13MB/s"', ""), ('grace="2s"', 'grace="2s" mercy="3"'))
-        self.assertEqual(told.splitlines(), [
-            f"F:{self.line('receipt')}: package: join-target should be a time with its unit, such as 250ms, 5s or "
-            "2min, but is '1'",
-            f"F:{self.line('rack name=')}: rack: uplink is missing",
-            f"F:{self.line('grace')}: drains: there is no mercy here"])
+        told = self.wrong(
+            ('join-target="1s" patience="4s"', 'join-target="1" patience="4s"'),
+            ('uplink="13MB/s"', ""),
+            ('grace="2s"', 'grace="2s" mercy="3"'),
+        )
+        self.assertEqual(
+            told.splitlines(),
+            [
+                f"F:{self.line('receipt')}: package: join-target should be a time with its unit, such as 250ms, 5s or "
+                "2min, but is '1'",
+                f"F:{self.line('rack name=')}: rack: uplink is missing",
+                f"F:{self.line('grace')}: drains: there is no mercy here",
+            ],
+        )
 
     def test_what_no_schema_sees_is_told_too(self):
-        told = self.wrong(('floor="1"', 'floor="4"'), ('rate="210kB/s"', 'rate="90kB/s"'), ('"s1 ', '"s99 '),
-                          ('name="lesson" value="1" join-target="1.5s"', 'name="lesson" value="1" join-target="5s"'))
-        for words in ("rates have to rise, 90 kB/s follows 120 kB/s", "floor is rung 4, above its top 3",
-                      "patience is shorter than the join target", "no server has the shelf 's99'"):
+        told = self.wrong(
+            ('floor="1"', 'floor="4"'),
+            ('rate="210kB/s"', 'rate="90kB/s"'),
+            ('"s1 ', '"s99 '),
+            ('name="lesson" value="1" join-target="1.5s"', 'name="lesson" value="1" join-target="5s"'),
+        )
+        for words in (
+            "rates have to rise, 90 kB/s follows 120 kB/s",
+            "floor is rung 4, above its top 3",
+            "patience is shorter than the join target",
+            "no server has the shelf 's99'",
+        ):
             self.assertIn(words, told)
 
     def test_peers_are_read_and_what_cannot_be_is_told(self):
         fleet = (EXAMPLES / "fleet-site.xml").read_text()
         self.path.write_text(fleet)
         peers = read_site(self.path).peers
-        self.assertEqual((len(peers.seeds), peers.manners.period, peers.manners.answer_within, peers.manners.forget_after,
-                          peers.most_bytes), (3, 500_000_000, 150_000_000, 10_000_000_000, 64_000))
+        self.assertEqual(
+            (len(peers.seeds), peers.manners.period, peers.manners.answer_within, peers.manners.forget_after, peers.most_bytes),
+            (3, 500_000_000, 150_000_000, 10_000_000_000, 64_000),
+        )
         self.path.write_text(SMALL)
         self.assertIsNone(read_site(self.path).peers)
         for old, new, words in (
-                ('seeds="f1 f2 f3"', 'seeds="f1 f9"', "there is no front 'f9' to be a seed"),
-                ('peers-listen="127.0.0.1:8183"', 'peers-listen="media.example:8183"', "should be an address in numbers"),
-                (' peers-listen="127.0.0.1:8184"', "", "front f4 says no peers-listen"),
-                ('period="500ms"', 'period="5ms"', "period should be from 100ms to 1min"),
-                ('period="500ms"', 'period="500ms" answer-within="300ms"', "answer-within is half a period at most"),
-                ('forget-after="10s"', 'forget-after="2s"', "forget-after is shorter than 20 periods"),
-                ('most-bytes="64kB/s"', 'most-bytes="1kB/s"', "leaves no room for news")):
+            ('seeds="f1 f2 f3"', 'seeds="f1 f9"', "there is no front 'f9' to be a seed"),
+            ('peers-listen="127.0.0.1:8183"', 'peers-listen="media.example:8183"', "should be an address in numbers"),
+            (' peers-listen="127.0.0.1:8184"', "", "front f4 says no peers-listen"),
+            ('period="500ms"', 'period="5ms"', "period should be from 100ms to 1min"),
+            ('period="500ms"', 'period="500ms" answer-within="300ms"', "answer-within is half a period at most"),
+            ('forget-after="10s"', 'forget-after="2s"', "forget-after is shorter than 20 periods"),
+            ('most-bytes="64kB/s"', 'most-bytes="1kB/s"', "leaves no room for news"),
+        ):
             self.assertIn(words, self.wrong((old, new), text=fleet))
 
     def test_leases_are_read_and_what_cannot_be_is_told(self):
         site = (EXAMPLES / "lease-site.xml").read_text()
         self.path.write_text(site)
         leases = read_site(self.path).leases
-        self.assertEqual((len(leases.keepers), leases.terms.term, leases.shards, leases.probe_each),
-                         (5, 2_000_000_000, 8, 400_000_000))
-        for old, new, words in (("f1 f2 f3 f4 f5", "f1 f2", "an odd number of different fronts"),
-                                ("f1 f2 f3 f4 f5", "f1 f2 f9", "there is no front 'f9' to be a keeper"),
-                                ('term="2s" drift', 'term="1s" drift', "under eight rounds"),
-                                ('drift="0.02"', 'drift="0.3"', "0.2 at most"), ('shards="8"', 'shards="99"', "64 shards"),
-                                ('orphans-after="3s"', 'orphans-after="1s"', "shorter than a term")):
+        self.assertEqual(
+            (len(leases.keepers), leases.terms.term, leases.shards, leases.probe_each), (5, 2_000_000_000, 8, 400_000_000)
+        )
+        for old, new, words in (
+            ("f1 f2 f3 f4 f5", "f1 f2", "an odd number of different fronts"),
+            ("f1 f2 f3 f4 f5", "f1 f2 f9", "there is no front 'f9' to be a keeper"),
+            ('term="2s" drift', 'term="1s" drift', "under eight rounds"),
+            ('drift="0.02"', 'drift="0.3"', "0.2 at most"),
+            ('shards="8"', 'shards="99"', "64 shards"),
+            ('orphans-after="3s"', 'orphans-after="1s"', "shorter than a term"),
+        ):
             self.assertIn(words, self.wrong((old, new), text=site))
 
     def test_sharing_is_read_and_what_cannot_be_is_told(self):
         bounds = (EXAMPLES / "bounds-site.xml").read_text()
         self.path.write_text(bounds)
         sharing = read_site(self.path).sharing
-        self.assertEqual((sharing.term, sharing.drift, sharing.window, sharing.every),
-                         (1_500_000_000, 0.01, 1_000_000_000, 250_000_000))
+        self.assertEqual(
+            (sharing.term, sharing.drift, sharing.window, sharing.every), (1_500_000_000, 0.01, 1_000_000_000, 250_000_000)
+        )
         line = '<sharing term="1500ms" drift="0.01" every="250ms" '
-        for new, words in ((line.replace("1500ms", "300ms"), "a term under two rounds"),
-                           (line.replace("0.01", "0.5"), "0.2 at most"),
-                           (line.replace("250ms", "5ms"), "every should be from 50ms to 1s")):
+        for new, words in (
+            (line.replace("1500ms", "300ms"), "a term under two rounds"),
+            (line.replace("0.01", "0.5"), "0.2 at most"),
+            (line.replace("250ms", "5ms"), "every should be from 50ms to 1s"),
+        ):
             self.assertIn(words, self.wrong((line, new), text=bounds))
         self.assertIn("there are no peers to share with", self.wrong(("  </fronts>", line + "/></fronts>")))
 
@@ -112,35 +137,46 @@
         bounds = (EXAMPLES / "bounds-site.xml").read_text()
         self.path.write_text(bounds)
         together = read_site(self.path).together
-        self.assertEqual((together.free, together.look_back, together.seats, len(together.titles), together.seat_term),
-                         (6, 10_000_000_000, {"receipt": 1}, 20, 4_000_000_000))
-        for old, new, words in (('seats="1" ', "", "no package has seats"), ('seat-term="4s"', 'seat-term="1s"', "under eight rounds"),
-                                ('<further-tune-ins free="6" share="0.2" within="10s"/>', "", "no budget of further tune-ins")):
+        self.assertEqual(
+            (together.free, together.look_back, together.seats, len(together.titles), together.seat_term),
+            (6, 10_000_000_000, {"receipt": 1}, 20, 4_000_000_000),
+        )
+        for old, new, words in (
+            ('seats="1" ', "", "no package has seats"),
+            ('seat-term="4s"', 'seat-term="1s"', "under eight rounds"),
+            ('<further-tune-ins free="6" share="0.2" within="10s"/>', "", "no budget of further tune-ins"),
+        ):
             self.assertIn(words, self.wrong((old, new), text=bounds))
 
     def test_other_mistakes_in_plain_words(self):
         for changes, words in (
-                ([("<list address", "<lists address")], "expected list here, but lists came"),
-                ([('name="review"', 'name="receipt"')], "'receipt' is there twice"),
-                ([("</site>", "")], "this is not XML"),
-                ([('start-capacity="0.4"', 'start-capacity="1.4"')], "start-capacity should be a number from 0 to 1"),
-                ([("127.0.0.1:8090", "127.0.0.1:99999")], "port 99999 is not from 1 to 65535")):
+            ([("<list address", "<lists address")], "expected list here, but lists came"),
+            ([('name="review"', 'name="receipt"')], "'receipt' is there twice"),
+            ([("</site>", "")], "this is not XML"),
+            ([('start-capacity="0.4"', 'start-capacity="1.4"')], "start-capacity should be a number from 0 to 1"),
+            ([("127.0.0.1:8090", "127.0.0.1:99999")], "port 99999 is not from 1 to 65535"),
+        ):
             self.assertIn(words, self.wrong(*changes))
 
     def test_a_script_names_what_it_cannot_mean(self):
         script = (EXAMPLES / "bad-day.xml").read_text()
         (self.path.parent / "small-site.xml").write_text(SMALL)
-        told = self.wrong(('package="lesson"', 'package="opera"'), ('at="3s"', 'at="300s"'),
-                          reader=read_script, text=script)
+        told = self.wrong(('package="lesson"', 'package="opera"'), ('at="3s"', 'at="300s"'), reader=read_script, text=script)
         self.assertIn("small-site.xml has no package 'opera'", told)
         self.assertIn("trouble crash: begins after the day has ended", told)
         peak = (EXAMPLES / "peak-day.xml").read_text()
         (self.path.parent / "peak-site.xml").write_text((EXAMPLES / "peak-site.xml").read_text())
-        told = self.wrong(('<announce name="month-end" package="receipt"', '<announce name="month-end" package="opera"'),
-                          ('<trouble kind="peak" package="receipt"', '<trouble kind="peak"'), reader=read_script, text=peak)
+        told = self.wrong(
+            ('<announce name="month-end" package="receipt"', '<announce name="month-end" package="opera"'),
+            ('<trouble kind="peak" package="receipt"', '<trouble kind="peak"'),
+            reader=read_script,
+            text=peak,
+        )
         self.assertIn("announce: peak-site.xml has no package 'opera'", told)
         self.assertIn("trouble peak: peak-site.xml has no package ''", told)
-        self.assertIn("kind should be one of burst, crowd", self.wrong(('kind="hang"', 'kind="boredom"'), reader=read_script, text=script))
+        self.assertIn(
+            "kind should be one of burst, crowd", self.wrong(('kind="hang"', 'kind="boredom"'), reader=read_script, text=script)
+        )
 
     def test_the_command_line_ends_with_2_and_the_mistakes(self):
         self.path.write_text(SMALL.replace('value="3"', 'value="three"'))
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -36,8 +36,21 @@
 class Fits(unittest.TestCase):
     def test_known_data_have_the_figures_of_the_textbook(self):
         # Anscombe's first set (1973): 3.0001 + .5001 x, standard error .1179
-        told = fit([(10, 8.04), (8, 6.95), (13, 7.58), (9, 8.81), (11, 8.33), (14, 9.96), (6, 7.24), (4, 4.26), (12, 10.84),
-                    (7, 4.82), (5, 5.68)])
+        told = fit(
+            [
+                (10, 8.04),
+                (8, 6.95),
+                (13, 7.58),
+                (9, 8.81),
+                (11, 8.33),
+                (14, 9.96),
+                (6, 7.24),
+                (4, 4.26),
+                (12, 10.84),
+                (7, 4.82),
+                (5, 5.68),
+            ]
+        )
         self.assertAlmostEqual(told.intercept, 3.0001, 4)
         self.assertAlmostEqual(told.slope, 0.5001, 4)
         self.assertAlmostEqual(told.slope_error, 0.1179, 4)
@@ -45,8 +58,21 @@
         self.assertTrue(told.straight)
 
     def test_anscombes_bent_set_has_the_same_line_and_is_not_straight(self):
-        told = fit([(10, 9.14), (8, 8.14), (13, 8.74), (9, 8.77), (11, 9.26), (14, 8.10), (6, 6.13), (4, 3.10), (12, 9.13),
-                    (7, 7.26), (5, 4.74)])
+        told = fit(
+            [
+                (10, 9.14),
+                (8, 8.14),
+                (13, 8.74),
+                (9, 8.77),
+                (11, 9.26),
+                (14, 8.10),
+                (6, 6.13),
+                (4, 3.10),
+                (12, 9.13),
+                (7, 7.26),
+                (5, 4.74),
+            ]
+        )
         self.assertAlmostEqual(told.slope, 0.5000, 3)
         self.assertFalse(told.straight)
 
@@ -93,8 +119,15 @@
 
     def test_the_chance_of_a_ratio_is_that_of_the_tables(self):
         # 5% and 1% of F, from any table; t of 12.706 with one free is 5% on both sides
-        for ratio, of, free, chance in ((4.965, 1, 10, 0.05), (3.326, 5, 10, 0.05), (10.044, 1, 10, 0.01), (161.45, 1, 1, 0.05),
-                                        (12.706 ** 2, 1, 1, 0.05), (3.71, 3, 10, 0.05), (2.2899, 3, 1000, 0.0769)):
+        for ratio, of, free, chance in (
+            (4.965, 1, 10, 0.05),
+            (3.326, 5, 10, 0.05),
+            (10.044, 1, 10, 0.01),
+            (161.45, 1, 1, 0.05),
+            (12.706**2, 1, 1, 0.05),
+            (3.71, 3, 10, 0.05),
+            (2.2899, 3, 1000, 0.0769),
+        ):
             self.assertAlmostEqual(fits.f_tail(ratio, of, free), chance, delta=0.0006)
         self.assertEqual((fits.f_tail(0, 3, 5), fits.f_tail(float("inf"), 3, 5)), (1.0, 0.0))
 
@@ -103,9 +136,11 @@
     KIND = slopes.KINDS["idle"]
 
     def test_what_does_not_fit_is_refused_in_one_line_with_what_is_wanted(self):
-        for sizes, limits, words in (((1000, 2000, 4000), {}, "3 sizes"),
-                                     ((1000, 2000, 4000, 20_000), dict(descriptors=20_000), "than the 20000 there are"),
-                                     (SIZES, dict(memory=2**29), "half of the machine's memory")):
+        for sizes, limits, words in (
+            ((1000, 2000, 4000), {}, "3 sizes"),
+            ((1000, 2000, 4000, 20_000), dict(descriptors=20_000), "than the 20000 there are"),
+            (SIZES, dict(memory=2**29), "half of the machine's memory"),
+        ):
             with self.assertRaises(slopes.NoRoom) as caught:
                 slopes.check_room(self.KIND, sizes, **limits)
             self.assertIn(words, str(caught.exception))
@@ -127,6 +162,7 @@
     def test_connections_that_may_rest_are_those_that_the_nodes_own_gate_lets_rest(self):
         from curlewshift.limits.descriptors import CROWDED_PART, Gate
         from curlewshift.node.node import OTHERS, SERVERS_PART
+
         for limit in (500, 20_000):
             gate = Gate(limit, lambda: 0.0, int(limit * SERVERS_PART) + OTHERS)
             self.assertEqual(slopes_idle.resting_most(limit), int(gate.most * CROWDED_PART))
@@ -150,8 +186,12 @@
                     return
                 refused = self.refuses > 0
                 self.refuses -= refused
-                sock.sendall(rtsp.answer(453 if refused else 200, "1", message.fields["session"],
-                                         fields="X-Pause: 30\r\n" if refused else ""))
+                sock.sendall(
+                    rtsp.answer(
+                        453 if refused else 200, "1", message.fields["session"], fields="X-Pause: 30\r\n" if refused else ""
+                    )
+                )
+
         return take
 
 
@@ -239,8 +279,9 @@
 class EndToEnd(unittest.TestCase):
     def test_a_tiny_slope_of_a_node_in_service_and_nothing_left_of_it(self):
         with tempfile.TemporaryDirectory() as out, mock.patch.object(slopes_idle, "MEASURED_BY", ("connection",)):
-            told = CliRunner().invoke(main, ["slopes", "idle", "--out", out, "--sizes", "20,120,220,320", "--rounds", "1",
-                                             "--seconds", "0.2"])
+            told = CliRunner().invoke(
+                main, ["slopes", "idle", "--out", out, "--sizes", "20,120,220,320", "--rounds", "1", "--seconds", "0.2"]
+            )
             self.assertEqual(told.exit_code, 0, told.output)
             kept = {one["name"]: one for one in json.loads((Path(out) / "slope-idle.json").read_text())["slopes"]}
             self.assertEqual(os.listdir(out), ["slope-idle.json"])
@@ -256,8 +297,12 @@
 
     def test_broken_off_it_ends_its_node(self):
         with tempfile.TemporaryDirectory() as out:
-            command = subprocess.Popen([sys.executable, "-m", "curlewshift", "slopes", "idle", "--out", out], cwd=ROOT,
-                                       stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+            command = subprocess.Popen(
+                [sys.executable, "-m", "curlewshift", "slopes", "idle", "--out", out],
+                cwd=ROOT,
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
             try:
                 children = Path(f"/proc/{command.pid}/task/{command.pid}/children")
                 ends = time.monotonic() + 10
@@ -273,8 +318,10 @@
 
     def test_one_whose_cost_grows_by_the_square_is_called_not_straight(self):
         kind = slopes.Kind("planted", "", (100, 200, 300, 400), "slopes_planted.measure", lambda size: 0)
-        with mock.patch.dict("sys.modules", {"curlewshift.scale.slopes_planted": mock.Mock(measure=growing_by_the_square)}), \
-                tempfile.TemporaryDirectory() as folder:
+        with (
+            mock.patch.dict("sys.modules", {"curlewshift.scale.slopes_planted": mock.Mock(measure=growing_by_the_square)}),
+            tempfile.TemporaryDirectory() as folder,
+        ):
             told = slopes.measured(kind, slopes.Run(kind.sizes, 1, Path(folder), lambda text: None), "none")
         self.assertFalse(told["slopes"][0]["fit"]["straight"], told)
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -77,8 +77,9 @@
         for cut in range(len(raw)):
             self.path.write_bytes(raw[:cut])
             journal = Journal(self.path)
-            whole = [["r", number] for number in range(5)
-                     if len(MAGIC + b"".join(frame(["r", n]) for n in range(number + 1))) <= cut]
+            whole = [
+                ["r", number] for number in range(5) if len(MAGIC + b"".join(frame(["r", n]) for n in range(number + 1))) <= cut
+            ]
             self.assertEqual(journal.records, whole, cut)
             journal.add(["more"], True)
             journal.close()
@@ -187,8 +188,13 @@
     def test_two_fronts_on_one_folder_are_refused(self):
         with tempfile.TemporaryDirectory() as name:
             lock = Lock(Path(name))
-            ran = subprocess.run([sys.executable, "-m", "curlewshift", "front", "examples/small-site.xml", "--state", name],
-                                 cwd=ROOT, capture_output=True, text=True, timeout=30)
+            ran = subprocess.run(
+                [sys.executable, "-m", "curlewshift", "front", "examples/small-site.xml", "--state", name],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=30,
+            )
             lock.release()
         self.assertEqual((ran.returncode, "another front has" in ran.stderr), (2, True), ran.stderr)
 
@@ -197,6 +203,7 @@
     def _write_site(self, folder, site):
         from curlewshift.rehearsal.processes import free_ports
         import random
+
         self.port = free_ports(1, random.Random())[0]
         (folder / "site.xml").write_text(f"""<site name="kill">
   <fronts><front name="f" listen="127.0.0.1:{self.port}"/></fronts>
@@ -212,8 +219,12 @@
 
     async def _start(self, folder):
         from curlewshift.rehearsal.processes import listens
-        front = subprocess.Popen([sys.executable, "-m", "curlewshift", "front", str(folder / "site.xml"), "--state",
-                                  str(folder / "state")], cwd=ROOT, stderr=subprocess.DEVNULL)
+
+        front = subprocess.Popen(
+            [sys.executable, "-m", "curlewshift", "front", str(folder / "site.xml"), "--state", str(folder / "state")],
+            cwd=ROOT,
+            stderr=subprocess.DEVNULL,
+        )
         self.addCleanup(front.kill)
         assert await listens(self.port, 20)
         await anyio.sleep(0.5)
@@ -228,6 +239,5 @@
         return await ask("127.0.0.1", self.port, "POST", f"/whep/{pack}/t", [SDP, *headers], offer, within=10)
 
 
-
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -44,15 +44,19 @@
                 task.act(shard, 7)
                 task.act(shard, 7)
             self.assertEqual(sorted(name for name, _, _ in self.done), sorted(one.name for one in self.servers() if one.open))
-            self.assertTrue(all(lease == f"{task.name}/{shard_of(SimpleNamespace(name=name), 4)}" for name, lease, _ in self.done))
+            self.assertTrue(
+                all(lease == f"{task.name}/{shard_of(SimpleNamespace(name=name), 4)}" for name, lease, _ in self.done)
+            )
             self.clock += SECOND
             task.act(0, 7)
             self.assertGreater(len(self.done), 19)
 
     def test_a_number_of_an_earlier_tenure_does_not_pass(self):
         fences = Fences()
-        self.assertEqual([fences.passes("a", 2), fences.passes("a", 1), fences.passes("a", 2), fences.passes("b", 1), fences.refused],
-                         [True, False, True, True, 1])
+        self.assertEqual(
+            [fences.passes("a", 2), fences.passes("a", 1), fences.passes("a", 2), fences.passes("b", 1), fences.refused],
+            [True, False, True, True, 1],
+        )
 
 
 class Reader:
@@ -209,8 +213,14 @@
         return server, session
 
     async def sessions(self, server, number, away=0):
-        answered = await ask("127.0.0.1", int(server.name.rpartition(":")[2]), "GET", f"/sessions?away={away}",
-                             [("x-front", "f.1"), ("x-fence", f"orphans/0;{number}")], within=2.0)
+        answered = await ask(
+            "127.0.0.1",
+            int(server.name.rpartition(":")[2]),
+            "GET",
+            f"/sessions?away={away}",
+            [("x-front", "f.1"), ("x-fence", f"orphans/0;{number}")],
+            within=2.0,
+        )
         return answered.status, decode(answered.body, SessionList).sessions if answered.status == 200 else None
 
     @story
@@ -234,8 +244,14 @@
             session.watchers = 0
             port = int(server.name.rpartition(":")[2])
             session.front = "gone.2"
-            answered = await ask("127.0.0.1", port, "DELETE", f"/session/{session.name}",
-                                 [("x-fence", "orphans/0;5"), ("x-was", "gone.1")], within=2.0)
+            answered = await ask(
+                "127.0.0.1",
+                port,
+                "DELETE",
+                f"/session/{session.name}",
+                [("x-fence", "orphans/0;5"), ("x-was", "gone.1")],
+                within=2.0,
+            )
             self.assertEqual((answered.status, len(server.sessions)), (409, 1))
 
     @story
@@ -244,8 +260,14 @@
             server, session = await self.left(site)
             self.assertEqual((await self.sessions(server, 9))[0], 200)
             self.assertEqual((await self.sessions(server, 8))[0], 412)
-            answered = await ask("127.0.0.1", int(server.name.rpartition(":")[2]), "DELETE", f"/session/{session.name}",
-                                 [("x-fence", "orphans/0;8"), ("x-was", "gone.1")], within=2.0)
+            answered = await ask(
+                "127.0.0.1",
+                int(server.name.rpartition(":")[2]),
+                "DELETE",
+                f"/session/{session.name}",
+                [("x-fence", "orphans/0;8"), ("x-was", "gone.1")],
+                within=2.0,
+            )
             self.assertEqual((answered.status, len(server.sessions)), (412, 1))
             self.assertEqual([act["accepted"] for act in site.traffic.all("act")], [True, False, False])
 
@@ -270,10 +292,15 @@
 class Judging(unittest.TestCase):
     def test_what_a_killed_front_left_counts_until_it_is_ended_and_not_if_it_was_taken_up(self):
         def day(*more):
-            return judge_orphans([
-                {"ev": "session", "at": 1 * SECOND, "front": "a.1", "session": "x", "server": "s", "boot": "b"},
-                {"ev": "front-down", "at": 3 * SECOND, "front": "a", "life": "a.1", "how": "killed"},
-                *more, {"ev": "day-over", "at": 20 * SECOND}])
+            return judge_orphans(
+                [
+                    {"ev": "session", "at": 1 * SECOND, "front": "a.1", "session": "x", "server": "s", "boot": "b"},
+                    {"ev": "front-down", "at": 3 * SECOND, "front": "a", "life": "a.1", "how": "killed"},
+                    *more,
+                    {"ev": "day-over", "at": 20 * SECOND},
+                ]
+            )
+
         self.assertEqual(day()["seconds"], 17.0)
         self.assertEqual(day({"ev": "session-end", "at": 7 * SECOND, "session": "x"})["seconds"], 4.0)
         self.assertEqual(day({"ev": "adopted", "at": 7 * SECOND, "session": "x"})["left"], 0)
--- a/tests/test_together.py
+++ b/tests/test_together.py
@@ -19,8 +19,9 @@
 MS = 1_000_000
 SECOND = 1000 * MS
 TERMS = SharingTerms(term=SECOND, drift=0.01, window=SECOND, every=SECOND // 4)
-TOGETHER = Together(free=1, look_back=10 * SECOND, seats={"clip": 1}, titles=["t1", "t2"], seat_term=4 * SECOND,
-                    lingers=6 * SECOND)
+TOGETHER = Together(
+    free=1, look_back=10 * SECOND, seats={"clip": 1}, titles=["t1", "t2"], seat_term=4 * SECOND, lingers=6 * SECOND
+)
 
 
 class SeatNet:
@@ -29,8 +30,9 @@
     def __init__(self):
         self.clock, self.words, self.stands, self.ended = 100 * SECOND, [], [0, 0], []
         self.ending, self.out = False, [False, False]
-        self.fronts = [StandingLoans(SeatEnd(self, number), number, TOGETHER.seat_terms(TERMS), 1000 * number)
-                       for number in range(2)]
+        self.fronts = [
+            StandingLoans(SeatEnd(self, number), number, TOGETHER.seat_terms(TERMS), 1000 * number) for number in range(2)
+        ]
         for front in self.fronts:
             front.quiet_until = 0
 
@@ -195,8 +197,9 @@
     def __init__(self, fleet, number, life=1):
         self.fleet, self.fake, self.life, self.spoken = fleet, fleet.fakes[number], life, 0
         self.desk = self.fake.desk
-        self.sharing = Sharing(self, [f"f{n}" for n in range(fleet.size)], number, life, TERMS, 8 * SECOND,
-                               random.Random(number), fleet.together)
+        self.sharing = Sharing(
+            self, [f"f{n}" for n in range(fleet.size)], number, life, TERMS, 8 * SECOND, random.Random(number), fleet.together
+        )
 
     def __getattr__(self, name):
         """Facts go to the desk."""
@@ -353,7 +356,6 @@
         server.rights = [(story.host.clock + SECOND, 2**63, 1)]
         self.assertFalse(story.rules._may_send(server))
 
-
     def test_a_server_that_is_new_gets_nothing_before_its_rights_are_told(self):
         # of two rights three were used: one by a front that had them, two by one whose turn it was by the clock
         story = Story(1, fronts=1)
@@ -407,8 +409,10 @@
         again = End(fleet, 0, life=2)
         again.sharing.restore(kept, 5 * SECOND)
         name = fleet.ends[0].servers()[0].name
-        self.assertLess(again.sharing.evidence.lean(name, "f1", fleet.clock)[1],
-                        fleet.ends[0].sharing.evidence.lean(name, "f1", fleet.clock)[1])
+        self.assertLess(
+            again.sharing.evidence.lean(name, "f1", fleet.clock)[1],
+            fleet.ends[0].sharing.evidence.lean(name, "f1", fleet.clock)[1],
+        )
         self.assertGreater(again.sharing.evidence.lean(name, "f1", fleet.clock)[1], 0)
         self.assertFalse(any(again.sharing.evidence.warm(server.name, 8 * SECOND, 0, fleet.clock) for server in again.servers()))
         empty = End(fleet, 0, life=3)
@@ -416,8 +420,22 @@
         self.assertEqual((empty.sharing.evidence.words, empty.sharing.counts.others), ({}, {}))
 
 
-FIGURES = Figures(grace=0, warm_within=0, start_capacity=0, fall_multiple=0, fall_within=0, free_further=1, further_share=0.0,
-                  look_back=10 * SECOND, patience={}, join_target={}, value={}, paid=set(), floor={}, seats={"clip": 1})
+FIGURES = Figures(
+    grace=0,
+    warm_within=0,
+    start_capacity=0,
+    fall_multiple=0,
+    fall_within=0,
+    free_further=1,
+    further_share=0.0,
+    look_back=10 * SECOND,
+    patience={},
+    join_target={},
+    value={},
+    paid=set(),
+    floor={},
+    seats={"clip": 1},
+)
 
 
 class Judging(unittest.TestCase):
@@ -427,9 +445,11 @@
 
     def setup(self, at, front, request, number=1, ends=None):
         facts = dict(server="s", boot="x", front=f"{front}.1", request=request, number=number, package="clip", title="t")
-        rows = [{"ev": "setup", "at": at * SECOND, **facts},
-                {"ev": "setup-over", "at": at * SECOND + MS, "how": "answered", **facts},
-                {"ev": "session", "at": at * SECOND, "session": request, **facts}]
+        rows = [
+            {"ev": "setup", "at": at * SECOND, **facts},
+            {"ev": "setup-over", "at": at * SECOND + MS, "how": "answered", **facts},
+            {"ev": "session", "at": at * SECOND, "session": request, **facts},
+        ]
         return rows + ([{"ev": "session-end", "at": ends * SECOND, "session": request}] if ends else [])
 
     def test_seats_are_counted_over_all_fronts(self):
@@ -446,10 +466,21 @@
         def day(status):
             rows = [{"ev": "bad-path", "at": 20 * SECOND, "lasts": 8, "fronts": ["a"]}]
             for at in range(10, 28):
-                rows += [{"ev": "ask", "at": at * SECOND, "request": f"v{at}{n}", "package": "clip", "front": "b"} for n in range(5)]
-                rows += [{"ev": "answer", "at": at * SECOND, "request": f"v{at}{n}", "front": "b",
-                          "status": status if at >= 22 else 201} for n in range(5)]
+                rows += [
+                    {"ev": "ask", "at": at * SECOND, "request": f"v{at}{n}", "package": "clip", "front": "b"} for n in range(5)
+                ]
+                rows += [
+                    {
+                        "ev": "answer",
+                        "at": at * SECOND,
+                        "request": f"v{at}{n}",
+                        "front": "b",
+                        "status": status if at >= 22 else 201,
+                    }
+                    for n in range(5)
+                ]
             return self.day(*rows)["beside_bad_path"]["broken"]
+
         self.assertEqual((day(201), day(503)), (False, True))
 
 
--- a/tests/test_verdict.py
+++ b/tests/test_verdict.py
@@ -7,10 +7,21 @@
 MS = 1_000_000
 SECOND = 1000 * MS
 FIGURES = Figures(
-    grace=2 * SECOND, warm_within=10 * SECOND, start_capacity=0.5, fall_multiple=2.0, fall_within=SECOND,
-    free_further=1, further_share=0.5, look_back=10 * SECOND, patience={"clip": 4 * SECOND, "paid": 4 * SECOND},
-    join_target={"clip": SECOND, "paid": SECOND}, value={"clip": 3.0, "paid": 1.0}, paid={"paid"},
-    floor={"clip": 1, "paid": 0}, seats={"clip": 1, "paid": 0})
+    grace=2 * SECOND,
+    warm_within=10 * SECOND,
+    start_capacity=0.5,
+    fall_multiple=2.0,
+    fall_within=SECOND,
+    free_further=1,
+    further_share=0.5,
+    look_back=10 * SECOND,
+    patience={"clip": 4 * SECOND, "paid": 4 * SECOND},
+    join_target={"clip": SECOND, "paid": SECOND},
+    value={"clip": 3.0, "paid": 1.0},
+    paid={"paid"},
+    floor={"clip": 1, "paid": 0},
+    seats={"clip": 1, "paid": 0},
+)
 
 
 class Traffic:
@@ -26,14 +37,12 @@
 
     def ask(self, at, request, package="clip", viewing=None):
         self.add("viewing", at, viewing=viewing or request, package=package, title="t")
-        return self.add("ask", at, request=request, viewing=viewing or request, front="f", package=package,
-                        patience=4 * SECOND)
+        return self.add("ask", at, request=request, viewing=viewing or request, front="f", package=package, patience=4 * SECOND)
 
     def answer(self, at, request, status=201):
         return self.add("answer", at, request=request, status=status)
 
-    def setup(self, at, request, number=1, package="clip", server="s", boot="b", rung=1, how="answered", over=None,
-              title="t"):
+    def setup(self, at, request, number=1, package="clip", server="s", boot="b", rung=1, how="answered", over=None, title="t"):
         facts = dict(server=server, boot=boot, front="f.1", request=request, number=number)
         self.add("setup", at, package=package, title=title, rung=rung, **facts)
         if how:
@@ -107,12 +116,12 @@
         self.assertEqual(self.cold(4).rule("4"), (1, 1))
         # a warm one bears all, and one that nobody had to know of is nobody's fault
         self.assertEqual(self.cold(4, told=False).rule("4"), (1, 0))
-        warm = Traffic().add("boot", 1000, server="s", boot="b", streams=20, born=-10**12)
+        warm = Traffic().add("boot", 1000, server="s", boot="b", streams=20, born=-(10**12))
         self.assertEqual(warm.setup(1100, "a").rule("4"), (0, 0))
 
     def test_4_a_witness_and_a_new_front_have_to_know(self):
         witness = self.cold(4, told=False)
-        witness.add("boot", 0, server="s", boot="a", streams=20, born=-10**12)
+        witness.add("boot", 0, server="s", boot="a", streams=20, born=-(10**12))
         witness.add("notes-end", 900, server="s", boot="a", front="f.1")
         self.assertEqual(witness.rule("4"), (1, 1))
         new = Traffic().add("boot", -500, server="s", boot="b", streams=20, born=-500 * MS)
@@ -161,6 +170,7 @@
                 day.add(ev, 120, **facts)
             verdict = judge(day.events, FIGURES)
             return verdict["torn_down"], verdict["left_standing"]
+
         self.assertEqual(ended("deleted"), (1, 0))
         self.assertEqual(ended("nobody watches"), (0, 1))
         self.assertEqual(ended("nobody watches", answered=True), (0, 0))
--- a/tests/test_walk.py
+++ b/tests/test_walk.py
@@ -60,6 +60,7 @@
             if intent is not None:
                 yield WRITE, intents.began(intent)
             return None
+
         self.caught(world(steps=after), 4, "2: c1 is sent again")
 
     def test_a_paid_key_forgotten_when_its_client_hangs_up(self):
@@ -68,12 +69,14 @@
                 if course.answer is None and course.held is not None:
                     self.keys.forget(course.held)
                 super()._close(course)
+
         self.caught(world(desk_class=Forgets), 4, "2: c1 is sent again")
 
     def test_a_failed_set_up_that_is_refused(self):
         class Refuses(Desk):
             def abort(self, viewing):
                 self.block(viewing, 0)
+
         self.caught(world(desk_class=Refuses), 3, "2: c1.0 is refused")
 
     def test_sessions_for_nobody_that_are_not_torn_down(self):
@@ -81,12 +84,14 @@
             def __init__(self, *args, **how):
                 super().__init__(*args, **how)
                 self.endings.end = lambda server, session: None
+
         self.caught(world(False, desk_class=Leaves), 3, "an orphan is left", settle_all=True)
 
     def test_a_front_that_sends_where_it_was_told_not_to(self):
         class Deaf(Desk):
             def stands(self, tune_in):
                 return tune_in.outcome is None
+
         self.caught(world(desk_class=Deaf), 2, "3: c1 is sent to s1")
 
     def test_an_answer_that_is_not_given(self):
@@ -96,14 +101,21 @@
                     self.waiting -= 1
                     return
                 super()._answer(request, answer)
+
         self.caught(world(False, desk_class=Silent), 3, "1: c1.0 got no answer", settle_all=True)
 
     def test_a_paid_set_up_found_again_whose_seat_is_another_viewers(self):
         class Crowds(Desk):
             def _seat_left(self, title, pack):
                 return True
-        course = [("its intent is kept", 0), ("the server runs it", 0), ("the front is killed",), ("the front starts",),
-                  ("a client comes again", 1)]
+
+        course = [
+            ("its intent is kept", 0),
+            ("the server runs it", 0),
+            ("the front is killed",),
+            ("the front starts",),
+            ("a client comes again", 1),
+        ]
         here = done_again(world(seats=1, clients=2, desk_class=Crowds), course)
         with self.assertRaises(Breach) as caught:
             here.settle()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,29 +3,51 @@
 import sys
 import unittest
 
-BOOT = json.dumps({
-    "balancers": 1, "my_number": 0, "az": "a", "flavors": ["box"], "news": {"unknown": 1},
-    "classes": [{"name": "clip", "effect": "safe", "goal_time_ms": 1000, "give_up_ms": 4000, "gain": 1}],
-    "bounds": {"max_attempts": 3, "retry_after": True, "max_retry_after_ms": 2000},
-    "extra": {"cells": 1, "rung_kb": [100, 200], "kb_per_weight": 1000, "kind_streams": [20], "rack_kb": 1000},
-    "telemetry": {"fields": ["x0", "odd"]}})
-START = ["round\ttime_ms=1000.0", f"up\twho=0\tnonce64=5\tboot_info={BOOT}", "snapshot_rows\tslot=0\titems=1",
-         "m\theft=1\treadiness=on\track_zone=a\tserver=h:1\ttype=box\tposition=0\tnovel=3",
-         "fleet\twho=0\tkind=Persisted\tgeneration=1\tslot=0", "over_to_you"]
+BOOT = json.dumps(
+    {
+        "balancers": 1,
+        "my_number": 0,
+        "az": "a",
+        "flavors": ["box"],
+        "news": {"unknown": 1},
+        "classes": [{"name": "clip", "effect": "safe", "goal_time_ms": 1000, "give_up_ms": 4000, "gain": 1}],
+        "bounds": {"max_attempts": 3, "retry_after": True, "max_retry_after_ms": 2000},
+        "extra": {"cells": 1, "rung_kb": [100, 200], "kb_per_weight": 1000, "kind_streams": [20], "rack_kb": 1000},
+        "telemetry": {"fields": ["x0", "odd"]},
+    }
+)
+START = [
+    "round\ttime_ms=1000.0",
+    f"up\twho=0\tnonce64=5\tboot_info={BOOT}",
+    "snapshot_rows\tslot=0\titems=1",
+    "m\theft=1\treadiness=on\track_zone=a\tserver=h:1\ttype=box\tposition=0\tnovel=3",
+    "fleet\twho=0\tkind=Persisted\tgeneration=1\tslot=0",
+    "over_to_you",
+]
 QUERY = "query\twho=0\tcall=9\ttitle=0a\tpath_key=0b\texpires_ms=24000\tspan=1\tclass=clip\tceiling_rung=1\tbase=0"
 
 
 def run(*lines):
-    return subprocess.run([sys.executable, "-m", "curlewshift.adapter"], input="\n".join(lines) + "\n",
-                          capture_output=True, text=True, timeout=30)
+    return subprocess.run(
+        [sys.executable, "-m", "curlewshift.adapter"], input="\n".join(lines) + "\n", capture_output=True, text=True, timeout=30
+    )
 
 
 class Wire(unittest.TestCase):
     def test_a_viewing_from_query_to_end_with_late_events_for_it_ignored(self):
-        ran = run(*START, "round\ttime_ms=20000", QUERY, "over_to_you",
-                  "round\ttime_ms=20050.5", "begun\twho=0\tcall=9\thop=0\tserver=h:1\tcost_time_ms=50", "over_to_you",
-                  "round\ttime_ms=21000", "done\twho=0\tcall=9\thop=0\tserver=h:1\tcode=served\tcost_time_ms=1000"
-                  "\tclosed=1\tload=0.5,,7", "lapsed\twho=0\tcall=9", "over_to_you")
+        ran = run(
+            *START,
+            "round\ttime_ms=20000",
+            QUERY,
+            "over_to_you",
+            "round\ttime_ms=20050.5",
+            "begun\twho=0\tcall=9\thop=0\tserver=h:1\tcost_time_ms=50",
+            "over_to_you",
+            "round\ttime_ms=21000",
+            "done\twho=0\tcall=9\thop=0\tserver=h:1\tcode=served\tcost_time_ms=1000\tclosed=1\tload=0.5,,7",
+            "lapsed\twho=0\tcall=9",
+            "over_to_you",
+        )
         self.assertEqual((ran.returncode, ran.stderr), (0, ""))
         self.assertEqual(ran.stdout.count("finished\n"), 4)
         self.assertIn("set_level\twho=0\tcall=9\tgrade=1\nissue\twho=0\tcall=9\tserver=h:1\t", ran.stdout)
@@ -35,9 +57,12 @@
         self.assertEqual((ran.returncode, ran.stdout.count("arm\t")), (0, 2))
 
     def test_a_malformed_line_is_named_and_ends_the_run(self):
-        for line, wrong in ((QUERY.replace("call=9", "call=nine"), "call='nine' is not a whole number"),
-                            ("query\twho=0\tcall", "is not name=value"), ("query\twho=0\tcall=9", "class is missing"),
-                            ("frob\twho=0", "unknown message 'frob'")):
+        for line, wrong in (
+            (QUERY.replace("call=9", "call=nine"), "call='nine' is not a whole number"),
+            ("query\twho=0\tcall", "is not name=value"),
+            ("query\twho=0\tcall=9", "class is missing"),
+            ("frob\twho=0", "unknown message 'frob'"),
+        ):
             ran = run(*START, "round\ttime_ms=20000", line, "over_to_you")
             self.assertEqual((ran.returncode, ran.stdout.count("finished")), (2, 1), line)
             self.assertIn("line 8: ", ran.stderr)
