--- a/curlewshift/adapter/__init__.py
+++ b/curlewshift/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""The wire of the bench on standard input and output: batches of events in, replies out."""
--- a/curlewshift/adapter/codec.py
+++ b/curlewshift/adapter/codec.py
@@ -73,6 +73,7 @@
 
 
 def fields_of(line: str) -> Fields:
+    """The parts of one event line; `up` is read apart, as its last part is text with anything in it."""
     head, _, rest = line.partition("\t")
     if head != "up":
         return Fields(head, rest.split("\t") if rest else [])
@@ -96,6 +97,7 @@
 
 
 def outcome_of(fields: Fields) -> Outcome:
+    """How an attempt ended, by the code of a `done` or `echo` line."""
     outcome = OUTCOMES.get(fields.text("code"))
     if outcome is None:
         raise Malformed(f"{fields.kind}: code={fields.text('code')!r} is no outcome")
@@ -103,10 +105,12 @@
 
 
 def time_text(ns: int) -> str:
+    """A time in nanoseconds as the milliseconds of the wire."""
     return repr(ns / NS)
 
 
 def boot_of(text: str) -> dict:
+    """The settings of an `up` line. Raises `Malformed`."""
     try:
         boot = json.loads(text)
     except ValueError as error:
--- a/curlewshift/adapter/loop.py
+++ b/curlewshift/adapter/loop.py
@@ -218,6 +218,7 @@
 
 
 def serve(source, sink, errors) -> int:
+    """Reads batches from `source` and writes replies to `sink` until the input ends; returns the exit status."""
     bench, rows_left, slot, inside = Bench(), 0, -1, False
     number = 0
     try:
--- a/curlewshift/capacity/at_control.py
+++ b/curlewshift/capacity/at_control.py
@@ -6,7 +6,7 @@
 
 from curlewshift.capacity import in_force
 from curlewshift.capacity.figures import Figure, assumed, supposed, worked_out
-from curlewshift.capacity.given import DISTRIBUTION, GIVER, LEASES, OVERLOAD, REPORTS, SHARING, STORE, WRITER
+from curlewshift.capacity.given import GIVER, LEASES, OVERLOAD, REPORTS, SHARING, STORE, WRITER
 from curlewshift.capacity.measured import Measured
 from curlewshift.capacity.rows import AGGREGATOR, CONTROL, FOLLOWER, LED, MEMORY, MESSAGES, PROCESSOR, STATE, Mechanism, Row
 from curlewshift.capacity.size import DAY, Size
@@ -63,7 +63,8 @@
             None,
             GIVER,
         ),
-    ] + of_a_run(size, measured)
+        *of_a_run(size, measured),
+    ]
 
 
 def of_a_run(size: Size, measured: Measured) -> list[Row]:
--- a/curlewshift/capacity/given.py
+++ b/curlewshift/capacity/given.py
@@ -42,8 +42,8 @@
     ("regions-apart", "while regions are apart"),
     ("agreed-again", "just after they have agreed again"),
 )
-# In virtual time, distribution's own bytes and all that a node sends: key, when, and where it stands in versions.json. Regions that
-# met agree within two seconds: all that is sent in so short a time is not held to what is granted for any 15 s.
+# In virtual time, distribution's own bytes and all that a node sends: key, when, and where it stands in versions.json. Regions
+# that met agree within two seconds: all that is sent in so short a time is not held to what is granted for any 15 s.
 VERSIONS = (
     ("configuration", "distribution at rest", ("stretch", "quiet_own_sent_mean")),
     ("configuration", "distribution at 910 changes a day", ("stretch", "own_at_910_changes_a_day_bytes_a_second")),
--- a/curlewshift/capacity/in_force.py
+++ b/curlewshift/capacity/in_force.py
@@ -50,7 +50,8 @@
         told = measured.get(file, "stretch")
         if told:
             add(
-                f"in force at all of {measured.get(file, 'nodes')}, slowest of {told['changes']} changes with {told['restarts']} restarts",
+                f"in force at all of {measured.get(file, 'nodes')}, "
+                f"slowest of {told['changes']} changes with {told['restarts']} restarts",
                 measured.figure(file, "stretch", "everywhere_worst_s", unit="s")
                 if not told.get("not_everywhere")
                 else Figure(WAITED, "s", MEASURED, files=(file,), command=measured.command(file), at_least=True),
--- a/curlewshift/capacity/measured.py
+++ b/curlewshift/capacity/measured.py
@@ -46,7 +46,7 @@
         self.slopes: dict[str, Slope] = {}
         for name, held in self.files.items():
             if name.startswith("slope-"):
-                for told in held["slopes"] if "slopes" in held else [held]:
+                for told in held.get("slopes", [held]):
                     told = {"command": held.get("command"), **told}
                     self.slopes[told["name"]] = slope_of(told, name)
 
--- a/curlewshift/capacity/slopes.py
+++ b/curlewshift/capacity/slopes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 from dataclasses import dataclass, replace
 
 from curlewshift.capacity.figures import FROM_SIMULATED, MEASURED, SIMULATED, WORKED_OUT, Figure, short
@@ -170,7 +171,7 @@
         curve = self.curve
         if x <= curve[0][0]:
             return curve[0][1]
-        return next(y0 + (y1 - y0) * (x - x0) / (x1 - x0) for (x0, y0), (x1, y1) in zip(curve, curve[1:]) if x <= x1)
+        return next(y0 + (y1 - y0) * (x - x0) / (x1 - x0) for (x0, y0), (x1, y1) in itertools.pairwise(curve) if x <= x1)
 
     def fit(self) -> str:
         """In words, for the table of slopes."""
--- a/curlewshift/capture/against.py
+++ b/curlewshift/capture/against.py
@@ -101,6 +101,7 @@
 
 
 def kind_of(done: tuple | None, would: tuple | None) -> str:
+    """How two placings of one viewing differ, in a word or two."""
     if done == would:
         return "the same"
     if done is None:
@@ -111,4 +112,5 @@
 
 
 def in_words(placed: tuple | None) -> str:
+    """A placing, or a refusal, for people."""
     return "refused" if placed is None else f"{placed[0]} on rung {placed[1]}"
--- a/curlewshift/capture/records.py
+++ b/curlewshift/capture/records.py
@@ -9,7 +9,8 @@
 
 import struct
 import zlib
-from typing import Any, Iterator
+from collections.abc import Iterator
+from typing import Any
 
 import msgspec
 
@@ -25,6 +26,7 @@
 
 
 def frame(record: list[Any]) -> bytes:
+    """One record as it stands on disk: length, checksum, payload."""
     payload = _encode(record)
     return HEAD.pack(len(payload), zlib.crc32(payload)) + payload
 
--- a/curlewshift/capture/replay.py
+++ b/curlewshift/capture/replay.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any, Iterable
+from typing import Any
 
 from curlewshift.capture.tap import BEGAN, DID, TOLD, tapped
 from curlewshift.desk.desk import Desk, Misuse
@@ -241,5 +242,6 @@
 
 
 def terms_in(out: dict) -> Terms:
+    """The terms that `terms_out` wrote into a capture."""
     packages = [Package(**{**package, "rates": tuple(package["rates"])}) for package in out["packages"]]
     return Terms(**{**out, "packages": packages})
--- a/curlewshift/capture/store.py
+++ b/curlewshift/capture/store.py
@@ -11,8 +11,8 @@
 
 import os
 import time
+from collections.abc import Callable
 from pathlib import Path
-from typing import Callable
 
 import msgspec
 import zstandard
--- a/curlewshift/capture/tap.py
+++ b/curlewshift/capture/tap.py
@@ -11,8 +11,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import asdict
-from typing import Any, Callable
+from typing import Any
 
 from curlewshift.desk.course import Course, Request, TuneIn
 from curlewshift.desk.desk import Desk
@@ -229,6 +230,7 @@
 
 
 def terms_out(terms: Terms) -> dict:
+    """The terms as plain values, for a capture."""
     out = {name: getattr(terms, name) for name in Terms.__slots__ if name != "packages"}
     out["packages"] = [{name: getattr(package, name) for name in type(package).__slots__} for package in terms.packages]
     return out
--- a/curlewshift/commands/capacity.py
+++ b/curlewshift/commands/capacity.py
@@ -52,6 +52,7 @@
 
 
 def measured_in(folder: Path):
+    """The figures kept in this folder."""
     from curlewshift.capacity.measured import Measured
 
     return Measured(folder)
--- a/curlewshift/commands/capture.py
+++ b/curlewshift/commands/capture.py
@@ -16,6 +16,7 @@
 
 
 def segments_or_exit(log: Path) -> list[Path]:
+    """The segments of this log, the oldest first; exits where there are none."""
     from curlewshift.capture.store import life_in, segments_of
 
     try:
@@ -75,12 +76,12 @@
 
     indexer, began, at = Indexer(), None, 0
     try:
-        for number, segment in enumerate(segments_or_exit(log)):
+        for _number, segment in enumerate(segments_or_exit(log)):
             index = index_of(segment, Indexer())
             if began is None:
                 began = index.first
-            past = until is not None and index.first > began + until * 1e9 or index.last < began + since * 1e9
-            if past or viewing is not None and viewing not in index.viewings:
+            past = (until is not None and index.first > began + until * 1e9) or index.last < began + since * 1e9
+            if past or (viewing is not None and viewing not in index.viewings):
                 continue
             reading = read_segment(segment)
             for record in reading:
--- a/curlewshift/commands/common.py
+++ b/curlewshift/commands/common.py
@@ -25,6 +25,7 @@
 
 
 def site_of(path: Path):
+    """The site in this file; exits with its mistakes, a line each."""
     from curlewshift.site.site import read_site
 
     return read_or_exit(read_site, path)
--- a/curlewshift/commands/experiment.py
+++ b/curlewshift/commands/experiment.py
@@ -18,6 +18,7 @@
 
 
 def rich_cells(held, found) -> None:
+    """Prints the cells of an experiment as a table."""
     from rich.console import Console
     from rich.table import Table
 
--- a/curlewshift/commands/front.py
+++ b/curlewshift/commands/front.py
@@ -6,7 +6,7 @@
 
 import click
 
-from curlewshift.commands.common import check_sabotage, PATH, run, site_of
+from curlewshift.commands.common import PATH, check_sabotage, run, site_of
 
 
 @click.command()
--- a/curlewshift/commands/measure.py
+++ b/curlewshift/commands/measure.py
@@ -16,6 +16,7 @@
 
 
 def keep(out: Path, figures: dict) -> None:
+    """Writes figures to a file as JSON."""
     import json
 
     text = json.dumps(figures, indent=1)
@@ -185,6 +186,7 @@
     """How soon a change of configuration is in force at 630 nodes, its bytes, and random histories of versions (simulated)."""
     import json
     import os
+
     from curlewshift.emulator.version_figures import measure_versions as measured
 
     began = [round(load, 1) for load in os.getloadavg()]
--- a/curlewshift/commands/scale.py
+++ b/curlewshift/commands/scale.py
@@ -6,7 +6,8 @@
 
 import click
 
-from curlewshift.commands.common import PATH, run as run_task
+from curlewshift.commands.common import PATH
+from curlewshift.commands.common import run as run_task
 
 PARTS = ("membership", "sharing", "leases", "distribution")
 FAULTS = ("zone-lost", "regions-apart", "restart-some", "kill-control")
--- a/curlewshift/commands/walk.py
+++ b/curlewshift/commands/walk.py
@@ -6,7 +6,6 @@
 
 import click
 
-
 KINDS = {
     "paid": dict(paid=True),
     "free": dict(paid=False),
@@ -25,7 +24,9 @@
         faults = {name: {"loans": loans} for name, loans in world.FAULTS.items()}
         walked = world.walk_budgets
     else:
-        from curlewshift.emulator.lease_histories import FAULTS as faults
+        from curlewshift.emulator import lease_histories
+
+        faults = lease_histories.FAULTS
         from curlewshift.walk import leases as world
 
         walked = world.walk_rounds if rounds else world.walk_leases
--- a/curlewshift/control/machine.py
+++ b/curlewshift/control/machine.py
@@ -1,7 +1,8 @@
-"""One control machine: a member of the fronts' channel that keeps the lease `configuration/0` and stores versions of the settings.
+"""One control machine: a member of the fronts' channel that keeps the lease `configuration/0` and stores versions of the
+settings.
 
-It has no door and no desk. Whichever of them holds the lease makes versions, told to by a command on its socket. Any may be killed,
-stopped or started again, with its disk or without: what it must not forget is on the disk before it answers.
+It has no door and no desk. Whichever of them holds the lease makes versions, told to by a command on its socket. Any may be
+killed, stopped or started again, with its disk or without: what it must not forget is on the disk before it answers.
 """
 
 from __future__ import annotations
@@ -49,7 +50,7 @@
         me = self.order[self.me]
         # one that has just started knows of no holder yet, and does not outbid one
         free = not self.keeper.silent() and self.writer() in ("", me)
-        if self.fence() or free and picked(LEASE, [*self.members(), me]) == me:
+        if self.fence() or (free and picked(LEASE, [*self.members(), me]) == me):
             self.asker.want(LEASE)
         elif LEASE in self.asker.tries:
             self.asker.leave(LEASE)
@@ -142,8 +143,8 @@
             self.lock.release()
 
     def mistakes(self, content: bytes, called: str) -> tuple[str, bool]:
-        """What is wrong with a file that somebody wants in force, compared with what is (empty: nothing), and whether that is only
-        that it needs restarts. In the words it is `called` what the operator calls it."""
+        """What is wrong with a file that somebody wants in force, compared with what is (empty: nothing), and whether that is
+        only that it needs restarts. In the words it is `called` what the operator calls it."""
         held = self.wire.content
         try:
             running = self.site if held is None else read_site(self.path, held)
--- a/curlewshift/deployment.py
+++ b/curlewshift/deployment.py
@@ -96,7 +96,7 @@
 class Span:
     """The servers at `span` cells in a row from `base`, whatever the list has there by now."""
 
-    __slots__ = ("cells", "base", "span")
+    __slots__ = ("base", "cells", "span")
 
     def __init__(self, cells: list[dict], base: int, span: int):
         self.cells, self.base, self.span = cells, base, min(span, len(cells))
--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from typing import Iterable
+from collections.abc import Iterable
 
 from curlewshift.deployment import Fleet, mark_of
 from curlewshift.desk.course import Answer, Course, Kind, Request, TuneIn
--- a/curlewshift/desk/errands.py
+++ b/curlewshift/desk/errands.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Callable
 
 # Patches that may wait at one session; a client that sends faster than its server answers is told to wait.
 MOST_WAITING = 16
@@ -53,7 +53,7 @@
 class Errands:
     """Those of one course. `send(errand)` begins one; its outcome comes back through `answered`."""
 
-    __slots__ = ("send", "waiting", "out", "over")
+    __slots__ = ("out", "over", "send", "waiting")
 
     def __init__(self, send: Callable[[Errand], None]):
         self.send, self.waiting, self.out, self.over = send, deque(), None, False
--- a/curlewshift/desk/timers.py
+++ b/curlewshift/desk/timers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from typing import Callable
+from collections.abc import Callable
 
 
 class Timers:
--- a/curlewshift/distribution/fetching.py
+++ b/curlewshift/distribution/fetching.py
@@ -1,4 +1,5 @@
-"""Contents that are wanted, taken in pieces from who has them: near ones first, one at a time, another when one is busy or silent.
+"""Contents that are wanted, taken in pieces from who has them: near ones first, one at a time, another when one is busy or
+silent.
 
 What has come is believed by its digest alone. A giver whose pieces came to something else is left alone for a while, and the
 whole is asked for from another.
@@ -6,8 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
-from typing import Callable, Protocol
+from typing import Protocol
 
 from curlewshift.distribution.library import Library
 from curlewshift.distribution.pieces import MOST_PIECES, Parts, Spoilt, unpacked
@@ -31,7 +33,7 @@
 class Wanted:
     """`givers` tells who has it, as far as is known."""
 
-    __slots__ = ("version", "givers", "parts", "asked", "asked_at", "heard_at", "due", "whole_only", "tries")
+    __slots__ = ("asked", "asked_at", "due", "givers", "heard_at", "parts", "tries", "version", "whole_only")
 
     def __init__(self, version: Version, givers: Callable[[], list[str]]):
         self.version, self.givers = version, givers
--- a/curlewshift/distribution/pieces.py
+++ b/curlewshift/distribution/pieces.py
@@ -35,11 +35,13 @@
 
 @lru_cache(maxsize=8)
 def packed_whole(content: bytes) -> bytes:
+    """Content as it is carried: compressed."""
     return zstandard.ZstdCompressor(level=LEVEL).compress(content)
 
 
 @lru_cache(maxsize=16)
 def packed_difference(content: bytes, base: bytes) -> bytes:
+    """Content as it is carried to who has `base`: compressed against it."""
     figures = zstandard.ZstdCompressionParameters.from_level(
         LEVEL, source_size=len(content), dict_size=len(base), enable_ldm=len(content) > 1 << 20
     )
@@ -58,10 +60,12 @@
 
 
 def piece(packed: bytes, index: int) -> bytes:
+    """One piece of packed content, by its index."""
     return packed[index * PIECE : (index + 1) * PIECE]
 
 
 def pieces_of(packed: bytes) -> int:
+    """How many pieces packed content has."""
     return -(-len(packed) // PIECE)
 
 
--- a/curlewshift/distribution/reports.py
+++ b/curlewshift/distribution/reports.py
@@ -44,6 +44,7 @@
 
 
 def aggregator_of(zone: str, names: list[str]) -> str:
+    """Who adds up the reports of a zone, by rendezvous hashing."""
     return max(names, key=lambda name: blake2b(f"configuration {zone} {name}".encode(), digest_size=8).digest(), default="")
 
 
@@ -82,7 +83,7 @@
         self.heard = {name: (at, report) for name, (at, report) in self.heard.items() if now - at <= kept}
         told = summed(self.zone, {name: report for name, (_, report) in self.heard.items()}, self.terms.most_named)
         self.sum_due = now + self.terms.sum_each
-        if told is None or told == self.sum_told and now < self.sum_at + self.terms.report_each // 3:
+        if told is None or (told == self.sum_told and now < self.sum_at + self.terms.report_each // 3):
             return
         self.sum_told, self.sum_at = told, now
         for store in self.terms.stores:
@@ -90,6 +91,7 @@
 
 
 def summed(zone: str, reports: dict[str, Report], most_named: int) -> ZoneSum | None:
+    """The reports of one zone in one, with `most_named` of the fronts that are behind by name."""
     if not reports:
         return None
     newest = max((report.version for report in reports.values()), key=lambda version: version.number)
--- a/curlewshift/distribution/store.py
+++ b/curlewshift/distribution/store.py
@@ -133,7 +133,7 @@
     def enter(self, writer: str, ballot: Ballot, record: int, noted: dict[str, Noted], version: Version, founding: bool) -> None:
         """It votes from here on, with what a majority of the others has; `founding`: there is nothing anywhere."""
         void = founding and (self.taken != NONE or self.chosen != NONE)
-        if record != self.number or void or not founding and not self.blank:
+        if record != self.number or void or (not founding and not self.blank):
             self._answer(writer, ballot)
             return
         if self._behind(writer, ballot):
--- a/curlewshift/distribution/versions.py
+++ b/curlewshift/distribution/versions.py
@@ -37,6 +37,7 @@
 
 
 def digest_of(content: bytes) -> bytes:
+    """The digest by which content is known."""
     return sha256(content).digest()
 
 
@@ -49,7 +50,7 @@
     life: int
 
     def behind(self, promised: Ballot) -> bool:
-        return self.fence < promised.fence or self.fence == promised.fence and self != promised
+        return self.fence < promised.fence or (self.fence == promised.fence and self != promised)
 
 
 NO_BALLOT = Ballot(0, "", 0)
--- a/curlewshift/distribution/writer.py
+++ b/curlewshift/distribution/writer.py
@@ -8,8 +8,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Callable, Protocol
+from typing import Protocol
 
 from curlewshift.distribution.store import Noted, Stand
 from curlewshift.distribution.terms import DistributionTerms
@@ -293,4 +294,5 @@
 
 
 def refused(words: str) -> dict:
+    """The answer to a command that is not carried out, and why."""
     return {"ok": False, "unknown": False, "wrong": words}
--- a/curlewshift/emulator/goodput.py
+++ b/curlewshift/emulator/goodput.py
@@ -1,7 +1,7 @@
 """Goodput against offered load: with a level for all fronts, with each front's own, and with none. Called by `measure goodput`.
 
-All figures are simulated. A load of 1 asks for what the links of the deployment give at the mean rung; at the floor they bear some
-2.8 times as much. Goodput is value a second that was answered in time and not left again for a bad picture.
+All figures are simulated. A load of 1 asks for what the links of the deployment give at the mean rung; at the floor they bear
+some 2.8 times as much. Goodput is value a second that was answered in time and not left again for a bad picture.
 """
 
 from __future__ import annotations
--- a/curlewshift/emulator/lease_histories.py
+++ b/curlewshift/emulator/lease_histories.py
@@ -143,7 +143,7 @@
 
     def _arrives(self, to: int, life: int, part: str, what: str, words: tuple) -> None:
         front = self.fronts[to]
-        if not front.alive or life and life != front.life:
+        if not front.alive or (life and life != front.life):
             return
         if front.paused_until > self.now:
             self.at(front.paused_until, self._arrives, to, life, part, what, words)
--- a/curlewshift/emulator/peers.py
+++ b/curlewshift/emulator/peers.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
-from typing import Callable
 
 from curlewshift.emulator.queue import Buckets
 from curlewshift.membership.manners import Manners
--- a/curlewshift/emulator/queue.py
+++ b/curlewshift/emulator/queue.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import heapq
-from typing import Callable
+from collections.abc import Callable
 
 BUCKET = 1_000_000
 
--- a/curlewshift/emulator/sharing_bytes.py
+++ b/curlewshift/emulator/sharing_bytes.py
@@ -1,7 +1,7 @@
 """What one front of many sends to its peers for sharing, in bytes of real frames. Called by `measure shared`; simulated.
 
-One front's own sharing is run among peers that are only names. What it is asked as the one that adds up is what it asks of others,
-in the mean over all fronts: each word of use is one of another front's, and has one answer.
+One front's own sharing is run among peers that are only names. What it is asked as the one that adds up is what it asks of
+others, in the mean over all fronts: each word of use is one of another front's, and has one answer.
 """
 
 from __future__ import annotations
--- a/curlewshift/emulator/shed_wrongs.py
+++ b/curlewshift/emulator/shed_wrongs.py
@@ -44,10 +44,13 @@
         self.advice.__class__ = OneReturn
 
 
+class NoFloorOrder(Order):
+    def floored(self, rank):
+        return False
+
+
 class NoFloor(Overload):
-    class order_class(Order):
-        def floored(self, rank):
-            return False
+    order_class = NoFloorOrder
 
 
 FAULTS = {
--- a/curlewshift/emulator/viewers.py
+++ b/curlewshift/emulator/viewers.py
@@ -20,7 +20,7 @@
 
 
 class Viewer:
-    __slots__ = ("name", "wish", "package", "title", "top", "ends_in", "visits", "chance", "served", "began", "spoilt")
+    __slots__ = ("began", "chance", "ends_in", "name", "package", "served", "spoilt", "title", "top", "visits", "wish")
 
     def __init__(self, name, wish, package, title, top, ends_in, chance):
         self.name, self.wish, self.package, self.title, self.top = name, wish, package, title, top
@@ -32,22 +32,22 @@
     """One request, sent again where it broke off; `answer` is the first that was heard."""
 
     __slots__ = (
-        "viewer",
-        "request",
-        "door",
-        "key",
+        "answer",
         "asked_at",
-        "front",
+        "asks_on",
         "at_desk",
-        "waits",
-        "answer",
-        "session",
         "course",
-        "asks_on",
-        "tail",
+        "door",
+        "front",
         "hangs_up",
+        "key",
         "leaves",
         "over",
+        "request",
+        "session",
+        "tail",
+        "viewer",
+        "waits",
     )
 
     def __init__(self, viewer: Viewer, request: str, door: int):
--- a/curlewshift/emulator/world.py
+++ b/curlewshift/emulator/world.py
@@ -8,8 +8,8 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from random import Random
-from typing import Callable
 
 from curlewshift.desk.roster import Row
 from curlewshift.emulator.front import Disk, EmulatedFront
--- a/curlewshift/exchange/client.py
+++ b/curlewshift/exchange/client.py
@@ -7,8 +7,8 @@
 
 import select
 import socket
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from typing import AsyncIterator
 
 import anyio
 import h11
--- a/curlewshift/exchange/server.py
+++ b/curlewshift/exchange/server.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import time
-from typing import Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import h11
@@ -70,7 +70,7 @@
 class Exchange:
     """One request, and the means to answer it once."""
 
-    __slots__ = ("method", "target", "path", "query", "headers", "body", "line", "answered", "always")
+    __slots__ = ("always", "answered", "body", "headers", "line", "method", "path", "query", "target")
 
     def __init__(self, line: Line, method: str, target: str, headers: dict[str, str], body: bytes):
         self.line, self.method, self.target, self.headers, self.body = line, method, target, headers, body
--- a/curlewshift/experiments/experiment.py
+++ b/curlewshift/experiments/experiment.py
@@ -116,6 +116,6 @@
         value = float(level)
     except ValueError:
         return [f"{level!r} is no number"]
-    if value < 0 or name in ("fronts", "servers") and (value < 1 or value != int(value)) or name == "load" and not value:
+    if value < 0 or (name in ("fronts", "servers") and (value < 1 or value != int(value))) or (name == "load" and not value):
         return [f"{level} is out of bounds"]
     return []
--- a/curlewshift/experiments/runner.py
+++ b/curlewshift/experiments/runner.py
@@ -4,9 +4,9 @@
 
 import os
 import subprocess
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from pathlib import Path
-from typing import Callable
 
 from curlewshift.experiments.experiment import Experiment, Run
 from curlewshift.experiments.one_run import carry_out
--- a/curlewshift/front/begun.py
+++ b/curlewshift/front/begun.py
@@ -91,6 +91,7 @@
 
 
 def told(path: Path, mistakes: Mistakes) -> str:
+    """The mistakes of a site file in one line, the first few of them."""
     lines = [f"{path.name}:{line}: {wrong}" for line, wrong in mistakes.found]
     more = [f"and {len(lines) - MOST_TOLD} more"] if len(lines) > MOST_TOLD else []
     return "; ".join(lines[:MOST_TOLD] + more)
--- a/curlewshift/front/control.py
+++ b/curlewshift/front/control.py
@@ -14,8 +14,8 @@
 from pathlib import Path
 
 import anyio
-from anyio import TASK_STATUS_IGNORED
 import msgspec
+from anyio import TASK_STATUS_IGNORED
 from anyio.abc import SocketAttribute
 
 from curlewshift.peaks.calendar import Nonsense, Peak
@@ -26,8 +26,8 @@
 
 
 class Command(msgspec.Struct):
-    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `overload`, `configuration`, `live`, `release`, or,
-    where the front may be led, `clock`, `path` or `stop-in-act`."""
+    """`do` is `peaks`, `announce`, `cancel`, `limits`, `peers`, `shared`, `leases`, `overload`, `configuration`, `live`,
+    `release`, or, where the front may be led, `clock`, `path` or `stop-in-act`."""
 
     do: str
     peak: dict = {}
--- a/curlewshift/front/door.py
+++ b/curlewshift/front/door.py
@@ -11,8 +11,8 @@
 
 from curlewshift.desk.course import Answer, Course, Kind, Request
 from curlewshift.desk.desk import Desk, Misuse, Unknown
-from curlewshift.exchange.server import Exchange, PeerGone
 from curlewshift.desk.offer import Offer
+from curlewshift.exchange.server import Exchange, PeerGone
 from curlewshift.front.reach import SDP
 from curlewshift.front.sessions import EVENTS, LAYERS, PATCHES, PREFLIGHT, Sessions, Wrong
 from curlewshift.limits.admission import Admission
--- a/curlewshift/front/followers.py
+++ b/curlewshift/front/followers.py
@@ -25,6 +25,7 @@
 
 
 def row_of(row: ListRow) -> Row:
+    """A row of the list as the roster wants it."""
     return Row(row.server, row.state, row.started_ms * MS, row.zone, row.rack, row.link, row.streams, row.shelf)
 
 
--- a/curlewshift/front/front.py
+++ b/curlewshift/front/front.py
@@ -24,8 +24,8 @@
 from curlewshift.front.control import Control
 from curlewshift.front.door import Door
 from curlewshift.front.followers import ListFollower, NotesFollower, row_of
-from curlewshift.front.kept import KeptList, KeptShared
 from curlewshift.front.keeper import Keeper
+from curlewshift.front.kept import KeptList, KeptShared
 from curlewshift.front.reach import Reach, Session, doubt_mark
 from curlewshift.limits.admission import Admission
 from curlewshift.limits.descriptors import Gate
--- a/curlewshift/front/reach.py
+++ b/curlewshift/front/reach.py
@@ -225,7 +225,7 @@
             return
         # A redirect has done nothing (RFC 9110, 15.4). It is not followed: where it points may be draining or cold,
         # and only the rules know; they pick again, as they do for a server that is full.
-        full = answered.status in (307, 308) or answered.status == 503 and _problem(answered).type == TURNED_AWAY
+        full = answered.status in (307, 308) or (answered.status == 503 and _problem(answered).type == TURNED_AWAY)
         self._end(tune_in, Outcome.FULL if full else Outcome.ERROR, report)
 
     async def _ready(self, tune_in: TuneIn) -> Outcome | None:
--- a/curlewshift/front/spoilt.py
+++ b/curlewshift/front/spoilt.py
@@ -219,6 +219,8 @@
 
 
 def wired(membership: type[Membership]) -> type[Front]:
+    """A front with this membership."""
+
     class Wire(PeerWire):
         membership_class = membership
 
@@ -229,6 +231,8 @@
 
 
 def leasing(asker: type[Asker] = Asker, keeper: type[Keeper] = Keeper) -> type[Front]:
+    """A front with this asker and this keeper of leases."""
+
     class Wire(LeaseWire):
         asker_class, keeper_class = asker, keeper
 
@@ -253,6 +257,8 @@
 def lending(
     loans: type[Loans] = Loans, seats: type[StandingLoans] = StandingLoans, evidence: type[Evidence] = Evidence
 ) -> type[Front]:
+    """A front with these parts in sharing."""
+
     class Spoilt(Sharing):
         loans_class, seats_class, evidence_class = loans, seats, evidence
 
@@ -266,6 +272,8 @@
 
 
 def shedding(overload: type[Overload]) -> type[Front]:
+    """A front with this part in overload."""
+
     class Wire(OverloadWire):
         overload_class = overload
 
@@ -276,6 +284,7 @@
 
 
 def spoilt(name: str, *args, **how) -> Front:
+    """A front with the planted fault of this name."""
     return {
         "lose-answer": lambda: LoseAnswer(*args, **how),
         "answer-twice": lambda: AnswerTwice(*args, **how),
--- a/curlewshift/leases/asker.py
+++ b/curlewshift/leases/asker.py
@@ -111,7 +111,7 @@
         if holder >= 0 and holder != self.me:
             held.holder = holder
         # what this life holds or has held is its own to take: it knows whether it acts
-        free = [one for one, (who, by) in held.promised.items() if who < 0 or who == self.me and by.life == self.life]
+        free = [one for one, (who, by) in held.promised.items() if who < 0 or (who == self.me and by.life == self.life)]
         if len(free) >= self.majority:
             self._propose(lease, held, now)
 
--- a/curlewshift/limits/admission.py
+++ b/curlewshift/limits/admission.py
@@ -10,10 +10,10 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import exp
 from random import Random
-from typing import Callable
 
 from curlewshift.limits.buckets import Buckets
 from curlewshift.limits.concurrency import Concurrency
--- a/curlewshift/limits/buckets.py
+++ b/curlewshift/limits/buckets.py
@@ -16,7 +16,7 @@
 
 
 class Bucket:
-    __slots__ = ("left", "at", "refused", "since")
+    __slots__ = ("at", "left", "refused", "since")
 
     def __init__(self, left: float, now: int):
         self.left, self.at, self.refused, self.since = left, now, 0, 0
--- a/curlewshift/limits/prefixes.py
+++ b/curlewshift/limits/prefixes.py
@@ -2,12 +2,13 @@
 
 Whoever has one IPv6 address has a /64 of them, and often a /56 or /48 (RFC 6177), so that buckets by address hold nobody
 back there. The trie has nodes at a few depths only; a node's count is that of all below it, and a source is named by its
-widest prefix that asks for more than its share in many parts, or else by its usual one. Leaves that have gone quiet are cut off when
-there are too many.
+widest prefix that asks for more than its share in many parts, or else by its usual one. Leaves that have gone quiet are cut off
+when there are too many.
 """
 
 from __future__ import annotations
 
+import itertools
 from ipaddress import ip_address
 from math import exp
 
@@ -22,7 +23,7 @@
 
 
 class Node:
-    __slots__ = ("count", "at", "below", "heaviest")
+    __slots__ = ("at", "below", "count", "heaviest")
 
     def __init__(self, now: int):
         # `heaviest` is about the count of the part below that asks most
@@ -66,7 +67,7 @@
             fades = exp(-max(0, now - node.at) / COUNTS_FADE)
             node.count, node.heaviest, node.at = node.count * fades + 1, node.heaviest * fades, now
             path.append((depth, node, self.usual * WIDER ** (len(depths) - 1 - step) * COUNTS_FADE / SECOND))
-        for (_, wider, _), (_, part_of_it, _) in zip(path, path[1:]):
+        for (_, wider, _), (_, part_of_it, _) in itertools.pairwise(path):
             wider.heaviest = max(wider.heaviest, part_of_it.count)
         # one part alone that floods is named by itself: its neighbours have done nothing
         named = next((depth for depth, node, allowed in path if node.count - node.heaviest > allowed), depths[-1])
--- a/curlewshift/limits/queue.py
+++ b/curlewshift/limits/queue.py
@@ -41,7 +41,7 @@
     def join(self, ticket: Ticket) -> bool:
         """False if there is no room: the line of its source, or of all, is full."""
         line = self.lines.get(ticket.source)
-        if self.count >= self.most_of_all or line is not None and len(line) >= self.most_of_one:
+        if self.count >= self.most_of_all or (line is not None and len(line) >= self.most_of_one):
             return False
         if line is None:
             line = self.lines[ticket.source] = deque()
--- a/curlewshift/logs.py
+++ b/curlewshift/logs.py
@@ -88,6 +88,7 @@
 
 
 def level() -> int:
+    """The lowest level that is logged, by the environment."""
     return LEVELS.get(os.environ.get(LEVEL_FROM, "info").lower(), logging.INFO)
 
 
--- a/curlewshift/membership/membership.py
+++ b/curlewshift/membership/membership.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Callable
 from itertools import count
 from random import Random
-from typing import Callable, Protocol
+from typing import Protocol
 
 from curlewshift.membership.manners import Manners
 from curlewshift.membership.member import Claim, Member, Rank
@@ -36,7 +37,7 @@
 class Probe:
     """One that is out: ours, or one made for another that asked (`asker` and the asker's `number`)."""
 
-    __slots__ = ("target", "of", "asked", "nacks", "asker", "number", "answered")
+    __slots__ = ("answered", "asked", "asker", "nacks", "number", "of", "target")
 
     def __init__(self, target: Member, asker: Member | None = None, number: int = 0):
         self.target, self.asker, self.number = target, asker, number
--- a/curlewshift/membership/views.py
+++ b/curlewshift/membership/views.py
@@ -14,6 +14,7 @@
 
 
 def bucket_of(name: str) -> int:
+    """The bucket of a member, by its name."""
     return blake2b(name.encode(), digest_size=1).digest()[0] % BUCKETS
 
 
--- a/curlewshift/node/__main__.py
+++ b/curlewshift/node/__main__.py
@@ -6,12 +6,12 @@
 import os
 import sys
 
-
 from curlewshift.node import configuration
 from curlewshift.running import refuse, run
 
 
 def main() -> None:
+    """Runs the front node that NODE_CONFIG tells of, until its end."""
     path = os.environ.get("NODE_CONFIG")
     if not path:
         refuse("NODE_CONFIG names no configuration", 2)
--- a/curlewshift/node/bulletin.py
+++ b/curlewshift/node/bulletin.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import struct
-from typing import Callable
+from collections.abc import Callable
 
 MOST = 16 * 1024
 RECORD = struct.Struct(">I4sHBBBHIQ")
--- a/curlewshift/node/configuration.py
+++ b/curlewshift/node/configuration.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from math import isfinite
 from pathlib import Path
-from typing import Callable, Iterator
 
 from curlewshift.deployment import terms_of
 from curlewshift.node.bulletin import DRAINING, GONE, READY
@@ -107,7 +107,7 @@
     for path, (least, whole) in NUMBERS.items():
         for name, value in _at(settings, path.split("."), ""):
             number = isinstance(value, (int, float)) and not isinstance(value, bool) and isfinite(value)
-            if not number or value < least or whole and value != int(value):
+            if not number or value < least or (whole and value != int(value)):
                 raise Unreadable(f"{name!r} is {value!r}, {'a whole number' if whole else 'a number'} from {least} on is wanted")
     for index, row in enumerate(settings.get("classes") or []):
         if not isinstance(row.get("name"), str) or not row["name"]:
@@ -147,6 +147,7 @@
 
 
 def address_of(text: str) -> tuple[str, int]:
+    """Host and port of `10.0.0.4:5080`. Raises `ValueError`."""
     host, colon, port = text.rpartition(":")
     if not colon or not host:
         raise ValueError(f"{text!r} is no address with a port")
--- a/curlewshift/node/door.py
+++ b/curlewshift/node/door.py
@@ -8,8 +8,8 @@
 
 import re
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Callable
 
 import anyio
 
@@ -208,7 +208,8 @@
                 owed.line = None
 
     async def _end_unread(self, line: Line) -> None:
-        """Its client has closed it: what it has not read is told elsewhere, and sessions whose answers it has not read are over."""
+        """Its client has closed it: what it has not read is told elsewhere, and sessions whose answers it has not read are
+        over."""
         since = self.node.now() - RESET_WITHIN
         answered = [asked for at, asked in line.answered if at >= since]
         told = [owed for at, owed in line.told if at >= since]
--- a/curlewshift/node/follower.py
+++ b/curlewshift/node/follower.py
@@ -109,7 +109,7 @@
         for number, kind, payload in frames:
             if number <= self.last:
                 continue
-            missing = kind == bulletin.NOTHING_NEW or kind == bulletin.CHANGES and number != self.last + 1
+            missing = kind == bulletin.NOTHING_NEW or (kind == bulletin.CHANGES and number != self.last + 1)
             now = anyio.current_time()
             again = kind == bulletin.NOTHING_NEW and now - self.gap_at > ASK_AGAIN
             if missing and (self.gap_after != self.last or again):
--- a/curlewshift/node/isup.py
+++ b/curlewshift/node/isup.py
@@ -108,11 +108,13 @@
 
 
 def encode(kind: int, session: bytes, *parameters: tuple[int, bytes]) -> bytes:
+    """One message, with parameters of a code and a value each."""
     rest = b"".join(struct.pack(">BH", code, len(value)) + value for code, value in parameters)
     return struct.pack(">HB", HEAD + len(rest), kind) + session + rest
 
 
 def set_up(session: bytes, package: str, title: str, wait_ms: int, rung: int, description: bytes) -> bytes:
+    """A set-up; `wait_ms` is how long the node will wait."""
     return encode(
         SET_UP,
         session,
@@ -125,14 +127,17 @@
 
 
 def release(session: bytes, cause: int) -> bytes:
+    """The end of a session or of an attempt."""
     return encode(RELEASE, session, (CAUSE, bytes((cause,))))
 
 
 def released(session: bytes) -> bytes:
+    """ "Release heard"."""
     return encode(RELEASED, session)
 
 
 def rung(session: bytes, level: int) -> bytes:
+    """A new rung for a session that stands."""
     return encode(RUNG, session, (LEVEL, b"%d" % level))
 
 
@@ -142,4 +147,5 @@
 
 
 def probed(session: bytes, passed: bool) -> bytes:
+    """The answer to a test."""
     return encode(PROBED, session, (CAUSE, bytes((passed,))))
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -20,9 +20,9 @@
 from curlewshift.limits.descriptors import Gate
 from curlewshift.model import Listed, Outcome, Server
 from curlewshift.node import bulletin, configuration, isup
+from curlewshift.node.connections import Session
 from curlewshift.node.door import SWEEP, Door
 from curlewshift.node.follower import Follower
-from curlewshift.node.connections import Session
 from curlewshift.node.reach import Reach
 from curlewshift.node.wire import Listener
 from curlewshift.retries.endings import Ending
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -11,8 +11,8 @@
 
 import anyio
 
-from curlewshift.desk.course import Course, TuneIn
 from curlewshift.deployment import use_of
+from curlewshift.desk.course import Course, TuneIn
 from curlewshift.model import Outcome, Server
 from curlewshift.node import isup
 from curlewshift.node.connections import Endpoint, Flight, Line, Session
@@ -268,7 +268,7 @@
         idle = next((line for line in sound if line.up and not line.flights), None)
         if idle is not None:
             return idle
-        if not sound or self.count < self.most_lines and len(endpoint.lines) < self._share():
+        if not sound or (self.count < self.most_lines and len(endpoint.lines) < self._share()):
             return self.open_connection(endpoint)
         return min(sound, key=lambda line: (len(line.flights), line.wire is None))
 
@@ -651,7 +651,7 @@
         """A connection may lose its server's words while others to the same server go on. The server says them again on the next
         one that is opened."""
         endpoint = line.endpoint
-        if line.doubtful or not line.up or endpoint.heard_at > line.heard_at and now - line.heard_at <= LONGEST_SILENT:
+        if line.doubtful or not line.up or (endpoint.heard_at > line.heard_at and now - line.heard_at <= LONGEST_SILENT):
             return
         if not line.asked_at:
             if self._may_carry_an_end(line):
--- a/curlewshift/node/rtsp.py
+++ b/curlewshift/node/rtsp.py
@@ -56,7 +56,7 @@
 class Reader:
     """Gathers the bytes of one connection."""
 
-    __slots__ = ("held", "head", "need")
+    __slots__ = ("head", "held", "need")
 
     def __init__(self):
         self.held = bytearray()
@@ -107,7 +107,7 @@
         end = self.held.find(b"\r\n", 0, 1024)
         if end > 0:
             _first_line(_text(bytes(self.held[:end])))
-        elif end == 0 or len(self.held) >= 1024 or any(byte < 0x20 and byte != 13 or byte > 0x7E for byte in self.held[:1024]):
+        elif end == 0 or len(self.held) >= 1024 or any((byte < 0x20 and byte != 13) or byte > 0x7E for byte in self.held[:1024]):
             raise Malformed("no first line of a message")
 
 
@@ -159,6 +159,7 @@
 
 
 def release(session: str, cause: int) -> bytes:
+    """The end of a session, with its cause."""
     return (
         f"TEARDOWN rtsp://media/{session} RTSP/1.0\r\nCSeq: 2\r\nSession: {session}\r\n"
         f"Reason: cause={cause}\r\nContent-Length: 0\r\n\r\n"
--- a/curlewshift/node/trail.py
+++ b/curlewshift/node/trail.py
@@ -34,7 +34,7 @@
 class Queued(Errand):
     """An answer on a wire."""
 
-    __slots__ = ("trail", "name", "handed")
+    __slots__ = ("handed", "name", "trail")
 
     def __init__(self, trail: Trail, name: str):
         self.trail, self.name, self.handed = trail, name, False
@@ -77,4 +77,5 @@
 
 
 def trail_of(now, log) -> Untrodden:
+    """A trail where the environment asks for one, else one that keeps nothing."""
     return Trail(now, log) if os.environ.get("CURLEWSHIFT_TRAIL") else Untrodden()
--- a/curlewshift/overload/again.py
+++ b/curlewshift/overload/again.py
@@ -3,11 +3,11 @@
 A budget for the former is a share of successes (the retry budgets of the SRE book, chapter 21): while the fleet serves, there is
 plenty; when nothing succeeds, what is tried again is what is free and no more, whatever each front thinks of its chances.
 
-Advice to the latter is spread so that those who come back follow the room that returns. With a level that moves by parts of what is let in, the sum
-of those who are away drains at the pace at which room returns if each is told to stay away for as long as the line before it
-takes at that pace, and no two are told the same: the line is then a delay and no feedback, which is stable at any gain. What
-breaks that is a common return (all told the same), and one that is too soon (told less than the line takes): both make the line's
-length drive the next round's asks.
+Advice to the latter is spread so that those who come back follow the room that returns. With a level that moves by parts of what
+is let in, the sum of those who are away drains at the pace at which room returns if each is told to stay away for as long as the
+line before it takes at that pace, and no two are told the same: the line is then a delay and no feedback, which is stable at any
+gain. What breaks that is a common return (all told the same), and one that is too soon (told less than the line takes): both make
+the line's length drive the next round's asks.
 """
 
 from __future__ import annotations
--- a/curlewshift/overload/level.py
+++ b/curlewshift/overload/level.py
@@ -1,9 +1,9 @@
 """The level of admission of one zone: below it viewings are refused at the door, above it the rules have them.
 
-What moves it is what is really short: viewings that were let in and then refused for want of room, each weighed by how much of the
-zone is out of room, so that three full holders of one title do not shut the door on all others. Each round it is set to where
-as many would come in as the zone has just begun, read from how many of late asked at each rank (DAGOR's way; Zhou et al.
-2018, 4.2.3); between the two marks it stays, and it falls by steps of a part, so that it does not swing.
+What moves it is what is really short: viewings that were let in and then refused for want of room, each weighed by how much of
+the zone is out of room, so that three full holders of one title do not shut the door on all others. Each round it is set to where
+as many would come in as the zone has just begun, read from how many of late asked at each rank (DAGOR's way; Zhou et al. 2018,
+4.2.3); between the two marks it stays, and it falls by steps of a part, so that it does not swing.
 """
 
 from __future__ import annotations
@@ -74,7 +74,8 @@
         self.filled = KEEPS_BEGUN * self.filled + 1 - KEEPS_BEGUN
 
     def round(self, seen: Round, full: float = 1.0) -> int:
-        """One round has passed; returns where the level is now, by what was seen of it and how much of the zone is out of room."""
+        """One round has passed; returns where the level is now, by what was seen of it and how much of the zone is out of
+        room."""
         self.note(seen)
         self.young, seen = max(0, self.young - 1), self.seen
         let_in = sum(count for rank, count in seen.asks.items() if rank >= self.cut or self.floored(rank))
--- a/curlewshift/overload/order.py
+++ b/curlewshift/overload/order.py
@@ -6,15 +6,15 @@
 
 The hash changes by the hour, so that nobody is last for ever, and is the same at every front, so that who is refused at one is
 refused at the next and need not go round (DAGOR; Zhou et al. 2018). A rank is a number of steps: `STEPS` a package, least
-value lowest. The first of a package by the hash are its floor, let in at any level. Who comes back after a break is put among the first
-of those who are not: what it had was begun and is lost otherwise, and that costs its viewer more than not to begin; but
+value lowest. The first of a package by the hash are its floor, let in at any level. Who comes back after a break is put among the
+first of those who are not: what it had was begun and is lost otherwise, and that costs its viewer more than not to begin; but
 when half the servers are lost, all who played there come back at once, and not all of them can be let in.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from hashlib import blake2b
-from typing import Iterable
 
 from curlewshift.model import Package
 
--- a/curlewshift/overload/overload.py
+++ b/curlewshift/overload/overload.py
@@ -1,16 +1,18 @@
-"""One front's part in shedding as one: what it lets in, what it tells of each round, and the level that all make of it. Free of I/O.
+"""One front's part in shedding as one: what it lets in, what it tells of each round, and the level that all make of it. Free of
+I/O.
 
-Asked by the desk before it takes a request, and told by it what became of those that were let in. Each round it tells the one that adds up
-for a zone what it saw, and hears the level that follows from what all saw; the one is picked by rendezvous hashing, as for
-counts. Hearing nothing it goes on from the level it has by its own sight. A told level holds only as far as this front
+Asked by the desk before it takes a request, and told by it what became of those that were let in. Each round it tells the one
+that adds up for a zone what it saw, and hears the level that follows from what all saw; the one is picked by rendezvous hashing,
+as for counts. Hearing nothing it goes on from the level it has by its own sight. A told level holds only as far as this front
 itself sees that the zone is short of room: nobody can have it shut its door on servers that it sees idle.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from random import Random
-from typing import Iterable, Protocol
+from typing import Protocol
 
 from curlewshift.model import Package, Server
 from curlewshift.overload.again import Advice, Again
@@ -82,7 +84,7 @@
         # it may be placed in any of its zones: the least short decides
         cut = min((self.levels[zone].cut if zone in self.levels else 0 for zone in zones), default=0)
         floored = self.order.floored(rank)
-        if not cut or not self._sheds(rank, cut, floored) and (back or not self.advice.early(who, now)):
+        if not cut or (not self._sheds(rank, cut, floored) and (back or not self.advice.early(who, now))):
             self.let_in += 1
             return 0
         self.shed[package.name] = self.shed.get(package.name, 0) + 1
@@ -192,8 +194,8 @@
             self.outside.tell_level(by, zone, cut, why)
 
     def level_told(self, zone: str, cut: int, why: str) -> None:
-        """Followed at once, a step a round: until the round after it, a front let in whom the others shed by then, and refused whom
-        they let in."""
+        """Followed at once, a step a round: until the round after it, a front let in whom the others shed by then, and refused
+        whom they let in."""
         if zone not in self.full:
             return
         now, level = self.outside.now(), self.levels.get(zone)
--- a/curlewshift/peaks/peaks.py
+++ b/curlewshift/peaks/peaks.py
@@ -37,7 +37,7 @@
 class Holding:
     """What a peak makes this front do at present."""
 
-    __slots__ = ("peak", "early", "phase", "need")
+    __slots__ = ("early", "need", "peak", "phase")
 
     def __init__(self, peak: Peak):
         self.peak = peak
--- a/curlewshift/peering/channel.py
+++ b/curlewshift/peering/channel.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from itertools import count
 from random import Random
-from typing import Callable, Protocol
+from typing import Protocol
 
 from curlewshift.membership.manners import Manners
 from curlewshift.membership.member import Claim, Member, Rank
@@ -247,7 +248,7 @@
             )
         )
         now = self.host.now()
-        if len(data) > MOST_BYTES or bound and not self.allowance.take(now, len(data)):
+        if len(data) > MOST_BYTES or (bound and not self.allowance.take(now, len(data))):
             self.held_back += 1
             return False
         self.sent.add(now, len(data))
--- a/curlewshift/peering/distributed.py
+++ b/curlewshift/peering/distributed.py
@@ -1,4 +1,5 @@
-"""The configuration's versions on the channel: words of distribution/ as bodies of one kind, what rides on probes, and their time.
+"""The configuration's versions on the channel: words of distribution/ as bodies of one kind, what rides on probes, and their
+time.
 
 Held by front/front.py, control/ and scale/, whose host takes what comes into force. Whoever drives it calls `time` each fifth of
 a second, or `run`. What a node's disk had is in force when the constructor returns, if it is whole and the host has nothing
@@ -7,8 +8,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
-from typing import Annotated, Callable, Protocol, Union
+from typing import Annotated, Protocol
 
 import anyio
 import msgspec
@@ -142,7 +144,7 @@
 
 
 ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Union[Prepare, Stands, Outbid, Take, Note, Enter, Tell, Ask, Piece, Busy, InForce, Sum])
+DECODER = msgspec.msgpack.Decoder(Prepare | Stands | Outbid | Take | Note | Enter | Tell | Ask | Piece | Busy | InForce | Sum)
 RIDE_DECODER = msgspec.msgpack.Decoder(Ride)
 
 
@@ -407,7 +409,7 @@
             self.nothing_at.add(name)
             return
         self.holders[name] = version
-        if self.copy.heard(version) or version == self.copy.wants and not self.fetch.wanted:
+        if self.copy.heard(version) or (version == self.copy.wants and not self.fetch.wanted):
             self._want_newest()
 
     def _tell_news(self) -> None:
--- a/curlewshift/peering/frames.py
+++ b/curlewshift/peering/frames.py
@@ -71,6 +71,7 @@
 
 
 def encode(frame: Frame) -> bytes:
+    """A frame as the bytes of a datagram."""
     body = PREFIX + bytes((VERSION,)) + ENCODER.encode(frame)
     return body + zlib.crc32(body).to_bytes(4, "big")
 
--- a/curlewshift/recovery/recovery.py
+++ b/curlewshift/recovery/recovery.py
@@ -17,8 +17,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Callable, Protocol
+from typing import Protocol
 
 from curlewshift.desk.course import Course
 from curlewshift.desk.desk import Desk, Misuse
@@ -169,11 +170,8 @@
                 self._gone(at, path, course)
         adopting = {}
         for path, row in there.items():
-            if (
-                path in at.courses
-                and at.courses[path].vw.playing
-                or row.doubt in self.doubts
-                and (self.doubts[row.doubt].server == server.name)
+            if (path in at.courses and at.courses[path].vw.playing) or (
+                row.doubt in self.doubts and (self.doubts[row.doubt].server == server.name)
             ):
                 adopting[path] = row
             elif path not in at.courses:
--- a/curlewshift/rehearsal/configuring.py
+++ b/curlewshift/rehearsal/configuring.py
@@ -1,7 +1,7 @@
 """Control machines of a rehearsal, the versions that its operator puts, and what befalls either. Called by rehearse.py.
 
-Each version bears its mark, a number, in parts of the file that have nothing to do with each other; what a front shows of them, on
-its control socket and at its door, is written down for the judge (curlewshift/verdict/configuration.py).
+Each version bears its mark, a number, in parts of the file that have nothing to do with each other; what a front shows of them,
+on its control socket and at its door, is written down for the judge (curlewshift/verdict/configuration.py).
 """
 
 from __future__ import annotations
@@ -282,9 +282,10 @@
 
     def _spoil(self, path: Path, kind: str) -> None:
         """Gone, or with the content of no version under the name of one."""
-        from curlewshift.distribution.copy import DECODER, ENCODER
         import zstandard
 
+        from curlewshift.distribution.copy import DECODER, ENCODER
+
         if kind == "front-lost" or not path.exists():
             path.unlink(missing_ok=True)
             return
--- a/curlewshift/rehearsal/joins.py
+++ b/curlewshift/rehearsal/joins.py
@@ -10,9 +10,9 @@
 import secrets
 import tempfile
 import time
+from collections.abc import Iterable
 from pathlib import Path
 from random import Random
-from typing import Iterable
 
 import anyio
 from hdrh.histogram import HdrHistogram
--- a/curlewshift/rehearsal/key_cost.py
+++ b/curlewshift/rehearsal/key_cost.py
@@ -25,7 +25,7 @@
             for old in [old for old, (_, _, until) in self.held.items() if until is not None and until <= now]:
                 del self.held[old]
         held = self.held.get(key)
-        return None if held is None or held[2] is not None and held[2] <= now else held
+        return None if held is None or (held[2] is not None and held[2] <= now) else held
 
     def hold(self, key, mark, course):
         self.held[key] = (mark, course, None)
--- a/curlewshift/rehearsal/limits_cost.py
+++ b/curlewshift/rehearsal/limits_cost.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 from random import Random
 
-
 from curlewshift.exchange.client import connect
 from curlewshift.limits.buckets import Buckets
 from curlewshift.limits.heavy import PLACES, Heavy
--- a/curlewshift/rehearsal/node_sides.py
+++ b/curlewshift/rehearsal/node_sides.py
@@ -217,7 +217,7 @@
 
     async def _leave(self, how: str) -> None:
         for id in self.ids:
-            if how == "cancelled" and id not in self.answers or self.answers.get(id) == PLAYS:
+            if (how == "cancelled" and id not in self.answers) or self.answers.get(id) == PLAYS:
                 self.sock.sendall(
                     f"TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {id}\r\nContent-Length: 0\r\n\r\n".encode()
                 )
--- a/curlewshift/rehearsal/rehearse.py
+++ b/curlewshift/rehearsal/rehearse.py
@@ -6,9 +6,9 @@
 import os
 import socket
 import time
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from typing import Callable
 
 import anyio
 from lxml import etree
@@ -238,7 +238,8 @@
         raise StartFailed(f"{what} did not start; see {self.out / log}")
 
     async def _start_relay(self) -> list[tuple[int, int]]:
-        """For each front and control machine the port where its peers' datagrams come in, and the relay's by which they reach it."""
+        """For each front and control machine the port where its peers' datagrams come in, and the relay's by which they reach
+        it."""
         site = self.script.site
         doors = [*site.doors, *(site.control.machines if site.control is not None else [])]
         ports = free_ports(len(doors), Random(os.getpid() + 1), socket.SOCK_DGRAM)
--- a/curlewshift/retries/endings.py
+++ b/curlewshift/retries/endings.py
@@ -12,8 +12,8 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Callable
 
 from curlewshift.model import Server
 
--- a/curlewshift/retries/keys.py
+++ b/curlewshift/retries/keys.py
@@ -24,7 +24,7 @@
 class Held:
     """One key. `mark` tells what was asked under it, `course` what came of that; `until` is 0 while in work."""
 
-    __slots__ = ("key", "mark", "course", "until")
+    __slots__ = ("course", "key", "mark", "until")
 
     def __init__(self, key: str, mark: Any, course: Any):
         self.key, self.mark, self.course, self.until = key, mark, course, 0
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -82,11 +82,13 @@
 
 
 def faded(value: float, age: int, lasts: int) -> float:
+    """What is left of a value of this age; it decays exponentially with the time constant `lasts` (ns)."""
     return value * exp(-age / lasts)
 
 
 def shared_order(vw: Viewing, server: Server) -> int:
-    # Mixed down to the last bit: marks with the same leading bits once sent every viewing to one server.
+    """A number by which all fronts order servers alike for one viewer."""
+    # mixed down to the last bit, as marks may share their leading bits
     return (vw.mark ^ server.mark) * MIX % 2**64
 
 
@@ -282,7 +284,7 @@
             rung, bound = next(fits, (None, 0.0))
             sick = self._sick(server)
             # a paid set-up that fails cannot be repaired elsewhere: it never goes to a doubtful server
-            if rung is None or sick and (vw.package.paid_at_setup or server.out):
+            if rung is None or (sick and (vw.package.paid_at_setup or server.out)):
                 continue
             # a set-up waits until an earlier one at the same server has provably ended, which a hung one never says
             rank = (
--- a/curlewshift/running.py
+++ b/curlewshift/running.py
@@ -7,6 +7,7 @@
 
 
 def run(task, *arguments):
+    """Runs a task in an event loop of its own; exits where it is interrupted or the system refuses."""
     import anyio
 
     try:
--- a/curlewshift/scale/figures.py
+++ b/curlewshift/scale/figures.py
@@ -20,7 +20,8 @@
 
 
 class Mark:
-    """All counters at one moment. `relays` and `hollow` are what these processes answered, `real` is processor time (s) by name."""
+    """All counters at one moment. `relays` and `hollow` are what these processes answered, `real` is processor time (s) by
+    name."""
 
     def __init__(self, at: float, relays: list[dict], hollow: dict[int, dict], real: dict[str, float]):
         self.at, self.hollow, self.real = at, hollow, real
--- a/curlewshift/scale/fits.py
+++ b/curlewshift/scale/fits.py
@@ -102,10 +102,7 @@
     name: str, found: float, of: int, noise: float, free: int, size: float, floor: float, rise: float
 ) -> tuple[bool, str]:
     noise = max(0.0, noise)
-    if size <= floor:
-        ratio = 0.0
-    else:
-        ratio = found / of / (noise / free) if noise > free * floor * floor else inf
+    ratio = 0.0 if size <= floor else found / of / (noise / free) if noise > free * floor * floor else inf
     chance, part = f_tail(ratio, of, free), size / max(rise, floor, 1e-300)
     return (
         chance < CHANCE and part > BEND,
--- a/curlewshift/scale/fleet.py
+++ b/curlewshift/scale/fleet.py
@@ -11,8 +11,7 @@
 import anyio
 
 from curlewshift.front.control import tell
-from curlewshift.rehearsal.joins import cpu_of, memory_of
-from curlewshift.rehearsal.joins import BEHIND
+from curlewshift.rehearsal.joins import BEHIND, cpu_of, memory_of
 from curlewshift.rehearsal.processes import Child, free_ports, listens
 from curlewshift.scale.plan import CONTROL, KEEPERS, Place, Plan, write_plan
 from curlewshift.scale.talk import Spoken
--- a/curlewshift/scale/judge.py
+++ b/curlewshift/scale/judge.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from hashlib import blake2b
 from math import inf
-from typing import Iterable
 
 # What a node that was struck is still called, and what it calls others, for so many periods after it is over.
 SHOWS_ON = 16
@@ -128,7 +128,7 @@
     def false_gone(self) -> list[str]:
         """Who was called gone with nothing having befallen it or who said so. What is told of a life that was over is true."""
         told = []
-        for (name, life), (by, at) in sorted(self.called_gone.items()):
+        for (name, _life), (by, at) in sorted(self.called_gone.items()):
             if not self._befallen(name, at) and not self._befallen(by, at):
                 told.append(f"{by} calls {name} gone")
         return told
--- a/curlewshift/scale/meter.py
+++ b/curlewshift/scale/meter.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import wraps
 from time import thread_time_ns
-from typing import Callable
 
 OTHER = "loop"
 
 
 class Spent:
-    __slots__ = ("core", "datagrams", "bytes")
+    __slots__ = ("bytes", "core", "datagrams")
 
     def __init__(self):
         self.core = self.datagrams = self.bytes = 0
--- a/curlewshift/scale/relay.py
+++ b/curlewshift/scale/relay.py
@@ -10,7 +10,6 @@
 import asyncio
 import time
 from pathlib import Path
-from random import Random
 
 import anyio
 import msgspec
--- a/curlewshift/scale/report.py
+++ b/curlewshift/scale/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from pathlib import Path
 
 from rich.table import Table
@@ -63,7 +64,7 @@
     if seconds:
         begins = seconds[0]
         rates = [
-            max(0.0, (seen[later] - seen[earlier]) / (later - earlier) / nodes) for earlier, later in zip(seconds, seconds[1:])
+            max(0.0, (seen[later] - seen[earlier]) / (later - earlier) / nodes) for earlier, later in itertools.pairwise(seconds)
         ]
         panel.plot([second - begins for second in seconds[1:]], rates, color="#2b5c8a")
         for number, (name, begun, ended) in enumerate(stretches):
--- a/curlewshift/scale/run.py
+++ b/curlewshift/scale/run.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import time
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
-from typing import Callable
 
 import anyio
 
@@ -324,7 +325,7 @@
     def _most(self, stretch: Stretch) -> int:
         """Bytes a node, all nodes together, in the fullest second of a stretch."""
         seconds = [second for second in sorted(self.seen) if stretch.begun.at <= second <= stretch.ended.at]
-        rates = [(self.seen[later] - self.seen[earlier]) / (later - earlier) for earlier, later in zip(seconds, seconds[1:])]
+        rates = [(self.seen[later] - self.seen[earlier]) / (later - earlier) for earlier, later in itertools.pairwise(seconds)]
         return round(max(rates, default=0) / len(self.plan.places))
 
     def _front_names(self) -> list[str]:
--- a/curlewshift/scale/slopes.py
+++ b/curlewshift/scale/slopes.py
@@ -11,9 +11,9 @@
 import resource
 import tempfile
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Callable
 
 from curlewshift.scale.fits import fit, rounded
 
--- a/curlewshift/scale/slopes_asked.py
+++ b/curlewshift/scale/slopes_asked.py
@@ -9,7 +9,7 @@
 
 import time
 from collections import deque
-from typing import Callable
+from collections.abc import Callable
 
 from curlewshift.scale.slopes import Run, Slope
 from curlewshift.scale.slopes_idle import place, profile_of
--- a/curlewshift/scale/slopes_crowd.py
+++ b/curlewshift/scale/slopes_crowd.py
@@ -23,7 +23,7 @@
 class Viewer:
     """One connection to the node."""
 
-    __slots__ = ("crowd", "sock", "reader")
+    __slots__ = ("crowd", "reader", "sock")
 
     def __init__(self, crowd: Crowd, sock: socket.socket):
         self.crowd, self.sock, self.reader = crowd, sock, rtsp.Reader()
--- a/curlewshift/scale/slopes_idle.py
+++ b/curlewshift/scale/slopes_idle.py
@@ -8,9 +8,9 @@
 import pstats
 import signal
 import time
+from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from typing import Iterator
 
 from curlewshift.scale.slopes import Run, Slope
 from curlewshift.scale.slopes_crowd import Crowd, Viewer
--- a/curlewshift/scale/slopes_loop.py
+++ b/curlewshift/scale/slopes_loop.py
@@ -7,7 +7,7 @@
 import selectors
 import socket
 import time
-from typing import Callable
+from collections.abc import Callable
 
 
 class Loop:
--- a/curlewshift/scale/slopes_stands.py
+++ b/curlewshift/scale/slopes_stands.py
@@ -6,8 +6,8 @@
 
 import socket
 import struct
+from collections.abc import Callable
 from random import Random
-from typing import Callable
 
 from curlewshift.node import isup
 from curlewshift.scale.slopes_crowd import Crowd
@@ -78,7 +78,7 @@
 
         def take(data: bytes) -> None:
             out = b""
-            for kind, id, parameters in reader.feed(data):
+            for kind, id, _parameters in reader.feed(data):
                 if kind == isup.SET_UP:
                     self.sessions[id] = sock
                     out += isup.encode(isup.ANSWER, id, (isup.DESCRIPTION, b"v=0 plays"), LOAD)
--- a/curlewshift/scale/slopes_storm.py
+++ b/curlewshift/scale/slopes_storm.py
@@ -84,7 +84,8 @@
         by,
         ("from the storm's begin until the last plays", "seconds"),
         notes=[
-            "on a node that has just become ready; each client comes on a connection of its own, after a pause where it is refused",
+            "on a node that has just become ready; each client comes on a connection of its own, "
+            "after a pause where it is refused",
             WAITS,
         ],
     )
--- a/curlewshift/scale/talk.py
+++ b/curlewshift/scale/talk.py
@@ -4,7 +4,7 @@
 
 import json
 import sys
-from typing import Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
--- a/curlewshift/scale/versions.py
+++ b/curlewshift/scale/versions.py
@@ -1,7 +1,7 @@
 """Changes of the configuration in a scale run: made at a control machine, and timed until every node that runs shows them.
 
-Times are from the moment the change was asked for (or from the end of a fault), by what rode on probes through the relays: a node is
-seen up to a probe's period after it took a version. What the nodes say themselves goes beside it and proves nothing.
+Times are from the moment the change was asked for (or from the end of a fault), by what rode on probes through the relays: a node
+is seen up to a probe's period after it took a version. What the nodes say themselves goes beside it and proves nothing.
 """
 
 from __future__ import annotations
--- a/curlewshift/schedule/background.py
+++ b/curlewshift/schedule/background.py
@@ -10,8 +10,8 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Callable
 
 from curlewshift.schedule.wheel import Entry, Wheel
 
--- a/curlewshift/schedule/waking.py
+++ b/curlewshift/schedule/waking.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Callable
+from collections.abc import Callable
 
 import anyio
 
--- a/curlewshift/schedule/wheel.py
+++ b/curlewshift/schedule/wheel.py
@@ -18,7 +18,7 @@
 class Entry:
     """Something due. `item` is whatever was given."""
 
-    __slots__ = ("at", "number", "item", "slot")
+    __slots__ = ("at", "item", "number", "slot")
 
     def __init__(self, at: int, number: int, item: Any):
         self.at, self.number, self.item, self.slot = at, number, item, None
--- a/curlewshift/search/search.py
+++ b/curlewshift/search/search.py
@@ -100,7 +100,7 @@
     for number in range(tries):
         day = look(mutated(best.script, chance), rules, wrong)
         # now and then a step that makes nothing worse is taken too: a hill may lie behind it
-        if day.badness > best.badness or day.badness > best.badness - 0.01 and chance.random() < 0.2:
+        if day.badness > best.badness or (day.badness > best.badness - 0.01 and chance.random() < 0.2):
             best = day
         progress(number + 1, tries, best)
         if best.broken or best.runaway:
--- a/curlewshift/sharing/budgets.py
+++ b/curlewshift/sharing/budgets.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from functools import lru_cache
 from hashlib import blake2b
-from typing import Iterable
 
 from curlewshift.sharing.loans import Loans, dealt
 from curlewshift.sharing.standing import StandingLoans
--- a/curlewshift/sharing/loans.py
+++ b/curlewshift/sharing/loans.py
@@ -1,17 +1,18 @@
 """Rights in escrow: each front has its part of every budget, and may lend it for a term to one that needs it more.
 
 The parts are an even split that each front knows by itself (`dealt`), so that no count has to be agreed on and none is ever
-lost: what is lent returns by the lender's own clock, after the borrower has stopped by its own. Bounded counters with escrow (O'Neil
-1986; Balegas et al. 2015), with a term in place of a return message: a right is in one pair of hands or in none, whatever is
-lost, doubled, late or killed, as long as clocks keep within the stated drift. Membership plays no part in that.
+lost: what is lent returns by the lender's own clock, after the borrower has stopped by its own. Bounded counters with escrow
+(O'Neil 1986; Balegas et al. 2015), with a term in place of a return message: a right is in one pair of hands or in none, whatever
+is lost, doubled, late or killed, as long as clocks keep within the stated drift. Membership plays no part in that.
 
 Keys are what is budgeted, such as the set-ups at one cold server. One `Loans` a life of a front.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from itertools import count
-from typing import Callable, Protocol
+from typing import Protocol
 
 from curlewshift.schedule.steady import Steady
 from curlewshift.sharing.terms import SharingTerms
--- a/curlewshift/sharing/sharing.py
+++ b/curlewshift/sharing/sharing.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from random import Random
-from typing import Iterable, Protocol
+from typing import Protocol
 
 from curlewshift.model import Server
 from curlewshift.schedule.steady import Steady
@@ -19,7 +20,8 @@
 from curlewshift.sharing.standing import StandingLoans
 from curlewshift.sharing.terms import SharingTerms, Together
 
-# Rows of one message, of use a few less, as its answer has more to say of each; evidence is told to so many others a round, what is worst or newest first.
+# Rows of one message, of use a few less, as its answer has more to say of each; evidence is told to so many others a round, what
+# is worst or newest first.
 MOST_ROWS, MOST_USES = 16, 12
 TELL_EVIDENCE_TO = 3
 # A front that starts asks so many others for all that they have seen, each of whom tells of so many servers at the most.
@@ -61,7 +63,7 @@
 class Watch:
     """What this front has seen of one server of late: faded counts, and since when it answers without a break."""
 
-    __slots__ = ("good", "bad", "at", "since", "heard_at", "trouble_at")
+    __slots__ = ("at", "bad", "good", "heard_at", "since", "trouble_at")
 
     def __init__(self, now: int):
         self.good = self.bad = 0.0
@@ -389,7 +391,8 @@
         }
 
     def restore(self, kept: dict, away: int) -> None:
-        """A snapshot of an earlier life, so long (ns) ago. It dates from before this start: it doubts, and proves nothing warm."""
+        """A snapshot of an earlier life, so long (ns) ago. It dates from before this start: it doubts, and proves nothing
+        warm."""
         now = self._now()
         for key, value, age in kept["counts"]:
             if 0 <= age + away < 4 * self.terms.ages:
--- a/curlewshift/sharing/standing.py
+++ b/curlewshift/sharing/standing.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from typing import Callable, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
 from curlewshift.sharing.loans import FOR_EVER, MOST_KEYS, MOST_OUT, Loans
 from curlewshift.sharing.loans import Outside as LoansOutside
--- a/curlewshift/sharing/terms.py
+++ b/curlewshift/sharing/terms.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from typing import Callable
 
 SECOND = 1_000_000_000
 
--- a/curlewshift/signalling/bodies.py
+++ b/curlewshift/signalling/bodies.py
@@ -101,6 +101,7 @@
 
 
 def encode(body: msgspec.Struct) -> bytes:
+    """A body as JSON."""
     return msgspec.json.encode(body)
 
 
--- a/curlewshift/signalling/events.py
+++ b/curlewshift/signalling/events.py
@@ -22,6 +22,7 @@
 
 
 def encode_event(event: Event) -> bytes:
+    """A server-sent event as bytes."""
     lines = [] if event.id is None else [f"id: {event.id}"]
     lines.append(f"event: {event.kind}")
     lines += [f"data: {line}" for line in event.data.split("\n")]
--- a/curlewshift/signalling/fragments.py
+++ b/curlewshift/signalling/fragments.py
@@ -94,6 +94,7 @@
 
 
 def fragment_text(ufrag: str, pwd: str, candidates: list[str] = (), mid: str = "0", ended: bool = False) -> str:
+    """A trickle ICE fragment (RFC 8840)."""
     lines = [f"a=ice-ufrag:{ufrag}", f"a=ice-pwd:{pwd}"]
     if candidates or ended:
         lines += ["m=video 9 UDP/TLS/RTP/SAVPF 0", f"a=mid:{mid}"]
--- a/curlewshift/signalling/loads.py
+++ b/curlewshift/signalling/loads.py
@@ -12,10 +12,12 @@
 
 
 def encode_load(report: dict[str, float]) -> str:
+    """A load report as a header value, in the text form of open request-cost."""
     return "TEXT " + ", ".join(f"named_metrics.{name}={value:.4f}" for name, value in report.items())
 
 
 def decode_load(value: str) -> dict[str, float]:
+    """The report in a header value; empty where it has another form, and without what cannot be read."""
     form, _, rest = value.partition(" ")
     if form != "TEXT":
         return {}
--- a/curlewshift/site/authority.py
+++ b/curlewshift/site/authority.py
@@ -57,7 +57,7 @@
     folder.mkdir(parents=True, exist_ok=True, mode=0o700)
     if (folder / "authority.key").exists():
         raise NoAuthority(f"{folder} has an authority already")
-    key, now = ec.generate_private_key(ec.SECP256R1()), datetime.datetime.now(datetime.timezone.utc)
+    key, now = ec.generate_private_key(ec.SECP256R1()), datetime.datetime.now(datetime.UTC)
     certificate = (
         _builder(name, _name(name), key.public_key(), AUTHORITY_DAYS, now)
         .add_extension(x509.BasicConstraints(ca=True, path_length=0), critical=True)
@@ -77,7 +77,7 @@
         authority = x509.load_pem_x509_certificate((folder / "authority.pem").read_bytes())
     except (OSError, ValueError) as wrong:
         raise NoAuthority(f"{folder} has no authority that can be read: {wrong}") from None
-    key, now = ec.generate_private_key(ec.SECP256R1()), datetime.datetime.now(datetime.timezone.utc)
+    key, now = ec.generate_private_key(ec.SECP256R1()), datetime.datetime.now(datetime.UTC)
     certificate = (
         _builder(names[0], authority.subject, key.public_key(), days, now)
         .add_extension(x509.SubjectAlternativeName([_general(name) for name in names]), critical=False)
--- a/curlewshift/site/changes.py
+++ b/curlewshift/site/changes.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import fields
-from typing import Iterator
 
 from curlewshift.model import Package
 from curlewshift.site.reading import Mistakes
--- a/curlewshift/site/places.py
+++ b/curlewshift/site/places.py
@@ -13,6 +13,7 @@
 
 
 def distribution_of(site: Site) -> DistributionTerms:
+    """The terms of distribution at this site."""
     return DistributionTerms(
         stores=tuple(machine.name for machine in site.control.machines), give_bytes=site.configuration.give_bytes
     )
--- a/curlewshift/site/site.py
+++ b/curlewshift/site/site.py
@@ -185,6 +185,7 @@
 
 
 def host_port(text: str) -> tuple[str, int]:
+    """Host and port of `host:port`. Raises `ValueError`."""
     host, _, port = text.rpartition(":")
     return host.strip("[]"), int(port)
 
--- a/curlewshift/standins/relay.py
+++ b/curlewshift/standins/relay.py
@@ -97,7 +97,7 @@
         for trouble, struck in self.troubles:
             kind, drawn = trouble.kind, self.chance.random()
             between = sender in struck or to in struck
-            if kind == "cut" and (sender in struck) != (to in struck) or kind == "one-way" and sender in struck:
+            if (kind == "cut" and (sender in struck) != (to in struck)) or (kind == "one-way" and sender in struck):
                 return
             if kind == "control-cut" and sender in struck and to in struck:
                 return
--- a/curlewshift/state/behind.py
+++ b/curlewshift/state/behind.py
@@ -4,7 +4,8 @@
 
 import threading
 from collections import deque
-from typing import Any, Callable
+from collections.abc import Callable
+from typing import Any
 
 
 class Behind:
--- a/curlewshift/state/configured.py
+++ b/curlewshift/state/configured.py
@@ -1,7 +1,7 @@
 """One record on the disk, whole or not at all: a front's copy of the configuration, a control machine's vote.
 
-A line with the SHA-256 of what follows comes first, so that a record that the disk has spoilt is told from one that was written; it
-is put aside for a person to look at. Called by the front and by control machines.
+A line with the SHA-256 of what follows comes first, so that a record that the disk has spoilt is told from one that was written;
+it is put aside for a person to look at. Called by the front and by control machines.
 """
 
 from __future__ import annotations
--- a/curlewshift/state/setting_up.py
+++ b/curlewshift/state/setting_up.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from typing import Any, Generator
+from collections.abc import Generator
+from typing import Any
 
 from curlewshift.desk.course import TuneIn
 from curlewshift.model import Outcome
@@ -22,10 +23,9 @@
     """Yields `(WRITE, record)`, to be flushed and answered with whether it was kept, then `(SEND, None)`, once. If it
     ends before that it returns how the tune-in ended; no byte has gone out then. `intent` is None for what need not be
     known after a kill."""
-    if intents is not None and intent is not None:
-        if not (yield WRITE, intents.began(intent)):
-            # a paid set-up that could not be known of after a kill is not begun
-            return Outcome.UNSENT
+    if intents is not None and intent is not None and not (yield WRITE, intents.began(intent)):
+        # a paid set-up that could not be known of after a kill is not begun
+        return Outcome.UNSENT
     if not desk.stands(tune_in):
         # a list change or the time has overtaken it; nothing has gone out yet, so it can be taken back
         return Outcome.UNSENT
--- a/curlewshift/tasks/planning.py
+++ b/curlewshift/tasks/planning.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import Iterable, Protocol
+from collections.abc import Iterable
+from typing import Protocol
 
 from curlewshift.tasks.tasks import Fences
 
--- a/curlewshift/tasks/servers.py
+++ b/curlewshift/tasks/servers.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from hashlib import blake2b
-from typing import Iterable, Protocol
+from typing import Protocol
 
 from curlewshift.model import Server
 
@@ -20,6 +21,7 @@
 
 
 def shard_of(server: Server, shards: int) -> int:
+    """The shard of a server, by its name."""
     return blake2b(server.name.encode(), digest_size=2).digest()[0] % shards
 
 
--- a/curlewshift/verdict/attempts.py
+++ b/curlewshift/verdict/attempts.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import Callable
+from collections.abc import Callable
 
 from curlewshift.verdict.verdict import KEPT_EXAMPLES, MS, same_request
 
--- a/curlewshift/verdict/configuration.py
+++ b/curlewshift/verdict/configuration.py
@@ -1,12 +1,13 @@
 """Judges from outside whether the fronts' configuration had one order, came into force whole, and in time.
 
 Reads datagrams by their form in docs/peers.md and docs/distribution.md, what each front answered at its door and on its control
-socket, and what the operator was told; with nothing of the program that is judged. Each version bears a mark (a number) in several
-parts of the file. Called by the rehearsal. Times are ns.
+socket, and what the operator was told; with nothing of the program that is judged. Each version bears a mark (a number) in
+several parts of the file. Called by the rehearsal. Times are ns.
 """
 
 from __future__ import annotations
 
+import itertools
 from collections import defaultdict
 
 import msgspec
@@ -32,11 +33,12 @@
 
 
 def judge_configuration(events: list[dict]) -> dict:
-    """`versions`: those that came into force at a front. `in_force_p99_s`, `in_force_max_s`: from when the operator asked to when a
-    front is seen with it or a newer one, over versions and fronts; for fronts that were down, stopped or cut off meanwhile from when
-    that was over; `after_made_p99_s` from when a majority had it, as the operator was told. `regressions`: a front went to an older one, within a life or over a restart with its disk. `forks`: two contents
-    under one number. `half`: a front whose parts are not of one version. `early`: told before a majority had it. `unfounded`: in
-    force though its operator was told that nothing came of it. `bad_taken`: a wrong file was taken, or refused without a line."""
+    """`versions`: those that came into force at a front. `in_force_p99_s`, `in_force_max_s`: from when the operator asked to when
+    a front is seen with it or a newer one, over versions and fronts; for fronts that were down, stopped or cut off meanwhile from
+    when that was over; `after_made_p99_s` from when a majority had it, as the operator was told. `regressions`: a front went to
+    an older one, within a life or over a restart with its disk. `forks`: two contents under one number. `half`: a front whose
+    parts are not of one version. `early`: told before a majority had it. `unfounded`: in force though its operator was told that
+    nothing came of it. `bad_taken`: a wrong file was taken, or refused without a line."""
     events = sorted(events, key=lambda event: event["at"])
     over = max((event["at"] for event in events if event["ev"] == "day-over"), default=2**63)
     events = [event for event in events if event["at"] <= over]
@@ -201,7 +203,7 @@
     for event in lives:
         by_life[event["life"]].append(event)
     for life, looks in by_life.items():
-        for before, after in zip(looks, looks[1:]):
+        for before, after in itertools.pairwise(looks):
             if before["version"] != after["version"] or before["version"] not in marks:
                 continue
             for door in doors[life]:
@@ -216,8 +218,8 @@
 
 
 def _early(events, told: list[str]) -> int:
-    """Versions of which somebody told, or which rode on a probe, when no majority of the control machines had said that it has it.
-    Of the writer's own store nothing goes over the wire: it counts as one."""
+    """Versions of which somebody told, or which rode on a probe, when no majority of the control machines had said that it has
+    it. Of the writer's own store nothing goes over the wire: it counts as one."""
     stores = {event["front"] for event in events if event["ev"] == "machine"}
     majority = len(stores) // 2 + 1
     has: dict[tuple, set[str]] = defaultdict(set)
--- a/curlewshift/verdict/leases.py
+++ b/curlewshift/verdict/leases.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import defaultdict
 
 from curlewshift.verdict.verdict import KEPT_EXAMPLES
@@ -61,7 +62,7 @@
             if len(holders) > 1:
                 told["overlaps"] += 1
                 told["examples"].append(f"{lease}: {' and '.join(sorted(holders))} acted with one number {number}")
-        for (began, ended, number, holders), (after, _, later, others) in zip(spans, spans[1:]):
+        for (_began, ended, number, holders), (after, _, later, others) in itertools.pairwise(spans):
             if after <= ended or later < number:
                 told["overlaps"] += 1
                 told["examples"].append(
@@ -81,7 +82,7 @@
                         f"{lease}: {row['front']} still acted by {row['number']} {late / 1e6:.0f} ms after a later one had begun"
                     )
         times = [row["at"] for row in accepted]
-        told["longest_gap_s"] = max([told["longest_gap_s"], *((b - a) / SECOND for a, b in zip(times, times[1:]))])
+        told["longest_gap_s"] = max([told["longest_gap_s"], *((b - a) / SECOND for a, b in itertools.pairwise(times))])
     told["longest_gap_s"], told["holders"] = round(told["longest_gap_s"], 2), len(fronts)
     told["examples"] = told["examples"][:KEPT_EXAMPLES]
     return told
--- a/curlewshift/verdict/members.py
+++ b/curlewshift/verdict/members.py
@@ -125,7 +125,7 @@
     """Over kills and over all others that were sound: until they no longer held that life for in (in periods)."""
     took, unseen = [], 0
     for front, lives in fates.up.items():
-        for (began, ended, _), after in zip(lives, [*lives[1:], None]):
+        for (_began, ended, _), _after in zip(lives, [*lives[1:], None]):
             if ended == 2**63:
                 continue
             seen: set[str] = set()
--- a/curlewshift/verdict/shed.py
+++ b/curlewshift/verdict/shed.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import itertools
 from bisect import bisect_left
 from collections import defaultdict
 
@@ -124,8 +125,8 @@
     return worth[first] > worth[last] and got[first] / asked[first] < MORE_OFTEN * got[last] / asked[last]
 
 
-# Of those refused at one front who asked at another soon after (ns), the part that was let in there: more than room that came free
-# in between explains means that fronts do not shed alike.
+# Of those refused at one front who asked at another soon after (ns), the part that was let in there: more than room that came
+# free in between explains means that fronts do not shed alike.
 SOON, MOST_WENT_ROUND = 10 * SECOND, 0.5
 
 
@@ -138,7 +139,7 @@
     refused = round_ = 0
     for rows in visits.values():
         rows.sort()
-        for (_, at, front, status), (asked, _, other, then) in zip(rows, rows[1:]):
+        for (_, at, front, status), (asked, _, other, then) in itertools.pairwise(rows):
             if status == 503 and front != other and asked - at <= SOON:
                 refused += 1
                 round_ += then == 201
--- a/curlewshift/verdict/verdict.py
+++ b/curlewshift/verdict/verdict.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -215,7 +216,7 @@
         paid = setups[0]["package"] in day.figures.paid
         if paid or len(setups) > 1:
             rule.applied += 1
-        for first, second in zip(setups, setups[1:]):
+        for first, second in itertools.pairwise(setups):
             end = day.end_of(first)
             if end is None or end["at"] > second["at"] + APART:
                 rule.breaks(f"{request}: tune-in {second['number']} while {first['number']} was out")
--- a/curlewshift/walk/leases.py
+++ b/curlewshift/walk/leases.py
@@ -155,7 +155,8 @@
         )
 
         def of(keeper: int) -> tuple:
-            """All that is known of one keeper, by anyone: keepers with the same are the same, so that their order says nothing."""
+            """All that is known of one keeper, by anyone: keepers with the same are the same, so that their order says
+            nothing."""
             one = self.keepers[keeper]
             kept, steady = one.leases.get(LEASE), one.steady.last
             own = (
@@ -201,7 +202,7 @@
 
     def steps(self) -> list[tuple]:
         found: list[tuple] = [("tick",), ("long",)]
-        for number, asker in enumerate(self.askers):
+        for number, _asker in enumerate(self.askers):
             found.append(("ask", number))
         for number, keeper in self.asks:
             found.append(("trip", number, keeper))
--- a/curlewshift/walk/walk.py
+++ b/curlewshift/walk/walk.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from random import Random
-from typing import Callable
 
 from curlewshift.walk.world import Breach, World
 
--- a/curlewshift/walk/world.py
+++ b/curlewshift/walk/world.py
@@ -412,8 +412,8 @@
         found = []
         if waits and here and self.budgets.hang_ups:
             found.append(("a client hangs up", number))
-        cut_off = waits and not here or last.gone
-        if self.budgets.again and (cut_off or last.answer is not None and last.answer.kind is not Kind.PLAYS):
+        cut_off = (waits and not here) or last.gone
+        if self.budgets.again and (cut_off or (last.answer is not None and last.answer.kind is not Kind.PLAYS)):
             found.append(("a client comes again", number))
         if self._course(client) is not None:
             found.append(("a client leaves", number))
@@ -609,7 +609,7 @@
     def _look(self) -> None:
         """After each step: rungs that were told are taken at once, and nobody is kept waiting."""
         while self.errands:
-            name, errand = self.errands.pop(0)
+            _name, errand = self.errands.pop(0)
             session = (
                 self.places[errand.course.vw.server.name].sessions.get(errand.course.session) if errand.course.vw.server else None
             )
--- a/examples/publish.py
+++ b/examples/publish.py
@@ -11,6 +11,7 @@
 
 
 async def main(front, package, title):
+    """Publishes one title through a front."""
     ufrag, pwd = secrets.token_hex(4), secrets.token_hex(12)
     offer = offer_text(ufrag, pwd, "sha-256 " + ":".join(["A5"] * 32), PUBLISHES)
     async with await Caller([front]).publish(package, title, offer) as session:
--- a/tests/test_captures_kept.py
+++ b/tests/test_captures_kept.py
@@ -1,5 +1,6 @@
 """Captures of failures met: each is decided again as it was, in other processes and over other hash seeds."""
 
+import itertools
 import os
 import subprocess
 import sys
@@ -161,7 +162,7 @@
         self.assertEqual(
             {viewing for index in told for viewing in index.viewings}, {viewing for viewing in of_viewings if viewing is not None}
         )
-        self.assertTrue(all(before.last <= after.first for before, after in zip(told, told[1:])))
+        self.assertTrue(all(before.last <= after.first for before, after in itertools.pairwise(told)))
 
     def test_an_index_that_is_lost_or_damaged_is_made_again(self):
         self.write(10**9)
--- a/tests/test_crossings_reloads.py
+++ b/tests/test_crossings_reloads.py
@@ -95,7 +95,7 @@
                 moved(place, other, 3, *place.medias, full=True)
                 await until(lambda: other.lines and other.asked == [3])
                 await until(lambda: not node.fleet.servers[one.name].open)
-                for line in list(place.bulletin.lines):
+                for _line in list(place.bulletin.lines):
                     await place.bulletin.tell(2, one)
                 await quiet(lambda: node.fleet.servers[one.name].open)
                 self.assertLessEqual(
--- a/tests/test_desk_histories.py
+++ b/tests/test_desk_histories.py
@@ -4,7 +4,8 @@
 import unittest
 from collections import defaultdict
 
-from hypothesis import HealthCheck, Phase, settings, strategies as st
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule, run_state_machine_as_test
 
 from curlewshift.desk.desk import KeyReused
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -5,7 +5,8 @@
 import unittest
 
 import anyio
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from curlewshift.client.caller import links_of
 from curlewshift.signalling.conditions import refusal, tags_of
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -94,7 +94,7 @@
         self.assertIsNot(calm.holder(), holder)
 
     def test_without_a_majority_nobody_holds(self):
-        calm, holder = self.held()
+        calm, _holder = self.held()
         for front in calm.fronts[:2]:
             front.alive = False
         calm.run(calm.now + 8 * SECOND)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -120,7 +120,7 @@
                 await media.close()
             answer, sent = await self.paid(place)
             self.assertIn(answer.status, REFUSED)
-            self.assertLessEqual(0 < int(answer.fields["x-pause"]), 2000)
+            self.assertLessEqual(int(answer.fields["x-pause"]) > 0, 2000)
 
     @story
     async def test_a_spoilt_answer_ends_its_connection_for_all_that_is_out_on_it(self):
@@ -592,7 +592,7 @@
                 viewer = await place.viewer()
                 await viewer.stream.send(bad)
                 got = await viewer.hear(2.5)
-                self.assertTrue(got is None or 400 <= got.status < 500 and got.status not in REFUSED, (bad[:250], got))
+                self.assertTrue(got is None or (400 <= got.status < 500 and got.status not in REFUSED), (bad[:250], got))
 
             for bad in (
                 b"\x91\xf5noise",
--- a/tests/test_node_codecs.py
+++ b/tests/test_node_codecs.py
@@ -4,7 +4,8 @@
 import unittest
 from pathlib import Path
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from curlewshift.node import bulletin, configuration, isup, rtsp
 
--- a/tests/test_node_crowds.py
+++ b/tests/test_node_crowds.py
@@ -250,7 +250,7 @@
                 def few():
                     return not arrivals or sum(len(media.had(isup.SET_UP)) for media in place.medias) <= 5
 
-                while len(ids[0]) < 12 or few() and anyio.current_time() < asked_until:
+                while len(ids[0]) < 12 or (few() and anyio.current_time() < asked_until):
                     for number, (viewer, own) in enumerate(zip(viewers, ids)):
                         own.append(f"{number:08x}{len(own):08x}")
                         viewer.ask(own[-1], patience=2000)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,5 +1,6 @@
 """Overload as one: the same are shed everywhere, the least worth first, once, and no more than is short; hard cases by name."""
 
+import itertools
 import random
 import unittest
 from types import SimpleNamespace
@@ -104,7 +105,7 @@
         _, young = self.level()
         young.meet(100, "told")
         self.assertEqual((young.cut, young.why), (100, "told"))
-        order, old = self.level()
+        _order, old = self.level()
         for _ in range(3):
             old.round(Round())
         old.cut = 150
@@ -266,7 +267,7 @@
             fleet.second([(n % 2, CHEAP, fleet.zone("a"), f"w{n}") for n in range(300)], 60)
             changes.append(self.levels(fleet))
         self.assertLess(max(changes[-1]) - min(changes[-1]), STEPS // 4)
-        steps = [abs(after[end] - before[end]) for before, after in zip(changes, changes[1:]) for end in range(2)]
+        steps = [abs(after[end] - before[end]) for before, after in itertools.pairwise(changes) for end in range(2)]
         self.assertLess(max(steps), STEPS)
 
     def test_a_part_that_hears_nothing_goes_on_with_the_level_it_has(self):
@@ -364,7 +365,7 @@
     def test_a_crowd_that_is_refused_does_not_come_back_together(self):
         advice = Advice(TERMS, 0, random.Random(1))
         waits = sorted(advice.wait(f"v{n}", 0) for n in range(500))
-        self.assertTrue(LEAST <= waits[0] and waits[-1] <= TERMS.longest_wait)
+        self.assertTrue(waits[0] >= LEAST and waits[-1] <= TERMS.longest_wait)
         most = max(sum(wait <= other < wait + SECOND // 10 for other in waits) for wait in waits)
         self.assertLess(most, 50)
 
--- a/tests/test_peaks.py
+++ b/tests/test_peaks.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 from pathlib import Path
 
-
 import anyio
 
 from curlewshift.front.control import tell
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Fronts that know each other: the I/O-free objects in virtual time, frames, the channel's bounds, and the judge."""
 
+import itertools
 import random
 import unittest
 import zlib
@@ -57,7 +58,7 @@
 class Claims(unittest.TestCase):
     def test_the_order_is_life_then_incarnation_then_how_bad(self):
         worse = [Claim("x", "h", 1, life, incarnation, rank) for life in (1, 2) for incarnation in (0, 3) for rank in range(4)]
-        for lower, higher in zip(worse, worse[1:]):
+        for lower, higher in itertools.pairwise(worse):
             self.assertTrue(higher.over(lower) and not lower.over(higher))
 
     @settings(max_examples=60, deadline=None)
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -1,4 +1,5 @@
-"""What all fronts together send to a server that is cold, or not proven warm, counted over every window: no front knows of another.
+"""What all fronts together send to a server that is cold, or not proven warm, counted over every window: no front knows of
+another.
 
 Each front is the program's own rules with a clock of its own; the count is made here, from when each set-up was sent by the
 world's time. All ask without pause for one title that one server holds: no crowd is worse.
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -1,7 +1,8 @@
 import unittest
 from random import Random
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from curlewshift.client.plan import Ask, Plan, Stop
 from curlewshift.desk.errands import Errands, Result
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -347,7 +347,7 @@
     def test_warmth_needs_two_who_saw_it_since_this_front_started_and_none_who_saw_it_fail(self):
         def warm(said, since=0):
             evidence = Evidence("me", TERMS)
-            for number, (front, good, bad, lasting) in enumerate(said):
+            for _number, (front, good, bad, lasting) in enumerate(said):
                 evidence.heard(front, 1, 1, [("s", good, bad, lasting)], SECOND)
             return evidence.warm("s", 8 * SECOND, since, SECOND)
 
@@ -390,7 +390,8 @@
         self.assertFalse(self.watch(1.5, (1.0,)).past_bound())
 
     def out(self, pace, late, seed=1):
-        """For how many of 240 quarters of a second it holds itself for off, where a third of all words are so late (ns) at most."""
+        """For how many of 240 quarters of a second it holds itself for off, where a third of all words are so late (ns) at
+        most."""
         watch, chance, out = ClockWatch(0.01), random.Random(seed), 0
         words = []
         for step in range(240):
--- a/tests/test_signalling.py
+++ b/tests/test_signalling.py
@@ -1,6 +1,7 @@
 import unittest
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from curlewshift.signalling.bodies import BadBody, ListNews, Note, decode, encode
 from curlewshift.signalling.events import Event, Reader, TooLong, encode_event
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -111,18 +111,17 @@
 
     def test_a_full_disk_keeps_nothing_new_and_loses_nothing_old(self):
         journal = self.filled(2)
-        with mock.patch("os.write", side_effect=OSError(errno.ENOSPC, "No space left on device")):
-            with self.assertRaises(NotKept) as found:
-                journal.add(["lost"], True)
+        full = OSError(errno.ENOSPC, "No space left on device")
+        with mock.patch("os.write", side_effect=full), self.assertRaises(NotKept) as found:
+            journal.add(["lost"], True)
         self.assertIn("No space left", str(found.exception))
         journal.add(["kept"], True)
         self.assertEqual(Journal(self.path).records[-1], ["kept"])
 
     def test_after_a_failed_flush_nothing_more_is_promised(self):
         journal = self.filled(2)
-        with mock.patch("os.fsync", side_effect=OSError(errno.EIO, "Input/output error")):
-            with self.assertRaises(NotKept):
-                journal.add(["perhaps"], True)
+        with mock.patch("os.fsync", side_effect=OSError(errno.EIO, "Input/output error")), self.assertRaises(NotKept):
+            journal.add(["perhaps"], True)
         with self.assertRaises(NotKept):
             journal.add(["not trusted"], True)
 
@@ -201,9 +200,10 @@
     # ---- a front as a process
 
     def _write_site(self, folder, site):
-        from curlewshift.rehearsal.processes import free_ports
         import random
 
+        from curlewshift.rehearsal.processes import free_ports
+
         self.port = free_ports(1, random.Random())[0]
         (folder / "site.xml").write_text(f"""<site name="kill">
   <fronts><front name="f" listen="127.0.0.1:{self.port}"/></fronts>
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -3,8 +3,6 @@
 import unittest
 from types import SimpleNamespace
 
-import anyio
-
 from curlewshift.exchange.client import ask
 from curlewshift.peaks.calendar import Calendar, Peak
 from curlewshift.peaks.peaks import Peaks
@@ -226,7 +224,7 @@
     @story
     async def test_what_a_front_that_is_gone_left_is_told_of_and_ended_by_who_may(self):
         async with SmallSite(servers=1).up() as site:
-            server, session = await self.left(site)
+            server, _session = await self.left(site)
             status, rows = await self.sessions(server, 5)
             self.assertEqual((status, [row.front for row in rows]), (200, ["gone.1"]))
             held = next(iter(site.front.desk.roster.servers.values()))
