Rename: flight to attempt, over the whole tree

The field's word for one set-up sent to one media server: Flight, flight, flights and _fly are Attempt, attempt, attempts and _assign in node/, emulator/, walk/, soak's plants and their tests.

--- a/curlewshift/emulator/front.py
+++ b/curlewshift/emulator/front.py
@@ -49,7 +49,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Flight:
+class Attempt:
     setup: SetUp | None = None
     machine: Machine | None = None
     sent: bool = False
@@ -64,7 +64,7 @@
         self.zone = world.zone_of_front(number)
         # the generation of the list that it has, and when the last news of it arrives
         self.alive, self.generation, self.list_at = True, -1, 0
-        self.flights: dict[TuneIn, Flight] = {}
+        self.attempts: dict[TuneIn, Attempt] = {}
         # the boot of each server that it was told of by notes
         self.boots: dict[str, str] = {}
         self.tokens: dict[object, str] = {}
@@ -108,9 +108,9 @@
 
     def kill(self) -> None:
         self.alive = False
-        for flight in self.flights.values():
-            if flight.sent:
-                self.world.to_server(self, flight.machine, self._hang_up_there, flight)
+        for attempt in self.attempts.values():
+            if attempt.sent:
+                self.world.to_server(self, attempt.machine, self._hang_up_there, attempt)
 
     # ---- the desk's outside
 
@@ -144,55 +144,55 @@
             self.sheds.tune_in(tune_in)
         if self.shared is not None:
             self.shared.sharing.sent(tune_in.server, tune_in.number > 1)
-        flight = self.flights[tune_in] = Flight()
+        attempt = self.attempts[tune_in] = Attempt()
         intent = intent_of(tune_in, tune_in.course.vw.expires)
         # the connection takes a way there and back
-        self.world.to_server(self, self.world.machines.get(tune_in.server.name), self._connected, tune_in, flight, intent)
+        self.world.to_server(self, self.world.machines.get(tune_in.server.name), self._connected, tune_in, attempt, intent)
 
-    def _connected(self, machine: Machine | None, tune_in: TuneIn, flight: Flight, intent: Intent | None) -> None:
+    def _connected(self, machine: Machine | None, tune_in: TuneIn, attempt: Attempt, intent: Intent | None) -> None:
         back = self.world.way(self, machine)
-        self.world.queue.at(self.now() + back, self._ready, machine, tune_in, flight, intent)
+        self.world.queue.at(self.now() + back, self._ready, machine, tune_in, attempt, intent)
 
-    def _ready(self, machine: Machine | None, tune_in: TuneIn, flight: Flight, intent: Intent | None) -> None:
-        if not self.alive or flight.over:
+    def _ready(self, machine: Machine | None, tune_in: TuneIn, attempt: Attempt, intent: Intent | None) -> None:
+        if not self.alive or attempt.over:
             return
         if machine is None or machine.dead:
-            self._ended(tune_in, flight, Outcome.UNREACHED)
+            self._ended(tune_in, attempt, Outcome.UNREACHED)
             return
         steps = setting_up(self.desk, tune_in, self.intents, intent)
-        self._step(steps, None, machine, tune_in, flight)
+        self._step(steps, None, machine, tune_in, attempt)
 
-    def _step(self, steps, kept: bool | None, machine: Machine, tune_in: TuneIn, flight: Flight) -> None:
-        if not self.alive or flight.over:
+    def _step(self, steps, kept: bool | None, machine: Machine, tune_in: TuneIn, attempt: Attempt) -> None:
+        if not self.alive or attempt.over:
             return
         try:
             what, record = steps.send(kept)
         except StopIteration as ended:
             if ended.value is not None:
-                self._ended(tune_in, flight, ended.value)
+                self._ended(tune_in, attempt, ended.value)
             return
         if what == SEND:
-            self._send(machine, tune_in, flight)
+            self._send(machine, tune_in, attempt)
         else:
             self.disk.intents.append(record)
-            self.world.queue.at(self.now() + FLUSH, self._step, steps, True, machine, tune_in, flight)
+            self.world.queue.at(self.now() + FLUSH, self._step, steps, True, machine, tune_in, attempt)
 
-    def _send(self, machine: Machine, tune_in: TuneIn, flight: Flight) -> None:
+    def _send(self, machine: Machine, tune_in: TuneIn, attempt: Attempt) -> None:
         course, vw = tune_in.course, tune_in.course.vw
         request = course.requests[0].name if course.requests else str(vw.name)
         rung = 0 if self.wrong == "under-floor" and vw.name % EVERY == 0 else tune_in.rung
         mark = mark_of(course.held.key) if vw.package.paid_at_setup and course.held is not None else ""
-        flight.sent, flight.machine = True, machine
-        flight.setup = SetUp(self.name, request, tune_in.number, vw.package.name, vw.title, rung, mark, None)
-        flight.setup.answer = lambda how, session: self.world.from_server(
-            self, machine, self._answered, tune_in, flight, how, session
+        attempt.sent, attempt.machine = True, machine
+        attempt.setup = SetUp(self.name, request, tune_in.number, vw.package.name, vw.title, rung, mark, None)
+        attempt.setup.answer = lambda how, session: self.world.from_server(
+            self, machine, self._answered, tune_in, attempt, how, session
         )
-        self.world.to_server(self, machine, self._arrives, flight)
+        self.world.to_server(self, machine, self._arrives, attempt)
         if self.wrong == "double-tune-in" and vw.name % 3 == 0:
             others = [server for server in vw.holders if server is not tune_in.server and server.open]
             other = self.world.machines.get(others[0].name) if others else None
             if other is not None:
-                twin = Flight(
+                twin = Attempt(
                     SetUp(self.name, request, tune_in.number + 1, vw.package.name, vw.title, rung, "", lambda how, session: None),
                     other,
                     True,
@@ -200,32 +200,32 @@
                 self.world.to_server(self, other, self._arrives, twin)
 
     @staticmethod
-    def _arrives(machine: Machine, flight: Flight) -> None:
+    def _arrives(machine: Machine, attempt: Attempt) -> None:
         if machine.dead:
-            flight.setup.answer("broken", None)
+            attempt.setup.answer("broken", None)
         else:
-            machine.asked(flight.setup)
+            machine.asked(attempt.setup)
 
-    def _answered(self, tune_in: TuneIn, flight: Flight, how: str, session) -> None:
+    def _answered(self, tune_in: TuneIn, attempt: Attempt, how: str, session) -> None:
         if not self.alive:
             return
         if how == "plays":
-            self.flights.pop(tune_in, None)
-            flight.over = True
+            self.attempts.pop(tune_in, None)
+            attempt.over = True
             if self.wrong == "overspend-budget" and self.answered % 2 and not tune_in.course.vw.package.paid_at_setup:
                 self.answered += 1
                 self.desk.failed(tune_in, Outcome.FULL)
                 return
             self.answered += 1
-            report = dict(zip(("link", "uplink"), flight.machine.report))
+            report = dict(zip(("link", "uplink"), attempt.machine.report))
             self.desk.played(tune_in, session.path, report)
-        elif not flight.over:
-            report = dict(zip(("link", "uplink"), flight.machine.report)) if how == "full" else None
-            self._ended(tune_in, flight, OUTCOMES[how], report)
+        elif not attempt.over:
+            report = dict(zip(("link", "uplink"), attempt.machine.report)) if how == "full" else None
+            self._ended(tune_in, attempt, OUTCOMES[how], report)
 
-    def _ended(self, tune_in: TuneIn, flight: Flight, outcome: Outcome, report: dict | None = None) -> None:
-        flight.over = True
-        self.flights.pop(tune_in, None)
+    def _ended(self, tune_in: TuneIn, attempt: Attempt, outcome: Outcome, report: dict | None = None) -> None:
+        attempt.over = True
+        self.attempts.pop(tune_in, None)
         held = tune_in.course.held
         if held is not None and tune_in.course.vw.package.paid_at_setup:
             record = self.intents.ended(held.key, outcome)
@@ -234,18 +234,18 @@
         self.desk.failed(tune_in, outcome, report)
 
     def withdraw(self, tune_in: TuneIn) -> bool:
-        flight = self.flights.pop(tune_in, None)
-        if flight is None:
+        attempt = self.attempts.pop(tune_in, None)
+        if attempt is None:
             return True
-        flight.over = True
-        if flight.sent:
-            self.world.to_server(self, flight.machine, self._hang_up_there, flight)
-        return flight.sent
+        attempt.over = True
+        if attempt.sent:
+            self.world.to_server(self, attempt.machine, self._hang_up_there, attempt)
+        return attempt.sent
 
     @staticmethod
-    def _hang_up_there(machine: Machine, flight: Flight) -> None:
+    def _hang_up_there(machine: Machine, attempt: Attempt) -> None:
         if machine is not None and not machine.dead:
-            machine.hung_up(flight.setup)
+            machine.hung_up(attempt.setup)
 
     def _call(self, server: Server, there, back) -> None:
         """`there(machine)` is done at the server, and `back(result)` with what it gave; with None if nobody answers."""
--- a/curlewshift/node/connections.py
+++ b/curlewshift/node/connections.py
@@ -36,7 +36,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Flight(Errand):
+class Attempt(Errand):
     """One set-up on its way. `queued` while a connection has it to write, `handed` once the kernel has a byte of it."""
 
     tune_in: TuneIn
@@ -63,7 +63,7 @@
         """`number` is its name in the log."""
         self.endpoint, self.number = endpoint, number
         self.wire: Wire | None = None
-        self.flights: dict[bytes, Flight] = {}
+        self.attempts: dict[bytes, Attempt] = {}
         self.unsent: list[tuple[bytes, Errand | None]] = []
         # messages written so far, and the place among them of each test that is not answered yet
         self.sent = 0
@@ -102,10 +102,10 @@
         name = os.urandom(8)
         self.probes[name] = self.send(isup.probe(name))
 
-    def withdraw(self, flight: Flight) -> None:
-        self.unsent = [entry for entry in self.unsent if entry[1] is not flight]
+    def withdraw(self, attempt: Attempt) -> None:
+        self.unsent = [entry for entry in self.unsent if entry[1] is not attempt]
         if self.wire is not None:
-            self.wire.withdraw(flight)
+            self.wire.withdraw(attempt)
 
 
 class Endpoint:
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -15,7 +15,7 @@
 from curlewshift.desk.course import Course, TuneIn
 from curlewshift.model import Outcome, Server
 from curlewshift.node import isup
-from curlewshift.node.connections import Endpoint, Flight, Line, Session
+from curlewshift.node.connections import Attempt, Endpoint, Line, Session
 from curlewshift.node.teardowns import Teardowns
 from curlewshift.node.wire import Wire, dial
 from curlewshift.retries.endings import Ending
@@ -79,7 +79,7 @@
         self.silent_for = min(max(SILENT_FOR, int(told_every * SILENT_GAPS)), LONGEST_SILENT)
         self.idle_for = int(idle_close * IDLE_PART)
         self.endpoints: dict[Server, Endpoint] = {}
-        self.flights: dict[TuneIn, Flight] = {}
+        self.attempts: dict[TuneIn, Attempt] = {}
         self.teardowns = Teardowns(self, clock, log, counts)
         self.pending = self.teardowns.pending
         self.given_up: OrderedDict[tuple[Server, bytes], TuneIn] = OrderedDict()
@@ -131,59 +131,61 @@
     # ---- what goes out
 
     def tune_in(self, tune_in: TuneIn) -> None:
-        flight = self.flights[tune_in] = Flight(tune_in, bytes.fromhex(tune_in.course.offer.name), self)
-        self._fly(flight)
+        attempt = self.attempts[tune_in] = Attempt(tune_in, bytes.fromhex(tune_in.course.offer.name), self)
+        self._assign(attempt)
 
-    def _fly(self, flight: Flight) -> None:
-        tune_in = flight.tune_in
+    def _assign(self, attempt: Attempt) -> None:
+        tune_in = attempt.tune_in
         endpoint = self.endpoints[tune_in.server]
-        line = self._line(endpoint, flight.id)
-        flight.line = line
-        line.flights[flight.id] = flight
-        self._write(line, flight)
+        line = self._line(endpoint, attempt.id)
+        attempt.line = line
+        line.attempts[attempt.id] = attempt
+        self._write(line, attempt)
 
-    def _write(self, line: Line, flight: Flight) -> None:
-        flight.queued = True
+    def _write(self, line: Line, attempt: Attempt) -> None:
+        attempt.queued = True
         if line.wire is None:
             # how long its viewer still waits is written when it goes out
-            line.unsent.append((b"", flight))
+            line.unsent.append((b"", attempt))
             return
-        vw = flight.tune_in.course.vw
-        flight.sent_at = self.now()
-        wait = max(1, (flight.tune_in.until - self.now()) // MS)
-        flight.number = line.send(
-            isup.set_up(flight.id, vw.package.name, vw.title, wait, flight.tune_in.rung, flight.tune_in.course.offer.description),
-            flight,
+        vw = attempt.tune_in.course.vw
+        attempt.sent_at = self.now()
+        wait = max(1, (attempt.tune_in.until - self.now()) // MS)
+        attempt.number = line.send(
+            isup.set_up(
+                attempt.id, vw.package.name, vw.title, wait, attempt.tune_in.rung, attempt.tune_in.course.offer.description
+            ),
+            attempt,
         )
 
-    def leaves(self, flight: Flight) -> bool:
+    def leaves(self, attempt: Attempt) -> bool:
         """Whether this set-up goes out now, on its connection. Not if its viewer may have gone and nobody has read that yet;
         nor if the list, the time or the connection's own end has overtaken it since it was queued."""
-        line = flight.line
-        if self.flights.get(flight.tune_in) is not flight:
+        line = attempt.line
+        if self.attempts.get(attempt.tune_in) is not attempt:
             return False
-        if not self.desk.stands(flight.tune_in):
-            self._later(lambda: self._overtaken(flight))
+        if not self.desk.stands(attempt.tune_in):
+            self._later(lambda: self._overtaken(attempt))
             return False
         if line.wire.peer_closed():
             # its server has closed it: what goes out now would be in doubt
             line.wire.ended_by_peer = True
             self._later(lambda: self._break(line, "its server has closed it"))
             return False
-        if self._waits_for_a_release(flight):
+        if self._waits_for_a_release(attempt):
             return False
-        if self.read_first(flight.tune_in, lambda: self._go_on(flight)):
+        if self.read_first(attempt.tune_in, lambda: self._go_on(attempt)):
             return False
-        self.teardowns.set_up_again(line, flight)
+        self.teardowns.set_up_again(line, attempt)
         return True
 
-    def _waits_for_a_release(self, flight: Flight) -> bool:
+    def _waits_for_a_release(self, attempt: Attempt) -> bool:
         """Whether something that an earlier attempt of the same id may have left has to be over first."""
-        server = flight.tune_in.server
-        before = self.pending.before(server, flight.id)
+        server = attempt.tune_in.server
+        before = self.pending.before(server, attempt.id)
         if before is None:
             return False
-        before.followers.append(lambda: self._go_on(flight))
+        before.followers.append(lambda: self._go_on(attempt))
         if isinstance(before, Copy):
             cause = "a release is not confirmed" if before.written else "a release is not written"
             if not before.written:
@@ -191,7 +193,7 @@
         else:
             cause = "a release has not been sent"
             self._later(lambda: self.teardowns.hurry(before))
-        self.log.info("attempt-waits", session=flight.id.hex(), server=server.name, cause=cause)
+        self.log.info("attempt-waits", session=attempt.id.hex(), server=server.name, cause=cause)
         return True
 
     def _reset_unless_written(self, release: Copy) -> None:
@@ -201,29 +203,29 @@
                 release.connection.wire.reset()
             self._break(release.connection, "it does not take a release")
 
-    def _overtaken(self, flight: Flight) -> None:
-        if self.flights.get(flight.tune_in) is flight:
-            self._end(flight, Outcome.UNSENT)
+    def _overtaken(self, attempt: Attempt) -> None:
+        if self.attempts.get(attempt.tune_in) is attempt:
+            self._end(attempt, Outcome.UNSENT)
 
-    def _go_on(self, flight: Flight) -> None:
-        if self.flights.get(flight.tune_in) is flight and not flight.queued:
-            self._write(flight.line, flight)
+    def _go_on(self, attempt: Attempt) -> None:
+        if self.attempts.get(attempt.tune_in) is attempt and not attempt.queued:
+            self._write(attempt.line, attempt)
 
     def withdraw(self, tune_in: TuneIn) -> bool:
-        flight = self.flights.pop(tune_in, None)
-        if flight is None:
+        attempt = self.attempts.pop(tune_in, None)
+        if attempt is None:
             return False
-        line = flight.line
-        if line.flights.get(flight.id) is flight:
-            del line.flights[flight.id]
-        self._log_end(flight, "timed out" if self.now() >= tune_in.until else "client left")
-        if not flight.handed:
-            line.withdraw(flight)
+        line = attempt.line
+        if line.attempts.get(attempt.id) is attempt:
+            del line.attempts[attempt.id]
+        self._log_end(attempt, "timed out" if self.now() >= tune_in.until else "client left")
+        if not attempt.handed:
+            line.withdraw(attempt)
             return False
-        self.teardowns.attempt_given_up(line, flight)
-        if line.heard_at < flight.sent_at and self.now() >= tune_in.until:
+        self.teardowns.attempt_given_up(line, attempt)
+        if line.heard_at < attempt.sent_at and self.now() >= tune_in.until:
             line.doubtful = True
-        self.given_up[tune_in.server, flight.id] = tune_in
+        self.given_up[tune_in.server, attempt.id] = tune_in
         if len(self.given_up) > MOST_GIVEN_UP:
             self.given_up.popitem(last=False)
         return True
@@ -263,14 +265,14 @@
         sound = [
             line
             for line in endpoint.lines
-            if line.usable and not line.doubtful and id not in line.flights and len(line.flights) < self.streams
+            if line.usable and not line.doubtful and id not in line.attempts and len(line.attempts) < self.streams
         ]
-        idle = next((line for line in sound if line.up and not line.flights), None)
+        idle = next((line for line in sound if line.up and not line.attempts), None)
         if idle is not None:
             return idle
         if not sound or (self.count < self.most_lines and len(endpoint.lines) < self._share()):
             return self.open_connection(endpoint)
-        return min(sound, key=lambda line: (len(line.flights), line.wire is None))
+        return min(sound, key=lambda line: (len(line.attempts), line.wire is None))
 
     def _share(self) -> int:
         return max(2, self.most_lines // max(1, len(self.endpoints)))
@@ -329,7 +331,7 @@
         """What waited for the connection goes out on it."""
         unsent, line.unsent = line.unsent, []
         for data, errand in unsent:
-            if isinstance(errand, Flight):
+            if isinstance(errand, Attempt):
                 self._write(line, errand)
             else:
                 line.send(data, errand)
@@ -352,8 +354,8 @@
             cause=repr(wrong) if wrong is not None else "not up in time",
         )
         self._gone(line)
-        for flight in list(line.flights.values()):
-            self._end(flight, Outcome.UNSENT if own else Outcome.UNREACHED)
+        for attempt in list(line.attempts.values()):
+            self._end(attempt, Outcome.UNSENT if own else Outcome.UNREACHED)
         if line.probes and not any(other.up for other in endpoint.lines):
             self.desk.probed(endpoint.server, Outcome.UNREACHED)
         if wrong is not None and not own and not any(other.up for other in endpoint.lines) and self._has_died(endpoint):
@@ -394,16 +396,16 @@
             line.endpoint.was_reset = True
         if not by_peer:
             self._note_unheard(line)
-        for flight in list(line.flights.values()):
-            if flight.handed:
-                self.teardowns.attempt_broken(line, flight, by_peer)
-                self._end(flight, Outcome.BROKEN)
-            elif flight.moves >= MOST_MOVES or not self.desk.stands(flight.tune_in):
-                self._end(flight, Outcome.UNSENT)
+        for attempt in list(line.attempts.values()):
+            if attempt.handed:
+                self.teardowns.attempt_broken(line, attempt, by_peer)
+                self._end(attempt, Outcome.BROKEN)
+            elif attempt.moves >= MOST_MOVES or not self.desk.stands(attempt.tune_in):
+                self._end(attempt, Outcome.UNSENT)
             else:
-                flight.moves += 1
-                line.flights.pop(flight.id)
-                self._fly(flight)
+                attempt.moves += 1
+                line.attempts.pop(attempt.id)
+                self._assign(attempt)
         self.pending.connection_ended(line, by_peer)
 
     def _note_unheard(self, line: Line) -> None:
@@ -414,25 +416,25 @@
                 course.session.unheard = endpoint.words_lost = True
                 endpoint.unheard_since = self.now()
 
-    def _end(self, flight: Flight, outcome: Outcome, report: dict[str, float] | None = None) -> None:
-        self.flights.pop(flight.tune_in, None)
-        if flight.line is not None and flight.line.flights.get(flight.id) is flight:
-            del flight.line.flights[flight.id]
-        self._log_end(flight, outcome.value)
-        self.desk.failed(flight.tune_in, outcome, report)
+    def _end(self, attempt: Attempt, outcome: Outcome, report: dict[str, float] | None = None) -> None:
+        self.attempts.pop(attempt.tune_in, None)
+        if attempt.line is not None and attempt.line.attempts.get(attempt.id) is attempt:
+            del attempt.line.attempts[attempt.id]
+        self._log_end(attempt, outcome.value)
+        self.desk.failed(attempt.tune_in, outcome, report)
 
-    def _log_end(self, flight: Flight, outcome: str) -> None:
+    def _log_end(self, attempt: Attempt, outcome: str) -> None:
         """Of an attempt that has set nothing up."""
         self.counts[f"attempt-{outcome.replace(' ', '-')}"] += 1
         self.log.info(
             "attempt-ended",
-            session=flight.id.hex(),
-            number=flight.tune_in.number,
-            server=flight.tune_in.server.name,
-            connection=flight.line.number if flight.line is not None else 0,
+            session=attempt.id.hex(),
+            number=attempt.tune_in.number,
+            server=attempt.tune_in.server.name,
+            connection=attempt.line.number if attempt.line is not None else 0,
             outcome=outcome,
-            left=flight.handed,
-            after_ms=(self.now() - flight.sent_at) // MS if flight.sent_at else 0,
+            left=attempt.handed,
+            after_ms=(self.now() - attempt.sent_at) // MS if attempt.sent_at else 0,
         )
 
     def _log_close(self, line: Line, cause: str) -> None:
@@ -442,7 +444,7 @@
             server=line.endpoint.server.name,
             connection=line.number,
             cause=cause,
-            out=len(line.flights),
+            out=len(line.attempts),
             open_ms=(self.now() - line.opened_at) // MS,
         )
 
@@ -496,31 +498,31 @@
         if description is None:
             raise isup.Malformed("an answer without a description")
         session = Session(id, endpoint.server, description, since=self.now())
-        flight = line.flights.get(id)
-        if flight is None:
+        attempt = line.attempts.get(id)
+        if attempt is None:
             late = self.given_up.pop((endpoint.server, id), None)
             if late is not None and id not in endpoint.standing:
                 # it crossed its giving up
                 self.desk.played(late, session)
             return
-        if not flight.handed:
+        if not attempt.handed:
             # ahead of its set-up: it belongs to something else
             return
-        del line.flights[id]
-        self.flights.pop(flight.tune_in, None)
-        self.pending.answered(line, flight.number)
-        course = flight.tune_in.course
-        self.desk.played(flight.tune_in, session, self._report(parameters))
+        del line.attempts[id]
+        self.attempts.pop(attempt.tune_in, None)
+        self.pending.answered(line, attempt.number)
+        course = attempt.tune_in.course
+        self.desk.played(attempt.tune_in, session, self._report(parameters))
         if course.session is session and course.vw.playing:
             session.line = session.set_up_on = line
             endpoint.standing[id] = course
 
     def _released(self, line: Line, id: bytes, cause: int, report: dict[str, float]) -> None:
         endpoint = line.endpoint
-        flight = line.flights.get(id)
-        if flight is not None:
-            self.pending.answered(line, flight.number)
-            self._end(flight, BEFORE.get(cause, Outcome.BROKEN), report)
+        attempt = line.attempts.get(id)
+        if attempt is not None:
+            self.pending.answered(line, attempt.number)
+            self._end(attempt, BEFORE.get(cause, Outcome.BROKEN), report)
             return
         given_up = self.given_up.pop((endpoint.server, id), None)
         self.pending.over(endpoint.server, id)
@@ -604,7 +606,7 @@
             self._break(line, "half a message and no more")
             return
         spare = len(line.endpoint.lines) > 1 or not line.endpoint.standing
-        if not spare or not line.up or line.flights:
+        if not spare or not line.up or line.attempts:
             return
         idle_for = self.idle_for if self.count < self.most_lines else min(IDLE_FOR, self.idle_for)
         idle = now - line.used_at > idle_for and not self.teardowns.unconfirmed_on(line)
@@ -643,7 +645,7 @@
 
     def _retire_one(self, endpoint: Endpoint) -> None:
         """An idle connection makes room for a new one."""
-        idle = [line for line in endpoint.lines if line.up and not line.flights and not self.teardowns.unconfirmed_on(line)]
+        idle = [line for line in endpoint.lines if line.up and not line.attempts and not self.teardowns.unconfirmed_on(line)]
         if len(idle) > 1:
             self._retire(min(idle, key=lambda line: line.heard_at))
 
--- a/curlewshift/node/teardowns.py
+++ b/curlewshift/node/teardowns.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from curlewshift.node import isup
-from curlewshift.node.connections import Endpoint, Flight, Line, Session
+from curlewshift.node.connections import Attempt, Endpoint, Line, Session
 from curlewshift.teardown.pending import PendingRelease, PendingReleases, State
 
 if TYPE_CHECKING:
@@ -33,19 +33,19 @@
 
     # ---- what is over
 
-    def attempt_given_up(self, line: Line, flight: Flight) -> None:
+    def attempt_given_up(self, line: Line, attempt: Attempt) -> None:
         """Its time is over, or its client has left: its server hears of it behind the set-up, on the same connection."""
-        record = self.pending.open(flight.tune_in.server, flight.id, isup.OVER)
+        record = self.pending.open(attempt.tune_in.server, attempt.id, isup.OVER)
         self._write(line, record)
-        flight.tune_in.course.vw.unconfirmed = self.pending.servers_of(flight.id)
+        attempt.tune_in.course.vw.unconfirmed = self.pending.servers_of(attempt.id)
 
-    def attempt_broken(self, line: Line, flight: Flight, by_peer: bool) -> None:
+    def attempt_broken(self, line: Line, attempt: Attempt, by_peer: bool) -> None:
         """Its connection has ended under it. What was answered before that may stand, whether the answer came through or not."""
-        record = self.pending.open(flight.tune_in.server, flight.id, isup.OVER, closed_by_server=by_peer)
+        record = self.pending.open(attempt.tune_in.server, attempt.id, isup.OVER, closed_by_server=by_peer)
         if not by_peer:
             # the server may not have seen the close when the next attempt comes
             self.pending.said(record, line, line.sent)
-        flight.tune_in.course.vw.unconfirmed = self.pending.servers_of(flight.id)
+        attempt.tune_in.course.vw.unconfirmed = self.pending.servers_of(attempt.id)
 
     def session_over(self, endpoint: Endpoint, session: Session) -> None:
         """It stands at the server for nobody."""
@@ -60,9 +60,9 @@
         else:
             self._open_one(endpoint)
 
-    def set_up_again(self, line: Line, flight: Flight) -> None:
+    def set_up_again(self, line: Line, attempt: Attempt) -> None:
         """A set-up leaves whose id may still stand there: its release goes out just before it, on the same connection."""
-        record = self.pending.find(flight.tune_in.server, flight.id)
+        record = self.pending.find(attempt.tune_in.server, attempt.id)
         if record is not None:
             self._write(line, record)
             self.pending.superseded(record)
@@ -115,7 +115,7 @@
 
     @staticmethod
     def _goes_ahead(record: PendingRelease, line: Line) -> bool:
-        return record.closed_by_server and not record.copies and record.id in line.flights
+        return record.closed_by_server and not record.copies and record.id in line.attempts
 
     def _write(self, line: Line, record: PendingRelease) -> None:
         self.counts["release-sent"] += 1
--- a/curlewshift/soak/plants.py
+++ b/curlewshift/soak/plants.py
@@ -27,9 +27,9 @@
 class ReleaseElsewhere(teardowns.Teardowns):
     """Gives an attempt up on another connection than its own, and waits for nothing."""
 
-    def attempt_given_up(self, line, flight):
+    def attempt_given_up(self, line, attempt):
         other = next((one for one in line.endpoint.lines if one is not line and one.up), None)
-        (other or self.reach.open_connection(line.endpoint)).send(isup.release(flight.id, isup.OVER))
+        (other or self.reach.open_connection(line.endpoint)).send(isup.release(attempt.id, isup.OVER))
 
 
 class SaysOnce(teardowns.Teardowns):
--- a/curlewshift/walk/world.py
+++ b/curlewshift/walk/world.py
@@ -63,7 +63,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Flight:
+class Attempt:
     """One tune-in on its way. `stage`: write, sent, ran, over; `session` is what the server made of it. `let_go` is set
     once nobody hears of it any more."""
 
@@ -157,11 +157,11 @@
         self.world.goes_out(self, tune_in)
 
     def withdraw(self, tune_in: TuneIn) -> bool:
-        flight = next(one for one in self.world.flights if one.tune_in is tune_in)
-        if flight.stage == "write":
-            flight.stage, flight.never_ran = "over", True
+        attempt = next(one for one in self.world.attempts if one.tune_in is tune_in)
+        if attempt.stage == "write":
+            attempt.stage, attempt.never_ran = "over", True
             return False
-        flight.let_go = True
+        attempt.let_go = True
         return True
 
     def tell(self, errand) -> None:
@@ -212,7 +212,7 @@
         self.intents_log: list[list] = []
         # written and perhaps not yet on the disk
         self.behind: list[tuple[str, list]] = []
-        self.flights: list[Flight] = []
+        self.attempts: list[Attempt] = []
         self.endings: list[tuple[str, object]] = []
         self.errands: list[tuple[str, object]] = []
         self.questions: list[tuple[str, str, object, tuple]] = []
@@ -231,51 +231,51 @@
         course = tune_in.course
         if any(
             one.life == front.name and one.tune_in.course is course and one.stage != "over" and not one.let_go
-            for one in self.flights
+            for one in self.attempts
         ):
             raise Breach("2: two tune-ins of one viewing are out")
         client = next(client.name for client in self.clients if client.key == course.held.key)
-        flight = Flight(
+        attempt = Attempt(
             tune_in,
             front.name,
             client,
             self.steps(front.desk, tune_in, front.intents, intent_of(tune_in, course.vw.expires)),
             self.places[tune_in.server.name].boot,
         )
-        self.flights.append(flight)
-        self._step(flight, None)
+        self.attempts.append(attempt)
+        self._step(attempt, None)
 
-    def _step(self, flight: Flight, kept: bool | None) -> None:
+    def _step(self, attempt: Attempt, kept: bool | None) -> None:
         try:
-            what, flight.record = flight.steps.send(kept)
+            what, attempt.record = attempt.steps.send(kept)
         except StopIteration as ended:
             if ended.value is not None:
-                flight.stage, flight.never_ran = "over", True
-                self._tell_end(flight, ended.value)
+                attempt.stage, attempt.never_ran = "over", True
+                self._tell_end(attempt, ended.value)
             return
         if what == SEND:
-            self._sent(flight)
+            self._sent(attempt)
 
-    def _sent(self, flight: Flight) -> None:
-        place, key = self.places[flight.tune_in.server.name], flight.tune_in.course.held.key
+    def _sent(self, attempt: Attempt) -> None:
+        place, key = self.places[attempt.tune_in.server.name], attempt.tune_in.course.held.key
         if place.told_off:
-            raise Breach(f"3: {flight.client} is sent to {place.name}, which was told to drain")
+            raise Breach(f"3: {attempt.client} is sent to {place.name}, which was told to drain")
         if self.package.paid_at_setup:
-            for other in self.flights:
+            for other in self.attempts:
                 if (
-                    other is not flight
+                    other is not attempt
                     and other.tune_in.course.held.key == key
                     and not other.never_ran
                     and (other.stage != "write")
                 ):
-                    raise Breach(f"2: {flight.client} is sent again though it may have run")
-        flight.stage = "sent"
+                    raise Breach(f"2: {attempt.client} is sent again though it may have run")
+        attempt.stage = "sent"
         self._check_seats()
 
     def _check_seats(self) -> None:
         if not self.package.seats or self.front is None:
             return
-        out = sum(one.life == self.front.name and one.stage in ("sent", "ran") and not one.let_go for one in self.flights)
+        out = sum(one.life == self.front.name and one.stage in ("sent", "ran") and not one.let_go for one in self.attempts)
         held = sum(course.vw.playing for course in self.front.desk.courses.values())
         if out + held > self.package.seats:
             raise Breach(f"5: {held} held and {out} out where there are {self.package.seats} seats")
@@ -294,7 +294,7 @@
         if (
             answer.kind is Kind.REFUSED
             and self.package.paid_at_setup
-            and any(one.client == client.name and one.stage != "write" and not one.never_ran for one in self.flights)
+            and any(one.client == client.name and one.stage != "write" and not one.never_ran for one in self.attempts)
         ):
             raise Breach(f"2: {request.name} is refused though it may have run")
         if answer.kind is Kind.FAILED:
@@ -308,13 +308,13 @@
                 front.tokens[course] = f"t {course.session}"
                 self.note("book", front.book.began(remembered(course, front.tokens[course], None, course.session)))
 
-    def _tell_end(self, flight: Flight, outcome: Outcome) -> None:
+    def _tell_end(self, attempt: Attempt, outcome: Outcome) -> None:
         front = self.front
-        if front is None or front.name != flight.life:
+        if front is None or front.name != attempt.life:
             return
         if self.package.paid_at_setup:
-            self.note("intents", front.intents.ended(flight.tune_in.course.held.key, outcome))
-        front.desk.failed(flight.tune_in, outcome)
+            self.note("intents", front.intents.ended(attempt.tune_in.course.held.key, outcome))
+        front.desk.failed(attempt.tune_in, outcome)
 
     # ---- lives
 
@@ -327,10 +327,10 @@
         self._flush(() if behind_lost else self.behind)
         self.front = None
         self.endings, self.errands, self.questions = [], [], []
-        for flight in self.flights:
-            flight.let_go = True
-            if flight.stage == "write":
-                flight.stage, flight.never_ran = "over", True
+        for attempt in self.attempts:
+            attempt.let_go = True
+            if attempt.stage == "write":
+                attempt.stage, attempt.never_ran = "over", True
 
     def _flush(self, records) -> None:
         for log, record in records:
@@ -350,8 +350,8 @@
         """In a fixed order; each is a tuple that `do` understands and people can read."""
         found: list[tuple] = []
         budgets = self.budgets
-        for number, flight in enumerate(self.flights):
-            found += self._of_flight(number, flight)
+        for number, attempt in enumerate(self.attempts):
+            found += self._of_attempt(number, attempt)
         if self.endings:
             found.append(("an ending is done",))
             if budgets.losses:
@@ -376,17 +376,17 @@
         if budgets.deaths:
             for name, place in self.places.items():
                 if place.sessions or any(
-                    one.stage in ("sent", "ran") and one.tune_in.server.name == name for one in self.flights
+                    one.stage in ("sent", "ran") and one.tune_in.server.name == name for one in self.attempts
                 ):
                     found.append(("a server dies", name))
         return found
 
-    def _of_flight(self, number: int, flight: Flight) -> list[tuple]:
-        if flight.stage == "write" and not flight.let_go:
+    def _of_attempt(self, number: int, attempt: Attempt) -> list[tuple]:
+        if attempt.stage == "write" and not attempt.let_go:
             return [("its intent is kept", number), *([("its intent is not kept", number)] * bool(self.budgets.not_kept))]
-        if flight.stage == "sent":
+        if attempt.stage == "sent":
             found = [("the server runs it", number)]
-            if flight.let_go:
+            if attempt.let_go:
                 found.append(("it never gets there", number))
             else:
                 if self.budgets.full:
@@ -394,10 +394,10 @@
                 if self.budgets.losses:
                     found.append(("its connection breaks", number))
             return found
-        if flight.stage == "ran":
+        if attempt.stage == "ran":
             found = [("its answer arrives", number)]
-            if flight.let_go:
-                found = [("nobody takes its answer", number), *(found if self._alive(flight) else ())]
+            if attempt.let_go:
+                found = [("nobody takes its answer", number), *(found if self._alive(attempt) else ())]
             elif self.budgets.losses:
                 found.append(("its answer is lost", number))
             return found
@@ -419,8 +419,8 @@
             found.append(("a client leaves", number))
         return found
 
-    def _alive(self, flight: Flight) -> bool:
-        return self.front is not None and self.front.name == flight.life
+    def _alive(self, attempt: Attempt) -> bool:
+        return self.front is not None and self.front.name == attempt.life
 
     def _course(self, client: Client):
         for course in self.front.desk.courses.values():
@@ -435,63 +435,63 @@
         self._look()
 
     def _its_intent_is_kept(self, number: int) -> None:
-        flight = self.flights[number]
+        attempt = self.attempts[number]
         # what was written before it goes to the disk with it
-        self._flush([*self.behind, ("intents", flight.record)])
-        self._step(flight, True)
+        self._flush([*self.behind, ("intents", attempt.record)])
+        self._step(attempt, True)
 
     def _its_intent_is_not_kept(self, number: int) -> None:
         self.budgets.not_kept -= 1
-        self._step(self.flights[number], False)
+        self._step(self.attempts[number], False)
 
     def _the_server_runs_it(self, number: int) -> None:
-        flight = self.flights[number]
-        place, key = self.places[flight.tune_in.server.name], flight.tune_in.course.held.key
+        attempt = self.attempts[number]
+        place, key = self.places[attempt.tune_in.server.name], attempt.tune_in.course.held.key
         self.paths += 1
-        flight.stage = "ran"
-        flight.session = place.sessions[f"/{self.paths}"] = Session(
+        attempt.stage = "ran"
+        attempt.session = place.sessions[f"/{self.paths}"] = Session(
             f"/{self.paths}",
-            flight.life,
+            attempt.life,
             mark_of(key) if self.package.paid_at_setup else "",
-            flight.client,
-            flight.tune_in.rung,
-            too_late=not self._alive(flight),
+            attempt.client,
+            attempt.tune_in.rung,
+            too_late=not self._alive(attempt),
         )
 
     def _the_server_turns_it_away(self, number: int) -> None:
         self.budgets.full -= 1
-        flight = self.flights[number]
-        flight.stage, flight.never_ran = "over", True
-        self._tell_end(flight, Outcome.FULL)
+        attempt = self.attempts[number]
+        attempt.stage, attempt.never_ran = "over", True
+        self._tell_end(attempt, Outcome.FULL)
 
     def _it_never_gets_there(self, number: int) -> None:
-        self.flights[number].stage = "over"
+        self.attempts[number].stage = "over"
 
     def _its_connection_breaks(self, number: int) -> None:
         """The front has enough of it; the server may run it all the same."""
         self.budgets.losses -= 1
-        flight = self.flights[number]
-        flight.let_go = True
-        self._tell_end(flight, Outcome.BROKEN)
+        attempt = self.attempts[number]
+        attempt.let_go = True
+        self._tell_end(attempt, Outcome.BROKEN)
 
     def _its_answer_arrives(self, number: int) -> None:
-        flight = self.flights[number]
-        flight.stage = "over"
-        self.front.desk.played(flight.tune_in, flight.session.path)
+        attempt = self.attempts[number]
+        attempt.stage = "over"
+        self.front.desk.played(attempt.tune_in, attempt.session.path)
 
     def _nobody_takes_its_answer(self, number: int) -> None:
         """The server sees that nobody is there, and ends what it has set up; not if its front was killed meanwhile, as
         then the answer may have gone out before."""
-        flight = self.flights[number]
-        flight.stage = "over"
-        if self._alive(flight):
-            self.places[flight.tune_in.server.name].sessions.pop(flight.session.path, None)
+        attempt = self.attempts[number]
+        attempt.stage = "over"
+        if self._alive(attempt):
+            self.places[attempt.tune_in.server.name].sessions.pop(attempt.session.path, None)
 
     def _its_answer_is_lost(self, number: int) -> None:
         self.budgets.losses -= 1
-        flight = self.flights[number]
-        flight.let_go = True
-        self._tell_end(flight, Outcome.BROKEN)
+        attempt = self.attempts[number]
+        attempt.let_go = True
+        self._tell_end(attempt, Outcome.BROKEN)
 
     def _an_ending_is_done(self) -> None:
         _, ending = self.endings.pop(0)
@@ -566,12 +566,12 @@
         place = self.places[name]
         place.boot += 1
         place.sessions.clear()
-        broken = [one for one in self.flights if one.tune_in.server.name == name and one.stage in ("sent", "ran")]
-        for flight in broken:
-            flight.stage = "over"
-        for flight in broken:
-            if not flight.let_go:
-                self._tell_end(flight, Outcome.BROKEN)
+        broken = [one for one in self.attempts if one.tune_in.server.name == name and one.stage in ("sent", "ran")]
+        for attempt in broken:
+            attempt.stage = "over"
+        for attempt in broken:
+            if not attempt.let_go:
+                self._tell_end(attempt, Outcome.BROKEN)
         if self.front is not None:
             self.front.desk.restarted(self.front.desk.roster.servers[name])
 
@@ -600,10 +600,10 @@
     def _events(self) -> tuple:
         return (
             len(self.answers),
-            len(self.flights),
+            len(self.attempts),
             len(self.endings),
             len(self.questions),
-            sum(flight.let_go for flight in self.flights),
+            sum(attempt.let_go for attempt in self.attempts),
         )
 
     def _look(self) -> None:
@@ -649,8 +649,8 @@
             ]
             let_go = [
                 ("nobody takes its answer", number)
-                for number, flight in enumerate(self.flights)
-                if flight.stage == "ran" and flight.let_go
+                for number, attempt in enumerate(self.attempts)
+                if attempt.stage == "ran" and attempt.let_go
             ]
             if let_go or favourable:
                 self.do(*(let_go or favourable)[0])
@@ -747,7 +747,7 @@
                         one.tune_in.outcome,
                         one.session and one.session.path,
                     )
-                    for one in self.flights
+                    for one in self.attempts
                 ],
                 [ending.session for _, ending in self.endings],
                 [(what, server.name, paths) for _, what, server, paths in self.questions],
--- a/tests/test_attempt_order.py
+++ b/tests/test_attempt_order.py
@@ -124,7 +124,7 @@
         await until(lambda: any(media.had(isup.SET_UP) for media in place.medias))
         first = next(media for media in place.medias if media.had(isup.SET_UP))
         second = next(media for media in place.medias if media is not first)
-        held = next(iter(place.node.reach.flights.values())).line.wire
+        held = next(iter(place.node.reach.attempts.values())).line.wire
         push = Wire._push
 
         def pushed(wire):
@@ -151,7 +151,7 @@
             async with anyio.create_task_group() as tasks:
 
                 async def later():
-                    await until(lambda: any(one.number == 2 for one in place.node.reach.flights))
+                    await until(lambda: any(one.number == 2 for one in place.node.reach.attempts))
                     await anyio.sleep(0.03)
                     self.assertEqual(sum(len(media.had(isup.SET_UP)) for media in place.medias), 1)
                     may_write.append(True)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -49,7 +49,7 @@
                 ids = [f"{number:016x}" for number in range(1, 101)]
                 for viewer, id in zip(viewers, ids):
                     viewer.ask(id, package=CLIP)
-                await until(lambda: len(place.node.reach.flights) == 100)
+                await until(lambda: len(place.node.reach.attempts) == 100)
                 held.sockets.update(line.wire.socket for line in place.node.door.lines)
                 for viewer, id in zip(viewers, ids):
                     leaves(viewer, id)
@@ -59,7 +59,7 @@
                 held.go.set()
                 await until(lambda: not place.node.door.asked)
             await quiet(lambda: len(place.medias[0].had(isup.SET_UP)))
-            self.assertFalse(place.node.desk.courses or place.node.reach.flights)
+            self.assertFalse(place.node.desk.courses or place.node.reach.attempts)
             for viewer in viewers:
                 viewer.close()
             return len(place.medias[0].had(isup.SET_UP))
@@ -83,7 +83,7 @@
             with held.all():
                 viewer = Plain(place.port)
                 viewer.ask(A, package=CLIP)
-                await until(lambda: place.node.reach.flights)
+                await until(lambda: place.node.reach.attempts)
                 held.sockets.update(line.wire.socket for line in place.node.door.lines)
                 viewer.say(b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n")
                 held.up.set()
@@ -109,7 +109,7 @@
                 held.sockets.update(line.wire.socket for line in place.node.door.lines)
                 leaves(viewer)
                 await ends(first)
-                await until(lambda: any(flight.tune_in.number == 2 for flight in place.node.reach.flights.values()))
+                await until(lambda: any(attempt.tune_in.number == 2 for attempt in place.node.reach.attempts.values()))
                 await quiet(lambda: sum(len(media.had(isup.SET_UP)) for media in place.medias))
                 held.go.set()
                 await until(lambda: not place.node.door.asked)
@@ -147,12 +147,12 @@
                 )
                 with mock.patch.object(Wire, "_push", lambda wire: False):
                     viewer.ask(C, package=CLIP)
-                    await until(lambda: place.node.reach.flights)
-                    flight = next(iter(place.node.reach.flights.values()))
+                    await until(lambda: place.node.reach.attempts)
+                    attempt = next(iter(place.node.reach.attempts.values()))
                     held.sockets.update(line.wire.socket for line in place.node.door.lines)
                     viewer.close()
-                    place.node.reach._break(flight.line, "a fault of the test")
-                    self.assertEqual(flight.moves, 1)
+                    place.node.reach._break(attempt.line, "a fault of the test")
+                    self.assertEqual(attempt.moves, 1)
                 await quiet(lambda: len(media.had(isup.SET_UP)))
                 held.go.set()
                 await until(lambda: not place.node.door.asked)
@@ -175,7 +175,7 @@
             viewer.close()
             await until(lambda: place.medias[0].had(isup.RELEASE) and not place.node.door.lines)
             self.assertEqual([call.args for call in place.node.log.error.call_args_list], [("fault",)])
-            self.assertEqual(len(place.node.reach.flights), 1)
+            self.assertEqual(len(place.node.reach.attempts), 1)
             place.node.log.error.reset_mock()
 
 
@@ -480,7 +480,7 @@
                 with held.all():
                     viewer = Plain(place.port)
                     viewer.ask(A, package=CLIP, patience=patience)
-                    await until(lambda: place.node.reach.flights)
+                    await until(lambda: place.node.reach.attempts)
                     if cancels:
                         viewer.tear_down(A)
                     heard = await viewer.hear()
@@ -498,9 +498,9 @@
             with held.all():
                 viewer = Plain(place.port)
                 viewer.ask(A, package=CLIP)
-                await until(lambda: node.reach.flights)
-                flight = next(iter(node.reach.flights.values()))
-                old = next(media for media in place.medias if media.name == flight.tune_in.server.name)
+                await until(lambda: node.reach.attempts)
+                attempt = next(iter(node.reach.attempts.values()))
+                old = next(media for media in place.medias if media.name == attempt.tune_in.server.name)
                 other = next(media for media in place.medias if media is not old)
                 await until(lambda: place.bulletin.lines)
                 other.port, mine = old.port, other.port
@@ -533,7 +533,7 @@
             media.does = media.silent
             viewer.ask(A, package=CLIP, patience=1500)
             await until(lambda: media.had(isup.SET_UP))
-            tune_in = next(iter(node.reach.flights))
+            tune_in = next(iter(node.reach.attempts))
             server = node.fleet.servers[media.name]
             for event in (first, second):
                 if event == "answer":
@@ -556,7 +556,7 @@
             answers = [heard, *viewer.got]
             self.assertLessEqual(sum(one.fields.get("cseq") == "1" for one in answers), 1)
             self.assertEqual(len(media.had(isup.SET_UP)), 1)
-            self.assertFalse(node.reach.flights)
+            self.assertFalse(node.reach.attempts)
             viewer.close()
 
     @story
@@ -633,7 +633,7 @@
             with held.all():
                 viewer = Plain(place.port)
                 viewer.ask(A, package=CLIP, patience=700)
-                await until(lambda: place.node.reach.flights)
+                await until(lambda: place.node.reach.attempts)
                 os.kill(os.getpid(), signal.SIGTERM)
                 self.assertEqual((await viewer.hear()).status, 503)
                 held.up.set()
--- a/tests/test_crossings_reloads.py
+++ b/tests/test_crossings_reloads.py
@@ -68,8 +68,8 @@
                 viewer, other = Plain(place.port), Bulletin()
                 await other.open(place.tasks)
                 viewer.ask(A, package=CLIP)
-                await until(lambda: place.node.reach.flights)
-                picked = next(iter(place.node.reach.flights)).server.name
+                await until(lambda: place.node.reach.attempts)
+                picked = next(iter(place.node.reach.attempts)).server.name
                 draining = next(media for media in place.medias if media.name == picked)
                 draining.state = 1
                 moved(place, other, 2, draining)
@@ -265,8 +265,8 @@
             with held.all():
                 viewer, bulletin = Plain(place.port), place.bulletin
                 viewer.ask(A, package=CLIP)
-                await until(lambda: place.node.reach.flights and bulletin.lines)
-                picked = next(iter(place.node.reach.flights)).server.name
+                await until(lambda: place.node.reach.attempts and bulletin.lines)
+                picked = next(iter(place.node.reach.attempts)).server.name
                 stays = next(media for media in place.medias if media.name != picked)
                 line, pieces = bulletin.lines[0], []
 
@@ -362,8 +362,8 @@
             with held.all():
                 viewer = Plain(place.port)
                 viewer.ask(A, package=CLIP)
-                await until(lambda: place.node.reach.flights)
-                picked = next(iter(place.node.reach.flights)).server.name
+                await until(lambda: place.node.reach.attempts)
+                picked = next(iter(place.node.reach.attempts)).server.name
                 media = next(media for media in place.medias if media.name == picked)
                 await until(lambda: media.lines)
                 await self.killed(media)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -134,9 +134,9 @@
             shared = max(
                 media.lines,
                 key=lambda line: sum(
-                    flight.line.wire is not None
-                    and flight.line.wire.socket.getsockname()[1] == line.extra(anyio.abc.SocketAttribute.remote_port)
-                    for flight in place.node.reach.flights.values()
+                    attempt.line.wire is not None
+                    and attempt.line.wire.socket.getsockname()[1] == line.extra(anyio.abc.SocketAttribute.remote_port)
+                    for attempt in place.node.reach.attempts.values()
                 ),
             )
             await shared.send(b"\0\2no")
@@ -629,7 +629,7 @@
             for number in range(300):
                 await viewer.tear_down(f"{number:016x}")
             await until(lambda: not place.node.desk.waiting and not place.node.door.asked)
-            self.assertFalse(place.node.reach.flights or place.node.desk.courses)
+            self.assertFalse(place.node.reach.attempts or place.node.desk.courses)
             self.assertEqual(place.node.fleet.servers[media.name].link.own, 0)
 
 
