A reset that a look at the socket took, or a failed write, is not forgotten

What callers saw: sessions for nobody, where clients left in the moment of their answers.

Cause: the kernel tells of a reset once. A look for unread bytes took it and said «closed», and the read that followed set the mark of a reset back; so did one behind a failed write.

The storm is a test; it failed before.

--- a/curlewshift/node/wire.py
+++ b/curlewshift/node/wire.py
@@ -253,8 +253,8 @@
                 continue
             except ENDED:
                 data = b""
-                self.reset_by_peer = not self.gone
-            self.ended_by_peer = not data and not self.gone
+                self.reset_by_peer = self.reset_by_peer or not self.gone
+            self.ended_by_peer = self.ended_by_peer or (not data and not self.gone)
             return data
         return b""
 
@@ -282,6 +282,8 @@
         except (BlockingIOError, InterruptedError):
             return None
         except OSError:
+            # the kernel says it once
+            self.reset_by_peer = True
             return b""
 
     # ---- its end
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,11 +1,14 @@
 """What a set-up has left at a media server is over there, or told to its client, whatever connections swallow: real processes."""
 
 import signal
+import socket
 import unittest
+from random import Random
 
 import anyio
 
 from curlewshift.node import isup
+from curlewshift.soak.proxy import LINGER_ZERO
 from tests.node_place import Plain
 from tests.proxied import Proxied
 from tests.sockets import story, until
@@ -94,6 +97,61 @@
             viewer.close()
 
 
+class Holding:
+    """A media server that answers a little later, and knows what stands there."""
+
+    def __init__(self, media, chance):
+        self.media, self.chance, self.held, self.set_up = media, chance, set(), 0
+        media.does = self.heard
+
+    async def heard(self, stream, kind, id, parameters):
+        if kind == isup.RELEASE:
+            self.held.discard(id)
+        elif kind == isup.SET_UP:
+            self.media.own.start_soon(self.answer, stream, id, parameters)
+        else:
+            await self.media.plays(stream, kind, id, parameters)
+
+    async def answer(self, stream, id, parameters):
+        self.held.add(id)
+        await anyio.sleep(self.chance.uniform(0.01, 0.02))
+        if id in self.held:
+            self.set_up += 1
+            await self.media.plays(stream, isup.SET_UP, id, parameters)
+
+
+class ClientsThatLeaveAsTheirAnswersCome(unittest.TestCase):
+    WAYS = ("cancel and close", "close", "reset", "half-close and close")
+
+    async def leaves(self, place, id, chance):
+        """Asks on a connection of its own and leaves it unread."""
+        viewer = Plain(place.port)
+        viewer.ask(id)
+        await anyio.sleep(chance.uniform(0.008, 0.024))
+        how = chance.choice(self.WAYS)
+        if how == "cancel and close":
+            viewer.tear_down(id)
+        elif how == "reset":
+            viewer.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+        elif how == "half-close and close":
+            viewer.socket.shutdown(socket.SHUT_WR)
+            await anyio.sleep(0.005)
+        viewer.close()
+
+    @story
+    async def test_nothing_stands_for_clients_that_left_in_the_moment_of_their_answers(self):
+        chance = Random(45)
+        async with Proxied(1).process() as place:
+            server = Holding(place.medias[0], chance)
+            async with anyio.create_task_group() as clients:
+                for number in range(400):
+                    clients.start_soon(self.leaves, place, f"{number + 1:016x}", chance)
+                    await anyio.sleep(0.004)
+            await until(lambda: not server.held, OVER_WITHIN_S)
+            # some left before their answers, and some after
+            self.assertTrue(50 < server.set_up < 400, server.set_up)
+
+
 class AtTheEndOfTheProcess(unittest.TestCase):
     @story
     async def test_sessions_that_clients_end_together_during_a_shutdown_are_ended_at_a_server_that_confirms_nothing(self):
