--- a/curlewshift/desk/desk.py
+++ b/curlewshift/desk/desk.py
@@ -211,6 +211,10 @@
         """Asked just before the first byte goes out: a list change or the time may have overtaken the pick."""
         return tune_in.outcome is None and tune_in.server.open and self.outside.now() < tune_in.until
 
+    def sent(self, tune_in: TuneIn) -> None:
+        """Its first byte goes out now."""
+        self.rules.attempt_sent(tune_in.course.vw)
+
     def played(self, tune_in: TuneIn, session: object, report: dict[str, float] | None = None) -> None:
         """The server has set the session up."""
         if tune_in.outcome is not None:
--- a/curlewshift/model.py
+++ b/curlewshift/model.py
@@ -131,6 +131,8 @@
     tried: list = field(default_factory=list)
     # servers where an attempt of it has been given up and may not have ended yet; the host keeps it true
     unconfirmed: Container[Server] = ()
+    # when its latest attempt past the first was decided, or left since
+    further_at: int = 0
     turn: int = 0
     changed_at: int = 0
     held_rate: float = 0.0
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -177,6 +177,7 @@
         if self.read_first(attempt.tune_in, lambda: self._go_on(attempt)):
             return False
         self.teardowns.set_up_again(line, attempt)
+        self.desk.sent(attempt.tune_in)
         return True
 
     def _waits_for_a_release(self, attempt: Attempt) -> bool:
--- a/curlewshift/rules.py
+++ b/curlewshift/rules.py
@@ -248,6 +248,16 @@
             self.further_wanted_at = self.host.now()
         return left
 
+    def attempt_sent(self, vw: Viewing) -> None:
+        """Its attempt leaves now, maybe later than it was decided: the budget counts it from now on."""
+        now = self.host.now()
+        if not vw.further_at or now == vw.further_at:
+            return
+        if vw.further_at in self.further:
+            self.further.remove(vw.further_at)
+        self.further.append(now)
+        vw.further_at = now
+
     def seat_left(self, title: str, package: Package) -> bool:
         dealt = self.seat_rights.get(package)
         seats = package.seats if dealt is None else self._in_hand(dealt.get(title, ()))
@@ -310,6 +320,7 @@
         now = self.host.now()
         if vw.tune_ins:
             self.further.append(now)
+            vw.further_at = now
         vw.tune_ins += 1
         vw.tried.append(server)
         vw.rung = rung
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -237,6 +237,16 @@
             story.rules.ended(story.want(), Outcome.UNREACHED, False)
         self.assertEqual((len(story.host.all("tune_in")), len(story.host.all("block"))), (3, 1))
 
+    def test_a_further_attempt_that_leaves_later_than_it_was_decided_counts_from_when_it_left(self):
+        story = Story(count=3, free_further=1, further_share=0.0, look_back=10 * SECOND)
+        vw = story.want()
+        story.rules.ended(vw, Outcome.UNREACHED, False)
+        story.later(SECOND)
+        story.rules.attempt_sent(vw)
+        story.later(9 * SECOND + SECOND // 2)
+        story.rules.ended(story.want(), Outcome.UNREACHED, False)
+        self.assertEqual((len(story.host.all("tune_in")), len(story.host.all("block"))), (3, 1))
+
 
 class Health(unittest.TestCase):
     def test_unusual_silence_ranks_a_server_behind_the_others(self):
