A release confirmed within a second of our own close of its set-up's connection is said once more

A confirmation closes the record only for a copy said a second after such a close. The test fails without it.

--- a/curlewshift/node/teardowns.py
+++ b/curlewshift/node/teardowns.py
@@ -45,6 +45,7 @@
         if not by_peer:
             # the server may not have seen the close when the next attempt comes
             self.pending.said(record, line, line.sent)
+            self.pending.crossed(record)
         attempt.tune_in.course.vw.unconfirmed = self.pending.servers_of(attempt.id)
 
     def session_over(self, endpoint: Endpoint, session: Session) -> None:
--- a/curlewshift/teardown/pending.py
+++ b/curlewshift/teardown/pending.py
@@ -29,6 +29,8 @@
 GIVEN_UP_AFTER_NS = 30 * SECOND_NS
 # Of a connection that broke by itself the server mostly knows: another is not opened for such a release alone before this.
 UNHURRIED_NS = 2 * SECOND_NS
+# A set-up on a connection that was closed here may arrive this long after that.
+CROSSES_CLOSE_NS = SECOND_NS
 # Said again after the connections of earlier ones have ended: the first pause, doubled up to `PAUSE_NS`.
 FIRST_PAUSE_NS = SECOND_NS // 4
 # Records of one server, and of all; the oldest are dropped first, as their servers will have ended them soonest.
@@ -92,6 +94,8 @@
     # the next step is due then
     next_at: int = 0
     times_said: int = 0
+    # what is said before this does not close it: its set-up may still be on the way, on a connection that was closed here
+    sure_after: int = 0
     # those that may still arrive
     copies: list[Copy] = field(default_factory=list)
     # set-ups that wait for this record before it has been said
@@ -199,20 +203,26 @@
     def heard(self, server: Server, id: bytes, connection: object) -> None:
         """The server has said "release heard": on the connection of a copy, or else of the oldest one."""
         copies = [copy for record in self.by_id.get(id, ()) if record.server is server for copy in record.copies]
-        if copies:
-            self._confirm(next((copy for copy in copies if copy.connection is connection), copies[0]))
+        if not copies:
+            return
+        copy = next((copy for copy in copies if copy.connection is connection), copies[0])
+        self._confirm(copy)
         record = self.find(server, id)
         if record is not None:
-            self._close(record, "heard")
+            self._show(record, copy, "heard")
 
     def answered(self, connection: object, number: int) -> None:
         """The server has answered this connection's message of this number: it has read what was written before it."""
         for copy in list(self.by_connection.get(connection, ())):
             if copy.number < number:
                 if copy.record.state is not State.CLOSED:
-                    self._close(copy.record, "read")
+                    self._show(copy.record, copy, "read")
                 self._confirm(copy)
 
+    def crossed(self, record: PendingRelease) -> None:
+        """Its set-up's connection was closed here: a release may overtake the set-up on another, and end nothing."""
+        record.sure_after = self.now() + CROSSES_CLOSE_NS
+
     def over(self, server: Server, id: bytes) -> None:
         """The server says by itself that nothing stands there under this id."""
         record = self.find(server, id)
@@ -300,6 +310,13 @@
             self.servers_by_id.pop(record.id, None)
         record.call_followers()
 
+    def _show(self, record: PendingRelease, copy: Copy, how: str) -> None:
+        """The server has read this copy."""
+        if copy.sent_at >= record.sure_after:
+            self._close(record, how)
+        else:
+            record.state, record.next_at = State.DUE, record.sure_after
+
     def _close(self, record: PendingRelease, how: str) -> None:
         here = self.at[record.server]
         del here[record.id]
--- a/tests/test_pending_releases.py
+++ b/tests/test_pending_releases.py
@@ -64,6 +64,19 @@
         copy.out()
         self.assertIsNone(self.pending.before(self.other, ID))
 
+    def test_a_release_that_may_have_overtaken_a_set_up_whose_connection_was_closed_here_does_not_end_the_care(self):
+        record, _ = self.said("c", 1)
+        self.pending.crossed(record)
+        self.pending.connection_ended("c", by_peer=False)
+        self.pending.said(record, "d", 1)
+        self.pending.answered("d", 2)
+        self.assertEqual((record.state, self.pending.due(self.server)), (State.DUE, []))
+        self.clock += pending.CROSSES_CLOSE_NS
+        self.assertEqual(self.pending.due(self.server), [record])
+        self.pending.said(record, "d", 3)
+        self.pending.answered("d", 4)
+        self.assertEqual((record.state, len(self.pending)), (State.CLOSED, 0))
+
     def test_connections_that_end_one_after_the_other_are_followed_ever_more_slowly(self):
         record, times = self.pending.open(self.server, ID, OVER), []
         for number in range(40):
