A server that the list has dropped is gone once its connections are reset or refused

Now a reset of the last connection to a server that the list has dropped ends its sessions; should it live, it is told. Whether a server is listed was asked of what the roster remembers, which keeps a dropped one for a minute, so that a refusal did not end what was to be told there either: it is asked of the list now.

Test on a real process: told nothing in 8 s before. Both passed alone.

--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -369,7 +369,8 @@
         return endpoint.was_reset or endpoint.address is None or not self._is_listed(endpoint)
 
     def _is_listed(self, endpoint: Endpoint) -> bool:
-        return self.desk.roster.servers.get(endpoint.server.name) is endpoint.server
+        """Whether discovery says that it is there, ready or draining."""
+        return self.desk.roster.lists(endpoint.server)
 
     def _gone(self, line: Line) -> None:
         if not line.over:
@@ -408,6 +409,10 @@
                 line.attempts.pop(attempt.id)
                 self._assign(attempt)
         self.pending.connection_ended(line, by_peer)
+        reset = line.wire is not None and line.wire.reset_by_peer
+        if reset and not self._is_listed(line.endpoint) and not any(other.up for other in line.endpoint.lines):
+            # something may stand before its address that takes connections and resets them; should it live, it is told
+            self._lost(line.endpoint, "gone by the list, and reset", cut_off=True)
 
     def _note_unheard(self, line: Line) -> None:
         """Its server may not know that it is closed, and say the ends of sessions there, unheard."""
@@ -599,9 +604,12 @@
             if endpoint.standing:
                 self._keep_open(endpoint)
                 self._ask_for_sign(endpoint, now)
-            elif not endpoint.lines and not self._is_listed(endpoint) and not self.pending.of(endpoint.server):
+            elif not endpoint.lines and self._is_forgotten(endpoint) and not self.pending.of(endpoint.server):
                 del self.endpoints[endpoint.server]
 
+    def _is_forgotten(self, endpoint: Endpoint) -> bool:
+        return self.desk.roster.servers.get(endpoint.server.name) is not endpoint.server
+
     def _look_after(self, line: Line, now: int) -> None:
         if line.intake.stuck(now, WHOLE_WITHIN, WHOLE_WITHIN):
             self._break(line, "half a message and no more")
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -97,6 +97,23 @@
             viewer.close()
 
 
+class AServerThatIsGone(unittest.TestCase):
+    @story
+    async def test_the_end_of_its_sessions_is_told_where_its_address_takes_connections_and_resets_them(self):
+        async with Proxied(1).process() as place:
+            media, viewer = place.medias[0], Plain(place.port)
+            viewer.ask(FIRST)
+            await viewer.hear()
+            await until(lambda: place.bulletin.lines)
+            media.state = 2
+            await place.bulletin.tell(2, media)
+            await media.close()
+            place.proxies[0].break_all()
+            told = await viewer.hear(within=OVER_WITHIN_S)
+            self.assertEqual((told.method, told.fields["session"]), ("TEARDOWN", FIRST))
+            viewer.close()
+
+
 class Holding:
     """A media server that answers a little later, and knows what stands there."""
 
