Soak: discovery keeps the port of an address that refuses, so that no other process gets it

The soak's discovery closed its listener to refuse or to move away, its nodes went on dialling, and the port went to the next test that asked for any, as four test processes run beside each other. It is bound and not listened on now: refused, and nobody else's.

--- a/curlewshift/soak/discovery.py
+++ b/curlewshift/soak/discovery.py
@@ -48,15 +48,29 @@
         return change
 
 
+def reserve(port: int) -> socket.socket:
+    """A socket that keeps a port from others and refuses connections to it: it is bound and does not listen."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", port))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
+    return sock
+
+
 class Address:
     """Where one node asks. `fault` is the kind of fault in force, without its prefix, or empty."""
 
     def __init__(self, discovery: Discovery, node: str):
+        # holds the port while it is not listened on
+        self.reserved: socket.socket | None = None
         self.discovery, self.node, self.fault, self.moved = discovery, node, "", False
         self.connections: list[socket.socket] = []
         self.open()
 
     def open(self, port: int = 0) -> None:
+        if self.reserved is not None:
+            self.reserved.close()
+            self.reserved = None
         self.listener = socket.create_server(("127.0.0.1", port), backlog=64)
         self.listener.setblocking(False)
         self.port = self.listener.getsockname()[1]
@@ -91,6 +105,7 @@
             self.closed = True
             anyio.notify_closing(self.listener)
             self.listener.close()
+            self.reserved = reserve(self.port)
 
     async def run(self, tasks) -> None:
         while not self.moved:
