Tests: a discovery follower of another test's node is no client of a scripted media server

Such a greeting is passed over, any other bytes fail as before, and each place asserts that its own node follows none of its media servers.

--- a/tests/node_place.py
+++ b/tests/node_place.py
@@ -17,6 +17,12 @@
 LESSON, CLIP = "lesson", "clip"
 
 
+def is_a_strangers(data):
+    """Eight bytes that count up to a small number: the greeting of a discovery follower, of another test's node whose port this
+    was before. A message to a media server never begins with a length of 0; `up` asserts that the node here follows no media."""
+    return len(data) == 8 and data[:6] == bytes(6)
+
+
 class Media:
     """One media server. `does(line, kind, id, parameters)` answers; by default each set-up plays."""
 
@@ -44,6 +50,8 @@
         try:
             async with stream:
                 async for data in stream:
+                    if is_a_strangers(data) and not reader.partial:
+                        return
                     for kind, id, parameters in reader.feed(data):
                         self.heard.append((kind, id, parameters))
                         await self.does(stream, kind, id, parameters)
@@ -315,6 +323,7 @@
             self.tasks.start_soon(self.node.run)
             await until(lambda: self.node.ready)
             yield self
+            assert self.node.follower.address[1] not in [one.port for one in self.medias]
         faults = [call for call in self.node.log.error.call_args_list if call.args == ("fault",)]
         assert not faults, faults
 
