Read over: one base for what set-ups wait for, one way to ask whether a server is reached

Copy and PendingRelease had the same followers and the same call of them; whether any connection to a server is up was asked in three places, and a reset twice in one method.

--- a/curlewshift/node/connections.py
+++ b/curlewshift/node/connections.py
@@ -126,3 +126,8 @@
         self.words_lost = False
         # a connection was reset by its peer, and none has come up since
         self.was_reset = False
+
+    @property
+    def up(self) -> bool:
+        """A connection to it is up."""
+        return any(line.up for line in self.lines)
--- a/curlewshift/node/reach.py
+++ b/curlewshift/node/reach.py
@@ -357,9 +357,9 @@
         self._gone(line)
         for attempt in list(line.attempts.values()):
             self._end(attempt, Outcome.UNSENT if own else Outcome.UNREACHED)
-        if line.probes and not any(other.up for other in endpoint.lines):
+        if line.probes and not endpoint.up:
             self.desk.probed(endpoint.server, Outcome.UNREACHED)
-        if wrong is not None and not own and not any(other.up for other in endpoint.lines) and self._has_died(endpoint):
+        if wrong is not None and not own and not endpoint.up and self._has_died(endpoint):
             self.pending.server_gone(endpoint.server)
             if endpoint.standing:
                 self._lost(endpoint, "refused")
@@ -392,10 +392,12 @@
         self._gone(line)
         if line.wire is not None:
             line.wire.drop()
+        endpoint = line.endpoint
         by_peer = line.wire is not None and line.wire.ended_by_peer
+        reset = line.wire is not None and line.wire.reset_by_peer
         self._log_close(line, "its server has closed it" if by_peer else why)
-        if line.wire is not None and line.wire.reset_by_peer:
-            line.endpoint.was_reset = True
+        if reset:
+            endpoint.was_reset = True
         if not by_peer:
             self._note_unheard(line)
         for attempt in list(line.attempts.values()):
@@ -409,10 +411,9 @@
                 line.attempts.pop(attempt.id)
                 self._assign(attempt)
         self.pending.connection_ended(line, by_peer)
-        reset = line.wire is not None and line.wire.reset_by_peer
-        if reset and not self._is_listed(line.endpoint) and not any(other.up for other in line.endpoint.lines):
+        if reset and not self._is_listed(endpoint) and not endpoint.up:
             # something may stand before its address that takes connections and resets them; should it live, it is told
-            self._lost(line.endpoint, "gone by the list, and reset", cut_off=True)
+            self._lost(endpoint, "gone by the list, and reset", cut_off=True)
 
     def _note_unheard(self, line: Line) -> None:
         """Its server may not know that it is closed, and say the ends of sessions there, unheard."""
--- a/curlewshift/node/teardowns.py
+++ b/curlewshift/node/teardowns.py
@@ -78,17 +78,14 @@
 
     def look_after(self, endpoint: Endpoint) -> None:
         """Called often: takes the next step of each record that is due."""
-        due = self.pending.due(endpoint.server)
-        if not due:
-            return
         again = []
-        for record in due:
+        for record in self.pending.due(endpoint.server):
             line = record.copies[-1].connection if record.copies else None
             if record.state is State.SAID and line.up and not line.retired:
                 # of several on one connection the first test takes all with it
                 line.probe()
                 self.pending.tested(line)
-            elif record.state is not State.TESTED or record.next_at <= self.now():
+            elif record.next_at <= self.now():
                 again.append(record)
         if again:
             self._say_again(endpoint, again)
@@ -134,9 +131,8 @@
         copy = self.pending.said(record, line, line.sent + 1)
         line.send(isup.release(record.id, record.cause), copy)
 
-    def _say(self, line: Line, records: Iterable[PendingRelease]) -> None:
+    def _say(self, line: Line, records: list[PendingRelease]) -> None:
         """With a test behind them."""
-        records = list(records)
         again = [record for record in records if record.times_said]
         for record in records:
             self._write(line, record)
--- a/curlewshift/teardown/pending.py
+++ b/curlewshift/teardown/pending.py
@@ -50,8 +50,22 @@
     CLOSED = "closed"
 
 
+@dataclass(eq=False, slots=True, kw_only=True)
+class Awaited:
+    """Something that set-ups wait for."""
+
+    # called once more is known of it
+    followers: list[Callable[[], None]] = field(default_factory=list)
+
+    def call_followers(self) -> None:
+        """What waited for it looks again."""
+        followers, self.followers = self.followers, []
+        for follow in followers:
+            follow()
+
+
 @dataclass(eq=False, slots=True)
-class Copy:
+class Copy(Awaited):
     """One release on one connection. `written` once the kernel has its last byte, or nothing more of it can be written."""
 
     record: PendingRelease
@@ -61,8 +75,6 @@
     sent_at: int
     written: bool = False
     handed: bool = False
-    # called once more is known of it
-    followers: list[Callable[[], None]] = field(default_factory=list)
 
     def leaves(self) -> bool:
         """Asked as its first byte is about to go out: it always may."""
@@ -73,16 +85,10 @@
         self.written = True
         self.call_followers()
 
-    def call_followers(self) -> None:
-        """What waited for this copy looks again."""
-        followers, self.followers = self.followers, []
-        for follow in followers:
-            follow()
-
 
 @dataclass(eq=False, slots=True)
-class PendingRelease:
-    """What a set-up may have left at one server under one id."""
+class PendingRelease(Awaited):
+    """What a set-up may have left at one server under one id. Set-ups wait for it while it has not been said."""
 
     server: Server
     id: bytes
@@ -98,13 +104,6 @@
     sure_after: int = 0
     # those that may still arrive
     copies: list[Copy] = field(default_factory=list)
-    # set-ups that wait for this record before it has been said
-    followers: list[Callable[[], None]] = field(default_factory=list)
-
-    def call_followers(self) -> None:
-        followers, self.followers = self.followers, []
-        for follow in followers:
-            follow()
 
 
 def _pause(times_said: int) -> int:
