--- a/curlewshift/soak/judge.py
+++ b/curlewshift/soak/judge.py
@@ -14,7 +14,7 @@
 
 from curlewshift.soak.plan import Plan
 from curlewshift.soak.records import Attempt, Life, Records, Request, ServerAttempt
-from curlewshift.soak.session_rules import SessionRules
+from curlewshift.soak.session_rules import ENDS_TOLD, NEVER, NOTHING_STANDING, PLAYS, SessionRules
 
 PAGE_SLACK_S = 0.05
 # An attempt may begin this long after its client has left.
@@ -30,8 +30,7 @@
 READY_WITHIN_S, READY_SHARE = 10.0, 0.9
 MEMORY_MB = 96.0
 STARVED_S = 0.25
-NEVER = 1e18
-PLAYS, REFUSED = 200, (453, 454, 503)
+REFUSED = (453, 454, 503)
 RULES = (
     "answered once",
     "no answer that nobody made",
@@ -44,8 +43,8 @@
     "budget",
     "no attempt after leaving",
     "no attempt unasked",
-    "ends told",
-    "nothing left standing",
+    ENDS_TOLD,
+    NOTHING_STANDING,
     "no crash",
     "no fault logged",
     "limits",
