--- a/review/standins.py
+++ b/review/standins.py
@@ -1,7 +1,8 @@
 """Stand-ins for the review's cases: the bulletin, media servers, viewers, and the start of front nodes. Standard library alone.
 
-They follow the protocol page: a sound media server answers every set-up that it reads, confirms every release and answers every
-probe; a sound bulletin tells each event once, in order, and sends an empty frame each second; viewers read all that is sent to them.
+They follow the protocol page: a sound media server answers every set-up that it reads and every probe, and says of a session that
+a release has cut that it was cut; a sound bulletin tells each event once, in order, and sends an empty frame each second; viewers
+read all that is sent to them.
 All times in records are seconds since the start of the case, on the monotonic clock.
 """
 
@@ -38,7 +39,7 @@
     """What was sent, answered and run, in `record.txt` of the case's folder."""
 
     def __init__(self, folder):
-        self.began, self.file = time.monotonic(), open(Path(folder) / "record.txt", "w")
+        self.began, self.file = time.monotonic(), open(Path(folder) / "record.txt", "w")  # noqa: SIM115
 
     def now(self):
         return time.monotonic() - self.began
@@ -59,28 +60,73 @@
         "family": "streams",
         "discovery": "push",
         "bounds": {
-            "cancel": True, "connect_timeout_ms": 250.0, "idle_close_ms": 30000.0, "max_attempts": 5, "max_open": 100000,
-            "max_retry_after_ms": 2000.0, "parallel_tries": False, "peers": False, "probes": True, "retry_after": True,
+            "cancel": True,
+            "connect_timeout_ms": 250.0,
+            "idle_close_ms": 30000.0,
+            "max_attempts": 5,
+            "max_open": 100000,
+            "max_retry_after_ms": 2000.0,
+            "parallel_tries": False,
+            "peers": False,
+            "probes": True,
+            "retry_after": True,
             "streams_per_conn": 32,
         },
         "classes": [
-            {"name": LESSON, "effect": "safe", "gain": 1.0, "goal_time_ms": 800.0, "give_up_ms": 3000.0, "group": "all",
-             "late_worth": 0.0, "stream": True, "window_ms": 3000.0},
-            {"name": CLIP, "effect": "unsafe", "gain": 2.0, "goal_time_ms": 1000.0, "give_up_ms": 5000.0, "group": "all",
-             "late_worth": 0.0, "stream": True, "window_ms": 5000.0},
+            {
+                "name": LESSON,
+                "effect": "safe",
+                "gain": 1.0,
+                "goal_time_ms": 800.0,
+                "give_up_ms": 3000.0,
+                "group": "all",
+                "late_worth": 0.0,
+                "stream": True,
+                "window_ms": 3000.0,
+            },
+            {
+                "name": CLIP,
+                "effect": "unsafe",
+                "gain": 2.0,
+                "goal_time_ms": 1000.0,
+                "give_up_ms": 5000.0,
+                "group": "all",
+                "late_worth": 0.0,
+                "stream": True,
+                "window_ms": 5000.0,
+            },
         ],
         "clients": {"marks_retry": True},
         "extra": {
-            "cabinets": 2, "cells": cells, "change_costs_s": 0.5, "class_seats": [0, 0], "fleet_kb": 720000.0,
-            "floor_by_class": [0, 0], "guard": 0.0, "is_live": [False, False], "join": 1.0, "kb_per_weight": 30000.0,
-            "kind_streams": [24, 48], "rack_kb": 400000.0, "rung_kb": [200.0, 350.0, 600.0, 1050.0, 1800.0],
-            "rung_worth": [0.2, 0.45, 0.64, 0.82, 1.0], "scale_by_class": [0.7, 1.2], "stall": 8.0, "told_every_ms": 3000.0,
-            "told_late_ms": 700.0, "top_by_class": [4, 4],
+            "cabinets": 2,
+            "cells": cells,
+            "change_costs_s": 0.5,
+            "class_seats": [0, 0],
+            "fleet_kb": 720000.0,
+            "floor_by_class": [0, 0],
+            "guard": 0.0,
+            "is_live": [False, False],
+            "join": 1.0,
+            "kb_per_weight": 30000.0,
+            "kind_streams": [24, 48],
+            "rack_kb": 400000.0,
+            "rung_kb": [200.0, 350.0, 600.0, 1050.0, 1800.0],
+            "rung_worth": [0.2, 0.45, 0.64, 0.82, 1.0],
+            "scale_by_class": [0.7, 1.2],
+            "stall": 8.0,
+            "told_every_ms": 3000.0,
+            "told_late_ms": 700.0,
+            "top_by_class": [4, 4],
         },
         "flavors": ["two-core", "four-core"],
         "obligations": {
-            "answer_slack_ms": 40.0, "ask_within_ms": 10000.0, "drain_grace_ms": 2000.0, "fall_ms": 2000.0, "fall_multiple": 4.0,
-            "start_capacity": 0.5, "warm_within_ms": 8000.0,
+            "answer_slack_ms": 40.0,
+            "ask_within_ms": 10000.0,
+            "drain_grace_ms": 2000.0,
+            "fall_ms": 2000.0,
+            "fall_multiple": 4.0,
+            "start_capacity": 0.5,
+            "warm_within_ms": 8000.0,
         },
         "telemetry": {"fields": ["x0"], "how": "inline"},
         "tenants": [],
@@ -88,7 +134,7 @@
         "tier": 0,
         "tiers": ["media-pool"],
         "weights": "nominal",
-    }  # fmt: skip
+    }
     for path, value in changed.items():
         owner, _, name = path.partition("__")
         if name:
@@ -112,14 +158,30 @@
         return f"s-{self.number:08x}"
 
     def row(self, state):
-        return {"id": self.name, "addr": f"{self.host}:{self.port}", "zone": "brest-room", "kind": "two-core", "cell": self.cell,
-                "state": STATES[state], "weight": self.weight, "started_ms": self.started_ms}  # fmt: skip
+        return {
+            "id": self.name,
+            "addr": f"{self.host}:{self.port}",
+            "zone": "brest-room",
+            "kind": "two-core",
+            "cell": self.cell,
+            "state": STATES[state],
+            "weight": self.weight,
+            "started_ms": self.started_ms,
+        }
 
     def packed(self, state):
         return struct.pack(
-            ">I4sHBBBHIQ", self.number, socket.inet_aton(self.host), self.port, state, 0, 0, self.cell,
-            int(self.weight * 1000), self.started_ms,
-        )  # fmt: skip
+            ">I4sHBBBHIQ",
+            self.number,
+            socket.inet_aton(self.host),
+            self.port,
+            state,
+            0,
+            0,
+            self.cell,
+            int(self.weight * 1000),
+            self.started_ms,
+        )
 
 
 class Events:
@@ -140,7 +202,10 @@
         return {
             "no": len(self.events),
             "items": [
-                {"no": number, "roster": {"version": number, "full": full, "servers": [server.row(state) for server, state in rows]}}
+                {
+                    "no": number,
+                    "roster": {"version": number, "full": full, "servers": [server.row(state) for server, state in rows]},
+                }
                 for number, full, rows in self.events
             ],
         }
@@ -153,7 +218,7 @@
 
 
 class Bulletin:
-    """One address of the bulletin. `answers_after` is how long it takes to answer a connection's request; it is sound otherwise."""
+    """One address of the bulletin. `answers_after` is how long (s) it takes to answer a connection's request."""
 
     def __init__(self, name, events, record, answers_after=0.0):
         self.name, self.events, self.record, self.answers_after = name, events, record, answers_after
@@ -216,11 +281,13 @@
 
 
 def encode(kind, session, *parameters):
+    """One binary message; each parameter is a code and a value."""
     rest = b"".join(struct.pack(">BH", code, len(value)) + value for code, value in parameters)
     return struct.pack(">HB", 9 + len(rest), kind) + session + rest
 
 
 def decode(raw):
+    """Type, session and parameters of one binary message, without its length."""
     parameters, at = {}, 9
     while at < len(raw):
         code, length = struct.unpack(">BH", raw[at : at + 3])
@@ -232,9 +299,9 @@
 class MediaServer:
     """A sound media server in this process. Set-ups take `work` seconds; a session lasts until `end` or a release.
 
-    A release from the front node cuts a session that stands, and the server says so with a release with cause 41 (the page's «reset:
-    the session was cut»). What is cut before its answer is given up. `loses_answer()` tells whether the network loses an answer now
-    and resets its connection.
+    A release from the front node cuts a session that stands, and the server says so with a release with cause 41 (the page's
+    «reset: the session was cut»). What is released before its answer is given up. `loses_answer()` tells whether the network
+    loses an answer now and resets its connection.
     """
 
     def __init__(self, number, record, cell=0, host="127.0.0.1", work=0.01, asked=0.0):
@@ -270,9 +337,13 @@
                     given_up = [attempt for attempt in self.out if attempt[0] == session]
                     self.out = [attempt for attempt in self.out if attempt[0] != session]
                     self.record(
-                        "released-by-front", server=self.name, session=session.hex(), cause=parameters[CAUSE][0], stood=stood,
+                        "released-by-front",
+                        server=self.name,
+                        session=session.hex(),
+                        cause=parameters[CAUSE][0],
+                        stood=stood,
                         given_up=len(given_up),
-                    )  # fmt: skip
+                    )
                     if stood:
                         self.record("says-cut", server=self.name, session=session.hex(), cause=41)
                         writer.write(encode(RELEASE, session, (CAUSE, b"\x29"), (REPORT, self.report())))
@@ -328,6 +399,7 @@
 
 
 def set_up_text(session, cls=LESSON, wait_ms=3000, title="7f3a9c21e0b4d655", home=0, copies=1, more=""):
+    """A set-up as a viewer sends it."""
     body = f"{session}\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
     return (
         f"SETUP rtsp://media/{title} RTSP/1.0\r\nCSeq: 1\r\nSession: {session}\r\nX-Cos: {cls}\r\nX-Timer-Ms: {wait_ms}\r\n"
@@ -336,6 +408,7 @@
 
 
 def teardown_text(session, reason="Reason: cause=16\r\n"):
+    """The viewer's end of a session that stands, or of a set-up."""
     return (
         f"TEARDOWN rtsp://media/{session} RTSP/1.0\r\nCSeq: 2\r\nSession: {session}\r\n{reason}Content-Length: 0\r\n\r\n"
     ).encode()
@@ -371,7 +444,7 @@
     async def _read(self, name, reader, writer):
         try:
             while True:
-                first, fields, body = await read_rtsp(reader)
+                first, fields, _ = await read_rtsp(reader)
                 session, at = fields.get("session", ""), self.record.now()
                 if first.startswith("TEARDOWN"):
                     self.releases.setdefault(session, []).append(at)
@@ -402,7 +475,7 @@
             left = end - time.monotonic()
             if left <= 0:
                 return False
-            with contextlib.suppress(asyncio.TimeoutError):
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.arrived.wait(), min(left, 0.05))
         return True
 
@@ -435,9 +508,12 @@
         temporary = self.folder / "tmp"
         temporary.mkdir(exist_ok=True)
         environment = {
-            **os.environ, "NODE_NAME": self.name, "NODE_LISTEN": self.document["listen"], "NODE_CONFIG": str(self.config),
+            **os.environ,
+            "NODE_NAME": self.name,
+            "NODE_LISTEN": self.document["listen"],
+            "NODE_CONFIG": str(self.config),
             "TMPDIR": str(temporary),
-        }  # fmt: skip
+        }
         with open(self.folder / "log.txt", "ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
@@ -454,7 +530,7 @@
         while time.monotonic() < end:
             if self.process.poll() is not None:
                 raise CannotRun(f"{self.name} ended before it was ready")
-            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
                 try:
                     writer.write(OPTIONS_TEXT)
@@ -474,12 +550,14 @@
 
 
 def free_port():
+    """A port that is free now."""
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return sock.getsockname()[1]
 
 
 def configuration(events, bulletin, document_settings, sockets=512, memory_mb=128):
+    """What a front node is told, but for its name and address."""
     return {
         "seed": os.urandom(8).hex(),
         "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
@@ -512,7 +590,7 @@
         record("verdict", broken=len(broken))
         print(f"rule {'broken: ' + str(len(broken)) + ' times; first: ' + broken[0] if broken else 'held'}")
         status = 1 if broken else 0
-    except (CannotRun, OSError, TimeoutError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, TimeoutError) as error:
         record("could-not-run", why=repr(error))
         print(f"could not run: {error!r}")
     finally:
