--- a/review/standins.py
+++ b/review/standins.py
@@ -24,7 +24,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SET_UP, ANSWER, RELEASE, HEARD, NOTE, PROBE, PROBED, RUNG = 1, 9, 12, 16, 44, 52, 53, 60
-CLASS, LEFT, TITLE, REPORT, LEVEL, CAUSE, DESCRIPTION = 33, 34, 37, 42, 44, 47, 48
+CLASS, LEFT, TITLE, KIND, REPORT, LEVEL, VALUE, CAUSE, DESCRIPTION = 33, 34, 37, 40, 42, 44, 45, 47, 48
 READY, DRAINING, GONE = 0, 1, 2
 STATES = ("active", "leaving", "left")
 LESSON, CLIP = "lesson-play", "clip-check"
@@ -313,11 +313,58 @@
         self.tasks, self.all_servers = set(), [self]
 
     async def open(self):
-        self.server = await asyncio.start_server(self._serve, self.host, 0, backlog=512)
-        self.port = self.server.sockets[0].getsockname()[1]
+        """Listens, and accepts connections until the case ends."""
+        self.socket = socket.create_server((self.host, 0), backlog=512)
+        self.socket.setblocking(False)
+        self.port = self.socket.getsockname()[1]
         self.listed = Listed(self.number, self.port, self.host, self.cell)
+        self.accepting, self.silent, self.fillers = self._start(self._accept()), [], []
         return self
 
+    async def _accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self.socket)
+            reader, writer = await asyncio.open_connection(sock=sock)
+            self._start(self._serve(reader, writer))
+
+    async def vanish(self):
+        """The machine is lost with all that runs there: open connections stay open and silent, new ones never come up."""
+        self.record("vanishes", server=self.name, sessions=len(self.sessions))
+        ended, self.sessions, self.out = list(self.sessions), {}, []
+        self.accepting.cancel()
+        for task in list(self.tasks):
+            task.cancel()
+        # a full accept queue: the kernel drops what else would connect
+        self.socket.listen(0)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self.host, self.port))
+            self.fillers.append(filler)
+        return ended
+
+    async def return_cold(self):
+        """The machine is back with a new process, which resets the old connections that anything comes on."""
+        for filler in self.fillers:
+            filler.close()
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                self.socket.accept()[0].close()
+        self.socket.listen(512)
+        self.record("returns-cold", server=self.name)
+        self.listed.started_ms = int(time.time() * 1000)
+        for writer in self.silent:
+            self._start(self._unknown(writer))
+        self.silent = []
+        self.accepting = self._start(self._accept())
+
+    async def _unknown(self, connection):
+        reader, writer = connection
+        await reader.read(1)
+        self.record("old-connection-reset", server=self.name)
+        reset(writer)
+
     @property
     def name(self):
         return f"s-{self.number:08x}"
@@ -348,14 +395,19 @@
                         self.record("says-cut", server=self.name, session=session.hex(), cause=41)
                         writer.write(encode(RELEASE, session, (CAUSE, b"\x29"), (REPORT, self.report())))
                 elif kind == PROBE:
+                    self.record("probed", server=self.name)
                     writer.write(encode(PROBED, session, (CAUSE, b"\1"), (REPORT, self.report())))
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (OSError, asyncio.IncompleteReadError):
             pass
-        finally:
+        except asyncio.CancelledError:
+            # the machine has vanished, or the case ends
             self.connections.remove(writer)
-            # the end of a connection gives up the set-ups that are out on it
-            self.out = [attempt for attempt in self.out if attempt[1] is not writer]
-            writer.close()
+            self.silent.append((reader, writer))
+            return
+        self.connections.remove(writer)
+        # the end of a connection gives up the set-ups that are out on it
+        self.out = [attempt for attempt in self.out if attempt[1] is not writer]
+        writer.close()
 
     def report(self):
         return f"x0:{self.asked + 0.003 * len(self.sessions):.3f}".encode()
@@ -364,6 +416,7 @@
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
     async def _set_up(self, writer, session, parameters):
         attempt = (session, writer, self.record.now())
@@ -386,6 +439,15 @@
         body = b"s=" + self.name.encode() + b"\r\n" + parameters[DESCRIPTION]
         writer.write(encode(ANSWER, session, (DESCRIPTION, body), (REPORT, self.report())))
 
+    def note(self):
+        """Tells on one session how full the link is; nothing where no session stands."""
+        for session, own in list(self.sessions.items())[:1]:
+            writer = own if own in self.connections else next(iter(self.connections), None)
+            if writer is not None:
+                value = self.report().partition(b":")[2]
+                writer.write(encode(NOTE, session, (KIND, b"wire"), (VALUE, value)))
+                self.record("note", server=self.name)
+
     def end(self, session):
         """The session comes to its end: the release goes out on the connection of its set-up, otherwise on any open one."""
         own = self.sessions.pop(session)
