--- a/review/standins.py
+++ b/review/standins.py
@@ -434,6 +434,7 @@
         self.record("stands", server=self.name, session=session.hex())
         if self.loses_answer():
             self.record("answer-lost-connection-reset", server=self.name, session=session.hex())
+            self.out = [attempt for attempt in self.out if attempt[1] is not writer]
             reset(writer)
             return
         body = b"s=" + self.name.encode() + b"\r\n" + parameters[DESCRIPTION]
