Log which event ended an attempt: its connection, a release and its code

The log gave an attempt's outcome alone, so that a connection that ended under it and a release by its server looked alike.

--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -228,7 +228,7 @@
 
     def _end_if_pending(self, attempt: Attempt) -> None:
         if self.attempts.get(attempt.tune_in) is attempt:
-            self._end_attempt(attempt, Outcome.UNSENT)
+            self._end_attempt(attempt, Outcome.UNSENT, "not sent")
 
     def _resume(self, attempt: Attempt) -> None:
         if self.attempts.get(attempt.tune_in) is attempt and not attempt.queued:
@@ -242,7 +242,7 @@
         connection = attempt.connection
         if connection.attempts.get(attempt.id) is attempt:
             del connection.attempts[attempt.id]
-        self._log_end(attempt, "timed out" if self.now() >= tune_in.until else "client left")
+        self._log_end(attempt, "timed out" if self.now() >= tune_in.until else "client left", "withdrawn")
         if not attempt.sending_started:
             connection.withdraw(attempt)
             return False
@@ -392,7 +392,7 @@
         )
         self._remove(connection)
         for attempt in list(connection.attempts.values()):
-            self._end_attempt(attempt, Outcome.UNSENT if local_failure else Outcome.UNREACHED)
+            self._end_attempt(attempt, Outcome.UNSENT if local_failure else Outcome.UNREACHED, "connect failed")
         if connection.probes and not endpoint.up:
             self.session_core.probed(endpoint.server, Outcome.UNREACHED)
         if error is not None and not local_failure and not endpoint.up and self._is_dead(endpoint):
@@ -440,9 +440,9 @@
         for attempt in list(connection.attempts.values()):
             if attempt.sending_started:
                 self.teardowns.attempt_broken(connection, attempt, by_peer)
-                self._end_attempt(attempt, Outcome.BROKEN)
+                self._end_attempt(attempt, Outcome.BROKEN, "connection ended")
             elif attempt.moves >= MAX_MOVES or not self.session_core.stands(attempt.tune_in):
-                self._end_attempt(attempt, Outcome.UNSENT)
+                self._end_attempt(attempt, Outcome.UNSENT, "not sent")
             else:
                 attempt.moves += 1
                 connection.attempts.pop(attempt.id)
@@ -461,15 +461,15 @@
                 front_session.session.release_may_be_lost = endpoint.releases_lost = True
                 endpoint.releases_lost_since = self.now()
 
-    def _end_attempt(self, attempt: Attempt, outcome: Outcome, report: dict[str, float] | None = None) -> None:
+    def _end_attempt(self, attempt: Attempt, outcome: Outcome, cause: str, report: dict[str, float] | None = None) -> None:
         self.attempts.pop(attempt.tune_in, None)
         if attempt.connection is not None and attempt.connection.attempts.get(attempt.id) is attempt:
             del attempt.connection.attempts[attempt.id]
-        self._log_end(attempt, outcome.value)
+        self._log_end(attempt, outcome.value, cause)
         self.session_core.failed(attempt.tune_in, outcome, report)
 
-    def _log_end(self, attempt: Attempt, outcome: str) -> None:
-        """Logs the end of an attempt that has not established a session."""
+    def _log_end(self, attempt: Attempt, outcome: str, cause: str) -> None:
+        """Logs the end of an attempt that has not established a session, and the event that ended it here."""
         self.counts[f"attempt-{outcome.replace(' ', '-')}"] += 1
         self.log.info(
             "attempt-ended",
@@ -478,6 +478,7 @@
             server=attempt.tune_in.server.name,
             connection=attempt.connection.number if attempt.connection is not None else 0,
             outcome=outcome,
+            cause=cause,
             left=attempt.sending_started,
             after_ms=(self.now() - attempt.sent_at) // MS if attempt.sent_at else 0,
         )
@@ -567,7 +568,7 @@
         attempt = connection.attempts.get(id)
         if attempt is not None:
             self.pending.answered(connection, attempt.number)
-            self._end_attempt(attempt, OUTCOME_BEFORE_ANSWER.get(cause, Outcome.BROKEN), report)
+            self._end_attempt(attempt, OUTCOME_BEFORE_ANSWER.get(cause, Outcome.BROKEN), f"release {cause} received", report)
             return
         given_up = self.given_up.pop((endpoint.server, id), None)
         self.pending.released_by_server(endpoint.server, id)
