A release that may concern an earlier session does not end the one that stands

Callers saw: a viewing told that it was over while its session went on at the media server for nobody. A server says a release on the connection of the set-up, otherwise on any open one, and again on the next connection opened; a repeated report of a cut session ended whatever stood under its id.

Fix: if the id had another session at the server, a release on another connection than the set-up's is checked with a probe on the set-up's. Its answer shows that that connection was open when the release was sent, which therefore concerned the earlier session.

--- a/curlewshift/node/connections.py
+++ b/curlewshift/node/connections.py
@@ -33,6 +33,15 @@
     set_up_on: ServerConnection | None = None
     # that connection was closed from this side and the server may not know: a release sent on it would be lost
     release_may_be_lost: bool = False
+    # the server had another session or set-up with this id before, so that its messages may still concern that one
+    reused: bool = False
+
+    def may_be_meant(self, connection: ServerConnection) -> bool:
+        """Whether a message on this connection may concern this session, and not an earlier one with its id: while the
+        connection of the set-up is open, the server uses no other."""
+        if not self.reused or self.set_up_on is None or self.set_up_on is connection:
+            return True
+        return self.set_up_on.retired or not self.set_up_on.up
 
 
 @dataclass(eq=False, slots=True)
@@ -48,7 +57,7 @@
     connection: ServerConnection | None = None
     queued: bool = False
     sending_started: bool = False
-    # the server had another set-up with this id before, so that its messages may still concern that one
+    # the server had another set-up with this id before, see `Session.reused`
     reused: bool = False
     moves: int = 0
     sent_at: int = 0
@@ -61,6 +70,15 @@
         return self.queued
 
 
+@dataclass(eq=False, slots=True)
+class UnclearRelease:
+    """A release from a server that may concern either this session or an earlier one with the same id."""
+
+    front_session: FrontSession
+    cause: int
+    received_at: int
+
+
 class ServerConnection:
     """One connection to a media server, from the connect attempt until it is closed."""
 
@@ -73,6 +91,9 @@
         # messages written so far, and the sequence number of each probe that has not been answered
         self.sent = 0
         self.probes: dict[bytes, int] = {}
+        # releases received on other connections that may concern a session set up on this one, by the name of the probe that
+        # tells
+        self.unclear_releases: dict[bytes, UnclearRelease] = {}
         self.closed = False
         # closed gracefully from this side; the server has not closed its side yet
         self.retired = False
@@ -103,10 +124,11 @@
             self.transport.send(data, pending_write)
         return self.sent
 
-    def probe(self) -> None:
-        """Sends a probe; its answer shows that the server has read everything written before it."""
+    def probe(self) -> bytes:
+        """Sends a probe and returns its name; its answer shows that the server has read everything written before it."""
         name = os.urandom(8)
         self.probes[name] = self.send(isup.probe(name))
+        return name
 
     def withdraw(self, attempt: Attempt) -> None:
         """Removes a set-up that has not been sent from the queue."""
--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -16,7 +16,7 @@
 from curlewshift.model import Outcome, Server
 from curlewshift.node import isup
 from curlewshift.node.buffered_connection import BufferedConnection, dial
-from curlewshift.node.connections import Attempt, Endpoint, ServerConnection, Session
+from curlewshift.node.connections import Attempt, Endpoint, ServerConnection, Session, UnclearRelease
 from curlewshift.node.teardowns import Teardowns
 from curlewshift.retries.session_ends import SessionEnd
 from curlewshift.session_core.front_session import FrontSession, TuneIn
@@ -131,8 +131,10 @@
 
     def add_session(self, front_session: FrontSession) -> None:
         """Adds a session that was handed over, with a connection on which its release can be received."""
-        endpoint = self.endpoints[front_session.session.server]
-        endpoint.sessions[front_session.session.id] = front_session
+        session = front_session.session
+        session.reused = self.pending.is_reused(session.server, session.id)
+        endpoint = self.endpoints[session.server]
+        endpoint.sessions[session.id] = front_session
         self._keep_open(endpoint)
 
     def early_release(self, server: Server, id: bytes) -> int | None:
@@ -284,10 +286,11 @@
         if endpoint is not None:
             self._probe(endpoint, self._any_connection(endpoint))
 
-    def _probe(self, endpoint: Endpoint, connection: ServerConnection) -> None:
+    def _probe(self, endpoint: Endpoint, connection: ServerConnection) -> bytes:
         self.counts["probe-sent"] += 1
-        connection.probe()
+        name = connection.probe()
         self.pending.tested(connection)
+        return name
 
     def _defer(self, call) -> None:
         """Runs `call` in the next timer run: the session core is never called back from within its own call."""
@@ -452,6 +455,7 @@
                 connection.attempts.pop(attempt.id)
                 self._assign(attempt)
         self.pending.connection_ended(connection, by_peer)
+        self._end_unclear_sessions(connection)
         if reset and not self._is_listed(endpoint) and not endpoint.up:
             # a proxy in front of its address may accept connections and reset them; if the server is alive, it is sent releases
             self._declare_lost(endpoint, "not in the server list, and connection reset", cut_off=True)
@@ -528,6 +532,7 @@
             self._handle_note(endpoint, id, isup.text_of(parameters, isup.KIND), isup.text_of(parameters, isup.VALUE))
         elif kind == isup.PROBED:
             number = connection.probes.pop(id, None)
+            connection.unclear_releases.pop(id, None)
             if number is not None:
                 self.pending.answered(connection, number)
                 passed = isup.cause_of(parameters) == 1
@@ -555,6 +560,7 @@
         if not attempt.sending_started:
             # received before its set-up was sent: it does not belong to this attempt
             return
+        session.reused = attempt.reused
         del connection.attempts[id]
         self.attempts.pop(attempt.tune_in, None)
         self.pending.answered(connection, attempt.number)
@@ -599,13 +605,30 @@
         self._end_attempt(attempt, outcome or Outcome.BROKEN, f"release {cause} received", report)
 
     def _handle_release_of_session(self, connection: ServerConnection, front_session: FrontSession, cause: int) -> None:
-        connection.send(isup.released(front_session.session.id))
-        self._end_released_session(front_session, cause)
+        session = front_session.session
+        if session.may_be_meant(connection):
+            connection.send(isup.released(session.id))
+            self._end_released_session(front_session, cause)
+        else:
+            self._check_release(front_session, cause)
+
+    def _check_release(self, front_session: FrontSession, cause: int) -> None:
+        """Probes the connection of the session's set-up. Its answer shows that it was open when the server sent the release on
+        another, which then concerned an earlier session; if there is none, this session is ended."""
+        set_up_on = front_session.session.set_up_on
+        if any(unclear.front_session is front_session for unclear in set_up_on.unclear_releases.values()):
+            return
+        name = self._probe(set_up_on.endpoint, set_up_on)
+        set_up_on.unclear_releases[name] = UnclearRelease(front_session, cause, self.now())
 
     def _end_released_session(self, front_session: FrontSession, cause: int) -> None:
-        """Ends a session that its server has released."""
+        """Ends a session that its server has released. If that release may concern an earlier session with this id, this one is
+        released at the server as well."""
         session = front_session.session
-        del self.endpoints[session.server].sessions[session.id]
+        endpoint = self.endpoints[session.server]
+        del endpoint.sessions[session.id]
+        if session.reused:
+            self.teardowns.session_over(endpoint, session)
         self.ended(front_session, OUTCOME_AFTER_ANSWER.get(cause, Outcome.BROKEN), None if cause == isup.CANCELLED else cause)
 
     def _handle_release_of_unknown(self, endpoint: Endpoint, id: bytes, cause: int) -> None:
@@ -687,7 +710,19 @@
     def _is_forgotten(self, endpoint: Endpoint) -> bool:
         return self.session_core.server_list.servers.get(endpoint.server.name) is not endpoint.server
 
+    def _end_unclear_sessions(self, connection: ServerConnection, received_before: int | None = None) -> None:
+        """Ends the sessions set up on this connection of which it cannot be told whether the server has released them (if its
+        release was received before this time)."""
+        for name, unclear in list(connection.unclear_releases.items()):
+            if received_before is not None and unclear.received_at >= received_before:
+                continue
+            del connection.unclear_releases[name]
+            session = unclear.front_session.session
+            if connection.endpoint.sessions.get(session.id) is unclear.front_session:
+                self._end_released_session(unclear.front_session, unclear.cause)
+
     def _maintain(self, connection: ServerConnection, now: int) -> None:
+        self._end_unclear_sessions(connection, now - PROBE_TIMEOUT_NS)
         if connection.input.is_stalled(now, MESSAGE_TIMEOUT_NS, MESSAGE_TIMEOUT_NS):
             self._break(connection, "incomplete message timed out")
             return
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -10,7 +10,7 @@
 
 from curlewshift.node import isup
 from curlewshift.soak.proxy import LINGER_ZERO
-from tests.node_testbed import RawViewer
+from tests.node_testbed import RawViewer, Testbed
 from tests.proxied_testbed import ProxiedTestbed
 from tests.sockets import async_test, until
 
@@ -159,6 +159,69 @@
                 with self.subTest(servers=servers, heard=report.heard_after):
                     self.assertEqual(await self.play(servers, report), (200, [], 0))
 
+    @async_test
+    async def test_no_two_attempts_are_out_and_nothing_remains_however_a_cut_is_reported(self):
+        # a report may come late, on any connection and more than once
+        for name, report in REPORTS.items():
+            for servers in (1, 2):
+                with self.subTest(report=name, servers=servers):
+                    _, twice, standing = await self.play(servers, report)
+                    self.assertEqual((twice, standing), ([], 0))
+
+
+class ReportsOfEarlierSessions(unittest.TestCase):
+    async def established(self, testbed):
+        """A session whose id had another session at the same server, and two connections to that server."""
+        server = CuttingServer(testbed.media_servers[0], Overlaps(), lost_answers=1)
+        viewer = RawViewer(testbed.port)
+        viewer.send_set_up(REQUEST)
+        self.assertEqual((await viewer.receive()).status, 200)
+        id = bytes.fromhex(REQUEST)
+        pool = testbed.node.server_pool
+        endpoint = next(iter(pool.endpoints.values()))
+        self.assertEqual(len(server.media.received_of(isup.SET_UP)), 2)
+        pool.open_connection(endpoint)
+        await until(lambda: len(server.media.connections) == 2)
+        other = next(stream for stream in server.media.connections if stream is not server.set_up_on[id][-1])
+        return server, viewer, id, other
+
+    async def received_nothing(self, viewer, for_s):
+        with anyio.move_on_after(for_s):
+            return await viewer.receive() is None
+        return True
+
+    @async_test
+    async def test_a_repeated_report_on_another_connection_does_not_end_the_session_that_stands(self):
+        # the earlier session's report, repeated on a later connection, ended the viewing, and its session stood for nobody
+        async with Testbed().running() as testbed:
+            server, viewer, id, other = await self.established(testbed)
+            await other.send(isup.release(id, isup.RESET))
+            self.assertTrue(await self.received_nothing(viewer, 1.0))
+            self.assertIn(id, server.standing)
+            viewer.close()
+
+    @async_test
+    async def test_a_release_of_unclear_origin_ends_the_session_on_both_sides_if_its_own_connection_is_silent(self):
+        # otherwise a session that had ended would go on here, its viewer never told
+        async with Testbed().running() as testbed:
+            server, viewer, id, other = await self.established(testbed)
+            server.media.handler = server.media.ignore
+            await other.send(isup.release(id, isup.RESET))
+            message = await viewer.receive(within=1.0)
+            self.assertEqual((message.method, message.fields["session"]), ("TEARDOWN", REQUEST))
+            await until(lambda: (id, {isup.CAUSE: bytes((isup.ENDED,))}) in server.media.received_of(isup.RELEASE)[1:], 1.0)
+            viewer.close()
+
+    @async_test
+    async def test_a_release_on_the_sessions_own_connection_ends_it_on_both_sides(self):
+        # the report may be late and concern the earlier session: then the later one would stand for nobody
+        async with Testbed().running() as testbed:
+            server, viewer, id, _ = await self.established(testbed)
+            await server.set_up_on[id][-1].send(isup.release(id, isup.RESET))
+            self.assertEqual((await viewer.receive(within=1.0)).method, "TEARDOWN")
+            await until(lambda: not server.standing, 1.0)
+            viewer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
