A note on an earlier session does not change the rung of the one that stands

A note was taken for the session that stands under its id, whichever connection brought it. Same rule as for releases: while the connection of the set-up is open, the server uses no other.

--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -529,7 +529,7 @@
         elif kind == isup.RELEASED:
             self.pending.confirmed(endpoint.server, id, connection)
         elif kind == isup.NOTE:
-            self._handle_note(endpoint, id, isup.text_of(parameters, isup.KIND), isup.text_of(parameters, isup.VALUE))
+            self._handle_note(connection, id, isup.text_of(parameters, isup.KIND), isup.text_of(parameters, isup.VALUE))
         elif kind == isup.PROBED:
             number = connection.probes.pop(id, None)
             connection.unclear_releases.pop(id, None)
@@ -639,12 +639,15 @@
             if len(self.early_releases) > MAX_EARLY_RELEASES:
                 self.early_releases.popitem(last=False)
 
-    def _handle_note(self, endpoint: Endpoint, id: bytes, name: str, value: str) -> None:
+    def _handle_note(self, connection: ServerConnection, id: bytes, name: str, value: str) -> None:
+        endpoint = connection.endpoint
         try:
             value = float(value)
         except ValueError:
             raise isup.Malformed(f"note with invalid value {value!r}") from None
         front_session = endpoint.sessions.get(id)
+        if front_session is not None and not front_session.session.may_be_meant(connection):
+            front_session = None
         if name == "kept_up" and 0 <= value < 1e6:
             self.session_core.delivered(endpoint.server, value)
         elif name == "tier" and front_session is not None and 0 <= value < 1e3:
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -222,6 +222,21 @@
             await until(lambda: not server.standing, 1.0)
             viewer.close()
 
+    @async_test
+    async def test_a_note_on_an_earlier_session_does_not_change_the_rung_of_the_session_that_stands(self):
+        # only the connection of the set-up carries the notes of a session while it is open
+        async with Testbed().running() as testbed:
+            server, viewer, id, other = await self.established(testbed)
+            front_session = next(iter(testbed.node.session_core.front_sessions.values()))
+            before = front_session.viewing.rung
+            note = isup.encode(isup.NOTE, id, (isup.KIND, b"tier"), (isup.VALUE, str(1 - before).encode()))
+            await other.send(note)
+            await anyio.sleep(0.05)
+            self.assertEqual(front_session.viewing.rung, before)
+            await server.set_up_on[id][-1].send(note)
+            await until(lambda: front_session.viewing.rung == 1 - before, 1.0)
+            viewer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
