Release heard confirms the copy it belongs to, and closes that copy's record

A confirmation on a connection without a copy was counted for the oldest copy anywhere, and the record closed was the open one of the id, which may be that of a later session whose own release was lost: it then stood for nobody. Now it confirms the oldest copy on its connection, another only if there is no second one that may be meant, and closes the record of that copy.

--- a/curlewshift/teardown/pending.py
+++ b/curlewshift/teardown/pending.py
@@ -216,15 +216,17 @@
     # ---- events from the server and its connections
 
     def confirmed(self, server: Server, id: bytes, connection: object) -> None:
-        """The server has sent "release heard". It confirms the copy on this connection, or else the oldest copy."""
+        """The server has sent "release heard". It confirms the oldest copy on this connection. If there is none, it may have
+        been sent on another connection than the copy, and counts only if there is no more than one copy that it may concern."""
         copies = [copy for record in self.by_id.get(id, ()) if record.server is server for copy in record.copies]
-        if not copies:
+        copy = next((copy for copy in copies if copy.connection is connection), None)
+        if copy is None and len(copies) == 1:
+            copy = copies[0]
+        if copy is None:
             return
-        copy = next((copy for copy in copies if copy.connection is connection), copies[0])
+        if copy.record.state is not State.CLOSED:
+            self._confirm_read(copy.record, copy, "heard")
         self._remove_copy(copy)
-        record = self.find(server, id)
-        if record is not None:
-            self._confirm_read(record, copy, "heard")
 
     def answered(self, connection: object, number: int) -> None:
         """The server has answered the message with this number on this connection: it has read everything written before it."""
--- a/tests/test_pending_releases.py
+++ b/tests/test_pending_releases.py
@@ -69,6 +69,25 @@
         self.pending.answered("c", 3)
         self.assertIsNone(self.pending.blocker(self.server, ID))
 
+    def test_release_heard_closes_the_record_of_the_copy_that_it_confirms_and_no_later_one(self):
+        # a late confirmation of an earlier release closed the record of a later session, whose own release had been lost
+        earlier, _ = self.said("c", 2)
+        self.pending.released_by_server(self.server, ID)
+        later, copy = self.said("d", 2)
+        self.pending.confirmed(self.server, ID, "c")
+        self.assertEqual((earlier.state, later.state, later.copies), (State.CLOSED, State.SENT, [copy]))
+        self.pending.confirmed(self.server, ID, "d")
+        self.assertEqual(later.state, State.CLOSED)
+
+    def test_release_heard_on_another_connection_counts_only_if_one_copy_can_be_meant(self):
+        record, _ = self.said("c", 2)
+        self.pending.sent(record, "d", 1)
+        self.pending.confirmed(self.server, ID, "e")
+        self.assertEqual((record.state, len(record.copies)), (State.SENT, 2))
+        self.pending.connection_ended("c", by_peer=True)
+        self.pending.confirmed(self.server, ID, "e")
+        self.assertEqual((record.state, record.copies), (State.CLOSED, []))
+
     def test_ids_are_remembered_as_reused_for_a_bounded_time_and_number(self):
         for number in range(pending.MAX_RECORDS + 2):
             id = number.to_bytes(8, "big")
