A server's own release does not close the record of a later session with its id

The report of an earlier session closed the record of a later one, whose own release had been lost with its connection. A record opened for an id that was released at the server before stays until its own release is confirmed. The test failed before.

--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -590,7 +590,7 @@
         front_session = endpoint.sessions.get(id)
         if front_session is not None:
             self._handle_release_of_session(connection, front_session, cause)
-        else:
+        elif not self.pending.is_reused(endpoint.server, id):
             self._handle_release_of_unknown(endpoint, id, cause)
 
     def _handle_release_of_attempt(self, attempt: Attempt, cause: int, report: dict[str, float]) -> None:
--- a/curlewshift/teardown/pending.py
+++ b/curlewshift/teardown/pending.py
@@ -105,6 +105,8 @@
     cause: int
     opened_at: int
     state: State = State.DUE
+    # an earlier record of this id at this server has been closed
+    reused: bool = False
     # when the next step is due
     next_at: int = 0
     times_sent: int = 0
@@ -149,7 +151,7 @@
             return record
         now = self.now()
         due_at = now + PEER_CLOSE_DELAY_NS if closed_by_server else now
-        record = records_here[id] = PendingRelease(server, id, cause, now, next_at=due_at)
+        record = records_here[id] = PendingRelease(server, id, cause, now, reused=self.is_reused(server, id), next_at=due_at)
         self._track(record)
         if len(records_here) > MAX_PER_SERVER:
             self._drop(next(iter(records_here.values())), "shed")
@@ -242,9 +244,10 @@
         record.confirmable_from = self.now() + MAX_TRANSIT_NS
 
     def released_by_server(self, server: Server, id: bytes) -> None:
-        """The server has reported, without being asked, that it has nothing under this id any more."""
+        """The server has released a session with this id. If the id is reused, that may have been an earlier session than the
+        one that the record stands for, which therefore stays open."""
         record = self.find(server, id)
-        if record is not None:
+        if record is not None and not record.reused:
             self._close(record, "over")
 
     def server_gone(self, server: Server, before: int | None = None) -> None:
--- a/tests/test_pending_releases.py
+++ b/tests/test_pending_releases.py
@@ -69,6 +69,17 @@
         self.pending.answered("c", 3)
         self.assertIsNone(self.pending.blocker(self.server, ID))
 
+    def test_release_by_the_server_closes_only_the_record_of_an_id_that_was_not_released_before(self):
+        # the report of an earlier session closed the record of a later one, whose own release had been lost
+        record, _ = self.said("c", 2)
+        self.pending.released_by_server(self.server, ID)
+        self.assertEqual(record.state, State.CLOSED)
+        self.pending.answered("c", 3)
+        later, _ = self.said("d", 2)
+        self.pending.released_by_server(self.server, ID)
+        self.assertEqual((later.state, self.pending.is_reused(self.server, ID)), (State.SENT, True))
+        self.assertFalse(self.pending.is_reused(self.other, ID))
+
     def test_release_heard_closes_the_record_of_the_copy_that_it_confirms_and_no_later_one(self):
         # a late confirmation of an earlier release closed the record of a later session, whose own release had been lost
         earlier, _ = self.said("c", 2)
@@ -300,7 +311,7 @@
 
     def fingerprint(self):
         records = [
-            (record.state, [(copy.connection, copy.number, copy.written) for copy in record.copies])
+            (record.state, record.reused, [(copy.connection, copy.number, copy.written) for copy in record.copies])
             for record in self.pending.by_id.get(ID, ())
         ]
         in_transit = sorted(
