A late answer to an abandoned set-up does not end the attempt after it

An answer that no attempt waits for is released again at its server, by its id. If a later attempt with that id was out there, it was ended by that, while it counted as out here.

--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -572,9 +572,12 @@
 
     def _handle_unexpected_answer(self, endpoint: Endpoint, session: Session) -> None:
         """No attempt waits for this answer on its connection. It may have crossed the release of an abandoned set-up, and its
-        session is then released again."""
+        session is then released again, which would also end a later attempt with the same id: that one is not disturbed."""
+        later_attempt = any(session.id in connection.attempts for connection in endpoint.connections)
+        if session.id in endpoint.sessions or later_attempt:
+            return
         late = self.given_up.pop((endpoint.server, session.id), None)
-        if late is not None and session.id not in endpoint.sessions:
+        if late is not None:
             self.session_core.played(late, session)
 
     def _handle_release(self, connection: ServerConnection, id: bytes, cause: int, report: dict[str, float]) -> None:
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import defaultdict
 from dataclasses import dataclass
+from random import Random
 
 import anyio
 
@@ -238,5 +239,65 @@
             viewer.close()
 
 
+class LateAnswers(unittest.TestCase):
+    @async_test
+    async def test_an_answer_to_an_abandoned_set_up_does_not_end_the_attempt_after_it(self):
+        # the release of the session that the late answer reported ended the attempt that was out under the same id
+        async with Testbed().running() as testbed:
+            media, viewer, streams = testbed.media_servers[0], RawViewer(testbed.port), []
+
+            async def confirms(stream, kind, id, parameters):
+                if kind == isup.SET_UP:
+                    streams.append(stream)
+                elif kind == isup.RELEASE:
+                    await stream.send(isup.released(id))
+
+            media.handler = confirms
+            viewer.send_set_up(REQUEST)
+            await until(lambda: len(streams) == 2)
+            self.assertIsNot(*streams)
+            releases = len(media.received_of(isup.RELEASE))
+            answer = isup.encode(isup.ANSWER, bytes.fromhex(REQUEST), (isup.DESCRIPTION, b"plays"))
+            await streams[0].send(answer)
+            await anyio.sleep(0.1)
+            self.assertEqual(len(media.received_of(isup.RELEASE)), releases)
+            await streams[1].send(answer)
+            self.assertEqual((await viewer.receive()).status, 200)
+            viewer.close()
+
+
+class SeededHistories(unittest.TestCase):
+    async def play(self, seed):
+        """Several requests whose answers are lost at random, at servers that report cuts in a way drawn by the seed."""
+        rng, overlaps = Random(seed), Overlaps()
+        async with Testbed(2).running() as testbed:
+            report = CutReport(
+                rng.random() < 0.5, rng.random() < 0.5, rng.choice((0.0, 0.005, 0.05)), rng.random() < 0.5, rng.random() < 0.5
+            )
+            servers = [
+                CuttingServer(media, overlaps, report, rng.randrange(1, 6), rng.uniform(0.002, 0.05))
+                for media in testbed.media_servers
+            ]
+            viewer = RawViewer(testbed.port)
+            ids = [f"{number + 1:016x}" for number in range(6)]
+            for id in ids:
+                viewer.send_set_up(id)
+                await anyio.sleep(rng.uniform(0, 0.05))
+            answers = [await viewer.receive() for _ in ids]
+            for answer in answers:
+                if answer.status == 200:
+                    viewer.tear_down(answer.fields["session"])
+            with anyio.move_on_after(END_DEADLINE_S):
+                await until(lambda: not overlaps.out and not any(server.standing for server in servers), END_DEADLINE_S + 1)
+            viewer.close()
+            return overlaps.twice, [id.hex() for server in servers for id in server.standing]
+
+    @async_test
+    async def test_random_losses_and_reports_leave_no_two_attempts_out_and_no_session_standing(self):
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                self.assertEqual(await self.play(seed), ([], []))
+
+
 if __name__ == "__main__":
     unittest.main()
