Stand-ins report the sessions that a release cuts, and reset connections with lost answers

Change: the servers of tests and soak report a cut session with cause 41: on the connection of its set-up, otherwise on an open one, the soak's before or after its confirmation and again on the node's next connection. Half of the soak's lost answers take their connection with them. The soak's recorder no longer takes such a report for the end of an attempt.

--- a/curlewshift/soak/media.py
+++ b/curlewshift/soak/media.py
@@ -1,7 +1,7 @@
 """Simulated media servers of a trial, on plain sockets. Each server records every set-up that it receives.
 
 A server keeps its attempts by id, as a real one does: a release ends the attempt or session of its id, whichever connection it
-arrives on.
+arrives on. A session that a release cuts is reported with cause 41.
 """
 
 from __future__ import annotations
@@ -24,6 +24,8 @@
 SLOW_ANSWER_DELAY_S = (0.2, 1.5)
 SESSION_DURATION_S = (0.5, 20.0)
 NOTE_INTERVAL_S = 1.0
+# The share of lost answers whose connection is reset.
+RESET_WITH_LOST_ANSWER = 0.5
 
 
 @dataclass(slots=True)
@@ -90,6 +92,8 @@
         self.pending_releases: dict[str, list[bytes]] = defaultdict(list)
         self.connections: list[Connection] = []
         self.alive = True
+        # a generator of its own, so that the other draws of a seed stay as they were
+        self.own_rng = Random(rng.getstate()[1][0])
         self.behaviour_changed = anyio.Event()
 
     def open(self) -> int:
@@ -209,14 +213,36 @@
             held = self.held[message.id] = HeldAttempt(record, connection)
             self.tasks.start_soon(self._set_up, held, message)
         elif message.kind == codec.RELEASE:
-            held = self.held.get(message.id)
-            if held is not None:
-                self._end(held, Ending.GIVEN_UP, now_s)
-            if self.rng.random() < self.confirm_probability and not self.behaviour.hangs:
-                self._send(connection, codec.binary(codec.RELEASE_CONFIRMED, message.id))
+            confirms = self.rng.random() < self.confirm_probability
+            self._handle_release(connection, message.id, confirms, now_s)
         elif message.kind == codec.PROBE and not self.behaviour.hangs:
             self._send(connection, codec.binary(codec.PROBE_ANSWER, message.id, (codec.CAUSE, b"\1"), (codec.REPORT, b"x0:0.4")))
 
+    def _handle_release(self, connection: Connection, id: str, confirms: bool, now_s: float) -> None:
+        held = self.held.get(id)
+        if held is not None:
+            self._end(held, Ending.GIVEN_UP, now_s)
+        if self.behaviour.hangs:
+            return
+        reports_first = self.own_rng.random() < 0.5
+        cut = held is not None and held.is_session
+        if cut and reports_first:
+            self._report_cut(held, connection)
+        if confirms:
+            self._send(connection, codec.binary(codec.RELEASE_CONFIRMED, id))
+        if cut and not reports_first:
+            self._report_cut(held, connection)
+
+    def _report_cut(self, held: HeldAttempt, released_on: Connection) -> None:
+        """Reports a session that a release has cut: on the connection of its set-up, otherwise on any open one, and again on the
+        node's next connection."""
+        report = codec.binary(codec.RELEASE, held.record.id, (codec.CAUSE, bytes((codec.RESET,))))
+        connection = held.connection
+        if connection.closed:
+            connection = self.own_rng.choice([released_on, self._connection_to(held) or released_on])
+        self._send(connection, report)
+        self.pending_releases[held.record.node].append(report)
+
     async def _set_up(self, held: HeldAttempt, message: codec.Binary) -> None:
         await anyio.sleep(self.rng.uniform(*(SLOW_ANSWER_DELAY_S if self.behaviour.slow else ANSWER_DELAY_S)))
         while self.behaviour.hangs and self.alive:
@@ -238,6 +264,8 @@
             answer = os.urandom(24) if self.rng.random() < 0.5 else answer[:-7]
         if not behaviour.loses_answers:
             self._send(held.connection, answer + (answer if behaviour.duplicates_answers else b""))
+        elif self.own_rng.random() < RESET_WITH_LOST_ANSWER:
+            self._close(held.connection, reset=True)
         self.tasks.start_soon(self._run_session, held)
 
     async def _run_session(self, held: HeldAttempt) -> None:
--- a/curlewshift/soak/records.py
+++ b/curlewshift/soak/records.py
@@ -178,6 +178,8 @@
     attempts: list[Attempt] = []
     server_attempts: list[ServerAttempt] = []
     releases: list[Release] = []
+    # reports of media servers that a release of the node has cut a session
+    cut_reports: list[Release] = []
     client_releases: list[ClientRelease] = []
     node_releases: list[NodeRelease] = []
     listed: list[Listed] = []
--- a/curlewshift/soak/timeline.py
+++ b/curlewshift/soak/timeline.py
@@ -46,6 +46,9 @@
                 f"  {format_time(release.at)} {release.node}: "
                 f"release {'to the client' if release.to_client else 'from its server'}"
             )
+    for report in records.cut_reports:
+        if violation.id and report.id == violation.id:
+            lines.append(f"  {format_time(report.at)} {report.node}: report of a session cut at {report.server}")
     for release in records.node_releases:
         if violation.id and release.id == violation.id:
             where = f"to {release.server} on connection {release.connection}, closed {format_time(release.closed_at)}"
--- a/curlewshift/soak/traffic.py
+++ b/curlewshift/soak/traffic.py
@@ -159,6 +159,11 @@
             attempt.heard.append((at_s, "answer"))
             if attempt.answer_body is None:
                 attempt.answer_body = message.fields.get(codec.DESCRIPTION, b"")
+        elif message.kind == codec.RELEASE and message.cause == codec.RESET:
+            # these servers send it only on a session that a release has cut, never on a set-up
+            self.records.cut_reports.append(
+                Release(message.id, self.node, at_s, to_client=False, cause=message.cause, server=name)
+            )
         elif message.kind == codec.RELEASE:
             answered = attempt is not None and attempt.answer_body is not None
             if attempt is not None and not answered:
--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -27,11 +27,14 @@
 
 
 class MediaServer:
-    """Stand-in of a media server. `handler(connection, kind, id, parameters)` replies; by default each set-up is accepted."""
+    """Stand-in of a media server. `handler(connection, kind, id, parameters)` replies; by default each set-up is accepted, and a
+    release that cuts a session is reported (cause 41) and confirmed."""
 
     def __init__(self, name, cell=0):
         self.name, self.cell, self.received, self.connections, self.handler = name, cell, [], [], self.accept
         self.state, self.started = 0, 0
+        # the sessions that it has set up, and the connections of their set-ups
+        self.sessions = {}
 
     async def open(self, tasks, port=0):
         self.listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port)
@@ -65,8 +68,9 @@
 
     async def accept(self, connection, kind, id, parameters):
         if kind == isup.RELEASE:
-            await connection.send(isup.released(id))
+            await self._release(connection, id)
         if kind == isup.SET_UP:
+            self.sessions[id] = connection
             await connection.send(
                 isup.encode(
                     isup.ANSWER,
@@ -78,6 +82,13 @@
         elif kind == isup.PROBE:
             await connection.send(isup.encode(isup.PROBED, id, (isup.CAUSE, b"\1"), (isup.REPORT, b"x0:0.5")))
 
+    async def _release(self, connection, id):
+        """Reports a session that the release cuts on the connection of its set-up, or if that is closed on this one."""
+        set_up_on = self.sessions.pop(id, None)
+        if set_up_on is not None:
+            await (set_up_on if set_up_on in self.connections else connection).send(isup.release(id, isup.RESET))
+        await connection.send(isup.released(id))
+
     async def ignore(self, connection, kind, id, parameters):
         pass
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,10 +7,12 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest.mock import Mock
 
 import anyio
 
 from curlewshift.commands.soak import parse_seeds
+from curlewshift.soak import codec
 from curlewshift.soak.judge import RULES, Judge
 from curlewshift.soak.plan import make_plan
 from curlewshift.soak.proxy import Proxy, Shape
@@ -28,6 +30,7 @@
     ServerAttempt,
     Signal,
 )
+from curlewshift.soak.traffic import ServerTrafficRecorder
 from tests.sockets import async_test
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -229,6 +232,21 @@
         self.assertEqual(self.broken_rules(), ["no fault logged"])
 
 
+class ServerTrafficTests(unittest.TestCase):
+    def test_report_of_a_cut_session_is_not_the_end_of_the_set_up_sent_after_its_release(self):
+        # the judge would take two attempts that are out together for one after the other, as the node did
+        records = Records()
+        recorder = ServerTrafficRecorder("n0", lambda: "s-00000001", records)
+        link = Mock(number=0)
+        set_up = codec.binary(codec.SET_UP, REQUEST, (codec.DESCRIPTION, b"offer"))
+        for at, cause in ((1.0, codec.RESET), (2.0, codec.FULL)):
+            recorder.observe(link, True, set_up, at)
+            recorder.observe(link, False, codec.binary(codec.RELEASE, REQUEST, (codec.CAUSE, bytes((cause,)))), at + 0.1)
+        cut, full = records.attempts
+        self.assertEqual((cut.heard, cut.never_ran, full.heard, full.never_ran), ([], False, [(2.1, "refused, cause 34")], True))
+        self.assertEqual(([report.at for report in records.cut_reports], records.releases), ([1.1], []))
+
+
 class ShortRunTests(unittest.TestCase):
     def run_soak(self, folder, *arguments):
         completed = subprocess.run(
