A session answered after the release of its set-up was read is released again

Seen: test_no_session_remains_for_clients_that_left_while_their_answers_arrived failed at times beside load, a session stood over 8 s for a client that left.

Traced (12 copies beside eight busy processes): of the one that failed the server read set-up and release in one piece and began the set-up behind the release: 'in 1, in 12, begins' within .1 ms, answered 12.7 ms later. The test's server starts each set-up as a task. The node saw the answer while the record of its release was open, and left it to that record, which the answer to a probe then closed: the server had read a release, before the set-up.

Fix: what is answered after its release was sent is released once more. The new test failed before.

--- a/curlewshift/node/teardowns.py
+++ b/curlewshift/node/teardowns.py
@@ -49,12 +49,11 @@
         attempt.tune_in.front_session.viewing.unconfirmed = self.pending.servers_of(attempt.id)
 
     def session_over(self, endpoint: Endpoint, session: Session) -> None:
-        """Releases a session that has ended here and may still be established at the server."""
+        """Releases a session that has ended here and may still be established at the server. It is also released if the record of
+        its id is open: an answer may come after the release of its set-up was read, from a server that began it later."""
         if endpoint.address is None:
             return
         record = self.pending.open(endpoint.server, session.id, session.cause)
-        if record.times_sent:
-            return
         connection = self._healthy_connection(endpoint)
         if connection is not None:
             self._write(connection, record)
--- a/tests/test_reused_ids.py
+++ b/tests/test_reused_ids.py
@@ -59,13 +59,13 @@
         self.media, self.overlaps, self.report = media, overlaps, report or CutReport()
         self.lost_answers, self.work_s = lost_answers, work_s
         self.standing, self.set_up_on, self.cuts, self.known = {}, defaultdict(list), [], set()
-        self.writing = defaultdict(anyio.Lock)
         media.handler = self.handle
 
     async def handle(self, stream, kind, id, parameters):
         await self.repeat_cuts(stream)
         if kind == isup.SET_UP:
-            self.media.task_group.start_soon(self.set_up, stream, id, parameters)
+            attempt = self.overlaps.begin(id, self, stream)
+            self.media.task_group.start_soon(self.set_up, attempt, parameters)
         elif kind == isup.RELEASE:
             await self.release(stream, id)
         elif kind == isup.PROBE:
@@ -80,8 +80,8 @@
             for id in self.cuts:
                 await self.send(stream, isup.release(id, isup.RESET))
 
-    async def set_up(self, stream, id, parameters):
-        attempt = self.overlaps.begin(id, self, stream)
+    async def set_up(self, attempt, parameters):
+        id, _, stream = attempt
         await anyio.sleep(self.work_s)
         if attempt not in self.overlaps.out:
             return
@@ -119,9 +119,8 @@
         await self.send(others[-1] if self.report.elsewhere and others else stream, isup.release(id, isup.RESET))
 
     async def send(self, stream, data):
-        async with self.writing[stream]:
-            with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
-                await stream.send(data)
+        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await stream.send(data)
 
 
 REPORTS = {
@@ -240,6 +239,25 @@
 
 
 class LateAnswers(unittest.TestCase):
+    @async_test
+    async def test_a_session_answered_after_the_release_of_its_set_up_was_read_is_released_again(self):
+        # its server began the set-up behind the release: with that release confirmed, the session stood for nobody
+        async with Testbed().running() as testbed:
+            media, viewer = testbed.media_servers[0], RawViewer(testbed.port)
+
+            async def begins_late(stream, kind, id, parameters):
+                if kind == isup.RELEASE and len(media.received_of(isup.RELEASE)) == 1:
+                    await stream.send(isup.encode(isup.ANSWER, id, (isup.DESCRIPTION, b"plays")))
+                elif kind == isup.PROBE:
+                    await stream.send(isup.probed(id, True))
+
+            media.handler = begins_late
+            viewer.send_set_up(REQUEST)
+            await until(lambda: media.received_of(isup.SET_UP))
+            viewer.tear_down(REQUEST)
+            await until(lambda: len(media.received_of(isup.RELEASE)) == 2, END_DEADLINE_S)
+            viewer.close()
+
     @async_test
     async def test_an_answer_to_an_abandoned_set_up_does_not_end_the_attempt_after_it(self):
         # the release of the session that the late answer reported ended the attempt that was out under the same id
