Test servers: messages of several tasks in turn, discovery that is left before it is asked

Two errors of the stand-ins, seen beside load: two tasks that wrote on one stream ended the server with BusyResourceError (2 of 12 copies of the crowd of leaving clients), and discovery took a connection that was closed before its eight bytes for an error (test_address_changes_between_and_during_connects_...). A message now waits for the one before, and such a connection counts as one that asked nothing; the checks are as they were.

--- a/tests/node_testbed.py
+++ b/tests/node_testbed.py
@@ -26,6 +26,20 @@
     return len(data) == 8 and data[:6] == bytes(6)
 
 
+class MessageStream:
+    """A stream on which several tasks may send messages, one after the other."""
+
+    def __init__(self, stream):
+        self.stream, self.sending = stream, anyio.Lock()
+
+    def __getattr__(self, name):
+        return getattr(self.stream, name)
+
+    async def send(self, data):
+        async with self.sending:
+            await self.stream.send(data)
+
+
 class MediaServer:
     """Stand-in of a media server. `handler(connection, kind, id, parameters)` replies; by default each set-up is accepted, and a
     release that cuts a session is reported (cause 41) and confirmed."""
@@ -52,7 +66,8 @@
 
     async def _serve_connection(self, stream):
         reader = isup.Reader()
-        self.connections.append(stream)
+        connection = MessageStream(stream)
+        self.connections.append(connection)
         try:
             async with stream:
                 async for data in stream:
@@ -60,11 +75,11 @@
                         return
                     for kind, id, parameters in reader.feed(data):
                         self.received.append((kind, id, parameters))
-                        await self.handler(stream, kind, id, parameters)
+                        await self.handler(connection, kind, id, parameters)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
         finally:
-            self.connections.remove(stream)
+            self.connections.remove(connection)
 
     async def accept(self, connection, kind, id, parameters):
         if kind == isup.RELEASE:
@@ -122,12 +137,15 @@
                 await self.listener.listeners[0].serve(self._serve_connection, task_group)
 
     async def _serve_connection(self, stream):
-        self.requests.append(int.from_bytes(await stream.receive(8), "big"))
-        self.connections.append(stream)
         with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             async with stream:
-                await stream.receive()
-        self.connections.remove(stream)
+                # a node whose discovery address changes may close the connection before its request
+                self.requests.append(int.from_bytes(await stream.receive(8), "big"))
+                self.connections.append(stream)
+                try:
+                    await stream.receive()
+                finally:
+                    self.connections.remove(stream)
 
     async def send_event(self, number, *media_servers, kind=2):
         payload = b"".join(
