--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -1,4 +1,6 @@
-"""Connections to media servers, the requests pending on them, and the messages received. It makes no placement decisions.
+"""Connections to media servers and the requests pending on them. It makes no placement decisions.
+
+server_messages.py handles what servers send, liveness.py checks that they are alive.
 
 State is keyed by the server object and never by address: another server may take over the address of one that has gone.
 The outcome of a tune-in (one set-up attempt) depends on whether the server can have run it: it cannot if the connection was
@@ -12,11 +14,12 @@
 
 import anyio
 
-from curlewshift.deployment import use_of
 from curlewshift.model import Outcome, Server
 from curlewshift.node import isup
 from curlewshift.node.buffered_connection import BufferedConnection, dial
-from curlewshift.node.connections import Attempt, Endpoint, ServerConnection, Session, UnclearRelease
+from curlewshift.node.connections import Attempt, Endpoint, ServerConnection, Session
+from curlewshift.node.liveness import PROBE_TIMEOUT_NS, LivenessChecks
+from curlewshift.node.server_messages import ServerMessages
 from curlewshift.node.teardowns import Teardowns
 from curlewshift.retries.session_ends import SessionEnd
 from curlewshift.session_core.front_session import FrontSession, TuneIn
@@ -29,17 +32,6 @@
 # Idle connections are kept, as a new one costs the server work, for this share of the server's own idle time-out: if the server
 # closed one under a set-up, it would be unknown whether the set-up ran. At the connection limit the shorter time applies.
 IDLE_TIMEOUT_SHARE, IDLE_AT_LIMIT_NS = 0.8, 5 * NS
-# A server with sessions is probed once it has been silent for the first of these or for this many of its reporting intervals,
-# but for the longest at most, however long the interval is: it takes two seconds more until the server is declared lost.
-MIN_SILENCE_NS, SILENCE_INTERVALS, MAX_SILENCE_NS = 2 * NS, 1.5, 5 * NS
-# If a probe is not answered within this, a new connection is tried; this many consecutive failed connects show that the server is
-# gone. Viewers must be released within 8 s after a session ended without notice.
-PROBE_TIMEOUT_NS = NS // 2
-FAILED_CONNECTS_UNTIL_LOST = 2
-# While the release of a session may only be received on a connection that is opened after it, one is opened this often.
-REOPEN_INTERVAL_NS = 5 * NS
-# Connects must have failed for at least this long before a server is declared lost: one brief outage can make many fail at once.
-MIN_FAILING_NS = NS
 # A restarted server sends the releases of its earlier sessions on the next connection; after this they count as ended anyway.
 RESTART_REPORT_TIMEOUT_NS = 2 * NS
 # A set-up that follows a release waits this long for the kernel to take the release (ns).
@@ -48,10 +40,6 @@
 MAX_GIVEN_UP, GIVEN_UP_AGE_NS = 2000, 30 * NS
 # Limit on moves of one set-up to another connection, because its own ended before it was sent.
 MAX_MOVES = 3
-# Limit on remembered releases of unknown sessions: one that is handed over after its release must not be accepted.
-MAX_EARLY_RELEASES = 2000
-OUTCOME_BEFORE_ANSWER = {isup.FULL: Outcome.FULL, isup.MOOT: Outcome.UNSENT, isup.ERROR: Outcome.ERROR}
-OUTCOME_AFTER_ANSWER = {isup.ENDED: Outcome.PLAYED, isup.CANCELLED: Outcome.CANCELLED}
 
 
 class ServerPool:
@@ -87,11 +75,12 @@
         self.read_first = read_first
         self.max_connections, self.streams_per_connection = max_connections, streams_per_connection
         self.connect_timeout_s = connect_timeout / NS
-        self.silence_limit = min(max(MIN_SILENCE_NS, int(report_interval * SILENCE_INTERVALS)), MAX_SILENCE_NS)
+        self.liveness = LivenessChecks(self, log, report_interval)
         self.idle_timeout = int(idle_close * IDLE_TIMEOUT_SHARE)
         self.endpoints: dict[Server, Endpoint] = {}
         self.attempts: dict[TuneIn, Attempt] = {}
         self.teardowns = Teardowns(self, clock, log, counts)
+        self.messages = ServerMessages(self, clock, log)
         self.pending = self.teardowns.pending
         self.given_up: OrderedDict[tuple[Server, bytes], TuneIn] = OrderedDict()
         self.early_releases: OrderedDict[tuple[Server, bytes], int] = OrderedDict()
@@ -109,13 +98,13 @@
                 # it has gone: the server at its address does not know its sessions, except for set-ups that were sent to that
                 # server by mistake
                 other.successor = endpoint
-                self._declare_lost(other, "another server has its address")
+                self.declare_lost(other, "another server has its address")
                 self.pending.moved(other.server, server)
                 other.address = None
         if endpoint.address != address:
             endpoint.address = address
             for connection in list(endpoint.connections):
-                self._break(connection, "the server's address has changed")
+                self.break_connection(connection, "the server's address has changed")
 
     def restarted(self, server: Server, at: int) -> None:
         """The server has restarted at this time: sessions that it set up before have ended, whether it reports them or not."""
@@ -193,7 +182,7 @@
         if connection.transport.peer_closed():
             # the server has closed it: whether a set-up sent now has run would be unknown
             connection.transport.ended_by_peer = True
-            self._defer(lambda: self._break(connection, "closed by the server"))
+            self._defer(lambda: self.break_connection(connection, "closed by the server"))
             return False
         if self._wait_for_release(attempt):
             return False
@@ -226,11 +215,11 @@
         if not release.written:
             if release.connection.transport is not None:
                 release.connection.transport.reset()
-            self._break(release.connection, "a release could not be written")
+            self.break_connection(release.connection, "a release could not be written")
 
     def _end_if_pending(self, attempt: Attempt) -> None:
         if self.attempts.get(attempt.tune_in) is attempt:
-            self._end_attempt(attempt, Outcome.UNSENT, "not sent")
+            self.end_attempt(attempt, Outcome.UNSENT, "not sent")
 
     def _resume(self, attempt: Attempt) -> None:
         if self.attempts.get(attempt.tune_in) is attempt and not attempt.queued:
@@ -248,12 +237,12 @@
         if not attempt.sending_started:
             connection.withdraw(attempt)
             return False
-        self._release_abandoned(attempt)
+        self.release_abandoned(attempt)
         if connection.last_seen_at < attempt.sent_at and self.now() >= tune_in.until:
             connection.unresponsive = True
         return True
 
-    def _release_abandoned(self, attempt: Attempt) -> None:
+    def release_abandoned(self, attempt: Attempt) -> None:
         """Releases what an abandoned attempt may set up, also if it is answered after all."""
         self.teardowns.attempt_abandoned(attempt.connection, attempt)
         self.given_up[attempt.tune_in.server, attempt.id] = attempt.tune_in
@@ -284,9 +273,10 @@
         """Sends a probe; its outcome is reported to the session core."""
         endpoint = self.endpoints.get(server)
         if endpoint is not None:
-            self._probe(endpoint, self._any_connection(endpoint))
+            self.probe_connection(self._any_connection(endpoint))
 
-    def _probe(self, endpoint: Endpoint, connection: ServerConnection) -> bytes:
+    def probe_connection(self, connection: ServerConnection) -> bytes:
+        """Sends a probe on this connection and returns its name."""
         self.counts["probe-sent"] += 1
         name = connection.probe()
         self.pending.tested(connection)
@@ -361,13 +351,13 @@
             self.teardowns.connection_up(connection)
             self._send_queued(connection)
             while data := await connection.transport.receive():
-                self._read(connection, data)
+                self.messages.read(connection, data)
         except Exception as fault:
             self.log.error(
                 "fault", what="media server connection", server=endpoint.server.name, cause=repr(fault), exc_info=fault
             )
         finally:
-            self._break(connection, "ended")
+            self.break_connection(connection, "ended")
             if connection.transport is not None:
                 await connection.transport.close()
 
@@ -399,13 +389,13 @@
         )
         self._remove(connection)
         for attempt in list(connection.attempts.values()):
-            self._end_attempt(attempt, Outcome.UNSENT if local_failure else Outcome.UNREACHED, "connect failed")
+            self.end_attempt(attempt, Outcome.UNSENT if local_failure else Outcome.UNREACHED, "connect failed")
         if connection.probes and not endpoint.up:
             self.session_core.probed(endpoint.server, Outcome.UNREACHED)
         if error is not None and not local_failure and not endpoint.up and self._is_dead(endpoint):
             self.pending.server_gone(endpoint.server)
             if endpoint.sessions:
-                self._declare_lost(endpoint, "connection refused")
+                self.declare_lost(endpoint, "connection refused")
 
     def _is_dead(self, endpoint: Endpoint) -> bool:
         """Whether a server that refuses connections is dead. A live process may refuse them when it has too many, but it does not
@@ -423,13 +413,13 @@
                 connection.endpoint.connections.remove(connection)
             self.connection_count -= 1
 
-    def _retire(self, connection: ServerConnection) -> None:
+    def retire(self, connection: ServerConnection) -> None:
         """Closes the connection gracefully: nothing more is sent on it, and what the server has sent meanwhile is still read."""
         connection.endpoint.connections.remove(connection)
         connection.retired = True
         connection.transport.close_gracefully()
 
-    def _break(self, connection: ServerConnection, reason: str) -> None:
+    def break_connection(self, connection: ServerConnection, reason: str) -> None:
         """Drops the connection: set-ups sent on it may have run, those not sent yet are moved to another connection."""
         if connection.closed:
             return
@@ -447,18 +437,18 @@
         for attempt in list(connection.attempts.values()):
             if attempt.sending_started:
                 self.teardowns.attempt_broken(connection, attempt, by_peer)
-                self._end_attempt(attempt, Outcome.BROKEN, "connection ended")
+                self.end_attempt(attempt, Outcome.BROKEN, "connection ended")
             elif attempt.moves >= MAX_MOVES or not self.session_core.stands(attempt.tune_in):
-                self._end_attempt(attempt, Outcome.UNSENT, "not sent")
+                self.end_attempt(attempt, Outcome.UNSENT, "not sent")
             else:
                 attempt.moves += 1
                 connection.attempts.pop(attempt.id)
                 self._assign(attempt)
         self.pending.connection_ended(connection, by_peer)
-        self._end_unclear_sessions(connection)
+        self.messages.end_unclear_sessions(connection)
         if reset and not self._is_listed(endpoint) and not endpoint.up:
             # a proxy in front of its address may accept connections and reset them; if the server is alive, it is sent releases
-            self._declare_lost(endpoint, "not in the server list, and connection reset", cut_off=True)
+            self.declare_lost(endpoint, "not in the server list, and connection reset", cut_off=True)
 
     def _mark_lost_releases(self, connection: ServerConnection) -> None:
         """Marks the sessions whose releases may be lost: the server may not know that the connection is closed and send them
@@ -469,7 +459,8 @@
                 front_session.session.release_may_be_lost = endpoint.releases_lost = True
                 endpoint.releases_lost_since = self.now()
 
-    def _end_attempt(self, attempt: Attempt, outcome: Outcome, cause: str, report: dict[str, float] | None = None) -> None:
+    def end_attempt(self, attempt: Attempt, outcome: Outcome, cause: str, report: dict[str, float] | None = None) -> None:
+        """Reports to the session core that the attempt has ended without a session; `cause` is for the log."""
         self.attempts.pop(attempt.tune_in, None)
         if attempt.connection is not None and attempt.connection.attempts.get(attempt.id) is attempt:
             del attempt.connection.attempts[attempt.id]
@@ -502,171 +493,13 @@
             open_ms=(self.now() - connection.opened_at) // MS,
         )
 
-    # ---- messages from servers
-
-    def _read(self, connection: ServerConnection, data: bytes) -> None:
-        now = self.now()
-        connection.last_seen_at = connection.endpoint.last_seen_at = now
-        connection.endpoint.failed_connects = 0
-        messages, error = connection.input.feed(data, now)
-        try:
-            for kind, id, parameters in messages:
-                if connection.closed:
-                    return
-                self._handle_message(connection, kind, id, parameters)
-        except isup.Malformed as malformed:
-            error = malformed
-        if error is not None:
-            self.log.info("malformed", what="media server", server=connection.endpoint.server.name, cause=str(error))
-            self._break(connection, str(error))
-
-    def _handle_message(self, connection: ServerConnection, kind: int, id: bytes, parameters: dict[int, bytes]) -> None:
-        endpoint = connection.endpoint
-        if kind == isup.ANSWER:
-            self._handle_answer(connection, id, parameters)
-        elif kind == isup.RELEASE:
-            self._handle_release(connection, id, isup.cause_of(parameters), self._report(parameters))
-        elif kind == isup.RELEASED:
-            self.pending.confirmed(endpoint.server, id, connection)
-        elif kind == isup.NOTE:
-            self._handle_note(connection, id, isup.text_of(parameters, isup.KIND), isup.text_of(parameters, isup.VALUE))
-        elif kind == isup.PROBED:
-            number = connection.probes.pop(id, None)
-            connection.unclear_releases.pop(id, None)
-            if number is not None:
-                self.pending.answered(connection, number)
-                passed = isup.cause_of(parameters) == 1
-                self.session_core.probed(endpoint.server, Outcome.PLAYED if passed else Outcome.ERROR, self._report(parameters))
-        elif kind == isup.PROBE:
-            connection.send(isup.probed(id, True))
-        elif kind in (isup.SET_UP, isup.RUNG):
-            raise isup.Malformed(f"unexpected message type {kind} from a media server")
-
-    @staticmethod
-    def _report(parameters: dict[int, bytes]) -> dict[str, float]:
-        link, uplink = use_of(isup.report_of(parameters))
-        return {name: use for name, use in (("link", link), ("uplink", uplink)) if use is not None}
-
-    def _handle_answer(self, connection: ServerConnection, id: bytes, parameters: dict[int, bytes]) -> None:
-        endpoint = connection.endpoint
-        description = parameters.get(isup.DESCRIPTION)
-        if description is None:
-            raise isup.Malformed("answer without a session description")
-        session = Session(id, endpoint.server, description, set_up_at=self.now())
-        attempt = connection.attempts.get(id)
-        if attempt is None:
-            self._handle_unexpected_answer(endpoint, session)
-            return
-        if not attempt.sending_started:
-            # received before its set-up was sent: it does not belong to this attempt
-            return
-        session.reused = attempt.reused
-        del connection.attempts[id]
-        self.attempts.pop(attempt.tune_in, None)
-        self.pending.answered(connection, attempt.number)
-        front_session = attempt.tune_in.front_session
-        self.session_core.played(attempt.tune_in, session, self._report(parameters))
-        if front_session.session is session and front_session.viewing.playing:
-            session.connection = session.set_up_on = connection
-            endpoint.sessions[id] = front_session
-
-    def _handle_unexpected_answer(self, endpoint: Endpoint, session: Session) -> None:
-        """No attempt waits for this answer on its connection. It may have crossed the release of an abandoned set-up, and its
-        session is then released again, which would also end a later attempt with the same id: that one is not disturbed."""
-        later_attempt = any(session.id in connection.attempts for connection in endpoint.connections)
-        if session.id in endpoint.sessions or later_attempt:
-            return
-        late = self.given_up.pop((endpoint.server, session.id), None)
-        if late is not None:
-            self.session_core.played(late, session)
-
-    def _handle_release(self, connection: ServerConnection, id: bytes, cause: int, report: dict[str, float]) -> None:
-        """The server has released something with this id: the attempt that was sent on this connection, the established
-        session, or what an earlier set-up has left there."""
-        endpoint = connection.endpoint
-        attempt = connection.attempts.get(id)
-        if attempt is not None and attempt.sending_started:
-            self._handle_release_of_attempt(attempt, cause, report)
-            return
-        if report:
-            self.session_core.told(endpoint.server, report)
-        front_session = endpoint.sessions.get(id)
-        if front_session is not None:
-            self._handle_release_of_session(connection, front_session, cause)
-        elif not self.pending.is_reused(endpoint.server, id):
-            self._handle_release_of_unknown(endpoint, id, cause)
-
-    def _handle_release_of_attempt(self, attempt: Attempt, cause: int, report: dict[str, float]) -> None:
-        """Ends the attempt. If the release may concern an earlier session with this id, the attempt may still run: it is
-        released, and the record of that lasts until the server confirms it."""
-        outcome = OUTCOME_BEFORE_ANSWER.get(cause)
-        if outcome is None and attempt.reused:
-            self._release_abandoned(attempt)
-            self._end_attempt(attempt, Outcome.BROKEN, f"release {cause} received, perhaps of an earlier attempt", report)
-            return
-        self.pending.answered(attempt.connection, attempt.number)
-        self._end_attempt(attempt, outcome or Outcome.BROKEN, f"release {cause} received", report)
-
-    def _handle_release_of_session(self, connection: ServerConnection, front_session: FrontSession, cause: int) -> None:
-        session = front_session.session
-        if session.may_be_meant(connection):
-            connection.send(isup.released(session.id))
-            self._end_released_session(front_session, cause)
-        else:
-            self._check_release(front_session, cause)
-
-    def _check_release(self, front_session: FrontSession, cause: int) -> None:
-        """Probes the connection of the session's set-up. Its answer shows that it was open when the server sent the release on
-        another, which then concerned an earlier session; if there is none, this session is ended."""
-        set_up_on = front_session.session.set_up_on
-        if any(unclear.front_session is front_session for unclear in set_up_on.unclear_releases.values()):
-            return
-        name = self._probe(set_up_on.endpoint, set_up_on)
-        set_up_on.unclear_releases[name] = UnclearRelease(front_session, cause, self.now())
-
-    def _end_released_session(self, front_session: FrontSession, cause: int) -> None:
-        """Ends a session that its server has released. If that release may concern an earlier session with this id, this one is
-        released at the server as well."""
-        session = front_session.session
-        endpoint = self.endpoints[session.server]
-        del endpoint.sessions[session.id]
-        if session.reused:
-            self.teardowns.session_over(endpoint, session)
-        self.ended(front_session, OUTCOME_AFTER_ANSWER.get(cause, Outcome.BROKEN), None if cause == isup.CANCELLED else cause)
-
-    def _handle_release_of_unknown(self, endpoint: Endpoint, id: bytes, cause: int) -> None:
-        self.pending.released_by_server(endpoint.server, id)
-        if self.given_up.pop((endpoint.server, id), None) is None:
-            # remembered, as the hand-over of a session may arrive after its release
-            self.early_releases[endpoint.server, id] = cause
-            if len(self.early_releases) > MAX_EARLY_RELEASES:
-                self.early_releases.popitem(last=False)
-
-    def _handle_note(self, connection: ServerConnection, id: bytes, name: str, value: str) -> None:
-        endpoint = connection.endpoint
-        try:
-            value = float(value)
-        except ValueError:
-            raise isup.Malformed(f"note with invalid value {value!r}") from None
-        front_session = endpoint.sessions.get(id)
-        if front_session is not None and not front_session.session.may_be_meant(connection):
-            front_session = None
-        if name == "kept_up" and 0 <= value < 1e6:
-            self.session_core.delivered(endpoint.server, value)
-        elif name == "tier" and front_session is not None and 0 <= value < 1e3:
-            self.session_core.rung_found(front_session, int(value))
-        elif name == "wire":
-            self.session_core.told(endpoint.server, {"link": value})
-        elif name == "trunk":
-            self.session_core.told(endpoint.server, {"uplink": value})
-
     # ---- sessions ended by this side
 
     def closed(self, front_session: FrontSession) -> None:
         """The viewer has ended the session; the session core releases it at the server through its session ends."""
         self.endpoints[front_session.session.server].sessions.pop(front_session.session.id, None)
 
-    def _declare_lost(self, endpoint: Endpoint, reason: str, cut_off: bool = False) -> None:
+    def declare_lost(self, endpoint: Endpoint, reason: str, cut_off: bool = False) -> None:
         """Declares the server lost and ends its sessions. If the server may only be `cut_off`, its sessions may go on playing
         without a viewer, and are released there."""
         if endpoint.sessions:
@@ -679,7 +512,7 @@
             elif endpoint.successor is not None:
                 self.teardowns.session_over(endpoint.successor, Session(front_session.session.id, endpoint.successor.server))
         for connection in list(endpoint.connections):
-            self._break(connection, reason)
+            self.break_connection(connection, reason)
 
     # ---- maintenance
 
@@ -709,28 +542,17 @@
                 self.teardowns.run_due_steps(endpoint)
             if endpoint.sessions:
                 self._keep_open(endpoint)
-                self._check_alive(endpoint, now)
+                self.liveness.check(endpoint, now)
             elif not endpoint.connections and self._is_forgotten(endpoint) and not self.pending.of(endpoint.server):
                 del self.endpoints[endpoint.server]
 
     def _is_forgotten(self, endpoint: Endpoint) -> bool:
         return self.session_core.server_list.servers.get(endpoint.server.name) is not endpoint.server
 
-    def _end_unclear_sessions(self, connection: ServerConnection, received_before: int | None = None) -> None:
-        """Ends the sessions set up on this connection of which it cannot be told whether the server has released them (if its
-        release was received before this time)."""
-        for name, unclear in list(connection.unclear_releases.items()):
-            if received_before is not None and unclear.received_at >= received_before:
-                continue
-            del connection.unclear_releases[name]
-            session = unclear.front_session.session
-            if connection.endpoint.sessions.get(session.id) is unclear.front_session:
-                self._end_released_session(unclear.front_session, unclear.cause)
-
     def _maintain(self, connection: ServerConnection, now: int) -> None:
-        self._end_unclear_sessions(connection, now - PROBE_TIMEOUT_NS)
+        self.messages.end_unclear_sessions(connection, now - PROBE_TIMEOUT_NS)
         if connection.input.is_stalled(now, MESSAGE_TIMEOUT_NS, MESSAGE_TIMEOUT_NS):
-            self._break(connection, "incomplete message timed out")
+            self.break_connection(connection, "incomplete message timed out")
             return
         spare = len(connection.endpoint.connections) > 1 or not connection.endpoint.sessions
         if not spare or not connection.up or connection.attempts:
@@ -740,81 +562,4 @@
         )
         idle = now - connection.last_used_at > idle_timeout and not self.teardowns.unconfirmed_on(connection)
         if connection.unresponsive or idle:
-            self._retire(connection)
-
-    def _check_alive(self, endpoint: Endpoint, now: int) -> None:
-        """Checks that a server with sessions is alive. The connections to a vanished machine stay open and silent: only a new
-        connection shows that it is gone."""
-        if endpoint.failed_connects >= FAILED_CONNECTS_UNTIL_LOST and now - endpoint.failing_since >= MIN_FAILING_NS:
-            # whether refused or not: an old connection may look open long after the server process has died
-            self._declare_lost(endpoint, "silent, and connects fail", cut_off=True)
-            endpoint.failed_connects = 0
-            return
-        silent = now - endpoint.last_seen_at > self.silence_limit
-        if (endpoint.failed_connects or endpoint.releases_lost or silent) and self._needs_new_connection(endpoint, now):
-            self._retire_idle(endpoint)
-            self._probe(endpoint, self.open_connection(endpoint))
-        for connection in list(endpoint.connections):
-            if now - connection.last_seen_at > self.silence_limit:
-                self._check_connection(connection, now)
-            else:
-                connection.probed_at = 0
-
-    def _needs_new_connection(self, endpoint: Endpoint, now: int) -> bool:
-        """Whether messages from the server may have been lost on its present and earlier connections, so that a new one is
-        needed."""
-        connections = endpoint.connections
-        if not all(connection.up for connection in connections):
-            return False
-        newest = max(connection.opened_at for connection in connections)
-        if endpoint.failed_connects or newest < endpoint.releases_lost_since:
-            return True
-        if endpoint.releases_lost and now - newest > REOPEN_INTERVAL_NS:
-            endpoint.releases_lost = any(
-                front_session.session.release_may_be_lost for front_session in endpoint.sessions.values()
-            )
-            return endpoint.releases_lost
-        return all(
-            connection.unresponsive and now - max(connection.last_seen_at, newest) > self.silence_limit
-            for connection in connections
-        )
-
-    def _retire_idle(self, endpoint: Endpoint) -> None:
-        """Closes an idle connection to make room for a new one."""
-        idle = [
-            connection
-            for connection in endpoint.connections
-            if connection.up and not connection.attempts and not self.teardowns.unconfirmed_on(connection)
-        ]
-        if len(idle) > 1:
-            self._retire(min(idle, key=lambda connection: connection.last_seen_at))
-
-    def _check_connection(self, connection: ServerConnection, now: int) -> None:
-        """Probes a silent connection. One connection may lose the server's messages while others to the same server work; the
-        server repeats releases on the next connection that is opened."""
-        endpoint = connection.endpoint
-        if (
-            connection.unresponsive
-            or not connection.up
-            or (endpoint.last_seen_at > connection.last_seen_at and now - connection.last_seen_at <= MAX_SILENCE_NS)
-        ):
-            return
-        if not connection.probed_at:
-            if self._may_receive_release(connection):
-                connection.probed_at = now
-                self._probe(endpoint, connection)
-        elif now - connection.probed_at > PROBE_TIMEOUT_NS:
-            self.log.info(
-                "connection-silent",
-                server=endpoint.server.name,
-                connection=connection.number,
-                silent_ms=(now - connection.last_seen_at) // MS,
-            )
-            connection.unresponsive = True
-            if not any(other.opened_at >= connection.probed_at for other in endpoint.connections):
-                self._probe(endpoint, self.open_connection(endpoint))
-
-    def _may_receive_release(self, connection: ServerConnection) -> bool:
-        """Whether a release may arrive here: a server sends it on the connection of the set-up or, if that is closed, on any."""
-        used = {front_session.session.set_up_on for front_session in connection.endpoint.sessions.values()}
-        return connection in used or any(other not in connection.endpoint.connections for other in used)
+            self.retire(connection)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -85,7 +85,7 @@
             viewer.tear_down(FIRST)
             connection = next(iter(testbed.node.server_pool.endpoints.values())).connections[0]
             await anyio.sleep(0.4)
-            testbed.node.server_pool._retire(connection)
+            testbed.node.server_pool.retire(connection)
             await anyio.sleep(0.05)
             go.set()
             await until(lambda: len(media.received_of(isup.RELEASE)) == 2, 1.0)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -154,7 +154,7 @@
                     attempt = next(iter(testbed.node.server_pool.attempts.values()))
                     delayed.sockets.update(connection.transport.socket for connection in testbed.node.listener.connections)
                     viewer.close()
-                    testbed.node.server_pool._break(attempt.connection, "a fault of the test")
+                    testbed.node.server_pool.break_connection(attempt.connection, "a fault of the test")
                     self.assertEqual(attempt.moves, 1)
                 await assert_unchanged(lambda: len(media.received_of(isup.SET_UP)))
                 delayed.resume_reads.set()
