--- a/curlewshift/fault_injection/node_sides.py
+++ b/curlewshift/fault_injection/node_sides.py
@@ -18,7 +18,7 @@
 # Message kinds, field codes and cause codes of the media server protocol.
 SET_UP, ANSWER, RELEASE, RELEASED, PROBE, PROBED = 1, 9, 12, 16, 52, 53
 CAUSE, DESCRIPTION = 47, 48
-FULL, ERROR = 34, 47
+FULL, RESET, ERROR = 34, 41, 47
 BACKLOG = 256
 # The outcomes of a set-up, and their weights.
 OUTCOME_WEIGHTS = {"plays": 8, "refuses": 8, "fails": 1, "breaks": 1, "hangs": 1}
@@ -54,7 +54,9 @@
     def __init__(self, number: int, port: int, rng: Random, traffic: Traffic):
         self.port = port
         self.name, self.number, self.rng, self.traffic = f"s-{number + 1:08x}", number, rng, traffic
+        # ids that the node has released, and those with a session
         self.released: set[bytes] = set()
+        self.playing: set[bytes] = set()
         self.accepting, self.idle, self.accept_scope = anyio.Event(), anyio.Event(), anyio.CancelScope()
         self.accepting.set()
         self._listen()
@@ -145,6 +147,10 @@
             )
         elif kind == RELEASE:
             self.released.add(id)
+            if id in self.playing:
+                self.playing.discard(id)
+                # a server reports a session that a release cuts
+                self._send(sock, message(RELEASE, id, CAUSE, bytes((RESET,))))
             self._send(sock, message(RELEASED, id))
         elif kind == PROBE:
             self._send(sock, message(PROBED, id, CAUSE, b"\1"))
@@ -154,6 +160,7 @@
         if id in self.released:
             return
         if outcome == "plays":
+            self.playing.add(id)
             self._send(sock, message(ANSWER, id, DESCRIPTION, b"plays"))
         elif outcome in ("refuses", "fails"):
             self._send(sock, message(RELEASE, id, CAUSE, bytes((FULL if outcome == "refuses" else ERROR,))))
