--- a/review/9/case.py
+++ b/review/9/case.py
@@ -63,8 +63,15 @@
         return True
 
     server.on_set_up = answer_and_end
-    for _ in range(6):
-        viewers.set_up("lesson", TITLE, 3000)
+    for _ in range(10):
+        # some viewers at once: one of their set-ups finds the first connections to this server in use
+        burst = [viewers.set_up("lesson", TITLE, 3000) for _ in range(9)]
+        await asyncio.sleep(0.7)
+        if ended:
+            break
+        for id in burst:
+            viewers.tear_down(id)
+        await asyncio.sleep(0.3)
     await asyncio.sleep(LIMIT_S + 12)
     traffic.cancel()
     if not ended:
