--- a/review/stage.py
+++ b/review/stage.py
@@ -10,6 +10,7 @@
 import json
 import os
 import re
+import resource
 import signal
 import socket
 import struct
@@ -37,6 +38,8 @@
 LINGER_ZERO = struct.pack("ii", 1, 0)
 # "every time limit is 50 ms longer"
 SLACK_S = 0.05
+# Descriptors that a case may need for its own side.
+MOST_DESCRIPTORS = 4096
 # A run in which this process itself was later than this (s) is not judged.
 MOST_LATE_S = 0.5
 
@@ -644,6 +647,10 @@
     stages: list[Stage] = []
     lateness = [0.0]
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < MOST_DESCRIPTORS:
+        most = MOST_DESCRIPTORS if hard == resource.RLIM_INFINITY else min(hard, MOST_DESCRIPTORS)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
 
     async def main() -> list[str]:
         def make_stage(**options) -> Stage:
