--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 
 TITLE = "7f3a9c21e0b4d655"
 # "No message exceeds 16 KiB"; "up to 90 [set-ups a second] on one day"; "stand still for 7.7 to 23 s"
-DESCRIPTION_BYTES, RATE, STILL_S = 14000, 60, 7.7
+DESCRIPTION_BYTES, RATE, STILL_S = 16000, 90, 7.7
 # how long a viewer of the paid class waits, and "up to half a second after its time it only earns nothing"
 WAIT_S, LATE_S = 5.0, 0.5
 
