Log why the node drops a client's connection, and how much output is lost

A connection that the node drops while its queue is full looked in the log like one of a client that went: client-closed was written only where a request was still open, without a cause. client-dropped tells cause and discarded bytes, counts has the number by cause, and connection-closed of media servers has the cause too.

--- a/curlewshift/node/buffered_connection.py
+++ b/curlewshift/node/buffered_connection.py
@@ -134,6 +134,15 @@
     CLOSED = "closed"
 
 
+class DropCause(Enum):
+    """Why this side dropped a connection, for the log."""
+
+    QUEUE_FULL = "output queue at its limit"
+    WRITE_FAILED = "write failed"
+    CLOSE_TIMED_OUT = "graceful close timed out"
+    MADE_ROOM = "idle, closed to make room"
+
+
 class PendingWrite:
     """The owner of queued output, notified of its progress. `sending_started` is set once the kernel has taken its first byte."""
 
@@ -162,6 +171,9 @@
         self.reset_by_peer = False
         # this side has begun a graceful close
         self.closed_locally = False
+        # why this side dropped it, and how much output was discarded
+        self.drop_cause: DropCause | None = None
+        self.discarded_bytes = 0
         # output queue: bytes, their owner, and whether some of them have been sent
         self.queue: deque[list] = deque()
         self.queued_bytes = 0
@@ -188,7 +200,7 @@
         self.queue.append([data, pending_write, False])
         self.queued_bytes += len(data)
         if self.queued_bytes > MAX_QUEUE_BYTES:
-            self.drop()
+            self.drop(DropCause.QUEUE_FULL)
             return False
         if not self.writing:
             # written in the next iteration of the event loop, with everything else queued in this one
@@ -212,7 +224,7 @@
         except CONNECTION_ERRORS:
             if not self.gone:
                 self.ended_by_peer = self.reset_by_peer = True
-            self.drop()
+            self.drop(DropCause.WRITE_FAILED)
         finally:
             self.writing = False
             self.write_done.set()
@@ -310,17 +322,18 @@
         try:
             self.socket.shutdown(socket.SHUT_WR)
         except OSError:
-            self.drop()
+            self.drop(DropCause.WRITE_FAILED)
 
     async def _drop_after_timeout(self) -> None:
         await anyio.sleep(CLOSE_TIMEOUT_S)
-        self.drop()
+        self.drop(DropCause.CLOSE_TIMED_OUT)
 
-    def drop(self) -> None:
+    def drop(self, cause: DropCause | None = None) -> None:
         """Closes at once; the queue is discarded. The reader sees the end of the connection."""
         if self.gone:
             return
         self.state = State.CLOSED
+        self.drop_cause, self.discarded_bytes = cause, self.queued_bytes
         try:
             self.socket.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/curlewshift/node/client_listener.py
+++ b/curlewshift/node/client_listener.py
@@ -15,7 +15,7 @@
 
 from curlewshift.exchange.accepting import PausingListener
 from curlewshift.node import rtsp
-from curlewshift.node.buffered_connection import BufferedConnection, Listener, MessageInput, PendingWrite
+from curlewshift.node.buffered_connection import BufferedConnection, DropCause, Listener, MessageInput, PendingWrite
 from curlewshift.node.trace import make_tracer
 from curlewshift.session_core.front_session import Answer, AnswerKind, FrontSession, Request
 from curlewshift.session_core.session_core import InvalidRequest
@@ -135,7 +135,7 @@
 
     def drop(self) -> None:
         """Closes the connection at once."""
-        self.transport.drop()
+        self.transport.drop(DropCause.MADE_ROOM)
 
     def mark_corrupt(self) -> None:
         """Stops reading the connection after malformed input. Requests received before are still answered."""
@@ -198,7 +198,8 @@
 
     def _connection_ended(self, connection: ClientConnection) -> None:
         """Cancels the open requests of a connection that has ended; its pending releases are sent on others."""
-        self.connections.pop(connection, None)
+        if self.connections.pop(connection, None):
+            self._log_drop(connection)
         if self.last_proven is connection:
             self.last_proven = None
         if connection.waiting:
@@ -222,6 +223,20 @@
             if pending_release.connection is connection:
                 pending_release.connection = None
 
+    def _log_drop(self, connection: ClientConnection) -> None:
+        """Logs a connection that this side has dropped. Answers are lost with discarded output."""
+        transport = connection.transport
+        if transport.drop_cause is None:
+            return
+        self.node.counts[f"client-dropped-{transport.drop_cause.name.lower()}"] += 1
+        if transport.discarded_bytes:
+            self.log.warning(
+                "client-dropped",
+                connection=connection.number,
+                cause=transport.drop_cause.value,
+                discarded=transport.discarded_bytes,
+            )
+
     async def _end_unread_sessions(self, connection: ClientConnection) -> None:
         """Called after the client has closed the connection: releases that it has not read are sent on another, and sessions
         whose answers it has not read are ended."""
--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -429,7 +429,8 @@
         endpoint = connection.endpoint
         by_peer = connection.transport is not None and connection.transport.ended_by_peer
         reset = connection.transport is not None and connection.transport.reset_by_peer
-        self._log_close(connection, "closed by the server" if by_peer else reason)
+        drop_cause = connection.transport.drop_cause if connection.transport is not None else None
+        self._log_close(connection, "closed by the server" if by_peer else drop_cause.value if drop_cause else reason)
         if reset:
             endpoint.was_reset = True
         if not by_peer:
