A connection whose peer reads is not dropped for a burst of queued output

Cause: BufferedConnection.send compared what was queued with 256 KiB, a limit meant for peers that do not read, before the writer had offered any of it to the kernel. The log line client-dropped confirms it (273326 bytes discarded, cause 'output queue at its limit').

Change: over 256 KiB a connection is dropped once the kernel has taken nothing for a second; 8 MiB is the limit of any connection. One write joins 256 KiB at the most.

--- a/curlewshift/node/buffered_connection.py
+++ b/curlewshift/node/buffered_connection.py
@@ -4,7 +4,8 @@
 has taken, and loses that buffer when the connection ends. Here a message counts as sent when the kernel has taken its first byte,
 and not before; and a connection that is closed gracefully is shut down once its queue has been written.
 
-Senders never block on a slow peer. The queue is bounded: the connection of a peer that does not read is dropped.
+Senders never block on a slow peer. The queue is bounded: the connection of a peer that does not read is dropped. A long queue
+alone does not show that: one iteration of the event loop may queue many messages before any of them is offered to the kernel.
 """
 
 from __future__ import annotations
@@ -14,11 +15,17 @@
 import socket
 import struct
 from collections import deque
+from collections.abc import Iterator
 from enum import Enum
 
 import anyio
 
-MAX_QUEUE_BYTES = 256 * 1024
+# The queue of a peer that does not read: it is dropped once the kernel has taken nothing for the time-out (s).
+MAX_STALLED_QUEUE_BYTES, WRITE_STALL_TIMEOUT_S = 256 * 1024, 1.0
+# The queue of any peer: five seconds of answers at 90 a second, each of the greatest size of a message, on one connection.
+MAX_QUEUE_BYTES = 8 * 1024 * 1024
+# Queued messages are joined up to this size for one write.
+WRITE_SIZE_BYTES = 256 * 1024
 READ_SIZE_BYTES = 64 * 1024
 # Time-out of a graceful close, in which the queue is written and the peer closes its side (s).
 CLOSE_TIMEOUT_S = 0.5
@@ -138,6 +145,7 @@
     """Why this side dropped a connection, for the log."""
 
     QUEUE_FULL = "output queue at its limit"
+    NOT_READ = "peer does not read"
     WRITE_FAILED = "write failed"
     CLOSE_TIMED_OUT = "graceful close timed out"
     MADE_ROOM = "idle, closed to make room"
@@ -194,7 +202,7 @@
     # ---- output
 
     def send(self, data: bytes, pending_write: PendingWrite | None = None) -> bool:
-        """Queues a message. Returns False if the connection is not open, or was dropped as its queue is full."""
+        """Queues a message. Returns False if the connection is not open, or was dropped as its queue is at its limit."""
         if not self.open:
             return False
         self.queue.append([data, pending_write, False])
@@ -220,7 +228,7 @@
             while self.queue and not self.gone:
                 self._drop_withheld()
                 if self.queue and not self.gone and not self._write_queue():
-                    await anyio.wait_writable(self.socket)
+                    await self._wait_writable()
         except CONNECTION_ERRORS:
             if not self.gone:
                 self.ended_by_peer = self.reset_by_peer = True
@@ -231,6 +239,13 @@
         if self.state is State.CLOSING:
             self._shut_down_output()
 
+    async def _wait_writable(self) -> None:
+        """Waits until the kernel takes output again; drops the connection if it takes none for long and the queue is long."""
+        with anyio.move_on_after(WRITE_STALL_TIMEOUT_S) as stall:
+            await anyio.wait_writable(self.socket)
+        if stall.cancelled_caught and self.queued_bytes > MAX_STALLED_QUEUE_BYTES:
+            self.drop(DropCause.NOT_READ)
+
     def _drop_withheld(self) -> None:
         """Asks each owner whether its output may be sent. An owner may queue other output or end the connection meanwhile."""
         candidates, self.queue = self.queue, deque()
@@ -243,7 +258,7 @@
     def _write_queue(self) -> bool:
         """Writes what the kernel takes of the queue; returns False if it takes nothing. Raises OSError, with nothing sent."""
         try:
-            sent = self.socket.send(b"".join(data for data, _, _ in self.queue))
+            sent = self.socket.send(b"".join(self._next_messages()))
         except (BlockingIOError, InterruptedError):
             return False
         self.queued_bytes -= sent
@@ -261,6 +276,15 @@
                 pending_write.on_written()
         return True
 
+    def _next_messages(self) -> Iterator[bytes]:
+        """The head of the queue, as much as one write may have."""
+        size = 0
+        for data, _, _ in self.queue:
+            yield data
+            size += len(data)
+            if size >= WRITE_SIZE_BYTES:
+                return
+
     # ---- input
 
     async def receive(self) -> bytes:
