Client listener: connections and releases to viewers in modules of their own

ClientConnection, ClientSession and PendingClientRelease are in client_connection.py, the releases that wait in client_releases.py; the two deques of times are one class, RecentMessages.

--- a/curlewshift/node/client_listener.py
+++ b/curlewshift/node/client_listener.py
@@ -7,17 +7,18 @@
 from __future__ import annotations
 
 import re
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
 
 from curlewshift.exchange.accepting import PausingListener
 from curlewshift.node import rtsp
-from curlewshift.node.buffered_connection import BufferedConnection, DropCause, Listener, MessageInput, PendingWrite
+from curlewshift.node.buffered_connection import BufferedConnection, Listener
+from curlewshift.node.client_connection import ClientConnection, ClientSession, PendingClientRelease
+from curlewshift.node.client_releases import ClientReleases
 from curlewshift.node.trace import make_tracer
-from curlewshift.session_core.front_session import Answer, AnswerKind, FrontSession, Request
+from curlewshift.session_core.front_session import Answer, AnswerKind
 from curlewshift.session_core.session_core import InvalidRequest
 
 MS = 1_000_000
@@ -31,14 +32,10 @@
 SWEEP_INTERVAL_S = 0.1
 # Subtracted from a viewer's deadline for the transmission of the answer, which would otherwise arrive too late (ns).
 ANSWER_TRANSIT_NS = 10 * MS
-# A kernel resets a connection that its program closed with unread input, or on which data arrives after the close. So a reset
-# within the first of these after an answer shows that the client has not read it (ns). After an orderly close a reset is waited
-# for this long (s):
-UNREAD_RESET_WINDOW_NS, RESET_WAIT_S = NS, 0.05
+# After an orderly close of the client's, a reset is waited for this long (s).
+RESET_WAIT_S = 0.05
 # A request that is past its deadline by this much will not be answered by the session core any more (ns).
 OVERDUE_AFTER_NS = NS // 10
-# Limit on releases that wait for a connection to be sent on; beyond it the oldest are dropped.
-MAX_PENDING_RELEASES = 5000
 # Limit on remembered TEARDOWNs of unknown sessions: a hand-over that arrives after its own TEARDOWN must not be accepted.
 MAX_TORN_DOWN = 2000
 
@@ -63,91 +60,6 @@
         self.status, self.named = status, named
 
 
-@dataclass(eq=False, slots=True)
-class ClientSession:
-    """One session by its id: requested, or established."""
-
-    name: str
-    connection: ClientConnection | None
-    request: Request | None = None
-    front_session: FrontSession | None = None
-
-
-@dataclass(eq=False, slots=True)
-class PendingClientRelease(PendingWrite):
-    """A release that has yet to be sent to its viewer; `sending_started` once its first byte has been sent."""
-
-    name: str
-    cause: int
-    connection: ClientConnection | None = None
-    sending_started: bool = False
-
-    def may_send(self) -> bool:
-        """Keeps the release off a connection that the viewer has closed, even if that has not been read yet; it is then sent on
-        another."""
-        if self.connection is not None and self.connection.transport.peer_closed():
-            self.connection = None
-            return False
-        return True
-
-
-class ClientConnection:
-    """One connection from a viewer."""
-
-    def __init__(self, transport: BufferedConnection, now: int, number: int):
-        """`number` identifies the connection in the log."""
-        self.number = number
-        self.transport, self.input = transport, MessageInput(rtsp.Reader(), rtsp.Malformed, now)
-        self.waiting: dict[str, ClientSession] = {}
-        # number of established sessions requested here: their releases are sent here, and the viewers' next requests come here
-        self.session_count = 0
-        # the sessions most recently answered, and the releases most recently sent here, with their times
-        self.recent_answers: deque[tuple[int, ClientSession]] = deque()
-        self.recent_releases: deque[tuple[int, PendingClientRelease]] = deque()
-        # callbacks to run once the unread input has been read
-        self.after_reading: list[Callable[[], None]] = []
-        # its input is corrupt: it is closed once all requests on it have been answered
-        self.corrupt = False
-        self.opened_at = now
-        # a complete message has been received
-        self.received_message = False
-        # a session was answered or handed over here: the client follows the protocol
-        self.is_proven = False
-        self.idle_since_s = now / NS
-
-    # interface of the descriptor gate, see curlewshift/limits/descriptors.py
-
-    @property
-    def is_busy(self) -> bool:
-        """A request is open, output is queued, or input is unread."""
-        return bool(self.waiting) or bool(self.transport.queue) or self.transport.has_unread_input()
-
-    @property
-    def is_receiving_request(self) -> bool:
-        """Part of a request has been received."""
-        return self.input.partial and not self.corrupt
-
-    @property
-    def is_spared(self) -> bool:
-        """The gate closes this connection last, as releases of established sessions are sent on it. Clients that each send one
-        request and stay connected might otherwise displace every connection on which a release can be sent."""
-        return self.session_count > 0
-
-    def drop(self) -> None:
-        """Closes the connection at once."""
-        self.transport.drop(DropCause.MADE_ROOM)
-
-    def mark_corrupt(self) -> None:
-        """Stops reading the connection after malformed input. Requests received before are still answered."""
-        self.corrupt = True
-        self.end_if_done()
-
-    def end_if_done(self) -> None:
-        """Closes a corrupt connection gracefully once all requests on it have been answered."""
-        if self.corrupt and not self.waiting:
-            self.transport.close_gracefully()
-
-
 class ClientListener:
     """Passes the viewers' requests to `node`, see curlewshift/node/node.py.
 
@@ -161,10 +73,13 @@
         self.opened = 0
         self.sessions: dict[str, ClientSession] = {}
         self.connections: dict[ClientConnection, bool] = {}
-        # releases of which no byte has been sent yet
-        self.pending_releases: dict[str, PendingClientRelease] = {}
+        self.releases = ClientReleases(self.connections, node.now)
         self.torn_down: OrderedDict[str, int] = OrderedDict()
-        self.last_proven: ClientConnection | None = None
+
+    @property
+    def pending_releases(self) -> dict[str, PendingClientRelease]:
+        """Releases of which no byte has been sent yet."""
+        return self.releases.pending
 
     # ---- connections
 
@@ -200,8 +115,6 @@
         """Cancels the open requests of a connection that has ended; its pending releases are sent on others."""
         if self.connections.pop(connection, None):
             self._log_drop(connection)
-        if self.last_proven is connection:
-            self.last_proven = None
         if connection.waiting:
             self.log.info(
                 "client-closed",
@@ -219,9 +132,7 @@
                 )
         connection.after_reading.clear()
         self.tracer.connection_ended(connection)
-        for pending_release in self.pending_releases.values():
-            if pending_release.connection is connection:
-                pending_release.connection = None
+        self.releases.connection_ended(connection)
 
     def _log_drop(self, connection: ClientConnection) -> None:
         """Logs a connection that this side has dropped. Answers are lost with discarded output."""
@@ -240,22 +151,21 @@
     async def _end_unread_sessions(self, connection: ClientConnection) -> None:
         """Called after the client has closed the connection: releases that it has not read are sent on another, and sessions
         whose answers it has not read are ended."""
-        since = self.node.now() - UNREAD_RESET_WINDOW_NS
-        answered = [client_session for answered_at, client_session in connection.recent_answers if answered_at >= since]
-        unread_releases = [pending_release for sent_at, pending_release in connection.recent_releases if sent_at >= since]
+        answered = connection.recent_answers.recent(self.node.now())
+        unread_releases = connection.recent_releases.recent(self.node.now())
         if not (answered or unread_releases) or not connection.transport.ended_by_peer or connection.transport.closed_locally:
             return
         if not await connection.transport.was_reset(RESET_WAIT_S):
             return
         for pending_release in unread_releases:
             self.log.info("release-unread", session=pending_release.name, connection=connection.number)
-            self._queue_release(pending_release.name, pending_release.cause, None)
+            self.releases.queue(pending_release.name, pending_release.cause, None)
         for client_session in answered:
             if self.sessions.get(client_session.name) is client_session:
                 self.log.info("answer-unread", session=client_session.name, connection=connection.number)
                 self._forget(client_session)
                 self.node.released(client_session.front_session, 0)
-                self._queue_release(client_session.name, UNREAD_ANSWER_CAUSE, None)
+                self.releases.queue(client_session.name, UNREAD_ANSWER_CAUSE, None)
 
     def _read(self, connection: ClientConnection, data: bytes) -> None:
         if not connection.corrupt:
@@ -338,7 +248,7 @@
         if self.gate.crowded:
             self.gate.make_room(needed=False)
         if self.pending_releases:
-            self._send_releases()
+            self.releases.send()
 
     # ---- messages
 
@@ -407,7 +317,7 @@
                 front_session = self.node.accept_hand_over(name, package, title[1], base, span, top, viewer, expected, legs["at"])
                 self._add_session(ClientSession(name, connection, front_session=front_session))
             elif end_cause:
-                self._queue_release(name, end_cause, connection)
+                self.releases.queue(name, end_cause, connection)
             return
         if name in self.sessions:
             raise RequestError("a session with this id is already open", 455, named=False)
@@ -440,10 +350,7 @@
         found = CAUSE.fullmatch(message.fields.get("reason", ""))
         cause = min(int(found[1]), 127) if found else 0
         if client_session is None:
-            pending_release = self.pending_releases.pop(name, None)
-            if pending_release is not None and pending_release.connection is not None:
-                pending_release.connection.transport.withdraw(pending_release)
-            elif pending_release is None:
+            if self.releases.withdraw(name) is None:
                 self.torn_down[name] = cause
                 if len(self.torn_down) > MAX_TORN_DOWN:
                     self.torn_down.popitem(last=False)
@@ -492,8 +399,8 @@
                 self.node.defer(lambda: self._end_unanswered(client_session))
                 return
             connection.transport.send(rtsp.answer(200, "1", client_session.name, description), queued)
-            connection.is_proven, self.last_proven = True, connection
-            self._remember(connection.recent_answers, client_session)
+            self.releases.session_answered(connection)
+            connection.recent_answers.remember(self.node.now(), client_session)
         elif answer.kind is AnswerKind.REFUSED:
             pause = f"X-Pause: {answer.wait // MS}\r\n" if answer.wait else ""
             connection.transport.send(
@@ -503,13 +410,6 @@
         else:
             connection.transport.send(rtsp.answer(STATUS_FAILED, "1", client_session.name), queued)
 
-    def _remember(self, recent: deque[tuple[int, object]], what: object) -> None:
-        """Records what a reset within `UNREAD_RESET_WINDOW_NS` would show to be unread."""
-        now = self.node.now()
-        while recent and recent[0][0] < now - UNREAD_RESET_WINDOW_NS:
-            recent.popleft()
-        recent.append((now, what))
-
     def _end_unanswered(self, client_session: ClientSession) -> None:
         """Ends a session whose client had closed its connection, still unread, before the answer was sent."""
         if self.sessions.get(client_session.name) is client_session:
@@ -521,37 +421,7 @@
         if self.sessions.get(client_session.name) is client_session:
             self._forget(client_session)
             if cause is not None:
-                self._queue_release(client_session.name, cause, client_session.connection)
-
-    def _queue_release(self, name: str, cause: int, own_connection: ClientConnection | None) -> None:
-        self.pending_releases[name] = PendingClientRelease(name, cause)
-        if len(self.pending_releases) > MAX_PENDING_RELEASES:
-            del self.pending_releases[next(iter(self.pending_releases))]
-        self._send_releases(own_connection)
-
-    def _send_releases(self, own_connection: ClientConnection | None = None) -> None:
-        """Sends the pending releases: on the session's own connection, or else on any on which a viewer was answered. A release
-        stays pending until its first byte has been sent: one queued on a connection that ends is sent on another."""
-        for pending_release in [
-            pending_release for pending_release in self.pending_releases.values() if pending_release.sending_started
-        ]:
-            del self.pending_releases[pending_release.name]
-        connection = own_connection if own_connection is not None and own_connection.transport.open else self._proven_connection()
-        if connection is None:
-            return
-        for pending_release in self.pending_releases.values():
-            if pending_release.connection is None or not pending_release.connection.transport.open:
-                pending_release.connection = connection
-                self._remember(connection.recent_releases, pending_release)
-                connection.transport.send(rtsp.release(pending_release.name, pending_release.cause), pending_release)
-
-    def _proven_connection(self) -> ClientConnection | None:
-        if self.last_proven is None or not self.last_proven.transport.open:
-            self.last_proven = next(
-                (connection for connection in reversed(self.connections) if connection.is_proven and connection.transport.open),
-                None,
-            )
-        return self.last_proven
+                self.releases.queue(client_session.name, cause, client_session.connection)
 
 
 def _parse_legs(text: str) -> dict[str, str]:
