The end of a session is told on any connection on which viewers asked something valid

Cause: a release went on another connection only if a session had been answered or handed over there. A test passed, a set-up refused and a session ended by its viewer did not count.

Change: each connection has the best evidence seen on it; the one with most is used, the newest of several, one without any is not. release-waits in the log tells of a release that no connection can carry.

--- a/curlewshift/node/client_connection.py
+++ b/curlewshift/node/client_connection.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import IntEnum
 from typing import Generic, TypeVar
 
 from curlewshift.node import rtsp
@@ -49,6 +50,18 @@
         return True
 
 
+class Evidence(IntEnum):
+    """What shows that a connection is a viewer's, which reads the release of a session: the more, the better."""
+
+    NONE = 0
+    # a test was passed
+    TESTED = 1
+    # a set-up was taken, or one was refused for a reason other than its form
+    REQUESTED = 2
+    # a session was established, handed over or ended by its viewer
+    SESSION = 3
+
+
 class RecentMessages(Generic[Subject]):
     """What messages were about that a reset of their connection would show to be unread."""
 
@@ -86,8 +99,7 @@
         self.opened_at = now
         # a complete message has been received
         self.received_message = False
-        # a session was answered or handed over here: the client follows the protocol
-        self.is_proven = False
+        self.evidence = Evidence.NONE
         self.idle_since_s = now / NS
 
     # interface of the descriptor gate, see curlewshift/limits/descriptors.py
@@ -112,6 +124,10 @@
         """Closes the connection at once."""
         self.transport.drop(DropCause.MADE_ROOM)
 
+    def add_evidence(self, evidence: Evidence) -> None:
+        """Something has shown that this is a viewer's connection."""
+        self.evidence = max(self.evidence, evidence)
+
     def mark_corrupt(self) -> None:
         """Stops reading the connection after malformed input. Requests received before are still answered."""
         self.corrupt = True
--- a/curlewshift/node/client_listener.py
+++ b/curlewshift/node/client_listener.py
@@ -1,7 +1,7 @@
 """RTSP server for viewers: their connections, and the sessions requested on them. It makes no placement decisions.
 
 An established session belongs to no connection, so sessions are looked up by id, and the release of one may be sent on any
-connection on which a viewer has been answered. A request that waits for its answer is bound to its connection.
+connection from viewers. A request that waits for its answer is bound to its connection.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from curlewshift.exchange.accepting import PausingListener
 from curlewshift.node import rtsp
 from curlewshift.node.buffered_connection import BufferedConnection, Listener
-from curlewshift.node.client_connection import ClientConnection, ClientSession, PendingClientRelease
+from curlewshift.node.client_connection import ClientConnection, ClientSession, Evidence, PendingClientRelease
 from curlewshift.node.client_releases import ClientReleases
 from curlewshift.node.trace import make_tracer
 from curlewshift.session_core.front_session import Answer, AnswerKind
@@ -73,7 +73,7 @@
         self.opened = 0
         self.sessions: dict[str, ClientSession] = {}
         self.connections: dict[ClientConnection, bool] = {}
-        self.releases = ClientReleases(self.connections, node.now)
+        self.releases = ClientReleases(self.connections, node.now, log)
         self.torn_down: OrderedDict[str, int] = OrderedDict()
 
     @property
@@ -264,9 +264,7 @@
                 number = "1"
                 raise RequestError("invalid CSeq")
             if message.method == "OPTIONS":
-                connection.transport.send(
-                    rtsp.answer(200 if self.node.ready else 503, number, name if SESSION.fullmatch(name) else "")
-                )
+                self._answer_test(connection, name, number)
                 return
             if not SESSION.fullmatch(name):
                 raise RequestError("missing or invalid session id")
@@ -287,6 +285,11 @@
             if message.method == "SETUP" and SESSION.fullmatch(name):
                 connection.transport.send(rtsp.answer(STATUS_FAILED, number, name))
 
+    def _answer_test(self, connection: ClientConnection, name: str, number: str) -> None:
+        if self.node.ready:
+            connection.add_evidence(Evidence.TESTED)
+        connection.transport.send(rtsp.answer(200 if self.node.ready else 503, number, name if SESSION.fullmatch(name) else ""))
+
     def _set_up(self, connection: ClientConnection, name: str, message: rtsp.Message, now: int) -> None:
         fields = message.fields
         title = TITLE.fullmatch(message.address)
@@ -309,7 +312,7 @@
         expected = round(float(hint) * MS) if hint is not None else 0
         package, viewer = fields.get("x-cos", ""), int(viewer, 16)
         if "at" in legs:
-            connection.is_proven = True
+            connection.add_evidence(Evidence.SESSION)
             if name in self.sessions or not SERVER_NAME.fullmatch(legs["at"]):
                 return
             end_cause = self.node.early_end(name, legs["at"], self.torn_down.pop(name, None))
@@ -344,6 +347,7 @@
         except BaseException:
             self._forget(client_session)
             raise
+        connection.add_evidence(Evidence.REQUESTED)
 
     def _handle_teardown(self, connection: ClientConnection, name: str, number: str, message: rtsp.Message) -> None:
         client_session = self.sessions.get(name)
@@ -359,6 +363,7 @@
         if client_session.front_session is None:
             self._cancel(client_session)
             return
+        connection.add_evidence(Evidence.SESSION)
         self._forget(client_session)
         self.node.released(client_session.front_session, cause)
 
