A release lost with a connection is asked for also for handed-over sessions

Cause: when the node closed a connection, only sessions set up on it counted as perhaps released there. The server may send there as well the releases of sessions that were handed over and of those whose own connection has ended; no new connection was opened to ask for them.

Change: Session.may_be_released_on answers which sessions are meant, here and for messages that may concern an earlier session. A connection that never came up marks nothing.

--- a/curlewshift/node/connections.py
+++ b/curlewshift/node/connections.py
@@ -36,13 +36,16 @@
     # the server had another session or set-up with this id before, so that its messages may still concern that one
     reused: bool = False
 
-    def may_be_meant(self, connection: ServerConnection) -> bool:
-        """Whether a message on this connection may concern this session, and not an earlier one with its id: while the
-        connection of the set-up is open, the server uses no other."""
-        if not self.reused or self.set_up_on is None or self.set_up_on is connection:
+    def may_be_released_on(self, connection: ServerConnection) -> bool:
+        """Whether the server may send the release here: on the connection of the set-up while it is open, otherwise on any."""
+        if self.set_up_on is None or self.set_up_on is connection:
             return True
         return self.set_up_on.retired or not self.set_up_on.up
 
+    def may_be_meant(self, connection: ServerConnection) -> bool:
+        """Whether a message on this connection may concern this session, and not an earlier one with its id."""
+        return not self.reused or self.may_be_released_on(connection)
+
 
 @dataclass(eq=False, slots=True)
 class Attempt(PendingWrite):
--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -433,7 +433,7 @@
         self._log_close(connection, "closed by the server" if by_peer else drop_cause.value if drop_cause else reason)
         if reset:
             endpoint.was_reset = True
-        if not by_peer:
+        if connection.transport is not None and not by_peer:
             self._mark_lost_releases(connection)
         for attempt in list(connection.attempts.values()):
             if attempt.sending_started:
@@ -453,10 +453,10 @@
 
     def _mark_lost_releases(self, connection: ServerConnection) -> None:
         """Marks the sessions whose releases may be lost: the server may not know that the connection is closed and send them
-        there."""
+        there, or has sent them behind input that could not be read."""
         endpoint = connection.endpoint
         for front_session in endpoint.sessions.values():
-            if front_session.session.set_up_on is connection:
+            if front_session.session.may_be_released_on(connection):
                 front_session.session.release_may_be_lost = endpoint.releases_lost = True
                 endpoint.releases_lost_since = self.now()
 
