A release lost with a connection that was reset is asked for on a new one, once

A reset counts now like a close from this side, but the server knows of it: one new connection is opened, and none from time to time.

test_a_release_lost_with_a_reset_connection_is_asked_for_on_a_new_connection_once failed before (no connection within 7 s).

--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -433,8 +433,8 @@
         self._log_close(connection, "closed by the server" if by_peer else drop_cause.value if drop_cause else reason)
         if reset:
             endpoint.was_reset = True
-        if connection.transport is not None and not by_peer:
-            self._mark_lost_releases(connection)
+        if connection.transport is not None and (reset or not by_peer):
+            self._mark_lost_releases(connection, known_to_server=by_peer)
         for attempt in list(connection.attempts.values()):
             if attempt.sending_started:
                 self.teardowns.attempt_broken(connection, attempt, by_peer)
@@ -451,14 +451,15 @@
             # a proxy in front of its address may accept connections and reset them; if the server is alive, it is sent releases
             self.declare_lost(endpoint, "not in the server list, and connection reset", cut_off=True)
 
-    def _mark_lost_releases(self, connection: ServerConnection) -> None:
-        """Marks the sessions whose releases may be lost: the server may not know that the connection is closed and send them
-        there, or has sent them behind input that could not be read."""
+    def _mark_lost_releases(self, connection: ServerConnection, known_to_server: bool) -> None:
+        """Marks the sessions whose releases may be lost with the connection. A new connection is opened for the releases sent
+        before its end and, if the server may not know of the end, from time to time for those that it still sends there."""
         endpoint = connection.endpoint
         for front_session in endpoint.sessions.values():
             if front_session.session.may_be_released_on(connection):
-                front_session.session.release_may_be_lost = endpoint.releases_lost = True
-                endpoint.releases_lost_since = self.now()
+                endpoint.releases_lost, endpoint.releases_lost_since = True, self.now()
+                if not known_to_server:
+                    front_session.session.release_may_be_lost = True
 
     def end_attempt(self, attempt: Attempt, outcome: Outcome, cause: str, report: dict[str, float] | None = None) -> None:
         """Reports to the session core that the attempt has ended without a session; `cause` is for the log."""
--- a/tests/test_lost_releases.py
+++ b/tests/test_lost_releases.py
@@ -1,14 +1,17 @@
 """Releases that a media server has sent on a connection on which the node could not read them."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
-from curlewshift.node import isup
+from curlewshift.node import isup, liveness
 from tests.node_testbed import RawViewer, Testbed
 from tests.sockets import async_test, until
+from tests.test_crossings_reloads import reset
 
-STANDING, OTHER, THIRD = "00000000000000a1", "00000000000000b2", "00000000000000c3"
+STANDING, OTHER, THIRD, FOURTH = "00000000000000a1", "00000000000000b2", "00000000000000c3", "00000000000000d4"
+NS = 1_000_000_000
 HALF_AN_ANSWER = isup.encode(isup.ANSWER, bytes.fromhex(OTHER), (isup.DESCRIPTION, b"v=0" * 20))[:30]
 
 
@@ -76,6 +79,21 @@
             await self.assert_told_on_the_next_connection(testbed, viewer, self.release_behind_half_an_answer)
             viewer.close()
 
+    @async_test
+    async def test_a_release_lost_with_a_reset_connection_is_asked_for_on_a_new_connection_once(self):
+        async with Testbed().running() as testbed:
+            viewer, pool = RawViewer(testbed.port), testbed.node.server_pool
+            for id in (STANDING, FOURTH):
+                viewer.send_set_up(id, legs=f";at:{testbed.media_servers[0].name}")
+            await open_connections(testbed, viewer)
+            opened = pool.opened
+            await self.assert_told_on_the_next_connection(testbed, viewer, reset)
+            # the server knows that the connection has ended: nothing that it sends later can be lost with it
+            with mock.patch.object(liveness, "REOPEN_INTERVAL_NS", NS // 4):
+                await anyio.sleep(1.0)
+            self.assertEqual(pool.opened, opened + 1)
+            viewer.close()
+
     @async_test
     async def test_no_connection_is_opened_where_the_sessions_own_connections_are_open(self):
         async with Testbed().running() as testbed:
