--- a/curlewshift/node/client_listener.py
+++ b/curlewshift/node/client_listener.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import re
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -17,6 +16,19 @@
 from curlewshift.node.buffered_connection import BufferedConnection, Listener
 from curlewshift.node.client_connection import ClientConnection, ClientSession, Evidence, PendingClientRelease
 from curlewshift.node.client_releases import ClientReleases
+from curlewshift.node.client_requests import (
+    SERVER_NAME,
+    SESSION,
+    STATUS_BAD_REQUEST,
+    STATUS_DRAINING,
+    STATUS_FAILED,
+    STATUS_NO_ROOM,
+    RequestError,
+    SetUp,
+    SetUpBounds,
+    cause_of,
+    parse_set_up,
+)
 from curlewshift.node.trace import make_tracer
 from curlewshift.session_core.front_session import Answer, AnswerKind
 from curlewshift.session_core.session_core import InvalidRequest
@@ -30,8 +42,6 @@
 PAUSE_TIMEOUT_NS = NS
 MESSAGE_TIMEOUT_NS = 5 * NS // 2
 SWEEP_INTERVAL_S = 0.1
-# Subtracted from a viewer's deadline for the transmission of the answer, which would otherwise arrive too late (ns).
-ANSWER_TRANSIT_NS = 10 * MS
 # After an orderly close of the client's, a reset is waited for this long (s).
 RESET_WAIT_S = 0.05
 # A request that is past its deadline by this much will not be answered by the session core any more (ns).
@@ -39,25 +49,8 @@
 # Limit on remembered TEARDOWNs of unknown sessions: a hand-over that arrives after its own TEARDOWN must not be accepted.
 MAX_TORN_DOWN = 2000
 
-SESSION = re.compile(r"[0-9a-f]{16}")
-TITLE = re.compile(r"rtsp://media/([0-9a-f]{16})")
-WAIT_MS = re.compile(r"[0-9]{1,9}")
-NUMBER = re.compile(r"[0-9]{1,15}(?:\.[0-9]{1,9})?")
-CAUSE = re.compile(r"(?:.*;)? *cause=([0-9]{1,3})")
-SERVER_NAME = re.compile(r"s-[0-9a-f]{8}")
-MAX_DESCRIPTION_BYTES = 8 * 1024
 # The cause of the TEARDOWN sent to a client that did not read its answer: its session was cut.
 UNREAD_ANSWER_CAUSE = 41
-# Status codes. A client may safely retry after 453 and 503, and not after the others.
-STATUS_NO_ROOM, STATUS_DRAINING, STATUS_FAILED, STATUS_BAD_REQUEST = 453, 503, 500, 400
-
-
-class RequestError(Exception):
-    """A request is invalid. `status` is the status code of the answer; `named` whether that carries the session id."""
-
-    def __init__(self, reason: str, status: int = STATUS_BAD_REQUEST, named: bool = True):
-        super().__init__(reason)
-        self.status, self.named = status, named
 
 
 class ClientListener:
@@ -69,7 +62,7 @@
     def __init__(self, node, gate, log, cells: int, tops: int):
         self.node, self.gate, self.log = node, gate, log
         self.tracer = make_tracer(node.now, log)
-        self.cells, self.tops = cells, tops
+        self.bounds = SetUpBounds(cells, tops)
         self.opened = 0
         self.sessions: dict[str, ClientSession] = {}
         self.connections: dict[ClientConnection, bool] = {}
@@ -269,7 +262,7 @@
             if not SESSION.fullmatch(name):
                 raise RequestError("missing or invalid session id")
             if message.method == "SETUP":
-                self._set_up(connection, name, message, now)
+                self._set_up(connection, parse_set_up(name, message, now, self.bounds))
             elif message.method == "TEARDOWN":
                 self._handle_teardown(connection, name, number, message)
             elif message.method not in ("ANNOUNCE", "REDIRECT", "SET_PARAMETER"):
@@ -290,38 +283,11 @@
             connection.add_evidence(Evidence.TESTED)
         connection.transport.send(rtsp.answer(200 if self.node.ready else 503, number, name if SESSION.fullmatch(name) else ""))
 
-    def _set_up(self, connection: ClientConnection, name: str, message: rtsp.Message, now: int) -> None:
-        fields = message.fields
-        title = TITLE.fullmatch(message.address)
-        if not title:
-            raise RequestError("the request URL names no title", 404)
-        legs = _parse_legs(fields.get("x-legs", ""))
-        base = _integer(legs, "home", self.cells - 1)
-        span = _integer(legs, "copies", self.cells)
-        top = _integer(legs, "top", self.tops)
-        viewer = legs.get("viewer", "")
-        wait, hint = fields.get("x-timer-ms", ""), fields.get("x-length")
-        if span < 1 or not SESSION.fullmatch(viewer):
-            raise RequestError("X-Legs: invalid 'copies' or 'viewer'")
-        if not WAIT_MS.fullmatch(wait) or int(wait) == 0:
-            raise RequestError("missing or invalid X-Timer-Ms")
-        if hint is not None and not NUMBER.fullmatch(hint):
-            raise RequestError("invalid X-Length")
-        if not 0 < len(message.body) <= MAX_DESCRIPTION_BYTES:
-            raise RequestError("the session description is empty or too long")
-        expected = round(float(hint) * MS) if hint is not None else 0
-        package, viewer = fields.get("x-cos", ""), int(viewer, 16)
-        if "at" in legs:
-            connection.add_evidence(Evidence.SESSION)
-            if name in self.sessions or not SERVER_NAME.fullmatch(legs["at"]):
-                return
-            end_cause = self.node.early_end(name, legs["at"], self.torn_down.pop(name, None))
-            if end_cause is None:
-                front_session = self.node.accept_hand_over(name, package, title[1], base, span, top, viewer, expected, legs["at"])
-                self._add_session(ClientSession(name, connection, front_session=front_session))
-            elif end_cause:
-                self.releases.queue(name, end_cause, connection)
+    def _set_up(self, connection: ClientConnection, set_up: SetUp) -> None:
+        if set_up.at is not None:
+            self._take_over(connection, set_up)
             return
+        name = set_up.name
         if name in self.sessions:
             raise RequestError("a session with this id is already open", 455, named=False)
         if self.torn_down.pop(name, None) is not None:
@@ -330,29 +296,27 @@
         connection.waiting[name] = client_session
         self.tracer.start(name, connection)
         try:
-            client_session.request = self.node.request_session(
-                name,
-                package,
-                title[1],
-                base,
-                span,
-                top,
-                viewer,
-                expected,
-                "again" in legs,
-                max(MS, int(wait) * MS - ANSWER_TRANSIT_NS),
-                now,
-                message.body,
-            )
+            client_session.request = self.node.request_session(set_up)
         except BaseException:
             self._forget(client_session)
             raise
         connection.add_evidence(Evidence.REQUESTED)
 
+    def _take_over(self, connection: ClientConnection, set_up: SetUp) -> None:
+        """Takes over a session that is established at a media server, unless it has ended meanwhile."""
+        name = set_up.name
+        connection.add_evidence(Evidence.SESSION)
+        if name in self.sessions or not SERVER_NAME.fullmatch(set_up.at):
+            return
+        end_cause = self.node.early_end(name, set_up.at, self.torn_down.pop(name, None))
+        if end_cause is None:
+            self._add_session(ClientSession(name, connection, front_session=self.node.accept_hand_over(set_up)))
+        elif end_cause:
+            self.releases.queue(name, end_cause, connection)
+
     def _handle_teardown(self, connection: ClientConnection, name: str, number: str, message: rtsp.Message) -> None:
         client_session = self.sessions.get(name)
-        found = CAUSE.fullmatch(message.fields.get("reason", ""))
-        cause = min(int(found[1]), 127) if found else 0
+        cause = cause_of(message)
         if client_session is None:
             if self.releases.withdraw(name) is None:
                 self.torn_down[name] = cause
@@ -427,22 +391,3 @@
             self._forget(client_session)
             if cause is not None:
                 self.releases.queue(client_session.name, cause, client_session.connection)
-
-
-def _parse_legs(text: str) -> dict[str, str]:
-    """Parses the X-Legs field, `name:value` pairs separated by semicolons. Raises `RequestError`."""
-    legs = {}
-    for part in text.split(";"):
-        name, colon, value = part.strip().partition(":")
-        if not colon or name in legs:
-            raise RequestError("malformed X-Legs")
-        legs[name] = value
-    return legs
-
-
-def _integer(legs: dict[str, str], name: str, maximum: int) -> int:
-    """Returns an integer value of X-Legs. Raises `RequestError`."""
-    value = legs.get(name, "")
-    if not value.isdigit() or len(value) > 6 or int(value) > maximum:
-        raise RequestError(f"X-Legs: '{name}' is not an integer from 0 to {maximum}")
-    return int(value)
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -19,6 +19,7 @@
 from curlewshift.node import configuration, discovery, isup
 from curlewshift.node.buffered_connection import Listener
 from curlewshift.node.client_listener import SWEEP_INTERVAL_S, ClientListener
+from curlewshift.node.client_requests import SetUp
 from curlewshift.node.connections import Session
 from curlewshift.node.follower import Follower
 from curlewshift.node.server_pool import ServerPool
@@ -240,51 +241,34 @@
 
     # ---- called by the client listener
 
-    def request_session(
-        self,
-        name: str,
-        package: str,
-        title: str,
-        base: int,
-        span: int,
-        top: int,
-        placement_hash: int,
-        expected: int,
-        came_back: bool,
-        timeout: int,
-        arrived_at: int,
-        description: bytes,
-    ) -> Request:
-        """Passes a viewer's set-up to the session core. `timeout`, `arrived_at` and `expected`, the expected duration, are in
-        nanoseconds; `base` and `span` select the servers that have the title (its holders), `top` is the highest rung."""
+    def request_session(self, set_up: SetUp) -> Request:
+        """Passes a viewer's set-up to the session core."""
         return self.session_core.asked(
-            name,
-            package,
-            title,
-            top,
-            timeout,
-            offer=ClientOffer(name, description),
-            came_back=came_back,
-            holders=self.fleet.holders(base, span),
-            mark=placement_hash,
-            arrived=arrived_at,
-            expected=expected,
+            set_up.name,
+            set_up.package,
+            set_up.title,
+            set_up.top,
+            set_up.timeout,
+            offer=ClientOffer(set_up.name, set_up.description),
+            came_back=set_up.came_back,
+            holders=self.fleet.holders(set_up.base, set_up.span),
+            mark=set_up.placement_hash,
+            arrived=set_up.arrived_at,
+            expected=set_up.expected,
         )
 
-    def accept_hand_over(
-        self, name: str, package: str, title: str, base: int, span: int, top: int, placement_hash: int, expected: int, at: str
-    ) -> FrontSession:
-        """Takes over a session that is established at the server `at`."""
-        server = self.fleet.servers[at]
+    def accept_hand_over(self, set_up: SetUp) -> FrontSession:
+        """Takes over a session that is established at the server `set_up.at`."""
+        server = self.fleet.servers[set_up.at]
         front_session = self.session_core.plays_at(
-            package,
-            title,
-            top,
+            set_up.package,
+            set_up.title,
+            set_up.top,
             server,
-            Session(bytes.fromhex(name), server),
-            self.fleet.holders(base, span),
-            placement_hash,
-            expected,
+            Session(bytes.fromhex(set_up.name), server),
+            self.fleet.holders(set_up.base, set_up.span),
+            set_up.placement_hash,
+            set_up.expected,
         )
         self.server_pool.add_session(front_session)
         return front_session
