One connection has limits on the set-ups that it sends and has open, and is read in turn

Change: a connection may send 200 set-ups at once and 300 a second, refused ones included, and may have a third of the free places open; what is beyond is refused at once, with advice. It is read 16 KiB a turn, the greatest size of a message. Hand-overs are not counted.

--- a/curlewshift/node/buffered_connection.py
+++ b/curlewshift/node/buffered_connection.py
@@ -170,8 +170,8 @@
     The owner receives until the connection has ended, and then calls `close`.
     """
 
-    def __init__(self, sock: socket.socket, tasks):
-        self.socket, self.tasks = sock, tasks
+    def __init__(self, sock: socket.socket, tasks, read_size: int = READ_SIZE_BYTES):
+        self.socket, self.tasks, self.read_size = sock, tasks, read_size
         self.state = State.OPEN
         # the peer has closed or reset it, as far as input has been read
         self.ended_by_peer = False
@@ -293,7 +293,7 @@
         while not self.gone:
             try:
                 await anyio.wait_readable(self.socket)
-                data = self.socket.recv(READ_SIZE_BYTES)
+                data = self.socket.recv(self.read_size)
             except (BlockingIOError, InterruptedError):
                 continue
             except CONNECTION_ERRORS:
--- a/curlewshift/node/client_connection.py
+++ b/curlewshift/node/client_connection.py
@@ -13,6 +13,7 @@
 
 from curlewshift.node import rtsp
 from curlewshift.node.buffered_connection import BufferedConnection, DropCause, MessageInput, PendingWrite
+from curlewshift.node.set_up_limits import SetUpRate
 from curlewshift.session_core.front_session import FrontSession, Request
 
 NS = 1_000_000_000
@@ -87,6 +88,7 @@
         self.number = number
         self.transport, self.input = transport, MessageInput(rtsp.Reader(), rtsp.Malformed, now)
         self.waiting: dict[str, ClientSession] = {}
+        self.set_up_rate = SetUpRate(now)
         # number of established sessions requested here: their releases are sent here, and the viewers' next requests come here
         self.session_count = 0
         # the sessions answered, and the releases sent here, that the client has perhaps not read
--- a/curlewshift/node/client_listener.py
+++ b/curlewshift/node/client_listener.py
@@ -13,7 +13,7 @@
 
 from curlewshift.exchange.accepting import PausingListener
 from curlewshift.node import rtsp
-from curlewshift.node.buffered_connection import BufferedConnection, Listener
+from curlewshift.node.buffered_connection import BufferedConnection, Listener, PendingWrite
 from curlewshift.node.client_connection import ClientConnection, ClientSession, Evidence, PendingClientRelease
 from curlewshift.node.client_releases import ClientReleases
 from curlewshift.node.client_requests import (
@@ -29,6 +29,7 @@
     cause_of,
     parse_set_up,
 )
+from curlewshift.node.set_up_limits import has_place
 from curlewshift.node.trace import make_tracer
 from curlewshift.session_core.front_session import Answer, AnswerKind
 from curlewshift.session_core.session_core import InvalidRequest
@@ -42,6 +43,9 @@
 PAUSE_TIMEOUT_NS = NS
 MESSAGE_TIMEOUT_NS = 5 * NS // 2
 SWEEP_INTERVAL_S = 0.1
+# Read from one client in one iteration of the event loop: the greatest size of a message. A client that sends without pause is
+# read in turn with the others.
+READ_SIZE_BYTES = 16 * 1024
 # After an orderly close of the client's, a reset is waited for this long (s).
 RESET_WAIT_S = 0.05
 # A request that is past its deadline by this much will not be answered by the session core any more (ns).
@@ -85,13 +89,13 @@
             listener.close()
 
     async def _run(self, sock) -> None:
-        transport = BufferedConnection(sock, self.tasks)
+        transport = BufferedConnection(sock, self.tasks, READ_SIZE_BYTES)
         self.opened += 1
         connection = ClientConnection(transport, self.node.now(), self.opened)
         self.connections[connection] = True
         self.gate.opened(connection)
         try:
-            # each receive waits for readability first, so that a client that sends without pause is read in turn with the others
+            # each receive waits for readability first
             while data := await transport.receive():
                 self._read(connection, data)
             # the client has left: none of its requests may be started while this connection is being closed
@@ -262,31 +266,58 @@
             if not SESSION.fullmatch(name):
                 raise RequestError("missing or invalid session id")
             if message.method == "SETUP":
-                self._set_up(connection, parse_set_up(name, message, now, self.bounds))
+                self._receive_set_up(connection, parse_set_up(name, message, now, self.bounds))
             elif message.method == "TEARDOWN":
                 self._handle_teardown(connection, name, number, message)
             elif message.method not in ("ANNOUNCE", "REDIRECT", "SET_PARAMETER"):
                 raise RequestError(f"unsupported method {message.method}", 501)
         except (RequestError, InvalidRequest) as error:
-            self.log.info("wrong", what=message.method, session=name[:16], cause=str(error))
             # with the id of an open session, or an ambiguous one, the error could be taken for the answer to another request
-            named = SESSION.fullmatch(name) and not message.has_duplicate_fields and getattr(error, "named", True)
-            connection.transport.send(rtsp.answer(getattr(error, "status", STATUS_BAD_REQUEST), number, name if named else ""))
+            named = SESSION.fullmatch(name) and not message.has_duplicate_fields
+            self._answer_error(connection, message.method, name, number, error, bool(named))
         except Exception as fault:
-            # costs this session only, not the others on its connection
-            self.log.error("fault", what=message.method, session=name[:16], cause=repr(fault), exc_info=fault)
-            if message.method == "SETUP" and SESSION.fullmatch(name):
-                connection.transport.send(rtsp.answer(STATUS_FAILED, number, name))
+            self._answer_fault(connection, message.method, name, number, fault)
+
+    def _answer_error(
+        self, connection: ClientConnection, method: str, name: str, number: str, error: Exception, named: bool
+    ) -> None:
+        self.log.info("wrong", what=method, session=name[:16], cause=str(error))
+        named = named and getattr(error, "named", True)
+        connection.transport.send(rtsp.answer(getattr(error, "status", STATUS_BAD_REQUEST), number, name if named else ""))
+
+    def _answer_fault(self, connection: ClientConnection, method: str, name: str, number: str, fault: Exception) -> None:
+        """An exception costs this session only, not the others on its connection."""
+        self.log.error("fault", what=method, session=name[:16], cause=repr(fault), exc_info=fault)
+        if method == "SETUP" and SESSION.fullmatch(name):
+            connection.transport.send(rtsp.answer(STATUS_FAILED, number, name))
 
     def _answer_test(self, connection: ClientConnection, name: str, number: str) -> None:
         if self.node.ready:
             connection.add_evidence(Evidence.TESTED)
         connection.transport.send(rtsp.answer(200 if self.node.ready else 503, number, name if SESSION.fullmatch(name) else ""))
 
-    def _set_up(self, connection: ClientConnection, set_up: SetUp) -> None:
+    def _receive_set_up(self, connection: ClientConnection, set_up: SetUp) -> None:
+        """Places a set-up, or refuses it at once if its connection sends too many."""
         if set_up.at is not None:
             self._take_over(connection, set_up)
-            return
+        elif connection.set_up_rate.count(set_up.arrived_at) and self._has_place(connection):
+            self._set_up(connection, set_up)
+        else:
+            self._refuse(connection, set_up)
+
+    def _has_place(self, connection: ClientConnection) -> bool:
+        session_core = self.node.session_core
+        return has_place(len(connection.waiting), session_core.waiting, session_core.most_waiting)
+
+    def _refuse(self, connection: ClientConnection, set_up: SetUp) -> None:
+        """Refuses a set-up of a client that sends too many; nothing was sent for it."""
+        if set_up.name in self.sessions:
+            raise RequestError("a session with this id is already open", 455, named=False)
+        self.node.counts["set-up-over-limit"] += 1
+        connection.idle_since_s = self.node.now() / NS
+        self._send_refusal(connection, set_up.name, self.node.session_core.overload_wait)
+
+    def _set_up(self, connection: ClientConnection, set_up: SetUp) -> None:
         name = set_up.name
         if name in self.sessions:
             raise RequestError("a session with this id is already open", 455, named=False)
@@ -371,14 +402,16 @@
             self.releases.session_answered(connection)
             connection.recent_answers.remember(self.node.now(), client_session)
         elif answer.kind is AnswerKind.REFUSED:
-            pause = f"X-Pause: {answer.wait // MS}\r\n" if answer.wait else ""
-            connection.transport.send(
-                rtsp.answer(STATUS_DRAINING if self.node.draining else STATUS_NO_ROOM, "1", client_session.name, fields=pause),
-                queued,
-            )
+            self._send_refusal(connection, client_session.name, answer.wait, queued)
         else:
             connection.transport.send(rtsp.answer(STATUS_FAILED, "1", client_session.name), queued)
 
+    def _send_refusal(self, connection: ClientConnection, name: str, wait: int, queued: PendingWrite | None = None) -> None:
+        """Refuses a set-up; `wait` is when to come back (ns), 0 for no advice."""
+        status = STATUS_DRAINING if self.node.draining else STATUS_NO_ROOM
+        pause = f"X-Pause: {wait // MS}\r\n" if wait else ""
+        connection.transport.send(rtsp.answer(status, "1", name, fields=pause), queued)
+
     def _end_unanswered(self, client_session: ClientSession) -> None:
         """Ends a session whose client had closed its connection, still unread, before the answer was sent."""
         if self.sessions.get(client_session.name) is client_session:
--- a/curlewshift/session_core/session_core.py
+++ b/curlewshift/session_core/session_core.py
@@ -115,7 +115,7 @@
             return request
         if self.draining or self.waiting >= self.most_waiting:
             cause = "this front is going out of service" if self.draining else "too many requests are in work here"
-            self._answer(request, Answer(AnswerKind.REFUSED, cause, min(SECOND, self.longest_wait)))
+            self._answer(request, Answer(AnswerKind.REFUSED, cause, self.overload_wait))
             return request
         top = pack.top if ceiling is None else ceiling
         if top < pack.floor:
@@ -140,6 +140,11 @@
         self._open(front_session, request)
         return request
 
+    @property
+    def overload_wait(self) -> int:
+        """When a request that is refused unplaced may come back (ns); 0 if the settings allow no advice."""
+        return min(SECOND, self.longest_wait)
+
     def knows(self, key: str | None) -> bool:
         """Whether a request with this key would join a known one, without a tune-in."""
         return key is not None and self.keys.find(key, self.driver.now()) is not None
--- a/tests/probes/flood.py
+++ b/tests/probes/flood.py
@@ -1,7 +1,7 @@
 """Usual viewers beside one client that sends at full speed on one connection: `python -m tests.probes.flood [KIND…]`.
 
 Kinds: `test`, `teardown` (of unknown sessions), `invalid` (a class that does not exist), `set-up` (valid, each with a new id),
-`withdrawn` (the same, given up at once), `no-id`, `announce`.
+`withdrawn` (the same, each given up at once), `withdrawn-together` (300 of them, given up after the last), `no-id`, `announce`.
 """
 
 import argparse
@@ -17,7 +17,7 @@
 
 OPTIONS = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n"
 ANNOUNCE = b"ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 9\r\nSession: %016x\r\nContent-Length: 0\r\n\r\n"
-BATCH = 50
+BATCH, LARGE_BATCH = 50, 300
 
 
 def request(kind, number):
@@ -33,6 +33,15 @@
     }[kind]()
 
 
+def batch(kind, first):
+    """The next requests of the client, and their number."""
+    if kind == "withdrawn-together":
+        numbers = range(first, first + LARGE_BATCH)
+        given_up = b"".join(torn_down(f"bbbb{number:012x}") for number in numbers)
+        return b"".join(request("set-up", number) for number in numbers) + given_up, LARGE_BATCH
+    return b"".join(request(kind, number) for number in range(first, first + BATCH)), BATCH
+
+
 def send_at_full_speed(port, kind, seconds, sent):
     """The client: it reads what is sent to it, and connects again when its connection is closed."""
     ends_at, number, answered = time.monotonic() + seconds, 0, 0
@@ -47,8 +56,8 @@
         try:
             while time.monotonic() < ends_at:
                 if not out:
-                    out = b"".join(request(kind, number + offset) for offset in range(BATCH))
-                    number += BATCH
+                    out, count = batch(kind, number)
+                    number += count
                 try:
                     out = out[client.send(out) :]
                 except BlockingIOError:
@@ -90,7 +99,9 @@
 
 def main():
     arguments = argparse.ArgumentParser()
-    arguments.add_argument("kinds", nargs="*", default=["none", "test", "teardown", "invalid", "no-id", "set-up", "withdrawn"])
+    arguments.add_argument(
+        "kinds", nargs="*", default=["none", "test", "teardown", "invalid", "no-id", "set-up", "withdrawn", "withdrawn-together"]
+    )
     arguments.add_argument("--seconds", type=float, default=24.0)
     arguments.add_argument("--descriptors", type=int, default=256)
     given = arguments.parse_args()
