Soak: a proxy passes on the reset of a dying media server, and not an orderly close

The new test failed before (the source read an end of the stream) and passes now. The judge is unchanged.

--- a/curlewshift/soak/proxy.py
+++ b/curlewshift/soak/proxy.py
@@ -58,6 +58,8 @@
     # bytes in this direction are read and discarded once set
     outbound_lost: bool = False
     inbound_lost: bool = False
+    # the target has reset the connection, as a process does that dies
+    reset_by_target: bool = False
 
     def reset_both(self) -> None:
         """Resets both sides."""
@@ -181,8 +183,9 @@
                     data = sock.recv(READ_SIZE)
                 except BlockingIOError:
                     continue
-                except CONNECTION_ERRORS:
+                except CONNECTION_ERRORS as error:
                     data = b""
+                    link.reset_by_target = not outbound and isinstance(error, ConnectionResetError)
                 now_s = anyio.current_time()
                 if outbound is self.watches_source:
                     self._observe(link, True, data, now_s)
@@ -217,6 +220,9 @@
             if not data:
                 if watched:
                     self._observe(link, False, data, anyio.current_time())
+                if not outbound and link.reset_by_target:
+                    reset(sock)
+                    return
                 with contextlib.suppress(OSError):
                     sock.shutdown(socket.SHUT_WR)
                 return
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,7 @@
 from curlewshift.soak import codec
 from curlewshift.soak.judge import RULES, Judge
 from curlewshift.soak.plan import make_plan
-from curlewshift.soak.proxy import Proxy, Shape
+from curlewshift.soak.proxy import LINGER_ZERO, Proxy, Shape
 from curlewshift.soak.records import (
     Answer,
     Attempt,
@@ -31,7 +31,7 @@
     Signal,
 )
 from curlewshift.soak.traffic import ServerTrafficRecorder
-from tests.sockets import async_test
+from tests.sockets import async_test, until
 
 ROOT = Path(__file__).resolve().parents[1]
 REQUEST, BODY = "00000000000000a1", b"plays"
@@ -84,6 +84,36 @@
                     client.close()
             self.assertEqual(received, [(1, b"a"), (1, b"b"), (0, b"a"), (0, b"b")])
 
+    async def end_seen_by_the_source(self, ends):
+        """What the source of a connection reads once its target has ended it by `ends(socket)`."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.setblocking(False)
+            proxy = Proxy(listener.getsockname)
+            port = proxy.open()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(proxy.run, tasks)
+                source = socket.create_connection(("127.0.0.1", port))
+                source.setblocking(False)
+                with source, anyio.fail_after(2):
+                    await until(lambda: proxy.links and proxy.links[0].target is not None)
+                    ends(listener.accept()[0])
+                    await anyio.wait_readable(source)
+                    try:
+                        return source.recv(1)
+                    except ConnectionResetError as error:
+                        return type(error)
+                    finally:
+                        tasks.cancel_scope.cancel()
+
+    @async_test
+    async def test_a_reset_by_the_target_reaches_the_source_as_a_reset_and_a_close_as_a_close(self):
+        def resets(target):
+            target.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+            target.close()
+
+        self.assertEqual(await self.end_seen_by_the_source(resets), ConnectionResetError)
+        self.assertEqual(await self.end_seen_by_the_source(socket.socket.close), b"")
+
 
 class JudgeTests(unittest.TestCase):
     """Each test records one request, by default of a safe class (one that may run twice) of seed 1's plan. Times are seconds."""
