Without discovery, a server that has reset its last connection may be another process

The reset of a connection with nothing out on it told them nothing.

Change: where a server that had been heard resets its last connection, and the list is not followed when the next one comes up, it is cold from then on.

--- a/curlewshift/node/client_connection.py
+++ b/curlewshift/node/client_connection.py
@@ -66,6 +66,8 @@
 class RecentMessages(Generic[Subject]):
     """What messages were about that a reset of their connection would show to be unread."""
 
+    __slots__ = ("sent",)
+
     def __init__(self):
         self.sent: deque[tuple[int, Subject]] = deque()
 
--- a/curlewshift/node/connections.py
+++ b/curlewshift/node/connections.py
@@ -161,6 +161,9 @@
         self.releases_lost = False
         # a connection was reset by the server, and none has been established since
         self.was_reset = False
+        # as `was_reset`, with no other connection left, and heard since that was last so: its process may have died
+        self.all_reset = False
+        self.restart_suspected_at = 0
 
     @property
     def up(self) -> bool:
--- a/curlewshift/node/follower.py
+++ b/curlewshift/node/follower.py
@@ -36,6 +36,8 @@
         self.moved = anyio.Event()
         # the event number after which missing events were last requested, and when
         self.requested_after, self.requested_at = -1, 0.0
+        # the present connection has delivered a frame, and has not ended
+        self.following = False
         # consecutive connections that were established and delivered nothing
         self.silent_connections = 0
 
@@ -87,11 +89,13 @@
                     except discovery.Malformed as caught:
                         frames, error = caught.before, caught
                     received += frames[:1] if not received else ()
+                    self.following = bool(received)
                     if not self._apply(frames):
                         return
                     if error is not None:
                         raise error
             finally:
+                self.following = False
                 await transport.close()
         finally:
             # the descriptor has just been released, and is reserved again before any other task runs
--- a/curlewshift/node/node.py
+++ b/curlewshift/node/node.py
@@ -104,6 +104,7 @@
                     self.counts,
                     self.ended,
                     self.read_first,
+                    lambda: self.follower.following,
                     self.server_descriptors,
                     bounds.get("streams_per_conn") or 1,
                     ns(bounds, "connect_timeout_ms", 250),
--- a/curlewshift/node/server_pool.py
+++ b/curlewshift/node/server_pool.py
@@ -47,8 +47,8 @@
 class ServerPool:
     """The connections to all media servers.
 
-    Calls `ended(front_session, outcome, cause)` for each session that has ended at its server, and `read_first(tune_in, then)`
-    before a set-up is sent; see curlewshift/node/node.py. Durations are in nanoseconds.
+    Calls `ended(front_session, outcome, cause)` for each session that has ended at its server, `read_first(tune_in, then)`
+    before a set-up is sent, and `is_list_followed()`; see curlewshift/node/node.py. Durations are in nanoseconds.
     """
 
     def __init__(
@@ -60,6 +60,7 @@
         counts,
         ended,
         read_first,
+        is_list_followed,
         max_connections: int,
         streams_per_connection: int,
         connect_timeout: int,
@@ -74,7 +75,7 @@
             counts,
             ended,
         )
-        self.read_first = read_first
+        self.read_first, self.is_list_followed = read_first, is_list_followed
         self.max_connections, self.streams_per_connection = max_connections, streams_per_connection
         self.connect_timeout_s = connect_timeout / NS
         self.liveness = LivenessChecks(self, log, report_interval)
@@ -362,7 +363,7 @@
             if connection.closed:
                 sock.close()
                 return
-            endpoint.failed_connects, endpoint.was_reset = 0, False
+            self._connected(endpoint)
             connection.transport = BufferedConnection(sock, self.tasks)
             self.teardowns.connection_up(connection)
             self._send_queued(connection)
@@ -377,6 +378,15 @@
             if connection.transport is not None:
                 await connection.transport.close()
 
+    def _connected(self, endpoint: Endpoint) -> None:
+        """A connection to the server has been established. If all earlier ones were reset, its process may be another one, or
+        even another server's. While the server list is followed, that tells: resets have many other reasons."""
+        if endpoint.all_reset and not self.is_list_followed():
+            endpoint.restart_suspected_at = self.now()
+            self.log.info("restart-suspected", server=endpoint.server.name)
+            self.session_core.came_back(endpoint.server)
+        endpoint.failed_connects, endpoint.was_reset, endpoint.all_reset = 0, False, False
+
     def _send_queued(self, connection: ServerConnection) -> None:
         """Sends what was queued while the connection was being established."""
         unsent, connection.unsent = connection.unsent, []
@@ -449,6 +459,8 @@
         self._log_close(connection, "closed by the server" if by_peer else drop_cause.value if drop_cause else reason)
         if reset:
             endpoint.was_reset = True
+            if not endpoint.up and endpoint.last_seen_at > endpoint.restart_suspected_at:
+                endpoint.all_reset = True
         if connection.transport is not None and (reset or not by_peer):
             self._mark_lost_releases(connection, known_to_server=by_peer)
         for attempt in list(connection.attempts.values()):
--- a/tests/probes/crowd.py
+++ b/tests/probes/crowd.py
@@ -1,10 +1,12 @@
 """Usual viewers beside hundreds of clients that do not complete what they send: `python -m tests.probes.crowd [KIND…]`.
 
 Kinds: `slow` (a large set-up, some bytes every 50 ms), `half` (half of it, then nothing), `fields` (a head of very many short
-fields, at full speed), `silent`. Each client connects again when its connection is closed.
+fields, at full speed), `silent`, `unread` (tests at full speed, whose answers are not read). Each client connects again when its
+connection is closed.
 """
 
 import argparse
+import errno
 import multiprocessing
 import selectors
 import socket
@@ -18,6 +20,7 @@
 
 LARGE = set_up("cc" * 8, body=b"x" * 8000, more="X-Padding: " + "y" * 7000 + "\r\n")
 HEAD = b"SETUP rtsp://media/00000000000000aa RTSP/1.0\r\n" + b"".join(b"f%d:\r\n" % number for number in range(3000))
+TESTS = b"OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n" * 2000
 SLOW_PIECE_BYTES, SLOW_INTERVAL_S = 40, 0.05
 
 
@@ -32,15 +35,28 @@
         self.socket = socket.socket()
         self.socket.setblocking(False)
         self.socket.connect_ex(("127.0.0.1", self.port))
-        self.rest = {"slow": LARGE, "half": LARGE[: len(LARGE) // 2], "fields": HEAD, "silent": b""}[self.kind]
+        self.rest = {"slow": LARGE, "half": LARGE[: len(LARGE) // 2], "fields": HEAD, "silent": b"", "unread": TESTS}[self.kind]
 
     def send(self):
         piece = self.rest[:SLOW_PIECE_BYTES] if self.kind == "slow" else self.rest
         try:
             if piece:
                 self.rest = self.rest[self.socket.send(piece) :]
-        except (BlockingIOError, OSError):
+        except OSError:
             pass
+        if self.kind == "unread" and not self.rest:
+            self.rest = TESTS
+
+    def is_closed(self):
+        """Whether the connection was closed by the node. `unread` clients learn it from a failed write alone."""
+        if self.kind == "unread":
+            return self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) not in (0, errno.EINPROGRESS)
+        try:
+            return not self.socket.recv(65536)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
 
 
 def run_clients(port, kind, count, seconds, closed):
@@ -53,11 +69,7 @@
                 selector.register(client.socket, selectors.EVENT_READ, client)
             time.sleep(SLOW_INTERVAL_S)
             for key, _ in selector.select(0):
-                try:
-                    over = not key.data.socket.recv(65536)
-                except OSError:
-                    over = True
-                if over:
+                if key.data.is_closed():
                     ended += 1
                     key.data.socket.close()
                     key.data.connect()
@@ -83,7 +95,7 @@
 
 def main():
     arguments = argparse.ArgumentParser()
-    arguments.add_argument("kinds", nargs="*", default=["slow", "half", "fields", "silent"])
+    arguments.add_argument("kinds", nargs="*", default=["slow", "half", "fields", "silent", "unread"])
     arguments.add_argument("--clients", type=int, default=600)
     arguments.add_argument("--seconds", type=float, default=15.0)
     arguments.add_argument("--descriptors", type=int, default=256)
