The test of thirty nodes holds its ports until all are found

Each port was let go before the next was sought and no node had bound yet, so that one could be found twice.

--- a/tests/test_node_crowds.py
+++ b/tests/test_node_crowds.py
@@ -222,11 +222,12 @@
     @contextlib.asynccontextmanager
     async def nodes(self, testbed, count):
         """Runs `count` nodes that share the media servers, the first of which has just started with 200 seats."""
-        nodes = []
+        nodes, spares = [], []
         for number in range(count):
-            document, spare = testbed.config_document(), socket.create_server(("127.0.0.1", 0))
-            port = spare.getsockname()[1]
-            spare.close()
+            document = testbed.config_document()
+            # held until all ports are found: no node binds before, and a port that was let go could be found twice
+            spares.append(socket.create_server(("127.0.0.1", 0)))
+            port = spares[-1].getsockname()[1]
             document["settings"].update(balancers=count, my_number=number)
             document["settings"]["extra"]["kind_streams"] = [200]
             document["known"]["items"][0]["roster"]["servers"][0]["started_ms"] = time.time_ns() // 1_000_000
@@ -234,6 +235,8 @@
             testbed.path.write_text(json.dumps(document))
             nodes.append((Node(configuration.read(testbed.path), testbed.path, mock.Mock()), port))
             testbed.tasks.start_soon(nodes[-1][0].run)
+        for spare in spares:
+            spare.close()
         await until(lambda: all(node.ready for node, _ in nodes), 10)
         yield nodes
         faults = [call for node, _ in nodes for call in node.log.error.call_args_list]
